--- /dev/null
+++ b/GNUmakefile
@@ -0,0 +1,36 @@
+# Targets: build, test, fmt, lint, pages, demo, bench.
+GO ?= go
+export GOFLAGS += -buildvcs=false
+SOURCES := $(shell git ls-files '*.go' 2>/dev/null)
+# Packages where several goroutines share state, tested with the race detector.
+RACED := ./internal/store/... ./internal/journal/... ./internal/peer/... ./internal/owner/... \
+	./internal/home/... ./internal/member/... ./internal/table/... ./internal/worker/... ./internal/daemon/...
+
+.PHONY: build test fmt lint pages demo bench
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+test: build
+	$(GO) test ./... ./policy/...
+
+fmt:
+	gofmt -w $(SOURCES)
+
+lint:
+	@test -z "$$(gofmt -l $(SOURCES))" || { gofmt -l $(SOURCES); echo "run make fmt"; exit 1; }
+	$(GO) vet ./... ./policy/...
+	$(GO) tool staticcheck ./... ./policy/...
+
+race:
+	$(GO) test -race $(RACED)
+
+pages: build
+	./bin/tackbeamd --settings > docs/settings.md
+	./bin/tackbeam pages docs/commands
+
+demo: build
+	./test/demo.sh
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./internal/... ./policy/...
--- /dev/null
+++ b/internal/cli/cmd_standin_workers.go
@@ -0,0 +1,68 @@
+package cli
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"tackbeam.example/policy/size"
+	"tackbeam.example/tackbeam/internal/standin/fleet"
+	"tackbeam.example/tackbeam/internal/standin/standinworker"
+)
+
+var cmdStandinWorkers = Command{
+	Name:    "standin workers",
+	Summary: "run stand-in workers",
+	Doc: "Run stand-in workers until interrupted and put them on the list of VMs. Each prints a line with its name and address. " +
+		"On a worker, POST /standin/faults makes it misbehave, GET /standin/records tells what really began and ended there.",
+	New: func(env *Env) any { return &standinWorkers{env: env} },
+}
+
+type standinWorkers struct {
+	env    *Env
+	VMs    string        `long:"vms" required:"yes" description:"address of the list of VMs"`
+	Count  int           `long:"count" default:"50" description:"number of workers"`
+	First  int           `long:"first" default:"1" description:"number of the first worker"`
+	Halls  int           `long:"halls" default:"3" description:"number of data halls"`
+	Rack   int           `long:"rack" default:"8" description:"workers to a rack"`
+	Cores  int64         `long:"cores" default:"64" description:"cores of a worker"`
+	Memory int64         `long:"memory" default:"131072" description:"MiB of a worker"`
+	Accels int64         `long:"accelerators" description:"accelerators of a worker"`
+	Lease  time.Duration `long:"lease" default:"20s" description:"lease of a worker"`
+	Beat   time.Duration `long:"beat" default:"5s" description:"time between heartbeats"`
+	Lookup time.Duration `long:"lookup-time" default:"2ms" description:"time that a lookup takes"`
+}
+
+// Execute carries the command out.
+func (cm *standinWorkers) Execute([]string) error {
+	const milliPerCore = 1000
+	fl, err := fleet.New(fleet.Options{
+		Count: cm.Count, First: cm.First, Halls: cm.Halls, Rack: cm.Rack,
+		Worker: standinworker.Options{
+			Capacity: size.New(cm.Cores*milliPerCore, cm.Memory, cm.Accels),
+			Lease:    cm.Lease, Beat: cm.Beat, LookupTime: cm.Lookup,
+		},
+	})
+	if err != nil {
+		return err
+	}
+	if err := fl.Register(cm.VMs); err != nil {
+		return err
+	}
+	for _, wk := range fl.Workers() {
+		if _, err := fmt.Fprintf(cm.env.Out, "worker %s %s\n", wk.Options().Name, wk.Addr()); err != nil {
+			return err
+		}
+	}
+	untilInterrupted()
+	return fl.Close()
+}
+
+// untilInterrupted waits for the signal to end.
+func untilInterrupted() {
+	end := make(chan os.Signal, 1)
+	signal.Notify(end, os.Interrupt, syscall.SIGTERM)
+	<-end
+}
--- /dev/null
+++ b/internal/client/client.go
@@ -0,0 +1,136 @@
+// Package client speaks the HTTP interface of a node, for the command line, the
+// demo and the tests.
+package client
+
+import (
+	"bytes"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"tackbeam.example/tackbeam/internal/api"
+	"tackbeam.example/tackbeam/internal/fault"
+)
+
+// margin is how much longer than the node the client waits.
+const margin = 2 * time.Second
+
+// Client calls the nodes at some addresses, the first that can be reached.
+type Client struct {
+	addrs   []string
+	http    *fasthttp.Client
+	timeout time.Duration
+}
+
+// New returns a client of the nodes at the addresses.
+func New(timeout time.Duration, addrs ...string) *Client {
+	return &Client{addrs: addrs, timeout: timeout, http: &fasthttp.Client{
+		NoDefaultUserAgentHeader: true, MaxConnsPerHost: 4096,
+	}}
+}
+
+// Request is one call.
+type Request struct {
+	Method  string
+	Path    string
+	Query   map[string]string
+	Headers map[string]string
+	Body    []byte
+	// Wait is added to the client's timeout.
+	Wait time.Duration
+}
+
+// Response is the answer to a call that did not fail.
+type Response struct {
+	Status int
+	Body   []byte
+	Worker string
+	Stale  bool
+}
+
+// Do makes a call. An error answer comes back as an error of its kind.
+func (cl *Client) Do(rq Request) (Response, error) {
+	var last error
+	for _, addr := range cl.addrs {
+		rsp, err := cl.do(addr, rq)
+		if err == nil || fault.From(err).Begun || !fault.Is(err, fault.Unavailable) {
+			return rsp, err
+		}
+		last = err
+	}
+	return Response{}, last
+}
+
+func (cl *Client) do(addr string, rq Request) (Response, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	rsp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(rsp)
+	req.SetRequestURI("http://" + addr + rq.Path)
+	req.Header.SetMethod(rq.Method)
+	for name, value := range rq.Query {
+		req.URI().QueryArgs().Set(name, value)
+	}
+	req.Header.Set(api.HeaderTimeout, strconv.FormatFloat(cl.timeout.Seconds(), 'f', 3, 64))
+	for name, value := range rq.Headers {
+		req.Header.Set(name, value)
+	}
+	req.SetBody(rq.Body)
+	if err := cl.http.DoTimeout(req, rsp, cl.timeout+rq.Wait+margin); err != nil {
+		return Response{}, transportError(addr, err)
+	}
+	res := Response{
+		Status: rsp.StatusCode(), Body: bytes.Clone(rsp.Body()),
+		Worker: string(rsp.Header.Peek(api.HeaderWorker)),
+		Stale:  len(rsp.Header.Peek(api.HeaderStale)) > 0,
+	}
+	if res.Status >= fasthttp.StatusBadRequest {
+		return res, errorOf(res)
+	}
+	return res, nil
+}
+
+func transportError(addr string, err error) error {
+	er := fault.New(fault.Unavailable, "node at %s: %v", addr, err)
+	var dial *fasthttp.ErrDialWithUpstream
+	if !errors.As(err, &dial) {
+		er.Begun = true
+	}
+	return er
+}
+
+// errorOf reads an error answer.
+func errorOf(res Response) error {
+	var body api.ErrorBody
+	if err := json.Unmarshal(res.Body, &body); err != nil || body.Error.Kind == "" {
+		return fault.New(fault.Internal, "status %d: %s", res.Status, res.Body)
+	}
+	return &fault.Error{
+		Kind: body.Error.Kind, Message: body.Error.Message, Begun: body.Error.Ran != "not-run",
+		RetryAfter: time.Duration(body.Error.RetryAfter * float64(time.Second)),
+	}
+}
+
+// JSON makes a call and decodes its answer.
+func JSON[Res any](cl *Client, rq Request) (Res, error) {
+	var res Res
+	rsp, err := cl.Do(rq)
+	if err != nil {
+		return res, err
+	}
+	return res, errors.Wrap(json.Unmarshal(rsp.Body, &res), "decode answer")
+}
+
+// Send makes a call with a JSON body and decodes its answer.
+func Send[Res any](cl *Client, rq Request, body any) (Res, error) {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		var res Res
+		return res, errors.Wrap(err, "encode body")
+	}
+	rq.Body = raw
+	return JSON[Res](cl, rq)
+}
--- /dev/null
+++ b/internal/clustermap/clustermap.go
@@ -0,0 +1,218 @@
+// Package clustermap is what the nodes agree on through the store: which nodes
+// there are, which node owns each rack's workers, and which node is home of each
+// partition of workspaces. It changes by compare-and-swap, only when the
+// membership or the set of racks changes.
+package clustermap
+
+import (
+	"maps"
+	"slices"
+
+	"tackbeam.example/tackbeam/internal/ids"
+)
+
+// Key is the key of the map in the store.
+const Key = "cluster/map"
+
+// Node is one member.
+type Node struct {
+	Name        string `cbor:"1,keyasint"`
+	Incarnation string `cbor:"2,keyasint"`
+	Peer        string `cbor:"3,keyasint"`
+	HTTP        string `cbor:"4,keyasint"`
+	Region      string `cbor:"5,keyasint"`
+	Hall        string `cbor:"6,keyasint"`
+	Leaving     bool   `cbor:"7,keyasint,omitempty"`
+}
+
+// Log returns the name of the journal that the node writes.
+func (nd Node) Log() string { return nd.Name + "-" + nd.Incarnation }
+
+// Rack is a rack of workers and its owner. Epoch is the epoch of the map in
+// which the owner got it.
+type Rack struct {
+	Hall  string `cbor:"1,keyasint"`
+	Owner string `cbor:"2,keyasint"`
+	Epoch uint64 `cbor:"3,keyasint"`
+}
+
+// Home is a partition and the node that decides for its jobs. Former lists the
+// journals that may hold records of the partition which the present home has not
+// yet confirmed to have taken over.
+type Home struct {
+	Node   string   `cbor:"1,keyasint"`
+	Epoch  uint64   `cbor:"2,keyasint"`
+	Former []string `cbor:"3,keyasint,omitempty"`
+}
+
+// Map is the whole agreement.
+type Map struct {
+	Epoch   uint64          `cbor:"1,keyasint"`
+	Nodes   map[string]Node `cbor:"2,keyasint"`
+	Racks   map[string]Rack `cbor:"3,keyasint"`
+	Homes   []Home          `cbor:"4,keyasint"`
+	WriteID string          `cbor:"5,keyasint"`
+}
+
+// New returns the map of an empty cluster.
+func New() *Map {
+	return &Map{
+		Nodes: map[string]Node{},
+		Racks: map[string]Rack{},
+		Homes: make([]Home, ids.Partitions),
+	}
+}
+
+// RackKey names a rack uniquely over all halls.
+func RackKey(hall, rack string) string { return hall + "/" + rack }
+
+// Clone returns a deep copy.
+func (mp *Map) Clone() *Map {
+	cp := &Map{Epoch: mp.Epoch, WriteID: mp.WriteID}
+	cp.Nodes = maps.Clone(mp.Nodes)
+	cp.Racks = maps.Clone(mp.Racks)
+	if cp.Nodes == nil {
+		cp.Nodes = map[string]Node{}
+	}
+	if cp.Racks == nil {
+		cp.Racks = map[string]Rack{}
+	}
+	cp.Homes = make([]Home, ids.Partitions)
+	copy(cp.Homes, mp.Homes)
+	for i := range cp.Homes {
+		cp.Homes[i].Former = slices.Clone(cp.Homes[i].Former)
+	}
+	return cp
+}
+
+// Active returns the names of the nodes that take work, sorted.
+func (mp *Map) Active() []string {
+	var names []string
+	for name, nd := range mp.Nodes {
+		if !nd.Leaving {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Has reports whether the incarnation of the node is a member.
+func (mp *Map) Has(nd Node) bool {
+	got, ok := mp.Nodes[nd.Name]
+	return ok && got.Incarnation == nd.Incarnation
+}
+
+// Join returns the map with the node in it. A former incarnation of the same
+// name leaves at once.
+func (mp *Map) Join(nd Node) *Map {
+	cp := mp.next()
+	if old, ok := cp.Nodes[nd.Name]; ok && old.Incarnation != nd.Incarnation {
+		cp.remove(old.Name)
+	}
+	cp.Nodes[nd.Name] = nd
+	cp.balance()
+	return cp
+}
+
+// Leave returns the map with the node marked as leaving and its racks and homes
+// given to others.
+func (mp *Map) Leave(name string) *Map {
+	cp := mp.next()
+	if nd, ok := cp.Nodes[name]; ok {
+		nd.Leaving = true
+		cp.Nodes[name] = nd
+	}
+	cp.balance()
+	return cp
+}
+
+// Remove returns the map without the node.
+func (mp *Map) Remove(name string) *Map {
+	cp := mp.next()
+	cp.remove(name)
+	cp.balance()
+	return cp
+}
+
+// AddRacks returns the map with the racks that it lacks, and whether there are any.
+func (mp *Map) AddRacks(racks map[string]string) (*Map, bool) {
+	cp := mp.next()
+	added := false
+	for key, hall := range racks {
+		if _, ok := cp.Racks[key]; !ok {
+			cp.Racks[key] = Rack{Hall: hall}
+			added = true
+		}
+	}
+	if added {
+		cp.balance()
+	}
+	return cp, added
+}
+
+// Confirm returns the map with the former journals of the partitions forgotten,
+// where the node got them in the epochs given, and whether anything changed.
+func (mp *Map) Confirm(name string, parts map[int]uint64) (*Map, bool) {
+	cp := mp.next()
+	changed := false
+	for part, epoch := range parts {
+		hm := &cp.Homes[part]
+		if hm.Node == name && hm.Epoch == epoch && len(hm.Former) > 0 {
+			hm.Former = nil
+			changed = true
+		}
+	}
+	return cp, changed
+}
+
+// Logs returns the journals that somebody still writes or needs.
+func (mp *Map) Logs() map[string]bool {
+	logs := map[string]bool{}
+	for _, nd := range mp.Nodes {
+		logs[nd.Log()] = true
+	}
+	for _, hm := range mp.Homes {
+		for _, log := range hm.Former {
+			logs[log] = true
+		}
+	}
+	return logs
+}
+
+func (mp *Map) next() *Map {
+	cp := mp.Clone()
+	cp.Epoch++
+	cp.WriteID = ids.Random(8)
+	return cp
+}
+
+// remove takes a node out; its racks and homes are without a node until balance.
+func (mp *Map) remove(name string) {
+	nd, ok := mp.Nodes[name]
+	if !ok {
+		return
+	}
+	for i := range mp.Homes {
+		mp.unhome(i, nd)
+	}
+	for key, rk := range mp.Racks {
+		if rk.Owner == name {
+			rk.Owner = ""
+			mp.Racks[key] = rk
+		}
+	}
+	delete(mp.Nodes, name)
+}
+
+// unhome takes a partition from a node and notes where its records are.
+func (mp *Map) unhome(part int, nd Node) {
+	hm := &mp.Homes[part]
+	if hm.Node != nd.Name {
+		return
+	}
+	hm.Node = ""
+	if !slices.Contains(hm.Former, nd.Log()) {
+		hm.Former = append(hm.Former, nd.Log())
+	}
+}
--- /dev/null
+++ b/internal/fault/fault.go
@@ -0,0 +1,147 @@
+// Package fault is the closed list of error kinds of tackbeam and the table
+// from each kind to its answer: HTTP status, exit code, and whether a caller may
+// come back.
+package fault
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Kind names one way in which a request can fail.
+type Kind string
+
+// The kinds. The list is closed: each has a row in the table of answers.
+const (
+	BadRequest   Kind = "bad_request"
+	TooLarge     Kind = "too_large"
+	UnknownRow   Kind = "unknown_row"
+	BadCell      Kind = "bad_cell"
+	NeverFits    Kind = "never_fits"
+	NotFound     Kind = "not_found"
+	Conflict     Kind = "conflict"
+	KeyReused    Kind = "key_reused"
+	PastDeadline Kind = "past_deadline"
+	RateLimited  Kind = "rate_limited"
+	Full         Kind = "full"
+	Draining     Kind = "draining"
+	Unavailable  Kind = "unavailable"
+	Stale        Kind = "stale"
+	Timeout      Kind = "timeout"
+	Endpoint     Kind = "endpoint_failed"
+	Denied       Kind = "denied"
+	NotConfirmed Kind = "not_confirmed"
+	WrongAnswer  Kind = "wrong_answer"
+	Internal     Kind = "internal"
+)
+
+// Answer is what a kind means to the one who asked.
+type Answer struct {
+	status    int
+	exit      int
+	retryable bool
+	text      string
+}
+
+// Status returns the HTTP status.
+func (an Answer) Status() int { return an.status }
+
+// Exit returns the exit code of the command line.
+func (an Answer) Exit() int { return an.exit }
+
+// Retryable reports whether the same request may succeed later.
+func (an Answer) Retryable() bool { return an.retryable }
+
+// Text returns the meaning in one line.
+func (an Answer) Text() string { return an.text }
+
+// answers is the table from kind to answer.
+var answers = map[Kind]Answer{
+	BadRequest:   {400, 2, false, "the request is malformed; mend it as the message says"},
+	TooLarge:     {413, 3, false, "the body is over the size limit"},
+	UnknownRow:   {404, 4, false, "the table has no such workspace or workload"},
+	BadCell:      {422, 5, false, "the value is not allowed in this cell"},
+	NeverFits:    {422, 6, false, "no worker or limit can ever carry this; not run"},
+	NotFound:     {404, 7, false, "there is no such job, worker, node or path"},
+	Conflict:     {409, 8, false, "somebody else changed the cell first; read it and decide again"},
+	KeyReused:    {409, 9, false, "the idempotency key was used with another request"},
+	PastDeadline: {400, 10, false, "the deadline has passed; not run"},
+	RateLimited:  {429, 11, true, "the workspace is over its rate; come back when told"},
+	Full:         {503, 12, true, "no free room in time; not run, come back when told"},
+	Draining:     {503, 13, true, "the node is stopping; ask another"},
+	Unavailable:  {503, 14, true, "the store or an owner cannot be reached; come back when told"},
+	Stale:        {503, 15, true, "this node is cut off and may hold an old table"},
+	Timeout:      {504, 16, false, "no answer within the deadline; whether it ran is unknown"},
+	Endpoint:     {502, 17, true, "the endpoint failed the request"},
+	Denied:       {403, 18, false, "an explicit allow is missing, or the peer is a stranger"},
+	NotConfirmed: {202, 19, true, "the edit is kept but not every node has confirmed it"},
+	WrongAnswer:  {500, 20, false, "a checked answer was wrong"},
+	Internal:     {500, 1, false, "the node failed; the log has the cause"},
+}
+
+// Kinds returns every kind with its answer.
+func Kinds() map[Kind]Answer {
+	all := make(map[Kind]Answer, len(answers))
+	for kd, an := range answers {
+		all[kd] = an
+	}
+	return all
+}
+
+// Answer returns the row of the kind in the table of answers.
+func (kd Kind) Answer() Answer {
+	if an, ok := answers[kd]; ok {
+		return an
+	}
+	return answers[Internal]
+}
+
+// Error is an error of one kind. It travels between nodes.
+type Error struct {
+	Kind       Kind          `json:"kind" cbor:"1,keyasint"`
+	Message    string        `json:"message" cbor:"2,keyasint"`
+	RetryAfter time.Duration `json:"retry_after,omitempty" cbor:"3,keyasint,omitempty"`
+	// Begun is set where work may have started before the error.
+	Begun bool `json:"begun,omitempty" cbor:"4,keyasint,omitempty"`
+}
+
+// New returns an error of the kind with a formatted message.
+func New(kd Kind, format string, args ...any) *Error {
+	return &Error{Kind: kd, Message: fmt.Sprintf(format, args...)}
+}
+
+// Error returns the kind and the message in one line.
+func (er *Error) Error() string { return string(er.Kind) + ": " + er.Message }
+
+// After returns the error with a hint when to come back.
+func (er *Error) After(wait time.Duration) *Error {
+	er.RetryAfter = wait
+	return er
+}
+
+// AfterStart returns the error marked as raised after work may have started.
+func (er *Error) AfterStart() *Error {
+	er.Begun = true
+	return er
+}
+
+// From returns the first error of the closed list in err's chain, or an error of
+// kind Internal. It returns nil for nil.
+func From(err error) *Error {
+	if err == nil {
+		return nil
+	}
+	var er *Error
+	if errors.As(err, &er) {
+		return er
+	}
+	return &Error{Kind: Internal, Message: err.Error()}
+}
+
+// Is reports whether err is of the kind.
+func Is(err error, kd Kind) bool {
+	er := From(err)
+	return er != nil && er.Kind == kd
+}
--- /dev/null
+++ b/internal/front/operator.go
@@ -0,0 +1,233 @@
+package front
+
+import (
+	"context"
+	"sort"
+	"strconv"
+
+	"github.com/gofiber/fiber/v2"
+
+	"tackbeam.example/tackbeam/internal/api"
+	"tackbeam.example/tackbeam/internal/column"
+	"tackbeam.example/tackbeam/internal/fault"
+	"tackbeam.example/tackbeam/internal/nodemsg"
+	"tackbeam.example/tackbeam/internal/peer"
+	"tackbeam.example/tackbeam/internal/table"
+)
+
+// cellBody bounds the body of an edit.
+const cellBody = 4096
+
+// getTable returns all rows or, with ?after=VERSION, waits for rows newer than that.
+func (fr *Front) getTable(c *fiber.Ctx) error {
+	wait, err := waitOf(c)
+	if err != nil {
+		return err
+	}
+	rows := fr.Table.Rows()
+	if text := c.Query("after"); text != "" {
+		after, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			return fault.New(fault.BadRequest, "after=%s: give a version of the table", text)
+		}
+		ctx, cancel := context.WithTimeout(fr.ctx, wait)
+		defer cancel()
+		rows = fr.Table.Changes(ctx, after)
+	}
+	if rows == nil {
+		rows = []table.Row{}
+	}
+	return c.JSON(api.Table{
+		Version: fr.Table.Snapshot().Newest(), Rows: rows, Stale: fr.Member.Stale(),
+	})
+}
+
+func (fr *Front) getColumns(c *fiber.Ctx) error {
+	var list []api.Column
+	for _, kd := range column.Kinds() {
+		for _, cl := range column.Of(kd) {
+			list = append(list, api.Column{
+				Kind: string(kd), Name: cl.Name(), Default: cl.Default(), Unit: cl.Unit(),
+				Allowed: cl.Allowed(), Meaning: cl.Meaning(),
+			})
+		}
+	}
+	return c.JSON(list)
+}
+
+func (fr *Front) getRow(c *fiber.Ctx) error {
+	kd, name := column.Kind(c.Params("kind")), c.Params("row")
+	if _, err := table.Key(kd, name); err != nil {
+		return err
+	}
+	for _, row := range fr.Table.Rows() {
+		if row.Kind == kd && row.Name == name {
+			return c.JSON(row)
+		}
+	}
+	return fault.New(fault.UnknownRow, "%s/%s is not in the table", kd, name)
+}
+
+func (fr *Front) setCell(c *fiber.Ctx) error {
+	budget, err := fr.deadline(c)
+	if err != nil {
+		return err
+	}
+	var req api.CellRequest
+	if err := readBody(c, cellBody, &req); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(fr.ctx, budget)
+	defer cancel()
+	kept, err := fr.Table.Set(ctx, table.Change{
+		Kind: column.Kind(c.Params("kind")), Row: c.Params("row"), Column: c.Params("column"),
+		Value: req.Value, Expect: req.Expect, By: operatorOf(c),
+	})
+	return fr.answerKept(c, kept, err, req.Wait)
+}
+
+// answerKept answers an edit. An edit that is kept but not confirmed everywhere
+// is no failure unless the operator asked to wait for that.
+func (fr *Front) answerKept(c *fiber.Ctx, kept table.Kept, err error, wait bool) error {
+	if err != nil {
+		return err
+	}
+	kept.Confirmed = append(kept.Confirmed, fr.Member.Node().Name)
+	sort.Strings(kept.Confirmed)
+	if wait && len(kept.Unconfirmed) > 0 {
+		c.Status(fault.NotConfirmed.Answer().Status())
+	}
+	if kept.Unconfirmed == nil {
+		kept.Unconfirmed = []string{}
+	}
+	return c.JSON(kept)
+}
+
+func operatorOf(c *fiber.Ctx) string {
+	if name := c.Get(api.HeaderOperator); name != "" {
+		return string([]byte(name[:min(len(name), maxKey)]))
+	}
+	return c.IP()
+}
+
+func (fr *Front) removeRow(c *fiber.Ctx) error {
+	budget, err := fr.deadline(c)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(fr.ctx, budget)
+	defer cancel()
+	kept, err := fr.Table.Remove(ctx, column.Kind(c.Params("kind")), c.Params("row"))
+	return fr.answerKept(c, kept, err, false)
+}
+
+func (fr *Front) listJobs(c *fiber.Ctx) error {
+	const defaultLimit, maxLimit = 100, 1000
+	limit := c.QueryInt("limit", defaultLimit)
+	if limit < 1 || limit > maxLimit {
+		return fault.New(fault.BadRequest, "limit: give a whole number from 1 to %d", maxLimit)
+	}
+	fl := nodemsg.JobFilter{Workspace: c.Query("workspace"), Limit: limit}
+	all, silent := askAll[nodemsg.JobFilter, nodemsg.Jobs](fr, nodemsg.KindJobList, fl)
+	list := fr.Local.Jobs(fl).Jobs
+	for _, res := range all {
+		list = append(list, res.Jobs...)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Submitted.After(list[j].Submitted) })
+	return c.JSON(api.Jobs{Jobs: list[:min(len(list), limit)], Unreached: silent})
+}
+
+func (fr *Front) getWorkers(c *fiber.Ctx) error {
+	all, silent := askAll[nodemsg.Empty, nodemsg.Workers](fr, nodemsg.KindWorkers, nodemsg.Empty{})
+	list := fr.Local.Workers().Workers
+	for _, res := range all {
+		list = append(list, res.Workers...)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return c.JSON(api.Workers{Workers: list, Unreached: silent})
+}
+
+func (fr *Front) getNodes(c *fiber.Ctx) error {
+	all, silent := askAll[nodemsg.Empty, nodemsg.NodeInfo](fr, nodemsg.KindNodeInfo, nodemsg.Empty{})
+	list := []nodemsg.NodeInfo{fr.Local.Info()}
+	for _, info := range all {
+		list = append(list, info)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return c.JSON(api.Nodes{Nodes: list, Unreached: silent})
+}
+
+// drain drains a node or a worker, given an explicit allow.
+func (fr *Front) drain(c *fiber.Ctx) error {
+	if c.Get(api.HeaderAllow) != api.AllowDrain {
+		return fault.New(fault.Denied, "a drain needs header %s: %s", api.HeaderAllow, api.AllowDrain)
+	}
+	var req api.DrainRequest
+	if err := readBody(c, cellBody, &req); err != nil {
+		return err
+	}
+	if (req.Node == "") == (req.Worker == "") {
+		return fault.New(fault.BadRequest, "node, worker: name one of the two")
+	}
+	ctx, cancel := context.WithTimeout(fr.ctx, askTimeout)
+	defer cancel()
+	if req.Worker != "" {
+		return fr.drainWorker(ctx, c, req.Worker)
+	}
+	if req.Node == fr.Member.Node().Name {
+		fr.Local.DrainNode()
+		return c.Status(fiber.StatusAccepted).JSON(req)
+	}
+	return fr.forwardDrain(ctx, c, req.Node, nodemsg.Drain{})
+}
+
+func (fr *Front) forwardDrain(ctx context.Context, c *fiber.Ctx, node string, dr nodemsg.Drain) error {
+	nd, ok := fr.Member.Map().Nodes[node]
+	if !ok {
+		return fault.New(fault.NotFound, "node %q is not a member", node)
+	}
+	_, err := peer.Call[nodemsg.Drain, nodemsg.Empty](ctx, fr.Peer, nd.Peer, nodemsg.KindDrain, dr)
+	if err != nil {
+		return err
+	}
+	return c.Status(fiber.StatusAccepted).JSON(api.DrainRequest{Node: node, Worker: dr.Worker})
+}
+
+func (fr *Front) drainWorker(ctx context.Context, c *fiber.Ctx, name string) error {
+	err := fr.Local.DrainWorker(ctx, name)
+	if err == nil {
+		return c.Status(fiber.StatusAccepted).JSON(api.DrainRequest{Worker: name})
+	}
+	if !fault.Is(err, fault.NotFound) {
+		return err
+	}
+	all, _ := askAll[nodemsg.Empty, nodemsg.Workers](fr, nodemsg.KindWorkers, nodemsg.Empty{})
+	for node, res := range all {
+		for _, wk := range res.Workers {
+			if wk.Name == name {
+				return fr.forwardDrain(ctx, c, node, nodemsg.Drain{Worker: name})
+			}
+		}
+	}
+	return fault.New(fault.NotFound, "no node owns worker %q", name)
+}
+
+func (fr *Front) getStats(c *fiber.Ctx) error {
+	return c.JSON(api.Stats{Node: fr.Local.Info(), Report: fr.Meter.Report()})
+}
+
+func (fr *Front) health(c *fiber.Ctx) error {
+	return c.JSON(api.Health{Status: "ok"})
+}
+
+// ready tells the balancer whether this node takes work.
+func (fr *Front) ready(c *fiber.Ctx) error {
+	why := fr.Local.Ready()
+	if fr.draining.Load() {
+		why = append(why, "the node is stopping")
+	}
+	if len(why) > 0 {
+		return c.Status(fiber.StatusServiceUnavailable).JSON(api.Health{Status: "not ready", Why: why})
+	}
+	return c.JSON(api.Health{Status: "ready"})
+}
--- /dev/null
+++ b/internal/home/see.go
@@ -0,0 +1,224 @@
+package home
+
+import (
+	"time"
+
+	"tackbeam.example/policy/attempt"
+	"tackbeam.example/policy/home"
+	"tackbeam.example/tackbeam/internal/ids"
+	"tackbeam.example/tackbeam/internal/job"
+	"tackbeam.example/tackbeam/internal/nodemsg"
+)
+
+// Limits on attempts that began and did not succeed, and the pauses of asking.
+const (
+	maxBegun = 3
+	firstAsk = 50 * time.Millisecond
+	maxAsk   = 2 * time.Second
+)
+
+// see starts the goroutine that sees a placed job through to its end. Fresh
+// says that the start messages are still to be sent. The caller holds the lock.
+func (hm *Home) see(en *entry, fresh bool) {
+	en.busy++
+	rec := en.rec
+	go func() {
+		if fresh {
+			hm.learn(en, rec.Attempt, hm.commit(rec))
+		}
+		hm.release(en)
+		hm.seeLoop(en)
+	}()
+}
+
+func (hm *Home) release(en *entry) {
+	hm.mu.Lock()
+	defer hm.mu.Unlock()
+	en.busy--
+}
+
+// seeLoop takes one step of the attempt after another.
+func (hm *Home) seeLoop(en *entry) {
+	pause := firstAsk
+	for {
+		step, places, number := hm.next(en)
+		switch step {
+		case attempt.Ask:
+			hm.learn(en, number, hm.order(nodemsg.VerbFate, places))
+		case attempt.Go:
+			hm.learn(en, number, hm.order(nodemsg.VerbGo, places))
+		case attempt.Stop:
+			hm.learn(en, number, hm.order(nodemsg.VerbStop, places))
+		case attempt.Wait:
+			pause = firstAsk
+			if !hm.wait(en, 0) {
+				return
+			}
+			continue
+		default:
+			return
+		}
+		hm.release(en)
+		if !hm.wait(en, pause) {
+			return
+		}
+		pause = min(2*pause, maxAsk)
+	}
+}
+
+// wait waits for a change of the job, or for a pause where one is given.
+func (hm *Home) wait(en *entry, pause time.Duration) bool {
+	if pause == 0 {
+		select {
+		case <-en.kick:
+			return true
+		case <-hm.ctx.Done():
+			return false
+		}
+	}
+	select {
+	case <-en.kick:
+	case <-hm.Clock.After(pause):
+	case <-hm.ctx.Done():
+		return false
+	}
+	return true
+}
+
+// next decides the next step of a job's attempt and carries the ones out that
+// end it. For the others it returns the places concerned, and the job counts as
+// busy until release.
+func (hm *Home) next(en *entry) (attempt.Step, []nodemsg.Place, int) {
+	hm.mu.Lock()
+	defer hm.mu.Unlock()
+	if en.frozen || en.rec.State != job.Placed {
+		return attempt.Ran, nil, 0
+	}
+	step := attempt.Next(en.statuses, en.rec.Rules())
+	switch step {
+	case attempt.Ask:
+		en.busy++
+		return step, en.in(attempt.Unknown), en.rec.Attempt
+	case attempt.Go:
+		en.busy++
+		return step, en.in(attempt.Prepared), en.rec.Attempt
+	case attempt.Stop:
+		en.busy++
+		return step, append(en.in(attempt.Prepared), en.in(attempt.Running)...), en.rec.Attempt
+	case attempt.Retry:
+		hm.retry(en)
+	case attempt.NotRun:
+		hm.settle(en, job.NotRun, "", "cancelled")
+	case attempt.Ran:
+		hm.settle(en, job.Ran, result(en.statuses), "")
+	case attempt.Doubt:
+		hm.settle(en, job.Unknown, "", "a worker was lost while the job ran")
+	}
+	return step, nil, en.rec.Attempt
+}
+
+// in returns the places of the tasks in a status.
+func (en *entry) in(st attempt.Status) []nodemsg.Place {
+	var places []nodemsg.Place
+	for i, have := range en.statuses {
+		if have == st {
+			places = append(places, en.rec.Places[i])
+		}
+	}
+	return places
+}
+
+func result(statuses []attempt.Status) string {
+	worst := job.ResultOK
+	for _, st := range statuses {
+		switch st {
+		case attempt.Failed:
+			return job.ResultFailed
+		case attempt.Stopped:
+			worst = job.ResultStopped
+		}
+	}
+	return worst
+}
+
+// retry lets a job try for room again, unless too many attempts began and
+// failed, or its deadline has passed. The caller holds the lock.
+func (hm *Home) retry(en *entry) {
+	began := false
+	for _, st := range en.statuses {
+		began = began || st != attempt.Unbegun
+	}
+	if began {
+		en.rec.Begun++
+	}
+	if en.rec.Begun >= maxBegun {
+		hm.settle(en, job.Ran, job.ResultFailed, "every attempt failed")
+		return
+	}
+	en.toAck = append(en.toAck, en.rec.Places...)
+	en.rec.State = job.Waiting
+	en.rec.Places, en.statuses = nil, nil
+	hm.step(home.Event{Remove: &home.Remove{Job: en.rec.ID}})
+	hm.step(home.Event{Submit: hm.submitEvent(en, hm.now()+backoff(en.rec.Attempt))})
+	en.notify()
+}
+
+// learn takes the fates of tasks of an attempt in. An answer to a former attempt
+// changes nothing.
+func (hm *Home) learn(en *entry, number int, fates []nodemsg.Fate) {
+	hm.mu.Lock()
+	defer hm.mu.Unlock()
+	if en.rec.Attempt != number || en.rec.State != job.Placed {
+		return
+	}
+	for _, ft := range fates {
+		if !ft.Known {
+			continue
+		}
+		if _, _, index, ok := ids.TaskJob(ft.Task); ok {
+			hm.setStatus(en, index, job.StatusOf(ft.State, ft.Begun))
+		}
+	}
+}
+
+// setStatus notes what is known of one task. What is final stays. The caller
+// holds the lock.
+func (hm *Home) setStatus(en *entry, index int, st attempt.Status) {
+	if index < 0 || index >= len(en.statuses) || en.statuses[index] >= attempt.Unbegun || st == attempt.Unknown {
+		return
+	}
+	if st == attempt.Prepared && en.statuses[index] == attempt.Running {
+		return // an older answer
+	}
+	en.statuses[index] = st
+	if st >= attempt.Unbegun && !en.frozen {
+		hm.step(home.Event{TaskEnded: &home.TaskEnded{Job: en.rec.ID}})
+	}
+	en.wake()
+}
+
+// TaskEnded takes an owner's report of an end. It is settled once the job's end
+// is kept, or where the task belongs to a former attempt or to no job.
+func (hm *Home) TaskEnded(end nodemsg.TaskEnded) (nodemsg.Noted, error) {
+	id, number, index, ok := ids.TaskJob(end.Task)
+	if !ok {
+		return nodemsg.Noted{Settled: true}, nil
+	}
+	hm.mu.Lock()
+	defer hm.mu.Unlock()
+	en, err := hm.find(id)
+	if en == nil {
+		part, valid := ids.JobPartition(id)
+		if valid && hm.parts[part].state != owned {
+			return nodemsg.Noted{}, err
+		}
+		return nodemsg.Noted{Settled: true}, nil
+	}
+	if en.rec.State == job.Done {
+		return nodemsg.Noted{Settled: true}, nil
+	}
+	if en.rec.State == job.Placed && en.rec.Attempt == number {
+		hm.setStatus(en, index, job.StatusOf(end.State, end.Begun))
+	}
+	return nodemsg.Noted{}, nil
+}
--- /dev/null
+++ b/internal/keys/keys.go
@@ -0,0 +1,125 @@
+// Package keys holds a node's certificate and makes the TLS settings for mutual
+// authentication between nodes. Files that change are read again without a
+// restart.
+package keys
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+)
+
+// ServerName is the name that every node's certificate is for.
+const ServerName = "tackbeam-node"
+
+// Protocol is the application protocol that nodes agree on.
+const Protocol = "tackbeam/1"
+
+// checkEvery is the time between two looks at the files.
+const checkEvery = 10 * time.Second
+
+// Ring is the present certificate and the signers of the other nodes.
+type Ring struct {
+	cert, key, ca string
+	clock         clockwork.Clock
+	log           logr.Logger
+
+	mu      sync.Mutex
+	pair    *tls.Certificate
+	pool    *x509.CertPool
+	checked time.Time
+	changed time.Time
+}
+
+// New reads the three files.
+func New(clock clockwork.Clock, log logr.Logger, cert, key, ca string) (*Ring, error) {
+	rg := &Ring{cert: cert, key: key, ca: ca, clock: clock, log: log.WithName("keys")}
+	if err := rg.load(); err != nil {
+		return nil, err
+	}
+	return rg, nil
+}
+
+func (rg *Ring) load() error {
+	pair, err := tls.LoadX509KeyPair(rg.cert, rg.key)
+	if err != nil {
+		return errors.Wrap(err, "load certificate")
+	}
+	raw, err := os.ReadFile(rg.ca)
+	if err != nil {
+		return errors.Wrap(err, "read signers")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(raw) {
+		return errors.Errorf("file %s holds no certificate", rg.ca)
+	}
+	rg.pair, rg.pool = &pair, pool
+	rg.checked = rg.clock.Now()
+	rg.changed = rg.newest()
+	return nil
+}
+
+func (rg *Ring) newest() time.Time {
+	var at time.Time
+	for _, path := range []string{rg.cert, rg.key, rg.ca} {
+		if info, err := os.Stat(path); err == nil && info.ModTime().After(at) {
+			at = info.ModTime()
+		}
+	}
+	return at
+}
+
+// current returns the certificate and signers, read again where the files have
+// changed. Files that cannot be read leave the former ones in force.
+func (rg *Ring) current() (*tls.Certificate, *x509.CertPool) {
+	rg.mu.Lock()
+	defer rg.mu.Unlock()
+	if rg.clock.Since(rg.checked) < checkEvery {
+		return rg.pair, rg.pool
+	}
+	rg.checked = rg.clock.Now()
+	if rg.newest().After(rg.changed) {
+		if err := rg.load(); err != nil {
+			rg.log.Error(err, "New keys cannot be read, the old ones stay.")
+		} else {
+			rg.log.Info("Keys were read again.")
+		}
+	}
+	return rg.pair, rg.pool
+}
+
+// Server returns settings that demand a certificate signed by a known signer.
+func (rg *Ring) Server() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		NextProtos: []string{Protocol},
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			pair, pool := rg.current()
+			return &tls.Config{
+				MinVersion:   tls.VersionTLS13,
+				NextProtos:   []string{Protocol},
+				Certificates: []tls.Certificate{*pair},
+				ClientAuth:   tls.RequireAndVerifyClientCert,
+				ClientCAs:    pool,
+			}, nil
+		},
+	}
+}
+
+// Client returns settings for a call to another node.
+func (rg *Ring) Client() *tls.Config {
+	pair, pool := rg.current()
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		NextProtos:   []string{Protocol},
+		ServerName:   ServerName,
+		Certificates: []tls.Certificate{*pair},
+		RootCAs:      pool,
+	}
+}
--- /dev/null
+++ b/internal/logs/logs.go
@@ -0,0 +1,34 @@
+// Package logs makes the structured loggers of the processes. Each part of the
+// system logs under its own fixed prefix, in short sentences.
+package logs
+
+import (
+	"io"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
+)
+
+// Debug is the verbosity of messages that operators seldom need.
+const Debug = 1
+
+// New returns a logger that writes JSON lines at or below the verbosity to out.
+func New(out io.Writer, verbosity int) logr.Logger {
+	var mu sync.Mutex
+	write := func(line string) {
+		mu.Lock()
+		defer mu.Unlock()
+		_, _ = io.WriteString(out, line+"\n") // a log that cannot be written has nowhere to say so
+	}
+	return funcr.NewJSON(write, funcr.Options{
+		LogTimestamp:    true,
+		TimestampFormat: time.RFC3339Nano,
+		Verbosity:       verbosity,
+	})
+}
+
+// Standard returns a logger on standard error.
+func Standard(verbosity int) logr.Logger { return New(os.Stderr, verbosity) }
--- /dev/null
+++ b/internal/meter/meter.go
@@ -0,0 +1,155 @@
+// Package meter keeps the counters and histograms of a node: waits and latencies
+// by workspace and class, decisions, refusals, and what control costs.
+package meter
+
+import (
+	"encoding/json"
+	"os"
+	"runtime"
+	"sort"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Sizes of the reservoirs, and how strongly recent values count.
+const (
+	reservoir = 256
+	decay     = 0.015
+	// maxSeries bounds the memory that workspaces can take by their number.
+	maxSeries = 2048
+)
+
+// Meter is one node's measures. It is safe for concurrent use.
+type Meter struct {
+	registry metrics.Registry
+	started  time.Time
+	mu       sync.Mutex
+	series   int
+}
+
+// New returns an empty meter.
+func New(now time.Time) *Meter {
+	return &Meter{registry: metrics.NewRegistry(), started: now}
+}
+
+// Count adds to a counter.
+func (mt *Meter) Count(name string, n int64) {
+	metrics.GetOrRegisterCounter(name, mt.registry).Inc(n)
+}
+
+// Counter returns the value of a counter.
+func (mt *Meter) Counter(name string) int64 {
+	return metrics.GetOrRegisterCounter(name, mt.registry).Count()
+}
+
+// Observe adds a time to the histogram of a measure, class and workspace, and to
+// the class's histogram over all workspaces.
+func (mt *Meter) Observe(measure, class, workspace string, took time.Duration) {
+	mt.update(strings.Join([]string{measure, class, "*"}, "|"), took)
+	mt.update(strings.Join([]string{measure, class, workspace}, "|"), took)
+}
+
+func (mt *Meter) update(name string, took time.Duration) {
+	got := mt.registry.Get(name)
+	if got == nil {
+		mt.mu.Lock()
+		if mt.series >= maxSeries {
+			mt.mu.Unlock()
+			return
+		}
+		mt.series++
+		mt.mu.Unlock()
+		got = mt.registry.GetOrRegister(name, func() metrics.Histogram {
+			return metrics.NewHistogram(metrics.NewExpDecaySample(reservoir, decay))
+		})
+	}
+	if hg, ok := got.(metrics.Histogram); ok {
+		hg.Update(int64(took))
+	}
+}
+
+// Series is one histogram in numbers.
+type Series struct {
+	Measure   string        `json:"measure"`
+	Class     string        `json:"class"`
+	Workspace string        `json:"workspace"`
+	Count     int64         `json:"count"`
+	P50       time.Duration `json:"p50"`
+	P99       time.Duration `json:"p99"`
+	Max       time.Duration `json:"max"`
+}
+
+// Report is everything a meter holds at one moment.
+type Report struct {
+	Counters map[string]int64 `json:"counters"`
+	Series   []Series         `json:"series"`
+}
+
+// Report returns the present values.
+func (mt *Meter) Report() Report {
+	rp := Report{Counters: map[string]int64{}}
+	mt.registry.Each(func(name string, value any) {
+		switch typed := value.(type) {
+		case metrics.Counter:
+			rp.Counters[name] = typed.Count()
+		case metrics.Histogram:
+			rp.Series = append(rp.Series, series(name, typed.Snapshot()))
+		}
+	})
+	sort.Slice(rp.Series, func(i, j int) bool {
+		a, b := rp.Series[i], rp.Series[j]
+		return a.Measure+a.Class+a.Workspace < b.Measure+b.Class+b.Workspace
+	})
+	return rp
+}
+
+func series(name string, hg metrics.Histogram) Series {
+	const median, tail = 0.5, 0.99
+	sr := Series{
+		Count: hg.Count(), Max: time.Duration(hg.Max()),
+		P50: time.Duration(hg.Percentile(median)), P99: time.Duration(hg.Percentile(tail)),
+	}
+	parts := strings.SplitN(name, "|", 3)
+	if len(parts) == 3 {
+		sr.Measure, sr.Class, sr.Workspace = parts[0], parts[1], parts[2]
+	}
+	return sr
+}
+
+// Cost is what the process has spent since it started.
+type Cost struct {
+	CPU      time.Duration
+	Resident int64
+	Up       time.Duration
+}
+
+// Cost returns the processor time and the resident memory of this process.
+func (mt *Meter) Cost(now time.Time) Cost {
+	ct := Cost{Up: now.Sub(mt.started), Resident: resident()}
+	var ru syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &ru); err == nil {
+		ct.CPU = time.Duration(ru.Utime.Nano() + ru.Stime.Nano())
+	}
+	return ct
+}
+
+// resident returns the resident bytes, or what the runtime has from the system
+// where the kernel does not tell.
+func resident() int64 {
+	const pagesField = 1
+	raw, err := os.ReadFile("/proc/self/statm")
+	fields := strings.Fields(string(raw))
+	if err == nil && len(fields) > pagesField {
+		var pages int64
+		if json.Unmarshal([]byte(fields[pagesField]), &pages) == nil {
+			return pages * int64(os.Getpagesize())
+		}
+	}
+	var ms runtime.MemStats
+	runtime.ReadMemStats(&ms)
+	return int64(ms.Sys)
+}
--- /dev/null
+++ b/internal/recorder/recorder.go
@@ -0,0 +1,100 @@
+// Package recorder writes the inputs of the decisions down as they happen, one
+// JSON line each, so that a run can be replayed.
+package recorder
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"tackbeam.example/policy/home"
+	"tackbeam.example/policy/owner"
+)
+
+// Version is the version of the trace format.
+const Version = 1
+
+// Line is one line of a trace: the header, an input of an owner, or an input of
+// a home. Acts is the number of decisions that the input led to.
+type Line struct {
+	Trace *Header      `json:"trace,omitempty"`
+	Owner *owner.Event `json:"owner,omitempty"`
+	Home  *home.Event  `json:"home,omitempty"`
+	Acts  int          `json:"acts,omitempty"`
+}
+
+// Header is the first line of a trace.
+type Header struct {
+	Version int          `json:"version"`
+	Node    string       `json:"node"`
+	Limits  owner.Limits `json:"limits"`
+	AtOnce  int          `json:"at_once"`
+}
+
+// Recorder writes a trace. A recorder without a file records nothing.
+type Recorder struct {
+	mu   sync.Mutex
+	file io.WriteCloser
+	buf  *bufio.Writer
+	enc  *json.Encoder
+	err  error
+}
+
+// New opens the file of the path, or records nothing where the path is empty.
+func New(path string, head Header) (*Recorder, error) {
+	if path == "" {
+		return &Recorder{}, nil
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "open trace")
+	}
+	rc := &Recorder{file: file, buf: bufio.NewWriter(file)}
+	rc.enc = json.NewEncoder(rc.buf)
+	head.Version = Version
+	rc.write(Line{Trace: &head})
+	return rc, nil
+}
+
+// Owner records an input of the owner's machine.
+func (rc *Recorder) Owner(ev owner.Event, acts int) {
+	if rc.enc != nil {
+		rc.write(Line{Owner: &ev, Acts: acts})
+	}
+}
+
+// Home records an input of the home's machine.
+func (rc *Recorder) Home(ev home.Event, acts int) {
+	if rc.enc != nil {
+		rc.write(Line{Home: &ev, Acts: acts})
+	}
+}
+
+func (rc *Recorder) write(ln Line) {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	if rc.err == nil {
+		rc.err = rc.enc.Encode(ln)
+	}
+}
+
+// Stop writes out what is buffered and closes the file.
+func (rc *Recorder) Stop(context.Context) error {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	if rc.file == nil {
+		return nil
+	}
+	flush, shut := rc.buf.Flush(), rc.file.Close()
+	for _, err := range []error{rc.err, flush, shut} {
+		if err != nil {
+			return errors.Wrap(err, "write trace")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,270 @@
+// Package router finds the node that a request belongs to: the owner that serves
+// a lookup, the home of a workspace's jobs. A request makes at most one hop.
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"tackbeam.example/policy/ledger"
+	"tackbeam.example/tackbeam/internal/fault"
+	"tackbeam.example/tackbeam/internal/ids"
+	"tackbeam.example/tackbeam/internal/member"
+	"tackbeam.example/tackbeam/internal/meter"
+	"tackbeam.example/tackbeam/internal/nodemsg"
+	"tackbeam.example/tackbeam/internal/peer"
+)
+
+// maxOwners is the number of owners that one lookup tries.
+const maxOwners = 3
+
+// Times of the calls to homes. A call is cut into parts, so that one to a dead
+// node turns to its successor.
+const (
+	homePause = 50 * time.Millisecond
+	homeCall  = 4 * time.Second
+	homeWait  = 2 * time.Second
+)
+
+// CounterHops counts the lookups that another node served.
+const CounterHops = "lookups_forwarded"
+
+// Local is what this node does itself.
+type Local struct {
+	Room   func() (ledger.Room, int)
+	Lookup func(context.Context, nodemsg.Lookup) (nodemsg.Answer, error)
+	Submit func(context.Context, nodemsg.Submit) (nodemsg.JobView, error)
+	Get    func(context.Context, nodemsg.JobQuery) (nodemsg.JobView, error)
+	Cancel func(context.Context, nodemsg.JobQuery) (nodemsg.JobView, error)
+}
+
+// Router is this node's router.
+type Router struct {
+	clock  clockwork.Clock
+	member *member.Member
+	peer   *peer.Peer
+	meter  *meter.Meter
+	local  Local
+
+	mu   sync.Mutex
+	away map[string]int
+}
+
+// New returns a router.
+func New(
+	clock clockwork.Clock, mb *member.Member, pr *peer.Peer, mt *meter.Meter, local Local,
+) *Router {
+	return &Router{
+		clock: clock, member: mb, peer: pr, meter: mt, local: local, away: map[string]int{},
+	}
+}
+
+// target is an owner that a lookup may go to.
+type target struct {
+	name string
+	addr string
+	hall string
+	free int
+	size int
+}
+
+// Lookup sends a lookup to an owner with a free slot and returns its answer. An
+// owner that refuses without having begun is followed by another.
+func (rt *Router) Lookup(ctx context.Context, req nodemsg.Lookup) (nodemsg.Answer, error) {
+	deadline := rt.clock.Now().Add(req.Budget)
+	tried := map[string]bool{}
+	var last error
+	for range maxOwners {
+		tg, ok := rt.choose(tried)
+		if !ok {
+			break
+		}
+		tried[tg.name] = true
+		req.Budget = deadline.Sub(rt.clock.Now())
+		if req.Budget <= 0 {
+			break
+		}
+		an, err := rt.serve(ctx, tg, req)
+		if err == nil && an.ID != req.ID {
+			err = fault.New(fault.Unavailable, "node %s answered another lookup", tg.name).AfterStart()
+		}
+		if err == nil {
+			return an, nil
+		}
+		last = err
+		if fault.From(err).Begun || ctx.Err() != nil {
+			break
+		}
+	}
+	if last == nil {
+		last = fault.New(fault.Full, "no worker takes lookups now; not run").After(time.Second)
+	}
+	return nodemsg.Answer{}, last
+}
+
+func (rt *Router) serve(ctx context.Context, tg target, req nodemsg.Lookup) (nodemsg.Answer, error) {
+	if tg.addr == "" {
+		return rt.local.Lookup(ctx, req)
+	}
+	rt.meter.Count(CounterHops, 1)
+	rt.add(tg.name, 1)
+	defer rt.add(tg.name, -1)
+	return peer.Call[nodemsg.Lookup, nodemsg.Answer](ctx, rt.peer, tg.addr, nodemsg.KindLookup, req)
+}
+
+func (rt *Router) add(name string, n int) {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	rt.away[name] += n
+}
+
+// choose returns this node while it has a free slot; otherwise the better of two
+// other owners, those of the same hall first; otherwise whoever has workers.
+func (rt *Router) choose(tried map[string]bool) (target, bool) {
+	own := rt.member.Node()
+	room, waiting := rt.local.Room()
+	self := target{name: own.Name, hall: own.Hall, free: room.FreeSlots - waiting, size: room.Workers}
+	if !tried[own.Name] && self.free > 0 {
+		return self, true
+	}
+	var near, far, all []target
+	if !tried[own.Name] && self.size > 0 {
+		all = append(all, self)
+	}
+	for _, tg := range rt.others(tried) {
+		all = append(all, tg)
+		switch {
+		case tg.free <= 0:
+		case tg.hall == own.Hall:
+			near = append(near, tg)
+		default:
+			far = append(far, tg)
+		}
+	}
+	for _, list := range [][]target{near, far, all} {
+		if len(list) > 0 {
+			return better(list), true
+		}
+	}
+	return target{}, false
+}
+
+// others returns the other nodes that have workers and are not leaving.
+func (rt *Router) others(tried map[string]bool) []target {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	var list []target
+	for _, vw := range rt.member.Peers() {
+		room := vw.Room()
+		if tried[vw.Node().Name] || !vw.Heard() || vw.Beat().Draining || room.Workers == 0 {
+			continue
+		}
+		list = append(list, target{
+			name: vw.Node().Name, addr: vw.Node().Peer, hall: vw.Node().Hall,
+			free: room.FreeSlots - vw.Beat().Waiting - rt.away[vw.Node().Name], size: room.Workers,
+		})
+	}
+	return list
+}
+
+// better returns the one of two random targets with more free slots a worker.
+func better(list []target) target {
+	a, b := list[rand.IntN(len(list))], list[rand.IntN(len(list))]
+	if b.free*a.size > a.free*b.size {
+		return b
+	}
+	return a
+}
+
+// Submit sends a job to the home of its workspace. While the home moves, or
+// cannot be reached, it asks again until the context ends; a request that may
+// have arrived is only repeated under an idempotency key.
+func (rt *Router) Submit(ctx context.Context, req nodemsg.Submit) (nodemsg.JobView, error) {
+	again := func(er *fault.Error) bool { return !er.Begun || req.Key != "" }
+	return atHome(ctx, rt, ids.Partition(req.Workspace), nodemsg.KindSubmit, req, rt.local.Submit, again)
+}
+
+// Get returns a job from its home, after waiting for its end as long as asked.
+func (rt *Router) Get(ctx context.Context, qu nodemsg.JobQuery) (nodemsg.JobView, error) {
+	return rt.await(ctx, qu, nodemsg.KindJobGet, rt.local.Get)
+}
+
+// await asks in parts until the job is done, the wait is over, or there is an error.
+func (rt *Router) await(
+	ctx context.Context, qu nodemsg.JobQuery, kd nodemsg.Kind,
+	local func(context.Context, nodemsg.JobQuery) (nodemsg.JobView, error),
+) (nodemsg.JobView, error) {
+	until := rt.clock.Now().Add(qu.Wait)
+	for {
+		qu.Wait = min(homeWait, until.Sub(rt.clock.Now()))
+		vw, err := rt.query(ctx, qu, kd, local)
+		if err != nil || vw.Answer != "" || !rt.clock.Now().Before(until) || ctx.Err() != nil {
+			return vw, err
+		}
+	}
+}
+
+// Cancel ends a job at its home.
+func (rt *Router) Cancel(ctx context.Context, qu nodemsg.JobQuery) (nodemsg.JobView, error) {
+	return rt.await(ctx, qu, nodemsg.KindJobCancel, rt.local.Cancel)
+}
+
+func (rt *Router) query(
+	ctx context.Context, qu nodemsg.JobQuery, kd nodemsg.Kind,
+	local func(context.Context, nodemsg.JobQuery) (nodemsg.JobView, error),
+) (nodemsg.JobView, error) {
+	part, ok := ids.JobPartition(qu.Job)
+	if !ok {
+		return nodemsg.JobView{}, fault.New(fault.NotFound, "%q is not a job id", qu.Job)
+	}
+	return atHome(ctx, rt, part, kd, qu, local, func(*fault.Error) bool { return true })
+}
+
+// atHome asks the home of a partition, and again while that is of use.
+func atHome[Req any](
+	ctx context.Context, rt *Router, part int, kd nodemsg.Kind, req Req,
+	local func(context.Context, Req) (nodemsg.JobView, error),
+	again func(*fault.Error) bool,
+) (nodemsg.JobView, error) {
+	for {
+		vw, err := rt.askHome(ctx, part, func(addr string) (nodemsg.JobView, error) {
+			if addr == "" {
+				return local(ctx, req)
+			}
+			call, cancel := context.WithTimeout(ctx, homeCall)
+			defer cancel()
+			return peer.Call[Req, nodemsg.JobView](call, rt.peer, addr, kd, req)
+		})
+		if err == nil {
+			return vw, nil
+		}
+		er := fault.From(err)
+		if er.Kind != fault.Unavailable || !again(er) {
+			return vw, err
+		}
+		select {
+		case <-ctx.Done():
+			return vw, err
+		case <-rt.clock.After(homePause):
+		}
+	}
+}
+
+func (rt *Router) askHome(
+	ctx context.Context, part int, ask func(addr string) (nodemsg.JobView, error),
+) (nodemsg.JobView, error) {
+	mp := rt.member.Map()
+	name := mp.Homes[part].Node
+	if name == rt.member.Node().Name {
+		return ask("")
+	}
+	nd, ok := mp.Nodes[name]
+	if !ok || ctx.Err() != nil {
+		return nodemsg.JobView{}, fault.New(fault.Unavailable, "the workspace has no home yet")
+	}
+	return ask(nd.Peer)
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,206 @@
+// Package settings reads and checks the settings of a node. Settings are JSON;
+// every fault is named by its path, with what is allowed.
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"reflect"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/go-viper/mapstructure/v2"
+	"github.com/pkg/errors"
+
+	"tackbeam.example/tackbeam/internal/fault"
+)
+
+// Settings of one node. The tags are the one source of names and documentation;
+// New has the defaults.
+type Settings struct {
+	Node   string `json:"node" doc:"name of this node; letters, digits and dashes; no two nodes share one"`
+	Region string `json:"region" doc:"region that the node is in"`
+	Hall   string `json:"hall" doc:"data hall that the node is in"`
+	HTTP   HTTP   `json:"http" doc:"the callers' and operators' side"`
+	Peer   Peer   `json:"peer" doc:"the side towards the other nodes"`
+	Store  Store  `json:"store" doc:"the platform's key-value service"`
+	VMs    VMs    `json:"vms" doc:"the platform's list of VMs"`
+	Limits Limits `json:"limits" doc:"limits on what callers send and what may wait"`
+	Member Member `json:"member" doc:"how nodes watch each other"`
+	Log    Log    `json:"log" doc:"the structured log on standard error"`
+	Record Record `json:"record" doc:"the recorder of decisions"`
+}
+
+// HTTP is the callers' and operators' side.
+type HTTP struct {
+	Listen string `json:"listen" doc:"IP address and port to listen on"`
+}
+
+// Peer is the side towards the other nodes.
+type Peer struct {
+	Listen    string `json:"listen" doc:"IP address and UDP port to listen on"`
+	Advertise string `json:"advertise" doc:"address that other nodes use; empty means the one listened on"`
+	Cert      string `json:"cert" doc:"file with this node's certificate, PEM"`
+	Key       string `json:"key" doc:"file with the certificate's key, PEM"`
+	CA        string `json:"ca" doc:"file with the certificates that sign nodes, PEM"`
+}
+
+// Store is the platform's key-value service.
+type Store struct {
+	Addresses []string      `json:"addresses" doc:"IP addresses and ports, tried in order"`
+	Writes    float64       `json:"writes" doc:"writes a second that all nodes together may make"`
+	Reads     float64       `json:"reads" doc:"reads a second that all nodes together may make"`
+	Timeout   time.Duration `json:"timeout" doc:"how long one call may take"`
+	Lease     time.Duration `json:"lease" doc:"how long a node's own record outlives its last renewal"`
+}
+
+// VMs is the platform's list of VMs.
+type VMs struct {
+	Address string        `json:"address" doc:"IP address and port of the list"`
+	Every   time.Duration `json:"every" doc:"time between two reads of the list"`
+}
+
+// Limits on what callers send and what may wait.
+type Limits struct {
+	LookupBody     int           `json:"lookup_body" doc:"bytes in the body of a lookup"`
+	JobBody        int           `json:"job_body" doc:"bytes in the body of a job"`
+	DefaultTimeout time.Duration `json:"default_timeout" doc:"deadline of a request that names none"`
+	MaxTimeout     time.Duration `json:"max_timeout" doc:"longest deadline a lookup may ask for"`
+	Queue          int           `json:"queue" doc:"lookups that may wait on one owner"`
+	WaitingJobs    int           `json:"waiting_jobs" doc:"unfinished jobs that one node keeps"`
+	Tasks          int           `json:"tasks" doc:"tasks in one job"`
+	KeepJobs       time.Duration `json:"keep_jobs" doc:"how long an ended job and its idempotency key are kept"`
+	Drain          time.Duration `json:"drain" doc:"longest time that a planned stop waits for work in flight"`
+	Unready        time.Duration `json:"unready" doc:"time that a stopping node still serves callers, for the balancer to notice"`
+}
+
+// Member is how nodes watch each other.
+type Member struct {
+	Beat    time.Duration `json:"beat" doc:"time between two heartbeats to each node"`
+	Suspect time.Duration `json:"suspect" doc:"silence after which a node counts as not heard"`
+}
+
+// Log is the structured log.
+type Log struct {
+	Verbosity int `json:"verbosity" doc:"0 for what operators need, 1 for more"`
+}
+
+// Record is the recorder of decisions.
+type Record struct {
+	Path string `json:"path" doc:"file that the inputs of the decisions are written to; empty records nothing"`
+}
+
+// New returns the defaults.
+func New() *Settings {
+	return &Settings{
+		Region: "local",
+		Hall:   "hall-1",
+		HTTP:   HTTP{Listen: "127.0.0.1:7420"},
+		Peer:   Peer{Listen: "127.0.0.1:7421"},
+		Store: Store{
+			Writes: 100, Reads: 2000,
+			Timeout: time.Second, Lease: 6 * time.Second,
+		},
+		VMs: VMs{Every: 2 * time.Second},
+		Limits: Limits{
+			LookupBody: 64 << 10, JobBody: 16 << 10,
+			DefaultTimeout: 10 * time.Second, MaxTimeout: time.Minute,
+			Queue: 512, WaitingJobs: 20000, Tasks: 1000,
+			KeepJobs: 24 * time.Hour, Drain: 30 * time.Second, Unready: 2 * time.Second,
+		},
+		Member: Member{Beat: time.Second, Suspect: 3 * time.Second},
+	}
+}
+
+// Load reads settings from a file, over the defaults, and checks them.
+func Load(path string) (*Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings")
+	}
+	return Parse(raw)
+}
+
+// Parse reads settings from JSON, over the defaults, and checks them.
+func Parse(raw []byte) (*Settings, error) {
+	var tree map[string]any
+	if err := json.Unmarshal(raw, &tree); err != nil {
+		return nil, fault.New(fault.BadRequest, "settings are not a JSON object: %v", err)
+	}
+	st := New()
+	meta := mapstructure.Metadata{}
+	dec, err := mapstructure.NewDecoder(&mapstructure.DecoderConfig{
+		Result: st, TagName: "json", Metadata: &meta,
+		DecodeHook: mapstructure.StringToTimeDurationHookFunc(),
+		MatchName:  func(key, field string) bool { return key == field },
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "make settings decoder")
+	}
+	if err := dec.Decode(tree); err != nil {
+		return nil, fault.New(fault.BadRequest, "settings: %s", oneLine(err))
+	}
+	if len(meta.Unused) > 0 {
+		sort.Strings(meta.Unused)
+		return nil, fault.New(fault.BadRequest, "settings: %s: no such setting; see tackbeamd --settings",
+			strings.Join(meta.Unused, ", "))
+	}
+	if faults := st.Check(); len(faults) > 0 {
+		return nil, fault.New(fault.BadRequest, "settings: %s", strings.Join(faults, "; "))
+	}
+	return st, nil
+}
+
+func oneLine(err error) string {
+	return strings.Join(strings.Fields(strings.ReplaceAll(err.Error(), "\n", " ")), " ")
+}
+
+// Field documents one setting.
+type Field struct {
+	path    string
+	initial string
+	doc     string
+}
+
+// Path returns the setting's path, for example "store.timeout".
+func (fd Field) Path() string { return fd.path }
+
+// Default returns the value of a setting that is left out.
+func (fd Field) Default() string { return fd.initial }
+
+// Doc returns what the setting means.
+func (fd Field) Doc() string { return fd.doc }
+
+// Fields lists every setting with its default and meaning.
+func Fields() []Field { return fields("", reflect.ValueOf(*New())) }
+
+func fields(prefix string, value reflect.Value) []Field {
+	var all []Field
+	for i := range value.NumField() {
+		kind := value.Type().Field(i)
+		path := prefix + kind.Tag.Get("json")
+		if kind.Type.Kind() == reflect.Struct {
+			all = append(all, fields(path+".", value.Field(i))...)
+			continue
+		}
+		all = append(all, Field{
+			path: path, initial: fmt.Sprint(value.Field(i).Interface()), doc: kind.Tag.Get("doc"),
+		})
+	}
+	return all
+}
+
+// Document returns the page on settings, as docs/settings.md has it.
+func Document() string {
+	var page strings.Builder
+	page.WriteString("# Settings of tackbeamd\n\n")
+	page.WriteString("Made by `tackbeamd --settings`; the source is `internal/settings`.\n")
+	page.WriteString("Times are strings such as `\"250ms\"` or `\"3s\"`. An unknown setting is refused.\n\n")
+	page.WriteString("| path | default | meaning |\n| --- | --- | --- |\n")
+	for _, fd := range Fields() {
+		fmt.Fprintf(&page, "| `%s` | `%s` | %s |\n", fd.path, fd.initial, fd.doc)
+	}
+	return page.String()
+}
--- /dev/null
+++ b/internal/standalone/standalone.go
@@ -0,0 +1,99 @@
+// Package standalone runs one node with stand-ins of the whole platform in the
+// same process, for a first look.
+package standalone
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"tackbeam.example/tackbeam/internal/daemon"
+	"tackbeam.example/tackbeam/internal/keys"
+	"tackbeam.example/tackbeam/internal/settings"
+	"tackbeam.example/tackbeam/internal/standin/fleet"
+	"tackbeam.example/tackbeam/internal/standin/standinstore"
+	"tackbeam.example/tackbeam/internal/standin/standinvms"
+)
+
+// node is the name of the one node.
+const node = "node-1"
+
+// Options of a standalone run.
+type Options struct {
+	// Listen is the address for callers and operators.
+	Listen string
+	// Workers is the number of stand-in workers.
+	Workers int
+	// Record is the file for the trace of decisions; empty is none.
+	Record string
+	// Ready is called with the address once the node is up.
+	Ready func(addr string)
+}
+
+// Run runs the node until the context ends or it is drained.
+func Run(ctx context.Context, clock clockwork.Clock, log logr.Logger, opts Options) error {
+	dir, err := os.MkdirTemp("", "tackbeam-keys-")
+	if err != nil {
+		return errors.Wrap(err, "make key directory")
+	}
+	defer func() { _ = os.RemoveAll(dir) }() // only test keys are left behind
+	if err := keys.Issue(dir, []string{node}); err != nil {
+		return err
+	}
+	store, err := standinstore.New(standinstore.Options{})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = store.Close() }() // nothing in it outlives the process
+	list, err := standinvms.New("")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = list.Close() }() // nothing in it outlives the process
+	workers, err := fleet.New(fleet.Options{Count: opts.Workers, First: 1, Halls: 3, Rack: 8})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = workers.Close() }() // nothing in it outlives the process
+	for _, vm := range workers.VMs() {
+		list.Put(vm)
+	}
+	return runNode(ctx, clock, log, nodeSettings(dir, store.Addr(), list.Addr(), opts), opts.Ready)
+}
+
+func nodeSettings(dir, store, list string, opts Options) *settings.Settings {
+	st := settings.New()
+	st.Node = node
+	st.HTTP.Listen = opts.Listen
+	st.Peer.Listen = "127.0.0.1:0"
+	st.Peer.Cert = filepath.Join(dir, node+keys.CertSuffix)
+	st.Peer.Key = filepath.Join(dir, node+keys.KeySuffix)
+	st.Peer.CA = filepath.Join(dir, keys.CAFile)
+	st.Store.Addresses = []string{store}
+	st.VMs.Address = list
+	st.Limits.Unready = 0
+	st.Record.Path = opts.Record
+	return st
+}
+
+func runNode(
+	ctx context.Context, clock clockwork.Clock, log logr.Logger, st *settings.Settings, ready func(string),
+) error {
+	dm, err := daemon.New(st, clock, log)
+	if err != nil {
+		return err
+	}
+	if err := dm.Start(ctx); err != nil {
+		return err
+	}
+	ready(dm.HTTPAddr())
+	select {
+	case <-ctx.Done():
+	case <-dm.Drained():
+	}
+	return dm.Stop()
+}
--- /dev/null
+++ b/internal/standin/fleet/fleet.go
@@ -0,0 +1,94 @@
+// Package fleet runs many stand-in workers in one process, spread over halls and
+// racks, and puts them on the list of VMs.
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"tackbeam.example/tackbeam/internal/standin/standinworker"
+	"tackbeam.example/tackbeam/internal/vmsmsg"
+)
+
+// Options of a fleet. Worker is the pattern of each worker.
+type Options struct {
+	Count  int
+	First  int
+	Halls  int
+	Rack   int
+	Worker standinworker.Options
+}
+
+// Fleet is a number of stand-in workers.
+type Fleet struct{ workers []*standinworker.Worker }
+
+// New starts the workers.
+func New(opts Options) (*Fleet, error) {
+	fl := &Fleet{}
+	for i := range opts.Count {
+		number := opts.First + i
+		rack := (number - 1) / max(opts.Rack, 1)
+		op := opts.Worker
+		op.Name = fmt.Sprintf("w%04d", number)
+		op.Rack = fmt.Sprintf("r%03d", rack+1)
+		op.Hall = fmt.Sprintf("hall-%d", rack%max(opts.Halls, 1)+1)
+		wk, err := standinworker.New(op)
+		if err != nil {
+			_ = fl.Close() // the first error is the one to report
+			return nil, err
+		}
+		fl.workers = append(fl.workers, wk)
+	}
+	return fl, nil
+}
+
+// Workers returns the workers.
+func (fl *Fleet) Workers() []*standinworker.Worker { return fl.workers }
+
+// VMs returns the workers as the list of VMs shows them.
+func (fl *Fleet) VMs() []vmsmsg.VM {
+	var vms []vmsmsg.VM
+	for _, wk := range fl.workers {
+		op := wk.Options()
+		vms = append(vms, vmsmsg.VM{Name: op.Name, Addr: wk.Addr(), Hall: op.Hall, Rack: op.Rack})
+	}
+	return vms
+}
+
+// Register puts the workers on the list at the address.
+func (fl *Fleet) Register(list string) error {
+	const timeout = 5 * time.Second
+	raw, err := json.Marshal(fl.VMs())
+	if err != nil {
+		return errors.Wrap(err, "encode VMs")
+	}
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	rsp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(rsp)
+	req.SetRequestURI("http://" + list + vmsmsg.Path)
+	req.Header.SetMethod(fasthttp.MethodPut)
+	req.SetBody(raw)
+	if err := fasthttp.DoTimeout(req, rsp, timeout); err != nil {
+		return errors.Wrap(err, "register workers")
+	}
+	if rsp.StatusCode() != fasthttp.StatusOK {
+		return errors.Errorf("register workers: the list answered %d", rsp.StatusCode())
+	}
+	return nil
+}
+
+// Close ends all workers as a crash does.
+func (fl *Fleet) Close() error {
+	var first error
+	for _, wk := range fl.workers {
+		if err := wk.Close(); err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
--- /dev/null
+++ b/internal/standin/standinstore/standinstore.go
@@ -0,0 +1,412 @@
+// Package standinstore is a small stand-in for the platform's key-value service:
+// compare-and-swap, leases, watches, its limits, and its failures on demand.
+package standinstore
+
+import (
+	"encoding/json"
+	"net"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
+
+	"tackbeam.example/tackbeam/internal/ids"
+	"tackbeam.example/tackbeam/internal/storemsg"
+)
+
+// Options of the stand-in.
+type Options struct {
+	Listen string
+	// Writes and Reads are the calls a second that the service takes.
+	Writes float64
+	Reads  float64
+}
+
+// The rates of the platform's service.
+const (
+	DefaultWrites = 100
+	DefaultReads  = 2000
+)
+
+// keptEvents bounds the changes that a watch can go back to.
+const keptEvents = 8192
+
+// Faults are the ways in which the store fails on demand.
+type Faults struct {
+	// Down answers every call with 503, without effect.
+	Down bool `json:"down"`
+	// Hang takes calls and never answers them, without effect.
+	Hang bool `json:"hang"`
+	// Slow delays every call.
+	Slow time.Duration `json:"slow"`
+	// LoseEvery closes the connection of every n-th write after it took effect.
+	LoseEvery int `json:"lose_every"`
+}
+
+// Counts are the calls taken so far.
+type Counts struct {
+	Reads    int64 `json:"reads"`
+	Writes   int64 `json:"writes"`
+	Refused  int64 `json:"refused"`
+	Lost     int64 `json:"lost"`
+	Revision int64 `json:"revision"`
+	Bytes    int64 `json:"bytes"`
+}
+
+// Store is the stand-in.
+type Store struct {
+	listener net.Listener
+	server   *fasthttp.Server
+	reads    *rate.Limiter
+	writes   *rate.Limiter
+	done     chan struct{}
+
+	mu       sync.Mutex
+	revision uint64
+	items    map[string]*entry
+	events   []storemsg.Item
+	leases   map[string]*lease
+	changed  chan struct{}
+	faults   Faults
+	counts   Counts
+}
+
+type entry struct {
+	value   []byte
+	version uint64
+	lease   string
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+// New starts a store on its listen address.
+func New(opts Options) (*Store, error) {
+	if opts.Listen == "" {
+		opts.Listen = "127.0.0.1:0"
+	}
+	if opts.Writes == 0 {
+		opts.Writes = DefaultWrites
+	}
+	if opts.Reads == 0 {
+		opts.Reads = DefaultReads
+	}
+	ln, err := net.Listen("tcp", opts.Listen)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for store")
+	}
+	st := &Store{
+		listener: ln,
+		reads:    rate.NewLimiter(rate.Limit(opts.Reads), int(opts.Reads)),
+		writes:   rate.NewLimiter(rate.Limit(opts.Writes), int(opts.Writes)),
+		done:     make(chan struct{}),
+		items:    map[string]*entry{},
+		leases:   map[string]*lease{},
+		changed:  make(chan struct{}),
+	}
+	st.server = &fasthttp.Server{
+		Handler:               st.handle,
+		MaxRequestBodySize:    2 * storemsg.MaxValue,
+		NoDefaultServerHeader: true,
+	}
+	go func() { _ = st.server.Serve(ln) }() // ends with the listener
+	go st.expireLoop()
+	return st, nil
+}
+
+// Addr returns the address the store listens on.
+func (st *Store) Addr() string { return st.listener.Addr().String() }
+
+// Close ends the store.
+func (st *Store) Close() error {
+	st.mu.Lock()
+	select {
+	case <-st.done:
+	default:
+		close(st.done)
+	}
+	st.mu.Unlock()
+	return errors.Wrap(st.listener.Close(), "close store")
+}
+
+// SetFaults changes how the store fails from now on.
+func (st *Store) SetFaults(ft Faults) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.faults = ft
+}
+
+// Counts returns the calls taken so far.
+func (st *Store) Counts() Counts {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.counts.Revision = int64(st.revision)
+	return st.counts
+}
+
+func (st *Store) handle(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	if strings.HasPrefix(path, "/standin/") {
+		st.handleStandin(ctx, path)
+		return
+	}
+	if !st.pass(ctx) {
+		return
+	}
+	switch path {
+	case storemsg.GetPath:
+		serve(ctx, st.reads, st, st.get)
+	case storemsg.PutPath:
+		serve(ctx, st.writes, st, st.put)
+	case storemsg.LeasePath:
+		serve(ctx, st.writes, st, st.lease)
+	case storemsg.WatchPath:
+		serve(ctx, st.reads, st, st.watch)
+	default:
+		ctx.Error("no such path", fasthttp.StatusNotFound)
+	}
+}
+
+func (st *Store) handleStandin(ctx *fasthttp.RequestCtx, path string) {
+	switch path {
+	case "/standin/faults":
+		var ft Faults
+		if err := json.Unmarshal(ctx.PostBody(), &ft); err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+			return
+		}
+		st.SetFaults(ft)
+	case "/standin/counts":
+		writeJSON(ctx, st.Counts())
+	default:
+		ctx.Error("no such path", fasthttp.StatusNotFound)
+	}
+}
+
+// pass applies the faults that come before a call takes effect.
+func (st *Store) pass(ctx *fasthttp.RequestCtx) bool {
+	st.mu.Lock()
+	ft := st.faults
+	st.mu.Unlock()
+	if ft.Slow > 0 {
+		time.Sleep(ft.Slow)
+	}
+	if ft.Hang {
+		<-st.done
+		return false
+	}
+	if ft.Down {
+		ctx.Error("store is down", fasthttp.StatusServiceUnavailable)
+		return false
+	}
+	return true
+}
+
+// serve decodes a request, counts it against a rate, and answers it.
+func serve[Req, Res any](
+	ctx *fasthttp.RequestCtx, limit *rate.Limiter, st *Store, act func(Req) (Res, int),
+) {
+	write := limit == st.writes
+	if !limit.Allow() {
+		st.count(func(ct *Counts) { ct.Refused++ })
+		ctx.Error("over the rate", fasthttp.StatusTooManyRequests)
+		return
+	}
+	var req Req
+	if err := json.Unmarshal(ctx.PostBody(), &req); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	st.count(func(ct *Counts) {
+		ct.Bytes += int64(len(ctx.PostBody()))
+		if write {
+			ct.Writes++
+		} else {
+			ct.Reads++
+		}
+	})
+	res, status := act(req)
+	if write && st.loses() {
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(net.Conn) {})
+		return
+	}
+	writeJSON(ctx, res)
+	ctx.SetStatusCode(status)
+}
+
+func (st *Store) count(add func(*Counts)) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	add(&st.counts)
+}
+
+// loses reports whether the answer to this write is to be lost.
+func (st *Store) loses() bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.faults.LoseEvery == 0 || st.counts.Writes%int64(st.faults.LoseEvery) != 0 {
+		return false
+	}
+	st.counts.Lost++
+	return true
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, value any) {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(raw)
+}
+
+func (st *Store) get(req storemsg.GetRequest) (storemsg.ItemsResponse, int) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	res := storemsg.ItemsResponse{Revision: st.revision}
+	for key, en := range st.items {
+		if key == req.Key || req.Prefix != "" && strings.HasPrefix(key, req.Prefix) {
+			res.Items = append(res.Items, storemsg.Item{Key: key, Value: en.value, Version: en.version})
+		}
+	}
+	sort.Slice(res.Items, func(i, j int) bool { return res.Items[i].Key < res.Items[j].Key })
+	return res, fasthttp.StatusOK
+}
+
+func (st *Store) put(req storemsg.PutRequest) (storemsg.PutResponse, int) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if req.Key == "" || len(req.Value) > storemsg.MaxValue {
+		return storemsg.PutResponse{}, fasthttp.StatusRequestEntityTooLarge
+	}
+	current, found := st.items[req.Key]
+	var version uint64
+	item := storemsg.Item{Key: req.Key}
+	if found {
+		version = current.version
+		item.Value, item.Version = current.value, current.version
+	}
+	if version != req.Version {
+		return storemsg.PutResponse{Item: item}, fasthttp.StatusConflict
+	}
+	if _, ok := st.leases[req.Lease]; req.Lease != "" && !ok {
+		return storemsg.PutResponse{Item: item}, fasthttp.StatusGone
+	}
+	if req.Delete {
+		return storemsg.PutResponse{OK: true, Item: st.remove(req.Key)}, fasthttp.StatusOK
+	}
+	st.revision++
+	st.items[req.Key] = &entry{value: req.Value, version: st.revision, lease: req.Lease}
+	item = storemsg.Item{Key: req.Key, Value: req.Value, Version: st.revision}
+	st.emit(item)
+	return storemsg.PutResponse{OK: true, Item: item}, fasthttp.StatusOK
+}
+
+func (st *Store) remove(key string) storemsg.Item {
+	st.revision++
+	delete(st.items, key)
+	item := storemsg.Item{Key: key, Version: st.revision, Deleted: true}
+	st.emit(item)
+	return item
+}
+
+func (st *Store) emit(item storemsg.Item) {
+	st.events = append(st.events, item)
+	if len(st.events) > keptEvents {
+		st.events = append([]storemsg.Item(nil), st.events[len(st.events)-keptEvents/2:]...)
+	}
+	close(st.changed)
+	st.changed = make(chan struct{})
+}
+
+func (st *Store) lease(req storemsg.LeaseRequest) (storemsg.LeaseResponse, int) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	ttl := time.Duration(req.TTL) * time.Millisecond
+	if ttl <= 0 {
+		return storemsg.LeaseResponse{}, fasthttp.StatusBadRequest
+	}
+	if req.ID == "" {
+		req.ID = ids.Random(8)
+		st.leases[req.ID] = &lease{ttl: ttl}
+	}
+	ls, ok := st.leases[req.ID]
+	if !ok {
+		return storemsg.LeaseResponse{}, fasthttp.StatusGone
+	}
+	ls.expires = time.Now().Add(ls.ttl)
+	return storemsg.LeaseResponse{ID: req.ID, TTL: ls.ttl.Milliseconds()}, fasthttp.StatusOK
+}
+
+// expireLoop removes the keys of leases that ran out.
+func (st *Store) expireLoop() {
+	const period = 50 * time.Millisecond
+	tick := time.NewTicker(period)
+	defer tick.Stop()
+	for {
+		select {
+		case <-st.done:
+			return
+		case <-tick.C:
+			st.expire(time.Now())
+		}
+	}
+}
+
+func (st *Store) expire(now time.Time) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	for id, ls := range st.leases {
+		if now.Before(ls.expires) {
+			continue
+		}
+		delete(st.leases, id)
+		for key, en := range st.items {
+			if en.lease == id {
+				st.remove(key)
+			}
+		}
+	}
+}
+
+func (st *Store) watch(req storemsg.WatchRequest) (storemsg.ItemsResponse, int) {
+	deadline := time.NewTimer(time.Duration(req.Wait) * time.Millisecond)
+	defer deadline.Stop()
+	for {
+		res, changed := st.since(req)
+		if len(res.Items) > 0 || res.Compacted {
+			return res, fasthttp.StatusOK
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			return res, fasthttp.StatusOK
+		case <-st.done:
+			return res, fasthttp.StatusServiceUnavailable
+		}
+	}
+}
+
+func (st *Store) since(req storemsg.WatchRequest) (storemsg.ItemsResponse, chan struct{}) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	res := storemsg.ItemsResponse{Revision: st.revision}
+	if len(st.events) > 0 && st.events[0].Version > req.After+1 {
+		res.Compacted = true
+		return res, st.changed
+	}
+	for _, item := range st.events {
+		if item.Version > req.After && strings.HasPrefix(item.Key, req.Prefix) {
+			res.Items = append(res.Items, item)
+		}
+	}
+	return res, st.changed
+}
--- /dev/null
+++ b/internal/standin/standinworker/lookup.go
@@ -0,0 +1,112 @@
+package standinworker
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"tackbeam.example/tackbeam/internal/frames"
+	"tackbeam.example/tackbeam/internal/ids"
+	"tackbeam.example/tackbeam/internal/workermsg"
+)
+
+// Reply returns the answer that every stand-in worker gives to a lookup's body,
+// so that a client can check that it got its own.
+func Reply(body []byte) []byte {
+	sum := strconv.FormatUint(xxhash.Sum64(body), 16)
+	return append([]byte("answer "+sum+" to "), body...)
+}
+
+// serveLookups answers lookups, each in its own time, until the connection ends.
+func (wk *Worker) serveLookups(cn *frames.Conn) {
+	for {
+		var msg workermsg.To
+		if err := cn.Receive(&msg); err != nil {
+			return
+		}
+		if msg.Lookup != nil {
+			wk.lookup(cn, msg.Lookup)
+		}
+	}
+}
+
+// lookupName is the name of a lookup in records and inventories.
+func lookupName(id uint64) string { return "lookup-" + strconv.FormatUint(id, 16) }
+
+func (wk *Worker) lookup(cn *frames.Conn, lk *workermsg.Lookup) {
+	refusal, wait, fail := wk.admitLookup(lk)
+	if refusal != workermsg.Consent {
+		wk.send(cn, workermsg.From{Answer: &workermsg.Answer{ID: lk.ID, Refusal: refusal}})
+		return
+	}
+	time.AfterFunc(wait, func() {
+		wk.endLookup(lk.ID)
+		wk.answer(cn, lk, fail)
+	})
+}
+
+// admitLookup takes a slot, and returns how long the lookup will take.
+func (wk *Worker) admitLookup(lk *workermsg.Lookup) (workermsg.Refusal, time.Duration, bool) {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	if lk.Epoch != wk.epoch || !time.Now().Before(wk.leaseUntil) {
+		return workermsg.StaleEpoch, 0, false
+	}
+	if wk.leaving {
+		return workermsg.IsLeaving, 0, false
+	}
+	name := lookupName(lk.ID)
+	wk.lookups[name] = lk.Size
+	wk.occupy(name, lk.Size)
+	wk.record(name, EventBegin, true)
+	wk.answered++
+	wait := wk.opts.LookupTime
+	if wk.answered%2 == 0 {
+		wait += wk.faults.LookupDelay
+	}
+	return workermsg.Consent, wait, wk.faults.FailAll
+}
+
+// endLookup gives the slot back.
+func (wk *Worker) endLookup(id uint64) {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	name := lookupName(id)
+	wk.used = wk.used.Sub(wk.lookups[name])
+	delete(wk.lookups, name)
+	wk.record(name, EventEnd, true)
+}
+
+// answer sends a lookup's answer. An owner that cannot get it, but counted the
+// lookup from the inventory, is told that it has ended.
+func (wk *Worker) answer(cn *frames.Conn, lk *workermsg.Lookup, fail bool) {
+	wk.mu.Lock()
+	ft := wk.faults
+	owner := wk.control
+	epoch := wk.epoch
+	wk.mu.Unlock()
+	an := workermsg.Answer{ID: lk.ID}
+	if fail {
+		an.Failed = "the endpoint fails everything"
+	} else {
+		an.Body = Reply(lk.Body)
+	}
+	an.Length = len(an.Body)
+	if ft.CutShort {
+		an.Body = an.Body[:len(an.Body)/2]
+	}
+	if ft.Foreign {
+		foreign := Reply([]byte(ids.Random(4)))
+		wk.send(cn, workermsg.From{Answer: &workermsg.Answer{ID: lk.ID + 1, Length: len(foreign), Body: foreign}})
+	}
+	sent := wk.send(cn, workermsg.From{Answer: &an})
+	if ft.Twice {
+		wk.send(cn, workermsg.From{Answer: &an})
+	}
+	if (!sent || epoch != lk.Epoch) && owner != nil {
+		wk.send(owner, workermsg.From{Ended: &workermsg.Ended{
+			Task: lookupName(lk.ID), State: workermsg.OK, Begun: true,
+		}})
+	}
+}
--- /dev/null
+++ b/internal/standin/standinworker/options.go
@@ -0,0 +1,103 @@
+package standinworker
+
+import (
+	"time"
+
+	"tackbeam.example/policy/size"
+	"tackbeam.example/tackbeam/internal/workermsg"
+)
+
+// Options describe one stand-in worker.
+type Options struct {
+	Name        string
+	Hall        string
+	Rack        string
+	Listen      string
+	Capacity    size.Size
+	Slots       int
+	Connections int
+	Lease       time.Duration
+	Beat        time.Duration
+	// StartWindow is how old the beat may be that a start message names.
+	StartWindow time.Duration
+	// LookupTime is how long one lookup takes.
+	LookupTime   time.Duration
+	Capabilities []workermsg.Capability
+}
+
+// Sizes and times of a stand-in worker where the options leave them out.
+const (
+	defaultCores       = 64
+	defaultMemory      = 128 << 10
+	defaultSlots       = 8
+	defaultConnections = 60
+	defaultLease       = 20 * time.Second
+	defaultBeat        = 5 * time.Second
+	defaultStartWindow = 10 * time.Second
+	defaultLookupTime  = 2 * time.Millisecond
+	milliPerCore       = 1000
+)
+
+func (op Options) withDefaults() Options {
+	if op.Listen == "" {
+		op.Listen = "127.0.0.1:0"
+	}
+	if op.Capacity.IsZero() {
+		op.Capacity = size.New(defaultCores*milliPerCore, defaultMemory, 0)
+	}
+	if op.Slots == 0 {
+		op.Slots = defaultSlots
+	}
+	if op.Connections == 0 {
+		op.Connections = defaultConnections
+	}
+	if op.Lease == 0 {
+		op.Lease = defaultLease
+	}
+	if op.Beat == 0 {
+		op.Beat = defaultBeat
+	}
+	if op.StartWindow == 0 {
+		op.StartWindow = defaultStartWindow
+	}
+	if op.LookupTime == 0 {
+		op.LookupTime = defaultLookupTime
+	}
+	if op.Capabilities == nil {
+		op.Capabilities = []workermsg.Capability{workermsg.Fencing, workermsg.Inventory}
+	}
+	return op
+}
+
+// Faults are the ways in which the stand-in misbehaves on demand.
+type Faults struct {
+	// FailAll makes every task and lookup fail at once.
+	FailAll bool `json:"fail_all"`
+	// LookupDelay is added to the time of every second lookup, so that answers
+	// overtake each other.
+	LookupDelay time.Duration `json:"lookup_delay"`
+	// CutShort sends half of each answer's body.
+	CutShort bool `json:"cut_short"`
+	// Foreign sends, before each answer, one to a lookup that nobody sent.
+	Foreign bool `json:"foreign"`
+	// Twice sends each answer twice.
+	Twice bool `json:"twice"`
+	// Mute drops what the worker would send, as a cut link does.
+	Mute bool `json:"mute"`
+}
+
+// Record is one line of what really happened on a worker, for a checker.
+type Record struct {
+	At     time.Time `json:"at"`
+	Worker string    `json:"worker"`
+	Task   string    `json:"task"`
+	Event  string    `json:"event"`
+	Lookup bool      `json:"lookup,omitempty"`
+}
+
+// The events of a record.
+const (
+	EventBegin = "begin"
+	EventEnd   = "end"
+	EventOver  = "over capacity"
+)
--- /dev/null
+++ b/internal/table/row.go
@@ -0,0 +1,119 @@
+package table
+
+import (
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tackbeam.example/tackbeam/internal/column"
+	"tackbeam.example/tackbeam/internal/fault"
+	"tackbeam.example/tackbeam/internal/wire"
+)
+
+// Prefix is the prefix of the table's keys in the store.
+const Prefix = "table/"
+
+// keptEdits bounds the history that a row carries with it.
+const keptEdits = 32
+
+// Edit is one change of one cell.
+type Edit struct {
+	Column  string    `cbor:"1,keyasint" json:"column"`
+	Old     string    `cbor:"2,keyasint" json:"old"`
+	New     string    `cbor:"3,keyasint" json:"new"`
+	By      string    `cbor:"4,keyasint" json:"by"`
+	At      time.Time `cbor:"5,keyasint" json:"at"`
+	WriteID string    `cbor:"6,keyasint" json:"-"`
+}
+
+// stored is a row as the store keeps it.
+type stored struct {
+	Cells   map[string]string `cbor:"1,keyasint"`
+	History []Edit            `cbor:"2,keyasint,omitempty"`
+}
+
+// Row is one row of the table with its version.
+type Row struct {
+	Kind    column.Kind       `json:"kind"`
+	Name    string            `json:"name"`
+	Version uint64            `json:"version"`
+	Cells   map[string]string `json:"cells"`
+	History []Edit            `json:"history,omitempty"`
+}
+
+// Cell returns the value in force in a column: the cell, or the column's default.
+func (rw Row) Cell(cl column.Column) string {
+	if value := rw.Cells[cl.Name()]; value != "" {
+		return value
+	}
+	return cl.Default()
+}
+
+var rowName = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+
+// Key returns the store's key of a row, or an error for a name that is not allowed.
+func Key(kd column.Kind, name string) (string, error) {
+	if column.Of(kd) == nil {
+		return "", fault.New(fault.UnknownRow, "%s: no such kind of row; use workspace or workload", kd)
+	}
+	if !rowName.MatchString(name) {
+		return "", fault.New(fault.BadRequest,
+			"row name %q: give 1 to 63 lower-case letters, digits, dots, dashes or underscores", name)
+	}
+	return Prefix + string(kd) + "/" + name, nil
+}
+
+// splitKey reads the kind and the name out of a key.
+func splitKey(key string) (column.Kind, string, bool) {
+	kind, name, ok := strings.Cut(strings.TrimPrefix(key, Prefix), "/")
+	return column.Kind(kind), name, ok && column.Of(column.Kind(kind)) != nil
+}
+
+// decodeRow reads a row; cells that this version does not know are kept as they are.
+func decodeRow(key string, value []byte, version uint64) (Row, error) {
+	kd, name, ok := splitKey(key)
+	if !ok {
+		return Row{}, errors.Errorf("key %q is not a row's", key)
+	}
+	var so stored
+	if err := wire.Decode(value, &so); err != nil {
+		return Row{}, errors.Wrapf(err, "read row %s", key)
+	}
+	if so.Cells == nil {
+		so.Cells = map[string]string{}
+	}
+	return Row{Kind: kd, Name: name, Version: version, Cells: so.Cells, History: so.History}, nil
+}
+
+// with returns the row with one cell changed and the edit in its history.
+func (rw Row) with(ed Edit) Row {
+	cells := map[string]string{}
+	for name, value := range rw.Cells {
+		cells[name] = value
+	}
+	if ed.New == "" {
+		delete(cells, ed.Column)
+	} else {
+		cells[ed.Column] = ed.New
+	}
+	rw.Cells = cells
+	history := append([]Edit{ed}, rw.History...)
+	rw.History = history[:min(len(history), keptEdits)]
+	return rw
+}
+
+func (rw Row) encode() ([]byte, error) {
+	return wire.Encode(stored{Cells: rw.Cells, History: rw.History})
+}
+
+// wrote reports whether the history has the write.
+func (rw Row) wrote(id string) bool {
+	for _, ed := range rw.History {
+		if ed.WriteID == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,80 @@
+// Package wire encodes the messages between the system's processes. The codec is
+// CBOR from a library; this package sets the limits under which it reads.
+package wire
+
+import (
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"tackbeam.example/tackbeam/internal/fault"
+)
+
+// MaxMessage is the largest message in bytes that is sent or read.
+const MaxMessage = 1 << 20
+
+// Limits on what one message may hold, against hostile or broken senders.
+const (
+	maxElements = 1 << 17
+	maxNesting  = 16
+)
+
+var (
+	encoder = mustEncoder()
+	decoder = mustDecoder()
+)
+
+func mustEncoder() cbor.EncMode {
+	mode, err := cbor.EncOptions{Sort: cbor.SortBytewiseLexical}.EncMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return mode
+}
+
+func mustDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+		MaxNestedLevels:  maxNesting,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return mode
+}
+
+// Encode returns the message in bytes, or an error where it is over MaxMessage.
+func Encode(msg any) ([]byte, error) {
+	raw, err := encoder.Marshal(msg)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode message")
+	}
+	if len(raw) > MaxMessage {
+		return nil, fault.New(fault.TooLarge, "message of %d bytes is over %d", len(raw), MaxMessage)
+	}
+	return raw, nil
+}
+
+// Decode reads one message from raw into msg.
+func Decode(raw []byte, msg any) error {
+	if len(raw) > MaxMessage {
+		return fault.New(fault.TooLarge, "message of %d bytes is over %d", len(raw), MaxMessage)
+	}
+	return errors.Wrap(decoder.Unmarshal(raw, msg), "decode message")
+}
+
+// ReadAll reads one message from a stream that ends with it.
+func ReadAll(from io.Reader) ([]byte, error) {
+	raw, err := io.ReadAll(io.LimitReader(from, MaxMessage+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "read message")
+	}
+	if len(raw) > MaxMessage {
+		return nil, fault.New(fault.TooLarge, "message is over %d bytes", MaxMessage)
+	}
+	return raw, nil
+}
--- /dev/null
+++ b/policy/ledger/ledger.go
@@ -0,0 +1,284 @@
+// Package ledger accounts for what is committed on the workers of one owner.
+//
+// Room is taken in the ledger before any message leaves the owner and given
+// back only after the task is confirmed gone, so that no worker ever carries
+// more than it has.
+package ledger
+
+import (
+	"slices"
+	"time"
+
+	"tackbeam.example/policy/size"
+)
+
+// Worker describes one worker as its owner knows it.
+type Worker struct {
+	Name     string    `json:"name"`
+	Hall     string    `json:"hall"`
+	Rack     string    `json:"rack"`
+	Capacity size.Size `json:"capacity"`
+	Slots    int       `json:"slots"`
+}
+
+// entry is a worker with what is committed on it.
+type entry struct {
+	Worker
+	used      size.Size
+	slotsUsed int
+	leaving   bool
+	latency   time.Duration
+}
+
+// commitment is room taken by one task or one lookup.
+type commitment struct {
+	worker string
+	size   size.Size
+	slots  int
+}
+
+// Ledger is the account of one owner. It is not safe for concurrent use.
+type Ledger struct {
+	workers     map[string]*entry
+	order       []string
+	commitments map[string]commitment
+	next        int
+}
+
+// New returns an empty ledger.
+func New() *Ledger {
+	return &Ledger{workers: map[string]*entry{}, commitments: map[string]commitment{}}
+}
+
+// Put adds a worker or replaces its description. Commitments on it stay.
+func (lg *Ledger) Put(wk Worker) {
+	if en, ok := lg.workers[wk.Name]; ok {
+		en.Worker = wk
+		en.leaving = false
+		return
+	}
+	lg.workers[wk.Name] = &entry{Worker: wk}
+	at, _ := slices.BinarySearch(lg.order, wk.Name)
+	lg.order = slices.Insert(lg.order, at, wk.Name)
+}
+
+// Leave stops new commitments on a worker; the ones it has stay.
+func (lg *Ledger) Leave(name string) {
+	if en, ok := lg.workers[name]; ok {
+		en.leaving = true
+	}
+}
+
+// Remove forgets a worker and all commitments on it and returns their ids, sorted.
+func (lg *Ledger) Remove(name string) []string {
+	if _, ok := lg.workers[name]; !ok {
+		return nil
+	}
+	delete(lg.workers, name)
+	if at, ok := slices.BinarySearch(lg.order, name); ok {
+		lg.order = slices.Delete(lg.order, at, at+1)
+	}
+	var gone []string
+	for id, cm := range lg.commitments {
+		if cm.worker == name {
+			gone = append(gone, id)
+			delete(lg.commitments, id)
+		}
+	}
+	slices.Sort(gone)
+	return gone
+}
+
+// Restore records a commitment that a worker reported, even where it is over
+// the worker's size: what runs is a fact.
+func (lg *Ledger) Restore(worker, id string, sz size.Size, slots int) {
+	en, ok := lg.workers[worker]
+	if !ok {
+		return
+	}
+	if _, held := lg.commitments[id]; held {
+		return
+	}
+	lg.commit(en, id, sz, slots)
+}
+
+// Open reports whether any worker takes new work.
+func (lg *Ledger) Open() bool {
+	for _, en := range lg.workers {
+		if !en.leaving {
+			return true
+		}
+	}
+	return false
+}
+
+// Reconcile gives back the commitments on a worker that keep does not report,
+// and returns their ids, sorted.
+func (lg *Ledger) Reconcile(worker string, keep func(id string) bool) []string {
+	var gone []string
+	for id, cm := range lg.commitments {
+		if cm.worker == worker && !keep(id) {
+			gone = append(gone, id)
+		}
+	}
+	slices.Sort(gone)
+	for _, id := range gone {
+		lg.Release(id)
+	}
+	return gone
+}
+
+// Take commits a size and slots on a worker. It reports false and changes
+// nothing where the worker is unknown, leaving or too full, or the id is taken.
+func (lg *Ledger) Take(worker, id string, sz size.Size, slots int) bool {
+	en, ok := lg.workers[worker]
+	if !ok || !en.takes(sz, slots) {
+		return false
+	}
+	if _, held := lg.commitments[id]; held {
+		return false
+	}
+	lg.commit(en, id, sz, slots)
+	return true
+}
+
+func (lg *Ledger) commit(en *entry, id string, sz size.Size, slots int) {
+	en.used = en.used.Add(sz)
+	en.slotsUsed += slots
+	lg.commitments[id] = commitment{worker: en.Name, size: sz, slots: slots}
+}
+
+func (en *entry) takes(sz size.Size, slots int) bool {
+	return !en.leaving && en.slotsUsed+slots <= en.Slots && sz.Fits(en.free())
+}
+
+func (en *entry) free() size.Size { return en.Capacity.Sub(en.used) }
+
+// Release gives back the room of a commitment and returns its worker.
+func (lg *Ledger) Release(id string) (string, bool) {
+	cm, ok := lg.commitments[id]
+	if !ok {
+		return "", false
+	}
+	delete(lg.commitments, id)
+	if en, ok := lg.workers[cm.worker]; ok {
+		en.used = en.used.Sub(cm.size)
+		en.slotsUsed -= cm.slots
+	}
+	return cm.worker, true
+}
+
+// Holds reports whether a commitment with the id stands.
+func (lg *Ledger) Holds(id string) bool {
+	_, ok := lg.commitments[id]
+	return ok
+}
+
+// BestFit returns the worker that the size leaves with the smallest free share
+// of its dominant dimension.
+func (lg *Ledger) BestFit(sz size.Size) (string, bool) {
+	best, left := "", 2.0
+	for _, name := range lg.order {
+		en := lg.workers[name]
+		if !en.takes(sz, 0) {
+			continue
+		}
+		if rest := en.free().Sub(sz).Share(en.Capacity); rest < left {
+			best, left = name, rest
+		}
+	}
+	return best, best != ""
+}
+
+// LeastLoaded returns, of a few candidates with a free slot, the one with the
+// fewest lookups, and among equals the one that answered fastest of late.
+func (lg *Ledger) LeastLoaded(sz size.Size, candidates int) (string, bool) {
+	var best *entry
+	found := 0
+	for range lg.order {
+		lg.next = (lg.next + 1) % len(lg.order)
+		en := lg.workers[lg.order[lg.next]]
+		if !en.takes(sz, 1) {
+			continue
+		}
+		if best == nil || en.lighter(best) {
+			best = en
+		}
+		found++
+		if found >= candidates {
+			break
+		}
+	}
+	if best == nil {
+		return "", false
+	}
+	return best.Name, true
+}
+
+func (en *entry) lighter(other *entry) bool {
+	if en.slotsUsed != other.slotsUsed {
+		return en.slotsUsed < other.slotsUsed
+	}
+	return en.latency < other.latency
+}
+
+// Observe folds the latency of one lookup into the worker's recent latency.
+func (lg *Ledger) Observe(worker string, latency time.Duration) {
+	const weight = 8
+	en, ok := lg.workers[worker]
+	if !ok {
+		return
+	}
+	en.latency += (latency - en.latency) / weight
+}
+
+// Account is the public view of one worker in the ledger.
+type Account struct {
+	Worker
+	Used      size.Size     `json:"used"`
+	SlotsUsed int           `json:"slots_used"`
+	Leaving   bool          `json:"leaving"`
+	Latency   time.Duration `json:"latency"`
+}
+
+// Accounts returns the view of every worker, by name.
+func (lg *Ledger) Accounts() []Account {
+	acs := make([]Account, 0, len(lg.order))
+	for _, name := range lg.order {
+		en := lg.workers[name]
+		acs = append(acs, Account{
+			Worker: en.Worker, Used: en.used, SlotsUsed: en.slotsUsed,
+			Leaving: en.leaving, Latency: en.latency,
+		})
+	}
+	return acs
+}
+
+// Room is the digest of a ledger that other nodes decide by.
+type Room struct {
+	Capacity  size.Size `json:"capacity" cbor:"1,keyasint"`
+	Free      size.Size `json:"free" cbor:"2,keyasint"`
+	Largest   size.Size `json:"largest" cbor:"3,keyasint"`
+	Biggest   size.Size `json:"biggest" cbor:"4,keyasint"`
+	Workers   int       `json:"workers" cbor:"5,keyasint"`
+	FreeSlots int       `json:"free_slots" cbor:"6,keyasint"`
+}
+
+// Room sums the workers that take new work. Largest is the component-wise
+// largest free room of one worker, Biggest the largest capacity of one.
+func (lg *Ledger) Room() Room {
+	var rm Room
+	for _, en := range lg.workers {
+		rm.Biggest = rm.Biggest.Max(en.Capacity)
+		if en.leaving {
+			continue
+		}
+		free := en.free()
+		rm.Capacity = rm.Capacity.Add(en.Capacity)
+		rm.Free = rm.Free.Add(free)
+		rm.Largest = rm.Largest.Max(free)
+		rm.Workers++
+		rm.FreeSlots += en.Slots - en.slotsUsed
+	}
+	return rm
+}
--- /dev/null
+++ b/policy/owner/event.go
@@ -0,0 +1,149 @@
+package owner
+
+import (
+	"time"
+
+	"tackbeam.example/policy/ledger"
+	"tackbeam.example/policy/size"
+)
+
+// Event is one input of the machine: the time since the owner started and
+// exactly one of the pointers set. It encodes as JSON, so that a recorder can
+// write the inputs of a machine down and a replay can read them back.
+type Event struct {
+	At         time.Duration `json:"at"`
+	WorkerUp   *WorkerUp     `json:"worker_up,omitempty"`
+	WorkerGone *WorkerGone   `json:"worker_gone,omitempty"`
+	Arrive     *Arrive       `json:"arrive,omitempty"`
+	Done       *Done         `json:"done,omitempty"`
+	Hold       *Hold         `json:"hold,omitempty"`
+	Commit     *Commit       `json:"commit,omitempty"`
+	Release    *Release      `json:"release,omitempty"`
+	Started    *Started      `json:"started,omitempty"`
+	Ended      *Ended        `json:"ended,omitempty"`
+	Tick       *Tick         `json:"tick,omitempty"`
+}
+
+// WorkerUp says that the owner holds a worker's lease and what runs there. What
+// the ledger has on the worker besides, and is not about to start, is given back.
+type WorkerUp struct {
+	Worker  ledger.Worker `json:"worker"`
+	Running []Running     `json:"running,omitempty"`
+}
+
+// Running is one task or lookup found on a worker.
+type Running struct {
+	ID    string    `json:"id"`
+	Size  size.Size `json:"size"`
+	Slots int       `json:"slots,omitempty"`
+}
+
+// WorkerGone says that a worker takes nothing new; Lost, that it is not ours any more.
+type WorkerGone struct {
+	Worker string `json:"worker"`
+	Lost   bool   `json:"lost"`
+}
+
+// Arrive is a lookup that wants a slot until Deadline.
+type Arrive struct {
+	ID        string        `json:"id"`
+	Workspace string        `json:"workspace"`
+	Workload  string        `json:"workload"`
+	Weight    float64       `json:"weight"`
+	Size      size.Size     `json:"size"`
+	Deadline  time.Duration `json:"deadline"`
+}
+
+// Done gives a lookup's slot back, or takes a waiting lookup out of the queue.
+type Done struct {
+	ID      string        `json:"id"`
+	Latency time.Duration `json:"latency"`
+}
+
+// Hold asks for room for up to Count tasks of one size until Expires.
+type Hold struct {
+	ID      string        `json:"id"`
+	Tasks   []string      `json:"tasks"`
+	Size    size.Size     `json:"size"`
+	Expires time.Duration `json:"expires"`
+}
+
+// Commit turns a hold into commitments that stay until the tasks end.
+type Commit struct {
+	ID string `json:"id"`
+}
+
+// Started says that a committed task's start has been answered, or has failed
+// in a way that the worker's next inventory will settle.
+type Started struct {
+	Task string `json:"task"`
+}
+
+// Release gives the room of a hold back.
+type Release struct {
+	ID string `json:"id"`
+}
+
+// Ended gives the room of one task back.
+type Ended struct {
+	Task string `json:"task"`
+}
+
+// Tick lets time pass: holds and waiting lookups expire.
+type Tick struct{}
+
+// Action is one decision of the machine; exactly one pointer is set.
+type Action struct {
+	Send    *Send    `json:"send,omitempty"`
+	Refuse  *Refuse  `json:"refuse,omitempty"`
+	Granted *Granted `json:"granted,omitempty"`
+	Settled *Settled `json:"settled,omitempty"`
+	Expired *Expired `json:"expired,omitempty"`
+}
+
+// Send says on which worker a lookup goes.
+type Send struct {
+	ID     string `json:"id"`
+	Worker string `json:"worker"`
+}
+
+// Reason says why a lookup is refused.
+type Reason string
+
+// The reasons to refuse a lookup.
+const (
+	ReasonFull     Reason = "full"
+	ReasonDeadline Reason = "deadline"
+	ReasonEmpty    Reason = "no workers"
+)
+
+// Refuse says that a lookup was not begun, and when to come back.
+type Refuse struct {
+	ID         string        `json:"id"`
+	Reason     Reason        `json:"reason"`
+	RetryAfter time.Duration `json:"retry_after"`
+}
+
+// Place is one task and the worker that room was taken on.
+type Place struct {
+	Task   string `json:"task" cbor:"1,keyasint"`
+	Worker string `json:"worker" cbor:"2,keyasint"`
+}
+
+// Granted lists the places that a hold got, perhaps fewer than asked for.
+type Granted struct {
+	ID     string  `json:"id"`
+	Places []Place `json:"places,omitempty"`
+}
+
+// Settled answers a commit: false where the hold had gone.
+type Settled struct {
+	ID     string  `json:"id"`
+	OK     bool    `json:"ok"`
+	Places []Place `json:"places,omitempty"`
+}
+
+// Expired says that a hold ran out and its room was given back.
+type Expired struct {
+	ID string `json:"id"`
+}
--- /dev/null
+++ b/policy/owner/owner.go
@@ -0,0 +1,402 @@
+// Package owner decides for the workers of one node: which worker a lookup
+// goes to, which room a hold gets, what waits and what is refused.
+//
+// The machine is a step function. It reads no clock and starts no goroutine:
+// equal events give equal actions.
+package owner
+
+import (
+	"slices"
+	"time"
+
+	"tackbeam.example/policy/ledger"
+	"tackbeam.example/policy/size"
+)
+
+// Limits of the machine that settings may change.
+type Limits struct {
+	// Queue is the number of lookups that may wait.
+	Queue int `json:"queue"`
+	// Candidates is the number of workers compared for one lookup.
+	Candidates int `json:"candidates"`
+}
+
+// DefaultLimits suit fifty workers of eight slots.
+func DefaultLimits() Limits { return Limits{Queue: 512, Candidates: 4} }
+
+// hold is room taken for tasks that have not started.
+type hold struct {
+	places  []Place
+	expires time.Duration
+}
+
+// Machine is the decision state of one owner. It is not safe for concurrent use.
+type Machine struct {
+	limits  Limits
+	ledger  *ledger.Ledger
+	queues  map[string]*queue
+	waiting int
+	sizes   map[string]size.Size
+	holds   map[string]*hold
+	// starting are the tasks that may not have reached their worker yet.
+	starting map[string]bool
+	service  time.Duration
+	active   int
+}
+
+// queue is the waiting lookups of one workspace, first come first.
+type queue struct {
+	weight float64
+	served float64
+	items  []Arrive
+}
+
+// New returns a machine without workers.
+func New(lim Limits) *Machine {
+	return &Machine{
+		limits:   lim,
+		ledger:   ledger.New(),
+		queues:   map[string]*queue{},
+		holds:    map[string]*hold{},
+		starting: map[string]bool{},
+		sizes:    map[string]size.Size{},
+	}
+}
+
+// Ledger returns the account that the machine decides by, for reading.
+func (mc *Machine) Ledger() *ledger.Ledger { return mc.ledger }
+
+// Waiting returns the number of lookups that wait for a slot.
+func (mc *Machine) Waiting() int { return mc.waiting }
+
+// Step takes one event and returns the decisions that follow from it.
+func (mc *Machine) Step(ev Event) []Action {
+	switch {
+	case ev.WorkerUp != nil:
+		return mc.workerUp(ev.At, ev.WorkerUp)
+	case ev.WorkerGone != nil:
+		return mc.workerGone(ev.At, ev.WorkerGone)
+	case ev.Arrive != nil:
+		return mc.arrive(ev.At, *ev.Arrive)
+	case ev.Done != nil:
+		return mc.done(ev.At, ev.Done)
+	case ev.Hold != nil:
+		return mc.hold(ev.Hold)
+	case ev.Commit != nil:
+		return mc.commit(ev.Commit)
+	case ev.Release != nil:
+		return mc.release(ev.At, ev.Release)
+	case ev.Started != nil:
+		delete(mc.starting, ev.Started.Task)
+	case ev.Ended != nil:
+		delete(mc.starting, ev.Ended.Task)
+		mc.ledger.Release(ev.Ended.Task)
+		return mc.drain(ev.At, nil)
+	case ev.Tick != nil:
+		return mc.tick(ev.At)
+	}
+	return nil
+}
+
+func (mc *Machine) workerUp(now time.Duration, up *WorkerUp) []Action {
+	mc.ledger.Put(up.Worker)
+	keep := map[string]bool{}
+	for _, rn := range up.Running {
+		keep[rn.ID] = true
+		mc.ledger.Restore(up.Worker.Name, rn.ID, rn.Size, rn.Slots)
+	}
+	for _, hd := range mc.holds {
+		for _, pl := range hd.places {
+			keep[pl.Task] = true
+		}
+	}
+	mc.ledger.Reconcile(up.Worker.Name, func(id string) bool { return keep[id] || mc.starting[id] })
+	return mc.drain(now, nil)
+}
+
+func (mc *Machine) workerGone(now time.Duration, gone *WorkerGone) []Action {
+	if !gone.Lost {
+		mc.ledger.Leave(gone.Worker)
+		return mc.refuseAll()
+	}
+	mc.ledger.Remove(gone.Worker)
+	return mc.drain(now, mc.refuseAll())
+}
+
+// refuseAll empties the queues once no worker takes anything, so that callers
+// can turn to another owner at once.
+func (mc *Machine) refuseAll() []Action {
+	if mc.waiting == 0 || mc.ledger.Open() {
+		return nil
+	}
+	var ids []string
+	for _, qu := range mc.queues {
+		for _, ar := range qu.items {
+			ids = append(ids, ar.ID)
+		}
+	}
+	slices.Sort(ids)
+	mc.queues = map[string]*queue{}
+	mc.waiting = 0
+	var acts []Action
+	for _, id := range ids {
+		acts = append(acts, refuse(id, ReasonEmpty, 0))
+	}
+	return acts
+}
+
+// arrive sends a lookup at once, lets it wait, or refuses it.
+func (mc *Machine) arrive(now time.Duration, ar Arrive) []Action {
+	if ar.Deadline <= now {
+		return []Action{refuse(ar.ID, ReasonDeadline, 0)}
+	}
+	if !mc.ledger.Open() {
+		return []Action{refuse(ar.ID, ReasonEmpty, 0)}
+	}
+	if mc.waiting == 0 {
+		if worker, ok := mc.take(ar); ok {
+			return []Action{{Send: &Send{ID: ar.ID, Worker: worker}}}
+		}
+	}
+	if mc.waiting >= mc.limits.Queue {
+		return []Action{refuse(ar.ID, ReasonFull, mc.wait(mc.waiting))}
+	}
+	if wait := mc.wait(mc.waiting); now+wait >= ar.Deadline {
+		return []Action{refuse(ar.ID, ReasonFull, wait)}
+	}
+	mc.enqueue(ar)
+	return nil
+}
+
+func refuse(id string, why Reason, after time.Duration) Action {
+	return Action{Refuse: &Refuse{ID: id, Reason: why, RetryAfter: after}}
+}
+
+// take commits room for a lookup on the least loaded candidate.
+func (mc *Machine) take(ar Arrive) (string, bool) {
+	worker, ok := mc.ledger.LeastLoaded(ar.Size, mc.limits.Candidates)
+	if !ok || !mc.ledger.Take(worker, ar.ID, ar.Size, 1) {
+		return "", false
+	}
+	mc.active++
+	mc.sizes[ar.ID] = ar.Size
+	return worker, true
+}
+
+// wait estimates how long n lookups ahead take to be served.
+func (mc *Machine) wait(n int) time.Duration {
+	if mc.active == 0 || mc.service == 0 {
+		return 0
+	}
+	return mc.service * time.Duration(n+1) / time.Duration(mc.active)
+}
+
+func (mc *Machine) enqueue(ar Arrive) {
+	qu, ok := mc.queues[ar.Workspace]
+	if !ok {
+		qu = &queue{served: mc.floor()}
+		mc.queues[ar.Workspace] = qu
+	}
+	qu.weight = max(ar.Weight, minimumWeight)
+	qu.items = append(qu.items, ar)
+	mc.waiting++
+}
+
+// minimumWeight keeps a workspace of weight zero from dividing by zero.
+const minimumWeight = 0.001
+
+// floor is the service that a workspace new to the queues starts with, so that
+// it gets its share from now on and nothing for the past.
+func (mc *Machine) floor() float64 {
+	low, found := 0.0, false
+	for _, qu := range mc.queues {
+		if !found || qu.served < low {
+			low, found = qu.served, true
+		}
+	}
+	return low
+}
+
+// next returns the workspace that is furthest behind its weighted share.
+func (mc *Machine) next() string {
+	best := ""
+	for name, qu := range mc.queues {
+		if best == "" || qu.before(mc.queues[best], name < best) {
+			best = name
+		}
+	}
+	return best
+}
+
+func (qu *queue) before(other *queue, tie bool) bool {
+	if qu.served != other.served {
+		return qu.served < other.served
+	}
+	return tie
+}
+
+// drain sends waiting lookups for as long as there are free slots.
+func (mc *Machine) drain(now time.Duration, acts []Action) []Action {
+	for mc.waiting > 0 {
+		name := mc.next()
+		qu := mc.queues[name]
+		ar := qu.items[0]
+		if ar.Deadline <= now {
+			mc.pop(name)
+			acts = append(acts, refuse(ar.ID, ReasonDeadline, mc.wait(mc.waiting)))
+			continue
+		}
+		worker, ok := mc.take(ar)
+		if !ok {
+			return acts
+		}
+		qu.served += 1 / qu.weight
+		mc.pop(name)
+		acts = append(acts, Action{Send: &Send{ID: ar.ID, Worker: worker}})
+	}
+	return acts
+}
+
+func (mc *Machine) pop(name string) {
+	qu := mc.queues[name]
+	qu.items = qu.items[1:]
+	mc.waiting--
+	if len(qu.items) == 0 {
+		delete(mc.queues, name)
+	}
+}
+
+func (mc *Machine) done(now time.Duration, dn *Done) []Action {
+	if _, ok := mc.sizes[dn.ID]; !ok {
+		mc.withdraw(dn.ID)
+		return nil
+	}
+	delete(mc.sizes, dn.ID)
+	mc.active--
+	if worker, ok := mc.ledger.Release(dn.ID); ok && dn.Latency > 0 {
+		mc.ledger.Observe(worker, dn.Latency)
+		mc.observe(dn.Latency)
+	}
+	return mc.drain(now, nil)
+}
+
+// observe folds one latency into the mean service time of this owner.
+func (mc *Machine) observe(latency time.Duration) {
+	const weight = 16
+	mc.service += (latency - mc.service) / weight
+}
+
+// withdraw takes a lookup whose caller has gone out of its queue.
+func (mc *Machine) withdraw(id string) {
+	for name, qu := range mc.queues {
+		at := slices.IndexFunc(qu.items, func(ar Arrive) bool { return ar.ID == id })
+		if at < 0 {
+			continue
+		}
+		qu.items = slices.Delete(qu.items, at, at+1)
+		mc.waiting--
+		if len(qu.items) == 0 {
+			delete(mc.queues, name)
+		}
+		return
+	}
+}
+
+// hold takes room for as many of the tasks as fit.
+func (mc *Machine) hold(hd *Hold) []Action {
+	if old, ok := mc.holds[hd.ID]; ok {
+		old.expires = max(old.expires, hd.Expires)
+		return []Action{{Granted: &Granted{ID: hd.ID, Places: old.places}}}
+	}
+	var places []Place
+	for _, task := range hd.Tasks {
+		worker, ok := mc.ledger.BestFit(hd.Size)
+		if !ok || !mc.ledger.Take(worker, task, hd.Size, 0) {
+			break
+		}
+		places = append(places, Place{Task: task, Worker: worker})
+	}
+	if len(places) > 0 {
+		mc.holds[hd.ID] = &hold{places: places, expires: hd.Expires}
+	}
+	return []Action{{Granted: &Granted{ID: hd.ID, Places: places}}}
+}
+
+func (mc *Machine) commit(cm *Commit) []Action {
+	hd, ok := mc.holds[cm.ID]
+	delete(mc.holds, cm.ID)
+	for i := 0; ok && i < len(hd.places); i++ {
+		ok = mc.ledger.Holds(hd.places[i].Task)
+	}
+	if ok {
+		for _, pl := range hd.places {
+			mc.starting[pl.Task] = true
+		}
+		return []Action{{Settled: &Settled{ID: cm.ID, OK: true, Places: hd.places}}}
+	}
+	mc.giveBack(hd)
+	return []Action{{Settled: &Settled{ID: cm.ID}}}
+}
+
+func (mc *Machine) giveBack(hd *hold) {
+	if hd == nil {
+		return
+	}
+	for _, pl := range hd.places {
+		mc.ledger.Release(pl.Task)
+	}
+}
+
+func (mc *Machine) release(now time.Duration, rl *Release) []Action {
+	mc.giveBack(mc.holds[rl.ID])
+	delete(mc.holds, rl.ID)
+	return mc.drain(now, nil)
+}
+
+func (mc *Machine) tick(now time.Duration) []Action {
+	var acts []Action
+	for _, id := range mc.expired(now) {
+		mc.giveBack(mc.holds[id])
+		delete(mc.holds, id)
+		acts = append(acts, Action{Expired: &Expired{ID: id}})
+	}
+	acts = mc.overdue(now, acts)
+	return mc.drain(now, acts)
+}
+
+func (mc *Machine) expired(now time.Duration) []string {
+	var ids []string
+	for id, hd := range mc.holds {
+		if hd.expires <= now {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// overdue refuses the waiting lookups whose deadline has passed.
+func (mc *Machine) overdue(now time.Duration, acts []Action) []Action {
+	if mc.waiting == 0 {
+		return acts
+	}
+	var late []string
+	for name, qu := range mc.queues {
+		qu.items = slices.DeleteFunc(qu.items, func(ar Arrive) bool {
+			if ar.Deadline > now {
+				return false
+			}
+			late = append(late, ar.ID)
+			mc.waiting--
+			return true
+		})
+		if len(qu.items) == 0 {
+			delete(mc.queues, name)
+		}
+	}
+	slices.Sort(late)
+	for _, id := range late {
+		acts = append(acts, refuse(id, ReasonDeadline, mc.wait(mc.waiting)))
+	}
+	return acts
+}
