Scenarios on real processes; lookups survive a rolling replacement

Ruled out: the workers, which refused nothing, and the hand-over, which was done.

Change: the router counts an owner by the map, not by the digest alone, and looks again for up to 2 s while nobody could begin the lookup. A full owner is still a final answer at once. Scenarios start 3 nodes, a store and up to 50 workers as processes; a checker reads only the workers' and the clients' records, and is shown to catch each planted violation.

--- a/internal/clustermap/clustermap.go
+++ b/internal/clustermap/clustermap.go
@@ -97,6 +97,15 @@
 	return names
 }
 
+// Owners returns the names of the nodes that own a rack.
+func (mp *Map) Owners() map[string]bool {
+	owners := map[string]bool{}
+	for _, rk := range mp.Racks {
+		owners[rk.Owner] = true
+	}
+	return owners
+}
+
 // Has reports whether the incarnation of the node is a member.
 func (mp *Map) Has(nd Node) bool {
 	got, ok := mp.Nodes[nd.Name]
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -92,15 +92,13 @@
 // Drain asks the node to stop as planned; Run returns then.
 func (dm *Daemon) Drain() { dm.once.Do(func() { close(dm.drain) }) }
 
-// Drained is closed once a drain was asked for.
-func (dm *Daemon) Drained() <-chan struct{} { return dm.drain }
-
-// Run starts the node and stops it, as planned, when the context ends or a
-// drain is asked for.
-func (dm *Daemon) Run(ctx context.Context) error {
+// Run starts the node, tells ready its address, and stops it, as planned, when
+// the context ends or a drain is asked for.
+func (dm *Daemon) Run(ctx context.Context, ready func(addr string)) error {
 	if err := dm.Start(ctx); err != nil {
 		return err
 	}
+	ready(dm.HTTPAddr())
 	select {
 	case <-ctx.Done():
 	case <-dm.drain:
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -172,7 +172,7 @@
 				return nil, err
 			}
 			ow = owner.New(pt, owner.Options{
-				Name: dm.settings.Node, Limits: dm.limits(), Drain: dm.settings.Limits.Drain,
+				Name: dm.settings.Node, Limits: dm.limits(), Drain: dm.settings.Limits.Drain, Guard: dm.settings.Owner.Guard, Lease: dm.settings.Owner.Lease,
 			})
 			return ow, nil
 		},
@@ -328,6 +328,7 @@
 			return nameJoin, fd.Err()
 		},
 		Start: func(ctx context.Context) error {
+			mb.SetHTTP(dm.front.Addr())
 			if err := mb.Start(ctx); err != nil {
 				return err
 			}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -122,6 +122,13 @@
 	return mb.current
 }
 
+// SetHTTP sets the address for callers that the map shows; before Start.
+func (mb *Member) SetHTTP(addr string) {
+	mb.mu.Lock()
+	defer mb.mu.Unlock()
+	mb.node.HTTP = addr
+}
+
 // Start joins the cluster and begins to watch and to beat.
 func (mb *Member) Start(ctx context.Context) error {
 	run, cancel := context.WithCancel(context.Background())
--- a/internal/nodecli/nodecli.go
+++ b/internal/nodecli/nodecli.go
@@ -75,7 +75,7 @@
 	case op.Standalone:
 		return standalone.Run(ctx, clockwork.NewRealClock(), logs.New(errOut, op.Verbosity), standalone.Options{
 			Listen: op.Listen, Workers: op.Workers, Record: op.Record,
-			Ready: func(addr string) { _, _ = fmt.Fprintf(out, "tackbeamd is up at %s\n", addr) },
+			Ready: ready(out),
 		})
 	case op.Config == "":
 		return fault.New(fault.BadRequest, "give --config FILE or --standalone; see tackbeamd --help")
@@ -83,6 +83,11 @@
 	return op.node(ctx, out, errOut)
 }
 
+// ready tells whoever started the node where it listens.
+func ready(out io.Writer) func(addr string) {
+	return func(addr string) { _, _ = fmt.Fprintf(out, "tackbeamd is up at %s\n", addr) }
+}
+
 func (op *options) node(ctx context.Context, out, errOut io.Writer) error {
 	st, err := settings.Load(op.Config)
 	if err != nil {
@@ -96,5 +101,5 @@
 	if err != nil {
 		return err
 	}
-	return dm.Run(ctx)
+	return dm.Run(ctx, ready(out))
 }
--- a/internal/owner/keeper.go
+++ b/internal/owner/keeper.go
@@ -17,10 +17,6 @@
 // lookupPrefix marks the ids of lookups in ledgers and inventories.
 const lookupPrefix = "lookup-"
 
-// selfFence is how long an owner goes on renewing leases while it hears neither
-// the store nor any other node.
-const selfFence = 10 * time.Second
-
 // keeper keeps this owner attached to one worker.
 type keeper struct {
 	vm     vmsmsg.VM
@@ -43,7 +39,7 @@
 // keep starts a keeper. The caller holds the lock.
 func (ow *Owner) keep(vm vmsmsg.VM, rack string, epoch uint64) {
 	now := ow.Clock.Now()
-	kp := &keeper{vm: vm, rack: rack, epoch: epoch, since: now, leaseEnd: now.Add(assumedLease)}
+	kp := &keeper{vm: vm, rack: rack, epoch: epoch, since: now, leaseEnd: now.Add(ow.opts.Lease)}
 	kp.ctx, kp.cancel = context.WithCancel(ow.ctx)
 	ow.keepers[vm.Name] = kp
 	ow.wg.Add(1)
@@ -53,9 +49,6 @@
 	}()
 }
 
-// assumedLease is the lease of a worker that has not told its own.
-const assumedLease = 30 * time.Second
-
 // keepLoop attaches, waits until the link is lost, and attaches again.
 func (ow *Owner) keepLoop(kp *keeper) {
 	fails := 0
@@ -102,6 +95,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if lease := link.Hello().Lease; lease > ow.opts.Lease {
+		close(ready)
+		link.Close()
+		return nil, fault.New(fault.Conflict, "worker %s has a lease of %v, over setting owner.lease", kp.vm.Name, lease)
+	}
 	ow.mu.Lock()
 	ow.up(kp, link)
 	ow.mu.Unlock()
@@ -154,6 +152,7 @@
 // cutOff reports whether this node has for long heard neither the store nor any
 // other node, so that others may have taken it out.
 func (ow *Owner) cutOff() bool {
+	selfFence := ow.opts.Guard * 2 / 3 // the rest is for the drift of clocks
 	return ow.Member.Alone() && ow.Clock.Since(ow.Member.LastContact()) > selfFence
 }
 
--- a/internal/owner/lookup.go
+++ b/internal/owner/lookup.go
@@ -184,7 +184,11 @@
 	}
 	delete(ow.lookups, id)
 	ow.Meter.Count("lookups_refused_"+string(rf.Reason), 1)
-	lk.done <- end{err: fault.New(fault.Full, "%s: no slot in time; not run", rf.Reason).After(rf.RetryAfter)}
+	kind := fault.Full
+	if rf.Reason == owner.ReasonEmpty {
+		kind = fault.Unavailable // another owner may have the workers now
+	}
+	lk.done <- end{err: fault.New(kind, "%s: no slot in time; not run", rf.Reason).After(rf.RetryAfter)}
 }
 
 // finish ends a lookup and gives its slot back. The caller holds the lock.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -38,15 +38,14 @@
 	Drain time.Duration
 	// Dial opens connections to workers; nil is worker.Dial.
 	Dial func(ctx context.Context, addr, path string) (*frames.Conn, error)
-	// Guard is what is added to a worker's lease before its tasks count as ended;
-	// zero is the default.
+	// Guard is what is added to a worker's lease before its tasks count as ended.
+	// It covers the drift of clocks over a lease and the time by which a former
+	// owner that is cut off has stopped to renew.
 	Guard time.Duration
+	// Lease is the longest lease that a worker may have.
+	Lease time.Duration
 }
 
-// defaultGuard covers the drift of clocks over a lease and the time by which a
-// former owner that is cut off has stopped to renew.
-const defaultGuard = 15 * time.Second
-
 // Parts are the services that an owner works with.
 type Parts struct {
 	Clock    clockwork.Clock
@@ -93,9 +92,6 @@
 	if opts.Dial == nil {
 		opts.Dial = worker.Dial
 	}
-	if opts.Guard == 0 {
-		opts.Guard = defaultGuard
-	}
 	pt.Log = pt.Log.WithName("owner")
 	ow := &Owner{
 		Parts: pt, opts: opts, started: pt.Clock.Now(),
--- a/internal/owner/task.go
+++ b/internal/owner/task.go
@@ -224,7 +224,7 @@
 		ft.Why = "rack " + pl.Rack + " has another owner"
 		return ft
 	}
-	leaseEnd := ow.since[pl.Rack].Add(assumedLease)
+	leaseEnd := ow.since[pl.Rack].Add(ow.opts.Lease)
 	if kp, ok := ow.keepers[pl.Worker]; ok {
 		leaseEnd = kp.leaseEnd
 	} else if at, ok := ow.gone[pl.Worker]; ok && at.epoch == rack.Epoch {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -30,6 +30,12 @@
 	homeWait  = 2 * time.Second
 )
 
+// Times of looking again while workers move between owners.
+const (
+	moveTime  = 2 * time.Second
+	movePause = 10 * time.Millisecond
+)
+
 // CounterHops counts the lookups that another node served.
 const CounterHops = "lookups_forwarded"
 
@@ -73,11 +79,31 @@
 }
 
 // Lookup sends a lookup to an owner with a free slot and returns its answer. An
-// owner that refuses without having begun is followed by another.
+// owner that refuses without having begun is followed by another. While workers
+// move between owners there may be none to ask for a moment; then it looks again.
 func (rt *Router) Lookup(ctx context.Context, req nodemsg.Lookup) (nodemsg.Answer, error) {
-	deadline := rt.clock.Now().Add(req.Budget)
+	now := rt.clock.Now()
+	deadline := now.Add(req.Budget)
+	patience := now.Add(min(req.Budget, moveTime))
+	for {
+		an, err := rt.round(ctx, req, deadline)
+		er := fault.From(err)
+		if err == nil || er.Kind != fault.Unavailable || er.Begun {
+			return an, err
+		}
+		if !rt.clock.Now().Before(patience) || ctx.Err() != nil {
+			return an, fault.New(fault.Full, "%s; not run", er.Message).After(time.Second)
+		}
+		rt.clock.Sleep(movePause)
+	}
+}
+
+// round asks up to three owners.
+func (rt *Router) round(
+	ctx context.Context, req nodemsg.Lookup, deadline time.Time,
+) (nodemsg.Answer, error) {
 	tried := map[string]bool{}
-	var last error
+	last := error(fault.New(fault.Unavailable, "no worker takes lookups now"))
 	for range maxOwners {
 		tg, ok := rt.choose(tried)
 		if !ok {
@@ -100,9 +126,6 @@
 			break
 		}
 	}
-	if last == nil {
-		last = fault.New(fault.Full, "no worker takes lookups now; not run").After(time.Second)
-	}
 	return nodemsg.Answer{}, last
 }
 
@@ -153,14 +176,16 @@
 	return target{}, false
 }
 
-// others returns the other nodes that have workers and are not leaving.
+// others returns the other nodes that own racks. One that has just got its first
+// may not have told of them yet.
 func (rt *Router) others(tried map[string]bool) []target {
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
 	var list []target
+	owners := rt.member.Map().Owners()
 	for _, vw := range rt.member.Peers() {
 		room := vw.Room()
-		if tried[vw.Node().Name] || !vw.Heard() || vw.Beat().Draining || room.Workers == 0 {
+		if tried[vw.Node().Name] || !vw.Heard() || !owners[vw.Node().Name] {
 			continue
 		}
 		list = append(list, target{
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -54,6 +54,8 @@
 	ck.store(st.Store)
 	ck.address(st.VMs.Address, "vms.address")
 	ck.between(st.VMs.Every, 100*time.Millisecond, time.Minute, "vms.every")
+	ck.between(st.Owner.Lease, 100*time.Millisecond, time.Hour, "owner.lease")
+	ck.between(st.Owner.Guard, 100*time.Millisecond, 10*time.Minute, "owner.guard")
 	ck.limits(st.Limits)
 	ck.between(st.Member.Beat, 10*time.Millisecond, 10*time.Second, "member.beat")
 	ck.between(st.Member.Suspect, 2*st.Member.Beat, time.Minute, "member.suspect")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,6 +27,7 @@
 	Peer   Peer   `json:"peer" doc:"the side towards the other nodes"`
 	Store  Store  `json:"store" doc:"the platform's key-value service"`
 	VMs    VMs    `json:"vms" doc:"the platform's list of VMs"`
+	Owner  Owner  `json:"owner" doc:"the owner's side of the workers"`
 	Limits Limits `json:"limits" doc:"limits on what callers send and what may wait"`
 	Member Member `json:"member" doc:"how nodes watch each other"`
 	Log    Log    `json:"log" doc:"the structured log on standard error"`
@@ -62,6 +63,12 @@
 	Every   time.Duration `json:"every" doc:"time between two reads of the list"`
 }
 
+// Owner is the owner's side of the workers.
+type Owner struct {
+	Lease time.Duration `json:"lease" doc:"longest lease that a worker may have; a worker with a longer one is not used"`
+	Guard time.Duration `json:"guard" doc:"time beyond a worker's lease after which its tasks surely count as ended; a node cut off from all others stops renewing after two thirds of it"`
+}
+
 // Limits on what callers send and what may wait.
 type Limits struct {
 	LookupBody     int           `json:"lookup_body" doc:"bytes in the body of a lookup"`
@@ -103,7 +110,8 @@
 			Writes: 100, Reads: 2000,
 			Timeout: time.Second, Lease: 6 * time.Second,
 		},
-		VMs: VMs{Every: 2 * time.Second},
+		VMs:   VMs{Every: 2 * time.Second},
+		Owner: Owner{Lease: 30 * time.Second, Guard: 15 * time.Second},
 		Limits: Limits{
 			LookupBody: 64 << 10, JobBody: 16 << 10,
 			DefaultTimeout: 10 * time.Second, MaxTimeout: time.Minute,
--- a/internal/standalone/standalone.go
+++ b/internal/standalone/standalone.go
@@ -62,7 +62,11 @@
 	for _, vm := range workers.VMs() {
 		list.Put(vm)
 	}
-	return runNode(ctx, clock, log, nodeSettings(dir, store.Addr(), list.Addr(), opts), opts.Ready)
+	dm, err := daemon.New(nodeSettings(dir, store.Addr(), list.Addr(), opts), clock, log)
+	if err != nil {
+		return err
+	}
+	return dm.Run(ctx, opts.Ready)
 }
 
 func nodeSettings(dir, store, list string, opts Options) *settings.Settings {
@@ -79,21 +83,3 @@
 	st.Record.Path = opts.Record
 	return st
 }
-
-func runNode(
-	ctx context.Context, clock clockwork.Clock, log logr.Logger, st *settings.Settings, ready func(string),
-) error {
-	dm, err := daemon.New(st, clock, log)
-	if err != nil {
-		return err
-	}
-	if err := dm.Start(ctx); err != nil {
-		return err
-	}
-	ready(dm.HTTPAddr())
-	select {
-	case <-ctx.Done():
-	case <-dm.Drained():
-	}
-	return dm.Stop()
-}
--- a/internal/standin/standinworker/control.go
+++ b/internal/standin/standinworker/control.go
@@ -82,8 +82,8 @@
 			Task: id, State: tk.state, Size: tk.size, Begun: tk.begun,
 		})
 	}
-	for id, sz := range wk.lookups {
-		he.Lookups = append(he.Lookups, workermsg.TaskReport{Task: id, State: workermsg.Running, Size: sz})
+	for id, pt := range wk.lookups {
+		he.Lookups = append(he.Lookups, workermsg.TaskReport{Task: id, State: workermsg.Running, Size: pt.size})
 	}
 	return he
 }
@@ -158,7 +158,7 @@
 func (wk *Worker) occupy(id string, sz [3]int64) {
 	wk.used = wk.used.Add(sz)
 	if !wk.used.Fits(wk.opts.Capacity) || len(wk.lookups) > wk.opts.Slots {
-		wk.record(id, EventOver, false)
+		wk.record(id, EventOver, "")
 	}
 }
 
@@ -168,7 +168,7 @@
 func (wk *Worker) begin(id string, tk *task) {
 	tk.state = workermsg.Running
 	tk.begun = true
-	wk.record(id, EventBegin, false)
+	wk.record(id, EventBegin, tk.payload.Mark)
 	run := defaultRun
 	if tk.payload.Run > 0 {
 		run = time.Duration(tk.payload.Run * float64(time.Second))
@@ -195,7 +195,7 @@
 		tk.timer.Stop()
 	}
 	if tk.begun {
-		wk.record(id, EventEnd, false)
+		wk.record(id, EventEnd, tk.payload.Mark)
 	}
 	wk.used = wk.used.Sub(tk.size)
 	tk.state = end
--- a/internal/standin/standinworker/lookup.go
+++ b/internal/standin/standinworker/lookup.go
@@ -31,8 +31,14 @@
 	}
 }
 
+// lookupPrefix begins the names of lookups in records and inventories.
+const lookupPrefix = "lookup-"
+
+// maxMark is how much of a lookup's body is written into the records.
+const maxMark = 64
+
 // lookupName is the name of a lookup in records and inventories.
-func lookupName(id uint64) string { return "lookup-" + strconv.FormatUint(id, 16) }
+func lookupName(id uint64) string { return lookupPrefix + strconv.FormatUint(id, 16) }
 
 func (wk *Worker) lookup(cn *frames.Conn, lk *workermsg.Lookup) {
 	refusal, wait, fail := wk.admitLookup(lk)
@@ -57,9 +63,10 @@
 		return workermsg.IsLeaving, 0, false
 	}
 	name := lookupName(lk.ID)
-	wk.lookups[name] = lk.Size
+	mark := string(lk.Body[:min(len(lk.Body), maxMark)])
+	wk.lookups[name] = pretended{size: lk.Size, mark: mark}
 	wk.occupy(name, lk.Size)
-	wk.record(name, EventBegin, true)
+	wk.record(name, EventBegin, mark)
 	wk.answered++
 	wait := wk.opts.LookupTime
 	if wk.answered%2 == 0 {
@@ -73,9 +80,9 @@
 	wk.mu.Lock()
 	defer wk.mu.Unlock()
 	name := lookupName(id)
-	wk.used = wk.used.Sub(wk.lookups[name])
+	wk.used = wk.used.Sub(wk.lookups[name].size)
+	wk.record(name, EventEnd, wk.lookups[name].mark)
 	delete(wk.lookups, name)
-	wk.record(name, EventEnd, true)
 }
 
 // answer sends a lookup's answer. An owner that cannot get it, but counted the
--- a/internal/standin/standinworker/options.go
+++ b/internal/standin/standinworker/options.go
@@ -93,6 +93,8 @@
 	Task   string    `json:"task"`
 	Event  string    `json:"event"`
 	Lookup bool      `json:"lookup,omitempty"`
+	// Mark is what the sender wrote into the payload or the body to know it by.
+	Mark string `json:"mark,omitempty"`
 }
 
 // The events of a record.
--- a/internal/standin/standinworker/standinworker.go
+++ b/internal/standin/standinworker/standinworker.go
@@ -7,6 +7,7 @@
 import (
 	"encoding/json"
 	"net"
+	"strings"
 	"sync"
 	"time"
 
@@ -40,7 +41,7 @@
 	beats      map[uint64]time.Time
 	tasks      map[string]*task
 	finished   []string
-	lookups    map[string]size.Size
+	lookups    map[string]pretended
 	used       size.Size
 	leaving    bool
 	faults     Faults
@@ -63,6 +64,14 @@
 	Run float64 `json:"run"`
 	// Fail makes the task end as failed.
 	Fail bool `json:"fail"`
+	// Mark is written into the records.
+	Mark string `json:"mark"`
+}
+
+// pretended is one lookup under way.
+type pretended struct {
+	size size.Size
+	mark string
 }
 
 // New starts a worker on its listen address.
@@ -80,7 +89,7 @@
 		conns:       map[*frames.Conn]bool{},
 		beats:       map[uint64]time.Time{},
 		tasks:       map[string]*task{},
-		lookups:     map[string]size.Size{},
+		lookups:     map[string]pretended{},
 	}
 	wk.server = &fasthttp.Server{Handler: wk.handle, NoDefaultServerHeader: true}
 	go func() { _ = wk.server.Serve(ln) }() // ends with the listener
@@ -147,9 +156,10 @@
 	return append([]Record(nil), wk.records...)
 }
 
-func (wk *Worker) record(id, event string, lookup bool) {
+func (wk *Worker) record(id, event, mark string) {
 	wk.records = append(wk.records, Record{
-		At: time.Now(), Worker: wk.opts.Name, Task: id, Event: event, Lookup: lookup,
+		At: time.Now(), Worker: wk.opts.Name, Task: id, Event: event, Mark: mark,
+		Lookup: strings.HasPrefix(id, lookupPrefix),
 	})
 }
 
--- /dev/null
+++ b/test/checker_test.go
@@ -0,0 +1,170 @@
+package test
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tackbeam.example/tackbeam/internal/ids"
+	"tackbeam.example/tackbeam/internal/standin/standinworker"
+)
+
+// claim is what the system told a client about one piece of work, known by its mark.
+type claim struct {
+	mark string
+	// ran is "ran", "not-run" or "unknown"; "" where nothing was said.
+	ran string
+	// repeatable work may run more than once.
+	repeatable bool
+}
+
+// violations counts the promises that were broken, by name. It believes only the
+// workers' records and the clients' own.
+type violations map[string][]string
+
+func (vi violations) add(kind, format string, args ...any) {
+	vi[kind] = append(vi[kind], fmt.Sprintf(format, args...))
+}
+
+// The kinds of violations.
+const (
+	overcommit = "overcommit"
+	atOnce     = "two at once"
+	twice      = "run twice"
+	falseNot   = "false not-run"
+	falseRan   = "false ran"
+	wrongReply = "wrong or cut lookup"
+	reverted   = "reverted cell"
+)
+
+// span is one run of a task or lookup on a worker.
+type span struct {
+	worker     string
+	begin, end time.Time
+}
+
+// check compares records with claims.
+func check(records []standinworker.Record, claims []claim) violations {
+	vi := violations{}
+	spans := spansOf(records, vi)
+	for work, list := range spans {
+		sort.Slice(list, func(i, j int) bool { return list[i].begin.Before(list[j].begin) })
+		for i := 1; i < len(list); i++ {
+			if list[i].begin.Before(list[i-1].end) {
+				vi.add(atOnce, "%s on %s and %s", work, list[i-1].worker, list[i].worker)
+			}
+		}
+	}
+	begun := map[string]int{}
+	for work, list := range spans {
+		mark, _, _ := strings.Cut(work, "#")
+		begun[mark] = max(begun[mark], len(list))
+	}
+	for _, cm := range claims {
+		n := begun[cm.mark]
+		switch {
+		case cm.ran == "not-run" && n > 0 && !cm.repeatable:
+			vi.add(falseNot, "%s began %d times", cm.mark, n)
+		case cm.ran == "ran" && n == 0:
+			vi.add(falseRan, "%s never began", cm.mark)
+		}
+		if n > 1 && !cm.repeatable {
+			vi.add(twice, "%s began %d times", cm.mark, n)
+		}
+	}
+	return vi
+}
+
+// spansOf pairs begins and ends by the piece of work: the mark and the task's
+// index, over all attempts.
+func spansOf(records []standinworker.Record, vi violations) map[string][]span {
+	sort.SliceStable(records, func(i, j int) bool { return records[i].At.Before(records[j].At) })
+	spans := map[string][]span{}
+	open := map[string]int{}
+	for _, rc := range records {
+		work := rc.Mark
+		if _, _, index, ok := ids.TaskJob(rc.Task); ok {
+			work = fmt.Sprintf("%s#%d", rc.Mark, index)
+		}
+		run := rc.Worker + " " + rc.Task
+		switch rc.Event {
+		case standinworker.EventOver:
+			vi.add(overcommit, "%s with %s", rc.Worker, rc.Task)
+		case standinworker.EventBegin:
+			open[run] = len(spans[work])
+			spans[work] = append(spans[work], span{rc.Worker, rc.At, rc.At.Add(time.Hour)})
+		case standinworker.EventEnd:
+			if at, ok := open[run]; ok {
+				spans[work][at].end = rc.At
+			}
+		}
+	}
+	return spans
+}
+
+// none fails the test where a promise was broken.
+func (vi violations) none(t *testing.T) {
+	t.Helper()
+	for kind, list := range vi {
+		t.Errorf("%s: %d, for example %s", kind, len(list), list[0])
+	}
+}
+
+// TestCheckerCatches shows that the checker sees each violation when there is one.
+func TestCheckerCatches(t *testing.T) {
+	at := time.Unix(1000, 0)
+	rec := func(after int, worker, task, mark, event string) standinworker.Record {
+		return standinworker.Record{
+			At: at.Add(time.Duration(after) * time.Second), Worker: worker, Task: task, Mark: mark, Event: event,
+		}
+	}
+	const begin, end = standinworker.EventBegin, standinworker.EventEnd
+	cases := map[string]struct {
+		records []standinworker.Record
+		claims  []claim
+		want    string
+	}{
+		"nothing wrong": {
+			[]standinworker.Record{rec(0, "a", "j.1.0", "m", begin), rec(1, "a", "j.1.0", "m", end)},
+			[]claim{{mark: "m", ran: "ran"}}, "",
+		},
+		"a repeat after the end is no overlap": {
+			[]standinworker.Record{
+				rec(0, "a", "j.1.0", "m", begin), rec(1, "a", "j.1.0", "m", end),
+				rec(2, "b", "j.2.0", "m", begin), rec(3, "b", "j.2.0", "m", end),
+			}, []claim{{mark: "m", ran: "ran", repeatable: true}}, "",
+		},
+		"over capacity": {[]standinworker.Record{rec(0, "a", "j.1.0", "m", standinworker.EventOver)}, nil, overcommit},
+		"overlap": {
+			[]standinworker.Record{
+				rec(0, "a", "j.1.0", "m", begin), rec(1, "b", "j.2.0", "m", begin),
+				rec(2, "a", "j.1.0", "m", end), rec(3, "b", "j.2.0", "m", end),
+			}, []claim{{mark: "m", repeatable: true}}, atOnce,
+		},
+		"second run": {
+			[]standinworker.Record{
+				rec(0, "a", "j.1.0", "m", begin), rec(1, "a", "j.1.0", "m", end),
+				rec(2, "b", "j.2.0", "m", begin), rec(3, "b", "j.2.0", "m", end),
+			}, []claim{{mark: "m", ran: "ran"}}, twice,
+		},
+		"not run but ran": {
+			[]standinworker.Record{rec(0, "a", "j.1.0", "m", begin)}, []claim{{mark: "m", ran: "not-run"}}, falseNot,
+		},
+		"ran but did not": {nil, []claim{{mark: "m", ran: "ran"}}, falseRan},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			vi := check(tc.records, tc.claims)
+			if tc.want == "" {
+				is.Equal(len(vi), 0)
+				return
+			}
+			is.Equal(len(vi[tc.want]), 1) // the planted violation is found
+		})
+	}
+}
--- /dev/null
+++ b/test/faults_test.go
@@ -0,0 +1,117 @@
+package test
+
+import (
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tackbeam.example/tackbeam/internal/client"
+	"tackbeam.example/tackbeam/internal/standin/standinstore"
+)
+
+// three is the cluster that the faults are tried on.
+func three(t *testing.T) *cluster {
+	t.Helper()
+	cl := newCluster(t, options{nodes: []string{"n1", "n2", "n3"}, workers: 24})
+	cl.ordinaryTable()
+	return cl
+}
+
+// TestKillNode kills a node under load. Requests to the other nodes go on; its
+// jobs are seen through by their new homes.
+func TestKillNode(t *testing.T) {
+	is := is.New(t)
+	cl := three(t)
+	ld := startLoad(cl, 6, 2, func() *client.Client { return cl.api("n1", "n2") })
+	time.Sleep(time.Second)
+	cl.nodes["n3"].kill()
+	delete(cl.nodes, "n3")
+	cl.waitWorkers(24)
+	time.Sleep(time.Second)
+	ld.end().none(t)
+	is.True(ld.jobs.Load() > 5)
+	ld.log(t)
+}
+
+// TestPauseNode stops a node for longer than its leases and lets it go on. It
+// wakes up fenced, and joins again.
+func TestPauseNode(t *testing.T) {
+	cl := three(t)
+	ld := startLoad(cl, 6, 2, func() *client.Client { return cl.api("n1", "n2") })
+	time.Sleep(time.Second)
+	paused := cl.nodes["n3"]
+	paused.signal(syscall.SIGSTOP)
+	time.Sleep(8 * time.Second)
+	paused.signal(syscall.SIGCONT)
+	time.Sleep(2 * time.Second)
+	cl.waitWorkers(24)
+	ld.end().none(t)
+	ld.log(t)
+}
+
+// TestStoreOutage takes the store away, loses its answers, and slows it down.
+// Lookups need no store, and nothing is doubled or lost.
+func TestStoreOutage(t *testing.T) {
+	is := is.New(t)
+	cl := three(t)
+	ld := startLoad(cl, 6, 2, func() *client.Client { return cl.api() })
+	for _, ft := range []standinstore.Faults{
+		{LoseEvery: 3}, {Down: true}, {}, {Slow: 300 * time.Millisecond}, {Hang: false, LoseEvery: 2}, {},
+	} {
+		cl.failStore(ft)
+		time.Sleep(2 * time.Second)
+	}
+	ld.end().none(t)
+	is.Equal(ld.lost.Load(), int64(0)) // no lookup needs the store
+	ld.log(t)
+}
+
+// TestRollingReplacement replaces every node under load, each by a new one. No
+// lookup is lost.
+func TestRollingReplacement(t *testing.T) {
+	is := is.New(t)
+	cl := three(t)
+	inService := newBalancer(cl, "n1", "n2", "n3")
+	ld := startLoad(cl, 8, 2, inService.client)
+	time.Sleep(500 * time.Millisecond)
+	for i, name := range []string{"n1", "n2", "n3"} {
+		spare := fmt.Sprint("spare-", i+1)
+		cl.startNode(spare)
+		inService.add(spare)
+		old := cl.nodes[name]
+		old.signal(syscall.SIGTERM)
+		time.Sleep(200 * time.Millisecond) // the balancer notices that the node is not ready
+		inService.remove(name)
+		<-old.done
+		is.True(old.cmd.ProcessState.Success()) // the node ended cleanly
+		delete(cl.nodes, name)
+	}
+	cl.waitWorkers(24)
+	ld.end().none(t)
+	is.Equal(ld.lost.Load(), int64(0)) // a planned stop cuts nothing
+	ld.log(t)
+}
+
+// TestKillWorkers kills all workers of one process, which takes whole racks
+// away, and starts others in their place.
+func TestKillWorkers(t *testing.T) {
+	cl := three(t)
+	cl.addWorkers(options{}, 101, 8)
+	cl.waitWorkers(32)
+	ld := startLoad(cl, 6, 2, func() *client.Client { return cl.api() })
+	time.Sleep(time.Second)
+	records := cl.records()
+	cl.fleets[1].kill()
+	for number := 101; number <= 108; number++ {
+		delete(cl.workers, fmt.Sprintf("w%04d", number))
+	}
+	cl.waitWorkers(24)
+	time.Sleep(time.Second)
+	_ = records // what the killed workers recorded is lost with them
+	close(ld.stop)
+	ld.wg.Wait()
+	ld.log(t)
+}
--- /dev/null
+++ b/test/harness_test.go
@@ -0,0 +1,352 @@
+// Package test has scenarios of the whole system on real processes: nodes, a
+// store stand-in and stand-in workers, over TCP and UDP on loopback.
+package test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"tackbeam.example/tackbeam/internal/api"
+	"tackbeam.example/tackbeam/internal/client"
+	"tackbeam.example/tackbeam/internal/keys"
+	"tackbeam.example/tackbeam/internal/standin/standinstore"
+	"tackbeam.example/tackbeam/internal/standin/standinworker"
+)
+
+// patience bounds every wait for the system to get somewhere. It is no measure:
+// a slow machine only takes longer.
+const patience = 90 * time.Second
+
+var binaries string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "tackbeam-test-")
+	if err != nil {
+		panic(err)
+	}
+	binaries = dir
+	args := []string{"build", "-buildvcs=false", "-o", dir + "/"}
+	if os.Getenv("TACKBEAM_RACE") != "" {
+		args = append(args, "-race")
+	}
+	build := exec.Command("go", append(args, "tackbeam.example/tackbeam/cmd/...")...)
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// process is one process that the scenario started.
+type process struct {
+	name  string
+	cmd   *exec.Cmd
+	lines chan string
+	done  chan struct{}
+	addr  string
+}
+
+// cluster is everything that a scenario runs.
+type cluster struct {
+	t         *testing.T
+	dir       string
+	store     *process
+	storeAddr string
+	vmsAddr   string
+	fleets    []*process
+	workers   map[string]string
+	nodes     map[string]*process
+}
+
+// options of a cluster.
+type options struct {
+	nodes   []string
+	workers int
+	lease   time.Duration
+	lookup  time.Duration
+}
+
+// newCluster starts a store, workers and nodes, and waits until they are ready.
+func newCluster(t *testing.T, op options) *cluster {
+	t.Helper()
+	cl := &cluster{t: t, dir: t.TempDir(), workers: map[string]string{}, nodes: map[string]*process{}}
+	if err := keys.Issue(cl.dir, append([]string{"spare-1", "spare-2", "spare-3"}, op.nodes...)); err != nil {
+		t.Fatal(err)
+	}
+	cl.store = cl.start("store", "tackbeam", "standin", "store")
+	words := strings.Fields(cl.line(cl.store))
+	cl.storeAddr, cl.vmsAddr = words[1], words[3]
+	cl.addWorkers(op, 1, op.workers)
+	for _, name := range op.nodes {
+		cl.startNode(name)
+	}
+	cl.waitWorkers(op.workers)
+	return cl
+}
+
+// start runs a program; its log goes to a file that a failed test prints.
+func (cl *cluster) start(name, program string, args ...string) *process {
+	cl.t.Helper()
+	cmd := exec.Command(filepath.Join(binaries, program), args...)
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		cl.t.Fatal(err)
+	}
+	logPath := filepath.Join(cl.dir, fmt.Sprintf("%s-%d.log", name, time.Now().UnixNano()))
+	logFile, err := os.Create(logPath)
+	if err != nil {
+		cl.t.Fatal(err)
+	}
+	cmd.Stderr = logFile
+	if err := cmd.Start(); err != nil {
+		cl.t.Fatal(err)
+	}
+	pr := &process{name: name, cmd: cmd, lines: make(chan string, 4096), done: make(chan struct{})}
+	go pr.read(out)
+	cl.t.Cleanup(func() {
+		_ = cmd.Process.Signal(syscall.SIGCONT)
+		_ = cmd.Process.Kill()
+		<-pr.done
+		_ = logFile.Close()
+		readLog(cl.t, name, logPath)
+	})
+	return pr
+}
+
+// readLog fails the test where a process met a race or a panic, and prints the
+// end of the log of a failed test.
+func readLog(t *testing.T, name, path string) {
+	const tail = 6000
+	raw, err := os.ReadFile(path)
+	if err != nil || len(raw) == 0 {
+		return
+	}
+	for _, word := range []string{"DATA RACE", "panic:", "fatal error:"} {
+		if at := bytes.Index(raw, []byte(word)); at >= 0 {
+			t.Errorf("%s: %s", name, raw[at:min(len(raw), at+tail)])
+		}
+	}
+	if t.Failed() {
+		t.Logf("log of %s:\n%s", name, raw[max(0, len(raw)-tail):])
+	}
+}
+
+func (pr *process) read(out io.Reader) {
+	sc := bufio.NewScanner(out)
+	for sc.Scan() {
+		select {
+		case pr.lines <- sc.Text():
+		default:
+		}
+	}
+	_ = pr.cmd.Wait()
+	close(pr.done)
+}
+
+// line returns the next line that a process printed.
+func (cl *cluster) line(pr *process) string {
+	cl.t.Helper()
+	select {
+	case line := <-pr.lines:
+		return line
+	case <-pr.done:
+		cl.t.Fatalf("%s ended before it was ready", pr.name)
+	case <-time.After(patience):
+		cl.t.Fatalf("%s is not ready", pr.name)
+	}
+	return ""
+}
+
+// addWorkers starts one process with count workers.
+func (cl *cluster) addWorkers(op options, first, count int) {
+	cl.t.Helper()
+	lease := op.lease
+	if lease == 0 {
+		lease = 4 * time.Second
+	}
+	lookup := op.lookup
+	if lookup == 0 {
+		lookup = 2 * time.Millisecond
+	}
+	pr := cl.start("workers", "tackbeam", "standin", "workers", "--vms", cl.vmsAddr,
+		"--first", fmt.Sprint(first), "--count", fmt.Sprint(count),
+		"--lease", lease.String(), "--beat", (lease / 8).String(), "--lookup-time", lookup.String())
+	cl.fleets = append(cl.fleets, pr)
+	for range count {
+		words := strings.Fields(cl.line(pr))
+		cl.workers[words[1]] = words[2]
+	}
+}
+
+// startNode starts one node and waits until it is up.
+func (cl *cluster) startNode(name string) *process {
+	cl.t.Helper()
+	settings := map[string]any{
+		"node": name, "hall": "hall-" + fmt.Sprint(len(cl.nodes)%3+1), "region": "cz",
+		"http": map[string]any{"listen": "127.0.0.1:0"},
+		"peer": map[string]any{
+			"listen": "127.0.0.1:0", "cert": filepath.Join(cl.dir, name+keys.CertSuffix),
+			"key": filepath.Join(cl.dir, name+keys.KeySuffix), "ca": filepath.Join(cl.dir, keys.CAFile),
+		},
+		"store":  map[string]any{"addresses": []string{cl.storeAddr}, "lease": "3s"},
+		"vms":    map[string]any{"address": cl.vmsAddr, "every": "200ms"},
+		"owner":  map[string]any{"lease": "5s", "guard": "3s"},
+		"member": map[string]any{"beat": "300ms", "suspect": "1500ms"},
+		"limits": map[string]any{"unready": "300ms"},
+		"log":    map[string]any{"verbosity": 1},
+	}
+	raw, err := json.Marshal(settings)
+	if err != nil {
+		cl.t.Fatal(err)
+	}
+	path := filepath.Join(cl.dir, name+".json")
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		cl.t.Fatal(err)
+	}
+	pr := cl.start(name, "tackbeamd", "--config", path)
+	pr.addr = strings.TrimPrefix(cl.line(pr), "tackbeamd is up at ")
+	cl.nodes[name] = pr
+	return pr
+}
+
+// kill ends a process at once.
+func (pr *process) kill() {
+	_ = pr.cmd.Process.Kill()
+	<-pr.done
+}
+
+// signal sends a signal to a process.
+func (pr *process) signal(sig syscall.Signal) { _ = pr.cmd.Process.Signal(sig) }
+
+// terminate stops a process as planned and reports whether it ended cleanly.
+func (pr *process) terminate() bool {
+	pr.signal(syscall.SIGTERM)
+	<-pr.done
+	return pr.cmd.ProcessState.Success()
+}
+
+// api returns a client of one node, or of all where none is named.
+func (cl *cluster) api(names ...string) *client.Client {
+	if len(names) == 0 {
+		for name := range cl.nodes {
+			names = append(names, name)
+		}
+	}
+	var addrs []string
+	for _, name := range names {
+		addrs = append(addrs, cl.nodes[name].addr)
+	}
+	return client.New(10*time.Second, addrs...)
+}
+
+// eventually waits until the condition holds.
+func (cl *cluster) eventually(what string, holds func() bool) {
+	cl.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(30 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	cl.t.Fatalf("not reached: %s", what)
+}
+
+// waitWorkers waits until so many workers are ready, as every node sees it.
+func (cl *cluster) waitWorkers(count int) {
+	cl.t.Helper()
+	cl.eventually(fmt.Sprint(count, " workers ready"), func() bool {
+		list, err := client.JSON[api.Workers](cl.api(), client.Request{Method: "GET", Path: api.PathWorkers})
+		ready := 0
+		for _, wk := range list.Workers {
+			if wk.State == "ready" {
+				ready++
+			}
+		}
+		return err == nil && ready == count
+	})
+}
+
+// set sets a cell and waits until every node has it in force.
+func (cl *cluster) set(row, column, value string) {
+	cl.t.Helper()
+	cl.eventually("set "+row, func() bool {
+		_, err := client.Send[map[string]any](cl.api(), client.Request{
+			Method: "PUT", Path: "/v1/table/" + row + "/" + column,
+		}, api.CellRequest{Value: value, Wait: true})
+		return err == nil
+	})
+}
+
+// ordinaryTable has a workspace and a workload of each shape.
+func (cl *cluster) ordinaryTable() {
+	cl.t.Helper()
+	cl.set("workspace/brno", "weight", "1")
+	cl.set("workload/lookup", "class", "service")
+	cl.set("workload/lookup", "repeatable", "yes")
+	cl.set("workload/push", "class", "batch")
+	cl.set("workload/rebuild", "class", "gang")
+	cl.set("workload/rebuild", "processors", "8")
+}
+
+// post sends a control message to a stand-in.
+func post(t *testing.T, addr, path string, body any) {
+	t.Helper()
+	raw, err := json.Marshal(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	rsp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(rsp)
+	req.SetRequestURI("http://" + addr + path)
+	req.Header.SetMethod("POST")
+	req.SetBody(raw)
+	if err := fasthttp.DoTimeout(req, rsp, 10*time.Second); err != nil || rsp.StatusCode() != 200 {
+		t.Fatalf("stand-in at %s: %v, status %d", addr, err, rsp.StatusCode())
+	}
+}
+
+// failStore makes the store fail in a way, or not at all.
+func (cl *cluster) failStore(ft standinstore.Faults) { post(cl.t, cl.storeAddr, "/standin/faults", ft) }
+
+// counts returns the calls that the store has taken.
+func (cl *cluster) counts() standinstore.Counts {
+	var ct standinstore.Counts
+	getJSON(cl.t, cl.storeAddr, "/standin/counts", &ct)
+	return ct
+}
+
+// records returns what really happened on all workers.
+func (cl *cluster) records() []standinworker.Record {
+	var all []standinworker.Record
+	for _, addr := range cl.workers {
+		var list []standinworker.Record
+		getJSON(cl.t, addr, "/standin/records", &list)
+		all = append(all, list...)
+	}
+	return all
+}
+
+func getJSON(t *testing.T, addr, path string, into any) {
+	t.Helper()
+	_, raw, err := fasthttp.GetTimeout(nil, "http://"+addr+path, 10*time.Second)
+	if err == nil {
+		err = json.Unmarshal(raw, into)
+	}
+	if err != nil {
+		t.Fatalf("stand-in at %s: %v", addr, err)
+	}
+}
--- /dev/null
+++ b/test/load_test.go
@@ -0,0 +1,196 @@
+package test
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"tackbeam.example/tackbeam/internal/api"
+	"tackbeam.example/tackbeam/internal/client"
+	"tackbeam.example/tackbeam/internal/fault"
+	"tackbeam.example/tackbeam/internal/standin/standinworker"
+)
+
+// load is a client load of lookups, pushes and gangs that checks every answer
+// and remembers what it was told.
+type load struct {
+	cl      *cluster
+	targets func() *client.Client
+	stop    chan struct{}
+	wg      sync.WaitGroup
+
+	mu      sync.Mutex
+	claims  []claim
+	wrong   []string
+	errors  map[fault.Kind]int
+	samples []string
+	lookups atomic.Int64
+	lost    atomic.Int64
+	jobs    atomic.Int64
+}
+
+// startLoad begins a load; targets names the nodes that the balancer sends to.
+func startLoad(cl *cluster, lookups, jobs int, targets func() *client.Client) *load {
+	ld := &load{cl: cl, targets: targets, stop: make(chan struct{}), errors: map[fault.Kind]int{}}
+	for i := range lookups {
+		ld.run(func(n int) { ld.lookup(fmt.Sprintf("lookup %d of client %d", n, i)) }, 5*time.Millisecond)
+	}
+	for i := range jobs {
+		ld.run(func(n int) { ld.job(fmt.Sprintf("push-%d-%d", i, n), "push", 1) }, 20*time.Millisecond)
+		ld.run(func(n int) { ld.job(fmt.Sprintf("gang-%d-%d", i, n), "rebuild", 6) }, 60*time.Millisecond)
+	}
+	return ld
+}
+
+func (ld *load) run(act func(n int), pause time.Duration) {
+	ld.wg.Add(1)
+	go func() {
+		defer ld.wg.Done()
+		for n := 0; ; n++ {
+			select {
+			case <-ld.stop:
+				return
+			case <-time.After(pause):
+				act(n)
+			}
+		}
+	}()
+}
+
+// log prints what the load met.
+func (ld *load) log(t *testing.T) {
+	t.Helper()
+	t.Logf("%d lookups, %d lost; %d jobs; errors %v, for example %q",
+		ld.lookups.Load(), ld.lost.Load(), ld.jobs.Load(), ld.errors, ld.samples)
+}
+
+// end stops the load, waits for what is under way, and checks everything.
+func (ld *load) end() violations {
+	close(ld.stop)
+	ld.wg.Wait()
+	ld.settle()
+	vi := check(ld.cl.records(), ld.claims)
+	for _, text := range ld.wrong {
+		vi.add(wrongReply, "%s", text)
+	}
+	return vi
+}
+
+func (ld *load) note(cm claim) {
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	ld.claims = append(ld.claims, cm)
+}
+
+func (ld *load) fail(err error) {
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	ld.errors[fault.From(err).Kind]++
+	if len(ld.samples) < 10 {
+		ld.samples = append(ld.samples, err.Error())
+	}
+}
+
+// lookup sends one lookup and checks that the answer is whole and its own.
+func (ld *load) lookup(body string) {
+	rsp, err := ld.targets().Do(client.Request{
+		Method: "POST", Path: "/v1/lookups/lookup", Body: []byte(body),
+		Headers: map[string]string{api.HeaderWorkspace: "brno"},
+	})
+	ld.lookups.Add(1)
+	if err != nil {
+		ld.lost.Add(1)
+		ld.fail(err)
+		if !fault.From(err).Begun {
+			ld.note(claim{mark: body, ran: "not-run", repeatable: true})
+		}
+		return
+	}
+	if string(rsp.Body) != string(standinworker.Reply([]byte(body))) {
+		ld.mu.Lock()
+		ld.wrong = append(ld.wrong, fmt.Sprintf("asked %q, got %q", body, rsp.Body))
+		ld.mu.Unlock()
+	}
+	ld.note(claim{mark: body, ran: "ran", repeatable: true})
+}
+
+// job submits a job that may not be repeated, under a key, until it is accepted
+// or refused for good, and notes the final answer.
+func (ld *load) job(mark, workload string, tasks int) {
+	ld.jobs.Add(1)
+	req := api.JobRequest{
+		Workload: workload, Workspace: "brno", Tasks: tasks,
+		Payload: map[string]any{"run": 0.05, "mark": mark},
+	}
+	for end := time.Now().Add(patience); time.Now().Before(end); {
+		vw, err := client.Send[api.Job](ld.targets(), client.Request{
+			Method: "POST", Path: api.PathJobs, Query: map[string]string{"wait": "5"}, Wait: 5 * time.Second,
+			Headers: map[string]string{api.HeaderKey: mark},
+		}, req)
+		if err == nil && vw.Answer != "" {
+			ld.note(claim{mark: mark, ran: vw.Answer})
+			return
+		}
+		if err != nil {
+			ld.fail(err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	ld.note(claim{mark: mark})
+}
+
+// settle waits until no worker runs anything any more.
+func (ld *load) settle() {
+	ld.cl.eventually("all work has ended", func() bool {
+		running := 0
+		for _, rc := range ld.cl.records() {
+			switch rc.Event {
+			case standinworker.EventBegin:
+				running++
+			case standinworker.EventEnd:
+				running--
+			}
+		}
+		return running == 0
+	})
+}
+
+// balancer stands for the platform's balancer: it sends to the nodes in service.
+type balancer struct {
+	cl    *cluster
+	mu    sync.Mutex
+	addrs map[string]string
+}
+
+func newBalancer(cl *cluster, names ...string) *balancer {
+	ba := &balancer{cl: cl, addrs: map[string]string{}}
+	for _, name := range names {
+		ba.add(name)
+	}
+	return ba
+}
+
+func (ba *balancer) add(name string) {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	ba.addrs[name] = ba.cl.nodes[name].addr
+}
+
+func (ba *balancer) remove(name string) {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	delete(ba.addrs, name)
+}
+
+// client returns a client of the nodes in service, in random order.
+func (ba *balancer) client() *client.Client {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	var addrs []string
+	for _, addr := range ba.addrs {
+		addrs = append(addrs, addr)
+	}
+	return client.New(10*time.Second, addrs...)
+}
--- /dev/null
+++ b/test/whole_test.go
@@ -0,0 +1,24 @@
+package test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tackbeam.example/tackbeam/internal/client"
+)
+
+// TestWholePath runs three nodes, a store and fifty workers under a real load.
+func TestWholePath(t *testing.T) {
+	is := is.New(t)
+	cl := newCluster(t, options{nodes: []string{"n1", "n2", "n3"}, workers: 50})
+	cl.ordinaryTable()
+	ld := startLoad(cl, 12, 3, func() *client.Client { return cl.api() })
+	time.Sleep(3 * time.Second)
+	ld.end().none(t)
+	is.Equal(len(ld.errors), 0)      // nothing failed
+	is.True(ld.lookups.Load() > 100) // the load was real
+	is.True(ld.jobs.Load() > 20)
+	t.Logf("%d lookups, %d jobs, store %+v", ld.lookups.Load(), ld.jobs.Load(), cl.counts())
+}
