Settle lost replies by reading back; bad input in one table

Cause: with every reply to a write lost, Put repeated the write for ever: each repeat lost its reply too (found by a test that loses all replies). Impossible sizes were accepted in a node's first half second, before it had measured its workers; a rate of 0 let one lookup through.

Change: after a lost reply the client reads the key back before it writes again. "Never fits" is said only once every listed worker has been seen, measured at the submission if need be. A rate of 0 refuses all.

--- /dev/null
+++ b/internal/daemon/bed_test.go
@@ -0,0 +1,125 @@
+package daemon_test
+
+import (
+	"context"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+
+	"tackbeam.example/tackbeam/internal/client"
+	"tackbeam.example/tackbeam/internal/daemon"
+	"tackbeam.example/tackbeam/internal/keys"
+	"tackbeam.example/tackbeam/internal/settings"
+	"tackbeam.example/tackbeam/internal/standin/fleet"
+	"tackbeam.example/tackbeam/internal/standin/standinstore"
+	"tackbeam.example/tackbeam/internal/standin/standinvms"
+	"tackbeam.example/tackbeam/internal/standin/standinworker"
+)
+
+// patience bounds every wait; it is no measure.
+const patience = 60 * time.Second
+
+// bed is a cluster in one process.
+type bed struct {
+	t       *testing.T
+	dir     string
+	store   *standinstore.Store
+	list    *standinvms.List
+	workers *fleet.Fleet
+	nodes   map[string]*daemon.Daemon
+}
+
+// newBed starts nodes over count workers.
+func newBed(t *testing.T, count int, names ...string) *bed {
+	t.Helper()
+	bd := &bed{t: t, dir: t.TempDir(), nodes: map[string]*daemon.Daemon{}}
+	must(t, keys.Issue(bd.dir, append([]string{"other"}, names...)))
+	var err error
+	bd.store, err = standinstore.New(standinstore.Options{Writes: 1000, Reads: 10000})
+	must(t, err)
+	bd.list, err = standinvms.New("")
+	must(t, err)
+	bd.workers, err = fleet.New(fleet.Options{
+		Count: count, First: 1, Halls: 2, Rack: 4,
+		Worker: standinworker.Options{Lease: 2 * time.Second, Beat: 200 * time.Millisecond},
+	})
+	must(t, err)
+	for _, vm := range bd.workers.VMs() {
+		bd.list.Put(vm)
+	}
+	t.Cleanup(func() {
+		_ = bd.workers.Close()
+		_ = bd.list.Close()
+		_ = bd.store.Close()
+	})
+	for _, name := range names {
+		bd.start(name)
+	}
+	bd.waitSlots(count * 8)
+	return bd
+}
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (bd *bed) settings(name string) *settings.Settings {
+	st := settings.New()
+	st.Node = name
+	st.HTTP.Listen, st.Peer.Listen = "127.0.0.1:0", "127.0.0.1:0"
+	st.Peer.Cert = filepath.Join(bd.dir, name+keys.CertSuffix)
+	st.Peer.Key = filepath.Join(bd.dir, name+keys.KeySuffix)
+	st.Peer.CA = filepath.Join(bd.dir, keys.CAFile)
+	st.Store.Addresses = []string{bd.store.Addr()}
+	st.Store.Lease = 2 * time.Second
+	st.VMs.Address = bd.list.Addr()
+	st.VMs.Every = 100 * time.Millisecond
+	st.Owner.Lease, st.Owner.Guard = 3*time.Second, 2*time.Second
+	st.Member.Beat, st.Member.Suspect = 100*time.Millisecond, 800*time.Millisecond
+	st.Limits.Unready = 0
+	st.Limits.LookupBody, st.Limits.JobBody = 1024, 1024
+	return st
+}
+
+// start starts a node; it is stopped with the test.
+func (bd *bed) start(name string) *daemon.Daemon {
+	bd.t.Helper()
+	dm, err := daemon.New(bd.settings(name), clockwork.NewRealClock(), logr.Discard())
+	must(bd.t, err)
+	must(bd.t, dm.Start(context.Background()))
+	bd.nodes[name] = dm
+	bd.t.Cleanup(func() { _ = dm.Stop() })
+	return dm
+}
+
+func (bd *bed) api(name string) *client.Client {
+	return client.New(5*time.Second, bd.nodes[name].HTTPAddr())
+}
+
+func (bd *bed) eventually(what string, holds func() bool) {
+	bd.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	bd.t.Fatalf("not reached: %s", what)
+}
+
+// waitSlots waits until the nodes together have so many free slots.
+func (bd *bed) waitSlots(slots int) {
+	bd.t.Helper()
+	bd.eventually("all workers attached", func() bool {
+		free := 0
+		for _, dm := range bd.nodes {
+			free += dm.FreeSlots()
+		}
+		return free == slots
+	})
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -86,6 +86,12 @@
 // HTTPAddr returns the address for callers and operators.
 func (dm *Daemon) HTTPAddr() string { return dm.front.Addr() }
 
+// FreeSlots returns the free slots of the workers that this node owns.
+func (dm *Daemon) FreeSlots() int {
+	room, _ := dm.owner.Room()
+	return room.FreeSlots
+}
+
 // Peer returns the node's links to other nodes, for tests that cut them.
 func (dm *Daemon) Peer() *peer.Peer { return dm.peer }
 
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -216,8 +216,10 @@
 	fd := kn.Finder()
 	var ow *owner.Owner
 	kernel.Find(fd, nameOwner, &ow)
+	var ls *vms.List
+	kernel.Find(fd, nameVMs, &ls)
 	pt.Local = home.Local{
-		Room: ow.Room, Hold: ow.Hold, Commit: ow.Commit, Release: ow.Release,
+		VMs: ls.Len, Room: ow.Room, Hold: ow.Hold, Commit: ow.Commit, Release: ow.Release,
 		Order: ow.Order, Ack: ow.Ack,
 	}
 	kernel.Find(fd, nameMember, &pt.Member)
--- a/internal/front/caller.go
+++ b/internal/front/caller.go
@@ -99,10 +99,10 @@
 		lim.SetLimitAt(now, part)
 		lim.SetBurstAt(now, burst)
 	}
-	if lim.AllowN(now, 1) {
+	if part > 0 && lim.AllowN(now, 1) {
 		return nil
 	}
-	wait := time.Second
+	wait := time.Minute
 	if part > 0 {
 		wait = time.Duration((1 - lim.TokensAt(now)) / float64(part) * float64(time.Second))
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"strconv"
 	"sync"
@@ -275,5 +276,8 @@
 	if errors.As(err, &kind) {
 		return fault.New(fault.BadRequest, "%s: give a %s, not a %s", kind.Field, kind.Type, kind.Value)
 	}
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return fault.New(fault.BadRequest, "the body is not JSON: it ends too early")
+	}
 	return fault.New(fault.BadRequest, "the body cannot be read: %v", err)
 }
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -45,6 +45,8 @@
 
 // Local is the owner of this node, which the home reaches without a message.
 type Local struct {
+	// VMs returns the number of workers that the platform lists.
+	VMs     func() int
 	Room    func() (ledger.Room, int)
 	Hold    func(nodemsg.Hold) nodemsg.Held
 	Commit  func(context.Context, nodemsg.Commit) nodemsg.Fates
@@ -84,6 +86,9 @@
 	open    int
 	largest size.Size
 	total   size.Size
+	// complete is set once every listed worker was seen, so that what none of
+	// them can carry is known.
+	complete bool
 }
 
 // entry is one job in memory. The home's lock guards it.
@@ -211,17 +216,19 @@
 // is told by the largest ever seen, since workers may be away for a while.
 func (hm *Home) measure() {
 	room, _ := hm.Local.Room()
-	total, free, largest := room.Capacity, room.Free, room.Biggest
+	total, free, largest, count := room.Capacity, room.Free, room.Biggest, room.Workers
 	for _, vw := range hm.Member.Peers() {
 		rm := vw.Room()
 		total = total.Add(rm.Capacity)
 		free = free.Add(rm.Free)
 		largest = largest.Max(rm.Biggest)
+		count += rm.Workers
 	}
 	hm.mu.Lock()
 	defer hm.mu.Unlock()
 	hm.largest = hm.largest.Max(largest)
 	hm.total = hm.total.Max(total)
+	hm.complete = hm.complete || count > 0 && count >= hm.Local.VMs()
 	hm.step(home.Event{Capacity: &home.Capacity{Total: hm.total, Largest: hm.largest, Free: free}})
 }
 
--- a/internal/home/submit.go
+++ b/internal/home/submit.go
@@ -19,6 +19,9 @@
 // Submit accepts a job. It answers once the job is in the journal; the same key
 // with the same request answers with the job that it made before.
 func (hm *Home) Submit(ctx context.Context, req nodemsg.Submit) (nodemsg.JobView, error) {
+	if !hm.knowsAll() {
+		hm.measure()
+	}
 	hm.mu.Lock()
 	en, err := hm.admit(req)
 	if err != nil {
@@ -36,6 +39,12 @@
 	return hm.view(en), nil
 }
 
+func (hm *Home) knowsAll() bool {
+	hm.mu.Lock()
+	defer hm.mu.Unlock()
+	return hm.complete
+}
+
 func (hm *Home) unaccepted(err error) error {
 	er := fault.From(err)
 	if er.Begun {
@@ -106,8 +115,8 @@
 	if hm.open >= hm.opts.WaitingJobs {
 		return fault.New(fault.Full, "this node keeps %d unfinished jobs; not run", hm.open).After(time.Second)
 	}
-	if hm.total.IsZero() {
-		return nil // no worker has been seen yet
+	if !hm.complete {
+		return nil // a larger worker may yet be seen
 	}
 	why := hm.machine.Forbids(home.Submit{Workspace: req.Workspace, Tasks: req.Tasks, Size: req.Size})
 	if why != "" {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -212,7 +212,14 @@
 		case Lost:
 			begun = true
 		}
-		if !cl.pause(ctx, try) {
+		more := cl.pause(ctx, try)
+		if begun && more {
+			item, err := cl.Get(ctx, class, wr.Key)
+			if err == nil && (wr.mine(item) || item.Version != wr.Version) {
+				return item, wr.mine(item), nil
+			}
+		}
+		if !more {
 			er := unavailable("write", err)
 			er.Begun = begun
 			return storemsg.Item{}, false, er
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,144 @@
+package store_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"tackbeam.example/tackbeam/internal/fault"
+	"tackbeam.example/tackbeam/internal/standin/standinstore"
+	"tackbeam.example/tackbeam/internal/store"
+	"tackbeam.example/tackbeam/internal/storemsg"
+)
+
+// pair starts a stand-in and a client of it.
+func pair(t *testing.T) (*standinstore.Store, *store.Client) {
+	t.Helper()
+	st, err := standinstore.New(standinstore.Options{Writes: 1000, Reads: 1000})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = st.Close() })
+	cl := store.New(clockwork.NewRealClock(), store.HTTP([]string{st.Addr()}), store.Options{
+		Writes: 1000, Reads: 1000, Timeout: 300 * time.Millisecond,
+	})
+	cl.SetNodes(1)
+	return st, cl
+}
+
+func TestCompareAndSwap(t *testing.T) {
+	is := is.New(t)
+	_, cl := pair(t)
+	ctx := context.Background()
+	first, ok, err := cl.Put(ctx, store.Rest, store.Write{Key: "k", Value: []byte("1")})
+	is.NoErr(err)
+	is.True(ok)
+	_, ok, err = cl.Put(ctx, store.Rest, store.Write{Key: "k", Value: []byte("2")})
+	is.NoErr(err)
+	is.True(!ok) // a key that is there cannot be made
+	now, ok, err := cl.Put(ctx, store.Rest, store.Write{Key: "k", Value: []byte("2"), Version: first.Version})
+	is.NoErr(err)
+	is.True(ok)
+	late, ok, err := cl.Put(ctx, store.Rest, store.Write{Key: "k", Value: []byte("3"), Version: first.Version})
+	is.NoErr(err)
+	is.True(!ok)                        // an old version loses
+	is.Equal(late.Version, now.Version) // and learns what is there
+}
+
+// TestLostReplies loses the answer to every write after it took effect. Each
+// write is settled as the one that it was.
+func TestLostReplies(t *testing.T) {
+	is := is.New(t)
+	st, cl := pair(t)
+	st.SetFaults(standinstore.Faults{LoseEvery: 1})
+	version := uint64(0)
+	for n := range 5 {
+		if n == 3 {
+			st.SetFaults(standinstore.Faults{LoseEvery: 2})
+		}
+		item, ok, err := cl.Put(context.Background(), store.Rest, store.Write{
+			Key: "k", Value: []byte{byte(n)}, Version: version,
+		})
+		is.NoErr(err)
+		is.True(ok)
+		is.True(item.Version > version)
+		version = item.Version
+	}
+	is.Equal(st.Counts().Revision, int64(5)) // each write took effect once
+	is.True(st.Counts().Lost > 0)            // replies were lost indeed
+}
+
+func TestOutageSaysWhetherTheWriteMayBeIn(t *testing.T) {
+	cases := map[string]struct {
+		faults standinstore.Faults
+		begun  bool
+	}{
+		"down: surely not written":  {standinstore.Faults{Down: true}, false},
+		"hangs: may be written yet": {standinstore.Faults{Hang: true}, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			st, cl := pair(t)
+			st.SetFaults(tc.faults)
+			ctx, cancel := context.WithTimeout(context.Background(), 600*time.Millisecond)
+			defer cancel()
+			_, ok, err := cl.Put(ctx, store.Rest, store.Write{Key: "k", Value: []byte("1")})
+			is.True(!ok)
+			is.Equal(fault.From(err).Kind, fault.Unavailable)
+			is.Equal(fault.From(err).Begun, tc.begun)
+			is.True(cl.Down())
+		})
+	}
+}
+
+// TestLeaseLapses lets a lease run out; its key goes, and a watch tells.
+func TestLeaseLapses(t *testing.T) {
+	is := is.New(t)
+	_, cl := pair(t)
+	ctx := context.Background()
+	var id string
+	var item storemsg.Item
+	for ok := false; !ok; { // a slow machine may let the lease lapse before its use
+		var err error
+		id, _, err = cl.Grant(ctx, "", 200*time.Millisecond)
+		is.NoErr(err)
+		item, ok, _ = cl.Put(ctx, store.Rest, store.Write{Key: "live/a", Value: []byte("x"), Lease: id})
+	}
+	res, err := cl.Watch(ctx, "live/", item.Version, 20*time.Second)
+	is.NoErr(err)
+	is.Equal(len(res.Items), 1)
+	is.True(res.Items[0].Deleted)
+	_, ok, err := cl.Grant(ctx, id, time.Second)
+	is.NoErr(err)
+	is.True(!ok) // a lapsed lease is not renewed
+}
+
+// TestBudget spends the calls of one moment, class by class. What a lower class
+// must leave, a higher one may still spend.
+func TestBudget(t *testing.T) {
+	is := is.New(t)
+	st, err := standinstore.New(standinstore.Options{})
+	is.NoErr(err)
+	defer func() { _ = st.Close() }()
+	clock := clockwork.NewFakeClock()
+	cl := store.New(clock, store.HTTP([]string{st.Addr()}), store.Options{
+		Writes: 100, Reads: 1000, Timeout: time.Second,
+	})
+	cl.SetNodes(9) // 100 reads a second for this node
+	clock.Advance(time.Minute)
+	want := map[store.Class]int64{store.Rest: 50, store.Table: 70, store.Journal: 90, store.Ownership: 100}
+	for _, class := range []store.Class{store.Rest, store.Table, store.Journal, store.Ownership} {
+		for range 100 {
+			ctx, cancel := context.WithCancel(context.Background())
+			time.AfterFunc(5*time.Millisecond, cancel) // a call that has to wait gives up
+			_, _ = cl.Get(ctx, class, "k")
+			cancel()
+		}
+		reads, _, _, _ := cl.Calls()
+		is.Equal(reads, want[class]) // the class leaves its reserve
+	}
+}
--- a/internal/vms/vms.go
+++ b/internal/vms/vms.go
@@ -58,6 +58,13 @@
 	return vm, ok
 }
 
+// Len returns the number of VMs on the list.
+func (ls *List) Len() int {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	return len(ls.vms)
+}
+
 // Start begins to read the list.
 func (ls *List) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
