--- a/internal/daemon/bed_test.go
+++ b/internal/daemon/bed_test.go
@@ -82,7 +82,7 @@
 	st.VMs.Every = 100 * time.Millisecond
 	st.Owner.Lease, st.Owner.Guard = 3*time.Second, 2*time.Second
 	st.Member.Beat, st.Member.Suspect = 100*time.Millisecond, 800*time.Millisecond
-	st.Limits.Unready = 0
+	st.Limits.Unready, st.Limits.Drain = 0, time.Second
 	st.Limits.LookupBody, st.Limits.JobBody = 1024, 1024
 	return st
 }
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,112 @@
+package peer_test
+
+import (
+	"context"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"tackbeam.example/tackbeam/internal/fault"
+	"tackbeam.example/tackbeam/internal/keys"
+	"tackbeam.example/tackbeam/internal/nodemsg"
+	"tackbeam.example/tackbeam/internal/peer"
+	"tackbeam.example/tackbeam/internal/wire"
+)
+
+// open starts a node's end with the certificate of another name, where given.
+func open(t *testing.T, dir, name, cert string) *peer.Peer {
+	t.Helper()
+	ring, err := keys.New(clockwork.NewRealClock(), logr.Discard(), filepath.Join(dir, cert+keys.CertSuffix),
+		filepath.Join(dir, cert+keys.KeySuffix), filepath.Join(dir, keys.CAFile))
+	if err != nil {
+		t.Fatal(err)
+	}
+	pr, err := peer.New(name, "127.0.0.1:0", ring, logr.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = pr.Close() })
+	return pr
+}
+
+func issue(t *testing.T, names ...string) string {
+	t.Helper()
+	dir := t.TempDir()
+	if err := keys.Issue(dir, names); err != nil {
+		t.Fatal(err)
+	}
+	return dir
+}
+
+func ask(from *peer.Peer, addr string, size int) (nodemsg.Rows, error) {
+	return peer.Call[nodemsg.Row, nodemsg.Rows](context.Background(), from, addr, nodemsg.KindRowPush,
+		nodemsg.Row{Key: "k", Value: []byte(strings.Repeat("x", size))})
+}
+
+// TestWhoMayCall lets a node of the same signer in, and nobody else.
+func TestWhoMayCall(t *testing.T) {
+	dir, strange := issue(t, "a", "b"), issue(t, "a", "b")
+	server := open(t, dir, "a", "a")
+	calls := 0
+	peer.Handle(server, nodemsg.KindRowPush, func(_ context.Context, from string, rw nodemsg.Row) (nodemsg.Rows, error) {
+		calls++
+		return nodemsg.Rows{Rows: []nodemsg.Row{{Key: from, Version: uint64(len(rw.Value))}}}, nil
+	})
+	if err := server.Serve(); err != nil {
+		t.Fatal(err)
+	}
+	cases := map[string]struct {
+		from *peer.Peer
+		size int
+		kind fault.Kind
+	}{
+		"a node of the cluster":      {open(t, dir, "b", "b"), 10, ""},
+		"a large message":            {open(t, dir, "b", "b"), 900 << 10, ""},
+		"a message over the limit":   {open(t, dir, "b", "b"), wire.MaxMessage, fault.TooLarge},
+		"a name that is not its own": {open(t, dir, "c", "b"), 10, fault.Denied},
+		"a stranger's certificate":   {open(t, strange, "b", "b"), 10, fault.Unavailable},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			before := calls
+			got, err := ask(tc.from, server.Addr(), tc.size)
+			if tc.kind == "" {
+				is.NoErr(err)
+				is.Equal(got.Rows, []nodemsg.Row{{Key: "b", Version: uint64(tc.size)}})
+				return
+			}
+			is.Equal(fault.From(err).Kind, tc.kind)
+			is.Equal(calls, before) // the handler was not reached
+		})
+	}
+}
+
+// TestCutLink says of a call over a cut link that it was not carried out, and
+// of one without an answer that it may have been.
+func TestCutLink(t *testing.T) {
+	is := is.New(t)
+	dir := issue(t, "a", "b")
+	server, caller := open(t, dir, "a", "a"), open(t, dir, "b", "b")
+	entered := make(chan struct{})
+	peer.Handle(server, nodemsg.KindRowPush, func(ctx context.Context, _ string, _ nodemsg.Row) (nodemsg.Rows, error) {
+		close(entered)
+		<-ctx.Done()
+		return nodemsg.Rows{}, ctx.Err()
+	})
+	is.NoErr(server.Serve())
+	caller.Block(func(string) bool { return true })
+	_, err := ask(caller, server.Addr(), 1)
+	is.True(!fault.From(err).Begun)
+	caller.Block(nil)
+	go func() {
+		<-entered
+		_ = server.Close()
+	}()
+	_, err = ask(caller, server.Addr(), 1)
+	is.True(fault.From(err).Begun)
+}
