--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -69,6 +69,7 @@
 	fleets    []*process
 	workers   map[string]string
 	nodes     map[string]*process
+	ordinary  bool
 }
 
 // options of a cluster.
@@ -77,12 +78,16 @@
 	workers int
 	lease   time.Duration
 	lookup  time.Duration
+	// ordinary keeps the default times, as a real site has them.
+	ordinary bool
 }
 
 // newCluster starts a store, workers and nodes, and waits until they are ready.
 func newCluster(t *testing.T, op options) *cluster {
 	t.Helper()
-	cl := &cluster{t: t, dir: t.TempDir(), workers: map[string]string{}, nodes: map[string]*process{}}
+	cl := &cluster{
+		t: t, dir: t.TempDir(), workers: map[string]string{}, nodes: map[string]*process{}, ordinary: op.ordinary,
+	}
 	if err := keys.Issue(cl.dir, append([]string{"spare-1", "spare-2", "spare-3"}, op.nodes...)); err != nil {
 		t.Fatal(err)
 	}
@@ -181,9 +186,13 @@
 	if lookup == 0 {
 		lookup = 2 * time.Millisecond
 	}
+	beat := lease / 8
+	if op.ordinary {
+		beat = lease / 4
+	}
 	pr := cl.start("workers", "tackbeam", "standin", "workers", "--vms", cl.vmsAddr,
 		"--first", fmt.Sprint(first), "--count", fmt.Sprint(count),
-		"--lease", lease.String(), "--beat", (lease / 8).String(), "--lookup-time", lookup.String())
+		"--lease", lease.String(), "--beat", beat.String(), "--lookup-time", lookup.String())
 	cl.fleets = append(cl.fleets, pr)
 	for range count {
 		words := strings.Fields(cl.line(pr))
@@ -191,6 +200,14 @@
 	}
 }
 
+// soloWorker starts a worker that is on no list the nodes read.
+func (cl *cluster) soloWorker() string {
+	cl.t.Helper()
+	list := strings.Fields(cl.line(cl.start("solo-store", "tackbeam", "standin", "store")))[3]
+	pr := cl.start("solo", "tackbeam", "standin", "workers", "--vms", list, "--count", "1", "--lookup-time", "1ms")
+	return strings.Fields(cl.line(pr))[2]
+}
+
 // startNode starts one node and waits until it is up.
 func (cl *cluster) startNode(name string) *process {
 	cl.t.Helper()
@@ -208,6 +225,13 @@
 		"limits": map[string]any{"unready": "300ms"},
 		"log":    map[string]any{"verbosity": 1},
 	}
+	if cl.ordinary {
+		for _, section := range []string{"owner", "member", "limits", "log"} {
+			delete(settings, section)
+		}
+		settings["store"] = map[string]any{"addresses": []string{cl.storeAddr}}
+		settings["vms"] = map[string]any{"address": cl.vmsAddr}
+	}
 	raw, err := json.Marshal(settings)
 	if err != nil {
 		cl.t.Fatal(err)
