--- a/GNUmakefile
+++ b/GNUmakefile
@@ -1,4 +1,4 @@
-# Targets: build, test, fmt, lint, pages, demo, bench.
+# Targets: build, test, race, fmt, lint, pages, demo, bench, capacity.
 GO ?= go
 export GOFLAGS += -buildvcs=false
 SOURCES := $(shell git ls-files '*.go' 2>/dev/null)
@@ -6,7 +6,7 @@
 RACED := ./internal/store/... ./internal/journal/... ./internal/peer/... ./internal/owner/... \
 	./internal/home/... ./internal/member/... ./internal/table/... ./internal/worker/... ./internal/daemon/...
 
-.PHONY: build test fmt lint pages demo bench
+.PHONY: build test race fmt lint pages demo bench capacity
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -34,3 +34,6 @@
 
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./internal/... ./policy/...
+
+capacity:
+	TACKBEAM_CAPACITY=1 $(GO) test ./test -run TestCapacity -v -count=1 -timeout 20m
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -255,13 +255,6 @@
 // signal sends a signal to a process.
 func (pr *process) signal(sig syscall.Signal) { _ = pr.cmd.Process.Signal(sig) }
 
-// terminate stops a process as planned and reports whether it ended cleanly.
-func (pr *process) terminate() bool {
-	pr.signal(syscall.SIGTERM)
-	<-pr.done
-	return pr.cmd.ProcessState.Success()
-}
-
 // api returns a client of one node, or of all where none is named.
 func (cl *cluster) api(names ...string) *client.Client {
 	if len(names) == 0 {
