Bring each fault about alone and in pairs, and print the matrix of what ran

Cause: the promises were shown under single scenarios; nothing counted them.

Change: TestFaults starts 3 nodes behind UDP relays, 16 workers in two processes and a load, brings the fault about, lifts it, has a worker leave by the list of VMs, and has the checker count each promise.

The load is too light to make nodes forward lookups and all jobs have one home, so the cases are weaker than they look; that is next.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -98,13 +98,13 @@
 // Drain asks the node to stop as planned; Run returns then.
 func (dm *Daemon) Drain() { dm.once.Do(func() { close(dm.drain) }) }
 
-// Run starts the node, tells ready its address, and stops it, as planned, when
+// Run starts the node, tells ready its addresses, and stops it, as planned, when
 // the context ends or a drain is asked for.
-func (dm *Daemon) Run(ctx context.Context, ready func(addr string)) error {
+func (dm *Daemon) Run(ctx context.Context, ready func(callers, nodes string)) error {
 	if err := dm.Start(ctx); err != nil {
 		return err
 	}
-	ready(dm.HTTPAddr())
+	ready(dm.HTTPAddr(), dm.peer.Addr())
 	select {
 	case <-ctx.Done():
 	case <-dm.drain:
--- a/internal/nodecli/nodecli.go
+++ b/internal/nodecli/nodecli.go
@@ -84,8 +84,10 @@
 }
 
 // ready tells whoever started the node where it listens.
-func ready(out io.Writer) func(addr string) {
-	return func(addr string) { _, _ = fmt.Fprintf(out, "tackbeamd is up at %s\n", addr) }
+func ready(out io.Writer) func(callers, nodes string) {
+	return func(callers, nodes string) {
+		_, _ = fmt.Fprintf(out, "tackbeamd is up at %s, for nodes at %s\n", callers, nodes)
+	}
 }
 
 func (op *options) node(ctx context.Context, out, errOut io.Writer) error {
--- a/internal/standalone/standalone.go
+++ b/internal/standalone/standalone.go
@@ -30,8 +30,8 @@
 	Workers int
 	// Record is the file for the trace of decisions; empty is none.
 	Record string
-	// Ready is called with the address once the node is up.
-	Ready func(addr string)
+	// Ready is called with the addresses once the node is up.
+	Ready func(callers, nodes string)
 }
 
 // Run runs the node until the context ends or it is drained.
--- a/test/checker_test.go
+++ b/test/checker_test.go
@@ -39,6 +39,8 @@
 	falseRan   = "false ran"
 	wrongReply = "wrong or cut lookup"
 	reverted   = "reverted cell"
+	noAnswer   = "job without answer"
+	toLeaving  = "work to a leaving worker"
 )
 
 // span is one run of a task or lookup on a worker.
@@ -67,6 +69,8 @@
 	for _, cm := range claims {
 		n := begun[cm.mark]
 		switch {
+		case cm.ran == "":
+			vi.add(noAnswer, "%s", cm.mark)
 		case cm.ran == "not-run" && n > 0 && !cm.repeatable:
 			vi.add(falseNot, "%s began %d times", cm.mark, n)
 		case cm.ran == "ran" && n == 0:
@@ -143,7 +147,7 @@
 			[]standinworker.Record{
 				rec(0, "a", "j.1.0", "m", begin), rec(1, "b", "j.2.0", "m", begin),
 				rec(2, "a", "j.1.0", "m", end), rec(3, "b", "j.2.0", "m", end),
-			}, []claim{{mark: "m", repeatable: true}}, atOnce,
+			}, []claim{{mark: "m", ran: "ran", repeatable: true}}, atOnce,
 		},
 		"second run": {
 			[]standinworker.Record{
@@ -154,6 +158,7 @@
 		"not run but ran": {
 			[]standinworker.Record{rec(0, "a", "j.1.0", "m", begin)}, []claim{{mark: "m", ran: "not-run"}}, falseNot,
 		},
+		"nothing said":    {nil, []claim{{mark: "m"}}, noAnswer},
 		"ran but did not": {nil, []claim{{mark: "m", ran: "ran"}}, falseRan},
 	}
 	for name, tc := range cases {
--- a/test/demo.sh
+++ b/test/demo.sh
@@ -13,7 +13,7 @@
 	grep -q 'is up at' "$work/out" && break
 	sleep 0.1
 done
-TACKBEAM_NODE=$(sed -n 's/.* is up at //p' "$work/out")
+TACKBEAM_NODE=$(sed -n 's/.* is up at \([^,]*\),.*/\1/p' "$work/out")
 export TACKBEAM_NODE
 [ -n "$TACKBEAM_NODE" ] || { cat "$work/log"; echo "demo: the node did not come up"; exit 1; }
 
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -57,6 +57,7 @@
 	lines chan string
 	done  chan struct{}
 	addr  string
+	peer  string
 }
 
 // cluster is everything that a scenario runs.
@@ -69,6 +70,8 @@
 	fleets    []*process
 	workers   map[string]string
 	nodes     map[string]*process
+	relays    map[string]*relay
+	race      *race
 	ordinary  bool
 }
 
@@ -80,6 +83,8 @@
 	lookup  time.Duration
 	// ordinary keeps the default times, as a real site has them.
 	ordinary bool
+	// relays puts a relay before each node, so that links can be cut.
+	relays bool
 }
 
 // newCluster starts a store, workers and nodes, and waits until they are ready.
@@ -88,6 +93,9 @@
 	cl := &cluster{
 		t: t, dir: t.TempDir(), workers: map[string]string{}, nodes: map[string]*process{}, ordinary: op.ordinary,
 	}
+	if op.relays {
+		cl.relays = map[string]*relay{}
+	}
 	if err := keys.Issue(cl.dir, append([]string{"spare-1", "spare-2", "spare-3"}, op.nodes...)); err != nil {
 		t.Fatal(err)
 	}
@@ -225,6 +233,10 @@
 		"limits": map[string]any{"unready": "300ms"},
 		"log":    map[string]any{"verbosity": 1},
 	}
+	if cl.relays != nil {
+		cl.relays[name] = newRelay(cl.t)
+		settings["peer"].(map[string]any)["advertise"] = cl.relays[name].addr()
+	}
 	if cl.ordinary {
 		for _, section := range []string{"owner", "member", "limits", "log"} {
 			delete(settings, section)
@@ -241,11 +253,30 @@
 		cl.t.Fatal(err)
 	}
 	pr := cl.start(name, "tackbeamd", "--config", path)
-	pr.addr = strings.TrimPrefix(cl.line(pr), "tackbeamd is up at ")
+	words := strings.Fields(cl.line(pr))
+	pr.addr, pr.peer = strings.TrimSuffix(words[4], ","), words[8]
+	if cl.relays != nil {
+		cl.relays[name].serve(cl.t, pr.peer)
+	}
 	cl.nodes[name] = pr
 	return pr
 }
 
+// cutOff cuts all links between one node and the others.
+func (cl *cluster) cutOff(name string) {
+	lone := cl.nodes[name].peer
+	for other, re := range cl.relays {
+		re.setCut(func(from string) bool { return other == name || from == lone })
+	}
+}
+
+// mend lets all links work again.
+func (cl *cluster) mend() {
+	for _, re := range cl.relays {
+		re.setCut(nil)
+	}
+}
+
 // kill ends a process at once.
 func (pr *process) kill() {
 	_ = pr.cmd.Process.Kill()
@@ -319,6 +350,17 @@
 
 // post sends a control message to a stand-in.
 func post(t *testing.T, addr, path string, body any) {
+	t.Helper()
+	send(t, "POST", addr, path, body)
+}
+
+// put changes an entry of a stand-in.
+func put(t *testing.T, addr, path string, body any) {
+	t.Helper()
+	send(t, "PUT", addr, path, body)
+}
+
+func send(t *testing.T, method, addr, path string, body any) {
 	t.Helper()
 	raw, err := json.Marshal(body)
 	if err != nil {
@@ -329,7 +371,7 @@
 	rsp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(rsp)
 	req.SetRequestURI("http://" + addr + path)
-	req.Header.SetMethod("POST")
+	req.Header.SetMethod(method)
 	req.SetBody(raw)
 	if err := fasthttp.DoTimeout(req, rsp, 10*time.Second); err != nil || rsp.StatusCode() != 200 {
 		t.Fatalf("stand-in at %s: %v, status %d", addr, err, rsp.StatusCode())
--- /dev/null
+++ b/test/matrix_test.go
@@ -0,0 +1,246 @@
+package test
+
+import (
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"text/tabwriter"
+	"time"
+
+	"tackbeam.example/tackbeam/internal/client"
+	"tackbeam.example/tackbeam/internal/standin/standinstore"
+	"tackbeam.example/tackbeam/internal/standin/standinworker"
+	"tackbeam.example/tackbeam/internal/table"
+	"tackbeam.example/tackbeam/internal/vmsmsg"
+)
+
+// injection is a fault on a running cluster: begin brings it about, end lifts it.
+type injection struct {
+	begin func(cl *cluster)
+	end   func(cl *cluster)
+}
+
+// faultNames is the order of the columns.
+var faultNames = []string{
+	"node killed", "node paused", "node cut off", "workers paused", "workers fail all",
+	"store down", "store hangs", "answers lost", "store slow", "operators race",
+}
+
+func nothing(*cluster) {}
+
+// faults are the single faults. The load goes to n1 and n2; n3 suffers.
+var faults = map[string]injection{
+	"node killed": {func(cl *cluster) { cl.nodes["n3"].kill() }, nothing},
+	"node paused": {
+		func(cl *cluster) { cl.nodes["n3"].signal(syscall.SIGSTOP) },
+		func(cl *cluster) { cl.nodes["n3"].signal(syscall.SIGCONT) },
+	},
+	"node cut off": {func(cl *cluster) { cl.cutOff("n3") }, func(cl *cluster) { cl.mend() }},
+	"workers paused": {
+		func(cl *cluster) { cl.fleets[1].signal(syscall.SIGSTOP) },
+		func(cl *cluster) { cl.fleets[1].signal(syscall.SIGCONT) },
+	},
+	"workers fail all": {
+		func(cl *cluster) { cl.failWorkers(standinworker.Faults{FailAll: true}) },
+		func(cl *cluster) { cl.failWorkers(standinworker.Faults{}) },
+	},
+	"store down":   {store(standinstore.Faults{Down: true}), store(standinstore.Faults{})},
+	"store hangs":  {store(standinstore.Faults{Hang: true}), store(standinstore.Faults{})},
+	"answers lost": {store(standinstore.Faults{LoseEvery: 2}), store(standinstore.Faults{})},
+	"store slow":   {store(standinstore.Faults{Slow: 300 * time.Millisecond}), store(standinstore.Faults{})},
+	"operators race": {
+		func(cl *cluster) { cl.startRace() },
+		func(cl *cluster) { cl.stopRace() },
+	},
+}
+
+func store(ft standinstore.Faults) func(*cluster) {
+	return func(cl *cluster) { cl.failStore(ft) }
+}
+
+// failWorkers makes the first workers misbehave.
+func (cl *cluster) failWorkers(ft standinworker.Faults) {
+	for _, name := range []string{"w0001", "w0002", "w0003"} {
+		post(cl.t, cl.workers[name], "/standin/faults", ft)
+	}
+}
+
+// cell counts what was found for one promise under one fault or pair.
+type cell struct{ cases, violations int }
+
+// matrix gathers the cells of all cases that ran.
+type matrix struct {
+	mu    sync.Mutex
+	cells map[string]map[string]cell
+}
+
+var found = &matrix{cells: map[string]map[string]cell{}}
+
+// promises is the order of the rows.
+var promises = []string{
+	overcommit, atOnce, twice, falseNot, falseRan, wrongReply, reverted, noAnswer, toLeaving,
+}
+
+func (mx *matrix) add(names []string, vi violations) {
+	mx.mu.Lock()
+	defer mx.mu.Unlock()
+	for _, promise := range promises {
+		if mx.cells[promise] == nil {
+			mx.cells[promise] = map[string]cell{}
+		}
+		for _, name := range names {
+			ce := mx.cells[promise][name]
+			ce.cases++
+			ce.violations += len(vi[promise])
+			mx.cells[promise][name] = ce
+		}
+	}
+}
+
+// print writes the matrix of what ran: cases, and violations after a slash.
+func (mx *matrix) print() {
+	tw := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(tw, "promise\t"+strings.Join(faultNames, "\t"))
+	for _, promise := range promises {
+		line := []string{promise}
+		for _, name := range faultNames {
+			ce := mx.cells[promise][name]
+			line = append(line, fmt.Sprintf("%d/%d", ce.cases, ce.violations))
+		}
+		_, _ = fmt.Fprintln(tw, strings.Join(line, "\t"))
+	}
+	_ = tw.Flush()
+}
+
+// TestFaults brings each fault about alone and, under TACKBEAM_PAIRS, each pair,
+// on real processes under load, and checks every promise. At the end it prints
+// how many cases ran for each promise and fault, and how many violations.
+func TestFaults(t *testing.T) {
+	cases := [][]string{}
+	for i, a := range faultNames {
+		cases = append(cases, []string{a})
+		for _, b := range faultNames[i+1:] {
+			if os.Getenv("TACKBEAM_PAIRS") != "" {
+				cases = append(cases, []string{a, b})
+			}
+		}
+	}
+	t.Run("group", func(t *testing.T) {
+		for _, names := range cases {
+			t.Run(strings.Join(names, " and "), func(t *testing.T) {
+				t.Parallel()
+				vi := underFaults(t, names)
+				found.add(names, vi)
+				vi.none(t)
+			})
+		}
+	})
+	found.print()
+}
+
+// underFaults runs one case: load, the faults a moment apart, their end, and
+// the time to recover.
+func underFaults(t *testing.T, names []string) violations {
+	cl := newCluster(t, options{nodes: []string{"n1", "n2", "n3"}, workers: 8, relays: true})
+	cl.addWorkers(options{}, 101, 8)
+	cl.waitWorkers(16)
+	cl.ordinaryTable()
+	ld := startLoad(cl, 3, 1, func() *client.Client { return cl.api("n1", "n2") })
+	watch := startWatch(cl, "n1", "n2")
+	time.Sleep(500 * time.Millisecond)
+	for _, name := range names {
+		faults[name].begin(cl)
+		time.Sleep(200 * time.Millisecond)
+	}
+	time.Sleep(4 * time.Second)
+	for _, name := range names {
+		faults[name].end(cl)
+	}
+	left := cl.leave("w0008")
+	time.Sleep(4 * time.Second)
+	vi := ld.end()
+	watch.end(vi)
+	for _, rc := range cl.records() {
+		if rc.Worker == "w0008" && rc.Event == standinworker.EventBegin && rc.At.After(left.Add(leaveTime)) {
+			vi.add(toLeaving, "%s began %v after", rc.Task, rc.At.Sub(left))
+		}
+	}
+	ld.log(t)
+	return vi
+}
+
+// leaveTime is within what a leaving endpoint gets no new work any more.
+const leaveTime = 3 * time.Second
+
+// leave has the list of VMs say that a worker leaves; the worker is not told.
+func (cl *cluster) leave(name string) time.Time {
+	var vms []vmsmsg.VM
+	getJSON(cl.t, cl.vmsAddr, vmsmsg.Path, &vms)
+	for _, vm := range vms {
+		if vm.Name == name {
+			vm.Leaving = true
+			put(cl.t, cl.vmsAddr, vmsmsg.Path, []vmsmsg.VM{vm})
+		}
+	}
+	return time.Now()
+}
+
+// watcher follows the versions of the table on nodes; none may go down.
+type watcher struct {
+	stop chan struct{}
+	wg   sync.WaitGroup
+	mu   sync.Mutex
+	bad  []string
+}
+
+func startWatch(cl *cluster, names ...string) *watcher {
+	wa := &watcher{stop: make(chan struct{})}
+	for _, name := range names {
+		api := cl.api(name)
+		wa.wg.Add(1)
+		go func() {
+			defer wa.wg.Done()
+			seen := map[string]uint64{}
+			for {
+				select {
+				case <-wa.stop:
+					return
+				case <-time.After(50 * time.Millisecond):
+					wa.look(name, api, seen)
+				}
+			}
+		}()
+	}
+	return wa
+}
+
+func (wa *watcher) look(name string, api *client.Client, seen map[string]uint64) {
+	tb, err := client.JSON[struct {
+		Rows []table.Row `json:"rows"`
+	}](api, client.Request{Method: "GET", Path: "/v1/table"})
+	if err != nil {
+		return
+	}
+	for _, row := range tb.Rows {
+		key := string(row.Kind) + "/" + row.Name
+		if row.Version < seen[key] {
+			wa.mu.Lock()
+			wa.bad = append(wa.bad, fmt.Sprintf("%s on %s went from %d to %d", key, name, seen[key], row.Version))
+			wa.mu.Unlock()
+		}
+		seen[key] = max(seen[key], row.Version)
+	}
+}
+
+func (wa *watcher) end(vi violations) {
+	close(wa.stop)
+	wa.wg.Wait()
+	sort.Strings(wa.bad)
+	for _, text := range wa.bad {
+		vi.add(reverted, "%s", text)
+	}
+}
--- /dev/null
+++ b/test/relay_test.go
@@ -0,0 +1,123 @@
+package test
+
+import (
+	"net"
+	"sync"
+	"testing"
+)
+
+// maxPacket is the largest UDP packet that a relay passes on.
+const maxPacket = 64 << 10
+
+// relay stands between one node and the others, so that a test can cut links
+// between real processes. Others reach the node at the relay's address.
+type relay struct {
+	socket *net.UDPConn
+	target *net.UDPAddr
+
+	mu    sync.Mutex
+	flows map[string]*net.UDPConn
+	cut   func(from string) bool
+}
+
+func newRelay(t *testing.T) *relay {
+	t.Helper()
+	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	re := &relay{socket: socket, flows: map[string]*net.UDPConn{}}
+	t.Cleanup(re.close)
+	return re
+}
+
+func (re *relay) addr() string { return re.socket.LocalAddr().String() }
+
+// serve passes packets on to the node at the address.
+func (re *relay) serve(t *testing.T, target string) {
+	t.Helper()
+	addr, err := net.ResolveUDPAddr("udp", target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	re.target = addr
+	go re.inward()
+}
+
+// setCut drops the packets from and to the addresses that cut reports.
+func (re *relay) setCut(cut func(from string) bool) {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	re.cut = cut
+}
+
+func (re *relay) isCut(from string) bool {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	return re.cut != nil && re.cut(from)
+}
+
+// inward carries packets to the node, over a socket for each sender.
+func (re *relay) inward() {
+	buf := make([]byte, maxPacket)
+	for {
+		n, from, err := re.socket.ReadFromUDP(buf)
+		if err != nil {
+			return
+		}
+		if re.isCut(from.String()) {
+			continue
+		}
+		if flow := re.flow(from); flow != nil {
+			_, _ = flow.Write(buf[:n]) // a lost packet is what networks have
+		}
+	}
+}
+
+func (re *relay) flow(from *net.UDPAddr) *net.UDPConn {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	if flow, ok := re.flows[from.String()]; ok {
+		return flow
+	}
+	flow, err := net.DialUDP("udp", nil, re.target)
+	if err != nil {
+		return nil
+	}
+	re.flows[from.String()] = flow
+	go re.outward(flow, from)
+	return flow
+}
+
+// outward carries the node's packets back to one sender.
+func (re *relay) outward(flow *net.UDPConn, to *net.UDPAddr) {
+	buf := make([]byte, maxPacket)
+	for {
+		n, err := flow.Read(buf)
+		if err != nil {
+			if flow.LocalAddr() == nil {
+				return
+			}
+			re.mu.Lock()
+			closed := re.flows == nil
+			re.mu.Unlock()
+			if closed {
+				return
+			}
+			continue // the node's socket may be gone for a while
+		}
+		if !re.isCut(to.String()) {
+			_, _ = re.socket.WriteToUDP(buf[:n], to)
+		}
+	}
+}
+
+func (re *relay) close() {
+	_ = re.socket.Close()
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	for _, flow := range re.flows {
+		_ = flow.Close()
+	}
+	re.flows = nil
+}
