End lost lookups before their worker gets new ones; fence old sessions

Cause: a re-attached worker got waiting lookups from the queue, and these, missing from its inventory, were then ended as lost and tried elsewhere while they ran. Ruled out: the worker's lease check, and lookups read late from a broken link. The latter were possible too, though, and the stand-in worker crashed when it wrote to a connection it had given up.

Change: the inventory settles former lookups before the machine hears of the worker. A lookup names the attachment it was sent under, and a worker refuses one of an earlier attachment. The stand-in closes its connections itself. The load of the fault cases now has 8 workspaces, over all homes, and more lookups than n1 and n2 have slots.

--- a/GNUmakefile
+++ b/GNUmakefile
@@ -1,4 +1,4 @@
-# Targets: build, test, race, fmt, lint, pages, demo, bench, capacity.
+# Targets: build, test, race, fmt, lint, pages, demo, bench, capacity, faults.
 GO ?= go
 export GOFLAGS += -buildvcs=false
 SOURCES := $(shell git ls-files '*.go' 2>/dev/null)
@@ -6,7 +6,7 @@
 RACED := ./internal/store/... ./internal/journal/... ./internal/peer/... ./internal/owner/... \
 	./internal/home/... ./internal/member/... ./internal/table/... ./internal/worker/... ./internal/daemon/...
 
-.PHONY: build test race fmt lint pages demo bench capacity
+.PHONY: build test race fmt lint pages demo bench capacity faults
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -37,3 +37,6 @@
 
 capacity:
 	TACKBEAM_CAPACITY=1 $(GO) test ./test -run TestCapacity -v -count=1 -timeout 20m
+
+faults:
+	TACKBEAM_PAIRS=1 $(GO) test ./test -run 'TestFaults|TestChecker' -count=1 -parallel 4 -timeout 30m
--- a/internal/daemon/lookup_test.go
+++ b/internal/daemon/lookup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sort"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -158,3 +159,67 @@
 	is.Equal(got.Count, int64(5))
 	is.True(got.P50 > 0 && got.P50 <= got.Max)
 }
+
+// TestLinkBreaks cuts the links to the workers by turns, under more lookups
+//
+//	than there are slots. No lookup runs twice at once, though many are
+//
+// tried again, and every slot comes back.
+func TestLinkBreaks(t *testing.T) {
+	is := is.New(t)
+	bd := newBed(t, 2, "n1")
+	setCells(t, bd.api("n1"), "workspace/brno weight 1", "workload/lookup class service", "workload/lookup repeatable yes")
+	for _, wk := range bd.workers.Workers() {
+		wk.SetFaults(standinworker.Faults{LookupDelay: 30 * time.Millisecond})
+	}
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	var answered atomic.Int64
+	for i := range 40 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if own, err := ask(bd.api("n1"), fmt.Sprintf("part %d of client %d", n, i)); err == nil && own {
+					answered.Add(1)
+				}
+			}
+		}()
+	}
+	for n := range 10 {
+		time.Sleep(50 * time.Millisecond)
+		bd.workers.Workers()[n%2].Cut() // the other worker's queue stands meanwhile
+	}
+	close(stop)
+	wg.Wait()
+	is.True(answered.Load() > 0)
+	bd.eventually("every slot came back", func() bool { return bd.nodes["n1"].FreeSlots() == 16 })
+	running := map[string]int{}
+	for _, rc := range inOrder(bd) {
+		switch rc.Event {
+		case standinworker.EventOver:
+			t.Errorf("worker %s was over its size", rc.Worker)
+		case standinworker.EventEnd:
+			running[rc.Mark]--
+		case standinworker.EventBegin:
+			if running[rc.Mark]++; running[rc.Mark] > 1 {
+				t.Errorf("%s ran twice at once", rc.Mark)
+			}
+		}
+	}
+}
+
+// inOrder returns the records of all workers by time.
+func inOrder(bd *bed) []standinworker.Record {
+	var all []standinworker.Record
+	for _, wk := range bd.workers.Workers() {
+		all = append(all, wk.Records()...)
+	}
+	sort.SliceStable(all, func(i, j int) bool { return all[i].At.Before(all[j].At) })
+	return all
+}
--- a/internal/owner/keeper.go
+++ b/internal/owner/keeper.go
@@ -126,8 +126,8 @@
 		running[tr.Task] = true
 		up.Running = append(up.Running, owner.Running{ID: tr.Task, Size: tr.Size, Slots: 1})
 	}
+	ow.settleLookups(kp.vm.Name, running) // before the worker gets new ones
 	ow.step(owner.Event{WorkerUp: &up})
-	ow.settleLookups(kp.vm.Name, running)
 	vm, listed := ow.vms[kp.vm.Name]
 	if he.Leaving || kp.moving || listed && vm.Leaving {
 		ow.step(owner.Event{WorkerGone: &owner.WorkerGone{Worker: kp.vm.Name}})
--- a/internal/standin/standinworker/control.go
+++ b/internal/standin/standinworker/control.go
@@ -64,6 +64,7 @@
 	}
 	wk.epoch = at.Epoch
 	wk.control = cn
+	wk.session++
 	wk.leaseUntil = time.Now().Add(wk.opts.Lease)
 	hello := wk.hello()
 	wk.mu.Unlock()
@@ -75,7 +76,7 @@
 		Worker: wk.opts.Name, Incarnation: wk.incarnation, Epoch: wk.epoch,
 		Nonce: wk.nextNonce(), Capacity: wk.opts.Capacity, Slots: wk.opts.Slots,
 		Connections: wk.opts.Connections, Lease: wk.opts.Lease,
-		Capabilities: wk.opts.Capabilities, Leaving: wk.leaving,
+		Capabilities: wk.opts.Capabilities, Leaving: wk.leaving, Session: wk.session,
 	}
 	for id, tk := range wk.tasks {
 		he.Tasks = append(he.Tasks, workermsg.TaskReport{
--- a/internal/standin/standinworker/lookup.go
+++ b/internal/standin/standinworker/lookup.go
@@ -59,6 +59,9 @@
 	if lk.Epoch != wk.epoch || !time.Now().Before(wk.leaseUntil) {
 		return workermsg.StaleEpoch, 0, false
 	}
+	if lk.Session != wk.session {
+		return workermsg.OldSession, 0, false
+	}
 	if wk.leaving {
 		return workermsg.IsLeaving, 0, false
 	}
@@ -91,7 +94,7 @@
 	wk.mu.Lock()
 	ft := wk.faults
 	owner := wk.control
-	epoch := wk.epoch
+	session := wk.session
 	wk.mu.Unlock()
 	an := workermsg.Answer{ID: lk.ID}
 	if fail {
@@ -111,7 +114,7 @@
 	if ft.Twice {
 		wk.send(cn, workermsg.From{Answer: &an})
 	}
-	if (!sent || epoch != lk.Epoch) && owner != nil {
+	if (!sent || session != lk.Session) && owner != nil {
 		wk.send(owner, workermsg.From{Ended: &workermsg.Ended{
 			Task: lookupName(lk.ID), State: workermsg.OK, Begun: true,
 		}})
--- a/internal/standin/standinworker/standinworker.go
+++ b/internal/standin/standinworker/standinworker.go
@@ -35,6 +35,7 @@
 	mu         sync.Mutex
 	epoch      uint64
 	control    *frames.Conn
+	session    uint64
 	conns      map[*frames.Conn]bool
 	leaseUntil time.Time
 	nonce      uint64
@@ -91,7 +92,10 @@
 		tasks:       map[string]*task{},
 		lookups:     map[string]pretended{},
 	}
-	wk.server = &fasthttp.Server{Handler: wk.handle, NoDefaultServerHeader: true}
+	wk.server = &fasthttp.Server{
+		Handler: wk.handle, NoDefaultServerHeader: true,
+		KeepHijackedConns: true, // otherwise closing one has no effect
+	}
 	go func() { _ = wk.server.Serve(ln) }() // ends with the listener
 	go wk.beatLoop()
 	go wk.leaseLoop()
@@ -333,3 +337,12 @@
 		}
 	}
 }
+
+// Cut ends all connections, as a broken link does; the worker goes on.
+func (wk *Worker) Cut() {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	for cn := range wk.conns {
+		_ = cn.Close() // its reader notices
+	}
+}
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -331,7 +331,7 @@
 	if lost {
 		return fault.New(fault.Unavailable, "worker %s is not attached", ln.opts.Name)
 	}
-	lk.Epoch = ln.opts.Epoch
+	lk.Epoch, lk.Session = ln.opts.Epoch, ln.hello.Session
 	if err := ln.lookups.Send(workermsg.To{Lookup: &lk}); err != nil {
 		ln.end(err)
 		return ln.unknown(err)
--- a/internal/workermsg/workermsg.go
+++ b/internal/workermsg/workermsg.go
@@ -101,7 +101,9 @@
 	Task string `cbor:"1,keyasint"`
 }
 
-// Lookup asks for an answer within Budget of its receipt.
+// Lookup asks for an answer within Budget of its receipt. The worker refuses it
+// where Session is not that of the last attachment: an owner that has attached
+// anew counts by the inventory, and what it sent before must not begin any more.
 type Lookup struct {
 	ID       uint64        `cbor:"1,keyasint"`
 	Epoch    uint64        `cbor:"2,keyasint"`
@@ -109,6 +111,7 @@
 	Size     size.Size     `cbor:"4,keyasint"`
 	Budget   time.Duration `cbor:"5,keyasint"`
 	Body     []byte        `cbor:"6,keyasint"`
+	Session  uint64        `cbor:"7,keyasint"`
 }
 
 // Capability names something a worker can do that the platform need not promise.
@@ -134,6 +137,8 @@
 	Tasks        []TaskReport  `cbor:"10,keyasint,omitempty"`
 	Lookups      []TaskReport  `cbor:"11,keyasint,omitempty"`
 	Leaving      bool          `cbor:"12,keyasint,omitempty"`
+	// Session tells this attachment from all others of the worker.
+	Session uint64 `cbor:"13,keyasint"`
 }
 
 // Refused answers an Attach of a stale epoch with the highest epoch seen.
@@ -198,6 +203,7 @@
 	NoRoom     Refusal = "no room"
 	IsLeaving  Refusal = "leaving"
 	IsFenced   Refusal = "fenced"
+	OldSession Refusal = "old session"
 	NoSuchTask Refusal = "no such task"
 )
 
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -72,6 +73,7 @@
 	nodes     map[string]*process
 	relays    map[string]*relay
 	race      *race
+	clients   clients
 	ordinary  bool
 }
 
@@ -286,6 +288,26 @@
 // signal sends a signal to a process.
 func (pr *process) signal(sig syscall.Signal) { _ = pr.cmd.Process.Signal(sig) }
 
+// clients keeps a client for each list of addresses, so that connections are
+// used again.
+type clients struct {
+	mu     sync.Mutex
+	byAddr map[string]*client.Client
+}
+
+func (cs *clients) of(addrs []string) *client.Client {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	key := strings.Join(addrs, " ")
+	if cs.byAddr == nil {
+		cs.byAddr = map[string]*client.Client{}
+	}
+	if cs.byAddr[key] == nil {
+		cs.byAddr[key] = client.New(10*time.Second, addrs...)
+	}
+	return cs.byAddr[key]
+}
+
 // api returns a client of one node, or of all where none is named.
 func (cl *cluster) api(names ...string) *client.Client {
 	if len(names) == 0 {
@@ -297,7 +319,7 @@
 	for _, name := range names {
 		addrs = append(addrs, cl.nodes[name].addr)
 	}
-	return client.New(10*time.Second, addrs...)
+	return cl.clients.of(addrs)
 }
 
 // eventually waits until the condition holds.
@@ -337,10 +359,18 @@
 	})
 }
 
-// ordinaryTable has a workspace and a workload of each shape.
+// workspaces are spread over the partitions, so that every node is home of some.
+var workspaces = []string{"brno", "olomouc", "zlin", "ostrava", "plzen", "opava", "cheb", "tabor"}
+
+// workspaceOf gives each piece of work, by its number, one of the workspaces.
+func workspaceOf(n int) string { return workspaces[n%len(workspaces)] }
+
+// ordinaryTable has workspaces and a workload of each shape.
 func (cl *cluster) ordinaryTable() {
 	cl.t.Helper()
-	cl.set("workspace/brno", "weight", "1")
+	for _, name := range workspaces {
+		cl.set("workspace/"+name, "weight", "1")
+	}
 	cl.set("workload/lookup", "class", "service")
 	cl.set("workload/lookup", "repeatable", "yes")
 	cl.set("workload/push", "class", "batch")
--- a/test/load_test.go
+++ b/test/load_test.go
@@ -35,11 +35,11 @@
 func startLoad(cl *cluster, lookups, jobs int, targets func() *client.Client) *load {
 	ld := &load{cl: cl, targets: targets, stop: make(chan struct{}), errors: map[fault.Kind]int{}}
 	for i := range lookups {
-		ld.run(func(n int) { ld.lookup(fmt.Sprintf("lookup %d of client %d", n, i)) }, 5*time.Millisecond)
+		ld.run(func(n int) { ld.lookup(fmt.Sprintf("lookup %d of client %d", n, i), workspaceOf(n)) }, 5*time.Millisecond)
 	}
 	for i := range jobs {
-		ld.run(func(n int) { ld.job(fmt.Sprintf("push-%d-%d", i, n), "push", 1) }, 20*time.Millisecond)
-		ld.run(func(n int) { ld.job(fmt.Sprintf("gang-%d-%d", i, n), "rebuild", 6) }, 60*time.Millisecond)
+		ld.run(func(n int) { ld.job(fmt.Sprintf("push-%d-%d", i, n), "push", workspaceOf(n), 1) }, 20*time.Millisecond)
+		ld.run(func(n int) { ld.job(fmt.Sprintf("gang-%d-%d", i, n), "rebuild", workspaceOf(n), 6) }, 60*time.Millisecond)
 	}
 	return ld
 }
@@ -94,10 +94,10 @@
 }
 
 // lookup sends one lookup and checks that the answer is whole and its own.
-func (ld *load) lookup(body string) {
+func (ld *load) lookup(body, workspace string) {
 	rsp, err := ld.targets().Do(client.Request{
 		Method: "POST", Path: "/v1/lookups/lookup", Body: []byte(body),
-		Headers: map[string]string{api.HeaderWorkspace: "brno"},
+		Headers: map[string]string{api.HeaderWorkspace: workspace},
 	})
 	ld.lookups.Add(1)
 	if err != nil {
@@ -118,10 +118,10 @@
 
 // job submits a job that may not be repeated, under a key, until it is accepted
 // or refused for good, and notes the final answer.
-func (ld *load) job(mark, workload string, tasks int) {
+func (ld *load) job(mark, workload, workspace string, tasks int) {
 	ld.jobs.Add(1)
 	req := api.JobRequest{
-		Workload: workload, Workspace: "brno", Tasks: tasks,
+		Workload: workload, Workspace: workspace, Tasks: tasks,
 		Payload: map[string]any{"run": 0.05, "mark": mark},
 	}
 	for end := time.Now().Add(patience); time.Now().Before(end); {
@@ -192,5 +192,5 @@
 	for _, addr := range ba.addrs {
 		addrs = append(addrs, addr)
 	}
-	return client.New(10*time.Second, addrs...)
+	return ba.cl.clients.of(addrs)
 }
--- a/test/matrix_test.go
+++ b/test/matrix_test.go
@@ -145,11 +145,13 @@
 // underFaults runs one case: load, the faults a moment apart, their end, and
 // the time to recover.
 func underFaults(t *testing.T, names []string) violations {
-	cl := newCluster(t, options{nodes: []string{"n1", "n2", "n3"}, workers: 8, relays: true})
-	cl.addWorkers(options{}, 101, 8)
+	op := options{nodes: []string{"n1", "n2", "n3"}, workers: 8, relays: true, lookup: 100 * time.Millisecond}
+	cl := newCluster(t, op)
+	cl.addWorkers(op, 101, 8)
 	cl.waitWorkers(16)
 	cl.ordinaryTable()
-	ld := startLoad(cl, 3, 1, func() *client.Client { return cl.api("n1", "n2") })
+	// More lookups than the slots of n1 and n2, so that many are forwarded to n3.
+	ld := startLoad(cl, 110, 4, func() *client.Client { return cl.api("n1", "n2") })
 	watch := startWatch(cl, "n1", "n2")
 	time.Sleep(500 * time.Millisecond)
 	for _, name := range names {
