--- a/internal/clustermap/clustermap_test.go
+++ b/internal/clustermap/clustermap_test.go
@@ -1,6 +1,7 @@
 package clustermap_test
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 
@@ -11,6 +12,11 @@
 	"tackbeam.example/tackbeam/internal/ids"
 )
 
+func init() {
+	_ = flag.Set("rapid.seed", "20261202") // the same verdict each time
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
 func node(name, hall string) clustermap.Node {
 	return clustermap.Node{Name: name, Incarnation: "a", Hall: hall, Region: "cz"}
 }
--- a/internal/home/place.go
+++ b/internal/home/place.go
@@ -148,7 +148,7 @@
 	case en.rec.Cancelled:
 		hm.step(home.Event{Remove: &home.Remove{Job: rec.ID}})
 		go hm.releaseAll(rec, places)
-		hm.settle(en, job.NotRun, "", "cancelled")
+		hm.settleWaiting(en, "cancelled")
 	case places == nil:
 		hm.step(home.Event{NotPlaced: &home.NotPlaced{Job: rec.ID, Again: hm.now() + backoff(rec.Attempt)}})
 	default:
--- a/internal/home/see.go
+++ b/internal/home/see.go
@@ -144,11 +144,7 @@
 // retry lets a job try for room again, unless too many attempts began and
 // failed, or its deadline has passed. The caller holds the lock.
 func (hm *Home) retry(en *entry) {
-	began := false
-	for _, st := range en.statuses {
-		began = began || st != attempt.Unbegun
-	}
-	if began {
+	if attempt.Began(en.statuses) {
 		en.rec.Begun++
 	}
 	if en.rec.Begun >= maxBegun {
--- a/internal/home/settle.go
+++ b/internal/home/settle.go
@@ -14,10 +14,20 @@
 // lock, and the machine has dropped the job.
 func (hm *Home) late(id string) {
 	if en, ok := hm.jobs[id]; ok && !en.frozen {
-		hm.settle(en, job.NotRun, "", "the deadline passed before there was room")
+		hm.settleWaiting(en, "the deadline passed before there was room")
 	}
 }
 
+// settleWaiting ends a job that waits. It was not run, unless an attempt before
+// this wait began. The caller holds the lock.
+func (hm *Home) settleWaiting(en *entry, reason string) {
+	if en.rec.Begun > 0 {
+		hm.settle(en, job.Unknown, "", reason+", and an earlier attempt had begun")
+		return
+	}
+	hm.settle(en, job.NotRun, "", reason)
+}
+
 // settle puts a job's end in line for the journal; the end is said and the
 // workers may forget it only once it is kept. The caller holds the lock.
 func (hm *Home) settle(en *entry, an job.Answer, result, reason string) {
--- a/internal/home/submit.go
+++ b/internal/home/submit.go
@@ -264,7 +264,7 @@
 		en.rec.Cancelled = true
 		if en.rec.State == job.Waiting && !en.placing && en.kept {
 			hm.step(home.Event{Remove: &home.Remove{Job: en.rec.ID}})
-			hm.settle(en, job.NotRun, "", "cancelled")
+			hm.settleWaiting(en, "cancelled")
 		}
 		en.wake()
 	}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -107,6 +107,7 @@
 func (rc Record) Rules() attempt.Rules {
 	return attempt.Rules{
 		Together: rc.Class == "gang", Repeatable: rc.Repeatable, Cancelled: rc.Cancelled,
+		Begun: rc.Begun > 0,
 	}
 }
 
--- a/policy/attempt/attempt.go
+++ b/policy/attempt/attempt.go
@@ -38,6 +38,9 @@
 	Repeatable bool
 	// Cancelled is set once the job is to end.
 	Cancelled bool
+	// Begun is set once an earlier attempt has begun: the job cannot be said not
+	// to have run any more.
+	Begun bool
 }
 
 // Step is what to do next.
@@ -110,12 +113,18 @@
 
 // unbegun is the step after an attempt in which nothing began.
 func unbegun(rl Rules) Step {
-	if rl.Cancelled {
-		return NotRun
+	switch {
+	case !rl.Cancelled:
+		return Retry
+	case rl.Begun:
+		return Doubt
 	}
-	return Retry
+	return NotRun
 }
 
+// Began reports whether any task of an ended attempt began, or may have.
+func Began(tasks []Status) bool { return count(tasks)[Unbegun] < len(tasks) }
+
 // again is the step after an attempt that began and did not succeed.
 func again(rl Rules, otherwise Step) Step {
 	if rl.Repeatable && !rl.Cancelled {
--- a/policy/attempt/attempt_test.go
+++ b/policy/attempt/attempt_test.go
@@ -31,6 +31,7 @@
 		"one refused, none begins":            {[]attempt.Status{pr, ub}, gang, attempt.Stop},
 		"none began":                          {[]attempt.Status{ub, ub}, gang, attempt.Retry},
 		"none began, cancelled":               {[]attempt.Status{ub}, attempt.Rules{Cancelled: true}, attempt.NotRun},
+		"none began now, but before":          {[]attempt.Status{ub}, attempt.Rules{Cancelled: true, Begun: true}, attempt.Doubt},
 		"running":                             {[]attempt.Status{ru, ok}, gang, attempt.Wait},
 		"one of a gang is lost":               {[]attempt.Status{ru, lo}, gang, attempt.Stop},
 		"one of a batch is lost":              {[]attempt.Status{ru, lo}, attempt.Rules{}, attempt.Wait},
