Wait a worker out that cannot fence or has no inventory

Change: the adapter reads the worker's capabilities. A worker that lacks one is let go again, not renewed, and used only once the longest possible lease and the guard have passed. Owners look at their own clock before each start and lookup.

--- a/internal/daemon/bed_test.go
+++ b/internal/daemon/bed_test.go
@@ -34,18 +34,21 @@
 
 // newBed starts nodes over count workers.
 func newBed(t testing.TB, count int, names ...string) *bed {
+	t.Helper()
+	return newBedOf(t, count, standinworker.Options{Lease: 2 * time.Second, Beat: 200 * time.Millisecond}, names...)
+}
+
+// newBedOf starts nodes over count workers of a pattern.
+func newBedOf(t testing.TB, count int, pattern standinworker.Options, names ...string) *bed {
 	t.Helper()
 	bd := &bed{t: t, dir: t.TempDir(), nodes: map[string]*daemon.Daemon{}}
-	must(t, keys.Issue(bd.dir, append([]string{"other"}, names...)))
+	must(t, keys.Issue(bd.dir, []string{"n1", "n2", "n3"}))
 	var err error
 	bd.store, err = standinstore.New(standinstore.Options{Writes: 1000, Reads: 10000})
 	must(t, err)
 	bd.list, err = standinvms.New("")
 	must(t, err)
-	bd.workers, err = fleet.New(fleet.Options{
-		Count: count, First: 1, Halls: 2, Rack: 4,
-		Worker: standinworker.Options{Lease: 2 * time.Second, Beat: 200 * time.Millisecond},
-	})
+	bd.workers, err = fleet.New(fleet.Options{Count: count, First: 1, Halls: 2, Rack: 4, Worker: pattern})
 	must(t, err)
 	for _, vm := range bd.workers.VMs() {
 		bd.list.Put(vm)
--- a/internal/owner/keeper.go
+++ b/internal/owner/keeper.go
@@ -34,6 +34,8 @@
 	leaving  bool
 	moving   bool
 	used     size.Size
+	// plain is set for a worker without fencing or inventory.
+	plain bool
 }
 
 // keep starts a keeper. The caller holds the lock.
@@ -53,6 +55,9 @@
 func (ow *Owner) keepLoop(kp *keeper) {
 	fails := 0
 	for kp.ctx.Err() == nil {
+		if !ow.waitOut(kp) {
+			return
+		}
 		lost, err := ow.attach(kp)
 		if err == nil {
 			fails = 0
@@ -72,6 +77,41 @@
 	}
 }
 
+// waitOut waits, before a worker without fencing or inventory is attached, until
+// whatever its former owner or link started there has surely ended.
+func (ow *Owner) waitOut(kp *keeper) bool {
+	ow.mu.Lock()
+	wait := kp.leaseEnd.Add(ow.opts.Guard).Sub(ow.Clock.Now())
+	plain := kp.plain
+	ow.mu.Unlock()
+	if !plain || wait <= 0 {
+		return true
+	}
+	ow.Meter.Count(CounterWaited, 1)
+	select {
+	case <-kp.ctx.Done():
+		return false
+	case <-ow.Clock.After(wait):
+		return true
+	}
+}
+
+// CounterWaited counts the times that a worker without fencing or inventory was
+// left idle until its lease had surely run out.
+const CounterWaited = "workers_waited_out"
+
+// mustWait reports whether a worker that has just been attached has to be let
+// go and waited out first.
+func (ow *Owner) mustWait(kp *keeper, link *worker.Link) bool {
+	if link.Can(workermsg.Fencing) && link.Can(workermsg.Inventory) {
+		return false
+	}
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	kp.plain = true
+	return ow.Clock.Now().Before(kp.leaseEnd.Add(ow.opts.Guard))
+}
+
 // attach takes the worker's lease and brings the ledger to what runs there.
 func (ow *Owner) attach(kp *keeper) (<-chan struct{}, error) {
 	const patience = 5 * time.Second
@@ -100,6 +140,11 @@
 		link.Close()
 		return nil, fault.New(fault.Conflict, "worker %s has a lease of %v, over setting owner.lease", kp.vm.Name, lease)
 	}
+	if ow.mustWait(kp, link) {
+		close(ready)
+		link.Close()
+		return nil, fault.New(fault.Unavailable, "worker %s cannot fence, its lease is waited out", kp.vm.Name)
+	}
 	ow.mu.Lock()
 	ow.up(kp, link)
 	ow.mu.Unlock()
--- a/internal/standin/standinworker/control.go
+++ b/internal/standin/standinworker/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"tackbeam.example/tackbeam/internal/frames"
@@ -56,7 +57,7 @@
 
 func (wk *Worker) attach(cn *frames.Conn, at *workermsg.Attach) {
 	wk.mu.Lock()
-	if at.Epoch < wk.epoch {
+	if at.Epoch < wk.epoch && wk.can(workermsg.Fencing) {
 		epoch := wk.epoch
 		wk.mu.Unlock()
 		wk.send(cn, workermsg.From{Refused: &workermsg.Refused{Epoch: epoch}})
@@ -65,12 +66,19 @@
 	wk.epoch = at.Epoch
 	wk.control = cn
 	wk.session++
-	wk.leaseUntil = time.Now().Add(wk.opts.Lease)
+	if now := time.Now(); wk.can(workermsg.Fencing) || now.After(wk.leaseUntil) {
+		wk.leaseUntil = now.Add(wk.opts.Lease)
+	}
 	hello := wk.hello()
 	wk.mu.Unlock()
 	wk.send(cn, workermsg.From{Hello: hello})
 }
 
+// can reports whether this worker has a capability.
+func (wk *Worker) can(cp workermsg.Capability) bool {
+	return slices.Contains(wk.opts.Capabilities, cp)
+}
+
 func (wk *Worker) hello() *workermsg.Hello {
 	he := &workermsg.Hello{
 		Worker: wk.opts.Name, Incarnation: wk.incarnation, Epoch: wk.epoch,
@@ -78,6 +86,9 @@
 		Connections: wk.opts.Connections, Lease: wk.opts.Lease,
 		Capabilities: wk.opts.Capabilities, Leaving: wk.leaving, Session: wk.session,
 	}
+	if !wk.can(workermsg.Inventory) {
+		return he
+	}
 	for id, tk := range wk.tasks {
 		he.Tasks = append(he.Tasks, workermsg.TaskReport{
 			Task: id, State: tk.state, Size: tk.size, Begun: tk.begun,
@@ -102,7 +113,7 @@
 	wk.mu.Lock()
 	defer wk.mu.Unlock()
 	sent, ok := wk.beats[rn.Nonce]
-	if !ok || wk.control != cn || rn.Epoch != wk.epoch {
+	if !ok || wk.can(workermsg.Fencing) && (wk.control != cn || rn.Epoch != wk.epoch) {
 		return
 	}
 	if until := sent.Add(wk.opts.Lease); until.After(wk.leaseUntil) {
@@ -122,6 +133,9 @@
 
 // current reports whether an order on the connection is from the present owner.
 func (wk *Worker) current(cn *frames.Conn, epoch uint64) bool {
+	if !wk.can(workermsg.Fencing) {
+		return true
+	}
 	return wk.control == cn && epoch == wk.epoch && time.Now().Before(wk.leaseUntil)
 }
 
@@ -137,7 +151,8 @@
 		}
 		return workermsg.Reply{State: tk.state, Begun: tk.begun}
 	}
-	if beat, ok := wk.beats[st.Nonce]; !ok || time.Since(beat) > wk.opts.StartWindow {
+	beat, ok := wk.beats[st.Nonce]
+	if wk.can(workermsg.Fencing) && (!ok || time.Since(beat) > wk.opts.StartWindow) {
 		return workermsg.Reply{Refusal: workermsg.StaleStart, State: workermsg.Never}
 	}
 	if wk.leaving {
--- a/internal/standin/standinworker/lookup.go
+++ b/internal/standin/standinworker/lookup.go
@@ -56,10 +56,11 @@
 func (wk *Worker) admitLookup(lk *workermsg.Lookup) (workermsg.Refusal, time.Duration, bool) {
 	wk.mu.Lock()
 	defer wk.mu.Unlock()
-	if lk.Epoch != wk.epoch || !time.Now().Before(wk.leaseUntil) {
+	fences := wk.can(workermsg.Fencing)
+	if fences && (lk.Epoch != wk.epoch || !time.Now().Before(wk.leaseUntil)) {
 		return workermsg.StaleEpoch, 0, false
 	}
-	if lk.Session != wk.session {
+	if fences && lk.Session != wk.session {
 		return workermsg.OldSession, 0, false
 	}
 	if wk.leaving {
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -167,18 +167,14 @@
 // renew answers a heartbeat. An owner whose lease of this epoch has run out on
 // its own clock was paused, and gives up instead.
 func (ln *Link) renew(bt workermsg.Beat) {
-	ln.mu.Lock()
-	now := ln.clock.Now()
-	lapsed := now.Sub(ln.beatAt) > ln.hello.Lease
-	if !lapsed {
-		ln.nonce = bt.Nonce
-		ln.beatAt = now
-	}
-	ln.mu.Unlock()
-	if lapsed {
-		ln.end(errors.New("lease ran out while the owner was paused"))
+	if ln.lapsed() {
+		ln.end(errors.New("lease ran out while the owner or the worker was paused"))
 		return
 	}
+	ln.mu.Lock()
+	ln.nonce = bt.Nonce
+	ln.beatAt = ln.clock.Now()
+	ln.mu.Unlock()
 	rn := workermsg.Renew{Epoch: ln.opts.Epoch, Nonce: bt.Nonce}
 	if err := ln.control.Send(workermsg.To{Renew: &rn}); err != nil {
 		ln.end(err)
@@ -187,6 +183,14 @@
 	ln.events.Beat(bt)
 }
 
+// lapsed reports whether the worker's lease may have run out, by this owner's
+// own clock. It is asked right before anything is sent that needs the lease.
+func (ln *Link) lapsed() bool {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	return ln.clock.Since(ln.beatAt) > ln.hello.Lease
+}
+
 func (ln *Link) settle(rp workermsg.Reply) {
 	ln.mu.Lock()
 	wait, ok := ln.pending[rp.Seq]
@@ -238,6 +242,9 @@
 
 // Start begins a task or, prepared, makes it ready to begin.
 func (ln *Link) Start(ctx context.Context, st workermsg.Start) (workermsg.Reply, error) {
+	if ln.lapsed() {
+		return workermsg.Reply{}, fault.New(fault.Unavailable, "the lease of worker %s may have run out", ln.opts.Name)
+	}
 	return ln.ask(ctx, func(seq uint64) workermsg.To {
 		st.Seq, st.Epoch = seq, ln.opts.Epoch
 		ln.mu.Lock()
@@ -328,7 +335,7 @@
 	ln.mu.Lock()
 	lost := ln.lost
 	ln.mu.Unlock()
-	if lost {
+	if lost || ln.lapsed() {
 		return fault.New(fault.Unavailable, "worker %s is not attached", ln.opts.Name)
 	}
 	lk.Epoch, lk.Session = ln.opts.Epoch, ln.hello.Session
