Reserve room for gangs, stop repeatable tasks for urgent work

Cause: a gang that needs all workers waits behind a stream of small tasks for as long as it lasts, and an urgent job waits until a task ends by itself.

Change: holds may reserve: they keep their places between tries and mark workers to drain, in the order of priority and age; an older one takes the places of a younger. Urgent holds have repeatable tasks of lower priority stopped, the fewest and youngest. Workers give priority and repeatability back in their inventory, so that a new owner knows. A stop to make room is no failure of the job.

--- /dev/null
+++ b/internal/daemon/urgent_test.go
@@ -0,0 +1,124 @@
+package daemon_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tackbeam.example/tackbeam/internal/api"
+	"tackbeam.example/tackbeam/internal/client"
+	"tackbeam.example/tackbeam/internal/owner"
+	"tackbeam.example/tackbeam/internal/standin/standinworker"
+)
+
+// submitJob submits a job and waits up to so many seconds for its end.
+func submitJob(cl *client.Client, workload, mark string, tasks int, run, wait float64) (api.Job, error) {
+	return client.Send[api.Job](cl, client.Request{
+		Method: "POST", Path: api.PathJobs, Query: map[string]string{"wait": fmt.Sprint(wait)},
+		Wait: time.Duration(wait * float64(time.Second)),
+	}, api.JobRequest{
+		Workload: workload, Workspace: "brno", Tasks: tasks, Payload: map[string]any{"run": run, "mark": mark},
+	})
+}
+
+// fill gives a bed a table in which one task takes a whole worker.
+func fill(t *testing.T, cl *client.Client) {
+	t.Helper()
+	setCells(t, cl, "workspace/brno weight 1",
+		"workload/push class batch", "workload/push processors 64", "workload/push repeatable yes",
+		"workload/once class batch", "workload/once processors 64",
+		"workload/small class batch", "workload/small processors 16", "workload/small repeatable yes",
+		"workload/gang class gang", "workload/gang processors 64",
+		"workload/urgent class batch", "workload/urgent processors 64", "workload/urgent priority 9")
+}
+
+// TestUrgentWork fills every worker with long tasks and submits urgent ones. A
+// task that may be repeated is stopped for each, and runs again later; one that
+// may not be is left alone.
+func TestUrgentWork(t *testing.T) {
+	is := is.New(t)
+	bd := newBed(t, 4, "n1", "n2")
+	cl := bd.api("n1")
+	fill(t, cl)
+	for i := range 4 {
+		workload := []string{"push", "once"}[i%2]
+		_, err := submitJob(cl, workload, fmt.Sprint(workload, i), 1, 3, 0)
+		is.NoErr(err)
+	}
+	bd.eventually("every worker is full", func() bool { return len(inOrder(bd)) == 4 })
+	answers := make(chan api.Job, 2)
+	for i := range 2 {
+		go func() {
+			vw, err := submitJob(cl, "urgent", fmt.Sprint("urgent", i), 1, 1, 20)
+			if err != nil {
+				t.Error(err)
+			}
+			answers <- vw
+		}()
+	}
+	for range 2 {
+		vw := <-answers
+		is.Equal(vw.Answer, "ran")
+		t.Logf("urgent job placed %v after it was submitted", vw.Placed.Sub(vw.Submitted).Round(time.Millisecond))
+	}
+	bd.eventually("the stopped tasks ran again", func() bool {
+		ends := map[string]int{}
+		for _, rc := range inOrder(bd) {
+			if rc.Event == standinworker.EventEnd {
+				ends[rc.Mark]++
+			}
+		}
+		return ends["push0"]+ends["push2"] == 4 && ends["once1"] == 1 && ends["once3"] == 1
+	})
+	stopped := counters(t, bd.api("n1"))[owner.CounterPreempted] + counters(t, bd.api("n2"))[owner.CounterPreempted]
+	is.Equal(stopped, int64(2)) // as few as needed
+}
+
+// TestGangAgainstStream submits a gang that needs every worker while small tasks
+// keep arriving. The gang reserves room as it comes free, and runs while the
+// stream goes on; two such gangs do not block each other.
+func TestGangAgainstStream(t *testing.T) {
+	is := is.New(t)
+	bd := newBed(t, 4, "n1", "n2")
+	fill(t, bd.api("n1"))
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for i := range 20 { // more than the 16 that fit
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+					_, _ = submitJob(bd.api([]string{"n1", "n2"}[i%2]), "small", fmt.Sprintf("s%d-%d", i, n), 1, 0.3, 30)
+				}
+			}
+		}()
+	}
+	time.Sleep(time.Second)
+	answers := make(chan api.Job, 2)
+	for i, name := range []string{"n1", "n2"} {
+		go func() {
+			vw, err := submitJob(bd.api(name), "gang", fmt.Sprint("gang", i), 4, 0.1, 60)
+			if err != nil {
+				t.Error(err)
+			}
+			answers <- vw
+		}()
+	}
+	for range 2 {
+		vw := <-answers
+		is.Equal(vw.Answer, "ran")
+		t.Logf("gang placed %v after it was submitted", vw.Placed.Sub(vw.Submitted).Round(time.Millisecond))
+	}
+	close(stop)
+	wg.Wait()
+	for _, rc := range inOrder(bd) {
+		is.True(rc.Event != standinworker.EventOver) // no worker was over its size
+	}
+}
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -109,6 +109,10 @@
 	changed  chan struct{}
 	accept   *journal.Pending
 	toAck    []nodemsg.Place
+	// reserved are the places that a job which reserves has so far.
+	reserved []nodemsg.Place
+	// reserving is set while the job's holds stand between tries.
+	reserving bool
 }
 
 // New returns a home without partitions.
--- a/internal/home/partition.go
+++ b/internal/home/partition.go
@@ -41,6 +41,8 @@
 	handTimeout  = 5 * time.Second
 	freezeWait   = 10 * time.Millisecond
 	confirmDelay = 50 * time.Millisecond
+	// confirmTry stands for some failed tries in the backoff of a confirmation.
+	confirmTry = 3
 )
 
 // onMap takes partitions over and gives them up as the cluster map says.
@@ -97,6 +99,9 @@
 			continue
 		}
 		en.frozen = true
+		if !en.placing {
+			hm.unreserve(en)
+		}
 		hm.step(home.Event{Remove: &home.Remove{Job: en.rec.ID}})
 		en.wake()
 		en.notify()
@@ -421,7 +426,7 @@
 			return
 		}
 		hm.Log.V(1).Info("Takeover is not confirmed yet.", "cause", err.Error())
-		hm.Clock.Sleep(store.Backoff(maxBegun))
+		hm.Clock.Sleep(store.Backoff(confirmTry))
 	}
 }
 
--- a/internal/home/place.go
+++ b/internal/home/place.go
@@ -6,9 +6,12 @@
 	"sort"
 	"time"
 
+	"github.com/samber/lo"
+
 	"tackbeam.example/policy/attempt"
 	"tackbeam.example/policy/home"
 	"tackbeam.example/policy/ledger"
+	"tackbeam.example/tackbeam/internal/column"
 	"tackbeam.example/tackbeam/internal/fault"
 	"tackbeam.example/tackbeam/internal/ids"
 	"tackbeam.example/tackbeam/internal/job"
@@ -23,6 +26,11 @@
 	intentTime   = 6 * time.Second
 	firstBackoff = 25 * time.Millisecond
 	maxBackoff   = time.Second
+	// reservePause is the pause between the tries of a job that reserves; its
+	// holds are renewed by each.
+	reservePause = 100 * time.Millisecond
+	reserveGang  = 2 * time.Second
+	reserveOther = 10 * time.Second
 )
 
 // candidate is an owner that may have room.
@@ -41,42 +49,88 @@
 	}
 	en.placing = true
 	en.busy++
-	en.rec.Attempt++
-	rec := en.rec
+	if !en.reserving {
+		en.rec.Attempt++ // a reservation goes on under its own number
+	}
+	rec, reserved := en.rec, en.reserved
+	reserve := en.reserving || reserves(rec, hm.Clock.Since(rec.Submitted))
 	go func() {
-		places := hm.hold(rec)
+		places, whole := hm.hold(rec, reserved, reserve)
 		hm.mu.Lock()
 		defer hm.mu.Unlock()
 		en.placing = false
 		en.busy--
+		en.reserved, en.reserving = nil, false
+		if !whole {
+			en.reserved, en.reserving = places, reserve
+			places = nil
+		}
 		hm.held(en, rec, places)
 	}()
 }
 
-// hold asks the owners for room until all tasks have a place. Where they do not
-// get one, it gives everything back and returns nil.
-func (hm *Home) hold(rec job.Record) []nodemsg.Place {
-	left := rec.TaskIDs(rec.Attempt)
+// reserves reports whether a job keeps the room that it finds until it has all:
+// urgent jobs at once, gangs after a while, others after a long one.
+func reserves(rec job.Record, waited time.Duration) bool {
+	switch {
+	case rec.Priority >= column.MaxPriority:
+		return true
+	case rec.Tasks > 1:
+		return waited > reserveGang
+	}
+	return waited > reserveOther
+}
+
+// hold asks the owners for room until all tasks have a place, and reports
+// whether they do. A job that does not reserve gives a part of its places back;
+// one that does keeps them, and asks for the rest at the next try.
+func (hm *Home) hold(rec job.Record, reserved []nodemsg.Place, reserve bool) ([]nodemsg.Place, bool) {
+	have := hm.byOwner(reserved)
+	left := without(rec.TaskIDs(rec.Attempt), reserved)
 	var places []nodemsg.Place
-	for _, cd := range hm.candidates(rec) {
+	idle := map[string]bool{}
+	for _, cd := range hm.candidates(rec, have, reserve) {
 		ask := left
-		if limit := cd.fits + 1; int64(len(ask)) > limit {
+		if limit := cd.fits + 1; !reserve && int64(len(ask)) > limit {
 			ask = ask[:limit]
 		}
-		got := hm.holdOn(cd, rec, ask)
-		places = append(places, got...)
-		left = left[len(got):]
-		if len(left) == 0 {
-			return places
+		mine := have[cd.node]
+		if len(ask)+len(mine) == 0 {
+			continue
+		}
+		got, err := hm.holdOn(cd, rec, append(tasksOf(mine), ask...), reserve)
+		if err != nil {
+			places = append(places, mine...) // as far as is known
+			continue
 		}
+		places = append(places, got...)
+		left = without(append(left, tasksOf(mine)...), got)
+		idle[cd.node] = reserve && len(got) == 0
+	}
+	whole := len(places) == rec.Tasks
+	switch {
+	case whole:
+		hm.releaseOn(rec, lo.Keys(lo.PickByValues(idle, []bool{true})))
+	case !reserve:
+		hm.releaseAll(rec, places)
+		return nil, false
 	}
-	hm.releaseAll(rec, places)
-	return nil
+	return places, whole
+}
+
+func tasksOf(places []nodemsg.Place) []string {
+	return lo.Map(places, func(pl nodemsg.Place, _ int) string { return pl.Task })
+}
+
+// without returns the tasks that have no place, each once.
+func without(tasks []string, places []nodemsg.Place) []string {
+	return lo.Without(lo.Uniq(tasks), tasksOf(places)...)
 }
 
 // candidates lists the owners with room for at least one task: first those
-// that can take all, the fullest before the emptier; then the others by room.
-func (hm *Home) candidates(rec job.Record) []candidate {
+// that can take all, the fullest before the emptier; then the others by room. A
+// job that reserves also asks owners that have places of its own, or no room yet.
+func (hm *Home) candidates(rec job.Record, have map[string][]nodemsg.Place, reserve bool) []candidate {
 	own := hm.Member.Node()
 	room, _ := hm.Local.Room()
 	all := []candidate{{node: own.Name, addr: own.Peer, room: room}}
@@ -87,7 +141,11 @@
 	}
 	var list []candidate
 	for _, cd := range all {
-		if !rec.Size.Fits(cd.room.Largest) {
+		bound := cd.room.Largest
+		if reserve {
+			bound = cd.room.Biggest
+		}
+		if !rec.Size.Fits(bound) && len(have[cd.node]) == 0 {
 			continue
 		}
 		cd.fits = rec.Size.Count(cd.room.Free, int64(rec.Tasks))
@@ -103,25 +161,32 @@
 	return list
 }
 
-func (hm *Home) holdOn(cd candidate, rec job.Record, tasks []string) []nodemsg.Place {
-	hd := nodemsg.Hold{ID: holdID(rec), Tasks: tasks, Size: rec.Size, Expires: holdTime}
+func (hm *Home) holdOn(cd candidate, rec job.Record, tasks []string, reserve bool) ([]nodemsg.Place, error) {
+	hd := nodemsg.Hold{
+		ID: holdID(rec), Tasks: tasks, Size: rec.Size, Expires: holdTime,
+		Priority: rec.Priority, Age: rec.Submitted.UnixNano(), Reserve: reserve,
+		Urgent: rec.Priority >= column.MaxPriority, Repeatable: rec.Repeatable,
+	}
 	if cd.node == hm.Member.Node().Name {
-		return hm.Local.Hold(hd).Places
+		return hm.Local.Hold(hd).Places, nil
 	}
 	ctx, cancel := context.WithTimeout(hm.ctx, holdTimeout)
 	defer cancel()
+	// A hold that is made without our knowledge expires.
 	held, err := peer.Call[nodemsg.Hold, nodemsg.Held](ctx, hm.Peer, cd.addr, nodemsg.KindHold, hd)
-	if err != nil {
-		return nil // a hold that was made without our knowledge expires
-	}
-	return held.Places
+	return held.Places, err
 }
 
 func holdID(rec job.Record) string { return ids.Task(rec.ID, rec.Attempt, 0) }
 
 // releaseAll gives holds back. A lost message only means that they expire.
 func (hm *Home) releaseAll(rec job.Record, places []nodemsg.Place) {
-	for node := range hm.byOwner(places) {
+	hm.releaseOn(rec, lo.Keys(hm.byOwner(places)))
+}
+
+// releaseOn gives a job's holds on some owners back.
+func (hm *Home) releaseOn(rec job.Record, nodes []string) {
+	for _, node := range nodes {
 		rl := nodemsg.Release{ID: holdID(rec)}
 		if node == hm.Member.Node().Name {
 			hm.Local.Release(rl)
@@ -144,18 +209,32 @@
 func (hm *Home) held(en *entry, rec job.Record, places []nodemsg.Place) {
 	switch {
 	case en.frozen:
+		hm.unreserve(en)
 		go hm.releaseAll(rec, places)
 	case en.rec.Cancelled:
 		hm.step(home.Event{Remove: &home.Remove{Job: rec.ID}})
+		hm.unreserve(en)
 		go hm.releaseAll(rec, places)
 		hm.settleWaiting(en, "cancelled")
 	case places == nil:
-		hm.step(home.Event{NotPlaced: &home.NotPlaced{Job: rec.ID, Again: hm.now() + backoff(rec.Attempt)}})
+		pause := backoff(rec.Attempt)
+		if en.reserving {
+			pause = reservePause
+		}
+		hm.step(home.Event{NotPlaced: &home.NotPlaced{Job: rec.ID, Again: hm.now() + pause}})
 	default:
 		hm.intend(en, places)
 	}
 }
 
+// unreserve gives back what a job has reserved. The caller holds the lock.
+func (hm *Home) unreserve(en *entry) {
+	if en.reserving {
+		go hm.releaseOn(en.rec, lo.Keys(hm.Member.Map().Nodes))
+	}
+	en.reserved, en.reserving = nil, false
+}
+
 func backoff(try int) time.Duration {
 	const doublings = 6
 	pause := min(firstBackoff<<min(try, doublings), maxBackoff)
@@ -219,7 +298,7 @@
 	return hm.scatter(groups, func(ctx context.Context, node string, group []nodemsg.Place) []nodemsg.Fate {
 		cm := nodemsg.Commit{
 			ID: holdID(rec), Size: rec.Size, Prepared: len(rec.Places) > 1,
-			Payload: rec.Payload, Places: group,
+			Payload: rec.Payload, Places: group, Priority: rec.Priority, Repeatable: rec.Repeatable,
 		}
 		if node == hm.Member.Node().Name {
 			return hm.Local.Commit(ctx, cm).Fates
--- a/internal/home/see.go
+++ b/internal/home/see.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"slices"
 	"time"
 
 	"tackbeam.example/policy/attempt"
@@ -10,11 +11,11 @@
 	"tackbeam.example/tackbeam/internal/nodemsg"
 )
 
-// Limits on attempts that began and did not succeed, and the pauses of asking.
+// Limits on attempts that began and failed, and the pauses of asking.
 const (
-	maxBegun = 3
-	firstAsk = 50 * time.Millisecond
-	maxAsk   = 2 * time.Second
+	maxFailures = 3
+	firstAsk    = 50 * time.Millisecond
+	maxAsk      = 2 * time.Second
 )
 
 // see starts the goroutine that sees a placed job through to its end. Fresh
@@ -141,13 +142,22 @@
 	return worst
 }
 
-// retry lets a job try for room again, unless too many attempts began and
-// failed, or its deadline has passed. The caller holds the lock.
+// failed reports whether a task failed or was lost, rather than stopped to make
+// room for urgent work.
+func failed(statuses []attempt.Status) bool {
+	return slices.Contains(statuses, attempt.Failed) || slices.Contains(statuses, attempt.Lost)
+}
+
+// retry lets a job try for room again, unless too many attempts failed. The
+// caller holds the lock.
 func (hm *Home) retry(en *entry) {
 	if attempt.Began(en.statuses) {
 		en.rec.Begun++
 	}
-	if en.rec.Begun >= maxBegun {
+	if failed(en.statuses) {
+		en.rec.Failures++
+	}
+	if en.rec.Failures >= maxFailures {
 		hm.settle(en, job.Ran, job.ResultFailed, "every attempt failed")
 		return
 	}
--- a/internal/home/settle.go
+++ b/internal/home/settle.go
@@ -36,6 +36,7 @@
 	}
 	en.settling = true
 	en.busy++
+	hm.unreserve(en)
 	rec := en.rec
 	rec.State, rec.Answer, rec.Result, rec.Reason = job.Done, an, result, reason
 	rec.EndedAt = hm.Clock.Now()
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -69,6 +69,8 @@
 	Cancelled  bool            `cbor:"23,keyasint,omitempty"`
 	// Begun counts the attempts that began and did not succeed.
 	Begun int `cbor:"24,keyasint,omitempty"`
+	// Failures counts the attempts in which a task failed or was lost.
+	Failures int `cbor:"25,keyasint,omitempty"`
 }
 
 // New returns the record of a job that was just submitted.
--- a/internal/nodemsg/nodemsg.go
+++ b/internal/nodemsg/nodemsg.go
@@ -161,6 +161,12 @@
 	Tasks   []string      `cbor:"2,keyasint"`
 	Size    size.Size     `cbor:"3,keyasint"`
 	Expires time.Duration `cbor:"4,keyasint"`
+	// What follows is as in the policy's hold.
+	Priority   int   `cbor:"5,keyasint"`
+	Age        int64 `cbor:"6,keyasint"`
+	Reserve    bool  `cbor:"7,keyasint,omitempty"`
+	Urgent     bool  `cbor:"8,keyasint,omitempty"`
+	Repeatable bool  `cbor:"9,keyasint,omitempty"`
 }
 
 // Held lists the places that a hold got.
@@ -182,6 +188,9 @@
 	Prepared bool      `cbor:"3,keyasint"`
 	Payload  []byte    `cbor:"4,keyasint,omitempty"`
 	Places   []Place   `cbor:"5,keyasint"`
+	// Priority and Repeatable are kept with the tasks.
+	Priority   int  `cbor:"6,keyasint"`
+	Repeatable bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Release gives the room of a hold back.
--- a/internal/owner/keeper.go
+++ b/internal/owner/keeper.go
@@ -164,7 +164,9 @@
 	for _, tr := range he.Tasks {
 		ow.noteTask(kp, tr)
 		if !tr.State.Ended() {
-			up.Running = append(up.Running, owner.Running{ID: tr.Task, Size: tr.Size})
+			up.Running = append(up.Running, owner.Running{
+				ID: tr.Task, Size: tr.Size, Priority: tr.Priority, Repeatable: tr.Repeatable,
+			})
 		}
 	}
 	for _, tr := range he.Lookups {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -173,6 +173,8 @@
 			ow.sendLookup(act.Send)
 		case act.Refuse != nil:
 			ow.refuseLookup(act.Refuse)
+		case act.Preempt != nil:
+			ow.preempt(act.Preempt)
 		}
 	}
 	return acts
--- a/internal/owner/task.go
+++ b/internal/owner/task.go
@@ -30,6 +30,8 @@
 	defer ow.mu.Unlock()
 	acts := ow.step(owner.Event{Hold: &owner.Hold{
 		ID: hd.ID, Tasks: hd.Tasks, Size: hd.Size, Expires: ow.now() + hd.Expires,
+		Priority: hd.Priority, Age: hd.Age, Reserve: hd.Reserve, Urgent: hd.Urgent,
+		Repeatable: hd.Repeatable,
 	}})
 	for _, act := range acts {
 		if act.Granted != nil {
@@ -47,6 +49,19 @@
 	return ""
 }
 
+// CounterPreempted counts the tasks stopped to make room for urgent work.
+const CounterPreempted = "tasks_preempted"
+
+// preempt stops a task; its home lets it try again. The caller holds the lock.
+func (ow *Owner) preempt(pr *owner.Preempt) {
+	ow.Meter.Count(CounterPreempted, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(ow.ctx, settleTime)
+		defer cancel()
+		ow.order(ctx, worker.Stop, nodemsg.Place{Task: pr.Task, Worker: pr.Worker})
+	}()
+}
+
 // Release gives the room of a hold back.
 func (ow *Owner) Release(rl nodemsg.Release) {
 	ow.mu.Lock()
@@ -107,6 +122,7 @@
 	}
 	rp, err := link.Start(ctx, workermsg.Start{
 		Task: pl.Task, Size: cm.Size, Payload: cm.Payload, Prepared: cm.Prepared,
+		Priority: cm.Priority, Repeatable: cm.Repeatable,
 	})
 	if err != nil && !fault.From(err).Begun {
 		return ow.never(pl, err.Error())
--- a/internal/standin/standinworker/control.go
+++ b/internal/standin/standinworker/control.go
@@ -92,6 +92,7 @@
 	for id, tk := range wk.tasks {
 		he.Tasks = append(he.Tasks, workermsg.TaskReport{
 			Task: id, State: tk.state, Size: tk.size, Begun: tk.begun,
+			Priority: tk.priority, Repeatable: tk.repeatable,
 		})
 	}
 	for id, pt := range wk.lookups {
@@ -158,7 +159,9 @@
 	if wk.leaving {
 		return workermsg.Reply{Refusal: workermsg.IsLeaving, State: workermsg.Never}
 	}
-	tk := &task{state: workermsg.Prepared, size: st.Size}
+	tk := &task{
+		state: workermsg.Prepared, size: st.Size, priority: st.Priority, repeatable: st.Repeatable,
+	}
 	if len(st.Payload) > 0 {
 		_ = json.Unmarshal(st.Payload, &tk.payload) // a payload for somebody else runs with the defaults
 	}
--- a/internal/standin/standinworker/standinworker.go
+++ b/internal/standin/standinworker/standinworker.go
@@ -57,6 +57,9 @@
 	size    size.Size
 	payload payload
 	timer   *time.Timer
+	// priority and repeatable are given back in the inventory.
+	priority   int
+	repeatable bool
 }
 
 // payload is what the stand-in reads of a task's payload.
--- a/internal/workermsg/workermsg.go
+++ b/internal/workermsg/workermsg.go
@@ -79,6 +79,9 @@
 	Size     size.Size `cbor:"5,keyasint"`
 	Payload  []byte    `cbor:"6,keyasint,omitempty"`
 	Prepared bool      `cbor:"7,keyasint,omitempty"`
+	// Priority and Repeatable come back in the inventory.
+	Priority   int  `cbor:"8,keyasint,omitempty"`
+	Repeatable bool `cbor:"9,keyasint,omitempty"`
 }
 
 // TaskOrder is an order that names a task and nothing else.
@@ -178,6 +181,9 @@
 	State State     `cbor:"2,keyasint"`
 	Size  size.Size `cbor:"3,keyasint"`
 	Begun bool      `cbor:"4,keyasint,omitempty"`
+	// Priority and Repeatable are what the start said.
+	Priority   int  `cbor:"5,keyasint,omitempty"`
+	Repeatable bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Usage is what one task used of late; the report lags.
--- a/policy/ledger/ledger.go
+++ b/policy/ledger/ledger.go
@@ -191,6 +191,39 @@
 	return cm.worker, true
 }
 
+// Roomiest returns the worker with the largest free share among those that have
+// the size at all and that may allows.
+func (lg *Ledger) Roomiest(sz size.Size, may func(worker string) bool) (string, bool) {
+	best, most := "", -1.0
+	for _, name := range lg.order {
+		en := lg.workers[name]
+		if en.leaving || !sz.Fits(en.Capacity) || !may(name) {
+			continue
+		}
+		if free := en.free().Share(en.Capacity); free > most {
+			best, most = name, free
+		}
+	}
+	return best, best != ""
+}
+
+// Capacity returns the size of a worker.
+func (lg *Ledger) Capacity(name string) size.Size {
+	if en, ok := lg.workers[name]; ok {
+		return en.Capacity
+	}
+	return size.Size{}
+}
+
+// Free returns the free room of a worker that takes new work.
+func (lg *Ledger) Free(name string) (size.Size, bool) {
+	en, ok := lg.workers[name]
+	if !ok || en.leaving {
+		return size.Size{}, false
+	}
+	return en.free(), true
+}
+
 // Holds reports whether a commitment with the id stands.
 func (lg *Ledger) Holds(id string) bool {
 	_, ok := lg.commitments[id]
@@ -198,12 +231,12 @@
 }
 
 // BestFit returns the worker that the size leaves with the smallest free share
-// of its dominant dimension.
-func (lg *Ledger) BestFit(sz size.Size) (string, bool) {
+// of its dominant dimension, among those that may allows; nil allows all.
+func (lg *Ledger) BestFit(sz size.Size, may func(worker string) bool) (string, bool) {
 	best, left := "", 2.0
 	for _, name := range lg.order {
 		en := lg.workers[name]
-		if !en.takes(sz, 0) {
+		if !en.takes(sz, 0) || may != nil && !may(name) {
 			continue
 		}
 		if rest := en.free().Sub(sz).Share(en.Capacity); rest < left {
--- a/policy/ledger/ledger_test.go
+++ b/policy/ledger/ledger_test.go
@@ -103,7 +103,7 @@
 			}
 			sz := size.New(8000, 8<<10, 0)
 			for b.Loop() {
-				name, _ := lg.BestFit(sz)
+				name, _ := lg.BestFit(sz, nil)
 				lg.Take(name, "task", sz, 0)
 				lg.Release("task")
 			}
--- a/policy/owner/event.go
+++ b/policy/owner/event.go
@@ -36,6 +36,9 @@
 	ID    string    `json:"id"`
 	Size  size.Size `json:"size"`
 	Slots int       `json:"slots,omitempty"`
+	// Priority and Repeatable are what the worker was told when the task started.
+	Priority   int  `json:"priority,omitempty"`
+	Repeatable bool `json:"repeatable,omitempty"`
 }
 
 // WorkerGone says that a worker takes nothing new; Lost, that it is not ours any more.
@@ -60,12 +63,24 @@
 	Latency time.Duration `json:"latency"`
 }
 
-// Hold asks for room for up to Count tasks of one size until Expires.
+// Hold asks for room for tasks of one size until Expires. A hold of the same id
+// asks for more and keeps what it has.
 type Hold struct {
 	ID      string        `json:"id"`
 	Tasks   []string      `json:"tasks"`
 	Size    size.Size     `json:"size"`
 	Expires time.Duration `json:"expires"`
+	// Priority and Age order holds that reserve: higher priority first, then the
+	// lower age, which is when the job was submitted.
+	Priority int   `json:"priority,omitempty"`
+	Age      int64 `json:"age,omitempty"`
+	// Reserve keeps room that is free, or comes free, for this hold, against
+	// younger ones.
+	Reserve bool `json:"reserve,omitempty"`
+	// Urgent may also stop running tasks of lower priority that may be repeated.
+	Urgent bool `json:"urgent,omitempty"`
+	// Repeatable tells whether the tasks may be stopped for urgent ones.
+	Repeatable bool `json:"repeatable,omitempty"`
 }
 
 // Commit turns a hold into commitments that stay until the tasks end.
@@ -99,6 +114,7 @@
 	Granted *Granted `json:"granted,omitempty"`
 	Settled *Settled `json:"settled,omitempty"`
 	Expired *Expired `json:"expired,omitempty"`
+	Preempt *Preempt `json:"preempt,omitempty"`
 }
 
 // Send says on which worker a lookup goes.
@@ -147,3 +163,9 @@
 type Expired struct {
 	ID string `json:"id"`
 }
+
+// Preempt says that a running task is to be stopped to make room for urgent work.
+type Preempt struct {
+	Task   string `json:"task"`
+	Worker string `json:"worker"`
+}
--- /dev/null
+++ b/policy/owner/hold_test.go
@@ -0,0 +1,136 @@
+package owner_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"tackbeam.example/policy/ledger"
+	"tackbeam.example/policy/owner"
+	"tackbeam.example/policy/size"
+)
+
+// cell is a machine over workers of four cores.
+func cell(workers int) *owner.Machine {
+	mc := owner.New(owner.DefaultLimits())
+	for n := range workers {
+		mc.Step(owner.Event{WorkerUp: &owner.WorkerUp{Worker: ledger.Worker{
+			Name: fmt.Sprint("w", n), Capacity: size.New(4000, 4096, 0), Slots: 2,
+		}}})
+	}
+	return mc
+}
+
+// ask makes a hold for tasks of some cores and returns the number of places and
+// the tasks that are to be stopped.
+func ask(mc *owner.Machine, hd owner.Hold, tasks int, cores int64) (places int, stops []string) {
+	hd.Size = size.New(cores*1000, 1, 0)
+	hd.Expires = time.Minute
+	for i := range tasks {
+		hd.Tasks = append(hd.Tasks, fmt.Sprint(hd.ID, ".", i))
+	}
+	for _, act := range mc.Step(owner.Event{Hold: &hd}) {
+		switch {
+		case act.Granted != nil:
+			places = len(act.Granted.Places)
+		case act.Preempt != nil:
+			stops = append(stops, act.Preempt.Task)
+		}
+	}
+	return places, stops
+}
+
+// start makes a hold and commits it.
+func start(mc *owner.Machine, hd owner.Hold, cores int64) {
+	ask(mc, hd, 1, cores)
+	mc.Step(owner.Event{Commit: &owner.Commit{ID: hd.ID}})
+}
+
+func end(mc *owner.Machine, task string) { mc.Step(owner.Event{Ended: &owner.Ended{Task: task}}) }
+
+// TestReservations shows who gets room that comes free while a gang wants it.
+func TestReservations(t *testing.T) {
+	gang := owner.Hold{ID: "gang", Age: 10, Reserve: true}
+	cases := map[string]struct {
+		other owner.Hold
+		cores int64
+		want  int
+	}{
+		"a younger one stays off":         {owner.Hold{ID: "young", Age: 20}, 1, 0},
+		"an older one takes it":           {owner.Hold{ID: "old", Age: 5}, 1, 1},
+		"higher priority takes it":        {owner.Hold{ID: "high", Age: 20, Priority: 9}, 1, 1},
+		"a younger reservation stays off": {owner.Hold{ID: "young", Age: 20, Reserve: true}, 4, 0},
+		"an older reservation takes it":   {owner.Hold{ID: "old", Age: 5, Reserve: true}, 4, 1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			mc := cell(2)
+			start(mc, owner.Hold{ID: "a"}, 4)
+			start(mc, owner.Hold{ID: "b"}, 4)
+			if got, _ := ask(mc, gang, 2, 4); got != 0 {
+				t.Fatalf("the gang got %d places of a full cell", got)
+			}
+			end(mc, "a.0")
+			if got, _ := ask(mc, tc.other, 1, tc.cores); got != tc.want {
+				t.Errorf("got %d places, want %d", got, tc.want)
+			}
+		})
+	}
+}
+
+// TestTwoGangs lets two gangs hold a part each. The older one gets all.
+func TestTwoGangs(t *testing.T) {
+	mc := cell(2)
+	young := owner.Hold{ID: "young", Age: 20, Reserve: true}
+	old := owner.Hold{ID: "old", Age: 10, Reserve: true}
+	start(mc, owner.Hold{ID: "a"}, 4)
+	if got, _ := ask(mc, young, 2, 4); got != 1 {
+		t.Fatalf("the younger gang got %d places, want 1", got)
+	}
+	end(mc, "a.0")
+	if got, _ := ask(mc, old, 2, 4); got != 2 {
+		t.Errorf("the older gang got %d places, want 2", got)
+	}
+	if got, _ := ask(mc, young, 2, 4); got != 0 {
+		t.Errorf("the younger gang got %d places, want 0", got)
+	}
+}
+
+// TestPreempt shows which tasks are stopped for urgent work: the fewest, of the
+// lowest priority, the youngest, and none that may not be repeated.
+func TestPreempt(t *testing.T) {
+	cases := map[string]struct {
+		running []owner.Hold
+		want    string
+	}{
+		"the youngest":               {[]owner.Hold{{ID: "a", Repeatable: true}, {ID: "b", Repeatable: true}}, "b.0"},
+		"the lower priority":         {[]owner.Hold{{ID: "a", Repeatable: true}, {ID: "b", Repeatable: true, Priority: 3}}, "a.0"},
+		"only what may be repeated":  {[]owner.Hold{{ID: "a", Repeatable: true}, {ID: "b"}}, "a.0"},
+		"nothing of equal priority":  {[]owner.Hold{{ID: "a", Repeatable: true, Priority: 9}, {ID: "b"}}, ""},
+		"nothing that would not fit": {[]owner.Hold{{ID: "a"}, {ID: "b"}}, ""},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			mc := cell(1)
+			for _, hd := range tc.running {
+				start(mc, hd, 2)
+			}
+			urgent := owner.Hold{ID: "urgent", Priority: 9, Reserve: true, Urgent: true}
+			_, stops := ask(mc, urgent, 1, 2)
+			if got := strings.Join(stops, " "); got != tc.want {
+				t.Fatalf("stops %q, want %q", got, tc.want)
+			}
+			if _, again := ask(mc, urgent, 1, 2); len(again) > 0 {
+				t.Errorf("stops %v as well, before the first has ended", again)
+			}
+			if tc.want == "" {
+				return
+			}
+			end(mc, tc.want)
+			if got, _ := ask(mc, urgent, 1, 2); got != 1 {
+				t.Error("the room that came free went to nobody")
+			}
+		})
+	}
+}
--- a/policy/owner/owner.go
+++ b/policy/owner/owner.go
@@ -24,12 +24,6 @@
 // DefaultLimits suit fifty workers of eight slots.
 func DefaultLimits() Limits { return Limits{Queue: 512, Candidates: 4} }
 
-// hold is room taken for tasks that have not started.
-type hold struct {
-	places  []Place
-	expires time.Duration
-}
-
 // Machine is the decision state of one owner. It is not safe for concurrent use.
 type Machine struct {
 	limits  Limits
@@ -40,8 +34,11 @@
 	holds   map[string]*hold
 	// starting are the tasks that may not have reached their worker yet.
 	starting map[string]bool
-	service  time.Duration
-	active   int
+	// running are the committed tasks and what may be done to them.
+	running map[string]*running
+	started int
+	service time.Duration
+	active  int
 }
 
 // queue is the waiting lookups of one workspace, first come first.
@@ -59,6 +56,7 @@
 		queues:   map[string]*queue{},
 		holds:    map[string]*hold{},
 		starting: map[string]bool{},
+		running:  map[string]*running{},
 		sizes:    map[string]size.Size{},
 	}
 }
@@ -90,6 +88,7 @@
 		delete(mc.starting, ev.Started.Task)
 	case ev.Ended != nil:
 		delete(mc.starting, ev.Ended.Task)
+		delete(mc.running, ev.Ended.Task)
 		mc.ledger.Release(ev.Ended.Task)
 		return mc.drain(ev.At, nil)
 	case ev.Tick != nil:
@@ -104,13 +103,17 @@
 	for _, rn := range up.Running {
 		keep[rn.ID] = true
 		mc.ledger.Restore(up.Worker.Name, rn.ID, rn.Size, rn.Slots)
+		if rn.Slots == 0 {
+			mc.runs(rn, up.Worker.Name)
+		}
 	}
 	for _, hd := range mc.holds {
 		for _, pl := range hd.places {
 			keep[pl.Task] = true
 		}
 	}
-	mc.ledger.Reconcile(up.Worker.Name, func(id string) bool { return keep[id] || mc.starting[id] })
+	gone := mc.ledger.Reconcile(up.Worker.Name, func(id string) bool { return keep[id] || mc.starting[id] })
+	mc.forget(gone)
 	return mc.drain(now, nil)
 }
 
@@ -119,7 +122,7 @@
 		mc.ledger.Leave(gone.Worker)
 		return mc.refuseAll()
 	}
-	mc.ledger.Remove(gone.Worker)
+	mc.forget(mc.ledger.Remove(gone.Worker))
 	return mc.drain(now, mc.refuseAll())
 }
 
@@ -302,57 +305,6 @@
 	}
 }
 
-// hold takes room for as many of the tasks as fit.
-func (mc *Machine) hold(hd *Hold) []Action {
-	if old, ok := mc.holds[hd.ID]; ok {
-		old.expires = max(old.expires, hd.Expires)
-		return []Action{{Granted: &Granted{ID: hd.ID, Places: old.places}}}
-	}
-	var places []Place
-	for _, task := range hd.Tasks {
-		worker, ok := mc.ledger.BestFit(hd.Size)
-		if !ok || !mc.ledger.Take(worker, task, hd.Size, 0) {
-			break
-		}
-		places = append(places, Place{Task: task, Worker: worker})
-	}
-	if len(places) > 0 {
-		mc.holds[hd.ID] = &hold{places: places, expires: hd.Expires}
-	}
-	return []Action{{Granted: &Granted{ID: hd.ID, Places: places}}}
-}
-
-func (mc *Machine) commit(cm *Commit) []Action {
-	hd, ok := mc.holds[cm.ID]
-	delete(mc.holds, cm.ID)
-	for i := 0; ok && i < len(hd.places); i++ {
-		ok = mc.ledger.Holds(hd.places[i].Task)
-	}
-	if ok {
-		for _, pl := range hd.places {
-			mc.starting[pl.Task] = true
-		}
-		return []Action{{Settled: &Settled{ID: cm.ID, OK: true, Places: hd.places}}}
-	}
-	mc.giveBack(hd)
-	return []Action{{Settled: &Settled{ID: cm.ID}}}
-}
-
-func (mc *Machine) giveBack(hd *hold) {
-	if hd == nil {
-		return
-	}
-	for _, pl := range hd.places {
-		mc.ledger.Release(pl.Task)
-	}
-}
-
-func (mc *Machine) release(now time.Duration, rl *Release) []Action {
-	mc.giveBack(mc.holds[rl.ID])
-	delete(mc.holds, rl.ID)
-	return mc.drain(now, nil)
-}
-
 func (mc *Machine) tick(now time.Duration) []Action {
 	var acts []Action
 	for _, id := range mc.expired(now) {
--- /dev/null
+++ b/policy/owner/preempt.go
@@ -0,0 +1,101 @@
+package owner
+
+import (
+	"cmp"
+	"slices"
+
+	"tackbeam.example/policy/size"
+)
+
+// running is a committed task and what may be done to it.
+type running struct {
+	Running
+	worker string
+	order  int
+	// stopping is set once the task was chosen to make room.
+	stopping bool
+}
+
+// runs notes a committed task.
+func (mc *Machine) runs(rn Running, worker string) {
+	if _, known := mc.running[rn.ID]; known {
+		return
+	}
+	mc.started++
+	mc.running[rn.ID] = &running{Running: rn, worker: worker, order: mc.started}
+}
+
+// forget drops tasks that the ledger has no room for any more.
+func (mc *Machine) forget(ids []string) {
+	for _, id := range ids {
+		delete(mc.running, id)
+	}
+}
+
+// preempt chooses running tasks of lower priority that may be repeated, and asks
+// for their stop, so that the urgent hold fits when they have ended. While
+// tasks that it chose before have not ended, it chooses no more.
+func (mc *Machine) preempt(hd *hold) []Action {
+	for _, id := range hd.victims {
+		if mc.ledger.Holds(id) {
+			return nil
+		}
+	}
+	hd.victims = nil
+	var acts []Action
+	for range hd.want {
+		victims := mc.cheapest(hd)
+		if len(victims) == 0 {
+			break
+		}
+		for _, rn := range victims {
+			rn.stopping = true
+			hd.victims = append(hd.victims, rn.ID)
+			acts = append(acts, Action{Preempt: &Preempt{Task: rn.ID, Worker: rn.worker}})
+		}
+	}
+	return acts
+}
+
+// cheapest returns the fewest tasks of one worker whose end makes room for one
+// task of the hold.
+func (mc *Machine) cheapest(hd *hold) []*running {
+	byWorker := map[string][]*running{}
+	for _, rn := range mc.running {
+		if rn.Repeatable && rn.Priority < hd.Priority && !rn.stopping {
+			byWorker[rn.worker] = append(byWorker[rn.worker], rn)
+		}
+	}
+	var best []*running
+	for worker, list := range byWorker {
+		free, ok := mc.ledger.Free(worker)
+		if !ok {
+			continue
+		}
+		picked := pick(list, free, hd.Size)
+		if picked != nil && (best == nil || less(picked, best)) {
+			best = picked
+		}
+	}
+	return best
+}
+
+// pick takes tasks, the lowest priority and the youngest first, until the size
+// fits; nil where it never does.
+func pick(list []*running, free, sz size.Size) []*running {
+	slices.SortFunc(list, func(a, b *running) int {
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(b.order, a.order))
+	})
+	for i, rn := range list {
+		free = free.Add(rn.Size)
+		if sz.Fits(free) {
+			return list[:i+1]
+		}
+	}
+	return nil
+}
+
+// less orders two choices: the shorter first, then the one of younger tasks.
+func less(a, b []*running) bool {
+	return cmp.Or(cmp.Compare(len(a), len(b)), cmp.Compare(b[0].order, a[0].order)) < 0
+}
