Find places by an index of free shares instead of a scan

Change: the ledger keeps its open workers in 64 lists by their largest free share, and counts by free share in each dimension. A search begins at the first list that can fit, compares 8 workers of it, and gives up at once where the counts show that nothing fits.

The place is within 1/64 of the best share, not the best.

--- a/policy/ledger/ledger.go
+++ b/policy/ledger/ledger.go
@@ -28,6 +28,9 @@
 	slotsUsed int
 	leaving   bool
 	latency   time.Duration
+	// Where the index has the worker.
+	bucket, at int
+	steps      [3]int
 }
 
 // commitment is room taken by one task or one lookup.
@@ -44,6 +47,7 @@
 	commitments map[string]commitment
 	next        int
 	load        Load
+	index       index
 }
 
 // Load is what a lookup's way is chosen by, kept up with each change.
@@ -57,19 +61,30 @@
 // Load returns the present load, at the same cost for any number of workers.
 func (lg *Ledger) Load() Load { return lg.load }
 
-// change carries out a change of a worker's entry and keeps the load up with it.
+// change carries out a change of a worker's entry and keeps the load and the
+// index up with it.
 func (lg *Ledger) change(en *entry, act func()) {
-	lg.count(en, -1)
+	lg.uncount(en)
 	act()
-	lg.count(en, 1)
+	lg.count(en)
 }
 
-func (lg *Ledger) count(en *entry, sign int) {
+func (lg *Ledger) count(en *entry) {
 	if en.leaving {
 		return
 	}
-	lg.load.Workers += sign
-	lg.load.FreeSlots += sign * (en.Slots - en.slotsUsed)
+	lg.load.Workers++
+	lg.load.FreeSlots += en.Slots - en.slotsUsed
+	lg.index.insert(en)
+}
+
+func (lg *Ledger) uncount(en *entry) {
+	if en.leaving {
+		return
+	}
+	lg.load.Workers--
+	lg.load.FreeSlots -= en.Slots - en.slotsUsed
+	lg.index.remove(en)
 }
 
 // New returns an empty ledger.
@@ -88,7 +103,7 @@
 	}
 	en := &entry{Worker: wk}
 	lg.workers[wk.Name] = en
-	lg.count(en, 1)
+	lg.count(en)
 	at, _ := slices.BinarySearch(lg.order, wk.Name)
 	lg.order = slices.Insert(lg.order, at, wk.Name)
 }
@@ -106,7 +121,7 @@
 	if !ok {
 		return nil
 	}
-	lg.count(en, -1)
+	lg.uncount(en)
 	delete(lg.workers, name)
 	if at, ok := slices.BinarySearch(lg.order, name); ok {
 		lg.order = slices.Delete(lg.order, at, at+1)
@@ -166,8 +181,10 @@
 }
 
 func (lg *Ledger) commit(en *entry, id string, sz size.Size, slots int) {
-	en.used = en.used.Add(sz)
-	lg.change(en, func() { en.slotsUsed += slots })
+	lg.change(en, func() {
+		en.used = en.used.Add(sz)
+		en.slotsUsed += slots
+	})
 	lg.commitments[id] = commitment{worker: en.Name, size: sz, slots: slots}
 }
 
@@ -185,8 +202,10 @@
 	}
 	delete(lg.commitments, id)
 	if en, ok := lg.workers[cm.worker]; ok {
-		en.used = en.used.Sub(cm.size)
-		lg.change(en, func() { en.slotsUsed -= cm.slots })
+		lg.change(en, func() {
+			en.used = en.used.Sub(cm.size)
+			en.slotsUsed -= cm.slots
+		})
 	}
 	return cm.worker, true
 }
@@ -230,20 +249,13 @@
 	return ok
 }
 
-// BestFit returns the worker that the size leaves with the smallest free share
-// of its dominant dimension, among those that may allows; nil allows all.
+// BestFit returns a worker that the size leaves with about the smallest free
+// share of its dominant dimension, among those that may allows; nil allows all.
 func (lg *Ledger) BestFit(sz size.Size, may func(worker string) bool) (string, bool) {
-	best, left := "", 2.0
-	for _, name := range lg.order {
-		en := lg.workers[name]
-		if !en.takes(sz, 0) || may != nil && !may(name) {
-			continue
-		}
-		if rest := en.free().Sub(sz).Share(en.Capacity); rest < left {
-			best, left = name, rest
-		}
+	if en := lg.index.bestFit(sz, may); en != nil {
+		return en.Name, true
 	}
-	return best, best != ""
+	return "", false
 }
 
 // LeastLoaded returns, of a few candidates with a free slot, the one with the
@@ -251,6 +263,9 @@
 func (lg *Ledger) LeastLoaded(sz size.Size, candidates int) (string, bool) {
 	var best *entry
 	found := 0
+	if lg.load.FreeSlots <= 0 {
+		return "", false
+	}
 	for range lg.order {
 		lg.next = (lg.next + 1) % len(lg.order)
 		en := lg.workers[lg.order[lg.next]]
--- a/policy/ledger/ledger_test.go
+++ b/policy/ledger/ledger_test.go
@@ -55,6 +55,14 @@
 			want.FreeSlots += ac.Slots - ac.SlotsUsed
 		}
 	}
+	fits := false
+	probe := size.New(16000, 16<<10, 0)
+	for _, ac := range lg.Accounts() {
+		fits = fits || !ac.Leaving && probe.Fits(ac.Capacity.Sub(ac.Used))
+	}
+	if _, ok := lg.BestFit(probe, nil); ok != fits {
+		t.Fatalf("the index finds a place: %v, a scan: %v", ok, fits)
+	}
 	if got := lg.Load(); got != want {
 		t.Fatalf("load is %+v, a fresh count gives %+v", got, want)
 	}
@@ -111,6 +119,32 @@
 	}
 }
 
+// BenchmarkBusyCell finds places in a cell where nine tenths are taken by tasks
+// of many sizes; every tenth task is larger than any free room.
+func BenchmarkBusyCell(b *testing.B) {
+	for _, count := range []int{50, 970, 10000} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			rnd := rand.New(rand.NewPCG(1, 2))
+			lg := ledger.New()
+			for n := range count {
+				wk := worker(n)
+				lg.Put(wk)
+				lg.Take(wk.Name, wk.Name, size.New(54000+int64(rnd.IntN(8000)), int64(rnd.IntN(100<<10)), 0), 0)
+			}
+			for n := 0; b.Loop(); n++ {
+				sz := size.New(500+int64(rnd.IntN(3000)), 1+int64(rnd.IntN(8<<10)), 0)
+				if n%10 == 0 {
+					sz = size.New(30000, 1024, 0)
+				}
+				if name, ok := lg.BestFit(sz, nil); ok {
+					lg.Take(name, "task", sz, 0)
+					lg.Release("task")
+				}
+			}
+		})
+	}
+}
+
 // BenchmarkRoom sums the whole ledger, as each heartbeat does.
 func BenchmarkRoom(b *testing.B) {
 	for _, count := range []int{139, 970} {
--- a/policy/owner/hold_test.go
+++ b/policy/owner/hold_test.go
@@ -134,3 +134,26 @@
 		})
 	}
 }
+
+// BenchmarkStep takes one task and one lookup through all their events.
+func BenchmarkStep(b *testing.B) {
+	for _, count := range []int{50, 970, 10000} {
+		mc := cell(count)
+		b.Run(fmt.Sprint("task ", count), func(b *testing.B) {
+			hd := owner.Hold{ID: "j", Tasks: []string{"j.1.0"}, Size: size.New(1000, 64, 0), Expires: time.Minute}
+			for b.Loop() {
+				mc.Step(owner.Event{Hold: &hd})
+				mc.Step(owner.Event{Commit: &owner.Commit{ID: "j"}})
+				mc.Step(owner.Event{Started: &owner.Started{Task: "j.1.0"}})
+				end(mc, "j.1.0")
+			}
+		})
+		b.Run(fmt.Sprint("lookup ", count), func(b *testing.B) {
+			ar := owner.Arrive{ID: "lookup-1", Workspace: "brno", Weight: 1, Deadline: time.Hour}
+			for b.Loop() {
+				mc.Step(owner.Event{Arrive: &ar})
+				mc.Step(owner.Event{Done: &owner.Done{ID: ar.ID, Latency: time.Millisecond}})
+			}
+		})
+	}
+}
