Keep the parts of seconds in times on the wire; measure starts

Cause: the codec's default cuts times to whole seconds. Jobs seemed placed up to 0.4 s before they were sent (found by measuring starts), deadlines came up to a second early, and the order of submission within a second was lost.

--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -21,3 +21,17 @@
 		})
 	}
 }
+
+// BenchmarkJob submits jobs and waits for their ends, many at once.
+func BenchmarkJob(b *testing.B) {
+	bd := newBed(b, 20, "n1")
+	cl := bd.api("n1")
+	setCells(b, cl, "workspace/brno weight 1", "workload/push class batch")
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if vw, err := submitJob(cl, "push", "m", 1, 0.01, 10); err != nil || vw.Answer != "ran" {
+				b.Error(vw, err)
+			}
+		}
+	})
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -26,7 +26,10 @@
 )
 
 func mustEncoder() cbor.EncMode {
-	mode, err := cbor.EncOptions{Sort: cbor.SortBytewiseLexical}.EncMode()
+	mode, err := cbor.EncOptions{
+		Sort: cbor.SortBytewiseLexical,
+		Time: cbor.TimeUnixMicro, // the default cuts times to whole seconds
+	}.EncMode()
 	if err != nil {
 		panic(err) // the options are constants
 	}
--- /dev/null
+++ b/test/starts_test.go
@@ -0,0 +1,128 @@
+package test
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"tackbeam.example/tackbeam/internal/api"
+	"tackbeam.example/tackbeam/internal/client"
+)
+
+// startSample is what a rate of submissions costs, and how long jobs wait.
+type startSample struct {
+	Rate      int     `json:"jobs_a_second"`
+	Nodes     int     `json:"nodes"`
+	Jobs      int     `json:"jobs"`
+	Failed    int     `json:"failed"`
+	AcceptP50 float64 `json:"accept_p50_ms"`
+	AcceptP99 float64 `json:"accept_p99_ms"`
+	WaitP50   float64 `json:"placed_p50_ms"`
+	WaitP99   float64 `json:"placed_p99_ms"`
+	Writes    float64 `json:"store_writes_a_second"`
+	Refused   int64   `json:"store_refused"`
+	CPU       float64 `json:"cpu_percent_of_core_a_node"`
+	Memory    float64 `json:"resident_mib_a_node"`
+	PeerSent  float64 `json:"peer_sent_bytes_a_node"`
+}
+
+// TestStarts submits jobs of one task at several rates to seven nodes and writes
+// docs/capacity/starts.json.
+func TestStarts(t *testing.T) {
+	if os.Getenv("TACKBEAM_CAPACITY") == "" {
+		t.Skip("a measurement, not a check; run make capacity")
+	}
+	var samples []startSample
+	for _, rate := range []int{10, 70, 140, 280} {
+		t.Run(fmt.Sprint(rate, " a second"), func(t *testing.T) {
+			samples = append(samples, measureStarts(t, rate, 10*time.Second))
+			t.Logf("%+v", samples[len(samples)-1])
+		})
+	}
+	raw, err := json.MarshalIndent(samples, "", "  ")
+	if err == nil {
+		err = os.WriteFile(filepath.Join("..", "docs", "capacity", "starts.json"), append(raw, '\n'), 0o644)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// starts gathers what became of the jobs.
+type starts struct {
+	mu     sync.Mutex
+	accept []time.Duration
+	placed []time.Duration
+	failed int
+	sample string
+}
+
+func measureStarts(t *testing.T, rate int, span time.Duration) startSample {
+	const nodes, workers = 7, 50
+	var names []string
+	for i := range nodes {
+		names = append(names, fmt.Sprint("n", i+1))
+	}
+	cl := newCluster(t, options{nodes: names, workers: workers, lease: 20 * time.Second, ordinary: true})
+	cl.ordinaryTable()
+	st := &starts{}
+	before, calls := cl.control(), cl.counts()
+	began := time.Now()
+	var wg sync.WaitGroup
+	total := rate * int(span/time.Second)
+	for n := range total {
+		time.Sleep(time.Until(began.Add(time.Duration(n) * time.Second / time.Duration(rate))))
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			st.job(cl.api(names[n%nodes]), n)
+		}()
+	}
+	after, callsAfter := cl.control(), cl.counts()
+	took := time.Since(began).Seconds()
+	wg.Wait()
+	sm := startSample{Rate: rate, Nodes: nodes, Jobs: total, Failed: st.failed}
+	for name, ct := range after {
+		sm.CPU += 100 * (ct.CPU - before[name].CPU).Seconds() / took / nodes
+		sm.Memory += float64(ct.Resident) / (1 << 20) / nodes
+		sm.PeerSent += float64(ct.PeerSent-before[name].PeerSent) / took / nodes
+	}
+	sm.Writes = float64(callsAfter.Writes-calls.Writes) / took
+	sm.Refused = callsAfter.Refused - calls.Refused
+	if st.failed > 0 {
+		t.Logf("%d failed, for example %s", st.failed, st.sample)
+	}
+	if len(st.accept) > 0 {
+		sm.AcceptP50, sm.AcceptP99 = percentiles(st.accept)
+		sm.WaitP50, sm.WaitP99 = percentiles(st.placed)
+	}
+	return sm
+}
+
+// job submits one job and waits for its end.
+func (st *starts) job(cl *client.Client, n int) {
+	sent := time.Now()
+	vw, err := client.Send[api.Job](cl, client.Request{
+		Method: "POST", Path: api.PathJobs, Headers: map[string]string{api.HeaderKey: fmt.Sprint("key-", n)},
+	}, api.JobRequest{Workload: "push", Workspace: workspaceOf(n), Payload: map[string]any{"run": 0.5}})
+	accepted := time.Since(sent)
+	if err == nil {
+		vw, err = client.JSON[api.Job](cl, client.Request{
+			Method: "GET", Path: api.PathJobs + "/" + vw.ID, Query: map[string]string{"wait": "30"}, Wait: 30 * time.Second,
+		})
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if err != nil || vw.Answer != "ran" {
+		st.failed++
+		st.sample = fmt.Sprint(err, " ", vw.Answer, " ", vw.Reason)
+		return
+	}
+	st.accept = append(st.accept, accepted)
+	st.placed = append(st.placed, vw.Placed.Sub(sent))
+
+}
