--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -18,6 +18,7 @@
 	"tackbeam.example/tackbeam/internal/ids"
 	"tackbeam.example/tackbeam/internal/job"
 	"tackbeam.example/tackbeam/internal/journal"
+	"tackbeam.example/tackbeam/internal/loop"
 	"tackbeam.example/tackbeam/internal/member"
 	"tackbeam.example/tackbeam/internal/meter"
 	"tackbeam.example/tackbeam/internal/nodemsg"
@@ -165,16 +166,7 @@
 	hm.wg.Add(1)
 	go func() {
 		defer hm.wg.Done()
-		tick := hm.Clock.NewTicker(every)
-		defer tick.Stop()
-		for {
-			select {
-			case <-hm.ctx.Done():
-				return
-			case <-tick.Chan():
-				act()
-			}
-		}
+		loop.Every(hm.ctx, hm.Clock, every, act)
 	}()
 }
 
--- a/internal/member/beat.go
+++ b/internal/member/beat.go
@@ -7,6 +7,7 @@
 
 	"tackbeam.example/policy/ledger"
 	"tackbeam.example/tackbeam/internal/clustermap"
+	"tackbeam.example/tackbeam/internal/loop"
 	"tackbeam.example/tackbeam/internal/nodemsg"
 	"tackbeam.example/tackbeam/internal/peer"
 )
@@ -100,16 +101,7 @@
 
 // beatLoop exchanges heartbeats with every other node.
 func (mb *Member) beatLoop(ctx context.Context) {
-	tick := mb.clock.NewTicker(mb.opts.Beat)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.Chan():
-			mb.beatAll(ctx)
-		}
-	}
+	loop.Every(ctx, mb.clock, mb.opts.Beat, func() { mb.beatAll(ctx) })
 }
 
 // beatAll calls the nodes that come after this one by name; they answer with
@@ -220,7 +212,7 @@
 func (mb *Member) catchUp() {
 	ctx, cancel := context.WithTimeout(context.Background(), mb.opts.Suspect)
 	defer cancel()
-	if _, err := mb.readMap(ctx); err != nil {
+	if err := mb.readMap(ctx); err != nil {
 		mb.log.V(1).Info("Newer map cannot be read yet.", "cause", err.Error())
 	}
 }
@@ -266,7 +258,7 @@
 func (mb *Member) gone() (clustermap.Node, int) {
 	mb.mu.Lock()
 	defer mb.mu.Unlock()
-	if mb.clock.Since(mb.liveAt) > 2*watchWait {
+	if mb.clock.Since(mb.liveAt) > liveAge {
 		return clustermap.Node{}, 0
 	}
 	names := mb.current.Active()
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -20,6 +20,7 @@
 	"tackbeam.example/tackbeam/internal/clustermap"
 	"tackbeam.example/tackbeam/internal/fault"
 	"tackbeam.example/tackbeam/internal/ids"
+	"tackbeam.example/tackbeam/internal/loop"
 	"tackbeam.example/tackbeam/internal/nodemsg"
 	"tackbeam.example/tackbeam/internal/peer"
 	"tackbeam.example/tackbeam/internal/store"
@@ -29,8 +30,12 @@
 // livePrefix holds a key for each node, bound to the node's lease of the store.
 const livePrefix = "live/"
 
-// watchWait is how long one watch of the store waits.
-const watchWait = 20 * time.Second
+// liveAge is the age from which what is known of the nodes' records is too old
+// to take a node out by; a watch of the store answers more often.
+const liveAge = 40 * time.Second
+
+// joinTime bounds one try to join again.
+const joinTime = 20 * time.Second
 
 // Options of a member.
 type Options struct {
@@ -148,21 +153,16 @@
 		cancel()
 		return errors.Wrap(err, "join cluster")
 	}
-	mb.loop(run, mb.beatLoop)
-	mb.loop(run, mb.leaseLoop)
-	mb.loop(run, func(ctx context.Context) { mb.watchLoop(ctx, clustermap.Key, mb.readMap, mb.applyItem) })
-	mb.loop(run, func(ctx context.Context) { mb.watchLoop(ctx, livePrefix, mb.readLive, mb.applyLive) })
+	for _, act := range []func(context.Context){mb.beatLoop, mb.leaseLoop, mb.followMap, mb.followLive} {
+		mb.wg.Add(1)
+		go func() {
+			defer mb.wg.Done()
+			act(run)
+		}()
+	}
 	return nil
 }
 
-func (mb *Member) loop(ctx context.Context, act func(context.Context)) {
-	mb.wg.Add(1)
-	go func() {
-		defer mb.wg.Done()
-		act(ctx)
-	}()
-}
-
 // Stop ends the loops. Leave comes before it on a planned stop.
 func (mb *Member) Stop(context.Context) error {
 	mb.mu.Lock()
@@ -185,10 +185,8 @@
 		if try == 0 {
 			mb.log.Info("Store does not answer, the node waits to join.", "cause", err.Error())
 		}
-		select {
-		case <-ctx.Done():
+		if !loop.Pause(ctx, mb.clock, store.Backoff(try)) {
 			return err
-		case <-mb.clock.After(store.Backoff(try)):
 		}
 	}
 }
@@ -349,7 +347,7 @@
 	mb.lease = ""
 	mb.mu.Unlock()
 	mb.log.Info("Node was taken out, joining again.")
-	ctx, cancel := context.WithTimeout(context.Background(), watchWait)
+	ctx, cancel := context.WithTimeout(context.Background(), joinTime)
 	defer cancel()
 	if err := mb.join(ctx); err != nil {
 		mb.log.Error(err, "Node could not join again.")
--- a/internal/member/watch.go
+++ b/internal/member/watch.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"strings"
-	"time"
 
 	"tackbeam.example/tackbeam/internal/clustermap"
+	"tackbeam.example/tackbeam/internal/loop"
 	"tackbeam.example/tackbeam/internal/store"
 	"tackbeam.example/tackbeam/internal/storemsg"
 )
@@ -13,20 +13,13 @@
 // leaseLoop renews this node's lease of the store, three times in its length.
 func (mb *Member) leaseLoop(ctx context.Context) {
 	const renewals = 3
-	tick := mb.clock.NewTicker(mb.opts.Lease / renewals)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.Chan():
-			call, cancel := context.WithTimeout(ctx, mb.opts.Lease/renewals)
-			if err := mb.renew(call); err != nil {
-				mb.log.V(1).Info("Lease was not renewed.", "cause", err.Error())
-			}
-			cancel()
+	loop.Every(ctx, mb.clock, mb.opts.Lease/renewals, func() {
+		call, cancel := context.WithTimeout(ctx, mb.opts.Lease/renewals)
+		defer cancel()
+		if err := mb.renew(call); err != nil {
+			mb.log.V(1).Info("Lease was not renewed.", "cause", err.Error())
 		}
-	}
+	})
 }
 
 // renew renews the lease; where it has lapsed, it makes a new one and the live
@@ -62,67 +55,32 @@
 	return nil
 }
 
-// watchLoop follows a prefix: it reads everything, then waits for changes, and
-// reads everything again after a failure.
-func (mb *Member) watchLoop(
-	ctx context.Context, prefix string,
-	read func(context.Context) (uint64, error), apply func(storemsg.Item),
-) {
-	after, synced, fails := uint64(0), false, 0
-	for ctx.Err() == nil {
-		var err error
-		if !synced {
-			after, err = read(ctx)
-		} else {
-			var res storemsg.ItemsResponse
-			res, err = mb.store.Watch(ctx, prefix, after, watchWait)
-			if err == nil && !res.Compacted {
-				for _, item := range res.Items {
-					apply(item)
-				}
-				after = res.Revision
-				mb.fresh(prefix)
-			}
-			if res.Compacted {
-				synced = false
-				continue
-			}
-		}
-		if err == nil {
-			synced, fails = true, 0
-			continue
+// followMap keeps up with the cluster map.
+func (mb *Member) followMap(ctx context.Context) {
+	apply := func(items []storemsg.Item) {
+		for _, item := range items {
+			mb.applyItem(item)
 		}
-		synced = false
-		fails++
-		mb.sleep(ctx, store.Backoff(fails))
-	}
-}
-
-func (mb *Member) sleep(ctx context.Context, pause time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-mb.clock.After(pause):
 	}
+	mb.store.Follow(ctx, store.Following{
+		Prefix: clustermap.Key, Class: store.Ownership,
+		All: func(items []storemsg.Item, _ uint64) { apply(items) }, Changed: apply,
+	})
 }
 
-func (mb *Member) fresh(prefix string) {
-	if prefix != livePrefix {
-		return
-	}
-	mb.mu.Lock()
-	defer mb.mu.Unlock()
-	mb.liveAt = mb.clock.Now()
+// followLive keeps up with which nodes' records stand.
+func (mb *Member) followLive(ctx context.Context) {
+	mb.store.Follow(ctx, store.Following{
+		Prefix: livePrefix, Class: store.Ownership, All: mb.allLive, Changed: mb.changedLive,
+	})
 }
 
-func (mb *Member) readMap(ctx context.Context) (uint64, error) {
-	items, revision, err := mb.store.List(ctx, store.Ownership, clustermap.Key)
-	if err != nil {
-		return 0, err
-	}
-	for _, item := range items {
+func (mb *Member) readMap(ctx context.Context) error {
+	item, err := mb.store.Get(ctx, store.Ownership, clustermap.Key)
+	if err == nil && item.Version > 0 {
 		mb.applyItem(item)
 	}
-	return revision, nil
+	return err
 }
 
 func (mb *Member) applyItem(item storemsg.Item) {
@@ -137,29 +95,23 @@
 	mb.apply(mp, item.Version)
 }
 
-// readLive reads which nodes' records stand.
-func (mb *Member) readLive(ctx context.Context) (uint64, error) {
-	items, revision, err := mb.store.List(ctx, store.Ownership, livePrefix)
-	if err != nil {
-		return 0, err
-	}
+func (mb *Member) allLive(items []storemsg.Item, _ uint64) {
 	mb.mu.Lock()
-	defer mb.mu.Unlock()
 	mb.live = map[string]bool{}
-	for _, item := range items {
-		mb.live[strings.TrimPrefix(item.Key, livePrefix)] = true
-	}
-	mb.liveAt = mb.clock.Now()
-	return revision, nil
+	mb.mu.Unlock()
+	mb.changedLive(items)
 }
 
-func (mb *Member) applyLive(item storemsg.Item) {
+func (mb *Member) changedLive(items []storemsg.Item) {
 	mb.mu.Lock()
 	defer mb.mu.Unlock()
-	name := strings.TrimPrefix(item.Key, livePrefix)
-	if item.Deleted {
-		delete(mb.live, name)
-		return
+	for _, item := range items {
+		name := strings.TrimPrefix(item.Key, livePrefix)
+		if item.Deleted {
+			delete(mb.live, name)
+			continue
+		}
+		mb.live[name] = true
 	}
-	mb.live[name] = true
+	mb.liveAt = mb.clock.Now()
 }
--- a/internal/owner/deliver.go
+++ b/internal/owner/deliver.go
@@ -39,23 +39,10 @@
 	}
 }
 
-// deliverLoop tells homes again of ends that they have not settled.
-func (ow *Owner) deliverLoop() {
-	tick := ow.Clock.NewTicker(tellAgain / 2)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ow.ctx.Done():
-			return
-		case <-tick.Chan():
-			ow.tellDue(tellAgain)
-		}
-	}
-}
-
 // redeliver tells all unsettled ends at once, since homes may have moved.
 func (ow *Owner) redeliver() { ow.tellDue(0) }
 
+// tellDue tells homes of the unsettled ends that were last told an age ago.
 func (ow *Owner) tellDue(age time.Duration) {
 	now := ow.Clock.Now()
 	var due []workermsg.Ended
--- a/internal/owner/keeper.go
+++ b/internal/owner/keeper.go
@@ -8,6 +8,7 @@
 	"tackbeam.example/policy/owner"
 	"tackbeam.example/policy/size"
 	"tackbeam.example/tackbeam/internal/fault"
+	"tackbeam.example/tackbeam/internal/loop"
 	"tackbeam.example/tackbeam/internal/store"
 	"tackbeam.example/tackbeam/internal/vmsmsg"
 	"tackbeam.example/tackbeam/internal/worker"
@@ -69,11 +70,7 @@
 		} else if fails++; fails == 1 || fault.Is(err, fault.Conflict) {
 			ow.Log.V(1).Info("Worker cannot be attached.", "worker", kp.vm.Name, "cause", err.Error())
 		}
-		select {
-		case <-kp.ctx.Done():
-			return
-		case <-ow.Clock.After(store.Backoff(fails)):
-		}
+		loop.Pause(kp.ctx, ow.Clock, store.Backoff(fails))
 	}
 }
 
@@ -88,12 +85,7 @@
 		return true
 	}
 	ow.Meter.Count(CounterWaited, 1)
-	select {
-	case <-kp.ctx.Done():
-		return false
-	case <-ow.Clock.After(wait):
-		return true
-	}
+	return loop.Pause(kp.ctx, ow.Clock, wait)
 }
 
 // CounterWaited counts the times that a worker without fencing or inventory was
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -15,6 +15,7 @@
 	"tackbeam.example/policy/owner"
 	"tackbeam.example/tackbeam/internal/clustermap"
 	"tackbeam.example/tackbeam/internal/frames"
+	"tackbeam.example/tackbeam/internal/loop"
 	"tackbeam.example/tackbeam/internal/member"
 	"tackbeam.example/tackbeam/internal/meter"
 	"tackbeam.example/tackbeam/internal/nodemsg"
@@ -134,16 +135,19 @@
 
 // Start begins the loops.
 func (ow *Owner) Start(context.Context) error {
-	for _, act := range []func(){ow.tickLoop, ow.deliverLoop} {
-		ow.wg.Add(1)
-		go func() {
-			defer ow.wg.Done()
-			act()
-		}()
-	}
+	ow.loop(tickEvery, ow.tick)
+	ow.loop(tellAgain/2, func() { ow.tellDue(tellAgain) })
 	return nil
 }
 
+func (ow *Owner) loop(every time.Duration, act func()) {
+	ow.wg.Add(1)
+	go func() {
+		defer ow.wg.Done()
+		loop.Every(ow.ctx, ow.Clock, every, act)
+	}()
+}
+
 // Stop lets go of all workers.
 func (ow *Owner) Stop(context.Context) error {
 	ow.cancel()
@@ -180,19 +184,10 @@
 	return acts
 }
 
-func (ow *Owner) tickLoop() {
-	tick := ow.Clock.NewTicker(tickEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ow.ctx.Done():
-			return
-		case <-tick.Chan():
-			ow.mu.Lock()
-			ow.step(owner.Event{Tick: &owner.Tick{}})
-			ow.mu.Unlock()
-		}
-	}
+func (ow *Owner) tick() {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	ow.step(owner.Event{Tick: &owner.Tick{}})
 }
 
 // Room returns the digest of the ledger and the number of waiting lookups.
--- a/internal/standin/standinstore/standinstore.go
+++ b/internal/standin/standinstore/standinstore.go
@@ -3,7 +3,6 @@
 package standinstore
 
 import (
-	"encoding/json"
 	"net"
 	"sort"
 	"strings"
@@ -15,6 +14,7 @@
 	"golang.org/x/time/rate"
 
 	"tackbeam.example/tackbeam/internal/ids"
+	"tackbeam.example/tackbeam/internal/standin/jsonhttp"
 	"tackbeam.example/tackbeam/internal/storemsg"
 )
 
@@ -177,13 +177,12 @@
 	switch path {
 	case "/standin/faults":
 		var ft Faults
-		if err := json.Unmarshal(ctx.PostBody(), &ft); err != nil {
-			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		if !jsonhttp.Read(ctx, &ft) {
 			return
 		}
 		st.SetFaults(ft)
 	case "/standin/counts":
-		writeJSON(ctx, st.Counts())
+		jsonhttp.Write(ctx, st.Counts())
 	default:
 		ctx.Error("no such path", fasthttp.StatusNotFound)
 	}
@@ -219,8 +218,7 @@
 		return
 	}
 	var req Req
-	if err := json.Unmarshal(ctx.PostBody(), &req); err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+	if !jsonhttp.Read(ctx, &req) {
 		return
 	}
 	st.count(func(ct *Counts) {
@@ -237,7 +235,7 @@
 		ctx.Hijack(func(net.Conn) {})
 		return
 	}
-	writeJSON(ctx, res)
+	jsonhttp.Write(ctx, res)
 	ctx.SetStatusCode(status)
 }
 
@@ -258,16 +256,6 @@
 	return true
 }
 
-func writeJSON(ctx *fasthttp.RequestCtx, value any) {
-	raw, err := json.Marshal(value)
-	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(raw)
-}
-
 func (st *Store) get(req storemsg.GetRequest) (storemsg.ItemsResponse, int) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
--- a/internal/standin/standinvms/standinvms.go
+++ b/internal/standin/standinvms/standinvms.go
@@ -3,7 +3,6 @@
 package standinvms
 
 import (
-	"encoding/json"
 	"net"
 	"sort"
 	"strconv"
@@ -12,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"tackbeam.example/tackbeam/internal/standin/jsonhttp"
 	"tackbeam.example/tackbeam/internal/vmsmsg"
 )
 
@@ -70,8 +70,7 @@
 	switch string(ctx.Method()) {
 	case fasthttp.MethodPut:
 		var vms []vmsmsg.VM
-		if err := json.Unmarshal(ctx.PostBody(), &vms); err != nil {
-			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		if !jsonhttp.Read(ctx, &vms) {
 			return
 		}
 		for _, vm := range vms {
@@ -98,11 +97,5 @@
 		vms = append(vms, vm)
 	}
 	sort.Slice(vms, func(i, j int) bool { return vms[i].Name < vms[j].Name })
-	raw, err := json.Marshal(vms)
-	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(raw)
+	jsonhttp.Write(ctx, vms)
 }
--- a/internal/standin/standinworker/standinworker.go
+++ b/internal/standin/standinworker/standinworker.go
@@ -5,7 +5,6 @@
 package standinworker
 
 import (
-	"encoding/json"
 	"net"
 	"strings"
 	"sync"
@@ -18,6 +17,7 @@
 	"tackbeam.example/policy/size"
 	"tackbeam.example/tackbeam/internal/frames"
 	"tackbeam.example/tackbeam/internal/ids"
+	"tackbeam.example/tackbeam/internal/standin/jsonhttp"
 	"tackbeam.example/tackbeam/internal/workermsg"
 )
 
@@ -100,8 +100,9 @@
 		KeepHijackedConns: true, // otherwise closing one has no effect
 	}
 	go func() { _ = wk.server.Serve(ln) }() // ends with the listener
-	go wk.beatLoop()
-	go wk.leaseLoop()
+	const checks = 20                       // looks at a lease in its length
+	go wk.every(opts.Beat, wk.beat)
+	go wk.every(opts.Lease/checks, wk.checkLease)
 	return wk, nil
 }
 
@@ -178,13 +179,12 @@
 	case workermsg.LookupPath:
 		wk.upgrade(ctx, wk.serveLookups)
 	case "/standin/records":
-		writeJSON(ctx, wk.Records())
+		jsonhttp.Write(ctx, wk.Records())
 	case "/standin/leave":
 		wk.Leave()
 	case "/standin/faults":
 		var ft Faults
-		if err := json.Unmarshal(ctx.PostBody(), &ft); err != nil {
-			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		if !jsonhttp.Read(ctx, &ft) {
 			return
 		}
 		wk.SetFaults(ft)
@@ -193,16 +193,6 @@
 	}
 }
 
-func writeJSON(ctx *fasthttp.RequestCtx, value any) {
-	raw, err := json.Marshal(value)
-	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(raw)
-}
-
 func (wk *Worker) upgrade(ctx *fasthttp.RequestCtx, serve func(*frames.Conn)) {
 	up := websocket.FastHTTPUpgrader{}
 	err := up.Upgrade(ctx, func(ws *websocket.Conn) {
@@ -261,20 +251,21 @@
 	return true
 }
 
-// beatLoop sends a heartbeat to the owner each beat period.
-func (wk *Worker) beatLoop() {
-	tick := time.NewTicker(wk.opts.Beat)
+// every calls act each period until the worker is closed.
+func (wk *Worker) every(period time.Duration, act func()) {
+	tick := time.NewTicker(period)
 	defer tick.Stop()
 	for {
 		select {
 		case <-wk.done:
 			return
 		case <-tick.C:
-			wk.beat()
+			act()
 		}
 	}
 }
 
+// beat sends a heartbeat to the owner.
 func (wk *Worker) beat() {
 	wk.mu.Lock()
 	cn := wk.control
@@ -313,21 +304,7 @@
 	return us
 }
 
-// leaseLoop ends all tasks when the lease has run out.
-func (wk *Worker) leaseLoop() {
-	const checks = 20
-	tick := time.NewTicker(wk.opts.Lease / checks)
-	defer tick.Stop()
-	for {
-		select {
-		case <-wk.done:
-			return
-		case <-tick.C:
-			wk.checkLease()
-		}
-	}
-}
-
+// checkLease ends all tasks when the lease has run out.
 func (wk *Worker) checkLease() {
 	wk.mu.Lock()
 	defer wk.mu.Unlock()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -14,6 +14,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"tackbeam.example/tackbeam/internal/fault"
+	"tackbeam.example/tackbeam/internal/loop"
 	"tackbeam.example/tackbeam/internal/storemsg"
 )
 
@@ -256,12 +257,7 @@
 
 // pause waits before the next try; it reports false when the context ends first.
 func (cl *Client) pause(ctx context.Context, try int) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-cl.clock.After(Backoff(try)):
-		return ctx.Err() == nil
-	}
+	return loop.Pause(ctx, cl.clock, Backoff(try))
 }
 
 // Grant makes a lease of the store, or renews the one of the id. It reports
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -26,9 +26,8 @@
 	"tackbeam.example/tackbeam/internal/storemsg"
 )
 
-// Times of the table's three ways.
+// Times of the table's ways.
 const (
-	watchWait   = 20 * time.Second
 	readAgain   = 5 * time.Minute
 	pushTimeout = 2 * time.Second
 )
@@ -87,8 +86,11 @@
 func (tb *Table) Start(ctx context.Context) error {
 	run, cancel := context.WithCancel(context.Background())
 	tb.cancel = cancel
-	if _, err := tb.readAll(ctx); err != nil {
+	items, revision, err := tb.store.List(ctx, store.Table, Prefix)
+	if err != nil {
 		tb.log.Error(err, "Table cannot be read yet.")
+	} else {
+		tb.applyAll(items, revision)
 	}
 	tb.wg.Add(1)
 	go func() {
@@ -107,47 +109,17 @@
 	return nil
 }
 
-// follow watches the store; after a failure, and now and then, it reads all rows.
+// follow brings the rows of the store into force, until the context ends.
 func (tb *Table) follow(ctx context.Context) {
-	after, synced, fails := uint64(0), false, 0
-	last := tb.clock.Now()
-	for ctx.Err() == nil {
-		var err error
-		if !synced || tb.clock.Since(last) > readAgain {
-			after, err = tb.readAll(ctx)
-			synced = err == nil
-			last = tb.clock.Now()
-		} else {
-			after, synced, err = tb.watch(ctx, after)
-		}
-		if err == nil {
-			fails = 0
-			continue
-		}
-		synced = false
-		fails++
-		select {
-		case <-ctx.Done():
-		case <-tb.clock.After(store.Backoff(fails)):
-		}
-	}
-}
-
-// watch waits for changes; it reports false where the store forgot some.
-func (tb *Table) watch(ctx context.Context, after uint64) (uint64, bool, error) {
-	res, err := tb.store.Watch(ctx, Prefix, after, watchWait)
-	if err != nil || res.Compacted {
-		return after, false, err
-	}
-	tb.applyItems(res.Items)
-	return res.Revision, true, nil
+	tb.store.Follow(ctx, store.Following{
+		Prefix: Prefix, Class: store.Table, Again: readAgain,
+		All: tb.applyAll, Changed: tb.applyItems,
+	})
 }
 
-func (tb *Table) readAll(ctx context.Context) (uint64, error) {
-	items, revision, err := tb.store.List(ctx, store.Table, Prefix)
-	if err != nil {
-		return 0, err
-	}
+// applyAll takes all rows into force. Rows that are not among them are deleted,
+// unless they came after the reading.
+func (tb *Table) applyAll(items []storemsg.Item, revision uint64) {
 	present := map[string]bool{}
 	for _, item := range items {
 		present[item.Key] = true
@@ -158,7 +130,6 @@
 		}
 	}
 	tb.applyItems(items)
-	return revision, nil
 }
 
 func (tb *Table) applyItems(items []storemsg.Item) {
