--- /dev/null
+++ b/internal/journal/seal.go
@@ -0,0 +1,118 @@
+package journal
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"tackbeam.example/tackbeam/internal/ids"
+	"tackbeam.example/tackbeam/internal/nodemsg"
+	"tackbeam.example/tackbeam/internal/store"
+	"tackbeam.example/tackbeam/internal/wire"
+)
+
+// read returns the batches of a journal by slot, and the versions of their keys.
+func read(ctx context.Context, cl *store.Client, name string) (map[int]batch, map[int]uint64, error) {
+	items, _, err := cl.List(ctx, store.Ownership, Prefix+name+"/")
+	if err != nil {
+		return nil, nil, err
+	}
+	batches, versions := map[int]batch{}, map[int]uint64{}
+	for _, item := range items {
+		var slot int
+		if _, err := fmt.Sscanf(strings.TrimPrefix(item.Key, Prefix+name+"/"), "%d", &slot); err != nil {
+			return nil, nil, errors.Wrapf(err, "journal key %s", item.Key)
+		}
+		var bt batch
+		if err := wire.Decode(item.Value, &bt); err != nil {
+			return nil, nil, errors.Wrapf(err, "journal key %s", item.Key)
+		}
+		batches[slot], versions[slot] = bt, item.Version
+	}
+	return batches, versions, nil
+}
+
+// Seal makes sure that nothing more is written to a journal and returns the
+// newest record of each key. Sealing a sealed journal only reads it.
+func Seal(ctx context.Context, cl *store.Client, name string) ([]nodemsg.Record, error) {
+	for {
+		batches, versions, err := read(ctx, cl, name)
+		if err != nil {
+			return nil, err
+		}
+		head := newest(batches)
+		if head.Sealed {
+			return newestRecords(batches), nil
+		}
+		slot := int(head.Seq % slots)
+		seal := batch{Seq: head.Seq + 1, WriteID: ids.Random(8), Sealed: true}
+		// What stands in the slot must outlive the seal.
+		seal.Records, seal.Was = batches[slot].Records, batches[slot].Seq
+		raw, err := wire.Encode(seal)
+		if err != nil {
+			return nil, err
+		}
+		_, ok, err := cl.Put(ctx, store.Ownership, store.Write{
+			Key: key(name, slot), Value: raw, Version: versions[slot],
+		})
+		if err != nil {
+			return nil, err
+		}
+		if ok {
+			batches[slot] = seal
+			return newestRecords(batches), nil
+		}
+	}
+}
+
+func newest(batches map[int]batch) batch {
+	var head batch
+	for _, bt := range batches {
+		if bt.Seq > head.Seq {
+			head = bt
+		}
+	}
+	return head
+}
+
+// newestRecords returns of each key the record that was written last.
+func newestRecords(batches map[int]batch) []nodemsg.Record {
+	ordered := make([]batch, 0, len(batches))
+	for _, bt := range batches {
+		ordered = append(ordered, bt)
+	}
+	sort.Slice(ordered, func(i, j int) bool { return ordered[i].order() < ordered[j].order() })
+	last := map[string]nodemsg.Record{}
+	for _, bt := range ordered {
+		for _, rec := range bt.Records {
+			last[rec.Key] = rec
+		}
+	}
+	records := make([]nodemsg.Record, 0, len(last))
+	for _, rec := range last {
+		if len(rec.Value) > 0 {
+			records = append(records, rec)
+		}
+	}
+	sort.Slice(records, func(i, j int) bool { return records[i].Key < records[j].Key })
+	return records
+}
+
+// Erase deletes a journal that nobody needs any more.
+func Erase(ctx context.Context, cl *store.Client, name string) error {
+	items, _, err := cl.List(ctx, store.Rest, Prefix+name+"/")
+	if err != nil {
+		return err
+	}
+	for _, item := range items {
+		if _, _, err := cl.Put(ctx, store.Rest, store.Write{
+			Key: item.Key, Version: item.Version, Delete: true,
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
