Rest workers that fail everything; compare decisions of a replay by digest

Cause: workers that fail at once are soon free again and draw lookups: 535 of 8,595 lookups failed with 3 of 16 such workers. A replay compared the number of decisions only, so a different worker went unseen.

Change: five failures in a row put a worker to rest, doubled each time up to a minute, for at most a quarter of an owner's workers. Traces carry a digest of the decisions; the whole-path scenario replays the traces of all its nodes.

The case now waits at its end.

--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -189,7 +189,7 @@
 func (hm *Home) step(ev home.Event) {
 	ev.At = hm.now()
 	acts := hm.machine.Step(ev)
-	hm.Recorder.Home(ev, len(acts))
+	hm.Recorder.Home(ev, acts)
 	for _, act := range acts {
 		switch {
 		case act.Try != nil:
--- a/internal/owner/lookup.go
+++ b/internal/owner/lookup.go
@@ -35,6 +35,8 @@
 	err *fault.Error
 	// over is set where the try has surely ended, so that another may follow.
 	over bool
+	// failed is set where the worker is to blame.
+	failed bool
 }
 
 // lookup is one try of a lookup on its way.
@@ -202,7 +204,7 @@
 		ow.Meter.Count(CounterLate, 1)
 	}
 	lk.done <- en
-	ow.step(owner.Event{Done: &owner.Done{ID: lk.name(), Latency: latency}})
+	ow.step(owner.Event{Done: &owner.Done{ID: lk.name(), Latency: latency, Failed: en.failed}})
 }
 
 // onAnswer takes a worker's answer. One that belongs to no lookup on its way is
@@ -223,11 +225,11 @@
 		en.over = true
 		en.err = fault.New(fault.Unavailable, "worker %s refused: %s", kp.vm.Name, an.Refusal)
 	case an.Failed != "":
-		en.over = true
+		en.over, en.failed = true, true
 		en.err = fault.New(fault.Endpoint, "worker %s failed: %s", kp.vm.Name, an.Failed).AfterStart()
 	case len(an.Body) != an.Length:
 		ow.Meter.Count(CounterShort, 1)
-		en.over = true
+		en.over, en.failed = true, true
 		en.err = fault.New(fault.Endpoint, "the answer of worker %s was cut short", kp.vm.Name).AfterStart()
 	}
 	ow.finish(an.ID, en, latency)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -170,7 +170,7 @@
 func (ow *Owner) step(ev owner.Event) []owner.Action {
 	ev.At = ow.now()
 	acts := ow.machine.Step(ev)
-	ow.Recorder.Owner(ev, len(acts))
+	ow.Recorder.Owner(ev, acts)
 	for _, act := range acts {
 		switch {
 		case act.Send != nil:
--- a/internal/owner/task.go
+++ b/internal/owner/task.go
@@ -296,7 +296,9 @@
 		return
 	}
 	tk.ended = &en
-	ow.step(owner.Event{Ended: &owner.Ended{Task: en.Task}})
+	ow.step(owner.Event{Ended: &owner.Ended{
+		Task: en.Task, Failed: en.State == workermsg.Failed, Succeeded: en.State == workermsg.OK,
+	}})
 	tk.told = ow.Clock.Now()
 	go ow.tell(en)
 }
--- a/internal/owner/view.go
+++ b/internal/owner/view.go
@@ -14,6 +14,8 @@
 	StateReady   = "ready"
 	StateLeaving = "leaving"
 	StateLost    = "unreachable"
+	// StateResting workers have failed everything of late, and rest for a while.
+	StateResting = "resting"
 )
 
 // Workers returns the workers of this owner, by name.
@@ -38,8 +40,12 @@
 		}
 		vw.Capacity, vw.Used = ac.Capacity, ac.Used
 		vw.Slots, vw.InUse = ac.Slots, ac.SlotsUsed
-		if ac.Leaving && vw.State == StateReady {
+		switch {
+		case vw.State != StateReady:
+		case ac.Leaving:
 			vw.State = StateLeaving
+		case ac.Resting:
+			vw.State = StateResting
 		}
 	}
 	for _, tk := range ow.tasks {
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -8,8 +8,10 @@
 	"encoding/json"
 	"io"
 	"os"
+	"strconv"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"tackbeam.example/policy/home"
@@ -20,12 +22,26 @@
 const Version = 1
 
 // Line is one line of a trace: the header, an input of an owner, or an input of
-// a home. Acts is the number of decisions that the input led to.
+// a home. Acts is the number of decisions that the input led to, and Sum a digest
+// of them.
 type Line struct {
 	Trace *Header      `json:"trace,omitempty"`
 	Owner *owner.Event `json:"owner,omitempty"`
 	Home  *home.Event  `json:"home,omitempty"`
 	Acts  int          `json:"acts,omitempty"`
+	Sum   string       `json:"sum,omitempty"`
+}
+
+// Digest returns the number and a digest of some decisions.
+func Digest[T any](acts []T) (int, string) {
+	if len(acts) == 0 {
+		return 0, ""
+	}
+	raw, err := json.Marshal(acts)
+	if err != nil {
+		return len(acts), err.Error()
+	}
+	return len(acts), strconv.FormatUint(xxhash.Sum64(raw), 16)
 }
 
 // Header is the first line of a trace.
@@ -62,16 +78,18 @@
 }
 
 // Owner records an input of the owner's machine.
-func (rc *Recorder) Owner(ev owner.Event, acts int) {
+func (rc *Recorder) Owner(ev owner.Event, acts []owner.Action) {
 	if rc.enc != nil {
-		rc.write(Line{Owner: &ev, Acts: acts})
+		count, sum := Digest(acts)
+		rc.write(Line{Owner: &ev, Acts: count, Sum: sum})
 	}
 }
 
 // Home records an input of the home's machine.
-func (rc *Recorder) Home(ev home.Event, acts int) {
+func (rc *Recorder) Home(ev home.Event, acts []home.Action) {
 	if rc.enc != nil {
-		rc.write(Line{Home: &ev, Acts: acts})
+		count, sum := Digest(acts)
+		rc.write(Line{Home: &ev, Acts: count, Sum: sum})
 	}
 }
 
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -74,19 +74,22 @@
 // line feeds one input to its machine.
 func (rp *Report) line(ln recorder.Line, ow *owner.Machine, hm *home.Machine) {
 	var acts int
+	var sum string
 	var at time.Duration
 	switch {
 	case ln.Owner != nil:
-		acts, at = len(ow.Step(*ln.Owner)), ln.Owner.At
+		acts, sum = recorder.Digest(ow.Step(*ln.Owner))
+		at = ln.Owner.At
 	case ln.Home != nil:
-		acts, at = len(hm.Step(*ln.Home)), ln.Home.At
+		acts, sum = recorder.Digest(hm.Step(*ln.Home))
+		at = ln.Home.At
 	default:
 		return
 	}
 	rp.Inputs++
 	rp.Decisions += acts
 	rp.Span = max(rp.Span, at)
-	if acts == ln.Acts {
+	if acts == ln.Acts && sum == ln.Sum {
 		return
 	}
 	rp.Differences++
--- a/policy/ledger/ledger.go
+++ b/policy/ledger/ledger.go
@@ -27,6 +27,7 @@
 	used      size.Size
 	slotsUsed int
 	leaving   bool
+	resting   bool
 	latency   time.Duration
 	// Where the index has the worker.
 	bucket, at int
@@ -48,6 +49,7 @@
 	next        int
 	load        Load
 	index       index
+	resting     int
 }
 
 // Load is what a lookup's way is chosen by, kept up with each change.
@@ -69,8 +71,11 @@
 	lg.count(en)
 }
 
+// closed reports whether the worker takes nothing new.
+func (en *entry) closed() bool { return en.leaving || en.resting }
+
 func (lg *Ledger) count(en *entry) {
-	if en.leaving {
+	if en.closed() {
 		return
 	}
 	lg.load.Workers++
@@ -79,7 +84,7 @@
 }
 
 func (lg *Ledger) uncount(en *entry) {
-	if en.leaving {
+	if en.closed() {
 		return
 	}
 	lg.load.Workers--
@@ -115,6 +120,25 @@
 	}
 }
 
+// Rest keeps new commitments off a worker for a while, or ends that. It reports
+// whether that changed anything.
+func (lg *Ledger) Rest(name string, rest bool) bool {
+	en, ok := lg.workers[name]
+	if !ok || en.resting == rest {
+		return false
+	}
+	lg.change(en, func() { en.resting = rest })
+	if rest {
+		lg.resting++
+	} else {
+		lg.resting--
+	}
+	return true
+}
+
+// Resting returns the number of workers at rest.
+func (lg *Ledger) Resting() int { return lg.resting }
+
 // Remove forgets a worker and all commitments on it and returns their ids, sorted.
 func (lg *Ledger) Remove(name string) []string {
 	en, ok := lg.workers[name]
@@ -122,6 +146,9 @@
 		return nil
 	}
 	lg.uncount(en)
+	if en.resting {
+		lg.resting--
+	}
 	delete(lg.workers, name)
 	if at, ok := slices.BinarySearch(lg.order, name); ok {
 		lg.order = slices.Delete(lg.order, at, at+1)
@@ -189,7 +216,7 @@
 }
 
 func (en *entry) takes(sz size.Size, slots int) bool {
-	return !en.leaving && en.slotsUsed+slots <= en.Slots && sz.Fits(en.free())
+	return !en.closed() && en.slotsUsed+slots <= en.Slots && sz.Fits(en.free())
 }
 
 func (en *entry) free() size.Size { return en.Capacity.Sub(en.used) }
@@ -216,7 +243,7 @@
 	best, most := "", -1.0
 	for _, name := range lg.order {
 		en := lg.workers[name]
-		if en.leaving || !sz.Fits(en.Capacity) || !may(name) {
+		if en.closed() || !sz.Fits(en.Capacity) || !may(name) {
 			continue
 		}
 		if free := en.free().Share(en.Capacity); free > most {
@@ -237,7 +264,7 @@
 // Free returns the free room of a worker that takes new work.
 func (lg *Ledger) Free(name string) (size.Size, bool) {
 	en, ok := lg.workers[name]
-	if !ok || en.leaving {
+	if !ok || en.closed() {
 		return size.Size{}, false
 	}
 	return en.free(), true
@@ -309,6 +336,7 @@
 	Used      size.Size     `json:"used"`
 	SlotsUsed int           `json:"slots_used"`
 	Leaving   bool          `json:"leaving"`
+	Resting   bool          `json:"resting"`
 	Latency   time.Duration `json:"latency"`
 }
 
@@ -319,7 +347,7 @@
 		en := lg.workers[name]
 		acs = append(acs, Account{
 			Worker: en.Worker, Used: en.used, SlotsUsed: en.slotsUsed,
-			Leaving: en.leaving, Latency: en.latency,
+			Leaving: en.leaving, Resting: en.resting, Latency: en.latency,
 		})
 	}
 	return acs
@@ -341,7 +369,7 @@
 	var rm Room
 	for _, en := range lg.workers {
 		rm.Biggest = rm.Biggest.Max(en.Capacity)
-		if en.leaving {
+		if en.closed() {
 			continue
 		}
 		free := en.free()
--- a/policy/ledger/ledger_test.go
+++ b/policy/ledger/ledger_test.go
@@ -21,7 +21,9 @@
 	var held []string
 	for step := range 20000 {
 		name := worker(rnd.IntN(6)).Name
-		switch rnd.IntN(8) {
+		switch rnd.IntN(9) {
+		case 8:
+			lg.Rest(name, rnd.IntN(2) == 0)
 		case 0:
 			lg.Put(worker(rnd.IntN(6)))
 		case 1:
@@ -50,7 +52,7 @@
 		if !ac.Used.Fits(ac.Capacity) || ac.SlotsUsed > ac.Slots || !ac.Used.Valid() || ac.SlotsUsed < 0 {
 			t.Fatalf("worker %s: used %v of %v, %d of %d slots", ac.Name, ac.Used, ac.Capacity, ac.SlotsUsed, ac.Slots)
 		}
-		if !ac.Leaving {
+		if !ac.Leaving && !ac.Resting {
 			want.Workers++
 			want.FreeSlots += ac.Slots - ac.SlotsUsed
 		}
@@ -58,7 +60,7 @@
 	fits := false
 	probe := size.New(16000, 16<<10, 0)
 	for _, ac := range lg.Accounts() {
-		fits = fits || !ac.Leaving && probe.Fits(ac.Capacity.Sub(ac.Used))
+		fits = fits || !ac.Leaving && !ac.Resting && probe.Fits(ac.Capacity.Sub(ac.Used))
 	}
 	if _, ok := lg.BestFit(probe, nil); ok != fits {
 		t.Fatalf("the index finds a place: %v, a scan: %v", ok, fits)
--- a/policy/owner/event.go
+++ b/policy/owner/event.go
@@ -61,6 +61,8 @@
 type Done struct {
 	ID      string        `json:"id"`
 	Latency time.Duration `json:"latency"`
+	// Failed says that the worker failed the lookup.
+	Failed bool `json:"failed,omitempty"`
 }
 
 // Hold asks for room for tasks of one size until Expires. A hold of the same id
@@ -102,6 +104,9 @@
 // Ended gives the room of one task back.
 type Ended struct {
 	Task string `json:"task"`
+	// Failed and Succeeded say how the task ended, where that is known.
+	Failed    bool `json:"failed,omitempty"`
+	Succeeded bool `json:"succeeded,omitempty"`
 }
 
 // Tick lets time pass: holds and waiting lookups expire.
--- /dev/null
+++ b/policy/owner/health_test.go
@@ -0,0 +1,51 @@
+package owner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"tackbeam.example/policy/owner"
+)
+
+// lookups sends n lookups, one after the other, at a moment; those that reach a
+// bad worker fail. It returns how many failed.
+func lookups(mc *owner.Machine, at time.Duration, n int, bad func(worker string) bool) int {
+	failed := 0
+	for i := range n {
+		id := fmt.Sprint("lookup-", i)
+		for _, act := range mc.Step(owner.Event{At: at, Arrive: &owner.Arrive{ID: id, Weight: 1, Deadline: at + time.Second}}) {
+			if act.Send == nil {
+				continue
+			}
+			is := bad(act.Send.Worker)
+			if is {
+				failed++
+			}
+			mc.Step(owner.Event{At: at, Done: &owner.Done{ID: id, Latency: time.Millisecond, Failed: is}})
+		}
+	}
+	return failed
+}
+
+// TestRest puts a worker to rest that fails everything, tries it again later,
+// and never rests more than a quarter of the workers.
+func TestRest(t *testing.T) {
+	one := func(worker string) bool { return worker == "w3" }
+	mc := cell(8)
+	if got := lookups(mc, 0, 1000, one); got != 5 {
+		t.Errorf("%d lookups failed before the worker rested, want 5", got)
+	}
+	mc.Step(owner.Event{At: 6 * time.Second, Tick: &owner.Tick{}})
+	if got := lookups(mc, 6*time.Second, 1000, one); got != 1 {
+		t.Errorf("%d lookups failed after the rest, want 1", got)
+	}
+	mc.Step(owner.Event{At: 17 * time.Second, Tick: &owner.Tick{}})
+	if got := lookups(mc, 17*time.Second, 1000, func(string) bool { return false }); got != 0 || mc.Ledger().Resting() != 0 {
+		t.Errorf("the worker is mended, but %d workers rest", mc.Ledger().Resting())
+	}
+	lookups(mc, 18*time.Second, 1000, func(string) bool { return true })
+	if got := mc.Ledger().Resting(); got != 2 {
+		t.Errorf("%d of 8 workers rest when all fail, want 2", got)
+	}
+}
--- a/policy/owner/owner.go
+++ b/policy/owner/owner.go
@@ -36,6 +36,7 @@
 	starting map[string]bool
 	// running are the committed tasks and what may be done to them.
 	running map[string]*running
+	health  map[string]*health
 	started int
 	service time.Duration
 	active  int
@@ -57,6 +58,7 @@
 		holds:    map[string]*hold{},
 		starting: map[string]bool{},
 		running:  map[string]*running{},
+		health:   map[string]*health{},
 		sizes:    map[string]size.Size{},
 	}
 }
@@ -89,7 +91,10 @@
 	case ev.Ended != nil:
 		delete(mc.starting, ev.Ended.Task)
 		delete(mc.running, ev.Ended.Task)
-		mc.ledger.Release(ev.Ended.Task)
+		worker, ok := mc.ledger.Release(ev.Ended.Task)
+		if ok && (ev.Ended.Failed || ev.Ended.Succeeded) {
+			mc.result(ev.At, worker, ev.Ended.Failed)
+		}
 		return mc.drain(ev.At, nil)
 	case ev.Tick != nil:
 		return mc.tick(ev.At)
@@ -123,6 +128,7 @@
 		return mc.refuseAll()
 	}
 	mc.forget(mc.ledger.Remove(gone.Worker))
+	delete(mc.health, gone.Worker)
 	return mc.drain(now, mc.refuseAll())
 }
 
@@ -279,6 +285,7 @@
 	if worker, ok := mc.ledger.Release(dn.ID); ok && dn.Latency > 0 {
 		mc.ledger.Observe(worker, dn.Latency)
 		mc.observe(dn.Latency)
+		mc.result(now, worker, dn.Failed)
 	}
 	return mc.drain(now, nil)
 }
@@ -312,6 +319,7 @@
 		delete(mc.holds, id)
 		acts = append(acts, Action{Expired: &Expired{ID: id}})
 	}
+	mc.wake(now)
 	acts = mc.overdue(now, acts)
 	return mc.drain(now, acts)
 }
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -74,6 +74,7 @@
 	relays    map[string]*relay
 	race      *race
 	wave      *wave
+	restarted *process
 	clients   clients
 	ordinary  bool
 }
@@ -221,6 +222,14 @@
 
 // startNode starts one node and waits until it is up.
 func (cl *cluster) startNode(name string) *process {
+	cl.t.Helper()
+	pr := cl.launchNode(name)
+	cl.awaitNode(pr)
+	return pr
+}
+
+// launchNode starts one node.
+func (cl *cluster) launchNode(name string) *process {
 	cl.t.Helper()
 	settings := map[string]any{
 		"node": name, "hall": "hall-" + fmt.Sprint(len(cl.nodes)%3+1), "region": "cz",
@@ -235,6 +244,7 @@
 		"member": map[string]any{"beat": "300ms", "suspect": "1500ms"},
 		"limits": map[string]any{"unready": "300ms"},
 		"log":    map[string]any{"verbosity": 1},
+		"record": map[string]any{"path": filepath.Join(cl.dir, name+".trace")},
 	}
 	if cl.relays != nil {
 		cl.relays[name] = newRelay(cl.t)
@@ -244,6 +254,7 @@
 		for _, section := range []string{"owner", "member", "limits", "log"} {
 			delete(settings, section)
 		}
+		delete(settings, "record")
 		settings["store"] = map[string]any{"addresses": []string{cl.storeAddr}}
 		settings["vms"] = map[string]any{"address": cl.vmsAddr}
 	}
@@ -255,14 +266,18 @@
 	if err := os.WriteFile(path, raw, 0o600); err != nil {
 		cl.t.Fatal(err)
 	}
-	pr := cl.start(name, "tackbeamd", "--config", path)
+	return cl.start(name, "tackbeamd", "--config", path)
+}
+
+// awaitNode waits until a node is up, and takes it into the cluster.
+func (cl *cluster) awaitNode(pr *process) {
+	cl.t.Helper()
 	words := strings.Fields(cl.line(pr))
 	pr.addr, pr.peer = strings.TrimSuffix(words[4], ","), words[8]
 	if cl.relays != nil {
-		cl.relays[name].serve(cl.t, pr.peer)
+		cl.relays[pr.name].serve(cl.t, pr.peer)
 	}
-	cl.nodes[name] = pr
-	return pr
+	cl.nodes[pr.name] = pr
 }
 
 // cutOff cuts all links between one node and the others.
--- a/test/matrix_test.go
+++ b/test/matrix_test.go
@@ -53,10 +53,13 @@
 	"store hangs":  {store(standinstore.Faults{Hang: true}), store(standinstore.Faults{})},
 	"answers lost": {store(standinstore.Faults{LoseEvery: 2}), store(standinstore.Faults{})},
 	"store slow":   {store(standinstore.Faults{Slow: 300 * time.Millisecond}), store(standinstore.Faults{})},
-	"node restarted": {func(cl *cluster) {
-		cl.nodes["n3"].kill()
-		cl.startNode("n3") // the same name, a new process
-	}, nothing},
+	"node restarted": {
+		func(cl *cluster) {
+			cl.nodes["n3"].kill()
+			cl.restarted = cl.launchNode("n3") // the same name, a new process
+		},
+		func(cl *cluster) { cl.awaitNode(cl.restarted) }, // it waits for the store, too
+	},
 	"cancel wave": {func(cl *cluster) { cl.wave = startWave(cl) }, nothing},
 	"operators race": {
 		func(cl *cluster) { cl.startRace() },
--- a/test/whole_test.go
+++ b/test/whole_test.go
@@ -1,6 +1,9 @@
 package test
 
 import (
+	"os/exec"
+	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -17,8 +20,17 @@
 	ld := startLoad(cl, 12, 3, func() *client.Client { return cl.api() })
 	time.Sleep(3 * time.Second)
 	ld.end().none(t)
+	calls := cl.counts()
 	is.Equal(len(ld.errors), 0)      // nothing failed
 	is.True(ld.lookups.Load() > 100) // the load was real
 	is.True(ld.jobs.Load() > 20)
-	t.Logf("%d lookups, %d jobs, store %+v", ld.lookups.Load(), ld.jobs.Load(), cl.counts())
+	for name, pr := range cl.nodes {
+		pr.signal(syscall.SIGTERM)
+		<-pr.done
+		trace := filepath.Join(cl.dir, name+".trace")
+		out, err := exec.Command(filepath.Join(binaries, "tackbeam"), "replay", trace).CombinedOutput()
+		t.Logf("%s", out)
+		is.NoErr(err) // every decision comes out as it did
+	}
+	t.Logf("%d lookups, %d jobs, store %+v", ld.lookups.Load(), ld.jobs.Load(), calls)
 }
