--- a/GNUmakefile
+++ b/GNUmakefile
@@ -12,7 +12,7 @@
 	$(GO) build -o bin/ ./cmd/...
 
 test: build
-	$(GO) test ./... ./policy/...
+	$(GO) test -parallel 4 ./... ./policy/...
 
 fmt:
 	gofmt -w $(SOURCES)
@@ -36,7 +36,8 @@
 	$(GO) test -run '^$$' -bench . -benchmem ./internal/... ./policy/...
 
 capacity:
-	TACKBEAM_CAPACITY=1 $(GO) test ./test -run 'TestCapacity|TestStarts|TestTimes' -v -count=1 -timeout 20m
+	TACKBEAM_CAPACITY=1 $(GO) test ./test -run 'TestCapacity$$|TestStarts|TestTimes' -v -count=1 -timeout 20m
+	TACKBEAM_CAPACITY=1 $(GO) test ./test -run TestCapacityPage -count=1
 
 faults:
 	TACKBEAM_PAIRS=1 $(GO) test ./test -run 'TestFaults|TestChecker' -count=1 -parallel 4 -timeout 30m
--- a/internal/home/settle.go
+++ b/internal/home/settle.go
@@ -64,8 +64,10 @@
 
 // ended makes a kept end known. The caller holds the lock.
 func (hm *Home) ended(en *entry, rec job.Record) {
+	if hm.jobs[rec.ID] == en {
+		hm.open--
+	}
 	en.rec = rec
-	hm.open--
 	if !en.frozen {
 		hm.step(home.Event{Remove: &home.Remove{Job: rec.ID}})
 	}
--- a/internal/home/submit.go
+++ b/internal/home/submit.go
@@ -45,15 +45,13 @@
 	return hm.complete
 }
 
+// unaccepted is the answer to a submission that the journal has not confirmed.
 func (hm *Home) unaccepted(err error) error {
-	er := fault.From(err)
-	if er.Begun {
-		er.Message = "the store has not confirmed the job in time, it may be accepted; ask again with the same idempotency key"
-	} else {
-		er.Message = "the store does not take the job; not run"
-	}
-	er.RetryAfter = time.Second
-	return er
+	if fault.From(err).Begun {
+		return fault.New(fault.Unavailable, "the store has not confirmed the job in time, "+
+			"it may be accepted; ask again with the same idempotency key").After(time.Second).AfterStart()
+	}
+	return fault.New(fault.Unavailable, "the store does not take the job; not run").After(time.Second)
 }
 
 func (hm *Home) journalOf() *journal.Journal {
--- /dev/null
+++ b/test/page_test.go
@@ -0,0 +1,149 @@
+package test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+const capacityPage = "../docs/CAPACITY.md"
+
+// TestCapacityPage compares the tables of docs/CAPACITY.md with the measured
+// data. Under TACKBEAM_CAPACITY it writes them.
+func TestCapacityPage(t *testing.T) {
+	raw, err := os.ReadFile(capacityPage)
+	if err != nil {
+		t.Fatal(err)
+	}
+	page := string(raw)
+	for name, text := range capacityTables(t) {
+		page = replaceBlock(t, page, name, text)
+	}
+	if os.Getenv("TACKBEAM_CAPACITY") != "" {
+		if err := os.WriteFile(capacityPage, []byte(page), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	if page != string(raw) {
+		t.Error("docs/CAPACITY.md differs from docs/capacity; run make capacity")
+	}
+}
+
+// replaceBlock puts text between the marks of a block of the page.
+func replaceBlock(t *testing.T, page, name, text string) string {
+	t.Helper()
+	begin, end := "<!-- "+name+" -->\n", "<!-- end of "+name+" -->"
+	from, to := strings.Index(page, begin), strings.Index(page, end)
+	if from < 0 || to < from {
+		t.Fatalf("docs/CAPACITY.md has no block %s", name)
+	}
+	return page[:from+len(begin)] + text + page[to:]
+}
+
+func capacityTables(t *testing.T) map[string]string {
+	var samples []sample
+	var rates []startSample
+	readData(t, "samples.json", &samples)
+	readData(t, "starts.json", &rates)
+	return map[string]string{
+		"rest": restTable(samples), "lookups": lookupTable(samples), "starts": startTable(rates),
+		"slopes": slopeTable(samples),
+	}
+}
+
+func readData(t *testing.T, name string, into any) {
+	t.Helper()
+	raw, err := os.ReadFile(filepath.Join("..", "docs", "capacity", name))
+	if err == nil {
+		err = json.Unmarshal(raw, into)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// markdown begins a table.
+func markdown(head string, columns int) *strings.Builder {
+	var out strings.Builder
+	fmt.Fprintf(&out, "| %s |\n|%s\n", head, strings.Repeat(" --- |", columns))
+	return &out
+}
+
+func restTable(list []sample) string {
+	out := markdown("nodes | workers | CPU, % of a core | resident MiB | to nodes B/s | to workers B/s | from workers B/s | store reads/s, all | store writes/s, all", 9)
+	for _, sm := range list {
+		fmt.Fprintf(out, "| %d | %d | %.2f | %.1f | %.0f | %.0f | %.0f | %.2f | %.1f |\n", sm.Nodes, sm.Workers,
+			sm.CPU, sm.Memory, sm.PeerSent, sm.WorkerSent, sm.WorkerRead, sm.Reads, sm.Writes)
+	}
+	return out.String()
+}
+
+func lookupTable(list []sample) string {
+	out := markdown("nodes | workers | direct p50, p99 ms | through tackbeam p50, p99 ms | added p50, p99 ms | CPU of all nodes a lookup, us", 6)
+	for _, sm := range list {
+		fmt.Fprintf(out, "| %d | %d | %.2f, %.2f | %.2f, %.2f | %.2f, %.2f | %.0f |\n", sm.Nodes, sm.Workers,
+			sm.DirectP50, sm.DirectP99, sm.ThroughP50, sm.ThroughP99,
+			sm.ThroughP50-sm.DirectP50, sm.ThroughP99-sm.DirectP99, sm.LookupCPU)
+	}
+	return out.String()
+}
+
+func startTable(list []startSample) string {
+	out := markdown("jobs/s | jobs | failed | accepted p50, p99 ms | placed p50, p99 ms | store writes/s | refused by the store | CPU a node, % of a core | MiB a node | to nodes B/s a node", 10)
+	for _, sm := range list {
+		fmt.Fprintf(out, "| %d | %d | %d | %.0f, %.0f | %.0f, %.0f | %.0f | %d | %.1f | %.1f | %.0f |\n", sm.Rate, sm.Jobs,
+			sm.Failed, sm.AcceptP50, sm.AcceptP99, sm.WaitP50, sm.WaitP99, sm.Writes, sm.Refused, sm.CPU, sm.Memory, sm.PeerSent)
+	}
+	return out.String()
+}
+
+// quantity is one quantity of a sample.
+type quantity struct {
+	name string
+	of   func(sample) float64
+}
+
+// slopeTable fits each quantity against the workers a node owns, over the samples
+// of seven nodes, and against the number of nodes, over those of fifty workers.
+func slopeTable(list []sample) string {
+	quantities := []quantity{
+		{"CPU, % of a core", func(sm sample) float64 { return sm.CPU }},
+		{"resident MiB", func(sm sample) float64 { return sm.Memory }},
+		{"to nodes B/s", func(sm sample) float64 { return sm.PeerSent }},
+		{"to workers B/s", func(sm sample) float64 { return sm.WorkerSent }},
+		{"from workers B/s", func(sm sample) float64 { return sm.WorkerRead }},
+		{"store writes/s, all", func(sm sample) float64 { return sm.Writes }},
+	}
+	out := markdown("quantity | for each owned worker | at none | largest residual | for each node | at none | largest residual", 7)
+	for _, qu := range quantities {
+		owned := fit(list, qu.of, func(sm sample) (float64, bool) {
+			return float64(sm.Workers) / float64(sm.Nodes), sm.Nodes == 7
+		})
+		nodes := fit(list, qu.of, func(sm sample) (float64, bool) { return float64(sm.Nodes), sm.Workers == 50 })
+		fmt.Fprintf(out, "| %s | %s | %s |\n", qu.name, owned, nodes)
+	}
+	return out.String()
+}
+
+// fit returns slope, intercept and largest residual of a quantity.
+func fit(list []sample, of func(sample) float64, at func(sample) (float64, bool)) string {
+	var xs, ys []float64
+	for _, sm := range list {
+		if x, ok := at(sm); ok {
+			xs, ys = append(xs, x), append(ys, of(sm))
+		}
+	}
+	intercept, slope := stat.LinearRegression(xs, ys, nil, false)
+	worst := 0.0
+	for i := range xs {
+		worst = math.Max(worst, math.Abs(ys[i]-intercept-slope*xs[i]))
+	}
+	return fmt.Sprintf("%.3g | %.3g | %.2g", slope, intercept, worst)
+}
