Scenario: two nodes cut off from the other two

Cause: regions lose each other for minutes; only one node cut off had a case.

Change: TestSplitInTwo, four nodes, 6 s apart while all reach the store.

A split in which one side also loses the store is not tried.

--- a/test/faults_test.go
+++ b/test/faults_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"tackbeam.example/tackbeam/internal/api"
 	"tackbeam.example/tackbeam/internal/client"
 	"tackbeam.example/tackbeam/internal/standin/standinstore"
 )
@@ -115,3 +116,23 @@
 	ld.wg.Wait()
 	ld.log(t)
 }
+
+// TestSplitInTwo cuts two nodes off from the other two while all reach the store
+// and the workers. Nobody takes anybody out; each side serves lookups with its own
+// workers; what needs the other side waits or is refused, and is not doubled.
+func TestSplitInTwo(t *testing.T) {
+	is := is.New(t)
+	cl := newCluster(t, options{nodes: []string{"n1", "n2", "n3", "n4"}, workers: 32, relays: true})
+	cl.ordinaryTable()
+	ld := startLoad(cl, 12, 3, func() *client.Client { return cl.api() })
+	time.Sleep(time.Second)
+	cl.split([]string{"n1", "n2"}, []string{"n3", "n4"})
+	time.Sleep(6 * time.Second)
+	list, err := client.JSON[api.Nodes](cl.api("n1"), client.Request{Method: "GET", Path: api.PathNodes})
+	is.NoErr(err)
+	is.Equal(len(list.Nodes)+len(list.Unreached), 4) // all are members still
+	cl.mend()
+	cl.waitWorkers(32)
+	ld.end().none(t)
+	ld.log(t)
+}
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -288,6 +288,21 @@
 	}
 }
 
+// split cuts all links between two groups of nodes.
+func (cl *cluster) split(one, other []string) {
+	cut := func(names, from []string) {
+		peers := map[string]bool{}
+		for _, name := range from {
+			peers[cl.nodes[name].peer] = true
+		}
+		for _, name := range names {
+			cl.relays[name].setCut(func(addr string) bool { return peers[addr] })
+		}
+	}
+	cut(one, other)
+	cut(other, one)
+}
+
 // mend lets all links work again.
 func (cl *cluster) mend() {
 	for _, re := range cl.relays {
