--- a/internal/standin/standinworker/control.go
+++ b/internal/standin/standinworker/control.go
@@ -43,10 +43,12 @@
 	case msg.Fence != nil:
 		wk.reply(cn, msg.Fence.Seq, wk.onTask(cn, msg.Fence, wk.fence))
 	case msg.Checkpoint != nil:
-		wk.reply(cn, msg.Checkpoint.Seq, wk.onTask(cn, msg.Checkpoint, wk.known))
+		wk.reply(cn, msg.Checkpoint.Seq, wk.onTask(cn, msg.Checkpoint, wk.checkpoint))
 	case msg.Throttle != nil:
 		order := &workermsg.TaskOrder{Epoch: msg.Throttle.Epoch, Task: msg.Throttle.Task}
-		wk.reply(cn, msg.Throttle.Seq, wk.onTask(cn, order, wk.known))
+		wk.reply(cn, msg.Throttle.Seq, wk.onTask(cn, order, func(_ string, tk *task) workermsg.Reply {
+			return wk.throttle(tk, msg.Throttle.Percent)
+		}))
 	}
 }
 
@@ -199,6 +201,8 @@
 	if wk.faults.FailAll {
 		run = time.Millisecond
 	}
+	tk.began, tk.percent = time.Now(), wholePercent
+	tk.ends = tk.began.Add(run)
 	tk.timer = time.AfterFunc(run, func() {
 		wk.mu.Lock()
 		defer wk.mu.Unlock()
@@ -277,9 +281,31 @@
 	return workermsg.Reply{State: tk.state, Begun: tk.begun}
 }
 
-func (wk *Worker) known(_ string, tk *task) workermsg.Reply {
+// checkpoint saves the work that a running task has done.
+func (wk *Worker) checkpoint(_ string, tk *task) workermsg.Reply {
 	if tk == nil {
 		return workermsg.Reply{Refusal: workermsg.NoSuchTask, State: workermsg.Never}
 	}
+	if tk.state == workermsg.Running {
+		tk.saved = time.Since(tk.began)
+	}
+	return workermsg.Reply{State: tk.state, Begun: tk.begun, Saved: tk.saved}
+}
+
+// wholePercent is the part of its processors that a task has unless throttled.
+const wholePercent = 100
+
+// throttle makes what is left of a running task take longer, or as long as before.
+func (wk *Worker) throttle(tk *task, percent int) workermsg.Reply {
+	if tk == nil {
+		return workermsg.Reply{Refusal: workermsg.NoSuchTask, State: workermsg.Never}
+	}
+	percent = max(1, min(percent, wholePercent))
+	if tk.state == workermsg.Running && tk.timer.Stop() {
+		left := time.Until(tk.ends) * time.Duration(tk.percent) / time.Duration(percent)
+		tk.percent = percent
+		tk.ends = time.Now().Add(left)
+		tk.timer.Reset(left)
+	}
 	return workermsg.Reply{State: tk.state, Begun: tk.begun}
 }
--- a/internal/standin/standinworker/standinworker.go
+++ b/internal/standin/standinworker/standinworker.go
@@ -57,6 +57,12 @@
 	size    size.Size
 	payload payload
 	timer   *time.Timer
+	// ends is when the task will end, and percent the part of its processors that
+	// it has; saved is the work done at its last checkpoint.
+	began   time.Time
+	ends    time.Time
+	percent int
+	saved   time.Duration
 	// priority and repeatable are given back in the inventory.
 	priority   int
 	repeatable bool
--- a/internal/workermsg/workermsg.go
+++ b/internal/workermsg/workermsg.go
@@ -219,6 +219,8 @@
 	Refusal Refusal `cbor:"2,keyasint,omitempty"`
 	State   State   `cbor:"3,keyasint,omitempty"`
 	Begun   bool    `cbor:"4,keyasint,omitempty"`
+	// Saved is the work done at the task's last checkpoint.
+	Saved time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // Ended reports the end of a task, or of a lookup that a former owner sent.
