Ask for running tasks that fall silent; know a machine by its incarnation

Cause: a task known to run on a worker that died was waited for for ever: nobody reports its end and the home asked only for unknown ones. Found by reading on the way: a new machine under the same name says of the former one's tasks that they never began, which is not true of it.

Change: after 15 s without a word the home asks for its running tasks; an owner answers for a lost worker once its lease has surely run out. A place names the worker's incarnation, and another machine is not asked about it. A task that ran is never unbegun, whatever a worker remembers.

The stand-in worker reports nothing any more when it crashes.

--- a/internal/home/see.go
+++ b/internal/home/see.go
@@ -16,6 +16,8 @@
 	maxFailures = 3
 	firstAsk    = 50 * time.Millisecond
 	maxAsk      = 2 * time.Second
+	// askAgain is how long a running task may be silent before it is asked for.
+	askAgain = 15 * time.Second
 )
 
 // see starts the goroutine that sees a placed job through to its end. Fresh
@@ -52,38 +54,52 @@
 			hm.learn(en, number, hm.order(nodemsg.VerbStop, places))
 		case attempt.Wait:
 			pause = firstAsk
-			if !hm.wait(en, 0) {
+			kicked, more := hm.wait(en, askAgain)
+			if !more {
 				return
 			}
+			if !kicked { // a worker that has died reports nothing
+				hm.askRunning(en)
+			}
 			continue
 		default:
 			return
 		}
 		hm.release(en)
-		if !hm.wait(en, pause) {
+		if _, more := hm.wait(en, pause); !more {
 			return
 		}
 		pause = min(2*pause, maxAsk)
 	}
 }
 
-// wait waits for a change of the job, or for a pause where one is given.
-func (hm *Home) wait(en *entry, pause time.Duration) bool {
-	if pause == 0 {
-		select {
-		case <-en.kick:
-			return true
-		case <-hm.ctx.Done():
-			return false
-		}
-	}
+// wait waits for a change of the job, at most for a pause. It reports whether the
+// job changed, and false for more where the home has stopped.
+func (hm *Home) wait(en *entry, pause time.Duration) (kicked, more bool) {
+	timer := hm.Clock.NewTimer(pause)
+	defer timer.Stop()
 	select {
 	case <-en.kick:
-	case <-hm.Clock.After(pause):
+		return true, true
+	case <-timer.Chan():
+		return false, true
 	case <-hm.ctx.Done():
-		return false
+		return false, false
 	}
-	return true
+}
+
+// askRunning asks for the fates of tasks that have run for long without a word.
+func (hm *Home) askRunning(en *entry) {
+	hm.mu.Lock()
+	if en.frozen || en.rec.State != job.Placed {
+		hm.mu.Unlock()
+		return
+	}
+	en.busy++
+	places, number := en.in(attempt.Running), en.rec.Attempt
+	hm.mu.Unlock()
+	hm.learn(en, number, hm.order(nodemsg.VerbFate, places))
+	hm.release(en)
 }
 
 // next decides the next step of a job's attempt and carries the ones out that
@@ -196,6 +212,12 @@
 	if st == attempt.Prepared && en.statuses[index] == attempt.Running {
 		return // an older answer
 	}
+	if st == attempt.Unbegun && en.statuses[index] == attempt.Running {
+		st = attempt.Lost // it began, whatever a worker remembers
+	}
+	if st == en.statuses[index] {
+		return
+	}
 	en.statuses[index] = st
 	if st >= attempt.Unbegun && !en.frozen {
 		hm.step(policy.Event{TaskEnded: &policy.TaskEnded{Job: en.rec.ID}})
--- a/internal/nodemsg/nodemsg.go
+++ b/internal/nodemsg/nodemsg.go
@@ -179,6 +179,8 @@
 	Task   string `cbor:"1,keyasint"`
 	Worker string `cbor:"2,keyasint"`
 	Rack   string `cbor:"3,keyasint"`
+	// Machine is the worker's incarnation; another one never had the task.
+	Machine string `cbor:"4,keyasint,omitempty"`
 }
 
 // Commit starts the tasks of a hold, or prepares them where all must start together.
@@ -329,11 +331,12 @@
 	Up          time.Duration `cbor:"11,keyasint" json:"up"`
 }
 
-// Places turns the decisions of an owner into places with racks.
-func Places(from []owner.Place, rackOf func(worker string) string) []Place {
+// Places turns the decisions of an owner into places with racks and machines.
+func Places(from []owner.Place, where func(worker string) (rack, machine string)) []Place {
 	places := make([]Place, 0, len(from))
 	for _, pl := range from {
-		places = append(places, Place{Task: pl.Task, Worker: pl.Worker, Rack: rackOf(pl.Worker)})
+		rack, machine := where(pl.Worker)
+		places = append(places, Place{Task: pl.Task, Worker: pl.Worker, Rack: rack, Machine: machine})
 	}
 	return places
 }
--- a/internal/owner/task.go
+++ b/internal/owner/task.go
@@ -35,18 +35,24 @@
 	}})
 	for _, act := range acts {
 		if act.Granted != nil {
-			return nodemsg.Held{Places: nodemsg.Places(act.Granted.Places, ow.rackOf)}
+			return nodemsg.Held{Places: nodemsg.Places(act.Granted.Places, ow.where)}
 		}
 	}
 	return nodemsg.Held{}
 }
 
-// rackOf returns the rack of a worker. The caller holds the lock.
-func (ow *Owner) rackOf(name string) string {
-	if kp, ok := ow.keepers[name]; ok {
-		return kp.rack
+// where returns the rack and the incarnation of a worker. The caller holds the lock.
+func (ow *Owner) where(name string) (rack, machine string) {
+	kp, ok := ow.keepers[name]
+	if !ok || kp.link == nil {
+		return "", ""
 	}
-	return ""
+	return kp.rack, kp.link.Hello().Incarnation
+}
+
+// replaced reports whether the worker of a place is another machine by now.
+func replaced(link *worker.Link, pl nodemsg.Place) bool {
+	return pl.Machine != "" && link.Hello().Incarnation != pl.Machine
 }
 
 // CounterPreempted counts the tasks stopped to make room for urgent work.
@@ -117,7 +123,7 @@
 func (ow *Owner) start(ctx context.Context, cm nodemsg.Commit, pl nodemsg.Place) nodemsg.Fate {
 	defer ow.replied(pl.Task)
 	link := ow.linkOf(pl.Worker)
-	if link == nil {
+	if link == nil || replaced(link, pl) {
 		return ow.never(pl, "worker is not attached")
 	}
 	rp, err := link.Start(ctx, workermsg.Start{
@@ -220,7 +226,7 @@
 // lease, and that of any former owner, has surely run out.
 func (ow *Owner) order(ctx context.Context, verb worker.Verb, pl nodemsg.Place) nodemsg.Fate {
 	link := ow.linkOf(pl.Worker)
-	if link == nil {
+	if link == nil || replaced(link, pl) {
 		return ow.unreachable(pl)
 	}
 	rp, err := link.Order(ctx, verb, pl.Task)
@@ -241,7 +247,9 @@
 		return ft
 	}
 	leaseEnd := ow.since[pl.Rack].Add(ow.opts.Lease)
-	if kp, ok := ow.keepers[pl.Worker]; ok {
+	if kp, ok := ow.keepers[pl.Worker]; ok && kp.link != nil {
+		leaseEnd = kp.since.Add(ow.opts.Lease) // a new machine; the former one's lease is not known better
+	} else if ok {
 		leaseEnd = kp.leaseEnd
 	} else if at, ok := ow.gone[pl.Worker]; ok && at.epoch == rack.Epoch {
 		leaseEnd = at.leaseEnd
--- a/internal/standin/standinworker/standinworker.go
+++ b/internal/standin/standinworker/standinworker.go
@@ -128,6 +128,7 @@
 	default:
 	}
 	close(wk.done)
+	wk.control = nil // a crash reports nothing
 	conns := make([]*frames.Conn, 0, len(wk.conns))
 	for cn := range wk.conns {
 		conns = append(conns, cn)
