Keep a place's rack while its worker's link is broken

Cause: since places name a machine, an owner gave the places of a worker without a link no rack. A reservation that is asked for again while the link is broken would have got such a place, and no owner could be found for its job.

Change: the keeper remembers the incarnation, so rack and machine are known without a link. The owners with nothing but a want are a list, not a map that is turned into one; a comment that a replacement had broken is whole again.

--- a/internal/daemon/lookup_test.go
+++ b/internal/daemon/lookup_test.go
@@ -160,11 +160,9 @@
 	is.True(got.P50 > 0 && got.P50 <= got.Max)
 }
 
-// TestLinkBreaks cuts the links to the workers by turns, under more lookups
-//
-//	than there are slots. No lookup runs twice at once, though many are
-//
-// tried again, and every slot comes back.
+// TestLinkBreaks cuts the links to the workers by turns, under more lookups than
+// there are slots. No lookup runs twice at once, though many are tried again, and
+// every slot comes back.
 func TestLinkBreaks(t *testing.T) {
 	is := is.New(t)
 	bd := newBed(t, 2, "n1")
--- a/internal/home/place.go
+++ b/internal/home/place.go
@@ -88,7 +88,7 @@
 	have := hm.byOwner(reserved)
 	left := without(rec.TaskIDs(rec.Attempt), reserved)
 	var places []nodemsg.Place
-	idle := map[string]bool{}
+	var idle []string // owners that keep a want of this job, and nothing else
 	for _, cd := range hm.candidates(rec, have, reserve) {
 		ask := left
 		if limit := cd.fits + 1; !reserve && int64(len(ask)) > limit {
@@ -105,12 +105,14 @@
 		}
 		places = append(places, got...)
 		left = without(append(left, tasksOf(mine)...), got)
-		idle[cd.node] = reserve && len(got) == 0
+		if reserve && len(got) == 0 {
+			idle = append(idle, cd.node)
+		}
 	}
 	whole := len(places) == rec.Tasks
 	switch {
 	case whole:
-		hm.releaseOn(rec, lo.Keys(lo.PickByValues(idle, []bool{true})))
+		hm.releaseOn(rec, idle)
 	case !reserve:
 		hm.releaseAll(rec, places)
 		return nil, false
--- a/internal/owner/keeper.go
+++ b/internal/owner/keeper.go
@@ -37,6 +37,8 @@
 	used     size.Size
 	// plain is set for a worker without fencing or inventory.
 	plain bool
+	// machine is the worker's incarnation when it was last attached.
+	machine string
 }
 
 // keep starts a keeper. The caller holds the lock.
@@ -148,6 +150,7 @@
 func (ow *Owner) up(kp *keeper, link *worker.Link) {
 	he := link.Hello()
 	kp.link = link
+	kp.machine = he.Incarnation
 	kp.since = ow.Clock.Now()
 	kp.leaseEnd = link.BeatAt().Add(he.Lease)
 	kp.leaving = he.Leaving
--- a/internal/owner/task.go
+++ b/internal/owner/task.go
@@ -44,10 +44,10 @@
 // where returns the rack and the incarnation of a worker. The caller holds the lock.
 func (ow *Owner) where(name string) (rack, machine string) {
 	kp, ok := ow.keepers[name]
-	if !ok || kp.link == nil {
+	if !ok {
 		return "", ""
 	}
-	return kp.rack, kp.link.Hello().Incarnation
+	return kp.rack, kp.machine
 }
 
 // replaced reports whether the worker of a place is another machine by now.
