Let a reservation move on from a worker it fills; commit only places that are held

A trace of a hung run shows a gang that wants one more worker and keeps free the one that its own place already fills: the choice of workers to keep free looked at their capacity, not at what the hold's own places leave of it. Smaller jobs took the others for as long as they came. Ruled out: lost ends of tasks (the ledger matched the workers), a full queue of tries, an orphaned hold. Second fault, found on the way by reading: a hold whose places an older gang took over settled its commit as OK with no room behind it, and the tasks were started.

Change: workers are chosen by what they can carry besides the hold's own places. A commit names its tasks, and settles only if each still has its place; places beyond those are given back. A reserving job that has all its room releases its holds on every other owner, also those not asked in the last try.

Conclusion: a reservation must count its own places; room is proved at commit.

--- a/internal/home/place.go
+++ b/internal/home/place.go
@@ -88,7 +88,6 @@
 	have := hm.byOwner(reserved)
 	left := without(rec.TaskIDs(rec.Attempt), reserved)
 	var places []nodemsg.Place
-	var idle []string // owners that keep a want of this job, and nothing else
 	for _, cd := range hm.candidates(rec, have, reserve) {
 		ask := left
 		if limit := cd.fits + 1; !reserve && int64(len(ask)) > limit {
@@ -98,35 +97,29 @@
 		if len(ask)+len(mine) == 0 {
 			continue
 		}
-		got, err := hm.holdOn(cd, rec, append(tasksOf(mine), ask...), reserve)
+		got, err := hm.holdOn(cd, rec, append(nodemsg.TasksOf(mine), ask...), reserve)
 		if err != nil {
 			places = append(places, mine...) // as far as is known
 			continue
 		}
 		places = append(places, got...)
-		left = without(append(left, tasksOf(mine)...), got)
-		if reserve && len(got) == 0 {
-			idle = append(idle, cd.node)
-		}
+		left = without(append(left, nodemsg.TasksOf(mine)...), got)
 	}
 	whole := len(places) == rec.Tasks
 	switch {
-	case whole:
-		hm.releaseOn(rec, idle)
-	case !reserve:
+	case whole && reserve: // owners without a place of it may keep room free for it
+		nodes := lo.Keys(hm.Member.Map().Nodes)
+		hm.releaseOn(rec, lo.Without(nodes, lo.Keys(hm.byOwner(places))...))
+	case !whole && !reserve:
 		hm.releaseAll(rec, places)
 		return nil, false
 	}
 	return places, whole
 }
 
-func tasksOf(places []nodemsg.Place) []string {
-	return lo.Map(places, func(pl nodemsg.Place, _ int) string { return pl.Task })
-}
-
 // without returns the tasks that have no place, each once.
 func without(tasks []string, places []nodemsg.Place) []string {
-	return lo.Without(lo.Uniq(tasks), tasksOf(places)...)
+	return lo.Without(lo.Uniq(tasks), nodemsg.TasksOf(places)...)
 }
 
 // candidates lists the owners with room for at least one task: first those
--- a/internal/home/settle.go
+++ b/internal/home/settle.go
@@ -88,10 +88,7 @@
 	ctx, cancel := context.WithTimeout(hm.ctx, patience)
 	defer cancel()
 	for node, group := range hm.byOwner(places) {
-		var ak nodemsg.Ack
-		for _, pl := range group {
-			ak.Tasks = append(ak.Tasks, pl.Task)
-		}
+		ak := nodemsg.Ack{Tasks: nodemsg.TasksOf(group)}
 		if node == hm.Member.Node().Name {
 			hm.Local.Ack(ak)
 			continue
--- a/internal/nodemsg/nodemsg.go
+++ b/internal/nodemsg/nodemsg.go
@@ -340,3 +340,12 @@
 	}
 	return places
 }
+
+// TasksOf returns the ids of the tasks at some places.
+func TasksOf(places []Place) []string {
+	tasks := make([]string, 0, len(places))
+	for _, pl := range places {
+		tasks = append(tasks, pl.Task)
+	}
+	return tasks
+}
--- a/internal/owner/task.go
+++ b/internal/owner/task.go
@@ -78,7 +78,7 @@
 // Commit turns a hold into tasks on their workers and tells how far each came.
 func (ow *Owner) Commit(ctx context.Context, cm nodemsg.Commit) nodemsg.Fates {
 	ow.mu.Lock()
-	acts := ow.step(policy.Event{Commit: &policy.Commit{ID: cm.ID}})
+	acts := ow.step(policy.Event{Commit: &policy.Commit{ID: cm.ID, Tasks: nodemsg.TasksOf(cm.Places)}})
 	settled := false
 	for _, act := range acts {
 		settled = settled || act.Settled != nil && act.Settled.OK
--- a/policy/owner/event.go
+++ b/policy/owner/event.go
@@ -85,9 +85,11 @@
 	Repeatable bool `json:"repeatable,omitempty"`
 }
 
-// Commit turns a hold into commitments that stay until the tasks end.
+// Commit turns the places of some tasks of a hold into commitments that stay
+// until the tasks end. What else the hold has is given back.
 type Commit struct {
-	ID string `json:"id"`
+	ID    string   `json:"id"`
+	Tasks []string `json:"tasks"`
 }
 
 // Started says that a committed task's start has been answered, or has failed
@@ -157,7 +159,7 @@
 	Places []Place `json:"places,omitempty"`
 }
 
-// Settled answers a commit: false where the hold had gone.
+// Settled answers a commit: false where the hold, or one of the places, had gone.
 type Settled struct {
 	ID     string  `json:"id"`
 	OK     bool    `json:"ok"`
--- a/policy/owner/hold.go
+++ b/policy/owner/hold.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"tackbeam.example/policy/size"
 )
 
 // hold is room taken for tasks that have not started, and the want of more.
@@ -84,7 +86,8 @@
 }
 
 // earmark chooses the workers that are kept free for what a hold still wants:
-// those chosen before, and then those with the most free room.
+// those chosen before, and then those with the most free room. A worker that the
+// hold's own places leave no room on cannot serve what is left.
 func (mc *Machine) earmark(hd *hold) {
 	former := hd.targets
 	hd.targets = map[string]bool{}
@@ -93,23 +96,37 @@
 			former = with(former, rn.worker)
 		}
 	}
+	own := hd.own()
+	useful := func(name string) bool {
+		return !hd.targets[name] && hd.Size.Fits(mc.beside(own, name)) && mc.mayUse(hd, name)
+	}
 	for left := int64(hd.want); left > 0; {
-		name, ok := mc.ledger.Roomiest(hd.Size, func(name string) bool {
-			return former[name] && !hd.targets[name] && mc.mayUse(hd, name)
-		})
+		name, ok := mc.ledger.Roomiest(hd.Size, func(name string) bool { return former[name] && useful(name) })
 		if !ok {
-			name, ok = mc.ledger.Roomiest(hd.Size, func(name string) bool {
-				return !hd.targets[name] && mc.mayUse(hd, name)
-			})
+			name, ok = mc.ledger.Roomiest(hd.Size, useful)
 		}
 		if !ok {
 			return
 		}
 		hd.targets[name] = true
-		left -= max(1, hd.Size.Count(mc.ledger.Capacity(name), left))
+		left -= max(1, hd.Size.Count(mc.beside(own, name), left))
 	}
 }
 
+// own returns the room that the hold has on each worker.
+func (hd *hold) own() map[string]size.Size {
+	own := map[string]size.Size{}
+	for _, pl := range hd.places {
+		own[pl.Worker] = own[pl.Worker].Add(hd.Size)
+	}
+	return own
+}
+
+// beside returns what a worker can have besides a hold's own room there.
+func (mc *Machine) beside(own map[string]size.Size, name string) size.Size {
+	return mc.ledger.Capacity(name).Sub(own[name])
+}
+
 func with(set map[string]bool, name string) map[string]bool {
 	if set == nil {
 		set = map[string]bool{}
@@ -139,25 +156,44 @@
 	return true
 }
 
-func (mc *Machine) commit(cm *Commit) []Action {
+// commit makes the places of the named tasks last. Where one of them has gone,
+// because an older hold took it over or its worker was lost, nothing is committed.
+func (mc *Machine) commit(now time.Duration, cm *Commit) []Action {
 	hd, ok := mc.holds[cm.ID]
 	delete(mc.holds, cm.ID)
 	if !ok {
 		return []Action{{Settled: &Settled{ID: cm.ID}}}
 	}
-	for _, pl := range hd.places {
-		if !mc.ledger.Holds(pl.Task) {
-			mc.giveBack(hd)
-			return []Action{{Settled: &Settled{ID: cm.ID}}}
-		}
+	chosen, rest := hd.split(cm.Tasks)
+	whole := len(chosen) == len(cm.Tasks) && !slices.ContainsFunc(chosen, func(pl Place) bool {
+		return !mc.ledger.Holds(pl.Task)
+	})
+	if !whole {
+		mc.giveBack(hd)
+		return mc.drain(now, []Action{{Settled: &Settled{ID: cm.ID}}})
 	}
-	for _, pl := range hd.places {
+	for _, pl := range chosen {
 		mc.starting[pl.Task] = true
 		mc.runs(Running{
 			ID: pl.Task, Size: hd.Size, Priority: hd.Priority, Repeatable: hd.Repeatable,
 		}, pl.Worker)
 	}
-	return []Action{{Settled: &Settled{ID: cm.ID, OK: true, Places: hd.places}}}
+	for _, pl := range rest {
+		mc.ledger.Release(pl.Task)
+	}
+	return mc.drain(now, []Action{{Settled: &Settled{ID: cm.ID, OK: true, Places: chosen}}})
+}
+
+// split parts the places of the named tasks from the rest.
+func (hd *hold) split(tasks []string) (chosen, rest []Place) {
+	for _, pl := range hd.places {
+		if slices.Contains(tasks, pl.Task) {
+			chosen = append(chosen, pl)
+		} else {
+			rest = append(rest, pl)
+		}
+	}
+	return chosen, rest
 }
 
 func (mc *Machine) giveBack(hd *hold) {
--- a/policy/owner/hold_test.go
+++ b/policy/owner/hold_test.go
@@ -44,7 +44,7 @@
 // start makes a hold and commits it.
 func start(mc *owner.Machine, hd owner.Hold, cores int64) {
 	ask(mc, hd, 1, cores)
-	mc.Step(owner.Event{Commit: &owner.Commit{ID: hd.ID}})
+	mc.Step(owner.Event{Commit: &owner.Commit{ID: hd.ID, Tasks: []string{hd.ID + ".0"}}})
 }
 
 func end(mc *owner.Machine, task string) { mc.Step(owner.Event{Ended: &owner.Ended{Task: task}}) }
@@ -97,6 +97,49 @@
 	}
 }
 
+// TestReservationMovesOn gives a gang one of the workers that it keeps free. For
+// the task that is left it keeps another one free, not the one that it fills.
+func TestReservationMovesOn(t *testing.T) {
+	mc := cell(2)
+	start(mc, owner.Hold{ID: "a"}, 3)
+	start(mc, owner.Hold{ID: "b"}, 4)
+	gang := owner.Hold{ID: "gang", Age: 10, Reserve: true}
+	ask(mc, gang, 2, 4)
+	end(mc, "a.0")
+	if got, _ := ask(mc, gang, 2, 4); got != 1 {
+		t.Fatalf("the gang got %d places, want 1", got)
+	}
+	end(mc, "b.0")
+	if got, _ := ask(mc, owner.Hold{ID: "young", Age: 20}, 1, 1); got != 0 {
+		t.Error("a younger job got the room that the gang still wants")
+	}
+	if got, _ := ask(mc, gang, 2, 4); got != 2 {
+		t.Errorf("the gang got %d places, want 2", got)
+	}
+}
+
+// TestCommitTakenOver commits a hold after an older gang took its places over:
+// nothing is committed, since there is no room behind it any more.
+func TestCommitTakenOver(t *testing.T) {
+	mc := cell(1)
+	ask(mc, owner.Hold{ID: "young", Age: 20, Reserve: true}, 2, 4)
+	ask(mc, owner.Hold{ID: "old", Age: 10, Reserve: true}, 1, 4)
+	cases := map[string]struct {
+		tasks []string
+		want  bool
+	}{
+		"young": {[]string{"young.0"}, false},
+		"old":   {[]string{"old.0"}, true},
+	}
+	for id, tc := range cases {
+		for _, act := range mc.Step(owner.Event{Commit: &owner.Commit{ID: id, Tasks: tc.tasks}}) {
+			if act.Settled.OK != tc.want {
+				t.Errorf("commit of %s settled as %v, want %v", id, act.Settled.OK, tc.want)
+			}
+		}
+	}
+}
+
 // TestPreempt shows which tasks are stopped for urgent work: the fewest, of the
 // lowest priority, the youngest, and none that may not be repeated.
 func TestPreempt(t *testing.T) {
@@ -143,7 +186,7 @@
 			hd := owner.Hold{ID: "j", Tasks: []string{"j.1.0"}, Size: size.New(1000, 64, 0), Expires: time.Minute}
 			for b.Loop() {
 				mc.Step(owner.Event{Hold: &hd})
-				mc.Step(owner.Event{Commit: &owner.Commit{ID: "j"}})
+				mc.Step(owner.Event{Commit: &owner.Commit{ID: "j", Tasks: hd.Tasks}})
 				mc.Step(owner.Event{Started: &owner.Started{Task: "j.1.0"}})
 				end(mc, "j.1.0")
 			}
--- a/policy/owner/owner.go
+++ b/policy/owner/owner.go
@@ -83,7 +83,7 @@
 	case ev.Hold != nil:
 		return mc.hold(ev.Hold)
 	case ev.Commit != nil:
-		return mc.commit(ev.Commit)
+		return mc.commit(ev.At, ev.Commit)
 	case ev.Release != nil:
 		return mc.release(ev.At, ev.Release)
 	case ev.Started != nil:
