Resume repeatable jobs from checkpoints; ask running jobs once a minute

Change: a silent repeatable job saves its work when its workers are asked; a task that gives way saves before it stops; a next attempt resumes from the least that any task has saved. Setting limits.ask, a minute by default. A worker fences a task that it never saw on a checkpoint order as on the other orders.

Conclusion: no store writes for it; a new home learns what is saved by asking.

--- a/internal/daemon/bed_test.go
+++ b/internal/daemon/bed_test.go
@@ -86,6 +86,7 @@
 	st.Owner.Lease, st.Owner.Guard = 3*time.Second, 2*time.Second
 	st.Member.Beat, st.Member.Suspect = 100*time.Millisecond, 800*time.Millisecond
 	st.Limits.Unready, st.Limits.Drain = 0, time.Second
+	st.Limits.Ask = 200 * time.Millisecond
 	st.Limits.LookupBody, st.Limits.JobBody = 1024, 1024
 	return st
 }
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -203,6 +203,7 @@
 			}
 			hm = home.New(pt, home.Options{
 				WaitingJobs: dm.settings.Limits.WaitingJobs, KeepJobs: dm.settings.Limits.KeepJobs,
+				Ask: dm.settings.Limits.Ask,
 			})
 			return hm, nil
 		},
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -42,6 +42,9 @@
 type Options struct {
 	WaitingJobs int
 	KeepJobs    time.Duration
+	// Ask is how long a running job may be silent before its workers are asked for
+	// it. A repeatable one saves its work when asked.
+	Ask time.Duration
 }
 
 // Local is the owner of this node, which the home reaches without a message.
@@ -96,6 +99,8 @@
 type entry struct {
 	rec      job.Record
 	statuses []attempt.Status
+	// saved is the work that each task's checkpoints have saved.
+	saved []time.Duration
 	// kept is set once the job's acceptance is in the journal.
 	kept bool
 	// frozen is set once the job's partition moves away; nothing is done to it then.
--- a/internal/home/partition.go
+++ b/internal/home/partition.go
@@ -5,7 +5,6 @@
 	"sort"
 	"time"
 
-	"tackbeam.example/policy/attempt"
 	policy "tackbeam.example/policy/home"
 	"tackbeam.example/tackbeam/internal/clustermap"
 	"tackbeam.example/tackbeam/internal/ids"
@@ -260,7 +259,7 @@
 	case job.Waiting:
 		hm.step(policy.Event{Submit: hm.submitEvent(en, 0)})
 	case job.Placed:
-		en.statuses = make([]attempt.Status, len(rec.Places))
+		en.begin()
 		hm.step(policy.Event{Resume: &policy.Resume{
 			Submit: *hm.submitEvent(en, 0), Running: len(rec.Places),
 		}})
--- a/internal/home/place.go
+++ b/internal/home/place.go
@@ -8,7 +8,6 @@
 
 	"github.com/samber/lo"
 
-	"tackbeam.example/policy/attempt"
 	policy "tackbeam.example/policy/home"
 	"tackbeam.example/policy/ledger"
 	"tackbeam.example/tackbeam/internal/column"
@@ -280,7 +279,7 @@
 	rec.Cancelled = en.rec.Cancelled
 	rec.PlacedAt = hm.Clock.Now()
 	en.rec = rec
-	en.statuses = make([]attempt.Status, len(rec.Places))
+	en.begin()
 	hm.Meter.Observe("wait", rec.Class, rec.Workspace, rec.PlacedAt.Sub(rec.Submitted))
 	hm.step(policy.Event{Placed: &policy.Placed{Job: rec.ID}})
 	en.notify()
@@ -293,7 +292,7 @@
 	return hm.scatter(groups, func(ctx context.Context, node string, group []nodemsg.Place) []nodemsg.Fate {
 		cm := nodemsg.Commit{
 			ID: holdID(rec), Size: rec.Size, Prepared: len(rec.Places) > 1,
-			Payload: rec.Payload, Places: group, Priority: rec.Priority, Repeatable: rec.Repeatable,
+			Payload: rec.Payload, Places: group, Priority: rec.Priority, Repeatable: rec.Repeatable, Resume: rec.Saved,
 		}
 		if node == hm.Member.Node().Name {
 			return hm.Local.Commit(ctx, cm).Fates
--- a/internal/home/see.go
+++ b/internal/home/see.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -16,8 +17,6 @@
 	maxFailures = 3
 	firstAsk    = 50 * time.Millisecond
 	maxAsk      = 2 * time.Second
-	// askAgain is how long a running task may be silent before it is asked for.
-	askAgain = 15 * time.Second
 )
 
 // see starts the goroutine that sees a placed job through to its end. Fresh
@@ -54,7 +53,7 @@
 			hm.learn(en, number, hm.order(nodemsg.VerbStop, places))
 		case attempt.Wait:
 			pause = firstAsk
-			kicked, more := hm.wait(en, askAgain)
+			kicked, more := hm.wait(en, hm.opts.Ask)
 			if !more {
 				return
 			}
@@ -89,6 +88,7 @@
 }
 
 // askRunning asks for the fates of tasks that have run for long without a word.
+// Those of a repeatable job save their work when asked.
 func (hm *Home) askRunning(en *entry) {
 	hm.mu.Lock()
 	if en.frozen || en.rec.State != job.Placed {
@@ -98,7 +98,11 @@
 	en.busy++
 	places, number := en.in(attempt.Running), en.rec.Attempt
 	hm.mu.Unlock()
-	hm.learn(en, number, hm.order(nodemsg.VerbFate, places))
+	verb := nodemsg.VerbFate
+	if en.rec.Repeatable {
+		verb = nodemsg.VerbCheckpoint
+	}
+	hm.learn(en, number, hm.order(verb, places))
 	hm.release(en)
 }
 
@@ -177,14 +181,42 @@
 		hm.settle(en, job.Ran, job.ResultFailed, "every attempt failed")
 		return
 	}
+	en.rec.Saved = en.common()
 	en.toAck = append(en.toAck, en.rec.Places...)
 	en.rec.State = job.Waiting
-	en.rec.Places, en.statuses = nil, nil
+	en.rec.Places, en.statuses, en.saved = nil, nil, nil
 	hm.step(policy.Event{Remove: &policy.Remove{Job: en.rec.ID}})
 	hm.step(policy.Event{Submit: hm.submitEvent(en, hm.now()+backoff(en.rec.Attempt))})
 	en.notify()
 }
 
+// begin makes the entry ready for an attempt, whose tasks go on from what was saved.
+func (en *entry) begin() {
+	en.statuses = make([]attempt.Status, len(en.rec.Places))
+	en.saved = slices.Repeat([]time.Duration{en.rec.Saved}, len(en.rec.Places))
+}
+
+// noteSaved notes the work that a task's last checkpoint saved.
+func (en *entry) noteSaved(index int, saved time.Duration) {
+	if index >= 0 && index < len(en.saved) {
+		en.saved[index] = max(en.saved[index], saved)
+	}
+}
+
+// common is the work that every task which has to run again has saved.
+func (en *entry) common() time.Duration {
+	least := time.Duration(math.MaxInt64)
+	for i, st := range en.statuses {
+		if st != attempt.OK {
+			least = min(least, en.saved[i])
+		}
+	}
+	if least == math.MaxInt64 {
+		return en.rec.Saved
+	}
+	return least
+}
+
 // learn takes the fates of tasks of an attempt in. An answer to a former attempt
 // changes nothing.
 func (hm *Home) learn(en *entry, number int, fates []nodemsg.Fate) {
@@ -198,6 +230,7 @@
 			continue
 		}
 		if _, _, index, ok := ids.TaskJob(ft.Task); ok {
+			en.noteSaved(index, ft.Saved)
 			hm.setStatus(en, index, job.StatusOf(ft.State, ft.Begun))
 		}
 	}
@@ -246,6 +279,7 @@
 		return nodemsg.Noted{Settled: true}, nil
 	}
 	if en.rec.State == job.Placed && en.rec.Attempt == number {
+		en.noteSaved(index, end.Saved)
 		hm.setStatus(en, index, job.StatusOf(end.State, end.Begun))
 	}
 	return nodemsg.Noted{}, nil
--- a/internal/home/submit.go
+++ b/internal/home/submit.go
@@ -184,6 +184,7 @@
 
 func (hm *Home) viewLocked(en *entry) nodemsg.JobView {
 	vw := en.rec.View(hm.Member.Node().Name, en.statuses)
+	vw.Saved = en.common()
 	if en.rec.State == job.Waiting && vw.Reason == "" {
 		vw.Reason = hm.machine.Explain(en.rec.ID)
 	}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -71,6 +71,8 @@
 	Begun int `cbor:"24,keyasint,omitempty"`
 	// Failures counts the attempts in which a task failed or was lost.
 	Failures int `cbor:"25,keyasint,omitempty"`
+	// Saved is the work that a next attempt need not do again.
+	Saved time.Duration `cbor:"26,keyasint,omitempty"`
 }
 
 // New returns the record of a job that was just submitted.
--- a/internal/nodemsg/nodemsg.go
+++ b/internal/nodemsg/nodemsg.go
@@ -140,6 +140,8 @@
 	Placed    time.Time `cbor:"13,keyasint" json:"placed,omitzero"`
 	Ended     time.Time `cbor:"14,keyasint" json:"ended,omitzero"`
 	Home      string    `cbor:"15,keyasint" json:"home"`
+	// Saved is the work that checkpoints have saved, in nanoseconds of running.
+	Saved time.Duration `cbor:"16,keyasint,omitempty" json:"saved,omitempty"`
 }
 
 // Task is one task of a job, and where it ran.
@@ -193,6 +195,8 @@
 	// Priority and Repeatable are kept with the tasks.
 	Priority   int  `cbor:"6,keyasint"`
 	Repeatable bool `cbor:"7,keyasint,omitempty"`
+	// Resume is the work that the checkpoints of a former attempt saved.
+	Resume time.Duration `cbor:"8,keyasint,omitempty"`
 }
 
 // Release gives the room of a hold back.
@@ -225,6 +229,8 @@
 	State workermsg.State `cbor:"3,keyasint"`
 	Begun bool            `cbor:"4,keyasint"`
 	Why   string          `cbor:"5,keyasint,omitempty"`
+	// Saved is the work done at the task's last checkpoint.
+	Saved time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // Fates answers a commit or an order, a fate for each task.
@@ -242,6 +248,7 @@
 	Task  string          `cbor:"1,keyasint"`
 	State workermsg.State `cbor:"2,keyasint"`
 	Begun bool            `cbor:"3,keyasint"`
+	Saved time.Duration   `cbor:"4,keyasint,omitempty"`
 }
 
 // Noted answers TaskEnded. Settled means that the end is kept for good.
--- a/internal/owner/deliver.go
+++ b/internal/owner/deliver.go
@@ -33,7 +33,7 @@
 	ctx, cancel := context.WithTimeout(ow.ctx, tellTimeout)
 	defer cancel()
 	noted, err := peer.Call[nodemsg.TaskEnded, nodemsg.Noted](ctx, ow.Peer, nd.Peer, nodemsg.KindTaskEnded,
-		nodemsg.TaskEnded{Task: en.Task, State: en.State, Begun: en.Begun})
+		nodemsg.TaskEnded{Task: en.Task, State: en.State, Begun: en.Begun, Saved: en.Saved})
 	if err == nil && noted.Settled {
 		ow.ack(en.Task)
 	}
--- a/internal/owner/task.go
+++ b/internal/owner/task.go
@@ -64,7 +64,9 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ow.ctx, settleTime)
 		defer cancel()
-		ow.order(ctx, worker.Stop, nodemsg.Place{Task: pr.Task, Worker: pr.Worker})
+		pl := nodemsg.Place{Task: pr.Task, Worker: pr.Worker}
+		ow.order(ctx, worker.Checkpoint, pl) // without one the work is done again
+		ow.order(ctx, worker.Stop, pl)
 	}()
 }
 
@@ -128,7 +130,7 @@
 	}
 	rp, err := link.Start(ctx, workermsg.Start{
 		Task: pl.Task, Size: cm.Size, Payload: cm.Payload, Prepared: cm.Prepared,
-		Priority: cm.Priority, Repeatable: cm.Repeatable,
+		Priority: cm.Priority, Repeatable: cm.Repeatable, Resume: cm.Resume,
 	})
 	if err != nil && !fault.From(err).Begun {
 		return ow.never(pl, err.Error())
@@ -187,7 +189,7 @@
 
 // fate turns a worker's reply into a fate, and the ledger with it.
 func (ow *Owner) fate(pl nodemsg.Place, rp workermsg.Reply) nodemsg.Fate {
-	ft := nodemsg.Fate{Task: pl.Task, Known: true, State: rp.State, Begun: rp.Begun, Why: string(rp.Refusal)}
+	ft := nodemsg.Fate{Task: pl.Task, Known: true, State: rp.State, Begun: rp.Begun, Why: string(rp.Refusal), Saved: rp.Saved}
 	if rp.Refusal == workermsg.StaleEpoch && rp.State == "" {
 		return nodemsg.Fate{Task: pl.Task, Why: string(rp.Refusal)} // only the new owner knows
 	}
@@ -200,7 +202,7 @@
 	}
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
-	ow.endTask(workermsg.Ended{Task: pl.Task, State: rp.State, Begun: true}, pl.Worker)
+	ow.endTask(workermsg.Ended{Task: pl.Task, State: rp.State, Begun: true, Saved: rp.Saved}, pl.Worker)
 	return ft
 }
 
@@ -268,7 +270,7 @@
 func (ow *Owner) noteTask(kp *keeper, tr workermsg.TaskReport) {
 	if tr.State.Ended() {
 		if tr.State != workermsg.Never {
-			ow.endTask(workermsg.Ended{Task: tr.Task, State: tr.State, Begun: tr.Begun}, kp.vm.Name)
+			ow.endTask(workermsg.Ended{Task: tr.Task, State: tr.State, Begun: tr.Begun, Saved: tr.Saved}, kp.vm.Name)
 		}
 		return
 	}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -96,6 +96,7 @@
 	ck.count(li.Queue, 1, mebibyte, "limits.queue")
 	ck.count(li.WaitingJobs, 1, mebibyte, "limits.waiting_jobs")
 	ck.count(li.Tasks, 1, 10000, "limits.tasks")
+	ck.between(li.Ask, 100*time.Millisecond, time.Hour, "limits.ask")
 	ck.between(li.KeepJobs, time.Minute, 7*24*time.Hour, "limits.keep_jobs")
 	ck.between(li.Drain, time.Second, 10*time.Minute, "limits.drain")
 	ck.between(li.Unready, 0, li.Drain, "limits.unready")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -79,6 +79,7 @@
 	WaitingJobs    int           `json:"waiting_jobs" doc:"unfinished jobs that one node keeps"`
 	Tasks          int           `json:"tasks" doc:"tasks in one job"`
 	KeepJobs       time.Duration `json:"keep_jobs" doc:"how long an ended job and its idempotency key are kept"`
+	Ask            time.Duration `json:"ask" doc:"how long a running job may be silent before its workers are asked for it; a repeatable one saves its work when asked"`
 	Drain          time.Duration `json:"drain" doc:"longest time that a planned stop waits for work in flight"`
 	Unready        time.Duration `json:"unready" doc:"time that a stopping node still serves callers, for the balancer to notice"`
 }
@@ -116,7 +117,7 @@
 			LookupBody: 64 << 10, JobBody: 16 << 10,
 			DefaultTimeout: 10 * time.Second, MaxTimeout: time.Minute,
 			Queue: 512, WaitingJobs: 20000, Tasks: 1000,
-			KeepJobs: 24 * time.Hour, Drain: 30 * time.Second, Unready: 2 * time.Second,
+			KeepJobs: 24 * time.Hour, Ask: time.Minute, Drain: 30 * time.Second, Unready: 2 * time.Second,
 		},
 		Member: Member{Beat: time.Second, Suspect: 3 * time.Second},
 	}
--- a/internal/standin/standinworker/control.go
+++ b/internal/standin/standinworker/control.go
@@ -94,7 +94,7 @@
 	for id, tk := range wk.tasks {
 		he.Tasks = append(he.Tasks, workermsg.TaskReport{
 			Task: id, State: tk.state, Size: tk.size, Begun: tk.begun,
-			Priority: tk.priority, Repeatable: tk.repeatable,
+			Priority: tk.priority, Repeatable: tk.repeatable, Saved: tk.saved,
 		})
 	}
 	for id, pt := range wk.lookups {
@@ -163,6 +163,7 @@
 	}
 	tk := &task{
 		state: workermsg.Prepared, size: st.Size, priority: st.Priority, repeatable: st.Repeatable,
+		resume: st.Resume, saved: st.Resume,
 	}
 	if len(st.Payload) > 0 {
 		_ = json.Unmarshal(st.Payload, &tk.payload) // a payload for somebody else runs with the defaults
@@ -190,10 +191,12 @@
 	tk.state = workermsg.Running
 	tk.begun = true
 	wk.record(id, EventBegin, tk.payload.Mark)
+	wk.records[len(wk.records)-1].Resume = tk.resume
 	run := defaultRun
 	if tk.payload.Run > 0 {
 		run = time.Duration(tk.payload.Run * float64(time.Second))
 	}
+	run = max(run-tk.resume, time.Millisecond)
 	end := workermsg.OK
 	if tk.payload.Fail || wk.faults.FailAll {
 		end = workermsg.Failed
@@ -224,7 +227,7 @@
 	tk.state = end
 	wk.remember(id, tk)
 	if cn := wk.control; cn != nil {
-		ended := &workermsg.Ended{Task: id, State: end, Begun: tk.begun}
+		ended := &workermsg.Ended{Task: id, State: end, Begun: tk.begun, Saved: tk.saved}
 		go wk.send(cn, workermsg.From{Ended: ended})
 	}
 }
@@ -268,7 +271,7 @@
 	if !tk.state.Ended() {
 		wk.finish(id, tk, workermsg.Stopped)
 	}
-	return workermsg.Reply{State: tk.state, Begun: tk.begun}
+	return workermsg.Reply{State: tk.state, Begun: tk.begun, Saved: tk.saved}
 }
 
 // fence answers how far a task has come, and makes one that never arrived
@@ -278,16 +281,16 @@
 		tk = &task{state: workermsg.Never}
 		wk.remember(id, tk)
 	}
-	return workermsg.Reply{State: tk.state, Begun: tk.begun}
+	return workermsg.Reply{State: tk.state, Begun: tk.begun, Saved: tk.saved}
 }
 
 // checkpoint saves the work that a running task has done.
-func (wk *Worker) checkpoint(_ string, tk *task) workermsg.Reply {
+func (wk *Worker) checkpoint(id string, tk *task) workermsg.Reply {
 	if tk == nil {
-		return workermsg.Reply{Refusal: workermsg.NoSuchTask, State: workermsg.Never}
+		return wk.fence(id, nil)
 	}
 	if tk.state == workermsg.Running {
-		tk.saved = time.Since(tk.began)
+		tk.saved = tk.resume + time.Since(tk.began)
 	}
 	return workermsg.Reply{State: tk.state, Begun: tk.begun, Saved: tk.saved}
 }
--- a/internal/standin/standinworker/options.go
+++ b/internal/standin/standinworker/options.go
@@ -95,6 +95,8 @@
 	Lookup bool      `json:"lookup,omitempty"`
 	// Mark is what the sender wrote into the payload or the body to know it by.
 	Mark string `json:"mark,omitempty"`
+	// Resume is the work that a task which begins need not do again.
+	Resume time.Duration `json:"resume,omitempty"`
 }
 
 // The events of a record.
--- a/internal/standin/standinworker/standinworker.go
+++ b/internal/standin/standinworker/standinworker.go
@@ -63,6 +63,8 @@
 	ends    time.Time
 	percent int
 	saved   time.Duration
+	// resume is the work that the task did not have to do again.
+	resume time.Duration
 	// priority and repeatable are given back in the inventory.
 	priority   int
 	repeatable bool
--- a/internal/workermsg/workermsg.go
+++ b/internal/workermsg/workermsg.go
@@ -82,6 +82,8 @@
 	// Priority and Repeatable come back in the inventory.
 	Priority   int  `cbor:"8,keyasint,omitempty"`
 	Repeatable bool `cbor:"9,keyasint,omitempty"`
+	// Resume is the work that the task's last checkpoint saved; it goes on from there.
+	Resume time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
 // TaskOrder is an order that names a task and nothing else.
@@ -184,6 +186,8 @@
 	// Priority and Repeatable are what the start said.
 	Priority   int  `cbor:"5,keyasint,omitempty"`
 	Repeatable bool `cbor:"6,keyasint,omitempty"`
+	// Saved is the work done at the task's last checkpoint.
+	Saved time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // Usage is what one task used of late; the report lags.
@@ -228,6 +232,8 @@
 	Task  string `cbor:"1,keyasint"`
 	State State  `cbor:"2,keyasint"`
 	Begun bool   `cbor:"3,keyasint,omitempty"`
+	// Saved is the work done at the task's last checkpoint.
+	Saved time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Leaving says that the worker takes nothing new from now on.
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -242,7 +242,7 @@
 		"vms":    map[string]any{"address": cl.vmsAddr, "every": "200ms"},
 		"owner":  map[string]any{"lease": "5s", "guard": "3s"},
 		"member": map[string]any{"beat": "300ms", "suspect": "1500ms"},
-		"limits": map[string]any{"unready": "300ms"},
+		"limits": map[string]any{"unready": "300ms", "ask": "2s"},
 		"log":    map[string]any{"verbosity": 1},
 		"record": map[string]any{"path": filepath.Join(cl.dir, name+".trace")},
 	}
