Count the time that keys are kept by agreed steps, deadlines by time left

And a deadline travelled as a time of day, so a home ahead refused work whose deadline was a minute away.

Change: the cluster map has an age. A submission carries the time left instead of the deadline.

Conclusion: neither a jump of the time of day nor a difference between nodes can double a job.

--- a/internal/clustermap/clustermap.go
+++ b/internal/clustermap/clustermap.go
@@ -52,6 +52,10 @@
 	Racks   map[string]Rack `cbor:"3,keyasint"`
 	Homes   []Home          `cbor:"4,keyasint"`
 	WriteID string          `cbor:"5,keyasint"`
+	// Age counts steps of time that members have measured, one after the other, each
+	// on its own steady clock. It tells how long records have been kept where the
+	// times of day of their writer and their reader may differ.
+	Age uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // New returns the map of an empty cluster.
@@ -68,7 +72,7 @@
 
 // Clone returns a deep copy.
 func (mp *Map) Clone() *Map {
-	cp := &Map{Epoch: mp.Epoch, WriteID: mp.WriteID}
+	cp := &Map{Epoch: mp.Epoch, WriteID: mp.WriteID, Age: mp.Age}
 	cp.Nodes = maps.Clone(mp.Nodes)
 	cp.Racks = maps.Clone(mp.Racks)
 	if cp.Nodes == nil {
@@ -175,6 +179,16 @@
 	return cp, changed
 }
 
+// Older returns the map one step of age later, unless it has left the age given.
+func (mp *Map) Older(age uint64) (*Map, bool) {
+	if mp.Age != age {
+		return mp, false
+	}
+	cp := mp.next()
+	cp.Age++
+	return cp, true
+}
+
 // Logs returns the journals that somebody still writes or needs.
 func (mp *Map) Logs() map[string]bool {
 	logs := map[string]bool{}
--- a/internal/daemon/bed_test.go
+++ b/internal/daemon/bed_test.go
@@ -22,6 +22,21 @@
 // patience bounds every wait; it is no measure.
 const patience = 60 * time.Second
 
+// skewed is a clock that is ahead of the real one, or behind it.
+type skewed struct {
+	clockwork.Clock
+	ahead time.Duration
+}
+
+// Now returns the skewed time.
+func (sk skewed) Now() time.Time { return sk.Clock.Now().Add(sk.ahead) }
+
+// Since returns the time since a moment of the skewed clock.
+func (sk skewed) Since(at time.Time) time.Duration { return sk.Now().Sub(at) }
+
+// Until returns the time until a moment of the skewed clock.
+func (sk skewed) Until(at time.Time) time.Duration { return at.Sub(sk.Now()) }
+
 // bed is a cluster in one process.
 type bed struct {
 	t       testing.TB
@@ -30,6 +45,9 @@
 	list    *standinvms.List
 	workers *fleet.Fleet
 	nodes   map[string]*daemon.Daemon
+	// skew is how far the clocks of some nodes are ahead.
+	skew map[string]time.Duration
+	keep time.Duration
 }
 
 // newBed starts nodes over count workers.
@@ -61,7 +79,9 @@
 	for _, name := range names {
 		bd.start(name)
 	}
-	bd.waitSlots(count * 8)
+	if len(names) > 0 {
+		bd.waitSlots(count * 8)
+	}
 	return bd
 }
 
@@ -86,6 +106,9 @@
 	st.Owner.Lease, st.Owner.Guard = 3*time.Second, 2*time.Second
 	st.Member.Beat, st.Member.Suspect = 100*time.Millisecond, 800*time.Millisecond
 	st.Limits.Unready, st.Limits.Drain = 0, time.Second
+	if bd.keep > 0 {
+		st.Limits.KeepJobs = bd.keep
+	}
 	st.Limits.Ask = 200 * time.Millisecond
 	st.Limits.LookupBody, st.Limits.JobBody = 1024, 1024
 	return st
@@ -94,7 +117,8 @@
 // start starts a node; it is stopped with the test.
 func (bd *bed) start(name string) *daemon.Daemon {
 	bd.t.Helper()
-	dm, err := daemon.New(bd.settings(name), clockwork.NewRealClock(), logr.Discard())
+	clock := skewed{clockwork.NewRealClock(), bd.skew[name]}
+	dm, err := daemon.New(bd.settings(name), clock, logr.Discard())
 	must(bd.t, err)
 	must(bd.t, dm.Start(context.Background()))
 	bd.nodes[name] = dm
--- a/internal/front/caller.go
+++ b/internal/front/caller.go
@@ -202,7 +202,7 @@
 	if msg.Size, err = sizeOf(req, wl); err != nil {
 		return msg, err
 	}
-	if msg.Deadline, err = fr.jobDeadline(req, wl); err != nil {
+	if msg.Budget, err = fr.jobBudget(req, wl); err != nil {
 		return msg, err
 	}
 	if req.Payload != nil {
@@ -248,26 +248,25 @@
 	return sz, nil
 }
 
-func (fr *Front) jobDeadline(req api.JobRequest, wl table.Workload) (time.Time, error) {
-	now := fr.Clock.Now()
+// jobBudget returns the time left to a job's deadline; zero is no deadline.
+func (fr *Front) jobBudget(req api.JobRequest, wl table.Workload) (time.Duration, error) {
 	switch {
 	case req.Deadline != nil && req.DeadlineIn != nil:
-		return now, fault.New(fault.BadRequest, "deadline, deadline_in: give one of the two")
+		return 0, fault.New(fault.BadRequest, "deadline, deadline_in: give one of the two")
 	case req.Deadline != nil:
-		if !req.Deadline.After(now) {
-			return now, fault.New(fault.PastDeadline, "the deadline %s has passed; not run", req.Deadline.Format(time.RFC3339))
+		left := req.Deadline.Sub(fr.Clock.Now())
+		if left <= 0 {
+			return 0, fault.New(fault.PastDeadline, "the deadline %s has passed; not run", req.Deadline.Format(time.RFC3339))
 		}
-		return *req.Deadline, nil
+		return left, nil
 	case req.DeadlineIn != nil:
 		const most = 30 * 24 * 3600
 		if !(*req.DeadlineIn > 0 && *req.DeadlineIn <= most) {
-			return now, fault.New(fault.PastDeadline, "deadline_in: give seconds above 0, at most %d; not run", most)
+			return 0, fault.New(fault.PastDeadline, "deadline_in: give seconds above 0, at most %d; not run", most)
 		}
-		return now.Add(time.Duration(*req.DeadlineIn * float64(time.Second))), nil
-	case wl.Deadline > 0:
-		return now.Add(wl.Deadline), nil
+		return max(1, time.Duration(*req.DeadlineIn*float64(time.Second))), nil
 	}
-	return time.Time{}, nil
+	return wl.Deadline, nil
 }
 
 // decodeStrict decodes one JSON value and refuses unknown fields and what follows it.
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -86,6 +86,7 @@
 	jobs    map[string]*entry
 	keys    map[string]string
 	parts   [ids.Partitions]partition
+	age     age // of the loop that forgets
 	journal *journal.Journal
 	open    int
 	largest size.Size
@@ -163,7 +164,7 @@
 func (hm *Home) Start(context.Context) error {
 	hm.loop(tickEvery, hm.tick)
 	hm.loop(capacityEvery, hm.measure)
-	hm.loop(forgetEvery, hm.forgetOld)
+	hm.loop(min(forgetEvery, hm.opts.KeepJobs/(4*keepSteps)), hm.forgetOld)
 	return nil
 }
 
--- a/internal/home/settle.go
+++ b/internal/home/settle.go
@@ -40,6 +40,7 @@
 	rec := en.rec
 	rec.State, rec.Answer, rec.Result, rec.Reason = job.Done, an, result, reason
 	rec.EndedAt = hm.Clock.Now()
+	rec.EndedAge = hm.Member.Map().Age
 	rec.Payload = nil
 	rec.Version++
 	raw, err := rec.Encode()
@@ -111,21 +112,3 @@
 	}
 	return groups
 }
-
-// forgetOld drops ended jobs, and their keys, that have been kept long enough.
-func (hm *Home) forgetOld() {
-	hm.mu.Lock()
-	defer hm.mu.Unlock()
-	now := hm.Clock.Now()
-	var gone []nodemsg.Record
-	for id, en := range hm.jobs {
-		if en.rec.State != job.Done || en.frozen || now.Sub(en.rec.EndedAt) < hm.opts.KeepJobs {
-			continue
-		}
-		gone = append(gone, nodemsg.Record{Key: id, Version: en.rec.Version + 1})
-		hm.remove(en)
-	}
-	if len(gone) > 0 {
-		hm.journal.Append(gone...)
-	}
-}
--- a/internal/home/submit.go
+++ b/internal/home/submit.go
@@ -107,8 +107,8 @@
 
 // check refuses what can never run and what there is no room to remember.
 func (hm *Home) check(req nodemsg.Submit) error {
-	if !req.Deadline.IsZero() && !req.Deadline.After(hm.Clock.Now()) {
-		return fault.New(fault.PastDeadline, "the deadline %s has passed; not run", req.Deadline.Format(time.RFC3339))
+	if req.Budget < 0 {
+		return fault.New(fault.PastDeadline, "the deadline passed %v ago; not run", -req.Budget)
 	}
 	if hm.open >= hm.opts.WaitingJobs {
 		return fault.New(fault.Full, "this node keeps %d unfinished jobs; not run", hm.open).After(time.Second)
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -73,16 +73,22 @@
 	Failures int `cbor:"25,keyasint,omitempty"`
 	// Saved is the work that a next attempt need not do again.
 	Saved time.Duration `cbor:"26,keyasint,omitempty"`
+	// EndedAge is the age of the cluster map when the job ended.
+	EndedAge uint64 `cbor:"27,keyasint,omitempty"`
 }
 
 // New returns the record of a job that was just submitted.
 func New(req nodemsg.Submit, now time.Time) Record {
-	return Record{
+	rec := Record{
 		ID: ids.Job(req.Workspace), Workspace: req.Workspace, Workload: req.Workload,
 		Class: req.Class, Key: req.Key, BodyHash: req.BodyHash, Tasks: req.Tasks, Size: req.Size,
-		Priority: req.Priority, Deadline: req.Deadline, Repeatable: req.Repeatable,
+		Priority: req.Priority, Repeatable: req.Repeatable,
 		Payload: req.Payload, State: Waiting, Submitted: now,
 	}
+	if req.Budget > 0 {
+		rec.Deadline = now.Add(req.Budget)
+	}
+	return rec
 }
 
 // Encode returns the record for the journal.
--- a/internal/nodemsg/nodemsg.go
+++ b/internal/nodemsg/nodemsg.go
@@ -95,20 +95,20 @@
 	Body   []byte `cbor:"3,keyasint"`
 }
 
-// Submit forwards a job to the home of its workspace. Deadline is wall time;
-// zero is none.
+// Submit forwards a job to the home of its workspace. Budget is the time left to
+// its deadline, since clocks differ; zero is none.
 type Submit struct {
-	Workspace  string    `cbor:"1,keyasint"`
-	Workload   string    `cbor:"2,keyasint"`
-	Key        string    `cbor:"3,keyasint"`
-	BodyHash   uint64    `cbor:"4,keyasint"`
-	Tasks      int       `cbor:"5,keyasint"`
-	Size       size.Size `cbor:"6,keyasint"`
-	Priority   int       `cbor:"7,keyasint"`
-	Deadline   time.Time `cbor:"8,keyasint"`
-	Repeatable bool      `cbor:"9,keyasint"`
-	Payload    []byte    `cbor:"10,keyasint,omitempty"`
-	Class      string    `cbor:"11,keyasint"`
+	Workspace  string        `cbor:"1,keyasint"`
+	Workload   string        `cbor:"2,keyasint"`
+	Key        string        `cbor:"3,keyasint"`
+	BodyHash   uint64        `cbor:"4,keyasint"`
+	Tasks      int           `cbor:"5,keyasint"`
+	Size       size.Size     `cbor:"6,keyasint"`
+	Priority   int           `cbor:"7,keyasint"`
+	Budget     time.Duration `cbor:"8,keyasint"`
+	Repeatable bool          `cbor:"9,keyasint"`
+	Payload    []byte        `cbor:"10,keyasint,omitempty"`
+	Class      string        `cbor:"11,keyasint"`
 }
 
 // JobQuery asks for one job; Wait is how long to wait for its end.
