Queue jobs by kind, try when room may have come free, learn run times, backfill

Cause: each event of a home looked at every waiting job: 1.2 ms a job with 10,000 waiting. A job without room tried again after a backoff of up to a second, room or no room. Reservations of gangs idled workers, though it is known how long most tasks run; gangs with hours to their deadline reserved after two seconds as well.

Change: jobs of one workspace, size and number of tasks form a group, of which only the first is looked at. A size that found no room parks its groups, and those of larger sizes, until room may have come free; then all try again at the next tick. Run times are learned by workload (a histogram of the last runs; the 90% quantile plans). A gang with a deadline reserves from two runs, or 30 s, before its latest start. A task that is expected to end before a gang could start uses the workers kept for it. jobs show says when a deadline is at risk. The trace is of version 2.

--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -19,6 +19,7 @@
 	"tackbeam.example/tackbeam/internal/table"
 	"tackbeam.example/tackbeam/internal/vms"
 
+	homepolicy "tackbeam.example/policy/home"
 	policy "tackbeam.example/policy/owner"
 )
 
@@ -67,6 +68,7 @@
 			var err error
 			rc, err = recorder.New(dm.settings.Record.Path, recorder.Header{
 				Node: dm.settings.Node, Limits: dm.limits(), AtOnce: home.AtOnce,
+				Rules: homepolicy.DefaultRules(),
 			})
 			return rc, err
 		},
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -127,7 +127,7 @@
 	pt.Log = pt.Log.WithName("home")
 	hm := &Home{
 		Parts: pt, opts: opts, started: pt.Clock.Now(),
-		machine: policy.New(AtOnce),
+		machine: policy.New(AtOnce, policy.DefaultRules()),
 		jobs:    map[string]*entry{},
 		keys:    map[string]string{},
 	}
@@ -199,7 +199,7 @@
 	for _, act := range acts {
 		switch {
 		case act.Try != nil:
-			hm.startTry(act.Try.Job)
+			hm.startTry(act.Try)
 		case act.Late != nil:
 			hm.late(act.Late.Job)
 		}
--- a/internal/home/place.go
+++ b/internal/home/place.go
@@ -28,8 +28,6 @@
 	// reservePause is the pause between the tries of a job that reserves; its
 	// holds are renewed by each.
 	reservePause = 100 * time.Millisecond
-	reserveGang  = 2 * time.Second
-	reserveOther = 10 * time.Second
 )
 
 // candidate is an owner that may have room.
@@ -41,8 +39,8 @@
 }
 
 // startTry lets a job try for room. The caller holds the lock.
-func (hm *Home) startTry(id string) {
-	en, ok := hm.jobs[id]
+func (hm *Home) startTry(tr *policy.Try) {
+	en, ok := hm.jobs[tr.Job]
 	if !ok || en.frozen {
 		return
 	}
@@ -52,40 +50,38 @@
 		en.rec.Attempt++ // a reservation goes on under its own number
 	}
 	rec, reserved := en.rec, en.reserved
-	reserve := en.reserving || reserves(rec, hm.Clock.Since(rec.Submitted))
+	sk := seek{rec: rec, reserve: en.reserving || tr.Reserve, run: tr.Run, reserved: reserved}
 	go func() {
-		places, whole := hm.hold(rec, reserved, reserve)
+		places, whole := hm.hold(sk)
 		hm.mu.Lock()
 		defer hm.mu.Unlock()
 		en.placing = false
 		en.busy--
 		en.reserved, en.reserving = nil, false
 		if !whole {
-			en.reserved, en.reserving = places, reserve
+			en.reserved, en.reserving = places, sk.reserve
 			places = nil
 		}
 		hm.held(en, rec, places)
 	}()
 }
 
-// reserves reports whether a job keeps the room that it finds until it has all:
-// urgent jobs at once, gangs after a while, others after a long one.
-func reserves(rec job.Record, waited time.Duration) bool {
-	switch {
-	case rec.Priority >= column.MaxPriority:
-		return true
-	case rec.Tasks > 1:
-		return waited > reserveGang
-	}
-	return waited > reserveOther
+// seek is one try for room of a job.
+type seek struct {
+	rec     job.Record
+	reserve bool
+	// run is how long the tasks are expected to run; zero is not known.
+	run      time.Duration
+	reserved []nodemsg.Place
 }
 
 // hold asks the owners for room until all tasks have a place, and reports
 // whether they do. A job that does not reserve gives a part of its places back;
 // one that does keeps them, and asks for the rest at the next try.
-func (hm *Home) hold(rec job.Record, reserved []nodemsg.Place, reserve bool) ([]nodemsg.Place, bool) {
-	have := hm.byOwner(reserved)
-	left := without(rec.TaskIDs(rec.Attempt), reserved)
+func (hm *Home) hold(sk seek) ([]nodemsg.Place, bool) {
+	rec, reserve := sk.rec, sk.reserve
+	have := hm.byOwner(sk.reserved)
+	left := without(rec.TaskIDs(rec.Attempt), sk.reserved)
 	var places []nodemsg.Place
 	for _, cd := range hm.candidates(rec, have, reserve) {
 		ask := left
@@ -96,7 +92,7 @@
 		if len(ask)+len(mine) == 0 {
 			continue
 		}
-		got, err := hm.holdOn(cd, rec, append(nodemsg.TasksOf(mine), ask...), reserve)
+		got, err := hm.holdOn(cd, sk, append(nodemsg.TasksOf(mine), ask...))
 		if err != nil {
 			places = append(places, mine...) // as far as is known
 			continue
@@ -155,10 +151,11 @@
 	return list
 }
 
-func (hm *Home) holdOn(cd candidate, rec job.Record, tasks []string, reserve bool) ([]nodemsg.Place, error) {
+func (hm *Home) holdOn(cd candidate, sk seek, tasks []string) ([]nodemsg.Place, error) {
+	rec := sk.rec
 	hd := nodemsg.Hold{
 		ID: holdID(rec), Tasks: tasks, Size: rec.Size, Expires: holdTime,
-		Priority: rec.Priority, Age: rec.Submitted.UnixNano(), Reserve: reserve,
+		Priority: rec.Priority, Age: rec.Submitted.UnixNano(), Reserve: sk.reserve, Run: sk.run,
 		Urgent: rec.Priority >= column.MaxPriority, Repeatable: rec.Repeatable,
 	}
 	if cd.node == hm.Member.Node().Name {
@@ -211,11 +208,11 @@
 		go hm.releaseAll(rec, places)
 		hm.settleWaiting(en, "cancelled")
 	case places == nil:
-		pause := backoff(rec.Attempt)
+		var again time.Duration // when room may have come free
 		if en.reserving {
-			pause = reservePause
+			again = hm.now() + reservePause
 		}
-		hm.step(policy.Event{NotPlaced: &policy.NotPlaced{Job: rec.ID, Again: hm.now() + pause}})
+		hm.step(policy.Event{NotPlaced: &policy.NotPlaced{Job: rec.ID, Again: again}})
 	default:
 		hm.intend(en, places)
 	}
@@ -272,8 +269,13 @@
 		if err == nil {
 			en.rec.Version = rec.Version
 		}
-		hm.held(en, rec, nil)
 		go hm.releaseAll(rec, rec.Places)
+		if en.frozen || en.rec.Cancelled {
+			hm.held(en, rec, nil)
+			return
+		}
+		again := hm.now() + backoff(rec.Attempt) // there was room, but no store
+		hm.step(policy.Event{NotPlaced: &policy.NotPlaced{Job: rec.ID, Again: again}})
 		return
 	}
 	rec.Cancelled = en.rec.Cancelled
--- a/internal/home/see.go
+++ b/internal/home/see.go
@@ -253,7 +253,7 @@
 	}
 	en.statuses[index] = st
 	if st >= attempt.Unbegun && !en.frozen {
-		hm.step(policy.Event{TaskEnded: &policy.TaskEnded{Job: en.rec.ID}})
+		hm.step(policy.Event{TaskEnded: &policy.TaskEnded{Job: en.rec.ID, OK: st == attempt.OK}})
 	}
 	en.wake()
 }
--- a/internal/home/submit.go
+++ b/internal/home/submit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	policy "tackbeam.example/policy/home"
+	"tackbeam.example/tackbeam/internal/column"
 	"tackbeam.example/tackbeam/internal/fault"
 	"tackbeam.example/tackbeam/internal/ids"
 	"tackbeam.example/tackbeam/internal/job"
@@ -168,7 +169,9 @@
 func (hm *Home) submitEvent(en *entry, again time.Duration) *policy.Submit {
 	sb := &policy.Submit{
 		Job: en.rec.ID, Workspace: en.rec.Workspace, Tasks: en.rec.Tasks, Size: en.rec.Size,
-		Priority: en.rec.Priority, Again: again,
+		Priority: en.rec.Priority, Again: again, Workload: en.rec.Workload,
+		Urgent: en.rec.Priority >= column.MaxPriority,
+		Waited: max(0, hm.Clock.Since(en.rec.Submitted)),
 	}
 	if !en.rec.Deadline.IsZero() {
 		sb.Deadline = max(1, en.rec.Deadline.Sub(hm.started))
@@ -186,7 +189,7 @@
 	vw := en.rec.View(hm.Member.Node().Name, en.statuses)
 	vw.Saved = en.common()
 	if en.rec.State == job.Waiting && vw.Reason == "" {
-		vw.Reason = hm.machine.Explain(en.rec.ID)
+		vw.Reason = hm.machine.Explain(hm.now(), en.rec.ID)
 	}
 	return vw
 }
--- a/internal/nodemsg/nodemsg.go
+++ b/internal/nodemsg/nodemsg.go
@@ -169,6 +169,8 @@
 	Reserve    bool  `cbor:"7,keyasint,omitempty"`
 	Urgent     bool  `cbor:"8,keyasint,omitempty"`
 	Repeatable bool  `cbor:"9,keyasint,omitempty"`
+	// Run is how long the tasks are expected to run; zero is not known.
+	Run time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
 // Held lists the places that a hold got.
--- a/internal/owner/task.go
+++ b/internal/owner/task.go
@@ -31,7 +31,7 @@
 	acts := ow.step(policy.Event{Hold: &policy.Hold{
 		ID: hd.ID, Tasks: hd.Tasks, Size: hd.Size, Expires: ow.now() + hd.Expires,
 		Priority: hd.Priority, Age: hd.Age, Reserve: hd.Reserve, Urgent: hd.Urgent,
-		Repeatable: hd.Repeatable,
+		Repeatable: hd.Repeatable, Run: hd.Run,
 	}})
 	for _, act := range acts {
 		if act.Granted != nil {
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -19,7 +19,7 @@
 )
 
 // Version is the version of the trace format.
-const Version = 1
+const Version = 2
 
 // Line is one line of a trace: the header, an input of an owner, or an input of
 // a home. Acts is the number of decisions that the input led to, and Sum a digest
@@ -50,6 +50,7 @@
 	Node    string       `json:"node"`
 	Limits  owner.Limits `json:"limits"`
 	AtOnce  int          `json:"at_once"`
+	Rules   home.Rules   `json:"rules"`
 }
 
 // Recorder writes a trace. A recorder without a file records nothing.
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -53,7 +53,7 @@
 		"fewer slots":            {strings.ReplaceAll(whole, `"slots":1`, `"slots":0`), false, 1},
 		"empty":                  {"", true, 0},
 		"no header":              {`{"owner":{}}`, true, 0},
-		"another version":        {strings.ReplaceAll(whole, `"version":1`, `"version":2`), true, 0},
+		"another version":        {strings.ReplaceAll(whole, `"version":2`, `"version":1`), true, 0},
 		"a line that is no JSON": {whole + "{", true, 0},
 	}
 	for name, tc := range cases {
--- a/policy/home/event.go
+++ b/policy/home/event.go
@@ -29,6 +29,11 @@
 	Size      size.Size     `json:"size"`
 	Priority  int           `json:"priority"`
 	Deadline  time.Duration `json:"deadline"`
+	Workload  string        `json:"workload,omitempty"`
+	// Urgent jobs reserve room from their first try.
+	Urgent bool `json:"urgent,omitempty"`
+	// Waited is how long the job had waited before this event.
+	Waited time.Duration `json:"waited,omitempty"`
 	// Again is the earliest time of the next try.
 	Again time.Duration `json:"again,omitempty"`
 }
@@ -61,7 +66,8 @@
 	Job string `json:"job"`
 }
 
-// NotPlaced says that a try found no room; the job waits until Again.
+// NotPlaced says that a try found no room. The job waits until Again or, where that
+// is zero, until room may have come free.
 type NotPlaced struct {
 	Job   string        `json:"job"`
 	Again time.Duration `json:"again"`
@@ -70,6 +76,8 @@
 // TaskEnded says that one task of a placed job gave its room back.
 type TaskEnded struct {
 	Job string `json:"job"`
+	// OK is set where the task ran to its end, so that its time can be learned from.
+	OK bool `json:"ok,omitempty"`
 }
 
 // Remove takes a job out: cancelled, ended or given to another home.
@@ -89,6 +97,12 @@
 // Try asks for room for all tasks of a job.
 type Try struct {
 	Job string `json:"job"`
+	// Reserve lets the job keep the room that it finds until it has all.
+	Reserve bool `json:"reserve,omitempty"`
+	// Run is how long its tasks are expected to run; zero is not known.
+	Run time.Duration `json:"run,omitempty"`
+	// Start is the latest start that meets the deadline; zero is none.
+	Start time.Duration `json:"start,omitempty"`
 }
 
 // Late says that a waiting job passed its deadline and left the queue.
--- a/policy/home/home.go
+++ b/policy/home/home.go
@@ -8,103 +8,75 @@
 import (
 	"cmp"
 	"fmt"
-	"slices"
 	"time"
 
-	"tackbeam.example/policy/size"
+	"tackbeam.example/policy/learn"
 )
 
-// state of a job in the machine.
-type state int
-
-const (
-	waiting state = iota
-	trying
-	placed
-)
-
-// job is one job of the machine.
-type job struct {
-	Submit
-	state   state
-	running int
-	again   time.Duration
-	order   int
-}
-
-// workspace is the account of one workspace.
-type workspace struct {
-	limits  Limits
-	used    size.Size
-	running int64
-}
-
 // Machine is the decision state of one home. It is not safe for concurrent use.
 type Machine struct {
 	jobs       map[string]*job
-	waiting    map[string]*job
 	workspaces map[string]*workspace
 	capacity   Capacity
+	queue      queue
+	runs       *learn.Runs
+	rules      Rules
 	tries      int
 	atOnce     int
 	submitted  int
 }
 
 // New returns an empty machine that lets atOnce jobs try for room together.
-func New(atOnce int) *Machine {
+func New(atOnce int, rl Rules) *Machine {
 	return &Machine{
+		runs:       learn.New(),
+		rules:      rl,
 		jobs:       map[string]*job{},
-		waiting:    map[string]*job{},
 		workspaces: map[string]*workspace{},
+		queue:      newQueue(),
 		atOnce:     atOnce,
 	}
 }
 
 // Waiting returns the number of jobs in the queue.
-func (mc *Machine) Waiting() int { return len(mc.waiting) }
+func (mc *Machine) Waiting() int { return mc.queue.waiting }
 
 // Step takes one event and returns the decisions that follow from it.
 func (mc *Machine) Step(ev Event) []Action {
 	switch {
 	case ev.Submit != nil:
-		mc.submit(*ev.Submit)
+		mc.submit(ev.At, *ev.Submit)
 	case ev.Resume != nil:
 		mc.resume(ev.Resume)
 	case ev.Limits != nil:
 		mc.workspace(ev.Limits.Workspace).limits = *ev.Limits
 	case ev.Capacity != nil:
 		mc.capacity = *ev.Capacity
+		mc.queue.roomChanged()
 		return nil
 	case ev.Placed != nil:
-		mc.placed(ev.Placed.Job)
+		mc.placed(ev.At, ev.Placed.Job)
 	case ev.NotPlaced != nil:
-		mc.notPlaced(ev.NotPlaced)
-		return nil
+		mc.notPlaced(ev.At, ev.NotPlaced)
 	case ev.TaskEnded != nil:
-		mc.taskEnded(ev.TaskEnded.Job)
+		mc.taskEnded(ev.At, ev.TaskEnded)
+		return nil // the next tick lets jobs try
+	case ev.Tick != nil:
+		mc.queue.unblock()
 	case ev.Remove != nil:
 		mc.remove(ev.Remove.Job)
 	}
 	return mc.advance(ev.At)
 }
 
-func (mc *Machine) workspace(name string) *workspace {
-	ws, ok := mc.workspaces[name]
-	if !ok {
-		ws = &workspace{limits: Limits{Workspace: name, Weight: 1}}
-		mc.workspaces[name] = ws
-	}
-	return ws
-}
-
-func (mc *Machine) submit(sb Submit) {
+func (mc *Machine) submit(now time.Duration, sb Submit) {
 	if _, ok := mc.jobs[sb.Job]; ok {
 		return
 	}
 	mc.submitted++
-	jb := &job{Submit: sb, order: mc.submitted, again: sb.Again}
+	jb := &job{Submit: sb, order: mc.submitted, since: now - sb.Waited}
 	mc.jobs[sb.Job] = jb
-	mc.waiting[sb.Job] = jb
+	mc.queue.add(jb, sb.Again)
 }
 
 func (mc *Machine) resume(rs *Resume) {
@@ -116,21 +88,19 @@
 	mc.workspace(rs.Workspace).charge(rs.Size, rs.Running)
 }
 
-func (ws *workspace) charge(sz size.Size, tasks int) {
-	ws.used = ws.used.Add(sz.Times(int64(tasks)))
-	ws.running += int64(tasks)
-}
-
-func (mc *Machine) placed(id string) {
+func (mc *Machine) placed(now time.Duration, id string) {
 	jb, ok := mc.jobs[id]
 	if !ok || jb.state != trying {
 		return
 	}
 	mc.tries--
 	jb.state = placed
+	jb.started = now
 }
 
-func (mc *Machine) notPlaced(np *NotPlaced) {
+// notPlaced puts a job back: until the time it is to try again, or, where none is
+// given, until room for its size may have come free.
+func (mc *Machine) notPlaced(now time.Duration, np *NotPlaced) {
 	jb, ok := mc.jobs[np.Job]
 	if !ok || jb.state != trying {
 		return
@@ -138,18 +108,23 @@
 	mc.tries--
 	mc.workspace(jb.Workspace).charge(jb.Size, -jb.running)
 	jb.running = 0
-	jb.state = waiting
-	jb.again = np.Again
-	mc.waiting[np.Job] = jb
+	if np.Again == 0 {
+		mc.queue.block(jb, func(other *job) bool { return mc.reserves(now, other) })
+	}
+	mc.queue.add(jb, np.Again)
 }
 
-func (mc *Machine) taskEnded(id string) {
-	jb, ok := mc.jobs[id]
+func (mc *Machine) taskEnded(now time.Duration, te *TaskEnded) {
+	jb, ok := mc.jobs[te.Job]
 	if !ok || jb.running == 0 {
 		return
 	}
 	jb.running--
+	if te.OK && jb.started > 0 {
+		mc.runs.Note(jb.Workload, now-jb.started)
+	}
 	mc.workspace(jb.Workspace).charge(jb.Size, -1)
+	mc.queue.roomChanged()
 }
 
 func (mc *Machine) remove(id string) {
@@ -160,96 +135,84 @@
 	if jb.state == trying {
 		mc.tries--
 	}
-	mc.workspace(jb.Workspace).charge(jb.Size, -jb.running)
+	if jb.running > 0 {
+		mc.workspace(jb.Workspace).charge(jb.Size, -jb.running)
+		mc.queue.roomChanged()
+	}
 	delete(mc.jobs, id)
-	delete(mc.waiting, id)
+	mc.queue.drop(jb)
 }
 
 // advance drops late jobs and lets the next jobs try while tries are free.
 func (mc *Machine) advance(now time.Duration) []Action {
-	if len(mc.waiting) == 0 {
-		return nil
-	}
 	var acts []Action
-	var ready []*job
-	for _, jb := range mc.waiting {
-		switch {
-		case jb.Deadline > 0 && jb.Deadline <= now:
-			acts = append(acts, Action{Late: &Late{Job: jb.Job}})
-		case jb.again <= now:
-			ready = append(ready, jb)
-		}
-	}
-	slices.SortFunc(acts, func(a, b Action) int { return cmp.Compare(a.Late.Job, b.Late.Job) })
-	for _, act := range acts {
-		mc.remove(act.Late.Job)
-	}
-	mc.sort(ready)
-	for _, jb := range ready {
-		if mc.tries >= mc.atOnce {
+	for _, jb := range mc.queue.late(now) {
+		mc.remove(jb.Job)
+		acts = append(acts, Action{Late: &Late{Job: jb.Job}})
+	}
+	mc.queue.wake(now)
+	for mc.tries < mc.atOnce {
+		gr := mc.next()
+		if gr == nil {
 			break
 		}
-		if mc.limit(jb) == "" {
-			acts = append(acts, mc.try(jb))
-		}
+		acts = append(acts, mc.try(now, mc.queue.take(gr)))
 	}
 	return acts
 }
 
-// sort orders jobs by priority, then by the weighted dominant share of their
-// workspace, then first come first.
-func (mc *Machine) sort(jobs []*job) {
-	share := map[string]float64{}
-	for _, jb := range jobs {
-		share[jb.Workspace] = mc.share(jb.Workspace)
+// next returns the group whose first job is to try: the highest priority, then
+// the lowest weighted dominant share of its workspace, then first come first.
+func (mc *Machine) next() *group {
+	var best *group
+	var least float64
+	for _, gr := range mc.queue.open {
+		jb := gr.jobs[0]
+		if best != nil && jb.Priority < best.jobs[0].Priority || mc.limit(jb) != "" {
+			continue
+		}
+		share := mc.share(jb.Workspace)
+		if best == nil || before(jb, share, best.jobs[0], least) {
+			best, least = gr, share
+		}
 	}
-	slices.SortFunc(jobs, func(a, b *job) int {
-		return cmp.Or(
-			cmp.Compare(b.Priority, a.Priority),
-			cmp.Compare(share[a.Workspace], share[b.Workspace]),
-			cmp.Compare(a.order, b.order),
-		)
-	})
+	return best
 }
 
-func (mc *Machine) share(name string) float64 {
-	const minimumWeight = 0.001
-	ws := mc.workspace(name)
-	return ws.used.Share(mc.capacity.Total) / max(ws.limits.Weight, minimumWeight)
+func before(a *job, shareA float64, b *job, shareB float64) bool {
+	return cmp.Or(
+		cmp.Compare(b.Priority, a.Priority),
+		cmp.Compare(shareA, shareB),
+		cmp.Compare(a.order, b.order),
+	) < 0
 }
 
-func (mc *Machine) try(jb *job) Action {
+func (mc *Machine) try(now time.Duration, jb *job) Action {
 	mc.tries++
 	jb.state = trying
 	jb.running = jb.Tasks
 	mc.workspace(jb.Workspace).charge(jb.Size, jb.Tasks)
-	delete(mc.waiting, jb.Job)
-	return Action{Try: &Try{Job: jb.Job}}
+	run, _ := mc.runs.Quantile(jb.Workload, cautious)
+	latest, _ := mc.latestStart(jb)
+	return Action{Try: &Try{Job: jb.Job, Reserve: mc.reserves(now, jb), Run: run, Start: latest}}
 }
 
-// limit names the column of the workspace that a job would go over, or "".
-func (mc *Machine) limit(jb *job) string {
-	const milliPerCore = 1000
-	ws := mc.workspace(jb.Workspace)
-	want := ws.used.Add(jb.Size.Times(int64(jb.Tasks)))
-	lim := ws.limits
-	switch {
-	case lim.Processors != nil && float64(want.Processors()) > *lim.Processors*milliPerCore:
-		return "processors"
-	case lim.Memory != nil && want.Memory() > *lim.Memory:
-		return "memory"
-	case lim.Accelerators != nil && want.Accelerators() > *lim.Accelerators:
-		return "accelerators"
-	case lim.Running != nil && ws.running+int64(jb.Tasks) > *lim.Running:
-		return "running"
+// Explain says why a job waits, in one line, or "" where it does not wait.
+func (mc *Machine) Explain(now time.Duration, id string) string {
+	why := mc.waitsFor(id)
+	if why == "" {
+		return ""
 	}
-	return ""
+	if late := mc.warn(now, mc.jobs[id]); late != "" {
+		return why + "; " + late
+	}
+	return why
 }
 
-// Explain says why a job waits, in one line, or "" where it does not wait.
-func (mc *Machine) Explain(id string) string {
-	jb, ok := mc.waiting[id]
-	if !ok {
+// waitsFor says which limit or what room a waiting job lacks, or "".
+func (mc *Machine) waitsFor(id string) string {
+	jb, ok := mc.jobs[id]
+	if !ok || jb.state != waiting {
 		return ""
 	}
 	if column := mc.limit(jb); column != "" {
--- a/policy/owner/event.go
+++ b/policy/owner/event.go
@@ -83,6 +83,8 @@
 	Urgent bool `json:"urgent,omitempty"`
 	// Repeatable tells whether the tasks may be stopped for urgent ones.
 	Repeatable bool `json:"repeatable,omitempty"`
+	// Run is how long the tasks are expected to run; zero is not known.
+	Run time.Duration `json:"run,omitempty"`
 }
 
 // Commit turns the places of some tasks of a hold into commitments that stay
--- a/policy/owner/hold.go
+++ b/policy/owner/hold.go
@@ -30,7 +30,7 @@
 
 // hold takes room for as many of the tasks as fit. A hold that reserves takes
 // the place of younger ones, and one that is urgent stops running tasks as well.
-func (mc *Machine) hold(req *Hold) []Action {
+func (mc *Machine) hold(now time.Duration, req *Hold) []Action {
 	hd, ok := mc.holds[req.ID]
 	if !ok {
 		hd = &hold{}
@@ -39,7 +39,7 @@
 	hd.expires = max(hd.expires, req.Expires)
 	hd.want = 0
 	for _, task := range req.Tasks {
-		if !hd.has(task) && !mc.place(hd, task) {
+		if !hd.has(task) && !mc.place(now, hd, task) {
 			hd.want++
 		}
 	}
@@ -61,9 +61,11 @@
 }
 
 // place takes room for one task, from younger reservations if need be.
-func (mc *Machine) place(hd *hold, task string) bool {
+func (mc *Machine) place(now time.Duration, hd *hold, task string) bool {
 	for {
-		worker, ok := mc.ledger.BestFit(hd.Size, func(name string) bool { return mc.mayUse(hd, name) })
+		worker, ok := mc.ledger.BestFit(hd.Size, func(name string) bool {
+			return mc.mayUse(hd, name) || mc.backfills(now, hd, name)
+		})
 		if ok && mc.ledger.Take(worker, task, hd.Size, 0) {
 			hd.places = append(hd.places, Place{Task: task, Worker: worker})
 			return true
@@ -172,11 +174,15 @@
 		mc.giveBack(hd)
 		return mc.drain(now, []Action{{Settled: &Settled{ID: cm.ID}}})
 	}
+	var ends time.Duration
+	if hd.Run > 0 {
+		ends = now + hd.Run
+	}
 	for _, pl := range chosen {
 		mc.starting[pl.Task] = true
 		mc.runs(Running{
 			ID: pl.Task, Size: hd.Size, Priority: hd.Priority, Repeatable: hd.Repeatable,
-		}, pl.Worker)
+		}, pl.Worker, ends)
 	}
 	for _, pl := range rest {
 		mc.ledger.Release(pl.Task)
--- a/policy/owner/hold_test.go
+++ b/policy/owner/hold_test.go
@@ -200,3 +200,33 @@
 		})
 	}
 }
+
+// TestBackfill lets a short task use a worker that a gang keeps free, where it
+// ends before the gang could start there.
+func TestBackfill(t *testing.T) {
+	cases := map[string]struct {
+		running time.Duration // of the task that the gang waits for
+		short   owner.Hold
+		want    int
+	}{
+		"ends before":              {time.Minute, owner.Hold{Run: 50 * time.Second}, 1},
+		"ends after":               {time.Minute, owner.Hold{Run: 70 * time.Second}, 0},
+		"of unknown time":          {time.Minute, owner.Hold{}, 0},
+		"what runs is unknown":     {0, owner.Hold{Run: time.Second}, 0},
+		"one that reserves itself": {time.Minute, owner.Hold{Run: time.Second, Reserve: true}, 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			mc := cell(2)
+			start(mc, owner.Hold{ID: "long", Run: tc.running}, 3)
+			start(mc, owner.Hold{ID: "other", Run: tc.running}, 3)
+			if got, _ := ask(mc, owner.Hold{ID: "gang", Age: 10, Reserve: true}, 2, 4); got != 0 {
+				t.Fatalf("the gang got %d places of a full cell", got)
+			}
+			tc.short.ID, tc.short.Age = "short", 20
+			if got, _ := ask(mc, tc.short, 1, 1); got != tc.want {
+				t.Errorf("got %d places, want %d", got, tc.want)
+			}
+		})
+	}
+}
--- a/policy/owner/owner.go
+++ b/policy/owner/owner.go
@@ -19,10 +19,12 @@
 	Queue int `json:"queue"`
 	// Candidates is the number of workers compared for one lookup.
 	Candidates int `json:"candidates"`
+	// Backfill lets short tasks use workers that are kept free for a gang.
+	Backfill bool `json:"backfill"`
 }
 
 // DefaultLimits suit fifty workers of eight slots.
-func DefaultLimits() Limits { return Limits{Queue: 512, Candidates: 4} }
+func DefaultLimits() Limits { return Limits{Queue: 512, Candidates: 4, Backfill: true} }
 
 // Machine is the decision state of one owner. It is not safe for concurrent use.
 type Machine struct {
@@ -81,7 +83,7 @@
 	case ev.Done != nil:
 		return mc.done(ev.At, ev.Done)
 	case ev.Hold != nil:
-		return mc.hold(ev.Hold)
+		return mc.hold(ev.At, ev.Hold)
 	case ev.Commit != nil:
 		return mc.commit(ev.At, ev.Commit)
 	case ev.Release != nil:
@@ -109,7 +111,7 @@
 		keep[rn.ID] = true
 		mc.ledger.Restore(up.Worker.Name, rn.ID, rn.Size, rn.Slots)
 		if rn.Slots == 0 {
-			mc.runs(rn, up.Worker.Name)
+			mc.runs(rn, up.Worker.Name, 0)
 		}
 	}
 	for _, hd := range mc.holds {
--- a/policy/owner/preempt.go
+++ b/policy/owner/preempt.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"tackbeam.example/policy/size"
 )
@@ -12,17 +13,19 @@
 	Running
 	worker string
 	order  int
+	// ends is when the task is expected to end; zero is not known.
+	ends time.Duration
 	// stopping is set once the task was chosen to make room.
 	stopping bool
 }
 
 // runs notes a committed task.
-func (mc *Machine) runs(rn Running, worker string) {
+func (mc *Machine) runs(rn Running, worker string, ends time.Duration) {
 	if _, known := mc.running[rn.ID]; known {
 		return
 	}
 	mc.started++
-	mc.running[rn.ID] = &running{Running: rn, worker: worker, order: mc.started}
+	mc.running[rn.ID] = &running{Running: rn, worker: worker, order: mc.started, ends: ends}
 }
 
 // forget drops tasks that the ledger has no room for any more.
--- a/test/matrix_test.go
+++ b/test/matrix_test.go
@@ -68,7 +68,7 @@
 			}
 		},
 	},
-	"list lies": {func(cl *cluster) { cl.lie() }, func(cl *cluster) { put(cl.t, cl.vmsAddr, vmsmsg.Path, cl.truth) }},
+	"list lies":   {func(cl *cluster) { cl.lie() }, func(cl *cluster) { put(cl.t, cl.vmsAddr, vmsmsg.Path, cl.truth) }},
 	"cancel wave": {func(cl *cluster) { cl.wave = startWave(cl) }, nothing},
 	"operators race": {
 		func(cl *cluster) { cl.startRace() },
