Measure the decisions on workload traces: ten of them, baselines, outcomes, charts

Change: a format of workload traces with stated outcomes, a seeded generator, ten shipped traces; tackbeam trace, and tackbeam replay runs them through the decisions in virtual time, checks the outcomes, compares policies and draws their waits. From what it showed: gangs with time left reserve after 10 s, not close to their latest start; room is kept where tasks end first, in the size that is needed, and no longer by whole workers; at most four jobs of a home reserve; two quick tries come before a size is parked; the order of asking owners is a package of the pure module.

All ten traces meet their outcomes, twice alike.

--- a/GNUmakefile
+++ b/GNUmakefile
@@ -1,12 +1,14 @@
-# Targets: build, test, race, fmt, lint, pages, demo, bench, capacity, faults.
+# Targets: build, test, race, fmt, lint, pages, traces, compare, demo, bench, capacity, faults.
 GO ?= go
 export GOFLAGS += -buildvcs=false
 SOURCES := $(shell git ls-files '*.go' 2>/dev/null)
 # Packages where several goroutines share state, tested with the race detector.
 RACED := ./internal/store/... ./internal/journal/... ./internal/peer/... ./internal/owner/... \
 	./internal/home/... ./internal/member/... ./internal/table/... ./internal/worker/... ./internal/daemon/...
+TRACES := brno-day auckland-renewal peak-over-rebuild sizes-off runs-off cancel-wave failing-workers hall-lost \
+	impossible-jobs weights-edited
 
-.PHONY: build test race fmt lint pages demo bench capacity faults
+.PHONY: build test race fmt lint pages traces compare demo bench capacity faults
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -29,6 +31,12 @@
 	./bin/tackbeamd --settings > docs/settings.md
 	./bin/tackbeam pages docs/commands
 
+traces: build
+	for name in $(TRACES); do ./bin/tackbeam trace $$name traces/$$name.jsonl.gz; done
+
+compare: build
+	./bin/tackbeam replay --compare all traces/*.jsonl.gz
+
 demo: build
 	./test/demo.sh
 
@@ -40,4 +48,4 @@
 	TACKBEAM_CAPACITY=1 $(GO) test ./test -run TestCapacityPage -count=1
 
 faults:
-	TACKBEAM_PAIRS=1 $(GO) test ./test -run 'TestFaults|TestChecker' -count=1 -parallel 4 -timeout 30m
+	TACKBEAM_PAIRS=1 $(GO) test ./test -run 'TestFaults|TestChecker' -v -count=1 -parallel 4 -timeout 30m
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -36,6 +36,8 @@
 		"bad row":            {[]string{"table", "get", "brno"}, 2, "workspace/NAME"},
 		"payload is no JSON": {[]string{"submit", "push", "-w", "brno", "--payload", "{"}, 2, "not JSON"},
 		"no such trace":      {[]string{"replay", "/none"}, 2, "/none"},
+		"no such policy":     {[]string{"replay", "--compare", "best", "../../traces/brno-day.jsonl.gz"}, 2, "no policy best"},
+		"no such recipe":     {[]string{"trace", "zlin-day", "/none"}, 2, "brno-day"},
 		"drain without yes":  {[]string{"drain", "n1"}, 18, "--yes"},
 		"remove without yes": {[]string{"table", "remove", "workspace/brno"}, 18, "--yes"},
 		"node not reached":   {append(nowhere, "nodes"), 14, "127.0.0.1:1"},
--- a/internal/cli/cmd_replay.go
+++ b/internal/cli/cmd_replay.go
@@ -1,32 +1,73 @@
 package cli
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"maps"
 	"os"
+	"slices"
+	"strings"
 	"time"
 
+	"github.com/samber/lo"
+
+	"tackbeam.example/tackbeam/internal/chart"
 	"tackbeam.example/tackbeam/internal/fault"
 	"tackbeam.example/tackbeam/internal/replay"
+	"tackbeam.example/tackbeam/internal/trace"
+	"tackbeam.example/tackbeam/internal/trial"
 )
 
 var cmdReplay = Command{
 	Name:    "replay",
-	Summary: "decide again from recorded traces",
-	Doc: "Feed the inputs that a node recorded (setting record.path) to the decisions again, under the trace's own times, " +
-		"and check that the decisions come out as recorded. Ends with an error where one differs.",
+	Summary: "decide again from recorded traces, or run workload traces",
+	Doc: "A trace that a node recorded (setting record.path) is fed to the decisions again, under the trace's own times, " +
+		"and they must come out as recorded. A workload trace (see tackbeam trace) is run through the decisions in virtual time, " +
+		"and its stated outcomes must come about; with --compare it is run through several policies, and nothing is checked. " +
+		"Policies: " + strings.Join(lo.Map(trial.Policies(), func(pl trial.Policy, _ int) string {
+		return pl.Name() + " (" + pl.About() + ")"
+	}), ", ") + ". Ends with an error where something differs from what is recorded or stated.",
 	New: func(env *Env) any { return &replayCommand{env: env} },
 }
 
 type replayCommand struct {
-	env  *Env
-	Args struct {
+	env     *Env
+	Compare string `long:"compare" value-name:"POLICY,..." description:"policies to compare on workload traces; all for every one"`
+	Plot    string `long:"plot" value-name:"FILE" description:"draw the waits of one workload trace: .svg, .png or .pdf"`
+	Args    struct {
 		Traces []string `positional-arg-name:"TRACE" required:"1"`
 	} `positional-args:"yes"`
 }
 
 // Execute carries the command out.
 func (cm *replayCommand) Execute([]string) error {
+	kinds := lo.GroupBy(cm.Args.Traces, isWorkload)
+	if len(kinds[false]) > 0 && (len(kinds[true]) > 0 || cm.Compare != "" || cm.Plot != "") {
+		return fault.New(fault.BadRequest, "%s is no workload trace; give recorded traces by themselves, without --compare and --plot",
+			kinds[false][0])
+	}
+	if len(kinds[true]) > 0 {
+		return cm.trials()
+	}
+	return cm.replays()
+}
+
+// isWorkload reports whether a file is a workload trace, by its name or first line.
+func isWorkload(path string) bool {
+	if strings.HasSuffix(path, ".gz") {
+		return true
+	}
+	file, err := os.Open(path)
+	if err != nil {
+		return false // the error is said when the trace is read
+	}
+	defer func() { _ = file.Close() }() // only read
+	line, _ := bufio.NewReader(file).ReadString('\n')
+	return strings.Contains(line, `"workload"`)
+}
+
+func (cm *replayCommand) replays() error {
 	var reports []replay.Report
 	differ := 0
 	for _, path := range cm.Args.Traces {
@@ -71,3 +112,92 @@
 		}
 	}
 }
+
+// trials runs workload traces.
+func (cm *replayCommand) trials() error {
+	policies, err := cm.policies()
+	if err != nil {
+		return err
+	}
+	if cm.Plot != "" && len(cm.Args.Traces) > 1 {
+		return fault.New(fault.BadRequest, "--plot draws one trace; give one")
+	}
+	var reports []trial.Report
+	for _, path := range cm.Args.Traces {
+		tr, err := trace.Load(path)
+		if err != nil {
+			return err
+		}
+		for _, pl := range policies {
+			reports = append(reports, trial.Run(tr, pl))
+		}
+	}
+	if cm.Plot != "" {
+		if err := chart.Save(cm.Plot, reports); err != nil {
+			return err
+		}
+	}
+	if err := cm.env.print(reports, func(out io.Writer) { printTrials(out, reports) }); err != nil {
+		return err
+	}
+	if cm.Compare != "" {
+		return nil
+	}
+	return unmet(reports)
+}
+
+// policies returns those to run: the one that nodes have, unless others are named.
+func (cm *replayCommand) policies() ([]trial.Policy, error) {
+	switch cm.Compare {
+	case "":
+		pl, err := trial.Find(trial.Now)
+		return []trial.Policy{pl}, err
+	case "all":
+		return trial.Policies(), nil
+	}
+	var list []trial.Policy
+	for _, name := range strings.Split(cm.Compare, ",") {
+		pl, err := trial.Find(strings.TrimSpace(name))
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, pl)
+	}
+	return list, nil
+}
+
+// unmet is an error where a stated outcome did not come about.
+func unmet(reports []trial.Report) error {
+	var list []string
+	for _, rp := range reports {
+		for _, why := range rp.Broken {
+			list = append(list, rp.Trace+": "+why)
+		}
+	}
+	if len(list) == 0 {
+		return nil
+	}
+	return fault.New(fault.WrongAnswer, "%s", strings.Join(list, "; "))
+}
+
+func printTrials(out io.Writer, reports []trial.Report) {
+	gr := newGrid(out, "trace", "policy", "ran", "refused", "missed", "failed", "packing", "backlog", "fairness",
+		"shed", "preempted", "lost work", "decisions/s", "p99")
+	for _, rp := range reports {
+		gr.line(rp.Trace, rp.Policy, fmt.Sprint(rp.Ran), fmt.Sprint(rp.Refused), fmt.Sprint(rp.Missed), fmt.Sprint(rp.Failed),
+			fmt.Sprintf("%.3f", rp.Packing), rp.Backlog.Round(time.Second).String(), fmt.Sprintf("%.3f", rp.Fairness),
+			fmt.Sprint(rp.Shed), fmt.Sprint(rp.Preempted), rp.LostWork.Round(time.Second).String(),
+			fmt.Sprintf("%.0f", rp.Rate()), rp.DecisionP99.String())
+	}
+	gr.flush()
+	_, _ = fmt.Fprintln(out)
+	gr = newGrid(out, "trace", "policy", "class", "started", "wait p50", "p99", "max")
+	for _, rp := range reports {
+		for _, class := range slices.Sorted(maps.Keys(rp.Classes)) {
+			wt := rp.Classes[class]
+			gr.line(rp.Trace, rp.Policy, class, fmt.Sprint(wt.Count), wt.P50.Round(time.Millisecond).String(),
+				wt.P99.Round(time.Millisecond).String(), wt.Max.Round(time.Millisecond).String())
+		}
+	}
+	gr.flush()
+}
--- a/internal/home/place.go
+++ b/internal/home/place.go
@@ -3,13 +3,12 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sort"
 	"time"
 
 	"github.com/samber/lo"
 
+	"tackbeam.example/policy/gather"
 	policy "tackbeam.example/policy/home"
-	"tackbeam.example/policy/ledger"
 	"tackbeam.example/tackbeam/internal/column"
 	"tackbeam.example/tackbeam/internal/fault"
 	"tackbeam.example/tackbeam/internal/ids"
@@ -30,14 +29,6 @@
 	reservePause = 100 * time.Millisecond
 )
 
-// candidate is an owner that may have room.
-type candidate struct {
-	node string
-	addr string
-	room ledger.Room
-	fits int64
-}
-
 // startTry lets a job try for room. The caller holds the lock.
 func (hm *Home) startTry(tr *policy.Try) {
 	en, ok := hm.jobs[tr.Job]
@@ -83,16 +74,14 @@
 	have := hm.byOwner(sk.reserved)
 	left := without(rec.TaskIDs(rec.Attempt), sk.reserved)
 	var places []nodemsg.Place
-	for _, cd := range hm.candidates(rec, have, reserve) {
-		ask := left
-		if limit := cd.fits + 1; !reserve && int64(len(ask)) > limit {
-			ask = ask[:limit]
-		}
-		mine := have[cd.node]
-		if len(ask)+len(mine) == 0 {
+	want := gather.Want{Size: rec.Size, Tasks: rec.Tasks, Reserve: reserve}
+	for _, ask := range gather.Order(hm.owners(have), want) {
+		tasks := left[:min(len(left), ask.Tasks)]
+		mine := have[ask.Owner]
+		if len(tasks)+len(mine) == 0 {
 			continue
 		}
-		got, err := hm.holdOn(cd, sk, append(nodemsg.TasksOf(mine), ask...))
+		got, err := hm.holdOn(ask.Owner, sk, append(nodemsg.TasksOf(mine), tasks...))
 		if err != nil {
 			places = append(places, mine...) // as far as is known
 			continue
@@ -117,54 +106,34 @@
 	return lo.Without(lo.Uniq(tasks), nodemsg.TasksOf(places)...)
 }
 
-// candidates lists the owners with room for at least one task: first those
-// that can take all, the fullest before the emptier; then the others by room. A
-// job that reserves also asks owners that have places of its own, or no room yet.
-func (hm *Home) candidates(rec job.Record, have map[string][]nodemsg.Place, reserve bool) []candidate {
-	own := hm.Member.Node()
+// owners lists the owners of workers that a job may ask: this node, and the others
+// that are heard and stay.
+func (hm *Home) owners(have map[string][]nodemsg.Place) []gather.Owner {
+	own := hm.Member.Node().Name
 	room, _ := hm.Local.Room()
-	all := []candidate{{node: own.Name, addr: own.Peer, room: room}}
+	list := []gather.Owner{{Name: own, Room: room, Have: len(have[own])}}
 	for _, vw := range hm.Member.Peers() {
-		if vw.Heard() && !vw.Node().Leaving {
-			all = append(all, candidate{node: vw.Node().Name, addr: vw.Node().Peer, room: vw.Room()})
+		if name := vw.Node().Name; vw.Heard() && !vw.Node().Leaving {
+			list = append(list, gather.Owner{Name: name, Room: vw.Room(), Have: len(have[name])})
 		}
 	}
-	var list []candidate
-	for _, cd := range all {
-		bound := cd.room.Largest
-		if reserve {
-			bound = cd.room.Biggest
-		}
-		if !rec.Size.Fits(bound) && len(have[cd.node]) == 0 {
-			continue
-		}
-		cd.fits = rec.Size.Count(cd.room.Free, int64(rec.Tasks))
-		list = append(list, cd)
-	}
-	sort.SliceStable(list, func(i, j int) bool {
-		a, b := list[i], list[j]
-		if a.fits != b.fits {
-			return a.fits > b.fits
-		}
-		return a.room.Free.Share(a.room.Capacity) < b.room.Free.Share(b.room.Capacity)
-	})
 	return list
 }
 
-func (hm *Home) holdOn(cd candidate, sk seek, tasks []string) ([]nodemsg.Place, error) {
+func (hm *Home) holdOn(node string, sk seek, tasks []string) ([]nodemsg.Place, error) {
 	rec := sk.rec
 	hd := nodemsg.Hold{
 		ID: holdID(rec), Tasks: tasks, Size: rec.Size, Expires: holdTime,
 		Priority: rec.Priority, Age: rec.Submitted.UnixNano(), Reserve: sk.reserve, Run: sk.run,
 		Urgent: rec.Priority >= column.MaxPriority, Repeatable: rec.Repeatable,
 	}
-	if cd.node == hm.Member.Node().Name {
+	if node == hm.Member.Node().Name {
 		return hm.Local.Hold(hd).Places, nil
 	}
 	ctx, cancel := context.WithTimeout(hm.ctx, holdTimeout)
 	defer cancel()
 	// A hold that is made without our knowledge expires.
-	held, err := peer.Call[nodemsg.Hold, nodemsg.Held](ctx, hm.Peer, cd.addr, nodemsg.KindHold, hd)
+	held, err := peer.Call[nodemsg.Hold, nodemsg.Held](ctx, hm.Peer, hm.Member.Map().Nodes[node].Peer, nodemsg.KindHold, hd)
 	return held.Places, err
 }
 
@@ -208,7 +177,7 @@
 		go hm.releaseAll(rec, places)
 		hm.settleWaiting(en, "cancelled")
 	case places == nil:
-		var again time.Duration // when room may have come free
+		again := policy.Again(hm.now(), rec.Attempt)
 		if en.reserving {
 			again = hm.now() + reservePause
 		}
--- /dev/null
+++ b/internal/trial/machines.go
@@ -0,0 +1,352 @@
+package trial
+
+import (
+	"fmt"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+
+	"tackbeam.example/policy/gather"
+	"tackbeam.example/policy/home"
+	"tackbeam.example/policy/ledger"
+	"tackbeam.example/policy/owner"
+	"tackbeam.example/tackbeam/internal/column"
+	"tackbeam.example/tackbeam/internal/trace"
+)
+
+// Periods and times as a node has them.
+const (
+	measureTime  = 500 * time.Millisecond
+	beatTime     = time.Second
+	holdTime     = 8 * time.Second
+	reservePause = 100 * time.Millisecond
+	firstBackoff = 25 * time.Millisecond
+	maxBackoff   = time.Second
+	atOnce       = 64
+)
+
+// variant is what one policy changes of the decisions.
+type variant struct {
+	home   home.Rules
+	limits owner.Limits
+	// backoff lets a job without room try again after a pause, room or no room.
+	backoff bool
+}
+
+// machines are the decisions of the product: one home, and an owner for each part
+// of the racks. The home knows the first owner's room as it is, and the others'
+// as they last told it.
+type machines struct {
+	wo      *world
+	variant variant
+	home    *home.Machine
+	owners  []*owner.Machine
+	rooms   []ledger.Room
+	loads   []ledger.Load
+	of      map[string]int // the owner of each worker
+	held    map[string]map[int][]owner.Place
+	keeps   map[string]bool
+	largest home.Capacity
+	beaten  time.Duration
+	told    time.Duration
+}
+
+func newMachines(wo *world, vr variant) decider {
+	ma := &machines{
+		wo: wo, variant: vr, home: home.New(atOnce, vr.home), of: map[string]int{},
+		held: map[string]map[int][]owner.Place{}, keeps: map[string]bool{},
+		told: -measureTime, beaten: -beatTime,
+	}
+	for range max(1, wo.trace.Header().Owners) {
+		ma.owners = append(ma.owners, owner.New(vr.limits))
+	}
+	ma.rooms = make([]ledger.Room, len(ma.owners))
+	ma.loads = make([]ledger.Load, len(ma.owners))
+	return decider{
+		workerUp: ma.workerUp, workerGone: ma.workerGone, limits: ma.limits, submit: ma.submit,
+		cancel: ma.gone, again: ma.again, ended: ma.ended, gone: ma.gone, ask: ma.ask, done: ma.done, tick: ma.tick,
+	}
+}
+
+// homeStep feeds one event to the home and carries its decisions out.
+func (ma *machines) homeStep(ev home.Event) {
+	ev.At = ma.wo.now
+	began := time.Now()
+	acts := ma.home.Step(ev)
+	ma.wo.measure.decided(time.Since(began), ev.Tick == nil)
+	for _, act := range acts {
+		if act.Try != nil {
+			ma.try(act.Try)
+		}
+	}
+}
+
+// ownerStep feeds one event to an owner and carries out what concerns lookups and
+// tasks that give way.
+func (ma *machines) ownerStep(at int, ev owner.Event) []owner.Action {
+	ev.At = ma.wo.now
+	began := time.Now()
+	acts := ma.owners[at].Step(ev)
+	ma.wo.measure.decided(time.Since(began), ev.Tick == nil)
+	for _, act := range acts {
+		switch {
+		case act.Send != nil:
+			ma.wo.send(ma.wo.lookups[act.Send.ID], act.Send.Worker)
+		case act.Refuse != nil:
+			ma.wo.shed(ma.wo.lookups[act.Refuse.ID])
+		case act.Preempt != nil:
+			ma.wo.stop(act.Preempt.Task)
+		}
+	}
+	return acts
+}
+
+// workerUp gives a worker to the owner of its rack.
+func (ma *machines) workerUp(wk ledger.Worker) {
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(wk.Hall + wk.Rack)) // a hash takes everything
+	at := int(hash.Sum32()) % len(ma.owners)
+	ma.of[wk.Name] = at
+	ma.ownerStep(at, owner.Event{WorkerUp: &owner.WorkerUp{Worker: wk}})
+}
+
+func (ma *machines) workerGone(name string, lost bool) {
+	ma.ownerStep(ma.of[name], owner.Event{WorkerGone: &owner.WorkerGone{Worker: name, Lost: lost}})
+}
+
+func (ma *machines) limits(lm trace.Limits) {
+	ma.homeStep(home.Event{Limits: &home.Limits{Workspace: lm.Workspace, Weight: lm.Weight, Running: lm.Running}})
+}
+
+// tick lets time pass and tells the home the room of the cluster.
+func (ma *machines) tick() {
+	for at := range ma.owners {
+		ma.ownerStep(at, owner.Event{Tick: &owner.Tick{}})
+	}
+	if ma.wo.now-ma.beaten >= beatTime {
+		ma.beaten = ma.wo.now
+		for at, mc := range ma.owners {
+			ma.rooms[at], ma.loads[at] = mc.Ledger().Room(), mc.Ledger().Load()
+		}
+	}
+	if ma.wo.now-ma.told >= measureTime {
+		ma.told = ma.wo.now
+		ma.tell()
+	}
+	ma.homeStep(home.Event{Tick: &home.Tick{}})
+}
+
+func (ma *machines) tell() {
+	for at, rm := range ma.rooms {
+		if at == 0 || rm.Workers == 0 {
+			ma.rooms[at] = ma.owners[at].Ledger().Room()
+		}
+	}
+	now := home.Capacity{}
+	for _, rm := range ma.rooms {
+		now.Total = now.Total.Add(rm.Capacity)
+		now.Free = now.Free.Add(rm.Free)
+		now.Largest = now.Largest.Max(rm.Biggest)
+	}
+	ma.largest.Total, ma.largest.Largest = ma.largest.Total.Max(now.Total), ma.largest.Largest.Max(now.Largest)
+	now.Total, now.Largest = ma.largest.Total, ma.largest.Largest
+	ma.homeStep(home.Event{Capacity: &now})
+}
+
+// submit refuses a job that can never run, and lets any other wait.
+func (ma *machines) submit(jb *job) string {
+	if ma.largest.Total.IsZero() {
+		ma.tell()
+	}
+	sb := ma.event(jb)
+	if why := ma.home.Forbids(*sb); why != "" {
+		return why
+	}
+	ma.homeStep(home.Event{Submit: sb})
+	return ""
+}
+
+func (ma *machines) event(jb *job) *home.Submit {
+	sb := &home.Submit{
+		Job: jb.ID, Workspace: jb.Workspace, Workload: jb.Workload, Tasks: jb.Tasks, Size: jb.Size,
+		Priority: jb.Priority, Urgent: jb.Priority >= column.MaxPriority, Waited: ma.wo.now - jb.submitted,
+	}
+	if jb.Deadline > 0 {
+		sb.Deadline = jb.submitted + jb.Deadline
+	}
+	return sb
+}
+
+// again lets a job wait once more after an attempt.
+func (ma *machines) again(jb *job) {
+	ma.homeStep(home.Event{Remove: &home.Remove{Job: jb.ID}})
+	sb := ma.event(jb)
+	sb.Again = ma.wo.now + backoff(jb.attempt)
+	ma.homeStep(home.Event{Submit: sb})
+}
+
+func backoff(try int) time.Duration {
+	const doublings = 6
+	return min(firstBackoff<<min(try, doublings), maxBackoff)
+}
+
+// gone takes out a job that has ended or was cancelled.
+func (ma *machines) gone(jb *job) {
+	ma.release(jb)
+	ma.homeStep(home.Event{Remove: &home.Remove{Job: jb.ID}})
+}
+
+func (ma *machines) ended(jb *job, task, worker string, fails bool) {
+	ma.ownerStep(ma.of[worker], owner.Event{Ended: &owner.Ended{Task: task, Failed: fails, Succeeded: !fails}})
+	ma.homeStep(home.Event{TaskEnded: &home.TaskEnded{Job: jb.ID, OK: !fails}})
+}
+
+// try seeks room for a job as a home does: owner after owner.
+func (ma *machines) try(tr *home.Try) {
+	jb := ma.wo.jobs[tr.Job]
+	if !ma.keeps[jb.ID] {
+		jb.attempt++
+	}
+	reserve := tr.Reserve || ma.keeps[jb.ID]
+	have := ma.held[jb.ID]
+	var got []owner.Place
+	left := lo.Without(taskIDs(jb), lo.Map(flat(have), taskOf)...)
+	ma.rooms[0] = ma.owners[0].Ledger().Room()
+	index := map[string]int{}
+	owners := lo.Map(ma.rooms, func(rm ledger.Room, at int) gather.Owner {
+		name := fmt.Sprint(at)
+		index[name] = at
+		return gather.Owner{Name: name, Room: rm, Have: len(have[at])}
+	})
+	places := map[int][]owner.Place{}
+	for _, ask := range gather.Order(owners, gather.Want{Size: jb.Size, Tasks: jb.Tasks, Reserve: reserve}) {
+		at := index[ask.Owner]
+		mine := lo.Map(have[at], taskOf)
+		tasks := append(mine, left[:min(len(left), ask.Tasks)]...)
+		if len(tasks) == 0 {
+			continue
+		}
+		places[at] = ma.hold(at, jb, tr, tasks, reserve)
+		got = append(got, places[at]...)
+		left = lo.Without(lo.Uniq(append(left, mine...)), lo.Map(places[at], taskOf)...)
+	}
+	ma.held[jb.ID] = places
+	ma.sought(jb, got, reserve)
+}
+
+// sought goes on after a try.
+func (ma *machines) sought(jb *job, got []owner.Place, reserve bool) {
+	switch {
+	case len(got) == jb.Tasks:
+		ma.keeps[jb.ID] = false
+		ma.wo.after(keepTime, func() { ma.commit(jb, got) })
+	case reserve:
+		ma.keeps[jb.ID] = true
+		ma.notPlaced(jb, ma.wo.now+reservePause)
+	default:
+		ma.release(jb)
+		again := home.Again(ma.wo.now, jb.attempt)
+		if ma.variant.backoff {
+			again = ma.wo.now + backoff(jb.attempt)
+		}
+		ma.notPlaced(jb, again)
+	}
+}
+
+func (ma *machines) notPlaced(jb *job, again time.Duration) {
+	// The home hears of it after the step that asked for the try.
+	ma.wo.after(0, func() {
+		ma.homeStep(home.Event{NotPlaced: &home.NotPlaced{Job: jb.ID, Again: again}})
+	})
+}
+
+func (ma *machines) hold(at int, jb *job, tr *home.Try, tasks []string, reserve bool) []owner.Place {
+	acts := ma.ownerStep(at, owner.Event{Hold: &owner.Hold{
+		ID: holdID(jb), Tasks: tasks, Size: jb.Size, Expires: ma.wo.now + holdTime, Priority: jb.Priority,
+		Age: int64(jb.submitted), Reserve: reserve, Urgent: jb.Priority >= column.MaxPriority,
+		Repeatable: jb.Repeatable, Run: tr.Run,
+	}})
+	for _, act := range acts {
+		if act.Granted != nil {
+			return act.Granted.Places
+		}
+	}
+	return nil
+}
+
+// commit starts a job whose intent is kept, if all its places still stand.
+func (ma *machines) commit(jb *job, got []owner.Place) {
+	if jb.over {
+		ma.release(jb)
+		return
+	}
+	var kept []owner.Place
+	held := ma.held[jb.ID]
+	for _, at := range slices.Sorted(maps.Keys(held)) {
+		places := held[at]
+		if len(places) == 0 {
+			continue
+		}
+		acts := ma.ownerStep(at, owner.Event{Commit: &owner.Commit{ID: holdID(jb), Tasks: lo.Map(places, taskOf)}})
+		for _, act := range acts {
+			if act.Settled != nil && act.Settled.OK {
+				kept = append(kept, places...)
+			}
+		}
+	}
+	ma.release(jb)
+	if len(kept) < len(got) {
+		for _, pl := range kept {
+			ma.ownerStep(ma.of[pl.Worker], owner.Event{Ended: &owner.Ended{Task: pl.Task}})
+		}
+		ma.notPlaced(jb, ma.wo.now+backoff(jb.attempt))
+		return
+	}
+	for _, pl := range kept {
+		ma.ownerStep(ma.of[pl.Worker], owner.Event{Started: &owner.Started{Task: pl.Task}})
+	}
+	ma.homeStep(home.Event{Placed: &home.Placed{Job: jb.ID}})
+	ma.wo.start(jb, kept)
+}
+
+// release gives a job's holds back.
+func (ma *machines) release(jb *job) {
+	if _, ok := ma.held[jb.ID]; !ok {
+		return
+	}
+	for at := range ma.owners {
+		ma.ownerStep(at, owner.Event{Release: &owner.Release{ID: holdID(jb)}})
+	}
+	delete(ma.held, jb.ID)
+	delete(ma.keeps, jb.ID)
+}
+
+// ask sends a lookup to the owner with the most free slots.
+func (ma *machines) ask(lk *lookup) {
+	best, most := 0, -1<<30
+	for at, mc := range ma.owners {
+		if free := mc.Ledger().Load().FreeSlots - mc.Waiting(); free > most {
+			best, most = at, free
+		}
+	}
+	ma.ownerStep(best, owner.Event{Arrive: &owner.Arrive{
+		ID: lk.id, Workspace: lk.workspace, Weight: 1, Deadline: lk.deadline,
+	}})
+}
+
+func (ma *machines) done(lk *lookup, fails bool) {
+	ma.ownerStep(ma.of[lk.worker], owner.Event{Done: &owner.Done{ID: lk.id, Latency: lk.run, Failed: fails}})
+}
+
+func holdID(jb *job) string { return fmt.Sprintf("%s.%d", jb.ID, jb.attempt) }
+
+func taskIDs(jb *job) []string {
+	return lo.Times(jb.Tasks, func(i int) string { return fmt.Sprintf("%s.%d.%d", jb.ID, jb.attempt, i) })
+}
+
+func taskOf(pl owner.Place, _ int) string { return pl.Task }
+
+func flat(held map[int][]owner.Place) []owner.Place { return lo.Flatten(lo.Values(held)) }
--- /dev/null
+++ b/internal/trial/trial_test.go
@@ -0,0 +1,73 @@
+package trial_test
+
+import (
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tackbeam.example/tackbeam/internal/trace"
+	"tackbeam.example/tackbeam/internal/trial"
+)
+
+// still takes out of a report what depends on the machine.
+func still(rp trial.Report) trial.Report {
+	rp.Deciding, rp.DecisionP99 = 0, 0
+	return rp
+}
+
+// TestOutcomes runs the shipped traces through the decisions as nodes make them.
+// The outcomes stated in each come about, and the same again the second time.
+func TestOutcomes(t *testing.T) {
+	paths, err := filepath.Glob("../../traces/*.jsonl.gz")
+	if err != nil || len(paths) != len(trace.Names()) {
+		t.Fatalf("%d traces are shipped, %d can be made: run make traces", len(paths), len(trace.Names()))
+	}
+	now, err := trial.Find(trial.Now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range paths {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			tr, err := trace.Load(path)
+			is.NoErr(err)
+			first := trial.Run(tr, now)
+			is.Equal(len(first.Broken), 0) // see the log for what is broken
+			for _, why := range first.Broken {
+				t.Log(why)
+			}
+			is.Equal(still(trial.Run(tr, now)), still(first))
+		})
+	}
+}
+
+// TestBroken shows that each stated outcome is seen when it does not come about.
+func TestBroken(t *testing.T) {
+	none, all, soon := 0, 1.1, time.Duration(0)
+	cases := map[string]struct {
+		trace    string
+		policy   string
+		outcomes trace.Outcomes
+	}{
+		"refused":  {"impossible-jobs", trial.Now, trace.Outcomes{Refused: &none}},
+		"failed":   {"failing-workers", "first-fit", trace.Outcomes{Failed: &none}},
+		"packing":  {"impossible-jobs", trial.Now, trace.Outcomes{Packing: &all}},
+		"fairness": {"impossible-jobs", trial.Now, trace.Outcomes{Fairness: &all}},
+		"urgent":   {"weights-edited", "first-fit", trace.Outcomes{Urgent: &soon}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			made, err := trace.Make(tc.trace, 1)
+			is.NoErr(err)
+			pl, err := trial.Find(tc.policy)
+			is.NoErr(err)
+			head := made.Header()
+			head.Outcomes = tc.outcomes
+			is.Equal(len(trial.Run(trace.New(head, made.Events()), pl).Broken), 1)
+		})
+	}
+}
--- /dev/null
+++ b/policy/gather/gather.go
@@ -0,0 +1,71 @@
+// Package gather decides in which order the owners of workers are asked for room
+// for a job, and for how much.
+package gather
+
+import (
+	"slices"
+
+	"tackbeam.example/policy/ledger"
+	"tackbeam.example/policy/size"
+)
+
+// Owner is an owner as the job's home knows it. Its room may have changed since.
+type Owner struct {
+	Name string
+	Room ledger.Room
+	// Have is the number of places that the job has there already.
+	Have int
+}
+
+// Want is what a job asks for.
+type Want struct {
+	Size  size.Size
+	Tasks int
+	// Reserve also asks owners that have no room yet.
+	Reserve bool
+}
+
+// Ask is one owner to ask, and for how many tasks at most.
+type Ask struct {
+	Owner string
+	Tasks int
+	fits  int64
+	free  float64
+}
+
+// Order lists the owners to ask: those that can take the most tasks first, and
+// among equals the fullest, so that large room stays whole. One more task is
+// asked for than seems to fit, since the room may have grown.
+func Order(owners []Owner, wt Want) []Ask {
+	var asks []Ask
+	for _, ow := range owners {
+		bound := ow.Room.Largest
+		if wt.Reserve {
+			bound = ow.Room.Biggest
+		}
+		if !wt.Size.Fits(bound) && ow.Have == 0 {
+			continue
+		}
+		ask := Ask{
+			Owner: ow.Name, Tasks: wt.Tasks,
+			fits: wt.Size.Count(ow.Room.Free, int64(wt.Tasks)),
+			free: ow.Room.Free.Share(ow.Room.Capacity),
+		}
+		if !wt.Reserve {
+			ask.Tasks = min(wt.Tasks, int(ask.fits)+1)
+		}
+		asks = append(asks, ask)
+	}
+	slices.SortStableFunc(asks, func(a, b Ask) int {
+		switch {
+		case a.fits != b.fits:
+			return int(b.fits - a.fits)
+		case a.free < b.free:
+			return -1
+		case a.free > b.free:
+			return 1
+		}
+		return 0
+	})
+	return asks
+}
--- a/policy/home/home.go
+++ b/policy/home/home.go
@@ -21,6 +21,7 @@
 	queue      queue
 	runs       *learn.Runs
 	rules      Rules
+	reserving  int
 	tries      int
 	atOnce     int
 	submitted  int
@@ -96,6 +97,7 @@
 	mc.tries--
 	jb.state = placed
 	jb.started = now
+	mc.reserve(jb, false)
 }
 
 // notPlaced puts a job back: until the time it is to try again, or, where none is
@@ -139,6 +141,7 @@
 		mc.workspace(jb.Workspace).charge(jb.Size, -jb.running)
 		mc.queue.roomChanged()
 	}
+	mc.reserve(jb, false)
 	delete(mc.jobs, id)
 	mc.queue.drop(jb)
 }
@@ -194,7 +197,9 @@
 	mc.workspace(jb.Workspace).charge(jb.Size, jb.Tasks)
 	run, _ := mc.runs.Quantile(jb.Workload, cautious)
 	latest, _ := mc.latestStart(jb)
-	return Action{Try: &Try{Job: jb.Job, Reserve: mc.reserves(now, jb), Run: run, Start: latest}}
+	reserve := mc.reserves(now, jb)
+	mc.reserve(jb, reserve)
+	return Action{Try: &Try{Job: jb.Job, Reserve: reserve, Run: run, Start: latest}}
 }
 
 // Explain says why a job waits, in one line, or "" where it does not wait.
--- a/policy/home/plan.go
+++ b/policy/home/plan.go
@@ -7,7 +7,7 @@
 
 // Rules are the parts of the decisions that can be left out, to measure them.
 type Rules struct {
-	// Plan lets gangs with a deadline reserve by their latest start.
+	// Plan lets gangs whose deadline leaves time reserve later.
 	Plan bool `json:"plan"`
 }
 
@@ -40,19 +40,44 @@
 	return max(1, jb.Deadline-run), true
 }
 
-// reserves reports whether a job keeps the room that it finds until it has all:
-// urgent jobs from the first try, gangs after a while, or, where their deadline
-// leaves time, close to their latest start; others after a long wait.
+// maxReserving is the number of jobs of a home that reserve at a time, besides
+// urgent ones. With a long queue most jobs have waited for long; if all reserved,
+// each would keep workers from the others.
+const maxReserving = 4
+
+// reserves reports whether a job keeps the room that it finds until it has all.
 func (mc *Machine) reserves(now time.Duration, jb *job) bool {
 	switch {
-	case jb.Urgent:
+	case jb.Urgent || jb.reserving:
 		return true
-	case jb.Tasks == 1:
+	case mc.reserving >= maxReserving:
+		return false
+	}
+	return mc.mayReserve(now, jb)
+}
+
+// reserve notes that a job reserves from now on, or does so no more.
+func (mc *Machine) reserve(jb *job, now bool) {
+	if jb.reserving == now || jb.Urgent {
+		return
+	}
+	jb.reserving = now
+	if now {
+		mc.reserving++
+	} else {
+		mc.reserving--
+	}
+}
+
+// mayReserve reports whether a job has waited long enough to reserve: gangs after
+// a while, somewhat later where their deadline leaves time; others after a long wait.
+func (mc *Machine) mayReserve(now time.Duration, jb *job) bool {
+	if jb.Tasks == 1 {
 		return now-jb.since > reserveOther
 	}
 	from := jb.since + reserveGang
 	if latest, ok := mc.latestStart(jb); ok && mc.rules.Plan {
-		from = max(from, latest-max(leastLead, leadRuns*(jb.Deadline-latest)))
+		from = max(from, min(latest-max(leastLead, leadRuns*(jb.Deadline-latest)), jb.since+reserveOther))
 	}
 	return now > from
 }
@@ -66,3 +91,19 @@
 	return fmt.Sprintf("may miss its deadline: it runs about %v, and %v are left",
 		(jb.Deadline - latest).Round(time.Millisecond), (jb.Deadline - now).Round(time.Millisecond))
 }
+
+// The first tries of a job follow each other quickly: what its home knows of the
+// other owners' room may be a second old, and the next answer may be another.
+const (
+	quickTries = 2
+	quickPause = 25 * time.Millisecond
+)
+
+// Again returns when a job whose try number tries found no room is to try again,
+// or zero where it waits until room may have come free.
+func Again(now time.Duration, tries int) time.Duration {
+	if tries > quickTries {
+		return 0
+	}
+	return now + quickPause*time.Duration(tries)
+}
--- a/policy/home/queue.go
+++ b/policy/home/queue.go
@@ -29,6 +29,8 @@
 	// queued is set while the job is in a group, dated while its deadline is in the
 	// timeline of deadlines.
 	queued, dated bool
+	// reserving is set from the first try that reserves until the job starts or goes.
+	reserving bool
 }
 
 // kind is what decides whether a job may try and finds room: all jobs of a kind
--- a/policy/ledger/ledger.go
+++ b/policy/ledger/ledger.go
@@ -237,21 +237,8 @@
 	return cm.worker, true
 }
 
-// Roomiest returns the worker with the largest free share among those that have
-// the size at all and that may allows.
-func (lg *Ledger) Roomiest(sz size.Size, may func(worker string) bool) (string, bool) {
-	best, most := "", -1.0
-	for _, name := range lg.order {
-		en := lg.workers[name]
-		if en.closed() || !sz.Fits(en.Capacity) || !may(name) {
-			continue
-		}
-		if free := en.free().Share(en.Capacity); free > most {
-			best, most = name, free
-		}
-	}
-	return best, best != ""
-}
+// Names returns the workers, sorted. The caller does not change the list.
+func (lg *Ledger) Names() []string { return lg.order }
 
 // Capacity returns the size of a worker.
 func (lg *Ledger) Capacity(name string) size.Size {
--- a/policy/owner/backfill.go
+++ b/policy/owner/backfill.go
@@ -10,7 +10,7 @@
 		return false
 	}
 	for _, other := range mc.holds {
-		if other.ID == hd.ID || !other.targets[worker] || hd.before(other) {
+		if _, keeps := other.targets[worker]; !keeps || other.ID == hd.ID || hd.before(other) {
 			continue
 		}
 		if ready, known := mc.readyAt(other); !known || now+hd.Run > ready {
@@ -25,7 +25,7 @@
 func (mc *Machine) readyAt(hd *hold) (time.Duration, bool) {
 	var last time.Duration
 	for _, rn := range mc.running {
-		if !hd.targets[rn.worker] {
+		if _, keeps := hd.targets[rn.worker]; !keeps {
 			continue
 		}
 		if rn.ends == 0 {
--- a/policy/owner/hold.go
+++ b/policy/owner/hold.go
@@ -14,8 +14,8 @@
 	places  []Place
 	want    int
 	victims []string
-	// targets are the workers that are kept free for what is wanted.
-	targets map[string]bool
+	// targets is the room that is kept free for what is wanted, by worker.
+	targets map[string]size.Size
 	expires time.Duration
 }
 
@@ -48,7 +48,7 @@
 		acts = mc.preempt(hd)
 	}
 	if req.Reserve {
-		mc.earmark(hd)
+		mc.earmark(now, hd)
 	}
 	if len(hd.places) > 0 || req.Reserve && hd.want > 0 {
 		mc.holds[req.ID] = hd
@@ -76,65 +76,15 @@
 	}
 }
 
-// mayUse reports whether a hold may use a worker: not where it is kept free for
-// a hold that comes first.
-func (mc *Machine) mayUse(hd *hold, worker string) bool {
-	for _, other := range mc.holds {
-		if other.targets[worker] && other.ID != hd.ID && !hd.before(other) {
-			return false
-		}
-	}
-	return true
-}
-
-// earmark chooses the workers that are kept free for what a hold still wants:
-// those chosen before, and then those with the most free room. A worker that the
-// hold's own places leave no room on cannot serve what is left.
-func (mc *Machine) earmark(hd *hold) {
-	former := hd.targets
-	hd.targets = map[string]bool{}
-	for _, id := range hd.victims {
-		if rn, ok := mc.running[id]; ok {
-			former = with(former, rn.worker)
-		}
-	}
-	own := hd.own()
-	useful := func(name string) bool {
-		return !hd.targets[name] && hd.Size.Fits(mc.beside(own, name)) && mc.mayUse(hd, name)
-	}
-	for left := int64(hd.want); left > 0; {
-		name, ok := mc.ledger.Roomiest(hd.Size, func(name string) bool { return former[name] && useful(name) })
-		if !ok {
-			name, ok = mc.ledger.Roomiest(hd.Size, useful)
-		}
-		if !ok {
-			return
-		}
-		hd.targets[name] = true
-		left -= max(1, hd.Size.Count(mc.beside(own, name), left))
-	}
-}
-
-// own returns the room that the hold has on each worker.
-func (hd *hold) own() map[string]size.Size {
-	own := map[string]size.Size{}
-	for _, pl := range hd.places {
-		own[pl.Worker] = own[pl.Worker].Add(hd.Size)
-	}
-	return own
-}
-
-// beside returns what a worker can have besides a hold's own room there.
-func (mc *Machine) beside(own map[string]size.Size, name string) size.Size {
-	return mc.ledger.Capacity(name).Sub(own[name])
-}
-
-func with(set map[string]bool, name string) map[string]bool {
-	if set == nil {
-		set = map[string]bool{}
+// mayUse reports whether a hold may use a worker: what it leaves there is enough
+// for the holds that come first and for which room is kept.
+func (mc *Machine) mayUse(hd *hold, name string) bool {
+	kept := mc.kept(hd, name)
+	if kept.IsZero() {
+		return true
 	}
-	set[name] = true
-	return set
+	free, ok := mc.ledger.Free(name)
+	return ok && hd.Size.Add(kept).Fits(free)
 }
 
 // takeOver gives back the youngest reservation that comes after hd and still
