Add tackbeam load: an open-loop client that checks every answer

Change: tackbeam load sends lookups and jobs at times from rates and a seed, or from a workload trace, measures lookups from their due time, submits jobs under keys of their own until the answer is final, checks answers, bounds what is under way, says how far it is, and prints, as JSON too, or draws, the latencies by workload and workspace. The chart package draws any distribution.

Figures: TestLoad, 4 cases: all right; a wrong answer, too many at once and an unknown workspace are each found. TestLoadFromTrace. No capacity figures yet.

Conclusion: what callers feel can be measured on any running system.

--- a/internal/chart/chart.go
+++ b/internal/chart/chart.go
@@ -1,16 +1,15 @@
-// Package chart draws the waits of several policies over one trace.
+// Package chart draws distributions of waits.
 package chart
 
 import (
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/pkg/errors"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
-
-	"tackbeam.example/tackbeam/internal/trial"
 )
 
 // The size of a chart.
@@ -19,39 +18,72 @@
 	height = 11 * vg.Centimeter
 )
 
-// shortest is the left end of the chart; shorter waits are drawn there.
-const shortest = 10 * time.Millisecond
+// shortest is the least wait that a logarithmic scale shows.
+const shortest = 10 * time.Microsecond
+
+// Point says which part of the requests waited at most how long.
+type Point struct {
+	Wait time.Duration
+	Part float64
+}
 
-// Save draws, for each report of one trace, which part of the jobs waited at most
-// how long. The ending of the path is the format: .svg, .png or .pdf.
-func Save(path string, reports []trial.Report) error {
+// Points returns the points of a histogram of microseconds.
+func Points(hi *hdrhistogram.Histogram) []Point {
+	const percent = 100
+	if hi.TotalCount() == 0 {
+		return nil
+	}
+	var list []Point
+	for _, br := range hi.CumulativeDistribution() {
+		list = append(list, Point{time.Duration(br.ValueAt) * time.Microsecond, br.Quantile / percent})
+	}
+	return list
+}
+
+// Chart is a chart with a line for each distribution.
+type Chart struct {
+	plot  *plot.Plot
+	lines int
+}
+
+// New returns a chart without lines.
+func New(title string) *Chart {
 	pl := plot.New()
-	pl.Title.Text = "waits of jobs"
+	pl.Title.Text = title
 	pl.X.Label.Text = "wait, seconds"
-	pl.Y.Label.Text = "part of the jobs"
+	pl.Y.Label.Text = "part that waited no longer"
 	pl.X.Scale = plot.LogScale{}
 	pl.X.Tick.Marker = plot.LogTicks{Prec: -1}
-	pl.Legend.Left, pl.Legend.Top = false, false
-	pl.Y.Min, pl.Y.Max = 0, 1
-	for i, rp := range reports {
-		pl.Title.Text = "waits of jobs, trace " + rp.Trace
-		line, err := plotter.NewLine(points(rp))
-		if err != nil {
-			return errors.Wrapf(err, "draw policy %s", rp.Policy)
-		}
-		line.Color = plotutil.Color(i)
-		line.Dashes = plotutil.Dashes(i)
-		pl.Add(line)
-		pl.Legend.Add(rp.Policy, line)
-	}
-	return errors.Wrap(pl.Save(width, height, path), "save chart")
+	return &Chart{plot: pl}
 }
 
-// points are the corners of the line of one report.
-func points(rp trial.Report) plotter.XYs {
-	list := plotter.XYs{{X: shortest.Seconds(), Y: 0}}
-	for _, pt := range rp.Curve {
+// Line adds a distribution; one without points is left out.
+func (ch *Chart) Line(name string, points []Point) error {
+	if len(points) == 0 {
+		return nil
+	}
+	first := max(points[0].Wait, shortest).Seconds()
+	list := plotter.XYs{{X: first, Y: 0}}
+	for _, pt := range points {
 		list = append(list, plotter.XY{X: max(pt.Wait, shortest).Seconds(), Y: pt.Part})
 	}
-	return list
+	line, err := plotter.NewLine(list)
+	if err != nil {
+		return errors.Wrapf(err, "draw %s", name)
+	}
+	line.Color = plotutil.Color(ch.lines)
+	line.Dashes = plotutil.Dashes(ch.lines)
+	ch.lines++
+	ch.plot.Add(line)
+	ch.plot.Legend.Add(name, line)
+	ch.plot.Y.Min, ch.plot.Y.Max = 0, 1
+	return nil
+}
+
+// Save writes the chart. The ending of the path is the format: .svg, .png or .pdf.
+func (ch *Chart) Save(path string) error {
+	if ch.lines == 0 {
+		return errors.New("nothing waited, so there is nothing to draw")
+	}
+	return errors.Wrap(ch.plot.Save(width, height, path), "save chart")
 }
--- a/internal/cli/cmd_replay.go
+++ b/internal/cli/cmd_replay.go
@@ -133,7 +133,7 @@
 		}
 	}
 	if cm.Plot != "" {
-		if err := chart.Save(cm.Plot, reports); err != nil {
+		if err := drawTrials(cm.Plot, reports); err != nil {
 			return err
 		}
 	}
@@ -146,6 +146,17 @@
 	return unmet(reports)
 }
 
+// drawTrials draws the waits of one trace, a line for each policy.
+func drawTrials(path string, reports []trial.Report) error {
+	ch := chart.New("waits of jobs, trace " + reports[0].Trace)
+	for _, rp := range reports {
+		if err := ch.Line(rp.Policy, rp.Curve); err != nil {
+			return err
+		}
+	}
+	return ch.Save(path)
+}
+
 // policies returns those to run: the one that nodes have, unless others are named.
 func (cm *replayCommand) policies() ([]trial.Policy, error) {
 	switch cm.Compare {
--- /dev/null
+++ b/internal/daemon/load_test.go
@@ -0,0 +1,74 @@
+package daemon_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"tackbeam.example/tackbeam/internal/client"
+	"tackbeam.example/tackbeam/internal/load"
+	"tackbeam.example/tackbeam/internal/standin/standinworker"
+	"tackbeam.example/tackbeam/internal/trace"
+)
+
+// TestLoad runs the load client against two nodes. Every request has its answer,
+// and an answer that is not the expected one is found.
+func TestLoad(t *testing.T) {
+	bd := newBed(t, 4, "n1", "n2")
+	cls := []*client.Client{bd.api("n1"), bd.api("n2")}
+	setCells(t, cls[0], "workspace/brno weight 1", "workload/lookup class service", "workload/push class batch")
+	usual := load.Options{
+		Lookups: 100, Jobs: 10, Span: time.Second, Workspaces: []string{"brno"}, Service: "lookup", Batch: "push",
+		Run: 10 * time.Millisecond, Most: 1000, JobWait: time.Minute, Expect: standinworker.Reply,
+	}
+	cases := map[string]struct {
+		change func(*load.Options)
+		wrong  bool
+		unsent bool
+		errors bool
+	}{
+		"all right":         {func(*load.Options) {}, false, false, false},
+		"a wrong answer":    {func(op *load.Options) { op.Expect = func([]byte) []byte { return nil } }, true, false, false},
+		"too many at once":  {func(op *load.Options) { op.Most, op.Jobs, op.Run = 1, 50, 300*time.Millisecond }, false, true, false},
+		"no such workspace": {func(op *load.Options) { op.Workspaces = []string{"zlin"} }, false, false, true},
+	}
+	seed := uint64(0)
+	for name, tc := range cases {
+		seed++ // keys are made from it
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			op := usual
+			op.Seed = seed
+			tc.change(&op)
+			ld, err := load.New(clockwork.NewRealClock(), cls, op)
+			is.NoErr(err)
+			rp := ld.Run(t.Context())
+			is.Equal(len(rp.Wrong) > 0, tc.wrong)
+			is.Equal(rp.Unsent > 0, tc.unsent)
+			is.Equal(len(rp.Errors) > 0, tc.errors)
+			sent, answered := ld.Progress()
+			is.Equal(sent, answered)
+			is.Equal(int(sent)+rp.Unsent, ld.Planned())
+		})
+	}
+}
+
+// TestLoadFromTrace sends the jobs and lookups of a workload trace.
+func TestLoadFromTrace(t *testing.T) {
+	is := is.New(t)
+	bd := newBed(t, 4, "n1")
+	setCells(t, bd.api("n1"), "workspace/brno weight 1", "workload/lookup class service", "workload/push class batch")
+	tr := trace.New(trace.Header{Name: "small"}, []trace.Event{
+		{Job: &trace.Job{ID: "a", Workspace: "brno", Workload: "push", Tasks: 1, Run: time.Millisecond}},
+		{Lookups: &trace.Lookups{Workspace: "brno", Rate: 100, For: time.Second, Run: 1, Budget: 1, Seed: 3}},
+	})
+	ld, err := load.FromTrace(clockwork.NewRealClock(), []*client.Client{bd.api("n1")},
+		load.Options{Span: time.Minute, Service: "lookup", Most: 100, JobWait: time.Minute, Expect: standinworker.Reply}, tr)
+	is.NoErr(err)
+	rp := ld.Run(t.Context())
+	is.Equal(rp.Answers, map[string]int{"ran": 1})
+	is.Equal(rp.Workloads["lookup"].Count, int64(ld.Planned()-1))
+	is.Equal(len(rp.Wrong)+len(rp.Errors), 0)
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,126 @@
+package load
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"tackbeam.example/tackbeam/internal/chart"
+	"tackbeam.example/tackbeam/internal/fault"
+)
+
+// The bounds of the histograms, in microseconds.
+const (
+	shortest = 1
+	longest  = int64(time.Hour / time.Microsecond)
+	figures  = 3
+)
+
+// samples bounds the examples of errors that a report keeps.
+const samples = 5
+
+// Latency is the distribution of the latencies of one workload or workspace: of a
+// lookup until its answer, of a job from its submission to its first start.
+type Latency struct {
+	Count int64         `json:"count"`
+	P50   time.Duration `json:"p50"`
+	P90   time.Duration `json:"p90"`
+	P99   time.Duration `json:"p99"`
+	Max   time.Duration `json:"max"`
+	// Curve is the whole distribution, for a chart.
+	Curve []chart.Point `json:"-"`
+}
+
+// Report is what a load came to.
+type Report struct {
+	Took       time.Duration      `json:"took"`
+	Workloads  map[string]Latency `json:"workloads"`
+	Workspaces map[string]Latency `json:"workspaces"`
+	Answers    map[string]int     `json:"job_answers"`
+	Errors     map[fault.Kind]int `json:"errors"`
+	Samples    []string           `json:"error_samples,omitempty"`
+	Wrong      []string           `json:"wrong_answers,omitempty"`
+	Unsent     int                `json:"not_sent"`
+}
+
+// tally counts answers as they come.
+type tally struct {
+	mu         sync.Mutex
+	workloads  map[string]*hdrhistogram.Histogram
+	workspaces map[string]*hdrhistogram.Histogram
+	rp         Report
+}
+
+func newTally() *tally {
+	return &tally{
+		workloads: map[string]*hdrhistogram.Histogram{}, workspaces: map[string]*hdrhistogram.Histogram{},
+		rp: Report{Answers: map[string]int{}, Errors: map[fault.Kind]int{}},
+	}
+}
+
+func (ta *tally) answered(workload, workspace string, took time.Duration) {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	record(ta.workloads, workload, took)
+	record(ta.workspaces, workspace, took)
+}
+
+func record(in map[string]*hdrhistogram.Histogram, name string, took time.Duration) {
+	hi, ok := in[name]
+	if !ok {
+		hi = hdrhistogram.New(shortest, longest, figures)
+		in[name] = hi
+	}
+	_ = hi.RecordValue(max(shortest, min(took.Microseconds(), longest))) // within the bounds
+}
+
+func (ta *tally) failed(workload string, err error) {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	ta.rp.Errors[fault.From(err).Kind]++
+	if len(ta.rp.Samples) < samples {
+		ta.rp.Samples = append(ta.rp.Samples, workload+": "+err.Error())
+	}
+}
+
+func (ta *tally) ended(answer string) {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	ta.rp.Answers[answer]++
+}
+
+func (ta *tally) wrong(what string) {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	ta.rp.Wrong = append(ta.rp.Wrong, what)
+}
+
+func (ta *tally) unsent() {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	ta.rp.Unsent++
+}
+
+func (ta *tally) report(took time.Duration) Report {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	rp := ta.rp
+	rp.Took = took
+	rp.Answers, rp.Errors = maps.Clone(rp.Answers), maps.Clone(rp.Errors)
+	rp.Workloads, rp.Workspaces = latencies(ta.workloads), latencies(ta.workspaces)
+	return rp
+}
+
+func latencies(from map[string]*hdrhistogram.Histogram) map[string]Latency {
+	all := map[string]Latency{}
+	for name, hi := range from {
+		at := func(q float64) time.Duration { return time.Duration(hi.ValueAtQuantile(q)) * time.Microsecond }
+		all[name] = Latency{
+			Count: hi.TotalCount(), P50: at(50), P90: at(90), P99: at(99),
+			Max: time.Duration(hi.Max()) * time.Microsecond, Curve: chart.Points(hi),
+		}
+	}
+	return all
+}
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -9,6 +9,7 @@
 	"tackbeam.example/policy/home"
 	"tackbeam.example/policy/ledger"
 	"tackbeam.example/policy/owner"
+	"tackbeam.example/tackbeam/internal/chart"
 	"tackbeam.example/tackbeam/internal/fault"
 	"tackbeam.example/tackbeam/internal/trace"
 )
@@ -96,17 +97,11 @@
 	Deciding      time.Duration `json:"deciding"`
 	DecisionP99   time.Duration `json:"decision_p99"`
 	// Curve is the distribution of the waits of all jobs, for a chart.
-	Curve []Point `json:"-"`
+	Curve []chart.Point `json:"-"`
 	// Broken names the stated outcomes that did not come about.
 	Broken []string `json:"broken,omitempty"`
 }
 
-// Point says which part of the jobs waited at most how long.
-type Point struct {
-	Wait time.Duration
-	Part float64
-}
-
 // Rate returns the decisions made a second of processor time.
 func (rp Report) Rate() float64 { return float64(rp.Decisions) / max(rp.Deciding.Seconds(), 1e-9) }
 
@@ -133,7 +128,7 @@
 		Lookups: me.asked, Shed: me.shed, LookupsFailed: me.lookupsFailed,
 		Decisions: me.decisions, Deciding: me.deciding, DecisionP99: time.Duration(me.slowest.ValueAtQuantile(99)),
 	}
-	rp.Curve = curve(me.jobWaits)
+	rp.Curve = chart.Points(me.jobWaits)
 	if me.boundTime > 0 {
 		rp.Packing = me.usedTime / me.boundTime
 	}
@@ -143,18 +138,6 @@
 	return rp
 }
 
-func curve(hi *hdrhistogram.Histogram) []Point {
-	const percent = 100
-	var list []Point
-	if hi.TotalCount() == 0 {
-		return nil
-	}
-	for _, br := range hi.CumulativeDistribution() {
-		list = append(list, Point{time.Duration(br.ValueAt) * time.Microsecond, br.Quantile / percent})
-	}
-	return list
-}
-
 func waitsOf(from map[string]*hdrhistogram.Histogram) map[string]Wait {
 	all := map[string]Wait{}
 	for name, hi := range from {
