--- a/internal/trial/world.go
+++ b/internal/trial/world.go
@@ -100,13 +100,13 @@
 	}
 	wo.at(0, wo.ticks)
 	for {
-		pl, ok := wo.next()
-		if !ok || pl.at > 2*head.Span || pl.at > head.Span && wo.open == 0 {
+		at, act, ok := wo.next()
+		if !ok || at > 2*head.Span || at > head.Span && wo.open == 0 {
 			break
 		}
-		wo.measure.pass(wo, pl.at)
-		wo.now = pl.at
-		pl.act()
+		wo.measure.pass(wo, at)
+		wo.now = at
+		act()
 	}
 	for _, jb := range wo.jobs {
 		if !jb.over {
--- a/policy/home/queue.go
+++ b/policy/home/queue.go
@@ -2,11 +2,11 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"slices"
 	"time"
 
 	"tackbeam.example/policy/size"
+	"tackbeam.example/policy/timeline"
 )
 
 // state of a job in the machine.
@@ -67,8 +67,8 @@
 	// open are the groups whose jobs may try, parked those for which there is no room.
 	open, parked []*group
 	// timers are jobs that wait for a time, deadlines those with a last moment.
-	timers    timeline
-	deadlines timeline
+	timers    timeline.Timeline[*job]
+	deadlines timeline.Timeline[*job]
 	blocked   []blockade
 	changed   bool
 }
@@ -81,10 +81,10 @@
 	qu.waiting++
 	if jb.Deadline > 0 && !jb.dated {
 		jb.dated = true
-		qu.deadlines = qu.deadlines.with(moment{jb.Deadline, jb}, qu.waiting)
+		qu.plan(&qu.deadlines, jb.Deadline, jb)
 	}
 	if again > 0 {
-		qu.timers = qu.timers.with(moment{again, jb}, qu.waiting)
+		qu.plan(&qu.timers, again, jb)
 		return
 	}
 	qu.enqueue(jb)
@@ -170,8 +170,11 @@
 
 // wake readies the jobs whose time has come.
 func (qu *queue) wake(now time.Duration) {
-	for len(qu.timers) > 0 && qu.timers[0].at <= now {
-		jb := heap.Pop(&qu.timers).(moment).job
+	for {
+		jb, ok := qu.timers.Next(now)
+		if !ok {
+			return
+		}
 		if jb.state == waiting && !jb.queued {
 			qu.enqueue(jb)
 		}
@@ -181,14 +184,16 @@
 // late returns the waiting jobs whose deadline has passed, the earliest first.
 func (qu *queue) late(now time.Duration) []*job {
 	var list []*job
-	for len(qu.deadlines) > 0 && qu.deadlines[0].at <= now {
-		jb := heap.Pop(&qu.deadlines).(moment).job
+	for {
+		jb, ok := qu.deadlines.Next(now)
+		if !ok {
+			return list
+		}
 		jb.dated = false
 		if jb.state == waiting {
 			list = append(list, jb)
 		}
 	}
-	return list
 }
 
 // block parks the kinds that would find no room where a job found none, but for
@@ -221,50 +226,15 @@
 	return slices.ContainsFunc(qu.blocked, func(bl blockade) bool { return bl.covers(kd) })
 }
 
-// moment is a job at a time.
-type moment struct {
-	at  time.Duration
-	job *job
-}
-
-// timeline is a heap of moments, the earliest first; equal ones in the order of
-// the jobs.
-type timeline []moment
-
-// slack is the number of moments of jobs that do not wait any more which a
-// timeline may keep besides as many as there are waiting jobs.
+// slack is the number of jobs that do not wait any more which a timeline may keep
+// besides as many as there are waiting jobs.
 const slack = 1024
 
-// with returns the timeline with one more moment. Those of jobs that do not wait
-// any more are dropped where they have become many.
-func (tl timeline) with(mo moment, waits int) timeline {
-	if len(tl) > 2*waits+slack {
-		tl = slices.DeleteFunc(tl, func(old moment) bool { return old.job.state != waiting })
-		heap.Init(&tl)
+// plan adds a job to a timeline. Jobs that do not wait any more are dropped there
+// where they have become many.
+func (qu *queue) plan(tl *timeline.Timeline[*job], at time.Duration, jb *job) {
+	if tl.Len() > 2*qu.waiting+slack {
+		tl.Keep(func(old *job) bool { return old.state == waiting })
 	}
-	heap.Push(&tl, mo)
-	return tl
-}
-
-// Len, Less, Swap, Push and Pop are what container/heap asks for.
-func (tl timeline) Len() int { return len(tl) }
-
-// Less orders two moments.
-func (tl timeline) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(tl[i].at, tl[j].at), cmp.Compare(tl[i].job.order, tl[j].job.order)) < 0
-}
-
-// Swap exchanges two moments.
-func (tl timeline) Swap(i, j int) { tl[i], tl[j] = tl[j], tl[i] }
-
-// Push adds a moment.
-func (tl *timeline) Push(x any) { *tl = append(*tl, x.(moment)) }
-
-// Pop takes the last moment off.
-func (tl *timeline) Pop() any {
-	old := *tl
-	last := old[len(old)-1]
-	old[len(old)-1] = moment{}
-	*tl = old[:len(old)-1]
-	return last
+	tl.Add(at, jb)
 }
