--- a/internal/cli/cmd_stats.go
+++ b/internal/cli/cmd_stats.go
@@ -16,14 +16,23 @@
 var cmdStats = Command{
 	Name:    "stats",
 	Summary: "show what a node measures",
-	Doc:     "Show a node's histograms by measure, class and workspace, its counters, and what control costs it.",
-	New:     func(env *Env) any { return &stats{env: env} },
+	Doc: "Show a node's histograms by measure, class and workspace, its counters, and what control costs it. " +
+		"With --watch, show again and again what every node spends, against the limits, and how full it is.",
+	New: func(env *Env) any { return &stats{env: env} },
 }
 
-type stats struct{ env *Env }
+type stats struct {
+	env   *Env
+	Watch bool          `long:"watch" description:"redraw in a terminal until interrupted"`
+	Every time.Duration `long:"every" default:"2s" description:"time between two looks"`
+	Count int           `long:"count" description:"with --watch, end after so many looks and do not clear the screen; 0 is never"`
+}
 
 // Execute carries the command out.
 func (cm *stats) Execute([]string) error {
+	if cm.Watch {
+		return cm.watch()
+	}
 	st, err := client.JSON[api.Stats](cm.env.client(), client.Request{Method: "GET", Path: api.PathStats})
 	if err != nil {
 		return err
--- a/test/demo.sh
+++ b/test/demo.sh
@@ -52,8 +52,12 @@
 fi
 cat "$work/never"
 
+say load --workspace brno --service stock-lookup --batch price-push --lookups 50 --jobs 5 --time 1s | tee "$work/load"
+grep -q 'errors map\[\]; not sent 0; wrong answers 0' "$work/load" || fail "the load met errors"
+
 say jobs list
 say nodes
+say stats --watch --count 1
 say drain node-1 --yes
 wait "$pid" || fail "the node did not stop cleanly"
 say replay "$work/trace"
