Let leases of workers that cannot fence run out on the side of a split without the store

Cause: a node gave up its workers' leases only when it heard neither the store nor any node. Two nodes that hear each other, cut off from the rest and from the store, went on renewing after the others had taken them out. Workers that fence refuse them; workers that do not were filled by both sides. Change: for workers without fencing or inventory, an owner renews only while it has reached the store, or every other member has heard it, within two thirds of the guard. Conclusion: with such workers a side without the store must stop; with workers that fence it goes on, as before.

--- a/internal/daemon/bed_test.go
+++ b/internal/daemon/bed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -49,6 +50,8 @@
 	// skew is how far the clocks of some nodes are ahead.
 	skew map[string]time.Duration
 	keep time.Duration
+	// gates stand between some nodes and the store.
+	gates map[string]*gate
 }
 
 // quick is a worker whose lease runs out soon.
@@ -64,7 +67,7 @@
 func newBedOf(t testing.TB, count int, pattern standinworker.Options, names ...string) *bed {
 	t.Helper()
 	bd := &bed{t: t, dir: t.TempDir(), nodes: map[string]*daemon.Daemon{}}
-	must(t, keys.Issue(bd.dir, []string{"n1", "n2", "n3"}))
+	must(t, keys.Issue(bd.dir, []string{"n1", "n2", "n3", "n4"}))
 	var err error
 	bd.store, err = standinstore.New(standinstore.Options{Writes: 1000, Reads: 10000})
 	must(t, err)
@@ -104,6 +107,9 @@
 	st.Peer.Key = filepath.Join(bd.dir, name+keys.KeySuffix)
 	st.Peer.CA = filepath.Join(bd.dir, keys.CAFile)
 	st.Store.Addresses = []string{bd.store.Addr()}
+	if ga := bd.gates[name]; ga != nil {
+		st.Store.Addresses = []string{ga.listener.Addr().String()}
+	}
 	st.Store.Lease = 2 * time.Second
 	st.VMs.Address = bd.list.Addr()
 	st.VMs.Every = 100 * time.Millisecond
@@ -155,6 +161,24 @@
 	bd.t.Fatalf("not reached: %s", what)
 }
 
+// split cuts the links between two groups of nodes; without groups, all work.
+func (bd *bed) split(one, other []string) {
+	cut := func(names, from []string) {
+		for _, name := range names {
+			bd.nodes[name].Peer().Block(func(addr string) bool {
+				return slices.ContainsFunc(from, func(far string) bool { return bd.nodes[far].Peer().Addr() == addr })
+			})
+		}
+	}
+	if len(one)+len(other) == 0 {
+		for _, dm := range bd.nodes {
+			dm.Peer().Block(nil)
+		}
+	}
+	cut(one, other)
+	cut(other, one)
+}
+
 // waitSlots waits until the nodes together have so many free slots.
 func (bd *bed) waitSlots(slots int) {
 	bd.t.Helper()
--- a/internal/member/beat.go
+++ b/internal/member/beat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"time"
 
@@ -84,6 +85,28 @@
 	return at
 }
 
+// LastCertain returns when this node was last certain that no known member can have
+// taken it out: it reached the store, or every other member heard it. A node that
+// hears only some of the others may be on the side of a split without the store.
+func (mb *Member) LastCertain() time.Time {
+	at := mb.store.LastOK()
+	mb.mu.Lock()
+	defer mb.mu.Unlock()
+	heard := mb.clock.Now()
+	for _, ps := range mb.peers {
+		if !slices.Contains(ps.beat.Hears, mb.node.Name) {
+			return at
+		}
+		if ps.heard.Before(heard) {
+			heard = ps.heard
+		}
+	}
+	if heard.After(at) {
+		return heard
+	}
+	return at
+}
+
 // Stale reports whether this node may lack an edit that was accepted: it reaches
 // neither the store nor a node that does, and somebody else might.
 func (mb *Member) Stale() bool {
--- a/internal/owner/keeper.go
+++ b/internal/owner/keeper.go
@@ -109,7 +109,7 @@
 // attach takes the worker's lease and brings the ledger to what runs there.
 func (ow *Owner) attach(kp *keeper) (<-chan struct{}, error) {
 	const patience = 5 * time.Second
-	if ow.cutOff() {
+	if ow.cutOff(kp) {
 		return nil, fault.New(fault.Stale, "this node is cut off and takes no worker")
 	}
 	ctx, cancel := context.WithTimeout(kp.ctx, patience)
@@ -185,16 +185,24 @@
 		kp.used = kp.used.Add(us.Size)
 	}
 	ow.mu.Unlock()
-	if ow.cutOff() {
+	if ow.cutOff(kp) {
 		ow.Log.Info("Node is cut off and lets a worker's lease run out.", "worker", kp.vm.Name)
 		link.Close()
 	}
 }
 
-// cutOff reports whether this node has for long heard neither the store nor any
-// other node, so that others may have taken it out.
-func (ow *Owner) cutOff() bool {
+// cutOff reports whether others may have taken this node out without its knowledge,
+// so that a worker's lease must run out. Workers that fence refuse an owner that was
+// taken out; theirs runs out only when neither the store nor any node was heard for
+// long. For the others it is enough that one member was not, and the store was not.
+func (ow *Owner) cutOff(kp *keeper) bool {
 	selfFence := ow.opts.Guard * 2 / 3 // the rest is for the drift of clocks
+	ow.mu.Lock()
+	plain := kp.plain
+	ow.mu.Unlock()
+	if plain {
+		return ow.Clock.Since(ow.Member.LastCertain()) > selfFence
+	}
 	return ow.Member.Alone() && ow.Clock.Since(ow.Member.LastContact()) > selfFence
 }
 
