Ask the near owner first, and oneself without the network

Of several owners that can take all of a job, the fullest was asked, mostly on another node; and a report of an end to a home on the same node went over QUIC to itself. Change: among owners that can take all tasks the near one comes first; a request to this node's own address is answered without the network.

--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -118,6 +118,7 @@
 		if addr == "" {
 			addr = pr.Addr()
 		}
+		pr.SetSelf(addr)
 		return member.New(dm.clock, dm.log, cl, pr, member.Options{
 			Node: clustermap.Node{
 				Name: st.Node, Peer: addr, HTTP: st.HTTP.Listen, Region: st.Region, Hall: st.Hall,
--- a/internal/home/place.go
+++ b/internal/home/place.go
@@ -111,7 +111,7 @@
 func (hm *Home) owners(have map[string][]nodemsg.Place) []gather.Owner {
 	own := hm.Member.Node().Name
 	room, _ := hm.Local.Room()
-	list := []gather.Owner{{Name: own, Room: room, Have: len(have[own])}}
+	list := []gather.Owner{{Name: own, Room: room, Have: len(have[own]), Near: true}}
 	for _, vw := range hm.Member.Peers() {
 		if name := vw.Node().Name; vw.Heard() && !vw.Node().Leaving {
 			list = append(list, gather.Owner{Name: name, Room: vw.Room(), Have: len(have[name])})
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -61,6 +61,22 @@
 	accepted map[*quic.Conn]bool
 	closed   [2]uint64
 	blocked  func(addr string) bool
+	// self is the address that this node is reached at.
+	self string
+}
+
+// SetSelf names the address that the other nodes use for this one, so that a
+// request to it needs no network; before Start.
+func (pr *Peer) SetSelf(addr string) {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	pr.self = addr
+}
+
+func (pr *Peer) isSelf(addr string) bool {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	return pr.self != "" && addr == pr.self
 }
 
 // New opens the socket of the listen address. Serve begins to answer.
@@ -271,15 +287,19 @@
 	if err != nil {
 		return res, err
 	}
-	raw, err := wire.Encode(request{Kind: kd, From: pr.name, Body: body})
-	if err != nil {
-		return res, err
-	}
+	message := request{Kind: kd, From: pr.name, Body: body}
 	if _, ok := ctx.Deadline(); !ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 	}
+	if pr.isSelf(addr) {
+		return read[Res](addr, pr.answer(ctx, message))
+	}
+	raw, err := wire.Encode(message)
+	if err != nil {
+		return res, err
+	}
 	answer, err := pr.exchange(ctx, addr, raw)
 	if err != nil {
 		return res, err
@@ -288,6 +308,12 @@
 	if err := wire.Decode(answer, &rsp); err != nil {
 		return res, fault.New(fault.Unavailable, "answer of node at %s: %v", addr, err).AfterStart()
 	}
+	return read[Res](addr, rsp)
+}
+
+// read returns what a response holds.
+func read[Res any](addr string, rsp response) (Res, error) {
+	var res Res
 	if rsp.Err != nil {
 		return res, rsp.Err
 	}
--- a/policy/gather/gather.go
+++ b/policy/gather/gather.go
@@ -15,6 +15,9 @@
 	Room ledger.Room
 	// Have is the number of places that the job has there already.
 	Have int
+	// Near is set for the owner on the home's own node, which is asked without a
+	// message.
+	Near bool
 }
 
 // Want is what a job asks for.
@@ -31,10 +34,11 @@
 	Tasks int
 	fits  int64
 	free  float64
+	near  bool
 }
 
 // Order lists the owners to ask: those that can take the most tasks first, and
-// among equals the fullest, so that large room stays whole. One more task is
+// among equals the near one, then the fullest, so that large room stays whole. One more task is
 // asked for than seems to fit, since the room may have grown.
 func Order(owners []Owner, wt Want) []Ask {
 	var asks []Ask
@@ -49,7 +53,7 @@
 		ask := Ask{
 			Owner: ow.Name, Tasks: wt.Tasks,
 			fits: wt.Size.Count(ow.Room.Free, int64(wt.Tasks)),
-			free: ow.Room.Free.Share(ow.Room.Capacity),
+			free: ow.Room.Free.Share(ow.Room.Capacity), near: ow.Near,
 		}
 		if !wt.Reserve {
 			ask.Tasks = min(wt.Tasks, int(ask.fits)+1)
@@ -60,6 +64,11 @@
 		switch {
 		case a.fits != b.fits:
 			return int(b.fits - a.fits)
+		case a.near != b.near:
+			if a.near {
+				return -1
+			}
+			return 1
 		case a.free < b.free:
 			return -1
 		case a.free > b.free:
