--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -34,7 +34,13 @@
 	pair    *tls.Certificate
 	pool    *x509.CertPool
 	checked time.Time
+	seen    [3]stamp
+}
+
+// stamp tells one state of a file from another.
+type stamp struct {
 	changed time.Time
+	size    int64
 }
 
 // New reads the three files.
@@ -47,6 +53,7 @@
 }
 
 func (rg *Ring) load() error {
+	seen := rg.look() // before reading, so that a change meanwhile is read next time
 	pair, err := tls.LoadX509KeyPair(rg.cert, rg.key)
 	if err != nil {
 		return errors.Wrap(err, "load certificate")
@@ -61,18 +68,20 @@
 	}
 	rg.pair, rg.pool = &pair, pool
 	rg.checked = rg.clock.Now()
-	rg.changed = rg.newest()
+	rg.seen = seen
 	return nil
 }
 
-func (rg *Ring) newest() time.Time {
-	var at time.Time
-	for _, path := range []string{rg.cert, rg.key, rg.ca} {
-		if info, err := os.Stat(path); err == nil && info.ModTime().After(at) {
-			at = info.ModTime()
+// look returns what the files look like: an older file is a change as well, as
+// when former keys are put back.
+func (rg *Ring) look() [3]stamp {
+	var stamps [3]stamp
+	for i, path := range []string{rg.cert, rg.key, rg.ca} {
+		if info, err := os.Stat(path); err == nil {
+			stamps[i] = stamp{info.ModTime(), info.Size()}
 		}
 	}
-	return at
+	return stamps
 }
 
 // current returns the certificate and signers, read again where the files have
@@ -84,7 +93,7 @@
 		return rg.pair, rg.pool
 	}
 	rg.checked = rg.clock.Now()
-	if rg.newest().After(rg.changed) {
+	if rg.look() != rg.seen {
 		if err := rg.load(); err != nil {
 			rg.log.Error(err, "New keys cannot be read, the old ones stay.")
 		} else {
