Keep one place for each task though an owner's answer was lost

Cause, found by reading: a reserving gang asks owner after owner. Where the answer of one was lost after it gave task 0 a place, another gave task 0 one too; asked again for task 1, the first answered with task 0, which it still held. Two places for task 0 and none for task 1 counted as all, and task 0 would have begun on two workers. Change: a hold that is asked for again keeps only the places of the tasks that it names again; a home counts one place for each task. Before: TestHoldAgain got gang.0. After: gang.1 only. Conclusion: what a hold has is what was last asked for, not what piled up.

--- a/internal/home/place.go
+++ b/internal/home/place.go
@@ -89,6 +89,8 @@
 		places = append(places, got...)
 		left = without(append(left, nodemsg.TasksOf(mine)...), got)
 	}
+	// Two owners may have given a task a place, where an answer of one was lost.
+	places = lo.UniqBy(places, func(pl nodemsg.Place) string { return pl.Task })
 	whole := len(places) == rec.Tasks
 	switch {
 	case whole && reserve: // owners without a place of it may keep room free for it
--- a/policy/owner/event.go
+++ b/policy/owner/event.go
@@ -66,7 +66,7 @@
 }
 
 // Hold asks for room for tasks of one size until Expires. A hold of the same id
-// asks for more and keeps what it has.
+// replaces the former one, and keeps the places of the tasks that it names again.
 type Hold struct {
 	ID      string        `json:"id"`
 	Tasks   []string      `json:"tasks"`
--- a/policy/owner/hold.go
+++ b/policy/owner/hold.go
@@ -36,6 +36,7 @@
 		hd = &hold{}
 	}
 	hd.Hold = *req
+	mc.giveUp(hd)
 	hd.expires = max(hd.expires, req.Expires)
 	hd.want = 0
 	for _, task := range req.Tasks {
@@ -56,6 +57,18 @@
 	return append(acts, Action{Granted: &Granted{ID: req.ID, Places: slices.Clone(hd.places)}})
 }
 
+// giveUp gives the places of tasks back that a hold does not ask for any more: they
+// have a place elsewhere.
+func (mc *Machine) giveUp(hd *hold) {
+	hd.places = slices.DeleteFunc(hd.places, func(pl Place) bool {
+		drop := !slices.Contains(hd.Tasks, pl.Task)
+		if drop {
+			mc.ledger.Release(pl.Task)
+		}
+		return drop
+	})
+}
+
 func (hd *hold) has(task string) bool {
 	return slices.ContainsFunc(hd.places, func(pl Place) bool { return pl.Task == task })
 }
--- a/policy/owner/hold_test.go
+++ b/policy/owner/hold_test.go
@@ -230,3 +230,20 @@
 		})
 	}
 }
+
+// TestHoldAgain asks again under the id of a hold whose answer was lost. Meanwhile
+// another owner gave the first task its place: this one must not keep one too.
+func TestHoldAgain(t *testing.T) {
+	mc := cell(1)
+	hd := owner.Hold{ID: "gang", Tasks: []string{"gang.0"}, Size: size.New(4000, 1, 0), Expires: time.Minute, Reserve: true}
+	mc.Step(owner.Event{Hold: &hd})
+	hd.Tasks = []string{"gang.1"}
+	for _, act := range mc.Step(owner.Event{Hold: &hd}) {
+		if act.Granted == nil {
+			continue
+		}
+		if got := act.Granted.Places; len(got) != 1 || got[0].Task != "gang.1" {
+			t.Errorf("got places %v, want one for gang.1", got)
+		}
+	}
+}
