--- a/internal/trial/machines.go
+++ b/internal/trial/machines.go
@@ -1,15 +1,9 @@
 package trial
 
 import (
-	"fmt"
 	"hash/fnv"
-	"maps"
-	"slices"
 	"time"
 
-	"github.com/samber/lo"
-
-	"tackbeam.example/policy/gather"
 	"tackbeam.example/policy/home"
 	"tackbeam.example/policy/ledger"
 	"tackbeam.example/policy/owner"
@@ -45,7 +39,6 @@
 	home    *home.Machine
 	owners  []*owner.Machine
 	rooms   []ledger.Room
-	loads   []ledger.Load
 	of      map[string]int // the owner of each worker
 	held    map[string]map[int][]owner.Place
 	keeps   map[string]bool
@@ -64,7 +57,6 @@
 		ma.owners = append(ma.owners, owner.New(vr.limits))
 	}
 	ma.rooms = make([]ledger.Room, len(ma.owners))
-	ma.loads = make([]ledger.Load, len(ma.owners))
 	return decider{
 		workerUp: ma.workerUp, workerGone: ma.workerGone, limits: ma.limits, submit: ma.submit,
 		cancel: ma.gone, again: ma.again, ended: ma.ended, gone: ma.gone, ask: ma.ask, done: ma.done, tick: ma.tick,
@@ -129,7 +121,7 @@
 	if ma.wo.now-ma.beaten >= beatTime {
 		ma.beaten = ma.wo.now
 		for at, mc := range ma.owners {
-			ma.rooms[at], ma.loads[at] = mc.Ledger().Room(), mc.Ledger().Load()
+			ma.rooms[at] = mc.Ledger().Room()
 		}
 	}
 	if ma.wo.now-ma.told >= measureTime {
@@ -204,126 +196,6 @@
 	ma.homeStep(home.Event{TaskEnded: &home.TaskEnded{Job: jb.ID, OK: !fails}})
 }
 
-// try seeks room for a job as a home does: owner after owner.
-func (ma *machines) try(tr *home.Try) {
-	jb := ma.wo.jobs[tr.Job]
-	if !ma.keeps[jb.ID] {
-		jb.attempt++
-	}
-	reserve := tr.Reserve || ma.keeps[jb.ID]
-	have := ma.held[jb.ID]
-	var got []owner.Place
-	left := lo.Without(taskIDs(jb), lo.Map(flat(have), taskOf)...)
-	ma.rooms[0] = ma.owners[0].Ledger().Room()
-	index := map[string]int{}
-	owners := lo.Map(ma.rooms, func(rm ledger.Room, at int) gather.Owner {
-		name := fmt.Sprint(at)
-		index[name] = at
-		return gather.Owner{Name: name, Room: rm, Have: len(have[at])}
-	})
-	places := map[int][]owner.Place{}
-	for _, ask := range gather.Order(owners, gather.Want{Size: jb.Size, Tasks: jb.Tasks, Reserve: reserve}) {
-		at := index[ask.Owner]
-		mine := lo.Map(have[at], taskOf)
-		tasks := append(mine, left[:min(len(left), ask.Tasks)]...)
-		if len(tasks) == 0 {
-			continue
-		}
-		places[at] = ma.hold(at, jb, tr, tasks, reserve)
-		got = append(got, places[at]...)
-		left = lo.Without(lo.Uniq(append(left, mine...)), lo.Map(places[at], taskOf)...)
-	}
-	ma.held[jb.ID] = places
-	ma.sought(jb, got, reserve)
-}
-
-// sought goes on after a try.
-func (ma *machines) sought(jb *job, got []owner.Place, reserve bool) {
-	switch {
-	case len(got) == jb.Tasks:
-		ma.keeps[jb.ID] = false
-		ma.wo.after(keepTime, func() { ma.commit(jb, got) })
-	case reserve:
-		ma.keeps[jb.ID] = true
-		ma.notPlaced(jb, ma.wo.now+reservePause)
-	default:
-		ma.release(jb)
-		again := home.Again(ma.wo.now, jb.attempt)
-		if ma.variant.backoff {
-			again = ma.wo.now + backoff(jb.attempt)
-		}
-		ma.notPlaced(jb, again)
-	}
-}
-
-func (ma *machines) notPlaced(jb *job, again time.Duration) {
-	// The home hears of it after the step that asked for the try.
-	ma.wo.after(0, func() {
-		ma.homeStep(home.Event{NotPlaced: &home.NotPlaced{Job: jb.ID, Again: again}})
-	})
-}
-
-func (ma *machines) hold(at int, jb *job, tr *home.Try, tasks []string, reserve bool) []owner.Place {
-	acts := ma.ownerStep(at, owner.Event{Hold: &owner.Hold{
-		ID: holdID(jb), Tasks: tasks, Size: jb.Size, Expires: ma.wo.now + holdTime, Priority: jb.Priority,
-		Age: int64(jb.submitted), Reserve: reserve, Urgent: jb.Priority >= column.MaxPriority,
-		Repeatable: jb.Repeatable, Run: tr.Run,
-	}})
-	for _, act := range acts {
-		if act.Granted != nil {
-			return act.Granted.Places
-		}
-	}
-	return nil
-}
-
-// commit starts a job whose intent is kept, if all its places still stand.
-func (ma *machines) commit(jb *job, got []owner.Place) {
-	if jb.over {
-		ma.release(jb)
-		return
-	}
-	var kept []owner.Place
-	held := ma.held[jb.ID]
-	for _, at := range slices.Sorted(maps.Keys(held)) {
-		places := held[at]
-		if len(places) == 0 {
-			continue
-		}
-		acts := ma.ownerStep(at, owner.Event{Commit: &owner.Commit{ID: holdID(jb), Tasks: lo.Map(places, taskOf)}})
-		for _, act := range acts {
-			if act.Settled != nil && act.Settled.OK {
-				kept = append(kept, places...)
-			}
-		}
-	}
-	ma.release(jb)
-	if len(kept) < len(got) {
-		for _, pl := range kept {
-			ma.ownerStep(ma.of[pl.Worker], owner.Event{Ended: &owner.Ended{Task: pl.Task}})
-		}
-		ma.notPlaced(jb, ma.wo.now+backoff(jb.attempt))
-		return
-	}
-	for _, pl := range kept {
-		ma.ownerStep(ma.of[pl.Worker], owner.Event{Started: &owner.Started{Task: pl.Task}})
-	}
-	ma.homeStep(home.Event{Placed: &home.Placed{Job: jb.ID}})
-	ma.wo.start(jb, kept)
-}
-
-// release gives a job's holds back.
-func (ma *machines) release(jb *job) {
-	if _, ok := ma.held[jb.ID]; !ok {
-		return
-	}
-	for at := range ma.owners {
-		ma.ownerStep(at, owner.Event{Release: &owner.Release{ID: holdID(jb)}})
-	}
-	delete(ma.held, jb.ID)
-	delete(ma.keeps, jb.ID)
-}
-
 // ask sends a lookup to the owner with the most free slots.
 func (ma *machines) ask(lk *lookup) {
 	best, most := 0, -1<<30
@@ -340,13 +212,3 @@
 func (ma *machines) done(lk *lookup, fails bool) {
 	ma.ownerStep(ma.of[lk.worker], owner.Event{Done: &owner.Done{ID: lk.id, Latency: lk.run, Failed: fails}})
 }
-
-func holdID(jb *job) string { return fmt.Sprintf("%s.%d", jb.ID, jb.attempt) }
-
-func taskIDs(jb *job) []string {
-	return lo.Times(jb.Tasks, func(i int) string { return fmt.Sprintf("%s.%d.%d", jb.ID, jb.attempt, i) })
-}
-
-func taskOf(pl owner.Place, _ int) string { return pl.Task }
-
-func flat(held map[int][]owner.Place) []owner.Place { return lo.Flatten(lo.Values(held)) }
