Measure workspaces, eleven nodes, an outage, a hall and a split; make the page from it

Change: make capacity also measures 10, 100 and 380 workspaces, 11 nodes, the store's calls after an outage of 30 s, and, at 972 workers, a hall lost and two halves of the nodes apart; the page has their tables, made from the data. The direct lookup of the measurement names its worker rightly, since a wrong name is refused now.

--- a/GNUmakefile
+++ b/GNUmakefile
@@ -44,7 +44,7 @@
 	$(GO) test -run '^$$' -bench . -benchmem ./internal/... ./policy/...
 
 capacity:
-	TACKBEAM_CAPACITY=1 $(GO) test ./test -run 'TestCapacity$$|TestStarts|TestTimes' -v -count=1 -timeout 20m
+	TACKBEAM_CAPACITY=1 $(GO) test ./test -run 'TestCapacity$$|TestStarts|TestTimes|TestTenants|TestHalls' -v -count=1 -timeout 30m
 	TACKBEAM_CAPACITY=1 $(GO) test ./test -run TestCapacityPage -count=1
 
 faults:
--- a/internal/cli/cmd_standin_workers.go
+++ b/internal/cli/cmd_standin_workers.go
@@ -29,6 +29,7 @@
 	Count   int           `long:"count" default:"50" description:"number of workers"`
 	First   int           `long:"first" default:"1" description:"number of the first worker"`
 	Halls   int           `long:"halls" default:"3" description:"number of data halls"`
+	Hall    string        `long:"hall" description:"data hall of all workers, instead of spreading them"`
 	Rack    int           `long:"rack" default:"8" description:"workers to a rack"`
 	Cores   int64         `long:"cores" default:"64" description:"cores of a worker"`
 	Memory  int64         `long:"memory" default:"131072" description:"MiB of a worker"`
@@ -47,7 +48,7 @@
 		return err
 	}
 	fl, err := fleet.New(fleet.Options{
-		Count: cm.Count, First: cm.First, Halls: cm.Halls, Rack: cm.Rack,
+		Count: cm.Count, First: cm.First, Halls: cm.Halls, Hall: cm.Hall, Rack: cm.Rack,
 		Worker: standinworker.Options{
 			Capacity: size.New(cm.Cores*milliPerCore, cm.Memory, cm.Accels),
 			Lease:    cm.Lease, Beat: cm.Beat, LookupTime: cm.Lookup, Records: records,
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -16,10 +16,12 @@
 
 // Options of a fleet. Worker is the pattern of each worker.
 type Options struct {
-	Count  int
-	First  int
-	Halls  int
-	Rack   int
+	Count int
+	First int
+	Halls int
+	Rack  int
+	// Hall, where set, is the hall of all workers, whatever Halls says.
+	Hall   string
 	Worker standinworker.Options
 }
 
@@ -35,7 +37,10 @@
 		op := opts.Worker
 		op.Name = fmt.Sprintf("w%04d", number)
 		op.Rack = fmt.Sprintf("r%03d", rack+1)
-		op.Hall = fmt.Sprintf("hall-%d", rack%max(opts.Halls, 1)+1)
+		op.Hall = opts.Hall
+		if op.Hall == "" {
+			op.Hall = fmt.Sprintf("hall-%d", rack%max(opts.Halls, 1)+1)
+		}
 		wk, err := standinworker.New(op)
 		if err != nil {
 			_ = fl.Close() // the first error is the one to report
--- a/test/capacity_test.go
+++ b/test/capacity_test.go
@@ -45,18 +45,24 @@
 		t.Skip("a measurement, not a check; run make capacity")
 	}
 	var samples []sample
-	sizes := [][2]int{{1, 50}, {2, 50}, {4, 50}, {7, 50}, {7, 200}, {7, 500}, {7, 970}}
+	sizes := [][2]int{{1, 50}, {2, 50}, {4, 50}, {7, 50}, {7, 200}, {7, 500}, {7, 970}, {11, 50}}
 	for _, size := range sizes {
 		t.Run(fmt.Sprintf("%d nodes %d workers", size[0], size[1]), func(t *testing.T) {
 			samples = append(samples, measure(t, size[0], size[1]))
 			t.Logf("%+v", samples[len(samples)-1])
 		})
 	}
-	raw, err := json.MarshalIndent(samples, "", "  ")
-	if err != nil {
-		t.Fatal(err)
+	writeData(t, "samples.json", samples)
+}
+
+// writeData writes measured data to docs/capacity.
+func writeData(t *testing.T, name string, data any) {
+	t.Helper()
+	raw, err := json.MarshalIndent(data, "", "  ")
+	if err == nil {
+		err = os.WriteFile(filepath.Join("..", "docs", "capacity", name), append(raw, '\n'), 0o644)
 	}
-	if err := os.WriteFile(filepath.Join("..", "docs", "capacity", "samples.json"), append(raw, '\n'), 0o644); err != nil {
+	if err != nil {
 		t.Fatal(err)
 	}
 }
@@ -157,7 +163,7 @@
 	}
 	solo := cl.soloWorker()
 	link, err := worker.New(context.Background(), clockwork.NewRealClock(), worker.Options{
-		Name: "solo", Addr: solo, Owner: "test", Epoch: 1, Dial: worker.Dial,
+		Name: "w0001", Addr: solo, Owner: "test", Epoch: 1, Dial: worker.Dial,
 	}, worker.Events{
 		Answered: func(an workermsg.Answer) { answers[an.ID%uint64(clients)] <- an },
 		Beat:     func(workermsg.Beat) {}, Ended: func(workermsg.Ended) {}, Leaving: func() {}, Lost: func(error) {},
--- /dev/null
+++ b/test/halls_test.go
@@ -0,0 +1,106 @@
+package test
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+)
+
+// hallSample is what a failure at the target's size costs, against the same time
+// at rest before it.
+type hallSample struct {
+	What    string `json:"what"`
+	Nodes   int    `json:"nodes"`
+	Workers int    `json:"workers"`
+	Lost    int    `json:"workers_lost"`
+	// Settled is when no node showed a lost worker as ready any more, or, after a
+	// split, when all nodes saw all workers ready again.
+	Settled  float64 `json:"settled_s"`
+	Reads    int64   `json:"store_reads_more_than_at_rest"`
+	Writes   int64   `json:"store_writes_more_than_at_rest"`
+	CPU      float64 `json:"cpu_percent_of_core_a_node"`
+	PeerSent float64 `json:"peer_sent_bytes_a_node"`
+}
+
+// TestHalls measures the loss of a hall of six, and a minute in which two halves of
+// the nodes do not hear each other, at 970 workers and seven nodes, and writes
+// docs/capacity/halls.json.
+func TestHalls(t *testing.T) {
+	if os.Getenv("TACKBEAM_CAPACITY") == "" {
+		t.Skip("a measurement, not a check; run make capacity")
+	}
+	const halls, each = 6, 162
+	names := []string{"n1", "n2", "n3", "n4", "n5", "n6", "n7"}
+	op := options{nodes: names, ordinary: true, relays: true, lease: 20 * time.Second}
+	cl := newCluster(t, op)
+	for hall := range halls {
+		op.hall = fmt.Sprint("hall-", hall+1)
+		cl.addWorkers(op, 1000*hall+1, each)
+	}
+	cl.waitWorkers(halls * each)
+	cl.ordinaryTable()
+	time.Sleep(5 * time.Second)
+	rest := cl.spend(20*time.Second, func() {})
+	split := cl.measureSplit(rest, names)
+	lost := cl.measureHall(rest, halls*each, each)
+	writeData(t, "halls.json", []hallSample{lost, split})
+	t.Logf("%+v %+v", lost, split)
+}
+
+// spend returns what all nodes and the store spend in a time, in which act begins,
+// each second on average.
+func (cl *cluster) spend(span time.Duration, act func()) hallSample {
+	before, calls := cl.control(), cl.counts()
+	began := time.Now()
+	act()
+	var sm hallSample
+	time.Sleep(time.Until(began.Add(span)))
+	took := time.Since(began).Seconds()
+	after := cl.counts()
+	sm.Reads, sm.Writes = after.Reads-calls.Reads, after.Writes-calls.Writes
+	for name, ct := range cl.control() {
+		sm.CPU += 100 * (ct.CPU - before[name].CPU).Seconds() / took / float64(len(before))
+		sm.PeerSent += float64(ct.PeerSent-before[name].PeerSent) / took / float64(len(before))
+	}
+	return sm
+}
+
+// moreThan takes off what the same time at rest would have spent.
+func (sm *hallSample) moreThan(rest hallSample, part float64) {
+	sm.Reads -= int64(float64(rest.Reads) * part)
+	sm.Writes -= int64(float64(rest.Writes) * part)
+}
+
+// measureHall kills all workers of a hall.
+func (cl *cluster) measureHall(rest hallSample, workers, lost int) hallSample {
+	began := time.Now()
+	var settled time.Duration
+	sm := cl.spend(150*time.Second, func() {
+		cl.fleets[len(cl.fleets)-1].kill()
+		cl.waitWorkers(workers - lost)
+		settled = time.Since(began)
+	})
+	sm.moreThan(rest, time.Since(began).Seconds()/20)
+	sm.What, sm.Nodes, sm.Workers, sm.Lost = "a hall of six lost", len(cl.nodes), workers, lost
+	sm.Settled = settled.Seconds()
+	return sm
+}
+
+// measureSplit cuts half of the nodes off from the others for a minute; all reach
+// the store.
+func (cl *cluster) measureSplit(rest hallSample, names []string) hallSample {
+	var settled time.Duration
+	began := time.Now()
+	sm := cl.spend(90*time.Second, func() {
+		cl.split(names[:3], names[3:])
+		time.Sleep(time.Minute)
+		cl.mend()
+		mended := time.Now()
+		cl.waitWorkers(len(cl.workers))
+		settled = time.Since(mended)
+	})
+	sm.moreThan(rest, time.Since(began).Seconds()/20)
+	sm.What, sm.Nodes, sm.Workers, sm.Settled = "two halves of the nodes apart for a minute", len(names), len(cl.workers), settled.Seconds()
+	return sm
+}
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -93,6 +93,8 @@
 	lookup  time.Duration
 	// ordinary keeps the default times, as a real site has them.
 	ordinary bool
+	// hall is the hall of the workers; empty spreads them.
+	hall string
 	// relays puts a relay before each node, so that links can be cut.
 	relays bool
 }
@@ -211,7 +213,7 @@
 	records := filepath.Join(cl.dir, fmt.Sprintf("workers-%d.records", first))
 	pr := cl.start("workers", "tackbeam", "standin", "workers", "--vms", cl.vmsAddr, "--records", records,
 		"--first", fmt.Sprint(first), "--count", fmt.Sprint(count),
-		"--lease", lease.String(), "--beat", beat.String(), "--lookup-time", lookup.String())
+		"--hall", op.hall, "--lease", lease.String(), "--beat", beat.String(), "--lookup-time", lookup.String())
 	pr.records = records
 	cl.fleets = append(cl.fleets, pr)
 	for range count {
--- a/test/page_test.go
+++ b/test/page_test.go
@@ -52,9 +52,16 @@
 	var rates []startSample
 	readData(t, "samples.json", &samples)
 	readData(t, "starts.json", &rates)
+	var tenants []tenantSample
+	var tm times
+	readData(t, "tenants.json", &tenants)
+	readData(t, "times.json", &tm)
+	var halls []hallSample
+	readData(t, "halls.json", &halls)
 	return map[string]string{
 		"rest": restTable(samples), "lookups": lookupTable(samples), "starts": startTable(rates),
-		"slopes": slopeTable(samples),
+		"slopes": slopeTable(samples), "tenants": tenantTable(tenants), "times": timeTable(tm),
+		"halls": hallTable(halls),
 	}
 }
 
@@ -104,6 +111,46 @@
 	return out.String()
 }
 
+func tenantTable(list []tenantSample) string {
+	out := markdown("workspaces | nodes | CPU, % of a core | resident MiB | to nodes B/s | new row in force everywhere p50, p99 ms", 6)
+	for _, sm := range list {
+		fmt.Fprintf(out, "| %d | %d | %.2f | %.1f | %.0f | %.1f, %.1f |\n", sm.Workspaces, sm.Nodes, sm.CPU, sm.Memory,
+			sm.PeerSent, sm.EditP50, sm.EditP99)
+	}
+	return out.String()
+}
+
+func hallTable(list []hallSample) string {
+	out := markdown("what | nodes | workers | lost | settled s | store reads, writes more than at rest | CPU a node, % of a core | to nodes B/s a node", 8)
+	for _, sm := range list {
+		fmt.Fprintf(out, "| %s | %d | %d | %d | %.2f | %d, %d | %.2f | %.0f |\n", sm.What, sm.Nodes,
+			sm.Workers, sm.Lost, sm.Settled, sm.Reads, sm.Writes, sm.CPU, sm.PeerSent)
+	}
+	return out.String()
+}
+
+func timeTable(tm times) string {
+	out := markdown("what | measured", 2)
+	row := func(what, format string, args ...any) {
+		fmt.Fprintf(out, "| %s | %s |\n", what, fmt.Sprintf(format, args...))
+	}
+	row("an edit in force on all nodes, p50, p99", "%.1f, %.1f ms", tm.EditP50, tm.EditP99)
+	row("workers of a killed node taken over", "%.1f s", tm.Takeover)
+	row("homes of a killed node taken over", "%.1f s", tm.Homes)
+	row("store reads, writes of that", "%d, %d", tm.StoreCalls[0], tm.StoreCalls[1])
+	row("lookups answered in each second around the kill", "%v", tm.Goodput)
+	row("lookups lost by the other nodes' callers", "%d", tm.Lost)
+	row("workers of a drained node moved", "%.2f s", tm.PlannedSlots)
+	row("store reads, writes of a replacement", "%d, %d", tm.JoinCalls[0], tm.JoinCalls[1])
+	row("store down for 30 s: lookups lost", "%d", tm.OutageLost)
+	row("jobs submitted meanwhile", "%d", tm.OutageJobs)
+	row("the last of them accepted after its return", "%.1f s", tm.OutageKept)
+	row("store writes in each second after its return", "%v", tm.OutageWrites)
+	row("store reads in each second after its return", "%v", tm.OutageReads)
+	row("calls that the store refused for their rate", "%d", tm.OutageRefused)
+	return out.String()
+}
+
 // quantity is one quantity of a sample.
 type quantity struct {
 	name string
--- a/test/starts_test.go
+++ b/test/starts_test.go
@@ -1,10 +1,8 @@
 package test
 
 import (
-	"encoding/json"
 	"fmt"
 	"os"
-	"path/filepath"
 	"sync"
 	"testing"
 	"time"
@@ -43,13 +41,7 @@
 			t.Logf("%+v", samples[len(samples)-1])
 		})
 	}
-	raw, err := json.MarshalIndent(samples, "", "  ")
-	if err == nil {
-		err = os.WriteFile(filepath.Join("..", "docs", "capacity", "starts.json"), append(raw, '\n'), 0o644)
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
+	writeData(t, "starts.json", samples)
 }
 
 // starts gathers what became of the jobs.
--- a/test/times_test.go
+++ b/test/times_test.go
@@ -1,10 +1,8 @@
 package test
 
 import (
-	"encoding/json"
 	"fmt"
 	"os"
-	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -28,6 +26,13 @@
 	Lost         int64    `json:"lookups_lost_to_other_nodes_callers"`
 	JoinCalls    [2]int64 `json:"store_reads_and_writes_of_a_replacement"`
 	PlannedSlots float64  `json:"workers_of_a_drained_node_moved_s"`
+	// Outage is the store's calls in each second after it was down.
+	OutageWrites  []int64 `json:"store_writes_each_second_after_an_outage"`
+	OutageReads   []int64 `json:"store_reads_each_second_after_an_outage"`
+	OutageRefused int64   `json:"store_calls_refused_after_an_outage"`
+	OutageJobs    int     `json:"jobs_submitted_during_the_outage"`
+	OutageKept    float64 `json:"last_of_them_accepted_after_s"`
+	OutageLost    int64   `json:"lookups_lost_during_the_outage"`
 }
 
 // TestTimes measures the times and writes docs/capacity/times.json.
@@ -42,14 +47,9 @@
 	tm.EditP50, tm.EditP99 = cl.measureEdits(200)
 	cl.measureReplacement(&tm)
 	cl.measureKill(&tm)
-	raw, err := json.MarshalIndent(tm, "", "  ")
-	if err == nil {
-		err = os.WriteFile(filepath.Join("..", "docs", "capacity", "times.json"), append(raw, '\n'), 0o644)
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Logf("%s", raw)
+	cl.measureOutage(&tm)
+	writeData(t, "times.json", tm)
+	t.Logf("%+v", tm)
 }
 
 // measureEdits sets a cell again and again and waits each time until all nodes
