Wait for two jobs' answers in one place of the tests

Cause: TestUrgentWork and TestGangAgainstStream had the same wait twice. Change: bothRan serves both; the checks are the same. Conclusion: one wait to read.

--- a/internal/daemon/urgent_test.go
+++ b/internal/daemon/urgent_test.go
@@ -35,24 +35,14 @@
 		"workload/urgent class batch", "workload/urgent processors 64", "workload/urgent priority 9")
 }
 
-// TestUrgentWork fills every worker with long tasks and submits urgent ones. A
-// task that may be repeated is stopped for each, and runs again later; one that
-// may not be is left alone.
-func TestUrgentWork(t *testing.T) {
+// bothRan submits two jobs side by side and waits until both ran.
+func bothRan(t *testing.T, what string, submit func(i int) (api.Job, error)) {
+	t.Helper()
 	is := is.New(t)
-	bd := newBed(t, 4, "n1", "n2")
-	cl := bd.api("n1")
-	fill(t, cl)
-	for i := range 4 {
-		workload := []string{"push", "once"}[i%2]
-		_, err := submitJob(cl, workload, fmt.Sprint(workload, i), 1, 3, 0)
-		is.NoErr(err)
-	}
-	bd.eventually("every worker is full", func() bool { return len(inOrder(bd)) == 4 })
 	answers := make(chan api.Job, 2)
 	for i := range 2 {
 		go func() {
-			vw, err := submitJob(cl, "urgent", fmt.Sprint("urgent", i), 1, 1, 20)
+			vw, err := submit(i)
 			if err != nil {
 				t.Error(err)
 			}
@@ -62,8 +52,27 @@
 	for range 2 {
 		vw := <-answers
 		is.Equal(vw.Answer, "ran")
-		t.Logf("urgent job placed %v after it was submitted", vw.Placed.Sub(vw.Submitted).Round(time.Millisecond))
+		t.Logf("%s placed %v after it was submitted", what, vw.Placed.Sub(vw.Submitted).Round(time.Millisecond))
+	}
+}
+
+// TestUrgentWork fills every worker with long tasks and submits urgent ones. A
+// task that may be repeated is stopped for each, and runs again later; one that
+// may not be is left alone.
+func TestUrgentWork(t *testing.T) {
+	is := is.New(t)
+	bd := newBed(t, 4, "n1", "n2")
+	cl := bd.api("n1")
+	fill(t, cl)
+	for i := range 4 {
+		workload := []string{"push", "once"}[i%2]
+		_, err := submitJob(cl, workload, fmt.Sprint(workload, i), 1, 3, 0)
+		is.NoErr(err)
 	}
+	bd.eventually("every worker is full", func() bool { return len(inOrder(bd)) == 4 })
+	bothRan(t, "urgent job", func(i int) (api.Job, error) {
+		return submitJob(cl, "urgent", fmt.Sprint("urgent", i), 1, 1, 20)
+	})
 	bd.eventually("the stopped tasks ran again", func() bool {
 		ends := map[string]int{}
 		for _, rc := range inOrder(bd) {
@@ -101,21 +110,9 @@
 		}()
 	}
 	time.Sleep(time.Second)
-	answers := make(chan api.Job, 2)
-	for i, name := range []string{"n1", "n2"} {
-		go func() {
-			vw, err := submitJob(bd.api(name), "gang", fmt.Sprint("gang", i), 4, 0.1, 60)
-			if err != nil {
-				t.Error(err)
-			}
-			answers <- vw
-		}()
-	}
-	for range 2 {
-		vw := <-answers
-		is.Equal(vw.Answer, "ran")
-		t.Logf("gang placed %v after it was submitted", vw.Placed.Sub(vw.Submitted).Round(time.Millisecond))
-	}
+	bothRan(t, "gang", func(i int) (api.Job, error) {
+		return submitJob(bd.api([]string{"n1", "n2"}[i]), "gang", fmt.Sprint("gang", i), 4, 0.1, 60)
+	})
 	close(stop)
 	wg.Wait()
 	for _, rc := range inOrder(bd) {
