--- a/internal/journal/seal.go
+++ b/internal/journal/seal.go
@@ -101,16 +101,30 @@
 	return records
 }
 
-// Erase deletes a journal that nobody needs any more.
+// Erase deletes what a journal holds that nobody needs any more. Its seal stays: a
+// writer that was paused all the while would find an empty slot otherwise, take it
+// for one that it has not used yet, and go on.
 func Erase(ctx context.Context, cl *store.Client, name string) error {
-	items, _, err := cl.List(ctx, store.Rest, Prefix+name+"/")
+	if _, err := Seal(ctx, cl, name); err != nil {
+		return err
+	}
+	batches, versions, err := read(ctx, cl, name)
 	if err != nil {
 		return err
 	}
-	for _, item := range items {
-		if _, _, err := cl.Put(ctx, store.Rest, store.Write{
-			Key: item.Key, Version: item.Version, Delete: true,
-		}); err != nil {
+	head := newest(batches)
+	for slot, bt := range batches {
+		wr := store.Write{Key: key(name, slot), Version: versions[slot], Delete: true}
+		if bt.Seq == head.Seq {
+			if len(bt.Records) == 0 {
+				continue
+			}
+			wr.Delete = false
+			if wr.Value, err = wire.Encode(batch{Seq: bt.Seq, WriteID: ids.Random(8), Sealed: true}); err != nil {
+				return err
+			}
+		}
+		if _, _, err := cl.Put(ctx, store.Rest, wr); err != nil {
 			return err
 		}
 	}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -66,22 +66,23 @@
 	// Behind is called when another node has a table that differs; set before Start.
 	behind func(addr string)
 
-	mu       sync.Mutex
-	node     clustermap.Node
-	current  *clustermap.Map
-	version  uint64
-	peers    map[string]*peerState
-	live     map[string]bool
-	liveAt   time.Time
-	subs     []func(*clustermap.Map)
-	silence  []func(name string)
-	lease    string
-	stopped  bool
-	draining bool
-	changing sync.Mutex
-	applying sync.Mutex
-	cancel   context.CancelFunc
-	wg       sync.WaitGroup
+	mu        sync.Mutex
+	node      clustermap.Node
+	current   *clustermap.Map
+	version   uint64
+	peers     map[string]*peerState
+	live      map[string]bool
+	liveAt    time.Time
+	subs      []func(*clustermap.Map)
+	silence   []func(name string)
+	lease     string
+	stopped   bool
+	draining  bool
+	changing  sync.Mutex
+	rejoining sync.Mutex
+	applying  sync.Mutex
+	cancel    context.CancelFunc
+	wg        sync.WaitGroup
 }
 
 // New returns a member that is not yet in the cluster.
@@ -338,6 +339,8 @@
 
 // rejoin comes back under a new incarnation after others took this node out.
 func (mb *Member) rejoin() {
+	mb.rejoining.Lock() // several maps without this node may come at once
+	defer mb.rejoining.Unlock()
 	mb.mu.Lock()
 	if mb.stopped || mb.draining || mb.current.Has(mb.node) {
 		mb.mu.Unlock()
