Keep room for the urgent job that a task gave way to

Since room is kept where tasks end first, a task that is being stopped counted as ending now for every urgent job. The first could mark the room that the second had made; if that task ended first, the second got nothing and stopped another. Change: a task that gives way ends now only for the hold that it gives way to. Before: TestTwoUrgent, second task ends first: no place. Conclusion: who made room gets it.

--- a/policy/owner/earmark.go
+++ b/policy/owner/earmark.go
@@ -78,8 +78,10 @@
 func readyTimes(now time.Duration, hd *hold, free size.Size, list []*running) []time.Duration {
 	ends := func(rn *running) time.Duration {
 		switch {
-		case rn.stopping:
+		case slices.Contains(hd.victims, rn.ID):
 			return now
+		case rn.stopping: // for another hold, whose room it will be
+			return now + 2*unknownRun
 		case rn.ends == 0:
 			return now + unknownRun
 		}
--- a/policy/owner/hold_test.go
+++ b/policy/owner/hold_test.go
@@ -247,3 +247,29 @@
 		}
 	}
 }
+
+// TestTwoUrgent lets two urgent jobs each stop a task. Whichever ends first, its
+// room is for the job that it gave way to, and nothing more is stopped.
+func TestTwoUrgent(t *testing.T) {
+	for _, first := range []int{0, 1} {
+		mc := cell(2)
+		start(mc, owner.Hold{ID: "a", Repeatable: true}, 4)
+		start(mc, owner.Hold{ID: "b", Repeatable: true}, 4)
+		urgent := []owner.Hold{
+			{ID: "u0", Age: 10, Priority: 9, Reserve: true, Urgent: true}, {ID: "u1", Age: 11, Priority: 9, Reserve: true, Urgent: true},
+		}
+		var stops []string
+		for _, hd := range urgent {
+			_, more := ask(mc, hd, 1, 4)
+			stops = append(stops, more...)
+		}
+		if len(stops) != 2 {
+			t.Fatalf("stopped %v, want two", stops)
+		}
+		ask(mc, urgent[0], 1, 4) // asks again meanwhile
+		end(mc, stops[first])
+		if got, more := ask(mc, urgent[first], 1, 4); got != 1 || len(more) > 0 {
+			t.Errorf("u%d got %d places and stops %v", first, got, more)
+		}
+	}
+}
