Let an urgent job wait for room that another one's stop still makes

The older of two urgent jobs may take the room that the younger one's stop made; its own task is still stopping then, and the younger one stopped a third. Change: before it stops more, an urgent job waits for a task that is being stopped for a job which has found room elsewhere, where its end makes the room. Before: TestTakenRoom stops a.0 as well. After: nothing more; then it gets the room. Conclusion: as few stops as needed holds whoever takes whose room.

--- a/policy/owner/hold_test.go
+++ b/policy/owner/hold_test.go
@@ -273,3 +273,28 @@
 		}
 	}
 }
+
+// TestTakenRoom lets the older of two urgent jobs take the room that the younger one
+// made. The younger gets what the older one made, and stops nothing more.
+func TestTakenRoom(t *testing.T) {
+	mc := cell(3)
+	start(mc, owner.Hold{ID: "a", Repeatable: true}, 4)
+	start(mc, owner.Hold{ID: "b", Repeatable: true}, 4)
+	start(mc, owner.Hold{ID: "c", Repeatable: true}, 4)
+	old := owner.Hold{ID: "old", Age: 10, Priority: 9, Reserve: true, Urgent: true}
+	young := owner.Hold{ID: "young", Age: 11, Priority: 9, Reserve: true, Urgent: true}
+	_, made := ask(mc, old, 1, 4)
+	_, second := ask(mc, young, 1, 4)
+	end(mc, second[0])
+	if got, _ := ask(mc, old, 1, 4); got != 1 {
+		t.Fatal("the older one did not take the room")
+	}
+	mc.Step(owner.Event{Commit: &owner.Commit{ID: "old", Tasks: []string{"old.0"}}})
+	if got, more := ask(mc, young, 1, 4); got != 0 || len(more) > 0 {
+		t.Errorf("the younger one got %d places and stops %v", got, more)
+	}
+	end(mc, made[0])
+	if got, more := ask(mc, young, 1, 4); got != 1 || len(more) > 0 {
+		t.Errorf("then it got %d places and stops %v", got, more)
+	}
+}
--- a/policy/owner/preempt.go
+++ b/policy/owner/preempt.go
@@ -45,6 +45,10 @@
 		}
 	}
 	hd.victims = nil
+	if rn := mc.unclaimed(hd); rn != nil {
+		hd.victims = append(hd.victims, rn.ID)
+		return nil
+	}
 	var acts []Action
 	for range hd.want {
 		victims := mc.cheapest(hd)
@@ -60,6 +64,28 @@
 	return acts
 }
 
+// unclaimed returns a task that is being stopped for a hold which has found room
+// elsewhere meanwhile, and whose end makes room for this one; nil where there is none.
+func (mc *Machine) unclaimed(hd *hold) *running {
+	claimed := map[string]bool{}
+	for _, other := range mc.holds {
+		for _, id := range other.victims {
+			claimed[id] = claimed[id] || other.want > 0
+		}
+	}
+	var first *running
+	for _, rn := range mc.running {
+		free, ok := mc.ledger.Free(rn.worker)
+		if !rn.stopping || claimed[rn.ID] || !ok || !hd.Size.Fits(free.Add(rn.Size)) {
+			continue
+		}
+		if first == nil || rn.order < first.order {
+			first = rn
+		}
+	}
+	return first
+}
+
 // cheapest returns the fewest tasks of one worker whose end makes room for one
 // task of the hold.
 func (mc *Machine) cheapest(hd *hold) []*running {
