Take out a latest start that nobody read; name a histogram for what it holds

Cause: each try of a job worked out its latest start once more and carried it in the decision, where no one looked; a histogram of decision times was called slowest. Change: the field and the extra work on each try are gone; the histogram is decisionTimes. Conclusion: less to read and to do in a try.

--- a/internal/trial/measure.go
+++ b/internal/trial/measure.go
@@ -51,7 +51,7 @@
 	lookupsFailed int
 	decisions     int
 	deciding      time.Duration
-	slowest       *hdrhistogram.Histogram
+	decisionTimes *hdrhistogram.Histogram
 }
 
 // longestWait bounds what a histogram of waits tells apart, in microseconds.
@@ -61,8 +61,8 @@
 	return &measure{
 		classes: map[string]*hdrhistogram.Histogram{}, workspaces: map[string]*hdrhistogram.Histogram{},
 		weights: map[string]float64{}, usedBy: map[string]size.Size{}, wantedBy: map[string]int{},
-		jobWaits: hdrhistogram.New(1, longestWait, 2),
-		slowest:  hdrhistogram.New(1, int64(time.Minute), 2),
+		jobWaits:      hdrhistogram.New(1, longestWait, 2),
+		decisionTimes: hdrhistogram.New(1, int64(time.Minute), 2),
 	}
 }
 
@@ -73,7 +73,7 @@
 	me.deciding += took
 	if counts {
 		me.decisions++
-		_ = me.slowest.RecordValue(max(1, min(took.Nanoseconds(), int64(time.Minute)))) // within the bounds
+		_ = me.decisionTimes.RecordValue(max(1, min(took.Nanoseconds(), int64(time.Minute)))) // within the bounds
 	}
 }
 
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -126,7 +126,7 @@
 		Avoidable: me.missedOK + me.outcomes[unfinished], Failed: me.outcomes[failed], Cancelled: me.outcomes[cancelled],
 		Packing: 1, Fairness: 1, Backlog: me.backlog, Preempted: me.preempted, LostWork: me.lostWork,
 		Lookups: me.asked, Shed: me.shed, LookupsFailed: me.lookupsFailed,
-		Decisions: me.decisions, Deciding: me.deciding, DecisionP99: time.Duration(me.slowest.ValueAtQuantile(99)),
+		Decisions: me.decisions, Deciding: me.deciding, DecisionP99: time.Duration(me.decisionTimes.ValueAtQuantile(99)),
 	}
 	rp.Curve = chart.Points(me.jobWaits)
 	if me.boundTime > 0 {
--- a/policy/home/event.go
+++ b/policy/home/event.go
@@ -101,8 +101,6 @@
 	Reserve bool `json:"reserve,omitempty"`
 	// Run is how long its tasks are expected to run; zero is not known.
 	Run time.Duration `json:"run,omitempty"`
-	// Start is the latest start that meets the deadline; zero is none.
-	Start time.Duration `json:"start,omitempty"`
 }
 
 // Late says that a waiting job passed its deadline and left the queue.
--- a/policy/home/home.go
+++ b/policy/home/home.go
@@ -196,10 +196,9 @@
 	jb.running = jb.Tasks
 	mc.workspace(jb.Workspace).charge(jb.Size, jb.Tasks)
 	run, _ := mc.runs.Quantile(jb.Workload, cautious)
-	latest, _ := mc.latestStart(jb)
 	reserve := mc.reserves(now, jb)
 	mc.reserve(jb, reserve)
-	return Action{Try: &Try{Job: jb.Job, Reserve: reserve, Run: run, Start: latest}}
+	return Action{Try: &Try{Job: jb.Job, Reserve: reserve, Run: run}}
 }
 
 // Explain says why a job waits, in one line, or "" where it does not wait.
