--- /dev/null
+++ b/internal/advisor/advisor.go
@@ -0,0 +1,99 @@
+// Package advisor spreads questions to the advisor over the nodes: it serves the
+// calls of one node one after the other, so each node is a queue of its own.
+package advisor
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"tackbeam.example/policy/cell"
+
+	"tackbeam.example/tackbeam/internal/fault"
+	"tackbeam.example/tackbeam/internal/joblog"
+	"tackbeam.example/tackbeam/internal/peerlink"
+	"tackbeam.example/tackbeam/internal/planner"
+)
+
+// Parts of a pool. The fields are seams.
+type Parts struct {
+	Clock clockwork.Clock
+	// Node is the name of this node.
+	Node string
+	// Members returns the nodes that are listed.
+	Members func() []joblog.Member
+	// Local asks the advisor from this node.
+	Local func(ctx context.Context, qn cell.Question) (planner.Answer, error)
+	// Call asks another node.
+	Call func(ctx context.Context, address string, rq peerlink.Request) (peerlink.Reply, error)
+}
+
+// Pool chooses the node for each question.
+type Pool struct {
+	parts Parts
+	mu    sync.Mutex
+	// free is when each node's queue is expected to be empty.
+	free map[string]time.Time
+}
+
+// New returns a pool whose queues are empty.
+func New(pt Parts) *Pool {
+	return &Pool{parts: pt, free: map[string]time.Time{}}
+}
+
+// Times of questions.
+const (
+	// slack is what an answer may take beyond the expected queue and work.
+	slack = 700 * time.Millisecond
+	// rest is how long a node that did not answer is left alone.
+	rest = time.Second
+	// longest is the longest queue that a question is put into.
+	longest = 2500 * time.Millisecond
+)
+
+// Advise asks the advisor from the node that is free soonest.
+func (po *Pool) Advise(ctx context.Context, qn cell.Question) (planner.Answer, error) {
+	mb, wait, ok := po.choose(qn)
+	if !ok {
+		return planner.Answer{}, fault.New(fault.Full, "the advisor's queues are full")
+	}
+	call, cancel := context.WithTimeout(ctx, wait+qn.Takes+slack)
+	defer cancel()
+	if mb.Node == po.parts.Node {
+		answer, err := po.parts.Local(call, qn)
+		po.note(mb.Node, err)
+		return answer, err
+	}
+	reply, err := po.parts.Call(call, mb.Peers, peerlink.Request{Advise: &qn})
+	po.note(mb.Node, err)
+	return planner.Answer{Tickets: reply.Tickets, Valid: reply.Valid}, err
+}
+
+// choose takes the node whose queue is shortest, this one among equals.
+func (po *Pool) choose(qn cell.Question) (joblog.Member, time.Duration, bool) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	now := po.parts.Clock.Now()
+	best, wait := joblog.Member{Node: po.parts.Node}, max(po.free[po.parts.Node].Sub(now), 0)
+	for _, mb := range po.parts.Members() {
+		if queue := max(po.free[mb.Node].Sub(now), 0); queue < wait {
+			best, wait = mb, queue
+		}
+	}
+	if wait > longest {
+		return best, wait, false
+	}
+	po.free[best.Node] = now.Add(wait + qn.Takes)
+	return best, wait, true
+}
+
+func (po *Pool) note(node string, err error) {
+	if err == nil {
+		return
+	}
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	po.free[node] = po.parts.Clock.Now().Add(rest)
+}
--- /dev/null
+++ b/internal/cellnode/cellnode.go
@@ -0,0 +1,269 @@
+// Package cellnode is a node that keeps nothing: it accepts jobs into the store's
+// journal, answers callers, and plans for the cell while it is elected.
+package cellnode
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+
+	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/work"
+
+	"tackbeam.example/tackbeam/internal/advisor"
+	"tackbeam.example/tackbeam/internal/agent"
+	"tackbeam.example/tackbeam/internal/fault"
+	"tackbeam.example/tackbeam/internal/intake"
+	"tackbeam.example/tackbeam/internal/kernel"
+	"tackbeam.example/tackbeam/internal/kv"
+	"tackbeam.example/tackbeam/internal/kvhealth"
+	"tackbeam.example/tackbeam/internal/mirror"
+	"tackbeam.example/tackbeam/internal/peerlink"
+	"tackbeam.example/tackbeam/internal/planner"
+	"tackbeam.example/tackbeam/internal/routes"
+	"tackbeam.example/tackbeam/internal/site"
+	"tackbeam.example/tackbeam/internal/term"
+)
+
+// Adapter is what a platform's adapter provides. The fields are seams.
+type Adapter struct {
+	Site   *site.Site
+	Store  *kv.Store
+	Agents *agent.Agents
+	// WorkersPrefix is where the store lists the workers.
+	WorkersPrefix string
+	DecodeWorker  func(item kv.Item) (planner.Entry, error)
+	// ConfigKey is where the store has the configuration.
+	ConfigKey    string
+	DecodeConfig func(item kv.Item) (*routes.Config, error)
+	// Advise asks the advisor from this node; nil where there is none.
+	Advise func(ctx context.Context, qn cell.Question) (planner.Answer, error)
+}
+
+// Times of a node.
+const (
+	// termTTL is how long the planner's place stays taken after it died.
+	termTTL = 2 * time.Second
+	// configWait is how long a watch of the configuration may stay without an answer:
+	// a watch that the network dropped is noticed a second later.
+	configWait = time.Second
+	// staleConfig is the age of the configuration's copy beyond which a node does not
+	// say that a route does not exist: a new one is in force within 2 s.
+	staleConfig = 1800 * time.Millisecond
+	// comeBack is when a caller should ask again.
+	comeBack = time.Second
+)
+
+// Node is one node.
+type Node struct {
+	adapter Adapter
+	clock   clockwork.Clock
+	log     logr.Logger
+	meters  metrics.Registry
+	health  *kvhealth.Health
+	table   *routes.Table
+	config  *mirror.Mirror
+	intake  *intake.Intake
+	term    *term.Term
+	planner *planner.Planner
+	link    *peerlink.Link
+	pool    *advisor.Pool
+
+	stopping chan struct{}
+}
+
+// New assembles a node.
+func New(clock clockwork.Clock, log logr.Logger, ad Adapter) *Node {
+	nd := &Node{
+		adapter: ad, clock: clock, log: log, meters: metrics.NewRegistry(),
+		table: &routes.Table{}, stopping: make(chan struct{}),
+	}
+	nd.health = kvhealth.New(clock, log, nd.meters)
+	st := nd.health.Wrap(ad.Store)
+	nd.config = mirror.New(clock, log, st, mirror.Options{
+		Prefix: ad.ConfigKey, Wait: configWait, Changed: nd.configure,
+	})
+	nd.term = term.New(clock, log, st, term.Options{
+		Node: ad.Site.Node, Peers: ad.Site.Peers, Hall: ad.Site.Hall,
+		TTL:  max(termTTL, ad.Site.Bounds.MinLease),
+		Lead: func(ctx context.Context, reign term.Reign) { nd.planner.Lead(ctx, reign) },
+	})
+	nd.intake = intake.New(clock, log, st, intake.Options{
+		Node: ad.Site.Node, Writes: ad.Site.Writes, Down: nd.health.Down,
+		Nodes: func() int { return len(nd.term.Members()) },
+	})
+	nd.link = peerlink.New(log, nd.handle)
+	nd.pool = advisor.New(advisor.Parts{
+		Clock: clock, Node: ad.Site.Node, Members: nd.term.Members, Local: nd.advise, Call: nd.link.Call,
+	})
+	nd.planner = planner.New(planner.Parts{
+		Clock: clock, Log: log, Store: st, Agents: ad.Agents, Site: ad.Site, Meters: nd.meters,
+		WorkersPrefix: ad.WorkersPrefix, DecodeWorker: ad.DecodeWorker,
+		Advise: nd.pool.Advise, Queue: nd.table.Queue,
+	})
+	return nd
+}
+
+// Table returns the configuration in force.
+func (nd *Node) Table() *routes.Table { return nd.table }
+
+// Services lists what the kernel starts, in order.
+func (nd *Node) Services() []*kernel.Service {
+	return []*kernel.Service{
+		{
+			Name: "link", Build: func(*kernel.Kernel) (any, error) { return nd.link, nil },
+			Start: func(context.Context) error { return nd.link.Serve(nd.adapter.Site.Peers) },
+			Stop:  func(context.Context) error { return nil }, // ends with the process: others may be waiting
+		},
+		nd.background("config", nd.config, nd.config.Run),
+		nd.background("intake", nd.intake, nd.intake.Run),
+		nd.background("term", nd.term, nd.term.Run),
+	}
+}
+
+// background makes a service of a loop that runs until the node stops.
+func (nd *Node) background(name string, value any, run func(ctx context.Context)) *kernel.Service {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	return &kernel.Service{
+		Name: name, Build: func(*kernel.Kernel) (any, error) { return value, nil },
+		Start: func(context.Context) error {
+			go func() {
+				defer close(done)
+				run(ctx)
+			}()
+			return nil
+		},
+		Stop: func(stop context.Context) error {
+			cancel()
+			select {
+			case <-done:
+				return nil
+			case <-stop.Done():
+				return stop.Err()
+			}
+		},
+	}
+}
+
+// Stop makes the node leave: callers go elsewhere, and another node plans.
+func (nd *Node) Stop(ctx context.Context) {
+	close(nd.stopping)
+	nd.term.Resign(ctx)
+}
+
+// Stopping reports whether Stop was called.
+func (nd *Node) Stopping() bool {
+	select {
+	case <-nd.stopping:
+		return true
+	default:
+		return false
+	}
+}
+
+// configure puts a new configuration in force.
+func (nd *Node) configure(items []kv.Item, _ bool) {
+	for _, item := range items {
+		if item.Key != nd.adapter.ConfigKey || item.Gone {
+			continue
+		}
+		cf, err := nd.adapter.DecodeConfig(item)
+		if err != nil {
+			nd.log.Error(err, "Configuration cannot be read; the one before stays in force.", "revision", item.Revision)
+			continue
+		}
+		if nd.table.Set(cf) {
+			nd.log.Info("Configuration is in force.", "version", cf.Version, "revision", item.Revision, "routes", len(cf.Routes))
+			nd.planner.Reroute()
+		}
+	}
+}
+
+// Ready reports why the node takes no callers, or nil.
+func (nd *Node) Ready() error {
+	switch {
+	case nd.Stopping():
+		return fault.New(fault.Draining, "the node stops")
+	case nd.table.Config() == nil:
+		return fault.New(fault.Unavailable, "no configuration yet")
+	case nd.health.Down():
+		return fault.New(fault.Unavailable, "the store is away")
+	}
+	return nil
+}
+
+// Configured reports why routes that are not in the table may exist all the same.
+func (nd *Node) Configured() error {
+	age, loaded := nd.config.Age()
+	switch {
+	case !loaded || nd.table.Config() == nil:
+		return fault.New(fault.Unavailable, "no configuration yet").After(comeBack)
+	case age > staleConfig:
+		return fault.New(fault.Stale, "the configuration here is %s old", age.Round(time.Millisecond)).After(comeBack)
+	}
+	return nil
+}
+
+// Submit accepts a job.
+func (nd *Node) Submit(ctx context.Context, jb *work.Job) error { return nd.intake.Submit(ctx, jb) }
+
+// Cancel accepts a cancel.
+func (nd *Node) Cancel(ctx context.Context, id string) error { return nd.intake.Cancel(ctx, id) }
+
+// State asks the planner for a job's phase.
+func (nd *Node) State(ctx context.Context, id string) (cell.Phase, error) {
+	if nd.term.Leading() {
+		return nd.planner.State(id)
+	}
+	reply, err := nd.ask(ctx, peerlink.Request{State: id})
+	return reply.Phase, err
+}
+
+// Pending asks the planner how many jobs of a queue have not begun.
+func (nd *Node) Pending(ctx context.Context, queue string) (int, error) {
+	if nd.term.Leading() {
+		return nd.planner.Pending(queue)
+	}
+	reply, err := nd.ask(ctx, peerlink.Request{Pending: queue})
+	return reply.Pending, err
+}
+
+// askTimeout bounds a question to the planner: it answers from memory.
+const askTimeout = 500 * time.Millisecond
+
+func (nd *Node) ask(ctx context.Context, rq peerlink.Request) (peerlink.Reply, error) {
+	el, ok := nd.term.Leader()
+	if !ok {
+		return peerlink.Reply{}, fault.New(fault.Unavailable, "no planner is known").After(comeBack)
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	return nd.link.Call(ctx, el.Peers, rq)
+}
+
+// handle answers other nodes.
+func (nd *Node) handle(ctx context.Context, rq peerlink.Request) (peerlink.Reply, error) {
+	switch {
+	case rq.State != "":
+		phase, err := nd.planner.State(rq.State)
+		return peerlink.Reply{Phase: phase}, err
+	case rq.Pending != "":
+		count, err := nd.planner.Pending(rq.Pending)
+		return peerlink.Reply{Pending: count}, err
+	case rq.Advise != nil:
+		answer, err := nd.advise(ctx, *rq.Advise)
+		return peerlink.Reply{Tickets: answer.Tickets, Valid: answer.Valid}, err
+	}
+	return peerlink.Reply{}, fault.New(fault.BadRequest, "request asks for nothing")
+}
+
+func (nd *Node) advise(ctx context.Context, qn cell.Question) (planner.Answer, error) {
+	if nd.adapter.Advise == nil {
+		return planner.Answer{}, fault.New(fault.Unavailable, "the deployment has no advisor")
+	}
+	return nd.adapter.Advise(ctx, qn)
+}
--- /dev/null
+++ b/internal/intake/intake.go
@@ -0,0 +1,210 @@
+// Package intake accepts jobs and cancels on every node: it writes them to the
+// journal in batches and says what became of them, no more and no less.
+package intake
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"tackbeam.example/policy/work"
+
+	"tackbeam.example/tackbeam/internal/fault"
+	"tackbeam.example/tackbeam/internal/joblog"
+	"tackbeam.example/tackbeam/internal/kv"
+	"tackbeam.example/tackbeam/internal/loop"
+	"tackbeam.example/tackbeam/internal/store"
+)
+
+// Times and sizes of batches.
+const (
+	// gap is the shortest time between two batches of a node; jobs gather in it.
+	gap = 10 * time.Millisecond
+	// tryTimeout bounds one write: the store answers in 4 ms, when slow in 0.25 s.
+	tryTimeout = 600 * time.Millisecond
+	// refusedFor is how long a batch that the store refuses is tried again.
+	refusedFor = 800 * time.Millisecond
+	// settleFor is how long a batch with an unknown outcome is settled.
+	settleFor = 10 * time.Second
+	// maxBytes keeps a batch far under the store's largest value of 1 MB.
+	maxBytes = 256 << 10
+	// maxWriting is the number of batches whose outcome may be open at once.
+	maxWriting = 16
+	// comeBack is when a caller should try again after the store refused.
+	comeBack = time.Second
+)
+
+// Options of an intake.
+type Options struct {
+	Node string
+	// Nodes returns how many nodes share the store's rate.
+	Nodes func() int
+	// Writes is the store's rate for all nodes, a second.
+	Writes float64
+	// Down reports that the store is away: nothing is sent then.
+	Down func() bool
+}
+
+// Intake is one node's intake.
+type Intake struct {
+	opts        Options
+	clock       clockwork.Clock
+	log         logr.Logger
+	store       *kv.Store
+	incarnation string
+
+	mu      sync.Mutex
+	open    *batch
+	writing int
+	count   int
+	wake    chan struct{}
+}
+
+// batch is what waits for one write.
+type batch struct {
+	joblog.Batch
+	bytes int
+	done  chan struct{}
+	err   error
+}
+
+// New returns an intake that Run serves.
+func New(clock clockwork.Clock, log logr.Logger, st *kv.Store, opts Options) *Intake {
+	const base = 36
+	return &Intake{
+		opts: opts, clock: clock, log: log.WithName("intake"), store: st,
+		incarnation: strconv.FormatUint(rand.Uint64(), base), wake: make(chan struct{}, 1),
+	}
+}
+
+// Submit accepts a job. It returns nil once the journal has it, an error of kind
+// Unavailable where it surely never runs, and Timeout where that is not known.
+func (in *Intake) Submit(ctx context.Context, jb *work.Job) error {
+	const overhead = 200 // bytes of a job beside its text
+	return in.write(ctx, len(jb.Spec)+overhead*(1+len(jb.Steps)), func(bt *batch) { bt.Jobs = append(bt.Jobs, *jb) })
+}
+
+// Cancel accepts a cancel, with the same errors.
+func (in *Intake) Cancel(ctx context.Context, id string) error {
+	return in.write(ctx, len(id), func(bt *batch) { bt.Cancels = append(bt.Cancels, id) })
+}
+
+func (in *Intake) write(ctx context.Context, bytes int, add func(*batch)) error {
+	if in.opts.Down() {
+		return fault.New(fault.Unavailable, "the store is away; not run").After(comeBack)
+	}
+	in.mu.Lock()
+	if in.writing >= maxWriting {
+		in.mu.Unlock()
+		return fault.New(fault.Unavailable, "too many writes are open; not run").After(comeBack)
+	}
+	if in.open == nil || in.open.bytes > maxBytes {
+		in.open = &batch{done: make(chan struct{})}
+	}
+	bt := in.open
+	add(bt)
+	bt.bytes += bytes
+	in.mu.Unlock()
+	select {
+	case in.wake <- struct{}{}:
+	default:
+	}
+	select {
+	case <-bt.done:
+		return bt.err
+	case <-ctx.Done():
+		return fault.New(fault.Timeout, "the journal has not answered in time; send it again").AfterStart()
+	}
+}
+
+// Run writes batches until the context ends, and then the last one.
+func (in *Intake) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			in.flush(&group)
+			return
+		case <-in.wake:
+		}
+		in.flush(&group)
+		loop.Pause(ctx, in.clock, in.pause())
+	}
+}
+
+// pause keeps all nodes together within half of the store's rate.
+func (in *Intake) pause() time.Duration {
+	const share = 0.5
+	if in.opts.Writes <= 0 {
+		return gap
+	}
+	return max(gap, time.Duration(float64(in.opts.Nodes())/(in.opts.Writes*share)*float64(time.Second)))
+}
+
+func (in *Intake) flush(group *sync.WaitGroup) {
+	in.mu.Lock()
+	bt := in.open
+	in.open = nil
+	if bt == nil {
+		in.mu.Unlock()
+		return
+	}
+	in.writing++
+	in.count++
+	key := joblog.BatchKey(in.opts.Node, in.incarnation, in.count)
+	in.mu.Unlock()
+	group.Add(1)
+	go func() {
+		defer group.Done()
+		bt.err = in.commit(key, bt)
+		close(bt.done)
+		in.mu.Lock()
+		in.writing--
+		in.mu.Unlock()
+	}()
+}
+
+// commit writes a batch under a key that only it uses, so that a try whose answer
+// was lost can be told from one that failed.
+func (in *Intake) commit(key string, bt *batch) error {
+	raw, err := bt.Encode()
+	if err != nil {
+		return fault.New(fault.Internal, "batch cannot be written: %v", err)
+	}
+	txn := kv.Txn{Conditions: []kv.Condition{{Key: key}}, Puts: []kv.Put{{Key: key, Value: raw}}}
+	began := in.clock.Now()
+	lost := false
+	for try := 0; ; try++ {
+		ctx, cancel := context.WithTimeout(context.Background(), tryTimeout)
+		revision, _, err := in.store.Commit(ctx, txn)
+		cancel()
+		age := in.clock.Since(began)
+		switch {
+		case err == nil || errors.Is(err, kv.ErrConflict):
+			in.log.Info("Batch is written.", "key", key, "jobs", len(bt.Jobs), "cancels", len(bt.Cancels),
+				"revision", revision, "took", age.String(), "tries", try+1)
+			return nil
+		case errors.Is(err, kv.ErrLost):
+			lost = true
+		}
+		if !lost && age > refusedFor {
+			in.log.Info("Batch was refused.", "key", key, "jobs", len(bt.Jobs), "took", age.String(), "reason", err.Error())
+			return fault.New(fault.Unavailable, "the store refused the write; not run").After(comeBack)
+		}
+		if age > settleFor {
+			in.log.Info("Batch's outcome is not known.", "key", key, "jobs", len(bt.Jobs), "took", age.String())
+			return fault.New(fault.Timeout, "the journal did not answer; send it again").AfterStart()
+		}
+		in.clock.Sleep(store.Backoff(min(try, maxStep)))
+	}
+}
+
+// maxStep bounds the backoff at some 0.3 s: callers wait no longer than 3 s.
+const maxStep = 4
--- /dev/null
+++ b/internal/joblog/joblog.go
@@ -0,0 +1,112 @@
+// Package joblog is the journal of a cell in the store: batches of accepted jobs and
+// cancels, written by any node, and the records of the planner.
+package joblog
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/work"
+)
+
+// Prefixes of the keys. Members is watched by every node, Batches by the planner.
+const (
+	Prefix  = "tackbeam/"
+	Members = Prefix + "m/"
+	Leader  = Members + "leader"
+	// Reigns holds the number of the latest reign, which outlasts the leader's key.
+	Reigns  = Members + "reigns"
+	Nodes   = Members + "n/"
+	Batches = Prefix + "j/"
+	Records = Prefix + "p/"
+)
+
+// Batch is what one node accepted in one write.
+type Batch struct {
+	Jobs    []work.Job `cbor:"1,keyasint,omitempty"`
+	Cancels []string   `cbor:"2,keyasint,omitempty"`
+	// Void marks a key that was taken so that a lost write can never take it.
+	Void bool `cbor:"3,keyasint,omitempty"`
+}
+
+// Encode returns the batch as a value of the store.
+func (bt *Batch) Encode() ([]byte, error) {
+	raw, err := cbor.Marshal(bt)
+	return raw, errors.Wrap(err, "encode batch")
+}
+
+// DecodeBatch reads what Encode wrote.
+func DecodeBatch(raw []byte) (*Batch, error) {
+	var bt Batch
+	if err := cbor.Unmarshal(raw, &bt); err != nil {
+		return nil, errors.Wrap(err, "decode batch")
+	}
+	return &bt, nil
+}
+
+// EncodeRecords returns records as a value of the store.
+func EncodeRecords(recs []cell.Record) ([]byte, error) {
+	raw, err := cbor.Marshal(recs)
+	return raw, errors.Wrap(err, "encode records")
+}
+
+// DecodeRecords reads what EncodeRecords wrote.
+func DecodeRecords(raw []byte) ([]cell.Record, error) {
+	var recs []cell.Record
+	if err := cbor.Unmarshal(raw, &recs); err != nil {
+		return nil, errors.Wrap(err, "decode records")
+	}
+	return recs, nil
+}
+
+// BatchKey is the key of a node's nth batch in one incarnation of the node.
+func BatchKey(node, incarnation string, n int) string {
+	return Batches + node + "." + incarnation + "." + number(n)
+}
+
+// RecordKey is the key of the nth write of a planner's term.
+func RecordKey(term uint64, n int) string {
+	const digits = 16
+	head := strconv.FormatUint(term, digits)
+	return Records + strings.Repeat("0", digits-len(head)) + head + "." + number(n)
+}
+
+// number writes n so that keys sort by it.
+func number(n int) string {
+	const digits = 8
+	text := strconv.Itoa(n)
+	return strings.Repeat("0", max(digits-len(text), 0)) + text
+}
+
+// Election is the value of the leader's key.
+type Election struct {
+	Node string `cbor:"1,keyasint"`
+	// Peers is the address at which other nodes reach it.
+	Peers string `cbor:"2,keyasint"`
+	// Number counts the planners of the cell, from 1.
+	Number int `cbor:"3,keyasint"`
+	// Nonce tells apart the incarnations of one node.
+	Nonce string `cbor:"4,keyasint"`
+}
+
+// Member is the value of a node's key.
+type Member struct {
+	Node  string `cbor:"1,keyasint"`
+	Peers string `cbor:"2,keyasint"`
+	Hall  string `cbor:"3,keyasint"`
+}
+
+// Encode returns any value of this package as a value of the store.
+func Encode(value any) ([]byte, error) {
+	raw, err := cbor.Marshal(value)
+	return raw, errors.Wrap(err, "encode value")
+}
+
+// Decode reads what Encode wrote.
+func Decode(raw []byte, into any) error {
+	return errors.Wrap(cbor.Unmarshal(raw, into), "decode value")
+}
--- /dev/null
+++ b/internal/kv/kv.go
@@ -0,0 +1,113 @@
+// Package kv is the key-value service of the platform as the product uses it:
+// values with revisions, leases, watches, and commits under conditions.
+package kv
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Item is one key with its value. An absent key has revision 0.
+type Item struct {
+	Key   string
+	Value []byte
+	// Revision of the last change, counted over all keys.
+	Revision uint64
+	// Gone is set in events of keys that were removed.
+	Gone bool
+}
+
+// Page is a part of the keys with a prefix.
+type Page struct {
+	Items []Item
+	// More is true where keys follow after the last one.
+	More bool
+	// At is the store's revision when the page was read.
+	At uint64
+}
+
+// Events are changes, in their order. The next watch goes on from At.
+type Events struct {
+	Items []Item
+	At    uint64
+}
+
+// Condition demands that a key's last change has a revision; 0 demands its absence.
+type Condition struct {
+	Key      string
+	Revision uint64
+}
+
+// Put sets a key. With a lease the key ends with it.
+type Put struct {
+	Key   string
+	Value []byte
+	Lease uint64
+}
+
+// Txn is carried out whole, or not at all where a condition does not hold.
+type Txn struct {
+	Conditions []Condition
+	Puts       []Put
+	Removes    []string
+}
+
+// MaxEntries is the most conditions, puts and removes of one transaction.
+const MaxEntries = 32
+
+// Store carries the calls. The fields are seams: an adapter sets them for a wire
+// format, a test for a fault. Each returns an error of one of the kinds below.
+type Store struct {
+	// Range reads keys with a prefix after a key. A stale read is cheap and may be
+	// seconds old.
+	Range func(ctx context.Context, prefix, after string, stale bool) (Page, error)
+	// Watch waits for changes of keys with a prefix after a revision.
+	Watch func(ctx context.Context, prefix string, after uint64, wait time.Duration) (Events, error)
+	// Commit carries a transaction out and returns its revision. With a conflict it
+	// returns the keys of the conditions as they are.
+	Commit func(ctx context.Context, txn Txn) (uint64, []Item, error)
+	// Grant makes a lease.
+	Grant func(ctx context.Context, ttl time.Duration) (uint64, error)
+	// Keep renews a lease.
+	Keep func(ctx context.Context, lease uint64) error
+	// End ends a lease with its keys.
+	End func(ctx context.Context, lease uint64) error
+}
+
+// The kinds of errors.
+var (
+	// ErrConflict means that a condition did not hold; nothing was done.
+	ErrConflict = errors.New("a condition of the transaction does not hold")
+	// ErrLeaseGone means that the lease is over; nothing was done.
+	ErrLeaseGone = errors.New("the lease is over")
+	// ErrHistoryGone means that the changes since the revision are forgotten.
+	ErrHistoryGone = errors.New("the history since that revision is gone")
+	// ErrRefused means that the service did nothing.
+	ErrRefused = errors.New("the store refused the call")
+	// ErrLost means that the call may have been carried out, or may be yet.
+	ErrLost = errors.New("the store did not answer")
+)
+
+// All reads every key with a prefix, and the revision from which a watch misses
+// nothing.
+func (st *Store) All(ctx context.Context, prefix string) ([]Item, uint64, error) {
+	var items []Item
+	var first uint64
+	after := ""
+	for {
+		page, err := st.Range(ctx, prefix, after, false)
+		if err != nil {
+			return nil, 0, err
+		}
+		if first == 0 {
+			first = page.At
+		}
+		items = append(items, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			return items, first, nil
+		}
+		after = page.Items[len(page.Items)-1].Key
+	}
+}
--- /dev/null
+++ b/internal/mirror/mirror.go
@@ -0,0 +1,156 @@
+// Package mirror keeps a copy of the keys with a prefix of the store, by a read of
+// them all and a watch from there on.
+package mirror
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"tackbeam.example/tackbeam/internal/kv"
+	"tackbeam.example/tackbeam/internal/loop"
+	"tackbeam.example/tackbeam/internal/store"
+)
+
+// Options of a mirror.
+type Options struct {
+	Prefix string
+	// Wait is how long one watch may stay without an answer.
+	Wait time.Duration
+	// Pause follows each answer of a watch, so that changes gather.
+	Pause time.Duration
+	// Changed is called with the keys that changed since the last call, with Gone set
+	// where they were removed. Whole says that all keys were read.
+	Changed func(items []kv.Item, whole bool)
+}
+
+// Mirror is one copy.
+type Mirror struct {
+	opts  Options
+	clock clockwork.Clock
+	log   logr.Logger
+	store *kv.Store
+
+	mu sync.Mutex
+	// keys holds the revision of each key.
+	keys map[string]uint64
+	// asked is when the last call that was answered was sent.
+	asked  time.Time
+	loaded bool
+	down   bool
+}
+
+// New returns a mirror that Run fills.
+func New(clock clockwork.Clock, log logr.Logger, st *kv.Store, opts Options) *Mirror {
+	return &Mirror{opts: opts, clock: clock, log: log.WithName("mirror").WithValues("prefix", opts.Prefix), store: st, keys: map[string]uint64{}}
+}
+
+// Age returns how old the copy may be: the time since the sending of the last call
+// that was answered. It reports false before the first read.
+func (mr *Mirror) Age() (time.Duration, bool) {
+	mr.mu.Lock()
+	defer mr.mu.Unlock()
+	return mr.clock.Since(mr.asked), mr.loaded
+}
+
+// Run keeps the copy until the context ends.
+func (mr *Mirror) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		at, err := mr.read(ctx)
+		for err == nil {
+			at, err = mr.watch(ctx, at)
+		}
+		mr.lost(ctx, err)
+	}
+}
+
+// lost notes why the copy stands still, and waits before the next try.
+func (mr *Mirror) lost(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if errors.Is(err, kv.ErrHistoryGone) {
+		mr.log.Info("Watch lost history; reading all keys.")
+		return
+	}
+	if !mr.down {
+		mr.down = true
+		mr.log.Info("Store does not answer; the copy grows old.", "reason", err.Error())
+	}
+	loop.Pause(ctx, mr.clock, store.Backoff(retryStep))
+}
+
+// retryStep is the step of the store's backoff between two tries: 40 to 80 ms.
+const retryStep = 2
+
+func (mr *Mirror) answered(sent time.Time) {
+	mr.mu.Lock()
+	mr.asked = sent
+	mr.loaded = true
+	mr.mu.Unlock()
+	if mr.down {
+		mr.down = false
+		mr.log.Info("Store answers again.")
+	}
+}
+
+// read reads all keys and tells of those that changed or went.
+func (mr *Mirror) read(ctx context.Context) (uint64, error) {
+	sent := mr.clock.Now()
+	items, at, err := mr.store.All(ctx, mr.opts.Prefix)
+	if err != nil {
+		return 0, err
+	}
+	gone := make(map[string]bool, len(mr.keys))
+	for key := range mr.keys {
+		gone[key] = true
+	}
+	var fresh []kv.Item
+	for _, item := range items {
+		delete(gone, item.Key)
+		if item.Revision > mr.keys[item.Key] {
+			mr.keys[item.Key] = item.Revision
+			fresh = append(fresh, item)
+		}
+	}
+	for key := range gone {
+		delete(mr.keys, key)
+		fresh = append(fresh, kv.Item{Key: key, Gone: true})
+	}
+	mr.answered(sent)
+	mr.opts.Changed(fresh, true)
+	return at, nil
+}
+
+// watch waits once for changes and tells of them.
+func (mr *Mirror) watch(ctx context.Context, after uint64) (uint64, error) {
+	if mr.opts.Pause > 0 && !loop.Pause(ctx, mr.clock, mr.opts.Pause) {
+		return 0, ctx.Err()
+	}
+	sent := mr.clock.Now()
+	events, err := mr.store.Watch(ctx, mr.opts.Prefix, after, mr.opts.Wait)
+	if err != nil {
+		return 0, err
+	}
+	var fresh []kv.Item
+	for _, item := range events.Items {
+		if item.Revision <= mr.keys[item.Key] {
+			continue // pages of the first read are no snapshot
+		}
+		if item.Gone {
+			delete(mr.keys, item.Key)
+		} else {
+			mr.keys[item.Key] = item.Revision
+		}
+		fresh = append(fresh, item)
+	}
+	mr.answered(sent)
+	if len(fresh) > 0 {
+		mr.opts.Changed(fresh, false)
+	}
+	return max(events.At, after), nil
+}
--- a/internal/nodecli/nodecli.go
+++ b/internal/nodecli/nodecli.go
@@ -20,6 +20,8 @@
 	"tackbeam.example/tackbeam/internal/settings"
 	"tackbeam.example/tackbeam/internal/standalone"
 	"tackbeam.example/tackbeam/internal/version"
+
+	"tackbeam.example/tackbeam/platform"
 )
 
 // options are the arguments of tackbeamd.
@@ -28,6 +30,7 @@
 	Check      bool   `long:"check" description:"check the settings and end"`
 	Settings   bool   `long:"settings" description:"print the page on all settings and end"`
 	Standalone bool   `long:"standalone" description:"run one node with stand-ins of the platform in this process"`
+	Platform   bool   `long:"platform" description:"run one node on the users' platform, with the settings file that it lays out"`
 	Listen     string `long:"listen" default:"127.0.0.1:7420" description:"address for callers, with --standalone"`
 	Workers    int    `long:"workers" default:"50" description:"stand-in workers, with --standalone"`
 	Record     string `long:"record" description:"file for the trace of decisions, with --standalone"`
@@ -77,8 +80,10 @@
 			Listen: op.Listen, Workers: op.Workers, Record: op.Record,
 			Ready: ready(out),
 		})
+	case op.Platform:
+		return platform.Run(out)
 	case op.Config == "":
-		return fault.New(fault.BadRequest, "give --config FILE or --standalone; see tackbeamd --help")
+		return fault.New(fault.BadRequest, "give --config FILE, --platform or --standalone; see tackbeamd --help")
 	}
 	return op.node(ctx, out, errOut)
 }
--- /dev/null
+++ b/internal/peerlink/peerlink.go
@@ -0,0 +1,122 @@
+// Package peerlink carries calls between the nodes of a deployment: questions for
+// the planner, and the planner's requests for help. Calls are HTTP with CBOR bodies.
+package peerlink
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"tackbeam.example/policy/cell"
+
+	"tackbeam.example/tackbeam/internal/fault"
+	"tackbeam.example/tackbeam/internal/httpcall"
+)
+
+// Request is a call to another node; one field is set.
+type Request struct {
+	// State asks for the phase of a job.
+	State string `cbor:"1,keyasint,omitempty"`
+	// Pending asks for the number of a queue's jobs that have not begun.
+	Pending string `cbor:"2,keyasint,omitempty"`
+	// Advise asks the node to put a question to the advisor.
+	Advise *cell.Question `cbor:"3,keyasint,omitempty"`
+}
+
+// Reply is the answer to a request.
+type Reply struct {
+	Phase   cell.Phase    `cbor:"1,keyasint,omitempty"`
+	Pending int           `cbor:"2,keyasint,omitempty"`
+	Tickets []cell.Ticket `cbor:"3,keyasint,omitempty"`
+	// Valid is how long the tickets are good from the answer on.
+	Valid time.Duration `cbor:"4,keyasint,omitempty"`
+	Fault *fault.Error  `cbor:"5,keyasint,omitempty"`
+}
+
+// path of all calls.
+const path = "/peer"
+
+// Link is a node's end of the links to the others.
+type Link struct {
+	log    logr.Logger
+	calls  *httpcall.Caller
+	handle func(ctx context.Context, rq Request) (Reply, error)
+	server *fasthttp.Server
+}
+
+// maxConns is the most connections to one node: the planner is asked by all others.
+const maxConns = 16
+
+// callTimeout bounds a handler's work; the longest question to the advisor takes 2 s.
+const callTimeout = 4 * time.Second
+
+// New returns a link that answers with handle.
+func New(log logr.Logger, handle func(ctx context.Context, rq Request) (Reply, error)) *Link {
+	li := &Link{log: log.WithName("peers"), calls: httpcall.New(maxConns), handle: handle}
+	li.server = &fasthttp.Server{
+		Handler: li.serve, NoDefaultServerHeader: true, NoDefaultDate: true,
+		Logger: httpcall.Quiet(li.log),
+	}
+	return li
+}
+
+// Serve answers other nodes at an address until Close.
+func (li *Link) Serve(address string) error {
+	ln, err := net.Listen("tcp4", address)
+	if err != nil {
+		return errors.Wrap(err, "listen for other nodes")
+	}
+	go func() {
+		if err := li.server.Serve(ln); err != nil {
+			li.log.Error(err, "Link to other nodes has ended.")
+		}
+	}()
+	return nil
+}
+
+// Close ends the serving.
+func (li *Link) Close() error { return errors.Wrap(li.server.Shutdown(), "close link") }
+
+func (li *Link) serve(rc *fasthttp.RequestCtx) {
+	var rq Request
+	if err := cbor.Unmarshal(rc.PostBody(), &rq); err != nil {
+		rc.Error("request cannot be read", fasthttp.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	reply, err := li.handle(ctx, rq)
+	reply.Fault = fault.From(err)
+	raw, err := cbor.Marshal(reply)
+	if err != nil {
+		li.log.Error(err, "Reply to another node cannot be written.")
+		rc.Error("reply cannot be written", fasthttp.StatusInternalServerError)
+		return
+	}
+	rc.SetBody(raw)
+}
+
+// Call asks another node.
+func (li *Link) Call(ctx context.Context, address string, rq Request) (Reply, error) {
+	raw, err := cbor.Marshal(rq)
+	if err != nil {
+		return Reply{}, errors.Wrap(err, "encode request")
+	}
+	res, err := li.calls.Do(ctx, httpcall.Request{Method: fasthttp.MethodPost, Address: address, Path: path, Body: raw})
+	if err != nil {
+		return Reply{}, fault.New(fault.Unavailable, "node %s did not answer: %v", address, err)
+	}
+	var reply Reply
+	if err := cbor.Unmarshal(res.Body, &reply); err != nil {
+		return Reply{}, fault.New(fault.Unavailable, "node %s answered %d: %v", address, res.Status, err)
+	}
+	if reply.Fault != nil {
+		return Reply{}, reply.Fault
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/internal/planner/orders.go
@@ -0,0 +1,127 @@
+package planner
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tackbeam.example/policy/cell"
+
+	"tackbeam.example/tackbeam/internal/agent"
+	"tackbeam.example/tackbeam/internal/loop"
+)
+
+// Times of orders.
+const (
+	// startTimeout is how long a worker may take to answer a start: it does so within
+	// a few ms, on a lossy link within a retransmission of 200 ms.
+	startTimeout = 700 * time.Millisecond
+	// stopTimeout is the same for a stop.
+	stopTimeout = 700 * time.Millisecond
+	// stopPause is the pause before a stop that was not answered is sent again.
+	stopPause = 200 * time.Millisecond
+)
+
+// start carries out one start.
+func (ld *lead) start(sr cell.Start) {
+	se, token, deadline, ok := ld.prepare(sr.Worker)
+	if !ok || !ld.reign.Proven() {
+		ld.after(func(now time.Duration) { ld.cell.Refused(now, sr, cell.RefusedLate) })
+		ld.log.Info("Start was not sent.", "task", sr.Task.String(), "run", sr.Run, "worker", sr.Worker)
+		return
+	}
+	call, cancel := context.WithTimeout(context.WithoutCancel(ld.ctx), startTimeout)
+	defer cancel()
+	sent := ld.clock.Now()
+	refusal, err := ld.parts.Agents.Start(call, se.target(), token, deadline, sr)
+	took := ld.clock.Since(sent)
+	ld.after(func(now time.Duration) {
+		switch {
+		case err == nil && refusal == "":
+			ld.cell.Started(now, sr)
+		case err == nil:
+			ld.cell.Refused(now, sr, refusal)
+		default:
+			ld.cell.StartLost(sr)
+		}
+	})
+	ld.log.Info("Start.", "task", sr.Task.String(), "run", sr.Run, "worker", sr.Worker,
+		"took", took.String(), "refusal", refusal, "error", text(err))
+	ld.orderFailed(se, err)
+}
+
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// prepare returns what an order to a worker needs: its session, the fencing token
+// and the deadline that its lease has.
+func (ld *lead) prepare(id string) (*session, uint64, time.Duration, bool) {
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	se, ok := ld.sessions[id]
+	if !ok || !se.answered {
+		return nil, 0, 0, false
+	}
+	return se, ld.reign.Token, se.extend(ld.now()), true
+}
+
+// after takes the outcome of an order in, and plans again.
+func (ld *lead) after(act func(now time.Duration)) {
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	act(ld.now())
+	ld.kick()
+}
+
+// orderFailed draws the consequences of an order's error beyond the order itself.
+func (ld *lead) orderFailed(se *session, err error) {
+	switch {
+	case errors.Is(err, agent.ErrFenced):
+		ld.reign.Depose("worker " + se.id + " follows a later planner")
+	case errors.Is(err, agent.ErrOtherLife):
+		ld.after(func(now time.Duration) { se.dead(now) })
+	}
+}
+
+// stop carries out one stop, and has it ordered again while it is not confirmed.
+func (ld *lead) stop(sp cell.Stop) {
+	ld.mu.Lock()
+	se, ok := ld.sessions[sp.Worker]
+	ld.mu.Unlock()
+	if !ok || ld.ctx.Err() != nil {
+		return
+	}
+	call, cancel := context.WithTimeout(context.WithoutCancel(ld.ctx), stopTimeout)
+	defer cancel()
+	err := ld.parts.Agents.Stop(call, se.target(), ld.reign.Token, sp)
+	ld.log.Info("Stop.", "task", sp.Task.String(), "run", sp.Run, "worker", sp.Worker, "reason", sp.Reason, "error", text(err))
+	if err == nil {
+		ld.after(func(now time.Duration) { ld.cell.Stopped(now, sp) })
+		return
+	}
+	ld.orderFailed(se, err)
+	if loop.Pause(ld.ctx, ld.clock, stopPause) {
+		ld.after(func(time.Duration) { ld.cell.StopLost(sp) })
+	}
+}
+
+// advise asks one question.
+func (ld *lead) advise(qn cell.Question) {
+	sent := ld.clock.Now()
+	answer, err := ld.parts.Advise(ld.ctx, qn)
+	took := ld.clock.Since(sent)
+	ld.after(func(now time.Duration) {
+		if err != nil {
+			ld.cell.Unadvised(now, qn)
+			return
+		}
+		ld.cell.Advised(now, qn, answer.Tickets, answer.Valid)
+	})
+	ld.log.Info("Advice.", "step", qn.Step.StepName(), "asked", len(qn.Workers), "allowed", len(answer.Tickets),
+		"took", took.String(), "error", text(err))
+}
--- /dev/null
+++ b/internal/planner/planner.go
@@ -0,0 +1,126 @@
+// Package planner runs the decisions of policy/cell while this node is the planner:
+// it feeds them from the journal, the list of workers and the workers' reports, and
+// carries their orders out.
+package planner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+
+	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/work"
+
+	"tackbeam.example/tackbeam/internal/agent"
+	"tackbeam.example/tackbeam/internal/fault"
+	"tackbeam.example/tackbeam/internal/kv"
+	"tackbeam.example/tackbeam/internal/site"
+	"tackbeam.example/tackbeam/internal/term"
+)
+
+// Entry is one worker in the list of workers.
+type Entry struct {
+	cell.Worker
+	Address string
+	Hall    string
+}
+
+// Answer is what the advisor said: the workers that may run a step, with tickets
+// that are good for a time.
+type Answer struct {
+	Tickets []cell.Ticket
+	Valid   time.Duration
+}
+
+// Parts are the services that a planner uses. The fields are seams.
+type Parts struct {
+	Clock  clockwork.Clock
+	Log    logr.Logger
+	Store  *kv.Store
+	Agents *agent.Agents
+	Site   *site.Site
+	Meters metrics.Registry
+	// WorkersPrefix is where the store has the list of workers, DecodeWorker reads
+	// one entry of it.
+	WorkersPrefix string
+	DecodeWorker  func(item kv.Item) (Entry, error)
+	// Advise asks the advisor through the node that is free soonest.
+	Advise func(ctx context.Context, qn cell.Question) (Answer, error)
+	// Queue returns the present settings of a queue, or false where its route is gone.
+	Queue func(name string) (work.Queue, bool)
+}
+
+// Planner answers for the cell while this node leads it.
+type Planner struct {
+	parts Parts
+	log   logr.Logger
+
+	mu   sync.Mutex
+	lead *lead
+}
+
+// New returns a planner that does not lead.
+func New(pt Parts) *Planner {
+	return &Planner{parts: pt, log: pt.Log.WithName("planner")}
+}
+
+// Lead plans until the context ends.
+func (pl *Planner) Lead(ctx context.Context, reign term.Reign) {
+	ld := newLead(pl.parts, pl.log.WithValues("token", reign.Token), reign)
+	pl.set(ld)
+	defer pl.set(nil)
+	ld.run(ctx)
+}
+
+func (pl *Planner) set(ld *lead) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	pl.lead = ld
+}
+
+func (pl *Planner) current() (*lead, error) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	if pl.lead == nil {
+		return nil, notReady("this node does not plan")
+	}
+	return pl.lead, nil
+}
+
+// comeBack is when a caller should ask again while planners change: an election
+// takes about the lease's time.
+const comeBack = time.Second
+
+func notReady(why string) *fault.Error {
+	return fault.New(fault.Unavailable, "%s; ask again", why).After(comeBack)
+}
+
+// State returns the phase of a job. It answers NotFound only where the journal has
+// been read whole.
+func (pl *Planner) State(id string) (cell.Phase, error) {
+	ld, err := pl.current()
+	if err != nil {
+		return "", err
+	}
+	return ld.state(id)
+}
+
+// Pending returns how many accepted jobs of a queue have not begun.
+func (pl *Planner) Pending(queue string) (int, error) {
+	ld, err := pl.current()
+	if err != nil {
+		return 0, err
+	}
+	return ld.pending(queue)
+}
+
+// Reroute takes the present settings of the queues over into the jobs that wait.
+func (pl *Planner) Reroute() {
+	if ld, err := pl.current(); err == nil {
+		ld.reroute()
+	}
+}
--- /dev/null
+++ b/internal/planner/session.go
@@ -0,0 +1,213 @@
+package planner
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tackbeam.example/tackbeam/internal/agent"
+	"tackbeam.example/tackbeam/internal/loop"
+)
+
+// Times of holds.
+const (
+	// holdWait is how long a worker may wait for an end before it answers; reports
+	// must be fresh enough to see tasks that stand still.
+	holdWait = time.Second
+	// holdSlack is what a hold may take beyond its wait.
+	holdSlack = 700 * time.Millisecond
+	// holdGap is the pause between two holds of a worker, in which ends gather.
+	holdGap = 30 * time.Millisecond
+	// holdRetry is the pause after a hold that was not answered.
+	holdRetry = 100 * time.Millisecond
+	// notePause is the pause between looks whether the journal has the ends of the last
+	// report: without that the worker would report them again at once.
+	notePause = 10 * time.Millisecond
+	// noteMost is the longest time without a hold while the journal does not answer.
+	noteMost = 800 * time.Millisecond
+)
+
+// session is the planner's link to one incarnation of a worker.
+type session struct {
+	lead  *lead
+	id    string
+	entry Entry
+
+	// answered is set once the worker has answered this planner.
+	answered bool
+	// clock was the worker's clock when it gave the answer that came at heard.
+	clock time.Duration
+	heard time.Duration
+	// deadline is the latest one that was ever sent, on the worker's clock.
+	deadline time.Duration
+	ended    bool
+	silent   bool
+}
+
+func newSession(ld *lead, en Entry) *session {
+	return &session{lead: ld, id: en.ID, entry: en}
+}
+
+func (se *session) target() agent.Target {
+	return agent.Target{Address: se.entry.Address, ID: se.id}
+}
+
+// extend returns a deadline a lease from now on the worker's clock, at the least.
+// The caller holds the lock.
+func (se *session) extend(now time.Duration) time.Duration {
+	if !se.answered || se.lead.reign.SinceProof() > unproven {
+		return se.deadline
+	}
+	se.deadline = max(se.deadline, se.clock+(now-se.heard)+lease)
+	return se.deadline
+}
+
+// lapsed reports whether the worker has surely ended all that it ran. The caller
+// holds the lock.
+func (se *session) lapsed(now time.Duration) bool {
+	if !se.answered {
+		return now > se.lead.lapseUnknown()
+	}
+	since := time.Duration(float64(now-se.heard) * (1 - drift))
+	return se.clock+since > se.deadline
+}
+
+// run holds the worker until its incarnation or the reign ends.
+func (se *session) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		hold, ok := se.next()
+		if !ok {
+			return
+		}
+		call, cancel := context.WithTimeout(ctx, hold.Wait+holdSlack)
+		sent := se.lead.now()
+		report, err := se.lead.parts.Agents.Hold(call, se.target(), hold)
+		cancel()
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			se.failed(err)
+			loop.Pause(ctx, se.lead.clock, holdRetry)
+			continue
+		}
+		se.take(sent, report)
+		se.settle(ctx)
+	}
+}
+
+// next returns the hold to send, or false where the incarnation is over.
+func (se *session) next() (agent.Hold, bool) {
+	ld := se.lead
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	if se.ended {
+		return agent.Hold{}, false
+	}
+	noted, waits := ld.cell.Noted(se.id)
+	hold := agent.Hold{Token: ld.reign.Token, Noted: noted}
+	if se.answered {
+		hold.Deadline = se.extend(ld.now())
+	}
+	if se.answered && !waits && !se.silent {
+		hold.Wait = holdWait
+	}
+	return hold, true
+}
+
+// take takes a report in.
+func (se *session) take(sent time.Duration, report agent.Report) {
+	ld := se.lead
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	now := ld.now()
+	if se.silent {
+		ld.log.Info("Worker answers again.", "worker", se.id)
+	}
+	se.silent = false
+	se.clock, se.heard = report.Clock, now
+	first := !se.answered
+	se.answered = true
+	if first {
+		delete(ld.blocking, se.id)
+	}
+	for _, en := range report.Ends {
+		ld.log.V(0).Info("End.", "task", en.Task.String(), "run", en.Number, "worker", se.id, "result", en.Result, "seq", en.Seq)
+	}
+	ld.cell.Report(now, se.id, sent, report.Runs, report.Ends)
+	if first {
+		ld.settle(now)
+	}
+	ld.kick()
+}
+
+// failed draws the consequences of a hold's error.
+func (se *session) failed(err error) {
+	ld := se.lead
+	if errors.Is(err, agent.ErrFenced) {
+		ld.reign.Depose("worker " + se.id + " follows a later planner")
+		return
+	}
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	now := ld.now()
+	if errors.Is(err, agent.ErrOtherLife) {
+		se.dead(now)
+		ld.kick()
+		return
+	}
+	if !se.silent {
+		ld.log.Info("Worker does not answer.", "worker", se.id, "reason", err.Error())
+	}
+	se.silent = true
+	if !se.lapsed(now) {
+		return
+	}
+	if ld.cell.Holds(se.id) {
+		ld.log.Info("Worker's lease is over.", "worker", se.id, "silent_for", (now - se.heard).String())
+	}
+	delete(ld.blocking, se.id)
+	ld.cell.Lapsed(now, se.id)
+	se.answered = false
+	se.heard = now
+	if known, _ := ld.cell.Listed(se.id); !known {
+		se.end()
+	}
+	ld.settle(now)
+	ld.kick()
+}
+
+// dead notes that the incarnation is over. The caller holds the lock.
+func (se *session) dead(now time.Duration) {
+	ld := se.lead
+	if se.ended {
+		return
+	}
+	ld.log.Info("Worker's incarnation is over.", "worker", se.id)
+	delete(ld.blocking, se.id)
+	ld.cell.Unlist(se.id)
+	ld.cell.Lapsed(now, se.id)
+	se.end()
+	ld.settle(now)
+}
+
+// end ends the session. The caller holds the lock.
+func (se *session) end() {
+	se.ended = true
+	delete(se.lead.sessions, se.id)
+}
+
+// settle waits for ends to gather, and for the journal to have those reported.
+func (se *session) settle(ctx context.Context) {
+	ld := se.lead
+	loop.Pause(ctx, ld.clock, holdGap)
+	for waited := time.Duration(0); waited < noteMost; waited += notePause {
+		ld.mu.Lock()
+		_, waits := ld.cell.Noted(se.id)
+		ld.mu.Unlock()
+		if !waits || !loop.Pause(ctx, ld.clock, notePause) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/site/site.go
@@ -0,0 +1,45 @@
+// Package site describes where a node runs and what the deployment promises: what a
+// node knows from its settings before it has talked to anybody.
+package site
+
+import "time"
+
+// Site is one node's place in a deployment.
+type Site struct {
+	Node   string
+	Hall   string
+	Region string
+	// IP is the node's address.
+	IP string
+	// Callers, Ready and Peers are addresses to listen on: for jobs, for the
+	// balancer's question whether the node takes callers, for other nodes.
+	Callers string
+	Ready   string
+	Peers   string
+	// Store is the address of the platform's key-value service, with the calls a second
+	// that all nodes together may make and the size of its values.
+	Store      string
+	Writes     float64
+	Reads      float64
+	ValueBytes int
+	// Advisor is the address of the service that allows workers for steps; empty
+	// where there is none.
+	Advisor string
+	Bounds  Bounds
+}
+
+// Bounds are the times that the deployment promises or allows.
+type Bounds struct {
+	// Grace is the time between the order to end and the kill.
+	Grace time.Duration
+	// MaxLease is the longest lease that a worker grants.
+	MaxLease time.Duration
+	// MinLease is the shortest lease of the store.
+	MinLease time.Duration
+	// KeepEnded is how long the state of an ended job can be asked for.
+	KeepEnded time.Duration
+	// FarFactor is how many times longer work takes away from its rack.
+	FarFactor float64
+	// StopTime is how long a worker takes to end a run.
+	StopTime time.Duration
+}
--- /dev/null
+++ b/policy/cell/cell.go
@@ -0,0 +1,250 @@
+// Package cell decides for one cell of workers: which task starts where and when,
+// what is stopped, and what a job's state is.
+//
+// A Cell is pure: times come in with each call, orders and records go out through
+// Take. It learns from three sources: the journal (jobs, cancels and records of
+// earlier planners), the workers' reports, and the advisor's answers.
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"tackbeam.example/policy/size"
+	"tackbeam.example/policy/work"
+)
+
+// Phase is the state of a job as callers see it.
+type Phase string
+
+// The phases of a job.
+const (
+	Queued    Phase = "queued"
+	Running   Phase = "running"
+	Succeeded Phase = "succeeded"
+	Failed    Phase = "failed"
+	Cancelled Phase = "cancelled"
+)
+
+// Ended reports whether a job in the phase runs no more.
+func (ph Phase) Ended() bool { return ph == Succeeded || ph == Failed || ph == Cancelled }
+
+// Worker is what a worker says of itself.
+type Worker struct {
+	ID       string
+	Service  string
+	Capacity size.Size
+	// Rack is its rack's label, Labels are all of its labels.
+	Rack   string
+	Labels []string
+	// Draining workers take no new tasks.
+	Draining bool
+}
+
+// Run is one start of a task, as a worker reports it while it is there.
+type Run struct {
+	Task       work.Task
+	Number     int
+	Checkpoint string
+	// Percent of the task's work that is done.
+	Percent int
+}
+
+// Result is how a run ended.
+type Result string
+
+// The results. Stopped, Lapsed, Broken and Alone do not count as attempts.
+const (
+	ResultDone    Result = "done"
+	ResultFailed  Result = "failed"
+	ResultStopped Result = "stopped"
+	ResultLapsed  Result = "lapsed"
+	ResultBroken  Result = "broken"
+	ResultAlone   Result = "alone"
+)
+
+// End is one end of a run; its worker counts its ends by Seq.
+type End struct {
+	Seq int
+	Run
+	Result Result
+}
+
+// Refusal is why a worker did not start a run.
+type Refusal string
+
+// The refusals. RefusedUnhealthy stands for a worker that took nothing on.
+const (
+	RefusedOld       Refusal = "old"
+	RefusedLate      Refusal = "late"
+	RefusedRoom      Refusal = "room"
+	RefusedTicket    Refusal = "ticket"
+	RefusedUnhealthy Refusal = "unhealthy"
+	RefusedBad       Refusal = "bad"
+)
+
+// Start is an order to start a run on a worker.
+type Start struct {
+	Worker     string
+	Task       work.Task
+	Run        int
+	Spec       string
+	Ticket     string
+	Checkpoint string
+}
+
+// Stop is an order to end a run on a worker, and to keep it from starting later.
+type Stop struct {
+	Worker string
+	Task   work.Task
+	Run    int
+	// Reason is for the log.
+	Reason string
+	// Stranger is set for a run of which the cell knows nothing.
+	Stranger bool
+}
+
+// Question asks the advisor which workers may run a step.
+type Question struct {
+	Step    work.Task
+	Workers []string
+	// Takes is how long the advisor is expected to need.
+	Takes time.Duration
+	// Urgent questions go before others.
+	Urgent bool
+}
+
+// Record is a fact that must outlive the planner.
+type Record struct {
+	Job   string `cbor:"1,keyasint,omitempty"`
+	Phase Phase  `cbor:"2,keyasint,omitempty"`
+	// Task is set with Result and the number of the run that ended so.
+	Task   *work.Task `cbor:"3,keyasint,omitempty"`
+	Result Result     `cbor:"4,keyasint,omitempty"`
+	Run    int        `cbor:"5,keyasint,omitempty"`
+	// Worker is one that may hold runs from now on, or, with Gone, no longer.
+	Worker string `cbor:"6,keyasint,omitempty"`
+	Gone   bool   `cbor:"7,keyasint,omitempty"`
+}
+
+// Output is what a cell wants done.
+type Output struct {
+	Starts    []Start
+	Stops     []Stop
+	Questions []Question
+	Records   []Record
+}
+
+// Empty reports whether there is nothing to do.
+func (ou *Output) Empty() bool {
+	return len(ou.Starts)+len(ou.Stops)+len(ou.Questions)+len(ou.Records) == 0
+}
+
+// Options of a cell.
+type Options struct {
+	// Keep is how long an ended job can still be asked for.
+	Keep time.Duration
+	// FarFactor is how many times longer work takes away from its rack.
+	FarFactor float64
+	// FirstRun is the lowest number of a run that this planner starts.
+	FirstRun int
+	// Early is by how much the time of day may be ahead of the workers' one.
+	Early time.Duration
+}
+
+// Cell is the state of one cell. It is not safe for concurrent use.
+type Cell struct {
+	opts    Options
+	jobs    map[string]*job
+	workers map[string]*worker
+	// open are the steps with tasks that wait.
+	open    map[*step]bool
+	queues  map[string]*queue
+	cancels map[string]time.Duration
+	out     Output
+	// recorded counts all records so far, committed those that are in the journal.
+	recorded, committed int
+	settled             bool
+	ended               []*job
+}
+
+// queue is what the cell learned of a route's jobs.
+type queue struct {
+	pending int
+	run     time.Duration
+	runs    int
+	// good is the share of workers that the advisor allowed of late.
+	good float64
+}
+
+// New returns an empty cell. Until Settle, tasks that an earlier planner may have
+// started wait.
+func New(opts Options) *Cell {
+	return &Cell{
+		opts: opts, jobs: map[string]*job{}, workers: map[string]*worker{},
+		open: map[*step]bool{}, queues: map[string]*queue{}, cancels: map[string]time.Duration{},
+	}
+}
+
+// Take returns what the cell wants done and forgets it. Stops of runs that have
+// ended meanwhile are left out.
+func (cl *Cell) Take() Output {
+	out := cl.out
+	cl.out = Output{}
+	out.Stops = slices.DeleteFunc(out.Stops, func(sp Stop) bool {
+		return !sp.Stranger && cl.placement(sp.Worker, sp.Task, sp.Run) == nil
+	})
+	return out
+}
+
+// Recorded returns how many records the cell has given out so far.
+func (cl *Cell) Recorded() int { return cl.recorded }
+
+// Committed tells the cell that its first n records are in the journal.
+func (cl *Cell) Committed(n int) { cl.committed = max(cl.committed, n) }
+
+func (cl *Cell) record(rec Record) {
+	cl.out.Records = append(cl.out.Records, rec)
+	cl.recorded++
+}
+
+func (cl *Cell) queue(name string) *queue {
+	qu, ok := cl.queues[name]
+	if !ok {
+		qu = &queue{good: firstGood}
+		cl.queues[name] = qu
+	}
+	return qu
+}
+
+// firstGood is the share of workers expected to be allowed before any answer came.
+const firstGood = 0.4
+
+// Phase returns a job's state as far as the journal proves it, or false where the
+// job is not known.
+func (cl *Cell) Phase(id string) (Phase, bool) {
+	jb, ok := cl.jobs[id]
+	if !ok {
+		return "", false
+	}
+	if !jb.phase.Ended() {
+		return jb.phase, true
+	}
+	if jb.proof > cl.committed {
+		return Running, true
+	}
+	return jb.phase, true
+}
+
+// Pending returns how many accepted jobs of a queue have not begun.
+func (cl *Cell) Pending(name string) int {
+	if qu, ok := cl.queues[name]; ok {
+		return qu.pending
+	}
+	return 0
+}
+
+// Sizes returns the numbers of jobs, of steps that wait and of workers, for measures.
+func (cl *Cell) Sizes() (jobs, waiting, workers int) {
+	return len(cl.jobs), len(cl.open), len(cl.workers)
+}
--- /dev/null
+++ b/policy/cell/placement.go
@@ -0,0 +1,276 @@
+package cell
+
+import (
+	"time"
+
+	"tackbeam.example/policy/size"
+	"tackbeam.example/policy/work"
+)
+
+// state of a placement.
+type state int
+
+const (
+	ordered state = iota // the start was sent, its answer is open
+	running
+	stopping // a stop was sent; the room is taken until the end is seen
+)
+
+// placement is a run on a worker. Its room is taken until the worker shows that the
+// run is gone, or cannot hold it any more.
+type placement struct {
+	task   *task
+	worker *worker
+	run    int
+	need   size.Size
+	state  state
+	// since is when the worker was known to have the run.
+	since time.Duration
+	// stopped is when the worker confirmed the stop, 0 before that.
+	stopped time.Duration
+	percent int
+	// moved is when percent last rose.
+	moved time.Duration
+}
+
+// key names a placement on its worker.
+type key struct {
+	task work.Task
+	run  int
+}
+
+// worker is one worker as the cell knows it.
+type worker struct {
+	Worker
+	// listed workers stand in the list of workers, answered ones have reported to this planner.
+	listed, answered bool
+	used             size.Size
+	places           map[key]*placement
+	// strangers counts the runs there of which the cell knows nothing.
+	strangers int
+	// proof is the record that says that the worker may hold runs.
+	proof int
+	// seen is the highest end taken in; unnoted are those not yet proved by the journal.
+	seen, noted int
+	unnoted     []note
+	// rest keeps new runs off a worker on which they fail.
+	rest  time.Duration
+	fails int
+	// claim is the gang that keeps the worker free.
+	claim *step
+	// reported is when it last reported.
+	reported time.Duration
+}
+
+// note is an end with the record that proves what followed from it.
+type note struct{ number, proof int }
+
+// Rest times of workers.
+const (
+	// restRoom keeps a worker alone that had less room than the cell thought.
+	restRoom = 300 * time.Millisecond
+	// restFails keeps a worker alone on which failsInRow runs of tasks ended failed.
+	restFails  = 6 * time.Second
+	failsInRow = 3
+	// restHung keeps a worker alone on which a task stood still.
+	restHung = 6 * time.Second
+)
+
+// PutWorker takes in an entry of the list of workers.
+func (cl *Cell) PutWorker(wk Worker) {
+	old, known := cl.workers[wk.ID]
+	if !known {
+		old = &worker{places: map[key]*placement{}}
+		cl.workers[wk.ID] = old
+	}
+	old.Worker = wk
+	old.listed = true
+	if wk.Draining {
+		cl.dropClaim(old)
+	}
+}
+
+// Unlist takes in that a worker's entry is gone. What it runs is kept until it has
+// lapsed.
+func (cl *Cell) Unlist(id string) {
+	if wk, ok := cl.workers[id]; ok {
+		wk.listed = false
+		cl.dropClaim(wk)
+	}
+}
+
+// Lapsed takes in that nothing can run on a worker any more: its lease is over, or
+// it is gone. It may answer again later.
+func (cl *Cell) Lapsed(now time.Duration, id string) {
+	wk, ok := cl.workers[id]
+	if !ok {
+		return
+	}
+	wk.answered = false
+	for _, pl := range wk.places {
+		cl.release(pl)
+		cl.afterLoss(now, pl)
+	}
+	if !wk.listed {
+		cl.record(Record{Worker: id, Gone: true})
+		delete(cl.workers, id)
+	}
+}
+
+// Settle says that every worker on which an earlier planner may have started tasks
+// has answered or lapsed.
+func (cl *Cell) Settle(now time.Duration) {
+	cl.settled = true
+	for st := range cl.open {
+		if st.def.Gang && st.placed() > 0 && st.placed() < len(st.tasks) {
+			cl.breakGang(st, "gang is not complete")
+		}
+	}
+}
+
+// Settled reports whether Settle was called.
+func (cl *Cell) Settled() bool { return cl.settled }
+
+// place takes room for a run of a task.
+func (cl *Cell) place(now time.Duration, tk *task, wk *worker, run int) *placement {
+	need := tk.step.need()
+	pl := &placement{task: tk, worker: wk, run: run, need: need, moved: now}
+	wk.places[key{tk.name(), run}] = pl
+	wk.used = wk.used.Add(need)
+	tk.place = pl
+	tk.run = max(tk.run, run)
+	return pl
+}
+
+// release gives the room of a run back.
+func (cl *Cell) release(pl *placement) {
+	at := key{pl.task.name(), pl.run}
+	if pl.worker.places[at] != pl {
+		return
+	}
+	delete(pl.worker.places, at)
+	pl.worker.used = pl.worker.used.Sub(pl.need)
+	if pl.task.place == pl {
+		pl.task.place = nil
+	}
+}
+
+// stop orders the end of a run.
+func (cl *Cell) stop(pl *placement, reason string) {
+	if pl.state == stopping {
+		return
+	}
+	pl.state = stopping
+	cl.out.Stops = append(cl.out.Stops, Stop{Worker: pl.worker.ID, Task: pl.task.name(), Run: pl.run, Reason: reason})
+}
+
+// breakGang stops all members, so that the gang can start anew.
+func (cl *Cell) breakGang(st *step, reason string) {
+	for _, tk := range st.tasks {
+		if tk.place != nil {
+			cl.stop(tk.place, reason)
+		}
+	}
+}
+
+// afterLoss does what follows when a run is gone without an end that counts.
+func (cl *Cell) afterLoss(_ time.Duration, pl *placement) {
+	st := pl.task.step
+	if st.def.Gang && !pl.task.done {
+		cl.breakGang(st, "gang lost a member")
+	}
+}
+
+func (cl *Cell) placement(id string, task work.Task, run int) *placement {
+	wk, ok := cl.workers[id]
+	if !ok {
+		return nil
+	}
+	return wk.places[key{task, run}]
+}
+
+// Started takes in that a worker has a run.
+func (cl *Cell) Started(now time.Duration, sr Start) {
+	pl := cl.placement(sr.Worker, sr.Task, sr.Run)
+	if pl == nil || pl.state != ordered {
+		return
+	}
+	pl.state = running
+	pl.since, pl.moved = now, now
+	cl.begin(pl.task.step.round.job)
+}
+
+// Refused takes in that a worker did not start a run and never will.
+func (cl *Cell) Refused(now time.Duration, sr Start, why Refusal) {
+	pl := cl.placement(sr.Worker, sr.Task, sr.Run)
+	if pl == nil {
+		return
+	}
+	st := pl.task.step
+	switch why {
+	case RefusedTicket:
+		delete(st.advice.tickets, sr.Worker)
+	case RefusedRoom:
+		pl.worker.rest = now + restRoom
+	case RefusedUnhealthy, RefusedBad:
+		pl.worker.rest = now + restFails
+	case RefusedOld, RefusedLate:
+	}
+	cl.release(pl)
+	cl.afterLoss(now, pl)
+}
+
+// StartLost takes in that nobody knows whether a worker has started a run or will:
+// a stop settles it.
+func (cl *Cell) StartLost(sr Start) {
+	pl := cl.placement(sr.Worker, sr.Task, sr.Run)
+	if pl == nil || pl.state != ordered {
+		return
+	}
+	st := pl.task.step
+	cl.stop(pl, "start was not answered")
+	if st.def.Gang {
+		cl.breakGang(st, "gang's start was not answered")
+	}
+}
+
+// Stopped takes in that a worker has confirmed a stop.
+func (cl *Cell) Stopped(now time.Duration, sp Stop) {
+	if pl := cl.placement(sp.Worker, sp.Task, sp.Run); pl != nil {
+		pl.stopped = now
+	}
+}
+
+// StopLost takes in that a stop was not confirmed; it is ordered again while the run
+// may be there.
+func (cl *Cell) StopLost(sp Stop) {
+	if pl := cl.placement(sp.Worker, sp.Task, sp.Run); pl != nil && pl.stopped == 0 {
+		cl.out.Stops = append(cl.out.Stops, sp)
+	}
+}
+
+// Noted returns the number of the last end of a worker that the journal proves, and
+// whether later ones wait for that.
+func (cl *Cell) Noted(id string) (number int, waits bool) {
+	wk, ok := cl.workers[id]
+	if !ok {
+		return 0, false
+	}
+	for len(wk.unnoted) > 0 && wk.unnoted[0].proof <= cl.committed {
+		wk.noted = wk.unnoted[0].number
+		wk.unnoted = wk.unnoted[1:]
+	}
+	return wk.noted, len(wk.unnoted) > 0
+}
+
+// Holds reports whether a worker may have runs of the cell.
+func (cl *Cell) Holds(id string) bool {
+	wk, ok := cl.workers[id]
+	return ok && (len(wk.places) > 0 || !wk.answered)
+}
+
+// Listed reports whether a worker is known and in the list.
+func (cl *Cell) Listed(id string) (known, listed bool) {
+	wk, ok := cl.workers[id]
+	return ok, ok && wk.listed
+}
--- /dev/null
+++ b/policy/cell/plan.go
@@ -0,0 +1,280 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"tackbeam.example/policy/size"
+)
+
+// Tick does what time brings: rounds that are due, tasks that stand still, old jobs.
+// Wall is the time of day since 1970.
+func (cl *Cell) Tick(now, wall time.Duration) {
+	cl.openDue(now, wall)
+	cl.unhang(now)
+	cl.prune(now)
+}
+
+// Plan places what waits, as far as there is room, and asks for advice.
+func (cl *Cell) Plan(now time.Duration) {
+	steps := make([]*step, 0, len(cl.open))
+	for st := range cl.open {
+		if cl.settled || !st.round.job.inherited {
+			steps = append(steps, st)
+		}
+	}
+	ranks := make(map[*step]rank, len(steps))
+	for _, st := range steps {
+		ranks[st] = cl.rank(now, st)
+	}
+	slices.SortFunc(steps, func(a, b *step) int { return ranks[a].compare(ranks[b]) })
+	claims := 0
+	for _, st := range steps {
+		if st.def.Gang {
+			cl.planGang(now, st, &claims)
+		} else {
+			cl.planTasks(now, st)
+		}
+	}
+}
+
+// rank orders steps: lower goes first.
+type rank struct {
+	group int
+	// latest is when the step has to start for its job to be in time.
+	latest time.Duration
+	id     string
+	num    int
+}
+
+func (rk rank) compare(other rank) int {
+	return cmp.Or(
+		cmp.Compare(rk.group, other.group), cmp.Compare(rk.latest, other.latest),
+		cmp.Compare(rk.id, other.id), cmp.Compare(rk.num, other.num),
+	)
+}
+
+// The groups of ranks: urgent queues, jobs that can be in time, jobs that are late.
+const (
+	groupUrgent = iota
+	groupInTime
+	groupLate
+)
+
+func (cl *Cell) rank(now time.Duration, st *step) rank {
+	jb := st.round.job
+	qu := jb.spec.Queue
+	chain, rest := cl.chain(st)
+	latest := cl.since(st) + time.Duration(qu.Stretch*float64(chain)) + qu.Target - rest
+	rk := rank{groupInTime, latest, jb.spec.ID, st.num}
+	switch {
+	case qu.Priority == 0:
+		rk.group = groupUrgent
+	case latest < now:
+		rk.group = groupLate
+	}
+	return rk
+}
+
+// since is when the time of the step's round began to count.
+func (cl *Cell) since(st *step) time.Duration {
+	if st.round.job.spec.Repeat != nil {
+		return st.round.due
+	}
+	return st.round.job.arrived
+}
+
+// chain estimates the longest chain of work of a job, and of what is left from a
+// step on.
+func (cl *Cell) chain(st *step) (whole, rest time.Duration) {
+	steps := st.round.steps
+	ends := make([]time.Duration, len(steps))
+	for num, each := range steps {
+		var begin time.Duration
+		for _, before := range each.def.After {
+			begin = max(begin, ends[before])
+		}
+		ends[num] = begin + cl.expect(each)
+		whole = max(whole, ends[num])
+	}
+	return whole, whole - ends[st.num] + cl.expect(st)
+}
+
+// enoughRuns is the number of runs after which a queue's run time is believed more
+// than the callers' estimates.
+const enoughRuns = 8
+
+// expect estimates how long a task of the step runs.
+func (cl *Cell) expect(st *step) time.Duration {
+	if qu := cl.queue(st.round.job.spec.Queue.Name); qu.runs >= enoughRuns {
+		return qu.run
+	}
+	return st.def.Estimate
+}
+
+// need is the room that one task takes.
+func (st *step) need() size.Size {
+	if st.def.Filler {
+		return size.New(0, st.def.Need.Memory(), st.def.Need.Accelerators())
+	}
+	return st.def.Need
+}
+
+// placed counts the tasks that are on workers.
+func (st *step) placed() int {
+	count := 0
+	for _, tk := range st.tasks {
+		if tk.place != nil {
+			count++
+		}
+	}
+	return count
+}
+
+// may reports whether a worker may run tasks of the step at all.
+func (cl *Cell) may(st *step, wk *worker) bool {
+	return wk.Service == cl.service(st) && (st.def.Label == "" || slices.Contains(wk.Labels, st.def.Label))
+}
+
+// takes reports whether a worker takes new runs now.
+func (cl *Cell) takes(now time.Duration, wk *worker) bool {
+	return wk.listed && wk.answered && !wk.Draining && wk.strangers == 0 && wk.rest <= now &&
+		wk.proof > 0 && wk.proof <= cl.committed && now-wk.reported < silent
+}
+
+// silent is the age of a worker's last report from which it gets no new runs: two
+// calls of a second without an answer.
+const silent = 2500 * time.Millisecond
+
+// room returns how many tasks of the step a worker could start now.
+func (cl *Cell) room(st *step, wk *worker) int {
+	if wk.claim != nil && wk.claim != st && !st.urgent() {
+		return 0
+	}
+	count := wk.Capacity.Sub(wk.used).Holds(st.need())
+	if st.def.PerWorker > 0 {
+		count = min(count, st.def.PerWorker-st.on(wk))
+	}
+	return count
+}
+
+// on counts the tasks of the step that a worker carries.
+func (st *step) on(wk *worker) int {
+	count := 0
+	for _, pl := range wk.places {
+		if pl.task.step == st {
+			count++
+		}
+	}
+	return count
+}
+
+func (st *step) urgent() bool { return st.round.job.spec.Queue.Priority == 0 }
+
+// candidate is a worker with the number of tasks that it could start.
+type candidate struct {
+	worker *worker
+	room   int
+}
+
+// candidates returns the workers that could start a task of the step now.
+func (cl *Cell) candidates(now time.Duration, st *step) []candidate {
+	var cands []candidate
+	for _, wk := range cl.workers {
+		if !cl.may(st, wk) || !cl.takes(now, wk) {
+			continue
+		}
+		if room := cl.room(st, wk); room > 0 {
+			cands = append(cands, candidate{wk, room})
+		}
+	}
+	return cands
+}
+
+// planTasks places the step's tasks one by one.
+func (cl *Cell) planTasks(now time.Duration, st *step) {
+	waiting := st.waiting()
+	if len(waiting) == 0 {
+		return
+	}
+	cands := cl.candidates(now, st)
+	allowed := cl.allowed(now, st, cands)
+	cl.sortTight(st, allowed)
+	placed := 0
+	for _, tk := range waiting {
+		if at := fit(tk, allowed); at >= 0 {
+			allowed[at].room--
+			cl.start(now, tk, allowed[at].worker, tk.run+1)
+			placed++
+		}
+	}
+	if short := len(waiting) - placed; short > 0 {
+		cl.ask(now, st, cands, short)
+	}
+}
+
+// waiting returns the tasks that have to be placed.
+func (st *step) waiting() []*task {
+	var tks []*task
+	for _, tk := range st.tasks {
+		if !tk.done && tk.place == nil {
+			tks = append(tks, tk)
+		}
+	}
+	return tks
+}
+
+// fit returns the first candidate with room for the task, one that it has not failed
+// on if there is one, or -1.
+func fit(tk *task, cands []candidate) int {
+	second := -1
+	for at, cand := range cands {
+		if cand.room <= 0 {
+			continue
+		}
+		if !tk.avoid[cand.worker.ID] {
+			return at
+		}
+		if second < 0 {
+			second = at
+		}
+	}
+	return second
+}
+
+// sortTight puts workers near the step's data first, then the ones that the step
+// fills most, so that whole workers stay free for wide gangs.
+func (cl *Cell) sortTight(st *step, cands []candidate) {
+	slices.SortFunc(cands, func(a, b candidate) int {
+		return cmp.Or(
+			cmp.Compare(st.far(a.worker), st.far(b.worker)),
+			cmp.Compare(a.worker.free(), b.worker.free()),
+			cmp.Compare(a.worker.ID, b.worker.ID),
+		)
+	})
+}
+
+// far is 1 for workers away from the rack of the step's data.
+func (st *step) far(wk *worker) int {
+	if st.def.Rack != "" && st.def.Rack != wk.Rack {
+		return 1
+	}
+	return 0
+}
+
+// free is a worker's room in thousandths of a core.
+func (wk *worker) free() int64 { return wk.Capacity.Processors() - wk.used.Processors() }
+
+// start places a task and orders its start.
+func (cl *Cell) start(now time.Duration, tk *task, wk *worker, run int) {
+	run = max(run, cl.opts.FirstRun)
+	cl.place(now, tk, wk, run)
+	st := tk.step
+	cl.out.Starts = append(cl.out.Starts, Start{
+		Worker: wk.ID, Task: tk.name(), Run: run, Spec: st.round.job.spec.Spec,
+		Ticket: st.advice.tickets[wk.ID].text, Checkpoint: tk.checkpoint,
+	})
+}
+
+func (cl *Cell) service(st *step) string { return st.round.job.spec.Queue.Service }
--- /dev/null
+++ b/policy/cell/report.go
@@ -0,0 +1,229 @@
+package cell
+
+import (
+	"slices"
+	"time"
+)
+
+// Report takes in what a worker said of its runs and their ends, in an answer to a
+// call that was sent at a time.
+func (cl *Cell) Report(now time.Duration, id string, sent time.Duration, runs []Run, ends []End) {
+	wk, ok := cl.workers[id]
+	if !ok {
+		return
+	}
+	if !wk.answered {
+		wk.answered = true
+		if wk.proof == 0 {
+			cl.record(Record{Worker: id})
+			wk.proof = cl.recorded
+		}
+	}
+	wk.reported = now
+	for _, en := range ends {
+		if en.Seq > wk.seen {
+			wk.seen = en.Seq
+			cl.end(now, wk, en)
+			wk.unnoted = append(wk.unnoted, note{en.Seq, cl.recorded})
+		}
+	}
+	there := make(map[key]bool, len(runs))
+	wk.strangers = 0
+	for _, rn := range runs {
+		there[key{rn.Task, rn.Number}] = true
+		cl.sees(now, wk, rn)
+	}
+	for at, pl := range wk.places {
+		if !there[at] {
+			cl.missing(now, pl, sent)
+		}
+	}
+}
+
+// sees takes in that a run is on a worker.
+func (cl *Cell) sees(now time.Duration, wk *worker, rn Run) {
+	if pl := wk.places[key{rn.Task, rn.Number}]; pl != nil {
+		cl.progress(now, pl, rn)
+		return
+	}
+	jb, known := cl.jobs[rn.Task.Job]
+	if known {
+		cl.round(now, jb, rn.Task.Round)
+	}
+	tk := cl.find(rn.Task)
+	if tk == nil {
+		wk.strangers++
+		cl.out.Stops = append(cl.out.Stops, Stop{Worker: wk.ID, Task: rn.Task, Run: rn.Number, Reason: "job is not known", Stranger: true})
+		return
+	}
+	other := tk.place
+	pl := cl.place(now, tk, wk, rn.Number)
+	pl.state, pl.since = running, now
+	cl.begin(jb)
+	cl.progress(now, pl, rn)
+	switch {
+	case jb.phase.Ended() || tk.done:
+		cl.stop(pl, "task has ended")
+	case other != nil && other != pl:
+		cl.stop(pl, "task runs elsewhere")
+		tk.place = other
+	}
+}
+
+func (cl *Cell) progress(now time.Duration, pl *placement, rn Run) {
+	if pl.state == ordered {
+		pl.state, pl.since = running, now
+		cl.begin(pl.task.step.round.job)
+	}
+	if rn.Percent != pl.percent {
+		pl.percent, pl.moved = rn.Percent, now
+	}
+	if rn.Checkpoint != "" {
+		pl.task.checkpoint = rn.Checkpoint
+	}
+}
+
+// missing takes in that a report does not list a run. It is gone if the worker was
+// known to have it, or to keep it off, before the report was asked for.
+func (cl *Cell) missing(now time.Duration, pl *placement, sent time.Duration) {
+	gone := pl.state == running && pl.since < sent || pl.stopped > 0 && pl.stopped < sent
+	if !gone {
+		return
+	}
+	cl.release(pl)
+	cl.afterLoss(now, pl)
+}
+
+// end takes in how a run ended.
+func (cl *Cell) end(now time.Duration, wk *worker, en End) {
+	pl := wk.places[key{en.Task, en.Number}]
+	if pl != nil {
+		cl.release(pl)
+	}
+	if jb, known := cl.jobs[en.Task.Job]; known {
+		cl.round(now, jb, en.Task.Round)
+	}
+	tk := cl.find(en.Task)
+	if tk == nil {
+		return
+	}
+	tk.run = max(tk.run, en.Number)
+	if tk.done || tk.step.round.job.phase.Ended() {
+		return
+	}
+	cl.begin(tk.step.round.job)
+	if en.Checkpoint != "" {
+		tk.checkpoint = en.Checkpoint
+	}
+	switch {
+	case en.Result == ResultDone && !tk.step.def.Lasting:
+		cl.learn(now, tk, pl)
+		wk.fails = 0
+		cl.taskDone(now, tk, true)
+		if tk.place != nil {
+			cl.stop(tk.place, "task has ended elsewhere")
+		}
+		return
+	case en.Result == ResultFailed:
+		cl.failed(now, wk, tk, en)
+	}
+	if tk.step.def.Gang && !tk.step.round.job.phase.Ended() {
+		cl.breakGang(tk.step, "gang's member ended "+string(en.Result))
+	}
+}
+
+// failed counts a failed run against the worker and the task.
+func (cl *Cell) failed(now time.Duration, wk *worker, tk *task, en End) {
+	wk.fails++
+	if wk.fails >= failsInRow {
+		wk.rest = now + restFails
+	}
+	tk.shun(wk)
+	st := tk.step
+	jb := st.round.job
+	if st.def.Lasting {
+		return
+	}
+	if !tk.addFail(en.Number) {
+		return
+	}
+	name := tk.name()
+	cl.record(Record{Job: name.Job, Task: &name, Result: ResultFailed, Run: en.Number})
+	if tk.exhausted() {
+		cl.finish(now, jb, Failed)
+	}
+}
+
+// addFail counts a failed run, of the whole gang where the task is in one. It
+// reports false where the run was counted before.
+func (tk *task) addFail(run int) bool {
+	fails := &tk.fails
+	if tk.step.def.Gang {
+		fails = &tk.step.fails
+	}
+	if slices.Contains(*fails, run) {
+		return false
+	}
+	*fails = append(*fails, run)
+	return true
+}
+
+// exhausted reports whether the task, or its gang, has failed as often as it may.
+func (tk *task) exhausted() bool {
+	fails := len(tk.fails)
+	if tk.step.def.Gang {
+		fails = len(tk.step.fails)
+	}
+	return fails >= tk.step.round.job.spec.Queue.Attempts
+}
+
+// shun keeps the task off a worker where others have room.
+func (tk *task) shun(wk *worker) {
+	if tk.avoid == nil {
+		tk.avoid = map[string]bool{}
+	}
+	tk.avoid[wk.ID] = true
+}
+
+// learn takes in how long a run of a queue's task took.
+func (cl *Cell) learn(now time.Duration, tk *task, pl *placement) {
+	if pl == nil || pl.since == 0 || tk.checkpoint != "" {
+		return
+	}
+	const weight = 16
+	qu := cl.queue(tk.step.round.job.spec.Queue.Name)
+	took := now - pl.since
+	if qu.runs++; qu.runs == 1 {
+		qu.run = took
+		return
+	}
+	qu.run += (took - qu.run) / time.Duration(min(qu.runs, weight))
+}
+
+// hungAfter is how long a task may show no progress; the workers' longest tasks of
+// 16 s move by a percent in 0.16 s, on a worker six times as slow in 1 s.
+const hungAfter = 2500 * time.Millisecond
+
+// fresh is the age up to which a report tells how a task is doing.
+const fresh = 1500 * time.Millisecond
+
+// unhang moves tasks off workers on which they stand still.
+func (cl *Cell) unhang(now time.Duration) {
+	for _, wk := range cl.workers {
+		if now-wk.reported > fresh {
+			continue
+		}
+		for _, pl := range wk.places {
+			def := pl.task.step.def
+			if pl.state != running || def.Lasting || def.Filler || now-pl.moved < hungAfter {
+				continue
+			}
+			wk.rest = now + restHung
+			pl.task.shun(wk)
+			cl.stop(pl, "task stands still")
+			if def.Gang {
+				cl.breakGang(pl.task.step, "gang's member stands still")
+			}
+		}
+	}
+}
--- a/policy/size/size.go
+++ b/policy/size/size.go
@@ -118,3 +118,16 @@
 	return fmt.Sprintf("%g cores, %d MiB, %d accelerators",
 		float64(sz[Processors])/milliPerCore, sz[Memory], sz[Accelerators])
 }
+
+// Holds returns how many times the size need fits into this one; a need of nothing
+// fits many times.
+func (sz Size) Holds(need Size) int {
+	const many = 1 << 20
+	count := int64(many)
+	for d := range sz {
+		if need[d] > 0 {
+			count = min(count, max(sz[d], 0)/need[d])
+		}
+	}
+	return int(count)
+}
