Test the decisions of a cell against workers with faults

A bed of fake workers checks each start: room, one run at a time, order, attempts, cancels, tickets; through unanswered and late orders, failed runs, crashes and changes of planner, 12 seeds a case.

--- /dev/null
+++ b/policy/cell/bed_test.go
@@ -0,0 +1,361 @@
+package cell_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/size"
+	"tackbeam.example/policy/work"
+)
+
+// bed is a cell with workers that carry orders out, a journal, and faults drawn from
+// a seed. It checks what must hold at each start.
+type bed struct {
+	t       *testing.T
+	rd      *rand.Rand
+	now     time.Duration
+	cell    *cell.Cell
+	reign   int
+	workers map[string]*fakeWorker
+	jobs    []*work.Job
+	cancels []string
+	records []cell.Record
+	// done and failed are the ends that workers ever reported.
+	done   map[work.Task]bool
+	failed map[work.Task]int
+	late   []func()
+	// faults is the chance of an order without an answer.
+	faults float64
+	// fails is the chance that a run fails.
+	fails float64
+}
+
+type fakeWorker struct {
+	cell.Worker
+	token  int
+	runs   map[work.Task]*fakeRun
+	ends   []cell.End
+	seq    int
+	barred map[work.Task]int
+	dead   bool
+}
+
+type fakeRun struct {
+	number  int
+	need    size.Size
+	ends    time.Duration
+	started time.Duration
+	gang    bool
+}
+
+func newBed(t *testing.T, seed uint64, workers int) *bed {
+	bd := &bed{
+		t: t, rd: rand.New(rand.NewPCG(seed, 1)), workers: map[string]*fakeWorker{},
+		done: map[work.Task]bool{}, failed: map[work.Task]int{},
+	}
+	for n := range workers {
+		bd.addWorker(fmt.Sprintf("w%02d", n))
+	}
+	bd.elect()
+	bd.carryOut()
+	return bd
+}
+
+func (bd *bed) addWorker(id string) {
+	bd.workers[id] = &fakeWorker{
+		Worker: cell.Worker{ID: id, Service: "svc", Capacity: size.New(64000, 128000, 0), Rack: "r" + id[len(id)-1:]},
+		runs:   map[work.Task]*fakeRun{}, barred: map[work.Task]int{},
+	}
+}
+
+// elect starts another planner, which knows only the journal.
+func (bd *bed) elect() {
+	bd.reign++
+	bd.cell = cell.New(cell.Options{Keep: 2 * time.Minute, FirstRun: (bd.reign-1)*64 + 1})
+	for _, jb := range bd.jobs {
+		bd.cell.Add(bd.now, jb, true)
+	}
+	for _, id := range bd.cancels {
+		bd.cell.Cancel(bd.now, id)
+	}
+	bd.cell.Restore(bd.now, bd.records)
+	for _, id := range bd.ids() {
+		if wk := bd.workers[id]; !wk.dead {
+			bd.cell.PutWorker(wk.Worker)
+			bd.report(id)
+		}
+	}
+	bd.cell.Settle(bd.now)
+}
+
+func (bd *bed) ids() []string {
+	var ids []string
+	for id := range bd.workers {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (bd *bed) submit(jb *work.Job) {
+	bd.jobs = append(bd.jobs, jb)
+	bd.cell.Add(bd.now, jb, false)
+}
+
+func (bd *bed) cancel(id string) {
+	bd.cancels = append(bd.cancels, id)
+	bd.cell.Cancel(bd.now, id)
+}
+
+func (bd *bed) job(id string) *work.Job {
+	for _, jb := range bd.jobs {
+		if jb.ID == id {
+			return jb
+		}
+	}
+	bd.t.Fatalf("start of a job that nobody submitted: %s", id)
+	return nil
+}
+
+// report lets a worker report, as a hold does.
+func (bd *bed) report(id string) {
+	wk := bd.workers[id]
+	wk.token = bd.reign
+	noted, _ := bd.cell.Noted(id)
+	wk.ends = slices.DeleteFunc(wk.ends, func(en cell.End) bool { return en.Seq <= noted })
+	var runs []cell.Run
+	for name, rn := range wk.runs {
+		percent := int(100 * (bd.now - rn.started) / max(rn.ends-rn.started, 1))
+		runs = append(runs, cell.Run{Task: name, Number: rn.number, Percent: percent})
+	}
+	bd.cell.Report(bd.now, id, bd.now, runs, slices.Clone(wk.ends))
+}
+
+// pass lets time go by: runs end, workers report, the cell plans, orders go out.
+func (bd *bed) pass(step time.Duration) {
+	bd.now += step
+	for _, id := range bd.ids() {
+		bd.workers[id].advance(bd)
+	}
+	late := bd.late
+	bd.late = nil
+	for _, act := range late {
+		act()
+	}
+	for _, id := range bd.ids() {
+		if !bd.workers[id].dead {
+			bd.report(id)
+		}
+	}
+	bd.cell.Tick(bd.now, bd.now)
+	bd.cell.Plan(bd.now)
+	bd.carryOut()
+}
+
+func (bd *bed) carryOut() {
+	for out := bd.cell.Take(); !out.Empty(); out = bd.cell.Take() {
+		bd.records = append(bd.records, out.Records...)
+		bd.cell.Committed(bd.cell.Recorded())
+		for _, sr := range out.Starts {
+			bd.start(sr)
+		}
+		for _, sp := range out.Stops {
+			bd.stop(sp)
+		}
+		for _, qn := range out.Questions {
+			bd.answer(qn)
+		}
+	}
+}
+
+// answer allows every second worker.
+func (bd *bed) answer(qn cell.Question) {
+	var rows []cell.Ticket
+	for _, id := range qn.Workers {
+		if int(id[len(id)-1])%2 == 0 {
+			rows = append(rows, cell.Ticket{Worker: id, Text: qn.Step.StepName() + "/" + id})
+		}
+	}
+	bd.cell.Advised(bd.now, qn, rows, 1500*time.Millisecond)
+}
+
+func (bd *bed) start(sr cell.Start) {
+	reign := bd.reign
+	if bd.rd.Float64() < bd.faults {
+		bd.cell.StartLost(sr)
+		if bd.rd.IntN(2) == 0 {
+			bd.late = append(bd.late, func() { bd.carryStart(sr, reign) })
+		}
+		return
+	}
+	wk := bd.workers[sr.Worker]
+	if wk.dead {
+		bd.cell.StartLost(sr)
+		return
+	}
+	if why := bd.carryStart(sr, reign); why != "" {
+		bd.cell.Refused(bd.now, sr, why)
+		return
+	}
+	bd.cell.Started(bd.now, sr)
+}
+
+// carryStart is what a worker does with a start, and what must hold then.
+func (bd *bed) carryStart(sr cell.Start, reign int) cell.Refusal {
+	wk := bd.workers[sr.Worker]
+	if wk.dead || reign < wk.token {
+		return cell.RefusedLate
+	}
+	if rn := wk.runs[sr.Task]; rn != nil && rn.number == sr.Run {
+		return ""
+	}
+	if sr.Run <= wk.barred[sr.Task] {
+		return cell.RefusedOld
+	}
+	jb := bd.job(sr.Task.Job)
+	step := jb.Steps[sr.Task.Step]
+	bd.check(wk, sr, jb, step)
+	run := 200*time.Millisecond + time.Duration(bd.rd.Int64N(int64(time.Second)))
+	wk.runs[sr.Task] = &fakeRun{number: sr.Run, need: step.Need, started: bd.now, ends: bd.now + run, gang: step.Gang}
+	return ""
+}
+
+func (bd *bed) check(wk *fakeWorker, sr cell.Start, jb *work.Job, step work.Step) {
+	bd.t.Helper()
+	var used size.Size
+	for _, rn := range wk.runs {
+		used = used.Add(rn.need)
+	}
+	if !used.Add(step.Need).Fits(wk.Capacity) {
+		bd.t.Fatalf("start of %s goes over the room of %s", sr.Task, wk.ID)
+	}
+	for _, other := range bd.workers {
+		if rn := other.runs[sr.Task]; rn != nil && !other.dead {
+			bd.t.Fatalf("start of %s run %d on %s while run %d is on %s", sr.Task, sr.Run, wk.ID, rn.number, other.ID)
+		}
+	}
+	if bd.done[sr.Task] {
+		bd.t.Fatalf("start of %s, which has ended done", sr.Task)
+	}
+	for _, before := range step.After {
+		for index := range jb.Steps[before].Count {
+			if !bd.done[work.Task{Job: jb.ID, Round: sr.Task.Round, Step: before, Index: index}] {
+				bd.t.Fatalf("start of %s before the end of step %d", sr.Task, before)
+			}
+		}
+	}
+	if bd.failed[sr.Task] >= jb.Queue.Attempts {
+		bd.t.Fatalf("start of %s, which has failed %d times", sr.Task, bd.failed[sr.Task])
+	}
+	if slices.Contains(bd.cancels, jb.ID) {
+		bd.t.Fatalf("start of %s, whose job is cancelled", sr.Task)
+	}
+	if jb.Queue.Advised && sr.Ticket != sr.Task.StepName()+"/"+wk.ID {
+		bd.t.Fatalf("start of %s on %s with ticket %q", sr.Task, wk.ID, sr.Ticket)
+	}
+}
+
+func (bd *bed) stop(sp cell.Stop) {
+	wk := bd.workers[sp.Worker]
+	if wk.dead || bd.rd.Float64() < bd.faults {
+		reign := bd.reign
+		bd.late = append(bd.late, func() {
+			if reign == bd.reign {
+				bd.cell.StopLost(sp)
+			}
+		})
+		return
+	}
+	wk.barred[sp.Task] = max(wk.barred[sp.Task], sp.Run)
+	if rn := wk.runs[sp.Task]; rn != nil && rn.number <= sp.Run {
+		wk.end(sp.Task, cell.ResultStopped)
+	}
+	bd.cell.Stopped(bd.now, sp)
+}
+
+func (wk *fakeWorker) end(name work.Task, how cell.Result) {
+	rn := wk.runs[name]
+	delete(wk.runs, name)
+	wk.barred[name] = max(wk.barred[name], rn.number)
+	wk.seq++
+	wk.ends = append(wk.ends, cell.End{Seq: wk.seq, Run: cell.Run{Task: name, Number: rn.number}, Result: how})
+}
+
+// advance ends the runs whose time is over; a gang ends as one.
+func (wk *fakeWorker) advance(bd *bed) {
+	var over []work.Task
+	for name, rn := range wk.runs {
+		if rn.ends <= bd.now {
+			over = append(over, name)
+		}
+	}
+	slices.SortFunc(over, func(a, b work.Task) int { return slices.Compare([]byte(a.String()), []byte(b.String())) })
+	for _, name := range over {
+		rn := wk.runs[name]
+		switch {
+		case rn == nil:
+		case rn.gang:
+			bd.endGang(name, rn)
+		case bd.rd.Float64() < bd.fails:
+			bd.failed[name]++
+			wk.end(name, cell.ResultFailed)
+		default:
+			bd.done[name] = true
+			wk.end(name, cell.ResultDone)
+		}
+	}
+}
+
+// endGang ends all members of a gang: done if all are there, else broken.
+func (bd *bed) endGang(name work.Task, rn *fakeRun) {
+	count := bd.job(name.Job).Steps[name.Step].Count
+	how, there := cell.ResultDone, 0
+	for index := range count {
+		name.Index = index
+		for _, wk := range bd.workers {
+			if other := wk.runs[name]; other != nil && other.number == rn.number && !wk.dead {
+				there++
+			}
+		}
+	}
+	if there < count {
+		how = cell.ResultAlone
+	}
+	for index := range count {
+		name.Index = index
+		if how == cell.ResultDone {
+			bd.done[name] = true
+		}
+		for _, id := range bd.ids() {
+			if other := bd.workers[id].runs[name]; other != nil && other.number == rn.number {
+				bd.workers[id].end(name, how)
+			}
+		}
+	}
+}
+
+// crash takes a worker away with all that it runs.
+func (bd *bed) crash(id string) {
+	wk := bd.workers[id]
+	wk.dead = true
+	wk.runs = map[work.Task]*fakeRun{}
+	bd.cell.Unlist(id)
+	bd.cell.Lapsed(bd.now, id)
+}
+
+// phases counts the jobs by phase.
+func (bd *bed) phases() map[cell.Phase]int {
+	counts := map[cell.Phase]int{}
+	for _, jb := range bd.jobs {
+		phase, ok := bd.cell.Phase(jb.ID)
+		if !ok {
+			bd.t.Errorf("job %s is not known", jb.ID)
+		}
+		counts[phase]++
+	}
+	return counts
+}
--- /dev/null
+++ b/policy/cell/cell_test.go
@@ -0,0 +1,273 @@
+package cell_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/size"
+	"tackbeam.example/policy/work"
+)
+
+func queue(priority, attempts int, advised bool) work.Queue {
+	return work.Queue{
+		Name: fmt.Sprintf("q%d", priority), Service: "svc", Priority: priority, Attempts: attempts,
+		Stretch: 2, Target: time.Second, Advised: advised,
+	}
+}
+
+func batch(id string, count int, after ...int) *work.Job {
+	jb := &work.Job{ID: id, Queue: queue(2, 3, false), Spec: id}
+	jb.Steps = []work.Step{{Count: count, Need: size.New(4000, 8000, 0), Estimate: time.Second}}
+	if len(after) > 0 {
+		jb.Steps = append(jb.Steps, work.Step{Count: 2, Need: size.New(4000, 8000, 0), Estimate: time.Second, After: after})
+	}
+	return jb
+}
+
+func gang(id string, count int) *work.Job {
+	return &work.Job{ID: id, Queue: queue(1, 3, true), Spec: id, Steps: []work.Step{
+		{Count: count, Need: size.New(18000, 26000, 0), Estimate: time.Second, Gang: true},
+	}}
+}
+
+// TestPromises runs jobs of all kinds through faults drawn from seeds; the bed checks
+// each start, and in the end every job has ended.
+func TestPromises(t *testing.T) {
+	cases := map[string]struct {
+		faults, fails   float64
+		elect, crash    bool
+		cancel          bool
+		mayFail, settle int
+	}{
+		"calm":                          {},
+		"runs fail":                     {fails: 0.1, mayFail: 8},
+		"orders unanswered":             {faults: 0.1},
+		"planners change":               {elect: true},
+		"planners change, runs fail":    {elect: true, fails: 0.1, mayFail: 8},
+		"workers crash":                 {crash: true},
+		"jobs cancelled":                {cancel: true},
+		"everything at once":            {faults: 0.1, fails: 0.05, elect: true, crash: true, cancel: true, mayFail: 8},
+		"planners change, orders stray": {elect: true, faults: 0.2},
+	}
+	for name, tc := range cases {
+		for seed := range uint64(12) {
+			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
+				bd := newBed(t, seed, 10)
+				bd.faults, bd.fails = tc.faults, tc.fails
+				const jobs = 24
+				for n := range jobs {
+					switch n % 3 {
+					case 0:
+						bd.submit(batch(fmt.Sprintf("a%02d", n), 6, 0))
+					case 1:
+						bd.submit(gang(fmt.Sprintf("b%02d", n), 4))
+					default:
+						jb := batch(fmt.Sprintf("c%02d", n), 3)
+						jb.Queue = queue(0, 3, true)
+						bd.submit(jb)
+					}
+					bd.pass(40 * time.Millisecond)
+					if tc.elect && n%5 == 4 {
+						bd.elect()
+						bd.carryOut()
+					}
+					if tc.crash && n == 12 {
+						bd.crash("w03")
+						bd.addWorker("w13")
+						bd.cell.PutWorker(bd.workers["w13"].Worker)
+					}
+					if tc.cancel && n%6 == 5 {
+						bd.cancel(bd.jobs[n-2].ID)
+						bd.carryOut()
+					}
+				}
+				for range 2000 {
+					bd.pass(40 * time.Millisecond)
+				}
+				counts := bd.phases()
+				if counts[cell.Queued]+counts[cell.Running] > 0 {
+					t.Errorf("jobs have not ended: %v", counts)
+				}
+				if counts[cell.Failed] > tc.mayFail {
+					t.Errorf("too many jobs have failed: %v", counts)
+				}
+			})
+		}
+	}
+}
+
+// TestPhaseNeedsProof shows a job as succeeded only once the journal has its end.
+func TestPhaseNeedsProof(t *testing.T) {
+	bd := newBed(t, 1, 1)
+	bd.submit(batch("a", 1))
+	bd.pass(time.Millisecond)
+	bd.now += 2 * time.Second
+	bd.workers["w00"].advance(bd)
+	bd.report("w00")
+	if phase, _ := bd.cell.Phase("a"); phase != cell.Running {
+		t.Errorf("phase is %s before the end is in the journal", phase)
+	}
+	if noted, waits := bd.cell.Noted("w00"); noted != 0 || !waits {
+		t.Errorf("end %d may be forgotten before it is in the journal", noted)
+	}
+	bd.carryOut()
+	if phase, _ := bd.cell.Phase("a"); phase != cell.Succeeded {
+		t.Errorf("phase is %s once the end is in the journal", phase)
+	}
+	if noted, _ := bd.cell.Noted("w00"); noted != 1 {
+		t.Errorf("end %d is noted, want 1", noted)
+	}
+}
+
+// TestCancelBeforeJob keeps a job from starting whose cancel came first.
+func TestCancelBeforeJob(t *testing.T) {
+	bd := newBed(t, 1, 1)
+	bd.cancel("a")
+	bd.submit(batch("a", 1))
+	bd.pass(time.Millisecond)
+	if phase, _ := bd.cell.Phase("a"); phase != cell.Cancelled {
+		t.Errorf("phase is %s, want cancelled", phase)
+	}
+}
+
+// TestFailureCountsOnce lets another planner see a failed run that the journal has
+// already: it is not counted twice.
+func TestFailureCountsOnce(t *testing.T) {
+	bd := newBed(t, 1, 1)
+	jb := batch("a", 1)
+	jb.Queue.Attempts = 2
+	bd.submit(jb)
+	bd.pass(time.Millisecond)
+	bd.fails = 1
+	bd.now += 2 * time.Second
+	bd.workers["w00"].advance(bd)
+	bd.report("w00")
+	bd.records = append(bd.records, bd.cell.Take().Records...)
+	bd.fails = 0
+	bd.elect() // the worker was not told to forget the end
+	for range 100 {
+		bd.pass(100 * time.Millisecond)
+	}
+	if phase, _ := bd.cell.Phase("a"); phase != cell.Succeeded {
+		t.Errorf("phase is %s after one failed run of two that may", phase)
+	}
+}
+
+// TestOldTasksWait lets a planner wait with tasks that may still run on a worker that
+// has not answered it.
+func TestOldTasksWait(t *testing.T) {
+	cl := cell.New(cell.Options{Keep: time.Minute, FirstRun: 65})
+	cl.Add(0, batch("old", 1), true)
+	cl.Add(0, batch("new", 1), false)
+	cl.PutWorker(cell.Worker{ID: "w", Service: "svc", Capacity: size.New(64000, 128000, 0)})
+	cl.Report(1, "w", 1, nil, nil)
+	cl.Committed(cl.Recorded())
+	cl.Plan(2)
+	if out := cl.Take(); len(out.Starts) != 1 || out.Starts[0].Task.Job != "new" {
+		t.Errorf("starts before the old tasks' whereabouts are known: %v", out.Starts)
+	}
+	cl.Settle(3)
+	cl.Plan(3)
+	out := cl.Take()
+	if len(out.Starts) != 1 || out.Starts[0].Task.Job != "old" {
+		t.Fatalf("starts after that: %v", out.Starts)
+	}
+	if out.Starts[0].Run < 65 {
+		t.Errorf("run %d may have been used by an earlier planner", out.Starts[0].Run)
+	}
+}
+
+// TestRounds opens each round of a repeated job at its time.
+func TestRounds(t *testing.T) {
+	bd := newBed(t, 1, 2)
+	jb := batch("a", 1)
+	jb.Repeat = &work.Repeat{Count: 3, Start: time.Second, Every: 2 * time.Second}
+	bd.submit(jb)
+	begun := map[int]time.Duration{}
+	for range 100 {
+		bd.pass(100 * time.Millisecond)
+		for _, wk := range bd.workers {
+			for name := range wk.runs {
+				if _, known := begun[name.Round]; !known {
+					begun[name.Round] = bd.now
+				}
+			}
+		}
+	}
+	for round := range 3 {
+		if due := time.Second + time.Duration(round)*2*time.Second; begun[round] != due {
+			t.Errorf("round %d began at %v, want %v", round, begun[round], due)
+		}
+	}
+	if phase, _ := bd.cell.Phase("a"); phase != cell.Succeeded {
+		t.Errorf("phase is %s after all rounds", phase)
+	}
+}
+
+// TestPending counts the jobs that have not begun.
+func TestPending(t *testing.T) {
+	bd := newBed(t, 1, 1)
+	for n := range 20 {
+		bd.submit(batch(fmt.Sprintf("a%d", n), 2))
+	}
+	if got := bd.cell.Pending("q2"); got != 20 {
+		t.Errorf("%d jobs wait, want 20", got)
+	}
+	bd.pass(time.Millisecond)
+	if got := bd.cell.Pending("q2"); got != 12 {
+		t.Errorf("%d jobs wait, want 12: the worker has room for 16 tasks", got)
+	}
+	bd.cancel("a19")
+	if got := bd.cell.Pending("q2"); got != 11 {
+		t.Errorf("%d jobs wait after a cancel, want 11", got)
+	}
+}
+
+// TestHung moves a task off a worker on which it makes no progress.
+func TestHung(t *testing.T) {
+	cl := cell.New(cell.Options{Keep: time.Minute, FirstRun: 1})
+	cl.Add(0, batch("a", 1), false)
+	for _, id := range []string{"w1", "w2"} {
+		cl.PutWorker(cell.Worker{ID: id, Service: "svc", Capacity: size.New(64000, 128000, 0)})
+		cl.Report(1, id, 1, nil, nil)
+	}
+	cl.Committed(cl.Recorded())
+	cl.Plan(2)
+	first := cl.Take().Starts[0]
+	cl.Started(3, first)
+	at := time.Duration(0)
+	for ; at < 4*time.Second; at += 500 * time.Millisecond {
+		cl.Report(at, first.Worker, at, []cell.Run{{Task: first.Task, Number: first.Run, Percent: 7}}, nil)
+		cl.Tick(at, at)
+	}
+	out := cl.Take()
+	if len(out.Stops) != 1 {
+		t.Fatalf("stops of a task that stands still: %v", out.Stops)
+	}
+	cl.Stopped(at, out.Stops[0])
+	cl.Report(at+1, first.Worker, at+1, nil, []cell.End{{Seq: 1, Run: cell.Run{Task: first.Task, Number: first.Run}, Result: cell.ResultStopped}})
+	for _, id := range []string{"w1", "w2"} {
+		cl.Report(at+2, id, at+2, nil, nil)
+	}
+	cl.Plan(at + 3)
+	again := cl.Take().Starts
+	if len(again) != 1 || again[0].Worker == first.Worker || again[0].Run <= first.Run {
+		t.Errorf("the task was started again as %v", again)
+	}
+}
+
+// ExampleCell starts a job of one task on the only worker.
+func ExampleCell() {
+	cl := cell.New(cell.Options{Keep: time.Minute, FirstRun: 1})
+	cl.PutWorker(cell.Worker{ID: "w1", Service: "svc", Capacity: size.New(64000, 128000, 0)})
+	cl.Report(0, "w1", 0, nil, nil)
+	cl.Committed(cl.Recorded())
+	cl.Add(0, batch("job1", 1), false)
+	cl.Plan(0)
+	for _, sr := range cl.Take().Starts {
+		fmt.Println(sr.Worker, sr.Task, sr.Run)
+	}
+	// Output: w1 job1.0.0.0 1
+}
