Let a silent worker's lease run out: ask it, but do not renew

Found beside it by the new tests: a watch had no bound of its own, and a node that lost its lease waited for it to notice the vacant leader's key. Tests: planner on stand-ins of store and workers in virtual time (TestWorkerVanishes, TestStoreAway failed before).

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -42,6 +42,8 @@
 	asked  time.Time
 	loaded bool
 	down   bool
+	// cancel gives the present watch up.
+	cancel context.CancelFunc
 }
 
 // New returns a mirror that Run fills.
@@ -126,13 +128,34 @@
 	return at, nil
 }
 
+// watchSlack is what a watch may take beyond its wait before it counts as dropped.
+const watchSlack = time.Second
+
+// Refresh gives the present watch up, which may be dead, and reads all keys.
+func (mr *Mirror) Refresh() {
+	mr.mu.Lock()
+	defer mr.mu.Unlock()
+	if mr.cancel != nil {
+		mr.cancel()
+	}
+}
+
+func (mr *Mirror) setCancel(cancel context.CancelFunc) {
+	mr.mu.Lock()
+	defer mr.mu.Unlock()
+	mr.cancel = cancel
+}
+
 // watch waits once for changes and tells of them.
 func (mr *Mirror) watch(ctx context.Context, after uint64) (uint64, error) {
 	if mr.opts.Pause > 0 && !loop.Pause(ctx, mr.clock, mr.opts.Pause) {
 		return 0, ctx.Err()
 	}
+	call, cancel := context.WithTimeout(ctx, mr.opts.Wait+watchSlack)
+	defer cancel()
+	mr.setCancel(cancel)
 	sent := mr.clock.Now()
-	events, err := mr.store.Watch(ctx, mr.opts.Prefix, after, mr.opts.Wait)
+	events, err := mr.store.Watch(call, mr.opts.Prefix, after, mr.opts.Wait)
 	if err != nil {
 		return 0, err
 	}
--- /dev/null
+++ b/internal/planner/bed_test.go
@@ -0,0 +1,144 @@
+package planner_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+
+	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/size"
+	"tackbeam.example/policy/work"
+
+	"tackbeam.example/tackbeam/internal/intake"
+	"tackbeam.example/tackbeam/internal/kv"
+	"tackbeam.example/tackbeam/internal/planner"
+	"tackbeam.example/tackbeam/internal/site"
+	"tackbeam.example/tackbeam/internal/standin/memkv"
+	"tackbeam.example/tackbeam/internal/standin/memworkers"
+	"tackbeam.example/tackbeam/internal/term"
+)
+
+// workersPrefix is where the bed's store lists workers.
+const workersPrefix = "workers/"
+
+// bed is some nodes on one store and one fleet, in a bubble of package synctest.
+type bed struct {
+	t     *testing.T
+	clock clockwork.Clock
+	store *memkv.Store
+	fleet *memworkers.Fleet
+	nodes map[string]*node
+}
+
+type node struct {
+	planner *planner.Planner
+	term    *term.Term
+	intake  *intake.Intake
+	cancel  context.CancelFunc
+}
+
+func newBed(t *testing.T, run time.Duration, workers ...string) *bed {
+	clock := clockwork.NewRealClock() // the bubble's
+	bd := &bed{
+		t: t, clock: clock, store: memkv.New(clock), fleet: memworkers.New(clock, run), nodes: map[string]*node{},
+	}
+	for _, id := range workers {
+		bd.addWorker(id)
+	}
+	return bd
+}
+
+func (bd *bed) addWorker(id string) {
+	bd.fleet.Add(id)
+	bd.store.Set(workersPrefix+id, nil)
+}
+
+// log returns a log that a failed test shows.
+func (bd *bed) log(name string) logr.Logger {
+	return funcr.New(func(prefix, args string) { bd.t.Log(bd.clock.Now().Format("05.000"), name, prefix, args) }, funcr.Options{})
+}
+
+func (bd *bed) addNode(name string) *node {
+	st := bd.store.Client(name)
+	nd := &node{}
+	nd.planner = planner.New(planner.Parts{
+		Clock: bd.clock, Log: bd.log(name), Store: st, Agents: bd.fleet.Agents(), Meters: metrics.NewRegistry(),
+		Site:          &site.Site{Bounds: site.Bounds{KeepEnded: time.Minute}},
+		WorkersPrefix: workersPrefix,
+		DecodeWorker: func(item kv.Item) (planner.Entry, error) {
+			id := strings.TrimPrefix(item.Key, workersPrefix)
+			return planner.Entry{Worker: cell.Worker{
+				ID: id, Service: "svc", Capacity: size.New(8000, 8000, 0), Draining: string(item.Value) == "draining",
+			}}, nil
+		},
+		Queue: func(string) (work.Queue, bool) { return work.Queue{}, false },
+	})
+	nd.term = term.New(bd.clock, bd.log(name), st, term.Options{Node: name, TTL: 2 * time.Second, Lead: nd.planner.Lead})
+	nd.intake = intake.New(bd.clock, bd.log(name), st, intake.Options{
+		Node: name, Nodes: func() int { return 2 }, Down: func() bool { return false },
+	})
+	ctx, cancel := context.WithCancel(bd.t.Context())
+	nd.cancel = cancel
+	go nd.term.Run(ctx)
+	go nd.intake.Run(ctx)
+	bd.nodes[name] = nd
+	return nd
+}
+
+// leader returns the node that plans, or nil.
+func (bd *bed) leader() *node {
+	for _, nd := range bd.nodes {
+		if nd.term.Leading() {
+			return nd
+		}
+	}
+	return nil
+}
+
+func (bd *bed) submit(nd *node, id string, tasks int) {
+	bd.t.Helper()
+	jb := &work.Job{
+		ID: id, Spec: id, Queue: work.Queue{Name: "q", Service: "svc", Attempts: 3, Stretch: 2, Target: time.Second},
+		Steps: []work.Step{{Count: tasks, Need: size.New(1000, 1000, 0), Estimate: time.Second}},
+	}
+	ctx, cancel := context.WithTimeout(bd.t.Context(), 3*time.Second)
+	defer cancel()
+	if err := nd.intake.Submit(ctx, jb); err != nil {
+		bd.t.Fatalf("submit %s: %v", id, err)
+	}
+}
+
+// await waits until a job has a phase, and fails after a time.
+func (bd *bed) await(id string, want cell.Phase, within time.Duration) {
+	bd.t.Helper()
+	const step = 10 * time.Millisecond
+	var last any
+	for waited := time.Duration(0); waited < within; waited += step {
+		if nd := bd.leader(); nd != nil {
+			phase, err := nd.planner.State(id)
+			if err == nil && phase == want {
+				return
+			}
+			last = []any{phase, err}
+		}
+		time.Sleep(step)
+	}
+	bd.t.Fatalf("job %s is not %s after %v: %v", id, want, within, last)
+}
+
+// end stops the nodes and shows what should never have happened.
+func (bd *bed) end() {
+	for _, nd := range bd.nodes {
+		nd.cancel()
+	}
+	time.Sleep(5 * time.Second)
+	for _, what := range bd.fleet.Trouble() {
+		bd.t.Error(what)
+	}
+}
--- a/internal/planner/lead.go
+++ b/internal/planner/lead.go
@@ -72,7 +72,7 @@
 	ld := &lead{
 		parts: pt, clock: pt.Clock, log: log, reign: reign, began: pt.Clock.Now(),
 		sessions: map[string]*session{}, blocking: map[string]bool{},
-		wake:     make(chan struct{}, 1), journaled: make(chan struct{}),
+		wake: make(chan struct{}, 1), journaled: make(chan struct{}),
 		cell: cell.New(cell.Options{
 			Keep: pt.Site.Bounds.KeepEnded, FarFactor: pt.Site.Bounds.FarFactor,
 			FirstRun: (reign.Number-1)*runsAReign + 1,
--- /dev/null
+++ b/internal/planner/planner_test.go
@@ -0,0 +1,183 @@
+package planner_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tackbeam.example/policy/cell"
+
+	"tackbeam.example/tackbeam/internal/fault"
+	"tackbeam.example/tackbeam/internal/standin/memkv"
+	"tackbeam.example/tackbeam/internal/standin/memworkers"
+)
+
+// TestCalm carries a job from its acceptance to its end.
+func TestCalm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bd := newBed(t, time.Second, "w1", "w2")
+		defer bd.end()
+		nd := bd.addNode("n1")
+		bd.submit(nd, "a", 4)
+		bd.await("a", cell.Succeeded, 3*time.Second)
+		if _, err := nd.planner.State("b"); !fault.Is(err, fault.NotFound) {
+			t.Errorf("state of a job that nobody submitted: %v", err)
+		}
+	})
+}
+
+// TestPlannerDies ends the planner without notice. Another one plans within the
+// lease's time and a second, ends what runs, and runs nothing twice.
+func TestPlannerDies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bd := newBed(t, 3*time.Second, "w1", "w2")
+		defer bd.end()
+		first := bd.addNode("n1")
+		time.Sleep(100 * time.Millisecond)
+		second := bd.addNode("n2")
+		bd.submit(second, "a", 4)
+		time.Sleep(time.Second)
+		bd.store.SetFault(func(client, _ string) memkv.Fault {
+			if client == "n1" {
+				return memkv.Silent
+			}
+			return memkv.None
+		})
+		first.cancel()
+		bd.submit(second, "b", 2)
+		bd.await("a", cell.Succeeded, 5*time.Second)
+		bd.await("b", cell.Succeeded, 5*time.Second)
+		if starts := len(bd.fleet.Starts()); starts != 6 {
+			t.Errorf("%d starts of 6 tasks", starts)
+		}
+	})
+}
+
+// TestWorkerVanishes lets a worker fall silent for good. What it ran starts elsewhere
+// once its lease is over, not before and not much later.
+func TestWorkerVanishes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bd := newBed(t, 3*time.Second, "w1", "w2")
+		defer bd.end()
+		nd := bd.addNode("n1")
+		bd.submit(nd, "a", 12)
+		time.Sleep(time.Second)
+		bd.fleet.SetFault(func(worker, _ string) memworkers.Fault {
+			if worker == "w1" {
+				return memworkers.Silent
+			}
+			return memworkers.None
+		})
+		bd.store.Remove(workersPrefix + "w1")
+		bd.await("a", cell.Succeeded, 14*time.Second)
+	})
+}
+
+// TestOrdersStray loses answers and carries orders out late. No task runs twice.
+func TestOrdersStray(t *testing.T) {
+	cases := map[string]memworkers.Fault{
+		"not carried out":           memworkers.Silent,
+		"carried out, not answered": memworkers.Lost,
+		"carried out late":          memworkers.Late,
+	}
+	for name, fault := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				bd := newBed(t, time.Second, "w1", "w2", "w3")
+				defer bd.end()
+				nd := bd.addNode("n1")
+				count := 0
+				bd.fleet.SetFault(func(_, order string) memworkers.Fault {
+					if count++; order != "hold" && count%5 == 0 {
+						return fault
+					}
+					return memworkers.None
+				})
+				for n := range 6 {
+					bd.submit(nd, fmt.Sprintf("a%d", n), 5)
+				}
+				for n := range 6 {
+					bd.await(fmt.Sprintf("a%d", n), cell.Succeeded, 30*time.Second)
+				}
+			})
+		})
+	}
+}
+
+// TestStoreAway keeps running work through an outage of the store, and starts work
+// again soon after it.
+func TestStoreAway(t *testing.T) {
+	cases := map[string]struct {
+		fault  memkv.Fault
+		revoke bool
+	}{
+		"silent":               {memkv.Silent, false},
+		"silent, leases lapse": {memkv.Silent, true},
+		"refuses":              {memkv.Refused, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				bd := newBed(t, 6*time.Second, "w1", "w2")
+				defer bd.end()
+				nd := bd.addNode("n1")
+				bd.addNode("n2")
+				bd.submit(nd, "a", 4)
+				time.Sleep(time.Second)
+				bd.store.SetFault(func(string, string) memkv.Fault { return tc.fault })
+				time.Sleep(4 * time.Second)
+				if tc.revoke {
+					bd.store.Revoke()
+				}
+				bd.store.SetFault(func(string, string) memkv.Fault { return memkv.None })
+				bd.await("a", cell.Succeeded, 6*time.Second)
+				if starts := len(bd.fleet.Starts()); starts != 4 {
+					t.Errorf("%d starts of 4 tasks: running work was lost", starts)
+				}
+				bd.submit(nd, "b", 1)
+				bd.await("b", cell.Succeeded, 8*time.Second)
+			})
+		})
+	}
+}
+
+// TestStoreForgets drops the store's history; jobs accepted meanwhile run.
+func TestStoreForgets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bd := newBed(t, time.Second, "w1")
+		defer bd.end()
+		nd := bd.addNode("n1")
+		time.Sleep(time.Second)
+		bd.submit(nd, "a", 1)
+		bd.store.Forget()
+		bd.submit(nd, "b", 1)
+		bd.await("a", cell.Succeeded, 3*time.Second)
+		bd.await("b", cell.Succeeded, 3*time.Second)
+	})
+}
+
+// TestResign hands the planner's place over at once, without losing work.
+func TestResign(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bd := newBed(t, 2*time.Second, "w1", "w2")
+		defer bd.end()
+		first := bd.addNode("n1")
+		time.Sleep(100 * time.Millisecond)
+		second := bd.addNode("n2")
+		bd.submit(second, "a", 4)
+		time.Sleep(500 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		first.term.Resign(ctx)
+		time.Sleep(300 * time.Millisecond)
+		if !second.term.Leading() {
+			t.Error("nobody else plans 0.3 s after the planner resigned")
+		}
+		bd.await("a", cell.Succeeded, 3*time.Second)
+		if starts := len(bd.fleet.Starts()); starts != 4 {
+			t.Errorf("%d starts of 4 tasks", starts)
+		}
+	})
+}
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -107,7 +107,9 @@
 	}
 	noted, waits := ld.cell.Noted(se.id)
 	hold := agent.Hold{Token: ld.reign.Token, Noted: noted}
-	if se.answered {
+	if se.answered && !se.silent {
+		// A worker that is silent is only asked: a lease that is renewed without an
+		// answer would never surely be over.
 		hold.Deadline = se.extend(ld.now())
 	}
 	if se.answered && !waits && !se.silent {
--- /dev/null
+++ b/internal/standin/memkv/memkv.go
@@ -0,0 +1,324 @@
+// Package memkv is a stand-in of the platform's key-value service in memory: with
+// revisions, leases, watches, conditional transactions, and faults that a test sets.
+package memkv
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"tackbeam.example/tackbeam/internal/kv"
+)
+
+// Store is the service. Each client sees it through a Store of package kv.
+type Store struct {
+	clock clockwork.Clock
+
+	mu       sync.Mutex
+	items    map[string]entry
+	history  []kv.Item
+	forgot   uint64
+	revision uint64
+	leases   map[uint64]lease
+	next     uint64
+	changed  chan struct{}
+	fault    func(client, call string) Fault
+}
+
+type entry struct {
+	kv.Item
+	lease uint64
+}
+
+type lease struct {
+	ttl   time.Duration
+	until time.Time
+}
+
+// Fault is what happens to a call.
+type Fault int
+
+// The faults. Lost calls are carried out and not answered; Silent ones are neither.
+const (
+	None Fault = iota
+	Refused
+	Lost
+	Silent
+)
+
+// New returns an empty service.
+func New(clock clockwork.Clock) *Store {
+	return &Store{
+		clock: clock, items: map[string]entry{}, leases: map[uint64]lease{},
+		changed: make(chan struct{}), fault: func(string, string) Fault { return None },
+	}
+}
+
+// SetFault sets what happens to each call of a client from now on.
+func (st *Store) SetFault(fault func(client, call string) Fault) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.fault = fault
+	st.signal()
+}
+
+// Forget drops the history of changes.
+func (st *Store) Forget() {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.history = nil
+	st.forgot = st.revision
+	st.signal()
+}
+
+// Set writes a key as an operator or a worker does.
+func (st *Store) Set(key string, value []byte) uint64 {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.apply(kv.Txn{Puts: []kv.Put{{Key: key, Value: value}}})
+}
+
+// Remove removes a key.
+func (st *Store) Remove(key string) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.apply(kv.Txn{Removes: []string{key}})
+}
+
+// Keys returns the keys with a prefix, sorted.
+func (st *Store) Keys(prefix string) []string {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.expire()
+	return st.keys(prefix)
+}
+
+func (st *Store) keys(prefix string) []string {
+	var keys []string
+	for key := range st.items {
+		if strings.HasPrefix(key, prefix) {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// Revoke ends all leases at once, as an outage may.
+func (st *Store) Revoke() {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	for id := range st.leases {
+		st.endLease(id)
+	}
+}
+
+// Client returns the service as one client sees it.
+func (st *Store) Client(name string) *kv.Store {
+	cl := &client{st, name}
+	return &kv.Store{
+		Range: cl.scan, Watch: cl.watch, Commit: cl.commit, Grant: cl.grant, Keep: cl.keep, End: cl.end,
+	}
+}
+
+type client struct {
+	store *Store
+	name  string
+}
+
+// latency of each call.
+const latency = 4 * time.Millisecond
+
+// call carries an act out as the faults say.
+func (cl *client) call(ctx context.Context, name string, act func()) error {
+	st := cl.store
+	st.clock.Sleep(latency)
+	st.mu.Lock()
+	st.expire()
+	fault := st.fault(cl.name, name)
+	if fault == None || fault == Lost {
+		act()
+	}
+	st.mu.Unlock()
+	switch fault {
+	case Refused:
+		return kv.ErrRefused
+	case Lost, Silent:
+		<-ctx.Done()
+		return kv.ErrLost
+	}
+	return nil
+}
+
+func (cl *client) scan(ctx context.Context, prefix, after string, _ bool) (kv.Page, error) {
+	const most = 500
+	var page kv.Page
+	err := cl.call(ctx, "range", func() {
+		page.At = cl.store.revision
+		for _, key := range cl.store.keys(prefix) {
+			if key <= after {
+				continue
+			}
+			if len(page.Items) == most {
+				page.More = true
+				return
+			}
+			page.Items = append(page.Items, cl.store.items[key].Item)
+		}
+	})
+	return page, err
+}
+
+func (cl *client) watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (kv.Events, error) {
+	st := cl.store
+	over := st.clock.After(wait)
+	for {
+		var events kv.Events
+		var gone bool
+		var changed chan struct{}
+		err := cl.call(ctx, "watch", func() {
+			gone = after < st.forgot
+			events.At = st.revision
+			for _, item := range st.history {
+				if item.Revision > after && strings.HasPrefix(item.Key, prefix) {
+					events.Items = append(events.Items, item)
+				}
+			}
+			changed = st.changed
+		})
+		switch {
+		case err != nil:
+			return kv.Events{}, err
+		case gone:
+			return kv.Events{}, kv.ErrHistoryGone
+		case len(events.Items) > 0:
+			return events, nil
+		}
+		select {
+		case <-changed:
+		case <-over:
+			return events, nil
+		case <-ctx.Done():
+			return kv.Events{}, kv.ErrLost
+		}
+	}
+}
+
+func (cl *client) commit(ctx context.Context, txn kv.Txn) (uint64, []kv.Item, error) {
+	st := cl.store
+	var revision uint64
+	var items []kv.Item
+	var outcome error
+	err := cl.call(ctx, "commit", func() {
+		for _, cd := range txn.Conditions {
+			item := st.items[cd.Key].Item
+			item.Key = cd.Key
+			items = append(items, item)
+			if item.Revision != cd.Revision {
+				outcome = kv.ErrConflict
+			}
+		}
+		for _, pt := range txn.Puts {
+			if _, ok := st.leases[pt.Lease]; pt.Lease != 0 && !ok {
+				outcome = kv.ErrLeaseGone
+			}
+		}
+		if outcome == nil {
+			revision = st.apply(txn)
+		}
+	})
+	if err != nil {
+		return 0, nil, err
+	}
+	return revision, items, outcome
+}
+
+// apply carries a transaction out under one revision.
+func (st *Store) apply(txn kv.Txn) uint64 {
+	st.revision++
+	for _, pt := range txn.Puts {
+		item := kv.Item{Key: pt.Key, Value: slices.Clone(pt.Value), Revision: st.revision}
+		st.items[pt.Key] = entry{item, pt.Lease}
+		st.history = append(st.history, item)
+	}
+	for _, key := range txn.Removes {
+		st.remove(key)
+	}
+	st.signal()
+	return st.revision
+}
+
+func (st *Store) remove(key string) {
+	if _, ok := st.items[key]; ok {
+		delete(st.items, key)
+		st.history = append(st.history, kv.Item{Key: key, Revision: st.revision, Gone: true})
+	}
+}
+
+func (st *Store) signal() {
+	close(st.changed)
+	st.changed = make(chan struct{})
+}
+
+func (cl *client) grant(ctx context.Context, ttl time.Duration) (uint64, error) {
+	st := cl.store
+	var id uint64
+	err := cl.call(ctx, "grant", func() {
+		st.next++
+		id = st.next
+		st.leases[id] = lease{ttl, st.clock.Now().Add(ttl)}
+		st.clock.AfterFunc(ttl+latency, st.expireNow)
+	})
+	return id, err
+}
+
+func (cl *client) keep(ctx context.Context, id uint64) error {
+	st := cl.store
+	known := false
+	err := cl.call(ctx, "keep", func() {
+		var ls lease
+		if ls, known = st.leases[id]; known {
+			ls.until = st.clock.Now().Add(ls.ttl)
+			st.leases[id] = ls
+			st.clock.AfterFunc(ls.ttl+latency, st.expireNow)
+		}
+	})
+	if err == nil && !known {
+		return kv.ErrLeaseGone
+	}
+	return err
+}
+
+func (cl *client) end(ctx context.Context, id uint64) error {
+	return cl.call(ctx, "end", func() { cl.store.endLease(id) })
+}
+
+func (st *Store) expireNow() {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.expire()
+}
+
+// expire ends the leases whose time is over.
+func (st *Store) expire() {
+	for id, ls := range st.leases {
+		if st.clock.Now().After(ls.until) {
+			st.endLease(id)
+		}
+	}
+}
+
+func (st *Store) endLease(id uint64) {
+	delete(st.leases, id)
+	st.revision++
+	for key, en := range st.items {
+		if en.lease == id {
+			st.remove(key)
+		}
+	}
+	st.signal()
+}
--- /dev/null
+++ b/internal/standin/memworkers/memworkers.go
@@ -0,0 +1,285 @@
+// Package memworkers is a stand-in of workers and their agents in memory: they lease
+// what runs, remember ends until they are noted, follow the highest fencing token,
+// and fail as a test says.
+package memworkers
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/size"
+	"tackbeam.example/policy/work"
+
+	"tackbeam.example/tackbeam/internal/agent"
+)
+
+// Fault is what happens to an order to a worker.
+type Fault int
+
+// The faults. Silent orders are not carried out and not answered, Lost ones are
+// carried out, Late ones are carried out after LateBy.
+const (
+	None Fault = iota
+	Silent
+	Lost
+	Late
+)
+
+// LateBy is how late a late order is carried out.
+const LateBy = 3 * time.Second
+
+// Fleet is a number of workers.
+type Fleet struct {
+	clock clockwork.Clock
+
+	mu      sync.Mutex
+	workers map[string]*worker
+	changed chan struct{}
+	fault   func(worker, order string) Fault
+	// run is how long a task runs.
+	run time.Duration
+	// starts are all starts that a worker carried out, in order.
+	starts  []cell.Start
+	trouble []string
+	// done are the tasks that have ended done, as somebody has noted.
+	done map[work.Task]bool
+}
+
+type worker struct {
+	id       string
+	began    time.Time
+	capacity size.Size
+	token    uint64
+	deadline time.Duration
+	runs     map[work.Task]run
+	barred   map[work.Task]int
+	ends     []cell.End
+	seq      int
+}
+
+type run struct {
+	number int
+	began  time.Time
+}
+
+// New returns a fleet without workers whose tasks run for a time.
+func New(clock clockwork.Clock, run time.Duration) *Fleet {
+	return &Fleet{
+		clock: clock, workers: map[string]*worker{}, changed: make(chan struct{}), run: run,
+		fault: func(string, string) Fault { return None }, done: map[work.Task]bool{},
+	}
+}
+
+// Add adds a worker.
+func (fl *Fleet) Add(id string) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.workers[id] = &worker{id: id, began: fl.clock.Now(), runs: map[work.Task]run{}, barred: map[work.Task]int{}}
+}
+
+// SetFault sets what happens to each order from now on.
+func (fl *Fleet) SetFault(fault func(worker, order string) Fault) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.fault = fault
+}
+
+// Starts returns the starts that were carried out.
+func (fl *Fleet) Starts() []cell.Start {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return slices.Clone(fl.starts)
+}
+
+// Trouble returns what should never have happened: two runs of a task at once, or a
+// start of a task that has ended done.
+func (fl *Fleet) Trouble() []string {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return slices.Clone(fl.trouble)
+}
+
+// Agents returns the orders to the workers.
+func (fl *Fleet) Agents() *agent.Agents {
+	return &agent.Agents{Hold: fl.hold, Start: fl.start, Stop: fl.stop}
+}
+
+// deliver carries an order out as the faults say.
+func (fl *Fleet) deliver(ctx context.Context, id, order string, act func(wk *worker) error) error {
+	const latency = time.Millisecond
+	fl.clock.Sleep(latency)
+	fl.mu.Lock()
+	wk := fl.workers[id]
+	fault := fl.fault(id, order)
+	if wk == nil {
+		fault = Silent
+	}
+	var err error
+	if fault == None || fault == Lost {
+		fl.advance(wk)
+		err = act(wk)
+	}
+	if fault == Late {
+		fl.clock.AfterFunc(LateBy, func() {
+			fl.mu.Lock()
+			defer fl.mu.Unlock()
+			fl.advance(wk)
+			_ = act(wk) // nobody waits for the answer any more
+		})
+	}
+	fl.mu.Unlock()
+	if fault != None {
+		<-ctx.Done()
+		return agent.ErrLost
+	}
+	return err
+}
+
+// now is the worker's steady clock.
+func (fl *Fleet) now(wk *worker) time.Duration { return fl.clock.Since(wk.began) }
+
+// advance ends the runs whose work is done or whose lease is over.
+func (fl *Fleet) advance(wk *worker) {
+	for name, rn := range wk.runs {
+		over := wk.began.Add(wk.deadline)
+		done := rn.began.Add(fl.run)
+		switch {
+		case !done.After(fl.clock.Now()) && !done.After(over):
+			fl.end(wk, name, cell.ResultDone)
+		case fl.clock.Now().After(over):
+			fl.end(wk, name, cell.ResultLapsed)
+		}
+	}
+}
+
+func (fl *Fleet) end(wk *worker, name work.Task, how cell.Result) {
+	number := wk.runs[name].number
+	delete(wk.runs, name)
+	wk.barred[name] = max(wk.barred[name], number)
+	wk.seq++
+	wk.ends = append(wk.ends, cell.End{Seq: wk.seq, Run: cell.Run{Task: name, Number: number}, Result: how})
+	close(fl.changed)
+	fl.changed = make(chan struct{})
+}
+
+func (wk *worker) admit(token uint64) error {
+	if token < wk.token {
+		return agent.ErrFenced
+	}
+	wk.token = token
+	return nil
+}
+
+func (fl *Fleet) hold(ctx context.Context, to agent.Target, hd agent.Hold) (agent.Report, error) {
+	over := fl.clock.After(hd.Wait)
+	for {
+		var report agent.Report
+		var changed chan struct{}
+		waits := false
+		err := fl.deliver(ctx, to.ID, "hold", func(wk *worker) error {
+			if err := wk.admit(hd.Token); err != nil {
+				return err
+			}
+			wk.deadline = max(wk.deadline, hd.Deadline)
+			fl.note(wk, hd.Noted)
+			report = fl.report(wk)
+			changed = fl.changed
+			waits = len(wk.runs) > 0
+			return nil
+		})
+		if err != nil || len(report.Ends) > 0 {
+			return report, err
+		}
+		var next <-chan time.Time
+		if waits {
+			next = fl.clock.After(fl.run / 10)
+		}
+		select {
+		case <-over:
+			return report, nil
+		case <-changed:
+		case <-next:
+		case <-ctx.Done():
+			return report, agent.ErrLost
+		}
+	}
+}
+
+// note forgets the ends up to a number. From then on a task that has ended done must
+// not start again.
+func (fl *Fleet) note(wk *worker, number int) {
+	wk.ends = slices.DeleteFunc(wk.ends, func(en cell.End) bool {
+		if en.Seq <= number && en.Result == cell.ResultDone {
+			fl.done[en.Task] = true
+		}
+		return en.Seq <= number
+	})
+}
+
+func (fl *Fleet) report(wk *worker) agent.Report {
+	const whole = 100
+	report := agent.Report{Clock: fl.now(wk), Ends: slices.Clone(wk.ends)}
+	for name, rn := range wk.runs {
+		percent := int(whole * fl.clock.Since(rn.began) / fl.run)
+		report.Runs = append(report.Runs, cell.Run{Task: name, Number: rn.number, Percent: percent})
+	}
+	return report
+}
+
+func (fl *Fleet) start(
+	ctx context.Context, to agent.Target, token uint64, deadline time.Duration, sr cell.Start,
+) (cell.Refusal, error) {
+	var refusal cell.Refusal
+	err := fl.deliver(ctx, to.ID, "start", func(wk *worker) error {
+		if err := wk.admit(token); err != nil {
+			return err
+		}
+		rn, there := wk.runs[sr.Task]
+		switch {
+		case there && rn.number == sr.Run:
+			return nil
+		case deadline <= fl.now(wk):
+			refusal = cell.RefusedLate
+			return nil
+		case sr.Run <= wk.barred[sr.Task]:
+			refusal = cell.RefusedOld
+			return nil
+		}
+		fl.check(wk, sr)
+		wk.deadline = max(wk.deadline, deadline)
+		wk.runs[sr.Task] = run{sr.Run, fl.clock.Now()}
+		fl.starts = append(fl.starts, sr)
+		return nil
+	})
+	return refusal, err
+}
+
+func (fl *Fleet) check(wk *worker, sr cell.Start) {
+	if fl.done[sr.Task] {
+		fl.trouble = append(fl.trouble, sr.Task.String()+" starts on "+wk.id+" though its end was noted")
+	}
+	for _, other := range fl.workers {
+		fl.advance(other)
+		if _, there := other.runs[sr.Task]; there {
+			fl.trouble = append(fl.trouble, sr.Task.String()+" starts on "+wk.id+" while it runs on "+other.id)
+		}
+	}
+}
+
+func (fl *Fleet) stop(ctx context.Context, to agent.Target, token uint64, sp cell.Stop) error {
+	return fl.deliver(ctx, to.ID, "stop", func(wk *worker) error {
+		if err := wk.admit(token); err != nil {
+			return err
+		}
+		wk.barred[sp.Task] = max(wk.barred[sp.Task], sp.Run)
+		if rn, there := wk.runs[sp.Task]; there && rn.number <= sp.Run {
+			fl.end(wk, sp.Task, cell.ResultStopped)
+		}
+		return nil
+	})
+}
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -52,7 +52,7 @@
 
 // watchWait is how long a watch of the members may stay without an answer: a watch
 // that the network has dropped is noticed after that and a second.
-const watchWait = 5 * time.Second
+const watchWait = 2 * time.Second
 
 // Term is one node's membership and candidacy.
 type Term struct {
@@ -257,6 +257,7 @@
 	tm.lease = 0
 	tm.mu.Unlock()
 	tm.log.Info("Lease is over.", "reason", reason)
+	tm.mirror.Refresh() // the leader's key may be gone as well, and the watch may be dead
 	tm.depose("lease is over: " + reason)
 }
 
