--- a/policy/cell/cell_test.go
+++ b/policy/cell/cell_test.go
@@ -225,36 +225,52 @@
 	}
 }
 
-// TestHung moves a task off a worker on which it makes no progress.
+// TestHung moves a task off a worker on which it makes no progress, but not one that
+// has done its work and waits for the rest of its gang.
 func TestHung(t *testing.T) {
-	cl := cell.New(cell.Options{Keep: time.Minute, FirstRun: 1})
-	cl.Add(0, batch("a", 1), false)
-	for _, id := range []string{"w1", "w2"} {
-		cl.PutWorker(cell.Worker{ID: id, Service: "svc", Capacity: size.New(64000, 128000, 0)})
-		cl.Report(1, id, 1, nil, nil)
-	}
-	cl.Committed(cl.Recorded())
-	cl.Plan(2)
-	first := cl.Take().Starts[0]
-	cl.Started(3, first)
-	at := time.Duration(0)
-	for ; at < 4*time.Second; at += 500 * time.Millisecond {
-		cl.Report(at, first.Worker, at, []cell.Run{{Task: first.Task, Number: first.Run, Percent: 7}}, nil)
-		cl.Tick(at, at)
-	}
-	out := cl.Take()
-	if len(out.Stops) != 1 {
-		t.Fatalf("stops of a task that stands still: %v", out.Stops)
-	}
-	cl.Stopped(at, out.Stops[0])
-	cl.Report(at+1, first.Worker, at+1, nil, []cell.End{{Seq: 1, Run: cell.Run{Task: first.Task, Number: first.Run}, Result: cell.ResultStopped}})
-	for _, id := range []string{"w1", "w2"} {
-		cl.Report(at+2, id, at+2, nil, nil)
+	cases := map[string]struct {
+		percent int
+		moves   bool
+	}{
+		"stands still":         {7, true},
+		"has not begun":        {0, true},
+		"waits for the others": {100, false},
 	}
-	cl.Plan(at + 3)
-	again := cl.Take().Starts
-	if len(again) != 1 || again[0].Worker == first.Worker || again[0].Run <= first.Run {
-		t.Errorf("the task was started again as %v", again)
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			cl := cell.New(cell.Options{Keep: time.Minute, FirstRun: 1})
+			cl.Add(0, batch("a", 1), false)
+			for _, id := range []string{"w1", "w2"} {
+				cl.PutWorker(cell.Worker{ID: id, Service: "svc", Capacity: size.New(64000, 128000, 0)})
+				cl.Report(1, id, 1, nil, nil)
+			}
+			cl.Committed(cl.Recorded())
+			cl.Plan(2)
+			first := cl.Take().Starts[0]
+			cl.Started(3, first)
+			at := time.Duration(0)
+			for ; at < 4*time.Second; at += 500 * time.Millisecond {
+				cl.Report(at, first.Worker, at, []cell.Run{{Task: first.Task, Number: first.Run, Percent: tc.percent}}, nil)
+				cl.Tick(at, at)
+			}
+			out := cl.Take()
+			if moves := len(out.Stops) == 1; moves != tc.moves {
+				t.Fatalf("stops: %v", out.Stops)
+			}
+			if !tc.moves {
+				return
+			}
+			cl.Stopped(at, out.Stops[0])
+			cl.Report(at+1, first.Worker, at+1, nil, []cell.End{{Seq: 1, Run: cell.Run{Task: first.Task, Number: first.Run}, Result: cell.ResultStopped}})
+			for _, id := range []string{"w1", "w2"} {
+				cl.Report(at+2, id, at+2, nil, nil)
+			}
+			cl.Plan(at + 3)
+			again := cl.Take().Starts
+			if len(again) != 1 || again[0].Worker == first.Worker || again[0].Run <= first.Run {
+				t.Errorf("the task was started again as %v", again)
+			}
+		})
 	}
 }
 
--- a/policy/cell/report.go
+++ b/policy/cell/report.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"slices"
 	"time"
 )
@@ -207,6 +208,10 @@
 // fresh is the age up to which a report tells how a task is doing.
 const fresh = 1500 * time.Millisecond
 
+// whole is the percentage of a task that has done its work; in a gang it then waits
+// for the others, whose work may be longer.
+const whole = 100
+
 // unhang moves tasks off workers on which they stand still.
 func (cl *Cell) unhang(now time.Duration) {
 	for _, wk := range cl.workers {
@@ -215,12 +220,12 @@
 		}
 		for _, pl := range wk.places {
 			def := pl.task.step.def
-			if pl.state != running || def.Lasting || def.Filler || now-pl.moved < hungAfter {
+			if pl.state != running || pl.percent >= whole || def.Lasting || def.Filler || now-pl.moved < hungAfter {
 				continue
 			}
 			wk.rest = now + restHung
 			pl.task.shun(wk)
-			cl.stop(pl, "task stands still")
+			cl.stop(pl, fmt.Sprintf("task stands still at %d percent", pl.percent))
 			if def.Gang {
 				cl.breakGang(pl.task.step, "gang's member stands still")
 			}
