--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -107,7 +107,7 @@
 	if err != nil {
 		return Reply{}, errors.Wrap(err, "encode request")
 	}
-	res, err := li.calls.Do(ctx, httpcall.Request{Method: fasthttp.MethodPost, Address: address, Path: path, Body: raw})
+	res, err := li.calls.Do(ctx, httpcall.Request{Method: fasthttp.MethodPost, Address: address, Path: path, Body: raw, Polls: true})
 	if err != nil {
 		return Reply{}, fault.New(fault.Unavailable, "node %s did not answer: %v", address, err)
 	}
--- a/internal/planner/lead.go
+++ b/internal/planner/lead.go
@@ -54,15 +54,15 @@
 	// journaled is closed then.
 	journaled chan struct{}
 	sessions  map[string]*session
-	// blocking are the workers that may hold tasks of earlier planners and have
-	// neither answered nor lapsed.
-	blocking map[string]bool
-	records  recorder
-	batches  batches
-	dirty    bool
-	wake     chan struct{}
-	ctx      context.Context
-	group    sync.WaitGroup
+	// old are the workers of earlier planners that have neither answered nor lapsed;
+	// true where they may hold any task, so that all old tasks wait for them.
+	old     map[string]bool
+	records recorder
+	batches batches
+	dirty   bool
+	wake    chan struct{}
+	ctx     context.Context
+	group   sync.WaitGroup
 }
 
 func newLead(pt Parts, log logr.Logger, reign term.Reign) *lead {
@@ -71,7 +71,7 @@
 	const runsAReign = 64
 	ld := &lead{
 		parts: pt, clock: pt.Clock, log: log, reign: reign, began: pt.Clock.Now(),
-		sessions: map[string]*session{}, blocking: map[string]bool{},
+		sessions: map[string]*session{}, old: map[string]bool{},
 		wake: make(chan struct{}, 1), journaled: make(chan struct{}),
 		cell: cell.New(cell.Options{
 			Keep: pt.Site.Bounds.KeepEnded, FarFactor: pt.Site.Bounds.FarFactor,
@@ -185,7 +185,7 @@
 // restore takes in what earlier planners recorded.
 func (ld *lead) restore(now time.Duration, items []kv.Item) {
 	var all []cell.Record
-	held := map[string]bool{}
+	workers := map[string]cell.Record{}
 	for _, item := range items {
 		recs, err := joblog.DecodeRecords(item.Value)
 		if err != nil {
@@ -195,46 +195,38 @@
 		ld.records.keep(item.Key, recs)
 		for _, rec := range recs {
 			if rec.Worker != "" {
-				held[rec.Worker] = !rec.Gone
+				workers[rec.Worker] = rec
 			}
 		}
 		all = append(all, recs...)
 	}
 	ld.cell.Restore(now, all)
-	for id, may := range held {
-		if may {
-			ld.block(id)
-		}
-	}
-}
-
-// block keeps old tasks waiting until a worker has answered or lapsed.
-func (ld *lead) block(id string) {
-	if se, ok := ld.sessions[id]; ok && se.answered {
-		return
-	}
-	ld.blocking[id] = true
-	if _, known := ld.cell.Listed(id); !known {
-		if _, ok := ld.sessions[id]; !ok {
-			ld.cell.PutWorker(cell.Worker{ID: id})
-			ld.cell.Unlist(id)
+	for id, rec := range workers {
+		if rec.Gone {
+			continue
 		}
+		ld.cell.Inherit(now, id, rec.Held)
+		ld.old[id] = !rec.Closed
 	}
 }
 
-// settle frees the old tasks once nothing blocks them any more.
+// settle lets workers lapse that no list names any more, and frees the old tasks once
+// no worker can hold any of them unknown.
 func (ld *lead) settle(now time.Duration) {
-	if !ld.loaded || ld.cell.Settled() {
+	if !ld.loaded {
 		return
 	}
-	for id := range ld.blocking {
+	open := 0
+	for id, any := range ld.old {
 		if _, ok := ld.sessions[id]; !ok && now > ld.lapseUnknown() {
-			ld.unblock(now, id)
+			ld.lapseOld(now, id)
+		} else if any {
+			open++
 		}
 	}
-	if len(ld.blocking) == 0 {
+	if open == 0 && !ld.cell.Settled() {
 		ld.cell.Settle(now)
-		ld.log.Info("Whereabouts of all tasks are known.", "after", now.String())
+		ld.log.Info("Whereabouts of all tasks are known.", "after", now.String(), "silent", len(ld.old))
 	}
 }
 
@@ -245,12 +237,10 @@
 	return unproven + time.Duration(float64(lease)*(1+drift)) + time.Second
 }
 
-func (ld *lead) unblock(now time.Duration, id string) {
-	if ld.blocking[id] {
-		delete(ld.blocking, id)
-		ld.cell.Lapsed(now, id)
-		ld.log.Info("Worker of an earlier planner has lapsed.", "worker", id)
-	}
+func (ld *lead) lapseOld(now time.Duration, id string) {
+	delete(ld.old, id)
+	ld.cell.Lapsed(now, id)
+	ld.log.Info("Worker of an earlier planner has lapsed.", "worker", id)
 }
 
 // takeWorkers takes in changes of the list of workers.
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -181,3 +181,35 @@
 		}
 	})
 }
+
+// TestWorkerLeavesThenPlannerDies has a worker leave and the planner die soon after.
+// Old tasks that the worker cannot hold need not wait until it has surely lapsed.
+func TestWorkerLeavesThenPlannerDies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bd := newBed(t, 3*time.Second, "w1", "w2")
+		defer bd.end()
+		first := bd.addNode("n1")
+		time.Sleep(100 * time.Millisecond)
+		second := bd.addNode("n2")
+		bd.submit(second, "a", 12)
+		time.Sleep(time.Second)
+		bd.fleet.SetFault(func(worker, _ string) memworkers.Fault {
+			if worker == "w1" {
+				return memworkers.Silent
+			}
+			return memworkers.None
+		})
+		bd.store.Remove(workersPrefix + "w1")
+		bd.submit(second, "b", 8)
+		time.Sleep(2 * time.Second)
+		bd.store.SetFault(func(client, _ string) memkv.Fault {
+			if client == "n1" {
+				return memkv.Silent
+			}
+			return memkv.None
+		})
+		first.cancel()
+		bd.await("b", cell.Succeeded, 8*time.Second)
+		bd.await("a", cell.Succeeded, 16*time.Second)
+	})
+}
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -132,7 +132,7 @@
 	first := !se.answered
 	se.answered = true
 	if first {
-		delete(ld.blocking, se.id)
+		delete(ld.old, se.id)
 	}
 	for _, en := range report.Ends {
 		ld.log.V(0).Info("End.", "task", en.Task.String(), "run", en.Number, "worker", se.id, "result", en.Result, "seq", en.Seq)
@@ -163,13 +163,14 @@
 		ld.log.Info("Worker does not answer.", "worker", se.id, "reason", err.Error())
 	}
 	se.silent = true
+	ld.cell.Silent(se.id)
 	if !se.lapsed(now) {
 		return
 	}
 	if ld.cell.Holds(se.id) {
 		ld.log.Info("Worker's lease is over.", "worker", se.id, "silent_for", (now - se.heard).String())
 	}
-	delete(ld.blocking, se.id)
+	delete(ld.old, se.id)
 	ld.cell.Lapsed(now, se.id)
 	se.answered = false
 	se.heard = now
@@ -187,7 +188,7 @@
 		return
 	}
 	ld.log.Info("Worker's incarnation is over.", "worker", se.id)
-	delete(ld.blocking, se.id)
+	delete(ld.old, se.id)
 	ld.cell.Unlist(se.id)
 	ld.cell.Lapsed(now, se.id)
 	se.end()
--- a/policy/cell/bed_test.go
+++ b/policy/cell/bed_test.go
@@ -42,6 +42,8 @@
 	seq    int
 	barred map[work.Task]int
 	dead   bool
+	// silent workers run on but neither report nor get orders, up to a time.
+	silent time.Duration
 }
 
 type fakeRun struct {
@@ -83,15 +85,39 @@
 		bd.cell.Cancel(bd.now, id)
 	}
 	bd.cell.Restore(bd.now, bd.records)
+	known := map[string]cell.Record{}
+	for _, rec := range bd.records {
+		if rec.Worker != "" {
+			known[rec.Worker] = rec
+		}
+	}
 	for _, id := range bd.ids() {
-		if wk := bd.workers[id]; !wk.dead {
-			bd.cell.PutWorker(wk.Worker)
+		wk, rec := bd.workers[id], known[id]
+		if wk.dead {
+			continue
+		}
+		bd.cell.PutWorker(wk.Worker)
+		if rec.Closed {
+			bd.cell.Inherit(bd.now, id, rec.Held)
+		} else {
+			wk.silent = 0 // the runtime waits for such a worker
+		}
+		if !bd.quiet(wk) {
 			bd.report(id)
 		}
 	}
 	bd.cell.Settle(bd.now)
 }
 
+// quiet reports whether a worker does not answer now.
+func (bd *bed) quiet(wk *fakeWorker) bool { return wk.dead || wk.silent > bd.now }
+
+// silence lets a worker fall silent for a while.
+func (bd *bed) silence(id string, span time.Duration) {
+	bd.workers[id].silent = bd.now + span
+	bd.cell.Silent(id)
+}
+
 func (bd *bed) ids() []string {
 	var ids []string
 	for id := range bd.workers {
@@ -147,7 +173,7 @@
 		act()
 	}
 	for _, id := range bd.ids() {
-		if !bd.workers[id].dead {
+		if !bd.quiet(bd.workers[id]) {
 			bd.report(id)
 		}
 	}
@@ -193,7 +219,7 @@
 		return
 	}
 	wk := bd.workers[sr.Worker]
-	if wk.dead {
+	if bd.quiet(wk) {
 		bd.cell.StartLost(sr)
 		return
 	}
@@ -207,7 +233,7 @@
 // carryStart is what a worker does with a start, and what must hold then.
 func (bd *bed) carryStart(sr cell.Start, reign int) cell.Refusal {
 	wk := bd.workers[sr.Worker]
-	if wk.dead || reign < wk.token {
+	if bd.quiet(wk) || reign < wk.token {
 		return cell.RefusedLate
 	}
 	if rn := wk.runs[sr.Task]; rn != nil && rn.number == sr.Run {
@@ -261,7 +287,7 @@
 
 func (bd *bed) stop(sp cell.Stop) {
 	wk := bd.workers[sp.Worker]
-	if wk.dead || bd.rd.Float64() < bd.faults {
+	if bd.quiet(wk) || bd.rd.Float64() < bd.faults {
 		reign := bd.reign
 		bd.late = append(bd.late, func() {
 			if reign == bd.reign {
--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -43,11 +43,11 @@
 
 // Run is one start of a task, as a worker reports it while it is there.
 type Run struct {
-	Task       work.Task
-	Number     int
-	Checkpoint string
+	Task       work.Task `cbor:"1,keyasint"`
+	Number     int       `cbor:"2,keyasint"`
+	Checkpoint string    `cbor:"3,keyasint,omitempty"`
 	// Percent of the task's work that is done.
-	Percent int
+	Percent int `cbor:"4,keyasint,omitempty"`
 }
 
 // Result is how a run ended.
@@ -122,9 +122,12 @@
 	Task   *work.Task `cbor:"3,keyasint,omitempty"`
 	Result Result     `cbor:"4,keyasint,omitempty"`
 	Run    int        `cbor:"5,keyasint,omitempty"`
-	// Worker is one that may hold runs from now on, or, with Gone, no longer.
+	// Worker is one that may hold any run from now on; with Closed it gets no more
+	// runs and holds at most Held, with Gone it holds none.
 	Worker string `cbor:"6,keyasint,omitempty"`
 	Gone   bool   `cbor:"7,keyasint,omitempty"`
+	Closed bool   `cbor:"8,keyasint,omitempty"`
+	Held   []Run  `cbor:"9,keyasint,omitempty"`
 }
 
 // Output is what a cell wants done.
--- a/policy/cell/cell_test.go
+++ b/policy/cell/cell_test.go
@@ -38,7 +38,7 @@
 	cases := map[string]struct {
 		faults, fails   float64
 		elect, crash    bool
-		cancel          bool
+		cancel, silence bool
 		mayFail, settle int
 	}{
 		"calm":                          {},
@@ -47,8 +47,10 @@
 		"planners change":               {elect: true},
 		"planners change, runs fail":    {elect: true, fails: 0.1, mayFail: 8},
 		"workers crash":                 {crash: true},
+		"workers fall silent":           {silence: true},
+		"silence, planners change":      {silence: true, elect: true, fails: 0.02, mayFail: 4},
 		"jobs cancelled":                {cancel: true},
-		"everything at once":            {faults: 0.1, fails: 0.05, elect: true, crash: true, cancel: true, mayFail: 8},
+		"everything at once":            {faults: 0.1, fails: 0.05, elect: true, crash: true, silence: true, cancel: true, mayFail: 8},
 		"planners change, orders stray": {elect: true, faults: 0.2},
 	}
 	for name, tc := range cases {
@@ -73,6 +75,10 @@
 						bd.elect()
 						bd.carryOut()
 					}
+					if tc.silence && n%4 == 3 {
+						bd.silence(fmt.Sprintf("w%02d", n%10), 700*time.Millisecond)
+						bd.carryOut()
+					}
 					if tc.crash && n == 12 {
 						bd.crash("w03")
 						bd.addWorker("w13")
--- a/policy/cell/placement.go
+++ b/policy/cell/placement.go
@@ -48,7 +48,8 @@
 	places           map[key]*placement
 	// strangers counts the runs there of which the cell knows nothing.
 	strangers int
-	// proof is the record that says that the worker may hold runs.
+	// proof is the record that says that the worker may hold any run; 0 where it gets
+	// none.
 	proof int
 	// seen is the highest end taken in; unnoted are those not yet proved by the journal.
 	seen, noted int
@@ -87,6 +88,46 @@
 	old.listed = true
 	if wk.Draining {
 		cl.dropClaim(old)
+		cl.shutWorker(old)
+	}
+}
+
+// shutWorker gives a worker no more runs, and records which it may hold: should it
+// fall silent for good, another planner need wait with these tasks only.
+func (cl *Cell) shutWorker(wk *worker) {
+	if wk.proof == 0 {
+		return
+	}
+	rec := Record{Worker: wk.ID, Closed: true}
+	for at := range wk.places {
+		rec.Held = append(rec.Held, Run{Task: at.task, Number: at.run})
+	}
+	cl.record(rec)
+	wk.proof = 0
+}
+
+// Silent takes in that a worker does not answer.
+func (cl *Cell) Silent(id string) {
+	if wk, ok := cl.workers[id]; ok {
+		cl.shutWorker(wk)
+	}
+}
+
+// Inherit takes in that a worker holds at most some runs, as an earlier planner has
+// recorded, until it answers or lapses.
+func (cl *Cell) Inherit(now time.Duration, id string, held []Run) {
+	wk, known := cl.workers[id]
+	if !known {
+		cl.PutWorker(Worker{ID: id})
+		wk = cl.workers[id]
+		wk.listed = false
+	}
+	for _, rn := range held {
+		tk := cl.find(rn.Task)
+		if tk == nil || tk.done || tk.place != nil || tk.step.round.job.phase.Ended() {
+			continue
+		}
+		cl.place(now, tk, wk, rn.Number).state = running
 	}
 }
 
@@ -96,6 +137,7 @@
 	if wk, ok := cl.workers[id]; ok {
 		wk.listed = false
 		cl.dropClaim(wk)
+		cl.shutWorker(wk)
 	}
 }
 
--- a/policy/cell/report.go
+++ b/policy/cell/report.go
@@ -13,12 +13,10 @@
 	if !ok {
 		return
 	}
-	if !wk.answered {
-		wk.answered = true
-		if wk.proof == 0 {
-			cl.record(Record{Worker: id})
-			wk.proof = cl.recorded
-		}
+	wk.answered = true
+	if wk.proof == 0 && wk.listed && !wk.Draining {
+		cl.record(Record{Worker: id})
+		wk.proof = cl.recorded
 	}
 	wk.reported = now
 	for _, en := range ends {
