Send writes and renewals again beside the ones without answer

Change: kv.Settle repeats a write that can take effect only once, 80 ms after the last try; renewals go out side by side.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -19,15 +19,15 @@
 	"tackbeam.example/tackbeam/internal/joblog"
 	"tackbeam.example/tackbeam/internal/kv"
 	"tackbeam.example/tackbeam/internal/loop"
-	"tackbeam.example/tackbeam/internal/store"
 )
 
 // Times and sizes of batches.
 const (
 	// gap is the shortest time between two batches of a node; jobs gather in it.
 	gap = 10 * time.Millisecond
-	// tryTimeout bounds one write: the store answers in 4 ms, when slow in 0.25 s.
-	tryTimeout = 600 * time.Millisecond
+	// hedge is how long a write may be without an answer before it is sent again: the
+	// store answers in 4 ms.
+	hedge = 80 * time.Millisecond
 	// refusedFor is how long a batch that the store refuses is tried again.
 	refusedFor = 800 * time.Millisecond
 	// settleFor is how long a batch with an unknown outcome is settled.
@@ -180,31 +180,19 @@
 	}
 	txn := kv.Txn{Conditions: []kv.Condition{{Key: key}}, Puts: []kv.Put{{Key: key, Value: raw}}}
 	began := in.clock.Now()
-	lost := false
-	for try := 0; ; try++ {
-		ctx, cancel := context.WithTimeout(context.Background(), tryTimeout)
-		revision, _, err := in.store.Commit(ctx, txn)
-		cancel()
-		age := in.clock.Since(began)
-		switch {
-		case err == nil || errors.Is(err, kv.ErrConflict):
-			in.log.Info("Batch is written.", "key", key, "jobs", len(bt.Jobs), "cancels", len(bt.Cancels),
-				"revision", revision, "took", age.String(), "tries", try+1)
-			return nil
-		case errors.Is(err, kv.ErrLost):
-			lost = true
-		}
-		if !lost && age > refusedFor {
-			in.log.Info("Batch was refused.", "key", key, "jobs", len(bt.Jobs), "took", age.String(), "reason", err.Error())
-			return fault.New(fault.Unavailable, "the store refused the write; not run").After(comeBack)
-		}
-		if age > settleFor {
-			in.log.Info("Batch's outcome is not known.", "key", key, "jobs", len(bt.Jobs), "took", age.String())
-			return fault.New(fault.Timeout, "the journal did not answer; send it again").AfterStart()
-		}
-		in.clock.Sleep(store.Backoff(min(try, maxStep)))
+	ctx, cancel := context.WithTimeout(context.Background(), settleFor)
+	defer cancel()
+	revision, _, err := in.store.Settle(ctx, kv.Settling{Clock: in.clock, Hedge: hedge, Refused: refusedFor}, txn)
+	age := in.clock.Since(began)
+	switch {
+	case err == nil || errors.Is(err, kv.ErrConflict): // only this batch uses the key
+		in.log.Info("Batch is written.", "key", key, "jobs", len(bt.Jobs), "cancels", len(bt.Cancels),
+			"revision", revision, "took", age.String())
+		return nil
+	case errors.Is(err, kv.ErrRefused):
+		in.log.Info("Batch was refused.", "key", key, "jobs", len(bt.Jobs), "took", age.String())
+		return fault.New(fault.Unavailable, "the store refused the write; not run").After(comeBack)
 	}
+	in.log.Info("Batch's outcome is not known.", "key", key, "jobs", len(bt.Jobs), "took", age.String(), "reason", err.Error())
+	return fault.New(fault.Timeout, "the journal did not answer; send it again").AfterStart()
 }
-
-// maxStep bounds the backoff at some 0.3 s: callers wait no longer than 3 s.
-const maxStep = 4
--- /dev/null
+++ b/internal/kv/settle_test.go
@@ -0,0 +1,63 @@
+package kv_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"tackbeam.example/tackbeam/internal/kv"
+	"tackbeam.example/tackbeam/internal/standin/memkv"
+)
+
+// TestSettle repeats a write through faults of the service. It takes effect at most
+// once, and the answer says no more than is known.
+func TestSettle(t *testing.T) {
+	cases := map[string]struct {
+		faults  []memkv.Fault // of the tries in turn
+		then    memkv.Fault   // of all later ones
+		want    error
+		within  time.Duration
+		written bool
+	}{
+		"answered":                     {nil, memkv.None, nil, 10 * time.Millisecond, true},
+		"answer lost once":             {[]memkv.Fault{memkv.Lost}, memkv.None, kv.ErrConflict, 100 * time.Millisecond, true},
+		"not carried out once":         {[]memkv.Fault{memkv.Silent}, memkv.None, nil, 100 * time.Millisecond, true},
+		"answers lost three times":     {[]memkv.Fault{memkv.Silent, memkv.Lost, memkv.Silent}, memkv.None, kv.ErrConflict, 400 * time.Millisecond, true},
+		"refused, then answered":       {[]memkv.Fault{memkv.Refused, memkv.Refused}, memkv.None, nil, 200 * time.Millisecond, true},
+		"refused for good":             {nil, memkv.Refused, kv.ErrRefused, time.Second, false},
+		"silent for good":              {nil, memkv.Silent, kv.ErrLost, 3 * time.Second, false},
+		"refused after a lost answer":  {[]memkv.Fault{memkv.Lost, memkv.Refused, memkv.Refused}, memkv.None, kv.ErrConflict, 400 * time.Millisecond, true},
+		"refused after a silent start": {[]memkv.Fault{memkv.Silent, memkv.Refused}, memkv.None, nil, 400 * time.Millisecond, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				clock := clockwork.NewRealClock() // the bubble's
+				st := memkv.New(clock)
+				tries := 0
+				st.SetFault(func(string, string) memkv.Fault {
+					if tries++; tries <= len(tc.faults) {
+						return tc.faults[tries-1]
+					}
+					return tc.then
+				})
+				ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+				defer cancel()
+				began := time.Now()
+				_, _, err := st.Client("n").Settle(ctx,
+					kv.Settling{Clock: clock, Hedge: 80 * time.Millisecond, Refused: 800 * time.Millisecond},
+					kv.Txn{Conditions: []kv.Condition{{Key: "k"}}, Puts: []kv.Put{{Key: "k"}}},
+				)
+				is.Equal(err, tc.want)
+				is.True(time.Since(began) <= tc.within)
+				is.Equal(len(st.Keys("k")) == 1, tc.written)
+				time.Sleep(5 * time.Second) // tries that are still open end
+			})
+		})
+	}
+}
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -213,3 +213,39 @@
 		bd.await("a", cell.Succeeded, 16*time.Second)
 	})
 }
+
+// TestAnswersLost loses the answer of every second write. Jobs are accepted soon all
+// the same, and the planner stays.
+func TestAnswersLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bd := newBed(t, time.Second, "w1", "w2")
+		defer bd.end()
+		nd := bd.addNode("n1")
+		bd.addNode("n2")
+		time.Sleep(time.Second)
+		count := map[string]int{}
+		bd.store.SetFault(func(client, call string) memkv.Fault {
+			if call == "range" || call == "watch" {
+				return memkv.None
+			}
+			if count[client+call]++; count[client+call]%2 == 0 {
+				return memkv.Lost
+			}
+			return memkv.None
+		})
+		for n := range 10 {
+			began := time.Now()
+			bd.submit(nd, fmt.Sprintf("a%d", n), 1)
+			if took := time.Since(began); took > 500*time.Millisecond {
+				t.Errorf("job %d was accepted after %v", n, took)
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+		for n := range 10 {
+			bd.await(fmt.Sprintf("a%d", n), cell.Succeeded, 3*time.Second)
+		}
+		if el, _ := nd.term.Leader(); el.Number != 1 {
+			t.Errorf("%d planners were elected", el.Number)
+		}
+	})
+}
--- a/internal/planner/records.go
+++ b/internal/planner/records.go
@@ -11,15 +11,15 @@
 	"tackbeam.example/tackbeam/internal/joblog"
 	"tackbeam.example/tackbeam/internal/kv"
 	"tackbeam.example/tackbeam/internal/loop"
-	"tackbeam.example/tackbeam/internal/store"
 )
 
 // Times of the writing of records.
 const (
 	// commitGap is the time in which records gather before a write.
 	commitGap = 40 * time.Millisecond
-	// commitTimeout bounds one write; the store answers in 4 ms, when slow in 0.25 s.
-	commitTimeout = time.Second
+	// commitHedge is how long a write may be without an answer before it is sent again:
+	// the store answers in 4 ms.
+	commitHedge = 80 * time.Millisecond
 )
 
 // recorder holds the records that are not yet in the journal, and which jobs each
@@ -120,23 +120,16 @@
 		Conditions: []kv.Condition{{Key: joblog.Leader, Revision: ld.reign.Token}, {Key: key}},
 		Puts:       []kv.Put{{Key: key, Value: raw}},
 	}
-	for try := 0; ; try++ {
-		call, cancel := context.WithTimeout(ctx, commitTimeout)
-		_, items, err := ld.parts.Store.Commit(call, txn)
-		cancel()
-		switch {
-		case err == nil:
-			return true
-		case errors.Is(err, kv.ErrConflict) && written(items, key):
-			return true // by an earlier try whose answer was lost
-		case errors.Is(err, kv.ErrConflict):
-			ld.reign.Depose("the leader's key has changed")
-			return false
-		}
-		if !loop.Pause(ctx, ld.clock, store.Backoff(try)) {
-			return false
-		}
+	_, items, err := ld.parts.Store.Settle(ctx, kv.Settling{Clock: ld.clock, Hedge: commitHedge}, txn)
+	switch {
+	case err == nil:
+		return true
+	case errors.Is(err, kv.ErrConflict) && written(items, key):
+		return true // by an earlier try whose answer was lost
+	case errors.Is(err, kv.ErrConflict):
+		ld.reign.Depose("the leader's key has changed")
 	}
+	return false
 }
 
 // written reports whether the key is there. Only this reign writes it.
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -47,8 +47,15 @@
 	Depose func(reason string)
 }
 
-// renewals is how many renewals fit into the lease's time.
-const renewals = 3
+// How renewals are spread over the lease's time.
+const (
+	// renewals is how many fit into it while they are answered.
+	renewals = 3
+	// retries is how many fit into it while they are not.
+	retries = 8
+	// maxRenewing is the most that may be open at once.
+	maxRenewing = 6
+)
 
 // watchWait is how long a watch of the members may stay without an answer: a watch
 // that the network has dropped is noticed after that and a second.
@@ -74,6 +81,9 @@
 	lease   uint64
 	ttl     time.Duration
 	proof   time.Time
+	// attempt is when the last renewal was sent, renewing counts those without answer.
+	attempt  time.Time
+	renewing int
 	// nonce tells this node's candidacies from those of its earlier incarnations.
 	nonce    string
 	listed   bool
@@ -169,9 +179,7 @@
 	case lease == 0:
 		return tm.join(ctx)
 	}
-	if pause := tm.renew(ctx); pause > 0 {
-		return pause
-	}
+	tm.renew(ctx)
 	tm.campaign(ctx)
 	return tm.untilRenewal()
 }
@@ -179,10 +187,13 @@
 // retryPause is the pause after a call of the store that failed.
 const retryPause = 100 * time.Millisecond
 
+// grantTimeout bounds the wait for a lease; a slow store answers in 0.25 s.
+const grantTimeout = 400 * time.Millisecond
+
 // join gets a lease and lists the node.
 func (tm *Term) join(ctx context.Context) time.Duration {
 	sent := tm.clock.Now()
-	call, cancel := context.WithTimeout(ctx, tm.opts.TTL/2)
+	call, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
 	lease, err := tm.store.Grant(call, tm.opts.TTL)
 	if err != nil {
@@ -197,6 +208,9 @@
 	return tm.untilRenewal()
 }
 
+// listTimeout bounds the writing of the node's key; it is tried again at each step.
+const listTimeout = 150 * time.Millisecond
+
 // list writes the node's key.
 func (tm *Term) list(ctx context.Context) {
 	raw, err := joblog.Encode(joblog.Member{Node: tm.opts.Node, Peers: tm.opts.Peers, Hall: tm.opts.Hall})
@@ -207,7 +221,9 @@
 	tm.mu.Lock()
 	lease := tm.lease
 	tm.mu.Unlock()
-	_, _, err = tm.store.Commit(ctx, kv.Txn{Puts: []kv.Put{{Key: joblog.Nodes + tm.opts.Node, Value: raw, Lease: lease}}})
+	call, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	_, _, err = tm.store.Commit(call, kv.Txn{Puts: []kv.Put{{Key: joblog.Nodes + tm.opts.Node, Value: raw, Lease: lease}}})
 	if errors.Is(err, kv.ErrLeaseGone) {
 		tm.dropLease("store does not know it")
 		return
@@ -221,34 +237,53 @@
 	tm.mu.Unlock()
 }
 
-// renew renews the lease when that is due; it returns a pause where that failed.
-func (tm *Term) renew(ctx context.Context) time.Duration {
+// renew sends a renewal of the lease when one is due. It does not wait: an answer may
+// be lost, and others sent after it still come in time.
+func (tm *Term) renew(ctx context.Context) {
 	tm.mu.Lock()
-	lease, due, listed := tm.lease, tm.proof.Add(tm.ttl/renewals), tm.listed
-	tm.mu.Unlock()
+	lease, due, listed := tm.lease, tm.nextRenewal(), tm.listed
 	sent := tm.clock.Now()
+	send := !sent.Before(due) && tm.renewing < maxRenewing
+	if send {
+		tm.renewing++
+		tm.attempt = sent
+	}
+	tm.mu.Unlock()
 	if !listed {
 		tm.list(ctx)
 	}
-	if sent.Before(due) {
-		return 0
+	if send {
+		go tm.keep(ctx, lease, sent)
 	}
-	call, cancel := context.WithTimeout(ctx, tm.opts.TTL/2)
+}
+
+// keep sends one renewal and takes its outcome in.
+func (tm *Term) keep(ctx context.Context, lease uint64, sent time.Time) {
+	call, cancel := context.WithTimeout(ctx, tm.opts.TTL)
 	defer cancel()
 	err := tm.store.Keep(call, lease)
-	switch {
-	case errors.Is(err, kv.ErrLeaseGone):
-		tm.dropLease("it ran out")
-		return time.Nanosecond
-	case err != nil:
-		return retryPause
-	}
 	tm.mu.Lock()
-	if tm.lease == lease {
+	tm.renewing--
+	same := tm.lease == lease
+	if err == nil && same && sent.After(tm.proof) {
 		tm.proof = sent
 	}
 	tm.mu.Unlock()
-	return 0
+	if errors.Is(err, kv.ErrLeaseGone) && same {
+		tm.dropLease("it ran out")
+	}
+	tm.kick()
+}
+
+// nextRenewal is when the next renewal is to be sent: a third of the lease's time
+// after the last that was answered, and soon after one that was not. The caller holds
+// the lock.
+func (tm *Term) nextRenewal() time.Time {
+	due := tm.proof.Add(tm.ttl / renewals)
+	if again := tm.attempt.Add(tm.ttl / retries); again.After(due) {
+		return again
+	}
+	return due
 }
 
 // dropLease forgets a lease that is over, and the reign that rested on it.
@@ -268,9 +303,13 @@
 	if tm.lease == 0 {
 		return retryPause
 	}
-	return max(tm.proof.Add(tm.ttl/renewals).Sub(tm.clock.Now()), time.Millisecond)
+	return max(tm.nextRenewal().Sub(tm.clock.Now()), time.Millisecond)
 }
 
+// campaignHedge is how long a candidacy may be without an answer before it is sent
+// again: the store answers in 4 ms.
+const campaignHedge = 60 * time.Millisecond
+
 // campaign takes the leader's key where nobody has it.
 func (tm *Term) campaign(ctx context.Context) {
 	tm.mu.Lock()
@@ -286,7 +325,9 @@
 		tm.log.Error(err, "Node cannot be a candidate.")
 		return
 	}
-	revision, items, err := tm.store.Commit(ctx, kv.Txn{
+	call, cancel := context.WithTimeout(ctx, tm.opts.TTL/2)
+	defer cancel()
+	revision, items, err := tm.store.Settle(call, kv.Settling{Clock: tm.clock, Hedge: campaignHedge}, kv.Txn{
 		Conditions: []kv.Condition{{Key: joblog.Leader}},
 		Puts: []kv.Put{
 			{Key: joblog.Leader, Value: raw, Lease: lease},
