--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -54,7 +54,7 @@
 }
 
 // Age returns how old the copy may be: the time since the sending of the last call
-// that was answered. It reports false before the first read.
+// whose answer was taken in. It reports false before the first read.
 func (mr *Mirror) Age() (time.Duration, bool) {
 	mr.mu.Lock()
 	defer mr.mu.Unlock()
@@ -126,8 +126,8 @@
 		delete(mr.keys, key)
 		fresh = append(fresh, kv.Item{Key: key, Gone: true})
 	}
-	mr.answered(sent)
 	mr.opts.Changed(fresh, true)
+	mr.answered(sent)
 	return at, nil
 }
 
@@ -174,9 +174,9 @@
 		}
 		fresh = append(fresh, item)
 	}
-	mr.answered(sent)
 	if len(fresh) > 0 {
 		mr.opts.Changed(fresh, false)
 	}
+	mr.answered(sent)
 	return max(events.At, after), nil
 }
--- a/internal/planner/lead.go
+++ b/internal/planner/lead.go
@@ -35,6 +35,11 @@
 	gatherWorkers = 250 * time.Millisecond
 	// watchWait is how long a watch may stay without an answer.
 	watchWait = 2 * time.Second
+	// journalWait is the same for the journal, whose age is asked for.
+	journalWait = time.Second
+	// staleJournal is the age of the journal's copy from which a job that is not in it
+	// may exist all the same: an accepted job must be known within 3 s.
+	staleJournal = 2200 * time.Millisecond
 	// tick is the period of what time alone brings.
 	tick = 50 * time.Millisecond
 )
@@ -47,6 +52,8 @@
 	reign term.Reign
 	began time.Time
 
+	jobs *mirror.Mirror
+
 	mu   sync.Mutex
 	cell *cell.Cell
 	// loaded is set once the journal has been read whole.
@@ -56,13 +63,14 @@
 	sessions  map[string]*session
 	// old are the workers of earlier planners that have neither answered nor lapsed;
 	// true where they may hold any task, so that all old tasks wait for them.
-	old     map[string]bool
-	records recorder
-	batches batches
-	dirty   bool
-	wake    chan struct{}
-	ctx     context.Context
-	group   sync.WaitGroup
+	old      map[string]bool
+	records  recorder
+	patience patience
+	batches  batches
+	dirty    bool
+	wake     chan struct{}
+	ctx      context.Context
+	group    sync.WaitGroup
 }
 
 func newLead(pt Parts, log logr.Logger, reign term.Reign) *lead {
@@ -92,15 +100,15 @@
 	if !ok {
 		return
 	}
-	jobs := mirror.New(ld.clock, ld.log, ld.parts.Store, mirror.Options{
-		Prefix: joblog.Batches, Wait: watchWait, Pause: gather,
+	ld.jobs = mirror.New(ld.clock, ld.log, ld.parts.Store, mirror.Options{
+		Prefix: joblog.Batches, Wait: journalWait, Pause: gather,
 		Changed: func(items []kv.Item, whole bool) { ld.takeBatches(items, whole, old) },
 	})
 	workers := mirror.New(ld.clock, ld.log, ld.parts.Store, mirror.Options{
 		Prefix: ld.parts.WorkersPrefix, Wait: watchWait, Pause: gatherWorkers,
 		Changed: ld.takeWorkers,
 	})
-	ld.spawn(func() { jobs.Run(ctx) })
+	ld.spawn(func() { ld.jobs.Run(ctx) })
 	ld.spawn(func() {
 		select {
 		case <-ctx.Done():
@@ -354,6 +362,9 @@
 	}
 	phase, ok := ld.cell.Phase(id)
 	if !ok {
+		if err := ld.fresh(); err != nil {
+			return "", err
+		}
 		return "", fault.New(fault.NotFound, "job %s is not known", id)
 	}
 	return phase, nil
@@ -365,9 +376,20 @@
 	if !ld.loaded {
 		return 0, notReady("the planner reads the journal")
 	}
+	if err := ld.fresh(); err != nil {
+		return 0, err
+	}
 	return ld.cell.Pending(queue), nil
 }
 
+// fresh returns an error where the journal may have jobs that are not known here.
+func (ld *lead) fresh() error {
+	if age, _ := ld.jobs.Age(); age > staleJournal {
+		return notReady("the planner's copy of the journal is " + age.Round(time.Millisecond).String() + " old")
+	}
+	return nil
+}
+
 func (ld *lead) reroute() {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -14,13 +14,11 @@
 
 // Times of orders.
 const (
-	// startTimeout is how long a worker may take to answer a start: it does so within
-	// a few ms, on a lossy link within a retransmission of 200 ms.
-	startTimeout = 700 * time.Millisecond
-	// stopTimeout is the same for a stop.
-	stopTimeout = 700 * time.Millisecond
+	// stopTimeout is how long a worker may take to answer a stop: it does so within a
+	// few ms, on a lossy link within a retransmission of 200 ms.
+	stopTimeout = 400 * time.Millisecond
 	// stopPause is the pause before a stop that was not answered is sent again.
-	stopPause = 200 * time.Millisecond
+	stopPause = 50 * time.Millisecond
 )
 
 // start carries out one start.
@@ -31,11 +29,12 @@
 		ld.log.Info("Start was not sent.", "task", sr.Task.String(), "run", sr.Run, "worker", sr.Worker)
 		return
 	}
-	call, cancel := context.WithTimeout(context.WithoutCancel(ld.ctx), startTimeout)
+	call, cancel := context.WithTimeout(context.WithoutCancel(ld.ctx), ld.patience.wait())
 	defer cancel()
 	sent := ld.clock.Now()
 	refusal, err := ld.parts.Agents.Start(call, se.target(), token, deadline, sr)
 	took := ld.clock.Since(sent)
+	ld.patience.note(took)
 	ld.after(func(now time.Duration) {
 		switch {
 		case err == nil && refusal == "":
@@ -101,7 +100,11 @@
 	err := ld.parts.Agents.Stop(call, se.target(), ld.reign.Token, sp)
 	ld.log.Info("Stop.", "task", sp.Task.String(), "run", sp.Run, "worker", sp.Worker, "reason", sp.Reason, "error", text(err))
 	if err == nil {
-		ld.after(func(now time.Duration) { ld.cell.Stopped(now, sp) })
+		ld.after(func(now time.Duration) {
+			if ld.cell.Stopped(now, sp) {
+				se.ask() // a run that never was there has no end that would be reported
+			}
+		})
 		return
 	}
 	ld.orderFailed(se, err)
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -249,3 +249,51 @@
 		}
 	})
 }
+
+// TestStartNotCarriedOut has the first start not arrive. The task starts elsewhere
+// within half a second, though the worker has no end to report.
+func TestStartNotCarriedOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bd := newBed(t, time.Second, "w1", "w2")
+		defer bd.end()
+		nd := bd.addNode("n1")
+		time.Sleep(time.Second)
+		first := true
+		bd.fleet.SetFault(func(_, order string) memworkers.Fault {
+			if order == "start" && first {
+				first = false
+				return memworkers.Silent
+			}
+			return memworkers.None
+		})
+		bd.submit(nd, "a", 1)
+		bd.await("a", cell.Succeeded, 1600*time.Millisecond)
+	})
+}
+
+// TestStaleJournal has the planner lose the journal's watch. It says no longer that a
+// job is not known, nor how many wait.
+func TestStaleJournal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bd := newBed(t, time.Second, "w1")
+		defer bd.end()
+		nd := bd.addNode("n1")
+		time.Sleep(time.Second)
+		if _, err := nd.planner.State("b"); !fault.Is(err, fault.NotFound) {
+			t.Errorf("state of an unknown job: %v", err)
+		}
+		bd.store.SetFault(func(_, call string) memkv.Fault {
+			if call == "watch" || call == "range" {
+				return memkv.Silent
+			}
+			return memkv.None
+		})
+		time.Sleep(3 * time.Second)
+		if _, err := nd.planner.State("b"); !fault.Is(err, fault.Unavailable) {
+			t.Errorf("state of an unknown job with an old journal: %v", err)
+		}
+		if _, err := nd.planner.Pending("q"); !fault.Is(err, fault.Unavailable) {
+			t.Errorf("jobs that wait with an old journal: %v", err)
+		}
+	})
+}
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -43,6 +43,9 @@
 	deadline time.Duration
 	ended    bool
 	silent   bool
+	// asked is set while a report is wanted at once; cancel gives the present hold up.
+	asked  bool
+	cancel context.CancelFunc
 }
 
 func newSession(ld *lead, en Entry) *session {
@@ -81,12 +84,17 @@
 			return
 		}
 		call, cancel := context.WithTimeout(ctx, hold.Wait+holdSlack)
+		se.setCancel(cancel, hold.Wait)
 		sent := se.lead.now()
 		report, err := se.lead.parts.Agents.Hold(call, se.target(), hold)
+		givenUp := errors.Is(call.Err(), context.Canceled)
 		cancel()
 		if ctx.Err() != nil {
 			return
 		}
+		if givenUp {
+			continue
+		}
 		if err != nil {
 			se.failed(err)
 			loop.Pause(ctx, se.lead.clock, holdRetry)
@@ -112,12 +120,33 @@
 		// answer would never surely be over.
 		hold.Deadline = se.extend(ld.now())
 	}
-	if se.answered && !waits && !se.silent {
+	if se.answered && !waits && !se.silent && !se.asked {
 		hold.Wait = holdWait
 	}
+	se.asked = false
 	return hold, true
 }
 
+// ask has the worker report at once. The caller holds the lock.
+func (se *session) ask() {
+	se.asked = true
+	if se.cancel != nil {
+		se.cancel()
+		se.cancel = nil
+	}
+}
+
+// setCancel keeps how to give a hold up that waits; one that does not wait is not
+// given up.
+func (se *session) setCancel(cancel context.CancelFunc, wait time.Duration) {
+	se.lead.mu.Lock()
+	defer se.lead.mu.Unlock()
+	se.cancel = nil
+	if wait > 0 {
+		se.cancel = cancel
+	}
+}
+
 // take takes a report in.
 func (se *session) take(sent time.Duration, report agent.Report) {
 	ld := se.lead
--- a/policy/cell/placement.go
+++ b/policy/cell/placement.go
@@ -276,11 +276,15 @@
 	}
 }
 
-// Stopped takes in that a worker has confirmed a stop.
-func (cl *Cell) Stopped(now time.Duration, sp Stop) {
-	if pl := cl.placement(sp.Worker, sp.Task, sp.Run); pl != nil {
-		pl.stopped = now
+// Stopped takes in that a worker has confirmed a stop. It reports whether only a
+// report will tell that the run is gone, because nobody knows that it ever was there.
+func (cl *Cell) Stopped(now time.Duration, sp Stop) bool {
+	pl := cl.placement(sp.Worker, sp.Task, sp.Run)
+	if pl == nil {
+		return false
 	}
+	pl.stopped = now
+	return pl.since == 0
 }
 
 // StopLost takes in that a stop was not confirmed; it is ordered again while the run
--- a/policy/cell/report.go
+++ b/policy/cell/report.go
@@ -87,7 +87,7 @@
 // missing takes in that a report does not list a run. It is gone if the worker was
 // known to have it, or to keep it off, before the report was asked for.
 func (cl *Cell) missing(now time.Duration, pl *placement, sent time.Duration) {
-	gone := pl.state == running && pl.since < sent || pl.stopped > 0 && pl.stopped < sent
+	gone := pl.state == running && pl.since <= sent || pl.stopped > 0 && pl.stopped <= sent
 	if !gone {
 		return
 	}
