Give the planner's place up where the node is too slow

Change: when forty ticks take twice their time, the planner yields; another node plans, this one is no candidate for 10 s.

--- a/internal/planner/bed_test.go
+++ b/internal/planner/bed_test.go
@@ -41,6 +41,8 @@
 	term    *term.Term
 	intake  *intake.Intake
 	cancel  context.CancelFunc
+	// reign is the node's latest one.
+	reign term.Reign
 }
 
 func newBed(t *testing.T, run time.Duration, workers ...string) *bed {
@@ -79,7 +81,10 @@
 		},
 		Queue: func(string) (work.Queue, bool) { return work.Queue{}, false },
 	})
-	nd.term = term.New(bd.clock, bd.log(name), st, term.Options{Node: name, TTL: 2 * time.Second, Lead: nd.planner.Lead})
+	nd.term = term.New(bd.clock, bd.log(name), st, term.Options{Node: name, TTL: 2 * time.Second, Lead: func(ctx context.Context, reign term.Reign) {
+		nd.reign = reign
+		nd.planner.Lead(ctx, reign)
+	}})
 	nd.intake = intake.New(bd.clock, bd.log(name), st, intake.Options{
 		Node: name, Nodes: func() int { return 2 }, Down: func() bool { return false },
 	})
--- a/internal/planner/lead.go
+++ b/internal/planner/lead.go
@@ -66,6 +66,7 @@
 	old      map[string]bool
 	records  recorder
 	patience patience
+	pace     pace
 	batches  batches
 	dirty    bool
 	wake     chan struct{}
@@ -303,6 +304,9 @@
 		case <-ld.wake:
 		case <-timer.Chan():
 			ld.tick()
+			if ld.pace.slow(ld.now()) {
+				ld.reign.Yield("this node is too slow to plan")
+			}
 		}
 		ld.plan()
 	}
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -297,3 +297,28 @@
 		}
 	})
 }
+
+// TestYield has the planner give its place up: another node plans at once, and the
+// first one does not take the place back.
+func TestYield(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bd := newBed(t, time.Second, "w1")
+		defer bd.end()
+		first := bd.addNode("n1")
+		time.Sleep(100 * time.Millisecond)
+		second := bd.addNode("n2")
+		bd.submit(second, "a", 2)
+		time.Sleep(300 * time.Millisecond)
+		first.reign.Yield("test")
+		time.Sleep(100 * time.Millisecond)
+		if first.term.Leading() || !second.term.Leading() {
+			t.Error("the other node does not plan 0.1 s after the planner gave its place up")
+		}
+		bd.await("a", cell.Succeeded, 2*time.Second)
+		second.reign.Yield("test")
+		time.Sleep(time.Second)
+		if first.term.Leading() {
+			t.Error("the first node has taken the place back at once")
+		}
+	})
+}
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -45,6 +45,8 @@
 	SinceProof func() time.Duration
 	// Depose ends the reign, for a reason that the log gets.
 	Depose func(reason string)
+	// Yield does so for another node to plan, where there is one.
+	Yield func(reason string)
 }
 
 // How renewals are spread over the lease's time.
@@ -88,6 +90,8 @@
 	nonce    string
 	listed   bool
 	resigned bool
+	// abstains is until when the node is no candidate.
+	abstains time.Time
 	reign    *reign
 	// latest is the last reign that began, ended or not.
 	latest *reign
@@ -313,7 +317,7 @@
 // campaign takes the leader's key where nobody has it.
 func (tm *Term) campaign(ctx context.Context) {
 	tm.mu.Lock()
-	vacant := tm.loaded && tm.leaderAt == 0 && tm.lease != 0 && !tm.resigned
+	vacant := tm.loaded && tm.leaderAt == 0 && tm.lease != 0 && !tm.resigned && !tm.clock.Now().Before(tm.abstains)
 	el := joblog.Election{Node: tm.opts.Node, Peers: tm.opts.Peers, Number: tm.highest + 1, Nonce: tm.nonce}
 	lease := tm.lease
 	tm.mu.Unlock()
@@ -411,7 +415,8 @@
 // follow begins or ends this node's reign as the leader's key says.
 func (tm *Term) follow() {
 	tm.mu.Lock()
-	mine := tm.leaderAt > 0 && tm.leader.Nonce == tm.nonce && tm.lease != 0 && !tm.resigned
+	mine := tm.leaderAt > 0 && tm.leader.Nonce == tm.nonce && tm.lease != 0 && !tm.resigned &&
+		!tm.clock.Now().Before(tm.abstains)
 	reigns := tm.reign != nil && mine && tm.reign.token == tm.leaderAt
 	tm.mu.Unlock()
 	if reigns {
@@ -438,6 +443,7 @@
 		Token: rg.token, Number: tm.leader.Number, SinceProof: tm.sinceProof,
 		Proven: func() bool { return tm.sinceProof() < tm.opts.TTL },
 		Depose: func(reason string) { go tm.depose(reason) },
+		Yield:  func(reason string) { go tm.yield(reason) },
 	}
 	go func() {
 		defer close(rg.done)
@@ -467,3 +473,30 @@
 	rg.cancel()
 	<-rg.done
 }
+
+// abstain is how long a node is no candidate after it gave the planner's place up.
+const abstain = 10 * time.Second
+
+// yield gives the planner's place up for another node, where there is one.
+func (tm *Term) yield(reason string) {
+	tm.mu.Lock()
+	token, alone := tm.leaderAt, len(tm.members) < 2
+	mine := tm.reign != nil && tm.reign.token == token
+	if mine && !alone {
+		tm.abstains = tm.clock.Now().Add(abstain)
+	}
+	tm.mu.Unlock()
+	if !mine || alone {
+		return
+	}
+	tm.depose(reason)
+	ctx, cancel := context.WithTimeout(context.Background(), tm.opts.TTL)
+	defer cancel()
+	_, _, err := tm.store.Settle(ctx, kv.Settling{Clock: tm.clock, Hedge: campaignHedge}, kv.Txn{
+		Conditions: []kv.Condition{{Key: joblog.Leader, Revision: token}},
+		Removes:    []string{joblog.Leader},
+	})
+	if err != nil {
+		tm.log.Info("The leader's key could not be removed.", "reason", err.Error())
+	}
+}
