Pace fillers beside tasks that serve; move work off workers that leave

Cause: tasks that fill were never slowed beside tasks with a promised latency, and what ran on a leaving worker was lost with it. Change: policy/cell shares a worker by the latency that it reports (half the pace when near, none when over, ten percent back at a time); a run that cannot end in the worker's remaining time is stopped early, one that saves its progress just before the end, lasting ones as far as may miss. Tests: TestSharing, TestEvacuate, TestLasting.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -46,6 +46,8 @@
 	Start func(ctx context.Context, to Target, token uint64, deadline time.Duration, start cell.Start) (cell.Refusal, error)
 	// Stop ends a run and keeps it from starting later.
 	Stop func(ctx context.Context, to Target, token uint64, stop cell.Stop) error
+	// Pace lets a run work at a percentage of its speed.
+	Pace func(ctx context.Context, to Target, token uint64, pace cell.Pace) error
 }
 
 // The kinds of errors.
--- a/internal/planner/lead.go
+++ b/internal/planner/lead.go
@@ -272,7 +272,7 @@
 }
 
 func (ld *lead) list(en Entry) {
-	ld.cell.PutWorker(en.Worker)
+	ld.cell.PutWorker(ld.now(), en.Worker)
 	se, ok := ld.sessions[en.ID]
 	if !ok {
 		se = newSession(ld, en)
@@ -353,6 +353,9 @@
 	for _, sp := range out.Stops {
 		ld.spawn(func() { ld.stop(sp) })
 	}
+	for _, pc := range out.Paces {
+		ld.spawn(func() { ld.setPace(pc) })
+	}
 	for _, qn := range out.Questions {
 		ld.spawn(func() { ld.advise(qn) })
 	}
--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -113,6 +113,24 @@
 	}
 }
 
+// setPace carries out one change of a run's pace.
+func (ld *lead) setPace(pc cell.Pace) {
+	ld.mu.Lock()
+	se, ok := ld.sessions[pc.Worker]
+	ld.mu.Unlock()
+	if !ok || ld.ctx.Err() != nil {
+		return
+	}
+	call, cancel := context.WithTimeout(context.WithoutCancel(ld.ctx), stopTimeout)
+	defer cancel()
+	err := ld.parts.Agents.Pace(call, se.target(), ld.reign.Token, pc)
+	ld.log.Info("Pace.", "task", pc.Task.String(), "run", pc.Run, "worker", pc.Worker, "percent", pc.Percent, "error", text(err))
+	if err != nil {
+		ld.orderFailed(se, err)
+		ld.after(func(time.Duration) { ld.cell.PaceLost(pc) })
+	}
+}
+
 // advise asks one question.
 func (ld *lead) advise(qn cell.Question) {
 	sent := ld.clock.Now()
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -15,6 +15,9 @@
 	// holdWait is how long a worker may wait for an end before it answers; reports
 	// must be fresh enough to see tasks that stand still.
 	holdWait = time.Second
+	// serveWait is the same for workers whose tasks have promised a latency; the
+	// workers' figure is over half a second.
+	serveWait = 400 * time.Millisecond
 	// holdSlack is what a hold may take beyond its wait.
 	holdSlack = 700 * time.Millisecond
 	// holdGap is the pause between two holds of a worker, in which ends gather.
@@ -122,6 +125,9 @@
 	}
 	if se.answered && !waits && !se.silent && !se.asked {
 		hold.Wait = holdWait
+		if ld.cell.Serves(se.id) {
+			hold.Wait = serveWait
+		}
 	}
 	se.asked = false
 	return hold, true
--- a/internal/standin/memworkers/memworkers.go
+++ b/internal/standin/memworkers/memworkers.go
@@ -106,7 +106,7 @@
 
 // Agents returns the orders to the workers.
 func (fl *Fleet) Agents() *agent.Agents {
-	return &agent.Agents{Hold: fl.hold, Start: fl.start, Stop: fl.stop}
+	return &agent.Agents{Hold: fl.hold, Start: fl.start, Stop: fl.stop, Pace: fl.pace}
 }
 
 // deliver carries an order out as the faults say.
@@ -283,3 +283,7 @@
 		return nil
 	})
 }
+
+func (fl *Fleet) pace(ctx context.Context, to agent.Target, token uint64, _ cell.Pace) error {
+	return fl.deliver(ctx, to.ID, "pace", func(wk *worker) error { return wk.admit(token) })
+}
--- a/policy/cell/bed_test.go
+++ b/policy/cell/bed_test.go
@@ -96,7 +96,7 @@
 		if wk.dead {
 			continue
 		}
-		bd.cell.PutWorker(wk.Worker)
+		bd.cell.PutWorker(bd.now, wk.Worker)
 		if rec.Closed {
 			bd.cell.Inherit(bd.now, id, rec.Held)
 		} else {
--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -37,8 +37,9 @@
 	// Rack is its rack's label, Labels are all of its labels.
 	Rack   string
 	Labels []string
-	// Draining workers take no new tasks.
-	Draining bool
+	// Draining workers take no new tasks. Remaining is how long they stay, at least.
+	Draining  bool
+	Remaining time.Duration
 }
 
 // Run is one start of a task, as a worker reports it while it is there.
@@ -48,6 +49,9 @@
 	Checkpoint string    `cbor:"3,keyasint,omitempty"`
 	// Percent of the task's work that is done.
 	Percent int `cbor:"4,keyasint,omitempty"`
+	// Load is, for a task that serves users, the tail of their latency in milliseconds
+	// over the last half second.
+	Load int `cbor:"5,keyasint,omitempty"`
 }
 
 // Result is how a run ended.
@@ -134,13 +138,14 @@
 type Output struct {
 	Starts    []Start
 	Stops     []Stop
+	Paces     []Pace
 	Questions []Question
 	Records   []Record
 }
 
 // Empty reports whether there is nothing to do.
 func (ou *Output) Empty() bool {
-	return len(ou.Starts)+len(ou.Stops)+len(ou.Questions)+len(ou.Records) == 0
+	return len(ou.Starts)+len(ou.Stops)+len(ou.Paces)+len(ou.Questions)+len(ou.Records) == 0
 }
 
 // Options of a cell.
--- a/policy/cell/cell_test.go
+++ b/policy/cell/cell_test.go
@@ -82,7 +82,7 @@
 					if tc.crash && n == 12 {
 						bd.crash("w03")
 						bd.addWorker("w13")
-						bd.cell.PutWorker(bd.workers["w13"].Worker)
+						bd.cell.PutWorker(bd.now, bd.workers["w13"].Worker)
 					}
 					if tc.cancel && n%6 == 5 {
 						bd.cancel(bd.jobs[n-2].ID)
@@ -167,7 +167,7 @@
 	cl := cell.New(cell.Options{Keep: time.Minute, FirstRun: 65})
 	cl.Add(0, batch("old", 1), true)
 	cl.Add(0, batch("new", 1), false)
-	cl.PutWorker(cell.Worker{ID: "w", Service: "svc", Capacity: size.New(64000, 128000, 0)})
+	cl.PutWorker(0, cell.Worker{ID: "w", Service: "svc", Capacity: size.New(64000, 128000, 0)})
 	cl.Report(1, "w", 1, nil, nil)
 	cl.Committed(cl.Recorded())
 	cl.Plan(2)
@@ -247,7 +247,7 @@
 			cl := cell.New(cell.Options{Keep: time.Minute, FirstRun: 1})
 			cl.Add(0, batch("a", 1), false)
 			for _, id := range []string{"w1", "w2"} {
-				cl.PutWorker(cell.Worker{ID: id, Service: "svc", Capacity: size.New(64000, 128000, 0)})
+				cl.PutWorker(0, cell.Worker{ID: id, Service: "svc", Capacity: size.New(64000, 128000, 0)})
 				cl.Report(1, id, 1, nil, nil)
 			}
 			cl.Committed(cl.Recorded())
@@ -283,7 +283,7 @@
 // ExampleCell starts a job of one task on the only worker.
 func ExampleCell() {
 	cl := cell.New(cell.Options{Keep: time.Minute, FirstRun: 1})
-	cl.PutWorker(cell.Worker{ID: "w1", Service: "svc", Capacity: size.New(64000, 128000, 0)})
+	cl.PutWorker(0, cell.Worker{ID: "w1", Service: "svc", Capacity: size.New(64000, 128000, 0)})
 	cl.Report(0, "w1", 0, nil, nil)
 	cl.Committed(cl.Recorded())
 	cl.Add(0, batch("job1", 1), false)
--- a/policy/cell/placement.go
+++ b/policy/cell/placement.go
@@ -31,6 +31,9 @@
 	percent int
 	// moved is when percent last rose.
 	moved time.Duration
+	// load is the worker's figure of the task's load, pace the percentage of its speed
+	// that it was last ordered to work at.
+	load, pace int
 }
 
 // key names a placement on its worker.
@@ -59,8 +62,9 @@
 	fails int
 	// claim is the gang that keeps the worker free.
 	claim *step
-	// reported is when it last reported.
-	reported time.Duration
+	// reported is when it last reported, paced when its fillers were last slowed or let
+	// go, leaves when it may leave.
+	reported, paced, leaves time.Duration
 }
 
 // note is an end with the record that proves what followed from it.
@@ -78,12 +82,15 @@
 )
 
 // PutWorker takes in an entry of the list of workers.
-func (cl *Cell) PutWorker(wk Worker) {
+func (cl *Cell) PutWorker(now time.Duration, wk Worker) {
 	old, known := cl.workers[wk.ID]
 	if !known {
 		old = &worker{places: map[key]*placement{}}
 		cl.workers[wk.ID] = old
 	}
+	if wk.Draining && !old.Draining {
+		old.leaves = now + wk.Remaining
+	}
 	old.Worker = wk
 	old.listed = true
 	if wk.Draining {
@@ -118,7 +125,7 @@
 func (cl *Cell) Inherit(now time.Duration, id string, held []Run) {
 	wk, known := cl.workers[id]
 	if !known {
-		cl.PutWorker(Worker{ID: id})
+		cl.PutWorker(now, Worker{ID: id})
 		wk = cl.workers[id]
 		wk.listed = false
 	}
@@ -176,7 +183,7 @@
 // place takes room for a run of a task.
 func (cl *Cell) place(now time.Duration, tk *task, wk *worker, run int) *placement {
 	need := tk.step.need()
-	pl := &placement{task: tk, worker: wk, run: run, need: need, moved: now}
+	pl := &placement{task: tk, worker: wk, run: run, need: need, moved: now, pace: whole}
 	wk.places[key{tk.name(), run}] = pl
 	wk.used = wk.used.Add(need)
 	tk.place = pl
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -13,6 +13,7 @@
 func (cl *Cell) Tick(now, wall time.Duration) {
 	cl.openDue(now, wall)
 	cl.unhang(now)
+	cl.evacuate(now)
 	cl.prune(now)
 }
 
@@ -244,12 +245,17 @@
 }
 
 // sortTight puts workers near the step's data first, then the ones that the step
-// fills most, so that whole workers stay free for wide gangs.
+// fills most, so that whole workers stay free for wide gangs. Fillers go where most is
+// left of the processors.
 func (cl *Cell) sortTight(st *step, cands []candidate) {
+	tight := 1
+	if st.def.Filler {
+		tight = -1
+	}
 	slices.SortFunc(cands, func(a, b candidate) int {
 		return cmp.Or(
 			cmp.Compare(st.far(a.worker), st.far(b.worker)),
-			cmp.Compare(a.worker.free(), b.worker.free()),
+			tight*cmp.Compare(a.worker.free(), b.worker.free()),
 			cmp.Compare(a.worker.ID, b.worker.ID),
 		)
 	})
--- a/policy/cell/report.go
+++ b/policy/cell/report.go
@@ -38,6 +38,7 @@
 			cl.missing(now, pl, sent)
 		}
 	}
+	cl.share(now, wk)
 	return fresh
 }
 
@@ -82,6 +83,7 @@
 	if rn.Checkpoint != "" {
 		pl.task.checkpoint = rn.Checkpoint
 	}
+	pl.load = rn.Load
 }
 
 // missing takes in that a report does not list a run. It is gone if the worker was
--- /dev/null
+++ b/policy/cell/sharing_test.go
@@ -0,0 +1,138 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/size"
+	"tackbeam.example/policy/work"
+)
+
+// lasting returns a job of tasks that run until it is cancelled.
+func lasting(id string, count, mayMiss int) *work.Job {
+	jb := batch(id, count)
+	jb.Steps[0].Lasting = true
+	jb.Steps[0].MayMiss = mayMiss
+	return jb
+}
+
+// place starts all that waits on the only worker and confirms it.
+func place(t *testing.T, cl *cell.Cell, now time.Duration) []cell.Run {
+	t.Helper()
+	cl.Plan(now)
+	var runs []cell.Run
+	for _, sr := range cl.Take().Starts {
+		cl.Started(now, sr)
+		runs = append(runs, cell.Run{Task: sr.Task, Number: sr.Run, Percent: 100})
+	}
+	return runs
+}
+
+func oneWorker(cl *cell.Cell) {
+	cl.PutWorker(0, cell.Worker{ID: "w", Service: "svc", Capacity: size.New(64000, 128000, 0)})
+	cl.Report(1, "w", 1, nil, nil)
+	cl.Committed(cl.Recorded())
+}
+
+// TestSharing slows a filler while its neighbour is near the latency that it promised,
+// and lets it go again.
+func TestSharing(t *testing.T) {
+	cl := cell.New(cell.Options{Keep: time.Minute, FirstRun: 1})
+	oneWorker(cl)
+	serve := lasting("serve", 1, 0)
+	serve.Steps[0].Tail = 100 * time.Millisecond
+	fill := batch("fill", 1)
+	fill.Steps[0].Filler = true
+	cl.Add(0, serve, false)
+	cl.Add(0, fill, false)
+	runs := place(t, cl, 2)
+	if len(runs) != 2 || !cl.Serves("w") {
+		t.Fatalf("runs %v, serves %v", runs, cl.Serves("w"))
+	}
+	steps := []struct{ load, want int }{
+		{50, 100}, {90, 50}, {90, 25}, {120, 0}, {90, 0}, {70, 0}, {50, 10}, {50, 20},
+	}
+	percent := 100
+	for n, step := range steps {
+		now := time.Duration(n+1) * time.Second
+		for at := range runs {
+			if runs[at].Task.Job == "serve" {
+				runs[at].Load = step.load
+			}
+		}
+		cl.Report(now, "w", now, runs, nil)
+		for _, pc := range cl.Take().Paces {
+			if pc.Task.Job != "fill" {
+				t.Errorf("pace of %v", pc.Task)
+			}
+			percent = pc.Percent
+		}
+		if percent != step.want {
+			t.Errorf("look %d at latency %d: filler at %d percent, want %d", n, step.load, percent, step.want)
+		}
+	}
+}
+
+// TestEvacuate moves work off a worker that leaves, where staying would lose it.
+func TestEvacuate(t *testing.T) {
+	cases := map[string]struct {
+		change  func(st *work.Step)
+		percent int
+		stays   time.Duration // after the notice
+		stops   int
+	}{
+		"ends in time":                    {func(*work.Step) {}, 60, 10 * time.Second, 0},
+		"cannot end in time":              {func(*work.Step) {}, 10, 2 * time.Second, 3},
+		"may end in time":                 {func(*work.Step) {}, 40, 2 * time.Second, 0},
+		"saves, worker stays for a while": {func(st *work.Step) { st.Checkpoints = true }, 10, 3 * time.Second, 0},
+		"saves, worker leaves":            {func(st *work.Step) { st.Checkpoints = true }, 10, time.Second, 3},
+		"lasting, none may miss":          {func(st *work.Step) { st.Lasting = true }, 100, time.Second, 0},
+		"lasting, two may miss":           {func(st *work.Step) { st.Lasting, st.MayMiss = true, 2 }, 100, time.Second, 2},
+		"done, waits for its gang":        {func(*work.Step) {}, 100, time.Second, 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			cl := cell.New(cell.Options{Keep: time.Minute, FirstRun: 1})
+			oneWorker(cl)
+			jb := batch("a", 3)
+			tc.change(&jb.Steps[0])
+			cl.Add(0, jb, false)
+			runs := place(t, cl, 2)
+			now := 2 * time.Second
+			for at := range runs {
+				runs[at].Percent = tc.percent
+			}
+			cl.Report(now, "w", now, runs, nil)
+			cl.PutWorker(now, cell.Worker{ID: "w", Service: "svc", Capacity: size.New(64000, 128000, 0), Draining: true, Remaining: tc.stays})
+			cl.Tick(now, now)
+			if stops := cl.Take().Stops; len(stops) != tc.stops {
+				t.Errorf("%d stops, want %d", len(stops), tc.stops)
+			}
+		})
+	}
+}
+
+// TestLasting starts a lasting task again however it ended, and never fails its job.
+func TestLasting(t *testing.T) {
+	cl := cell.New(cell.Options{Keep: time.Minute, FirstRun: 1})
+	oneWorker(cl)
+	cl.Add(0, lasting("a", 1, 0), false)
+	for n, how := range []cell.Result{cell.ResultFailed, cell.ResultDone, cell.ResultFailed, cell.ResultFailed, cell.ResultLapsed} {
+		now := time.Duration(n+1) * 10 * time.Second
+		cl.Report(now, "w", now, nil, nil)
+		runs := place(t, cl, now)
+		if len(runs) != 1 {
+			t.Fatalf("after %d ends: starts %v", n, runs)
+		}
+		cl.Report(now+1, "w", now+1, nil, []cell.End{{Seq: n + 1, Run: runs[0], Result: how}})
+	}
+	if phase, _ := cl.Phase("a"); phase != cell.Running {
+		t.Errorf("phase is %s", phase)
+	}
+	cl.Cancel(time.Hour, "a")
+	cl.Committed(cl.Recorded())
+	if phase, _ := cl.Phase("a"); phase != cell.Cancelled {
+		t.Errorf("phase after the cancel is %s", phase)
+	}
+}
