--- a/policy/work/work.go
+++ b/policy/work/work.go
@@ -84,6 +84,10 @@
 	return jb.Repeat.Count
 }
 
+// maxTasks bounds what one job takes of a node's memory: at some 200 bytes a task 2 MB;
+// the widest jobs of the deployments have some hundred tasks.
+const maxTasks = 10000
+
 // Check returns what makes the job impossible to run as it was sent, or nil.
 func (jb *Job) Check() error {
 	if jb.ID == "" || strings.Contains(jb.ID, ".") {
@@ -92,10 +96,17 @@
 	if len(jb.Steps) == 0 {
 		return fmt.Errorf("job %s has no steps; give at least one", jb.ID)
 	}
+	tasks := 0
 	for num, st := range jb.Steps {
 		if st.Count <= 0 {
 			return fmt.Errorf("step %d of job %s has %d tasks; give at least one", num, jb.ID, st.Count)
 		}
+		if tasks += st.Count; st.Count > maxTasks || tasks > maxTasks {
+			return fmt.Errorf("job %s has more than %d tasks; give at most that many", jb.ID, maxTasks)
+		}
+		if !(size.Size{}).Fits(st.Need) {
+			return fmt.Errorf("step %d of job %s needs a negative amount", num, jb.ID)
+		}
 		for _, before := range st.After {
 			if before < 0 || before >= num {
 				return fmt.Errorf("step %d of job %s comes after step %d, which is not an earlier one", num, jb.ID, before)
