--- a/internal/planner/collect.go
+++ b/internal/planner/collect.go
@@ -110,7 +110,7 @@
 		if rec.Job != "" && (ld.cell.Known(rec.Job) || ld.batches.held[rec.Job] > 0) {
 			return true
 		}
-		if known, _ := ld.cell.Listed(rec.Worker); rec.Worker != "" && own && known {
+		if known, _ := ld.cell.Listed(rec.Worker); rec.Worker != "" && !rec.Stop && own && known {
 			return true
 		}
 	}
--- a/internal/planner/lead.go
+++ b/internal/planner/lead.go
@@ -84,7 +84,7 @@
 		wake: make(chan struct{}, 1), journaled: make(chan struct{}),
 		cell: cell.New(cell.Options{
 			Keep: pt.Site.Bounds.KeepEnded, FarFactor: pt.Site.Bounds.FarFactor,
-			FirstRun: (reign.Number-1)*runsAReign + 1,
+			FirstRun: (reign.Number-1)*runsAReign + 1, StopTime: pt.Site.Bounds.StopTime,
 		}),
 	}
 	ld.records.init()
@@ -195,7 +195,8 @@
 func (ld *lead) restore(now time.Duration, items []kv.Item) {
 	var all []cell.Record
 	workers := map[string]cell.Record{}
-	for _, item := range items {
+	stops := map[string][]cell.Run{}
+	for at, item := range items {
 		recs, err := joblog.DecodeRecords(item.Value)
 		if err != nil {
 			ld.log.Error(err, "Records of an earlier planner cannot be read.", "key", item.Key)
@@ -203,7 +204,10 @@
 		}
 		ld.records.keep(item.Key, recs)
 		for _, rec := range recs {
-			if rec.Worker != "" {
+			switch {
+			case rec.Stop && at >= len(items)-recentWrites:
+				stops[rec.Worker] = append(stops[rec.Worker], rec.Held...)
+			case rec.Worker != "" && !rec.Stop:
 				workers[rec.Worker] = rec
 			}
 		}
@@ -215,10 +219,15 @@
 			continue
 		}
 		ld.cell.Inherit(now, id, rec.Held)
+		ld.cell.InheritStops(now, id, stops[id])
 		ld.old[id] = !rec.Closed
 	}
 }
 
+// recentWrites is the number of the journal's last writes in which stops may be that
+// are not over: writes are commitGap apart, a stop takes up to 0.9 s.
+const recentWrites = 40
+
 // settle lets workers lapse that no list names any more, and frees the old tasks once
 // no worker can hold any of them unknown.
 func (ld *lead) settle(now time.Duration) {
@@ -353,6 +362,11 @@
 	for _, sp := range out.Stops {
 		ld.spawn(func() { ld.stop(sp) })
 	}
+	for _, id := range out.Asks {
+		if se, ok := ld.sessions[id]; ok {
+			se.ask()
+		}
+	}
 	for _, pc := range out.Paces {
 		ld.spawn(func() { ld.setPace(pc) })
 	}
--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -17,6 +17,9 @@
 	// stopTimeout is how long a worker may take to answer a stop: it does so within a
 	// few ms, on a lossy link within a retransmission of 200 ms.
 	stopTimeout = 400 * time.Millisecond
+	// stopPatience is added to the time that a stop takes, before a report is asked for
+	// that shows that the run is gone.
+	stopPatience = 120 * time.Millisecond
 	// stopPause is the pause before a stop that was not answered is sent again.
 	stopPause = 50 * time.Millisecond
 )
@@ -42,7 +45,7 @@
 		case err == nil:
 			ld.cell.Refused(now, sr, refusal)
 		default:
-			ld.cell.StartLost(sr)
+			ld.cell.StartLost(now, sr)
 		}
 	})
 	ld.log.Info("Start.", "task", sr.Task.String(), "run", sr.Run, "worker", sr.Worker,
@@ -102,7 +105,8 @@
 	if err == nil {
 		ld.after(func(now time.Duration) {
 			if ld.cell.Stopped(now, sp) {
-				se.ask() // a run that never was there has no end that would be reported
+				// A run that never was there has no end that would be reported.
+				ld.clock.AfterFunc(ld.parts.Site.Bounds.StopTime+stopPatience, func() { ld.ask(sp.Worker) })
 			}
 		})
 		return
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -133,6 +133,15 @@
 	return hold, true
 }
 
+// ask has a worker report at once.
+func (ld *lead) ask(id string) {
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	if se, ok := ld.sessions[id]; ok {
+		se.ask()
+	}
+}
+
 // ask has the worker report at once. The caller holds the lock.
 func (se *session) ask() {
 	se.asked = true
--- a/policy/cell/bed_test.go
+++ b/policy/cell/bed_test.go
@@ -36,12 +36,14 @@
 
 type fakeWorker struct {
 	cell.Worker
-	token  int
-	runs   map[work.Task]*fakeRun
-	ends   []cell.End
-	seq    int
-	barred map[work.Task]int
-	dead   bool
+	token int
+	runs  map[work.Task]*fakeRun
+	// stopping are runs that a stop has reached: no report names them until they end.
+	stopping map[work.Task]*fakeRun
+	ends     []cell.End
+	seq      int
+	barred   map[work.Task]int
+	dead     bool
 	// silent workers run on but neither report nor get orders, up to a time.
 	silent time.Duration
 }
@@ -70,14 +72,19 @@
 func (bd *bed) addWorker(id string) {
 	bd.workers[id] = &fakeWorker{
 		Worker: cell.Worker{ID: id, Service: "svc", Capacity: size.New(64000, 128000, 0), Rack: "r" + id[len(id)-1:]},
-		runs:   map[work.Task]*fakeRun{}, barred: map[work.Task]int{},
+		runs:   map[work.Task]*fakeRun{}, stopping: map[work.Task]*fakeRun{}, barred: map[work.Task]int{},
 	}
 }
 
+// stopTime is how long a worker takes to stop a run.
+const stopTime = 300 * time.Millisecond
+
 // elect starts another planner, which knows only the journal.
 func (bd *bed) elect() {
 	bd.reign++
-	bd.cell = cell.New(cell.Options{Keep: 2 * time.Minute, FirstRun: (bd.reign-1)*64 + 1})
+	bd.cell = cell.New(cell.Options{
+		Keep: 2 * time.Minute, FirstRun: (bd.reign-1)*64 + 1, StopTime: stopTime,
+	})
 	for _, jb := range bd.jobs {
 		bd.cell.Add(bd.now, jb, true)
 	}
@@ -86,8 +93,12 @@
 	}
 	bd.cell.Restore(bd.now, bd.records)
 	known := map[string]cell.Record{}
-	for _, rec := range bd.records {
-		if rec.Worker != "" {
+	stops := map[string][]cell.Run{}
+	for at, rec := range bd.records {
+		switch {
+		case rec.Stop && at > len(bd.records)-100:
+			stops[rec.Worker] = append(stops[rec.Worker], rec.Held...)
+		case rec.Worker != "" && !rec.Stop:
 			known[rec.Worker] = rec
 		}
 	}
@@ -97,6 +108,7 @@
 			continue
 		}
 		bd.cell.PutWorker(bd.now, wk.Worker)
+		bd.cell.InheritStops(bd.now, id, stops[id])
 		if rec.Closed {
 			bd.cell.Inherit(bd.now, id, rec.Held)
 		} else {
@@ -212,7 +224,7 @@
 func (bd *bed) start(sr cell.Start) {
 	reign := bd.reign
 	if bd.rd.Float64() < bd.faults {
-		bd.cell.StartLost(sr)
+		bd.cell.StartLost(bd.now, sr)
 		if bd.rd.IntN(2) == 0 {
 			bd.late = append(bd.late, func() { bd.carryStart(sr, reign) })
 		}
@@ -220,7 +232,7 @@
 	}
 	wk := bd.workers[sr.Worker]
 	if bd.quiet(wk) {
-		bd.cell.StartLost(sr)
+		bd.cell.StartLost(bd.now, sr)
 		return
 	}
 	if why := bd.carryStart(sr, reign); why != "" {
@@ -256,12 +268,17 @@
 	for _, rn := range wk.runs {
 		used = used.Add(rn.need)
 	}
+	for _, rn := range wk.stopping {
+		used = used.Add(rn.need)
+	}
 	if !used.Add(step.Need).Fits(wk.Capacity) {
 		bd.t.Fatalf("start of %s goes over the room of %s", sr.Task, wk.ID)
 	}
 	for _, other := range bd.workers {
-		if rn := other.runs[sr.Task]; rn != nil && !other.dead {
-			bd.t.Fatalf("start of %s run %d on %s while run %d is on %s", sr.Task, sr.Run, wk.ID, rn.number, other.ID)
+		for _, rn := range []*fakeRun{other.runs[sr.Task], other.stopping[sr.Task]} {
+			if rn != nil && !other.dead {
+				bd.t.Fatalf("start of %s run %d on %s while run %d is on %s", sr.Task, sr.Run, wk.ID, rn.number, other.ID)
+			}
 		}
 	}
 	if bd.done[sr.Task] {
@@ -298,14 +315,20 @@
 	}
 	wk.barred[sp.Task] = max(wk.barred[sp.Task], sp.Run)
 	if rn := wk.runs[sp.Task]; rn != nil && rn.number <= sp.Run {
-		wk.end(sp.Task, cell.ResultStopped)
+		delete(wk.runs, sp.Task)
+		rn.ends = bd.now + stopTime
+		wk.stopping[sp.Task] = rn
 	}
 	bd.cell.Stopped(bd.now, sp)
 }
 
 func (wk *fakeWorker) end(name work.Task, how cell.Result) {
 	rn := wk.runs[name]
+	if rn == nil {
+		rn = wk.stopping[name]
+	}
 	delete(wk.runs, name)
+	delete(wk.stopping, name)
 	wk.barred[name] = max(wk.barred[name], rn.number)
 	wk.seq++
 	wk.ends = append(wk.ends, cell.End{Seq: wk.seq, Run: cell.Run{Task: name, Number: rn.number}, Result: how})
@@ -313,6 +336,11 @@
 
 // advance ends the runs whose time is over; a gang ends as one.
 func (wk *fakeWorker) advance(bd *bed) {
+	for name, rn := range wk.stopping {
+		if rn.ends <= bd.now {
+			wk.end(name, cell.ResultStopped)
+		}
+	}
 	var over []work.Task
 	for name, rn := range wk.runs {
 		if rn.ends <= bd.now {
@@ -368,7 +396,7 @@
 func (bd *bed) crash(id string) {
 	wk := bd.workers[id]
 	wk.dead = true
-	wk.runs = map[work.Task]*fakeRun{}
+	wk.runs, wk.stopping = map[work.Task]*fakeRun{}, map[work.Task]*fakeRun{}
 	bd.cell.Unlist(id)
 	bd.cell.Lapsed(bd.now, id)
 }
--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -132,20 +132,24 @@
 	Gone   bool   `cbor:"7,keyasint,omitempty"`
 	Closed bool   `cbor:"8,keyasint,omitempty"`
 	Held   []Run  `cbor:"9,keyasint,omitempty"`
+	// Stop says instead that the worker is told to stop the runs in Held.
+	Stop bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Output is what a cell wants done.
 type Output struct {
-	Starts    []Start
-	Stops     []Stop
-	Paces     []Pace
+	Starts []Start
+	Stops  []Stop
+	Paces  []Pace
+	// Asks are workers whose next report is wanted at once.
+	Asks      []string
 	Questions []Question
 	Records   []Record
 }
 
 // Empty reports whether there is nothing to do.
 func (ou *Output) Empty() bool {
-	return len(ou.Starts)+len(ou.Stops)+len(ou.Paces)+len(ou.Questions)+len(ou.Records) == 0
+	return len(ou.Starts)+len(ou.Stops)+len(ou.Paces)+len(ou.Asks)+len(ou.Questions)+len(ou.Records) == 0
 }
 
 // Options of a cell.
@@ -156,8 +160,9 @@
 	FarFactor float64
 	// FirstRun is the lowest number of a run that this planner starts.
 	FirstRun int
-	// Early is by how much the time of day may be ahead of the workers' one.
-	Early time.Duration
+	// StopTime is how long a worker may take to stop a run. Its reports do not name
+	// the run meanwhile, though it still runs.
+	StopTime time.Duration
 }
 
 // Cell is the state of one cell. It is not safe for concurrent use.
@@ -170,6 +175,8 @@
 	queues  map[string]*queue
 	cancels map[string]time.Duration
 	out     Output
+	// stops wait until the journal has them.
+	stops []provenStop
 	// recorded counts all records so far, committed those that are in the journal.
 	recorded, committed int
 	settled             bool
@@ -194,9 +201,20 @@
 	}
 }
 
+// provenStop is a stop with the record that must be in the journal first: a run that
+// is being stopped is in no report, so that only the journal tells the next planner.
+type provenStop struct {
+	Stop
+	proof int
+}
+
 // Take returns what the cell wants done and forgets it. Stops of runs that have
 // ended meanwhile are left out.
 func (cl *Cell) Take() Output {
+	for len(cl.stops) > 0 && cl.stops[0].proof <= cl.committed {
+		cl.out.Stops = append(cl.out.Stops, cl.stops[0].Stop)
+		cl.stops = cl.stops[1:]
+	}
 	out := cl.out
 	cl.out = Output{}
 	out.Stops = slices.DeleteFunc(out.Stops, func(sp Stop) bool {
--- a/policy/cell/cell_test.go
+++ b/policy/cell/cell_test.go
@@ -259,6 +259,10 @@
 				cl.Report(at, first.Worker, at, []cell.Run{{Task: first.Task, Number: first.Run, Percent: tc.percent}}, nil)
 				cl.Tick(at, at)
 			}
+			if early := cl.Take(); len(early.Stops) > 0 {
+				t.Fatalf("stops before the journal has them: %v", early.Stops)
+			}
+			cl.Committed(cl.Recorded())
 			out := cl.Take()
 			if moves := len(out.Stops) == 1; moves != tc.moves {
 				t.Fatalf("stops: %v", out.Stops)
--- a/policy/cell/job.go
+++ b/policy/cell/job.go
@@ -46,12 +46,14 @@
 	claims []*worker
 }
 
-// task is one task; where it is placed, place is set.
+// task is one task. Its runs that are on workers, or may be, are counted; place is the
+// one that counts, the others are being stopped.
 type task struct {
 	step       *step
 	index      int
 	done       bool
 	place      *placement
+	runs       int
 	run        int
 	fails      []int
 	checkpoint string
--- a/policy/cell/placement.go
+++ b/policy/cell/placement.go
@@ -12,6 +12,7 @@
 
 const (
 	ordered state = iota // the start was sent, its answer is open
+	unsure               // the start was not answered; a report will tell
 	running
 	stopping // a stop was sent; the room is taken until the end is seen
 )
@@ -26,9 +27,12 @@
 	state  state
 	// since is when the worker was known to have the run.
 	since time.Duration
-	// stopped is when the worker confirmed the stop, 0 before that.
-	stopped time.Duration
-	percent int
+	// stopped is when the worker confirmed the stop, 0 before that; lost is when the
+	// start was given up.
+	stopped, lost time.Duration
+	// inherited is set for a stop that an earlier planner may have sent.
+	inherited bool
+	percent   int
 	// moved is when percent last rose.
 	moved time.Duration
 	// load is the worker's figure of the task's load, pace the percentage of its speed
@@ -62,9 +66,9 @@
 	fails int
 	// claim is the gang that keeps the worker free.
 	claim *step
-	// reported is when it last reported, paced when its fillers were last slowed or let
+	// first is when it first reported to this planner, reported when it last did, paced when its fillers were last slowed or let
 	// go, leaves when it may leave.
-	reported, paced, leaves time.Duration
+	first, reported, paced, leaves time.Duration
 }
 
 // note is an end with the record that proves what followed from it.
@@ -120,6 +124,21 @@
 	}
 }
 
+// InheritStops takes in that an earlier planner may have told a worker to stop runs
+// just before this one was elected.
+func (cl *Cell) InheritStops(now time.Duration, id string, runs []Run) {
+	cl.Inherit(now, id, nil)
+	wk := cl.workers[id]
+	for _, rn := range runs {
+		tk := cl.find(rn.Task)
+		if tk == nil || wk.places[key{rn.Task, rn.Number}] != nil {
+			continue
+		}
+		pl := cl.place(now, tk, wk, rn.Number)
+		pl.state, pl.inherited = stopping, true
+	}
+}
+
 // Inherit takes in that a worker holds at most some runs, as an earlier planner has
 // recorded, until it answers or lapses.
 func (cl *Cell) Inherit(now time.Duration, id string, held []Run) {
@@ -131,7 +150,7 @@
 	}
 	for _, rn := range held {
 		tk := cl.find(rn.Task)
-		if tk == nil || tk.done || tk.place != nil || tk.step.round.job.phase.Ended() {
+		if tk == nil || tk.done || wk.places[key{rn.Task, rn.Number}] != nil || tk.step.round.job.phase.Ended() {
 			continue
 		}
 		cl.place(now, tk, wk, rn.Number).state = running
@@ -186,7 +205,10 @@
 	pl := &placement{task: tk, worker: wk, run: run, need: need, moved: now, pace: whole}
 	wk.places[key{tk.name(), run}] = pl
 	wk.used = wk.used.Add(need)
-	tk.place = pl
+	tk.runs++
+	if tk.place == nil || tk.place.run < run {
+		tk.place = pl
+	}
 	tk.run = max(tk.run, run)
 	return pl
 }
@@ -198,6 +220,7 @@
 		return
 	}
 	delete(pl.worker.places, at)
+	pl.task.runs--
 	pl.worker.used = pl.worker.used.Sub(pl.need)
 	if pl.task.place == pl {
 		pl.task.place = nil
@@ -210,7 +233,11 @@
 		return
 	}
 	pl.state = stopping
-	cl.out.Stops = append(cl.out.Stops, Stop{Worker: pl.worker.ID, Task: pl.task.name(), Run: pl.run, Reason: reason})
+	run := Run{Task: pl.task.name(), Number: pl.run}
+	cl.record(Record{Worker: pl.worker.ID, Stop: true, Held: []Run{run}})
+	cl.stops = append(cl.stops, provenStop{
+		Stop{Worker: pl.worker.ID, Task: run.Task, Run: run.Number, Reason: reason}, cl.recorded,
+	})
 }
 
 // breakGang stops all members, so that the gang can start anew.
@@ -269,18 +296,15 @@
 	cl.afterLoss(now, pl)
 }
 
-// StartLost takes in that nobody knows whether a worker has started a run or will:
-// a stop settles it.
-func (cl *Cell) StartLost(sr Start) {
+// StartLost takes in that nobody knows whether a worker has started a run or will: its
+// next report tells, and where it does not have the run, a stop keeps it off for good.
+func (cl *Cell) StartLost(now time.Duration, sr Start) {
 	pl := cl.placement(sr.Worker, sr.Task, sr.Run)
 	if pl == nil || pl.state != ordered {
 		return
 	}
-	st := pl.task.step
-	cl.stop(pl, "start was not answered")
-	if st.def.Gang {
-		cl.breakGang(st, "gang's start was not answered")
-	}
+	pl.state, pl.lost = unsure, now
+	cl.out.Asks = append(cl.out.Asks, sr.Worker)
 }
 
 // Stopped takes in that a worker has confirmed a stop. It reports whether only a
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -122,11 +122,11 @@
 	return st.def.Need
 }
 
-// placed counts the tasks that are on workers.
+// placed counts the tasks that are on workers, or may be.
 func (st *step) placed() int {
 	count := 0
 	for _, tk := range st.tasks {
-		if tk.place != nil {
+		if tk.runs > 0 {
 			count++
 		}
 	}
@@ -219,7 +219,7 @@
 func (st *step) waiting() []*task {
 	var tks []*task
 	for _, tk := range st.tasks {
-		if !tk.done && tk.place == nil {
+		if !tk.done && tk.runs == 0 {
 			tks = append(tks, tk)
 		}
 	}
--- a/policy/cell/report.go
+++ b/policy/cell/report.go
@@ -13,7 +13,9 @@
 	if !ok {
 		return nil
 	}
-	wk.answered = true
+	if !wk.answered {
+		wk.answered, wk.first = true, now
+	}
 	if wk.proof == 0 && wk.listed && !wk.Draining {
 		cl.record(Record{Worker: id})
 		wk.proof = cl.recorded
@@ -55,6 +57,7 @@
 	tk := cl.find(rn.Task)
 	if tk == nil {
 		wk.strangers++
+		wk.rest = max(wk.rest, now+cl.opts.StopTime+stopMargin) // its room is not known
 		cl.out.Stops = append(cl.out.Stops, Stop{Worker: wk.ID, Task: rn.Task, Run: rn.Number, Reason: "job is not known", Stranger: true})
 		return
 	}
@@ -66,16 +69,21 @@
 	switch {
 	case jb.phase.Ended() || tk.done:
 		cl.stop(pl, "task has ended")
-	case other != nil && other != pl:
-		cl.stop(pl, "task runs elsewhere")
-		tk.place = other
+	case other != nil && other.run > pl.run:
+		cl.stop(pl, "a later run is elsewhere")
+	case other != nil:
+		cl.stop(other, "a later run is elsewhere")
 	}
 }
 
 func (cl *Cell) progress(now time.Duration, pl *placement, rn Run) {
-	if pl.state == ordered {
+	switch {
+	case pl.state == ordered || pl.state == unsure:
 		pl.state, pl.since = running, now
 		cl.begin(pl.task.step.round.job)
+	case pl.inherited: // the earlier planner's stop has not come
+		pl.inherited, pl.state = false, running
+		cl.stop(pl, "an earlier planner's stop")
 	}
 	if rn.Percent != pl.percent {
 		pl.percent, pl.moved = rn.Percent, now
@@ -86,11 +94,22 @@
 	pl.load = rn.Load
 }
 
-// missing takes in that a report does not list a run. It is gone if the worker was
-// known to have it, or to keep it off, before the report was asked for.
+// stopMargin is added to the time that a worker takes to stop a run.
+const stopMargin = 100 * time.Millisecond
+
+// missing takes in that a report does not list a run. One that was there is gone. One
+// that is being stopped is gone when the stop must be over.
 func (cl *Cell) missing(now time.Duration, pl *placement, sent time.Duration) {
-	gone := pl.state == running && pl.since <= sent || pl.stopped > 0 && pl.stopped <= sent
-	if !gone {
+	over := cl.opts.StopTime + stopMargin
+	switch {
+	case pl.state == unsure && pl.lost <= sent:
+		cl.stop(pl, "start was not answered")
+		cl.afterLoss(now, pl)
+		return
+	case pl.state == running && pl.since <= sent:
+	case pl.stopped > 0 && pl.stopped+over <= sent:
+	case pl.inherited && pl.worker.first+over <= sent:
+	default:
 		return
 	}
 	cl.release(pl)
--- a/policy/cell/sharing_test.go
+++ b/policy/cell/sharing_test.go
@@ -106,6 +106,7 @@
 			cl.Report(now, "w", now, runs, nil)
 			cl.PutWorker(now, cell.Worker{ID: "w", Service: "svc", Capacity: size.New(64000, 128000, 0), Draining: true, Remaining: tc.stays})
 			cl.Tick(now, now)
+			cl.Committed(cl.Recorded())
 			if stops := cl.Take().Stops; len(stops) != tc.stops {
 				t.Errorf("%d stops, want %d", len(stops), tc.stops)
 			}
@@ -136,3 +137,57 @@
 		t.Errorf("phase after the cancel is %s", phase)
 	}
 }
+
+// TestInheritedStop has an earlier planner stop a run and start the next one elsewhere
+// just before it ended. The live run stays; were it to be stopped, the task would wait
+// for both.
+func TestInheritedStop(t *testing.T) {
+	cl := cell.New(cell.Options{Keep: time.Minute, FirstRun: 65, StopTime: time.Second})
+	cl.Add(0, batch("a", 1), true)
+	task := work.Task{Job: "a"}
+	cl.InheritStops(0, "w1", []cell.Run{{Task: task, Number: 1}})
+	for _, id := range []string{"w1", "w2", "w3"} {
+		cl.PutWorker(0, cell.Worker{ID: id, Service: "svc", Capacity: size.New(64000, 128000, 0)})
+	}
+	cl.Report(1, "w2", 1, []cell.Run{{Task: task, Number: 2, Percent: 9}}, nil)
+	cl.Report(1, "w3", 1, nil, nil)
+	cl.Report(2, "w1", 2, nil, []cell.End{{Seq: 1, Run: cell.Run{Task: task, Number: 1}, Result: cell.ResultStopped}})
+	cl.Settle(3)
+	cl.Committed(cl.Recorded())
+	cl.Plan(4)
+	if out := cl.Take(); len(out.Stops)+len(out.Starts) > 0 {
+		t.Errorf("stops %v, starts %v", out.Stops, out.Starts)
+	}
+}
+
+// TestTwoRuns has two planners' runs of one task on two workers. The older one is
+// stopped, and the task does not start anew while either is there.
+func TestTwoRuns(t *testing.T) {
+	cl := cell.New(cell.Options{Keep: time.Minute, FirstRun: 129, StopTime: time.Second})
+	cl.Add(0, batch("a", 1), true)
+	task := work.Task{Job: "a"}
+	for _, id := range []string{"w1", "w2", "w3"} {
+		cl.PutWorker(0, cell.Worker{ID: id, Service: "svc", Capacity: size.New(64000, 128000, 0)})
+	}
+	cl.Report(1, "w2", 1, []cell.Run{{Task: task, Number: 65, Percent: 9}}, nil)
+	cl.Report(1, "w1", 1, []cell.Run{{Task: task, Number: 1, Percent: 50}}, nil)
+	cl.Report(1, "w3", 1, nil, nil)
+	cl.Settle(2)
+	cl.Committed(cl.Recorded())
+	out := cl.Take()
+	if len(out.Stops) != 1 || out.Stops[0].Worker != "w1" {
+		t.Fatalf("stops %v", out.Stops)
+	}
+	cl.Stopped(3, out.Stops[0])
+	cl.Report(4, "w2", 4, nil, []cell.End{{Seq: 1, Run: cell.Run{Task: task, Number: 65}, Result: cell.ResultFailed}})
+	cl.Plan(5)
+	if out := cl.Take(); len(out.Starts) > 0 {
+		t.Errorf("starts %v while run 1 is being stopped", out.Starts)
+	}
+	cl.Report(6, "w1", 6, nil, []cell.End{{Seq: 1, Run: cell.Run{Task: task, Number: 1}, Result: cell.ResultStopped}})
+	cl.Committed(cl.Recorded())
+	cl.Plan(7)
+	if out := cl.Take(); len(out.Starts) != 1 {
+		t.Errorf("starts %v once both are gone", out.Starts)
+	}
+}
