--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -322,3 +322,36 @@
 		}
 	})
 }
+
+// TestLeavesWithItsLastEnd has a worker leave just after it reported an end, while a
+// report is asked for besides. The end is not lost, and the task does not run twice.
+func TestLeavesWithItsLastEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bd := newBed(t, time.Second, "w1")
+		defer bd.end()
+		nd := bd.addNode("n1")
+		bd.submit(nd, "a", 1)
+		time.Sleep(500 * time.Millisecond)
+		bd.addWorker("w2")
+		// The next start gets no answer at the moment of the end, so that w1 is asked.
+		bd.fleet.SetFault(func(_, order string) memworkers.Fault {
+			if order == "start" {
+				return memworkers.Silent
+			}
+			return memworkers.None
+		})
+		began := bd.fleet.Starts()[0]
+		time.Sleep(300 * time.Millisecond)
+		bd.submit(nd, "b", 1)
+		time.Sleep(300 * time.Millisecond)
+		bd.fleet.SetFault(func(worker, _ string) memworkers.Fault {
+			if worker == began.Worker {
+				return memworkers.Silent
+			}
+			return memworkers.None
+		})
+		bd.store.Remove(workersPrefix + began.Worker)
+		bd.await("a", cell.Succeeded, time.Second)
+		bd.await("b", cell.Succeeded, 12*time.Second)
+	})
+}
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -46,9 +46,8 @@
 	deadline time.Duration
 	ended    bool
 	silent   bool
-	// asked is set while a report is wanted at once; cancel gives the present hold up.
-	asked  bool
-	cancel context.CancelFunc
+	// looking is set while a report is asked for beside the hold that waits.
+	looking bool
 }
 
 func newSession(ld *lead, en Entry) *session {
@@ -87,17 +86,12 @@
 			return
 		}
 		call, cancel := context.WithTimeout(ctx, hold.Wait+holdSlack)
-		se.setCancel(cancel, hold.Wait)
 		sent := se.lead.now()
 		report, err := se.lead.parts.Agents.Hold(call, se.target(), hold)
-		givenUp := errors.Is(call.Err(), context.Canceled)
 		cancel()
 		if ctx.Err() != nil {
 			return
 		}
-		if givenUp {
-			continue
-		}
 		if err != nil {
 			se.failed(err)
 			loop.Pause(ctx, se.lead.clock, holdRetry)
@@ -123,13 +117,12 @@
 		// answer would never surely be over.
 		hold.Deadline = se.extend(ld.now())
 	}
-	if se.answered && !waits && !se.silent && !se.asked {
+	if se.answered && !waits && !se.silent {
 		hold.Wait = holdWait
 		if ld.cell.Serves(se.id) {
 			hold.Wait = serveWait
 		}
 	}
-	se.asked = false
 	return hold, true
 }
 
@@ -142,24 +135,35 @@
 	}
 }
 
-// ask has the worker report at once. The caller holds the lock.
+// ask has the worker report at once, beside the hold that waits: its answer may be on
+// the way, with ends that a worker that leaves cannot report again. The caller holds
+// the lock.
 func (se *session) ask() {
-	se.asked = true
-	if se.cancel != nil {
-		se.cancel()
-		se.cancel = nil
+	if se.looking || se.ended || !se.answered {
+		return
 	}
+	se.looking = true
+	go se.look() // bounded by its call; nobody waits for it
 }
 
-// setCancel keeps how to give a hold up that waits; one that does not wait is not
-// given up.
-func (se *session) setCancel(cancel context.CancelFunc, wait time.Duration) {
-	se.lead.mu.Lock()
-	defer se.lead.mu.Unlock()
-	se.cancel = nil
-	if wait > 0 {
-		se.cancel = cancel
+// look asks for one report.
+func (se *session) look() {
+	ld := se.lead
+	ld.mu.Lock()
+	noted, _ := ld.cell.Noted(se.id)
+	hold := agent.Hold{Token: ld.reign.Token, Noted: noted}
+	ld.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ld.ctx, holdSlack)
+	defer cancel()
+	sent := ld.now()
+	report, err := ld.parts.Agents.Hold(ctx, se.target(), hold)
+	ld.mu.Lock()
+	se.looking = false
+	ld.mu.Unlock()
+	if err != nil {
+		return // the session's own holds draw the consequences
 	}
+	se.take(sent, report)
 }
 
 // take takes a report in.
@@ -172,7 +176,9 @@
 		ld.log.Info("Worker answers again.", "worker", se.id)
 	}
 	se.silent = false
-	se.clock, se.heard = report.Clock, now
+	if report.Clock > se.clock {
+		se.clock, se.heard = report.Clock, now
+	}
 	first := !se.answered
 	se.answered = true
 	if first {
