Serve counters and latency histograms on a metrics address

Timers of the metrics library start a clock of their own for rates, which also kept the tests' virtual time from ending; plain histograms are used instead.

--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -108,6 +108,9 @@
 	return nd
 }
 
+// Meters returns the node's measures.
+func (nd *Node) Meters() metrics.Registry { return nd.meters }
+
 // Table returns the configuration in force.
 func (nd *Node) Table() *routes.Table { return nd.table }
 
--- a/internal/kvhealth/kvhealth.go
+++ b/internal/kvhealth/kvhealth.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"tackbeam.example/tackbeam/internal/kv"
+	"tackbeam.example/tackbeam/internal/timing"
 )
 
 // downAfter is how long calls must fail before the store counts as away: a single
@@ -46,7 +47,7 @@
 
 // note takes in the outcome of a call that was sent at a time.
 func (he *Health) note(name string, sent time.Time, err error) {
-	metrics.GetOrRegisterTimer("store."+name, he.meters).UpdateSince(sent)
+	timing.Observe(he.meters, "store."+name, he.clock.Since(sent))
 	failed := errors.Is(err, kv.ErrRefused) || errors.Is(err, kv.ErrLost)
 	he.mu.Lock()
 	defer he.mu.Unlock()
--- a/internal/nodecli/nodecli.go
+++ b/internal/nodecli/nodecli.go
@@ -31,6 +31,7 @@
 	Settings   bool   `long:"settings" description:"print the page on all settings and end"`
 	Standalone bool   `long:"standalone" description:"run one node with stand-ins of the platform in this process"`
 	Platform   bool   `long:"platform" description:"run one node on the users' platform, with the settings file that it lays out"`
+	Metrics    int    `long:"metrics" description:"port of the node's address at which measures are served, with --platform; 0 for none"`
 	Listen     string `long:"listen" default:"127.0.0.1:7420" description:"address for callers, with --standalone"`
 	Workers    int    `long:"workers" default:"50" description:"stand-in workers, with --standalone"`
 	Record     string `long:"record" description:"file for the trace of decisions, with --standalone"`
@@ -81,7 +82,7 @@
 			Ready: ready(out),
 		})
 	case op.Platform:
-		return platform.Run(out)
+		return platform.Run(out, op.Metrics)
 	case op.Config == "":
 		return fault.New(fault.BadRequest, "give --config FILE, --platform or --standalone; see tackbeamd --help")
 	}
--- a/internal/planner/lead.go
+++ b/internal/planner/lead.go
@@ -66,6 +66,7 @@
 	old      map[string]bool
 	records  recorder
 	patience patience
+	measures measures
 	pace     pace
 	batches  batches
 	dirty    bool
@@ -87,6 +88,7 @@
 			FirstRun: (reign.Number-1)*runsAReign + 1, StopTime: pt.Site.Bounds.StopTime,
 		}),
 	}
+	ld.measures.registry = pt.Meters
 	ld.records.init()
 	ld.batches.init()
 	return ld
@@ -339,6 +341,10 @@
 	ld.cell.Tick(now, time.Duration(ld.clock.Now().UnixNano()))
 	ld.settle(now)
 	ld.dirty = true
+	jobs, waiting, workers := ld.cell.Sizes()
+	ld.measures.gauge("planner.jobs", jobs)
+	ld.measures.gauge("planner.steps_waiting", waiting)
+	ld.measures.gauge("planner.workers", workers)
 }
 
 // plan decides, if the term is proven, and has the orders carried out.
--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -38,6 +38,7 @@
 	refusal, err := ld.parts.Agents.Start(call, se.target(), token, deadline, sr)
 	took := ld.clock.Since(sent)
 	ld.patience.note(took)
+	ld.measures.start(took, refusal, err)
 	ld.after(func(now time.Duration) {
 		switch {
 		case err == nil && refusal == "":
@@ -101,6 +102,7 @@
 	call, cancel := context.WithTimeout(context.WithoutCancel(ld.ctx), stopTimeout)
 	defer cancel()
 	err := ld.parts.Agents.Stop(call, se.target(), ld.reign.Token, sp)
+	ld.measures.count("planner.stops")
 	ld.log.Info("Stop.", "task", sp.Task.String(), "run", sp.Run, "worker", sp.Worker, "reason", sp.Reason, "error", text(err))
 	if err == nil {
 		ld.after(func(now time.Duration) {
@@ -140,6 +142,7 @@
 	sent := ld.clock.Now()
 	answer, err := ld.parts.Advise(ld.ctx, qn)
 	took := ld.clock.Since(sent)
+	ld.measures.timed("planner.advice", took)
 	ld.after(func(now time.Duration) {
 		if err != nil {
 			ld.cell.Unadvised(now, qn)
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -186,6 +186,7 @@
 	}
 	for _, en := range ld.cell.Report(now, se.id, sent, report.Runs, report.Ends) {
 		ld.log.Info("End.", "task", en.Task.String(), "run", en.Number, "worker", se.id, "result", en.Result, "seq", en.Seq)
+		ld.measures.count("planner.ends." + string(en.Result))
 	}
 	if first {
 		ld.settle(now)
@@ -212,6 +213,7 @@
 		ld.log.Info("Worker does not answer.", "worker", se.id, "reason", err.Error())
 	}
 	se.silent = true
+	ld.measures.count("planner.holds_failed")
 	ld.cell.Silent(se.id)
 	if !se.lapsed(now) {
 		return
