--- a/internal/planner/lead.go
+++ b/internal/planner/lead.go
@@ -13,7 +13,6 @@
 	"tackbeam.example/tackbeam/internal/fault"
 	"tackbeam.example/tackbeam/internal/joblog"
 	"tackbeam.example/tackbeam/internal/kv"
-	"tackbeam.example/tackbeam/internal/loop"
 	"tackbeam.example/tackbeam/internal/mirror"
 	"tackbeam.example/tackbeam/internal/term"
 )
@@ -84,7 +83,7 @@
 		sessions: map[string]*session{}, old: map[string]bool{},
 		wake: make(chan struct{}, 1), journaled: make(chan struct{}),
 		cell: cell.New(cell.Options{
-			Keep: pt.Site.Bounds.KeepEnded, FarFactor: pt.Site.Bounds.FarFactor,
+			Keep:     pt.Site.Bounds.KeepEnded,
 			FirstRun: (reign.Number-1)*runsAReign + 1, StopTime: pt.Site.Bounds.StopTime,
 		}),
 	}
@@ -133,177 +132,6 @@
 	}()
 }
 
-// readRecords reads what earlier planners wrote.
-func (ld *lead) readRecords(ctx context.Context) ([]kv.Item, bool) {
-	for {
-		items, _, err := ld.parts.Store.All(ctx, joblog.Records)
-		if err == nil {
-			return items, true
-		}
-		if !loop.Pause(ctx, ld.clock, readPause) {
-			return nil, false
-		}
-	}
-}
-
-// readPause is the pause between two tries to read the records.
-const readPause = 50 * time.Millisecond
-
-// takeBatches takes in accepted jobs and cancels; the first time, with the records
-// of earlier planners.
-func (ld *lead) takeBatches(items []kv.Item, whole bool, old []kv.Item) {
-	ld.mu.Lock()
-	defer ld.mu.Unlock()
-	now := ld.now()
-	for _, item := range items {
-		if item.Gone {
-			continue
-		}
-		bt, err := joblog.DecodeBatch(item.Value)
-		if err != nil {
-			ld.log.Error(err, "A batch of the journal cannot be read.", "key", item.Key)
-			continue
-		}
-		ld.takeBatch(now, item, bt)
-	}
-	if whole && !ld.loaded {
-		ld.restore(now, old)
-		ld.loaded = true
-		close(ld.journaled)
-		ld.log.Info("Journal is read.", "batches", len(items), "writes", len(old), "after", now.String())
-	}
-	ld.settle(now)
-	ld.kick()
-}
-
-func (ld *lead) takeBatch(now time.Duration, item kv.Item, bt *joblog.Batch) {
-	inherited := item.Revision < ld.reign.Token
-	for at := range bt.Jobs {
-		jb := &bt.Jobs[at]
-		if qu, ok := ld.parts.Queue(jb.Queue.Name); ok {
-			jb.Queue = qu
-		}
-		ld.cell.Add(now, jb, inherited)
-		ld.log.Info("Job taken in.", "job", jb.ID, "queue", jb.Queue.Name, "revision", item.Revision, "inherited", inherited)
-	}
-	for _, id := range bt.Cancels {
-		ld.cell.Cancel(now, id)
-		ld.log.Info("Cancel taken in.", "job", id, "revision", item.Revision)
-	}
-	ld.batches.add(item.Key, bt)
-}
-
-// restore takes in what earlier planners recorded.
-func (ld *lead) restore(now time.Duration, items []kv.Item) {
-	var all []cell.Record
-	workers := map[string]cell.Record{}
-	stops := map[string][]cell.Run{}
-	for at, item := range items {
-		recs, err := joblog.DecodeRecords(item.Value)
-		if err != nil {
-			ld.log.Error(err, "Records of an earlier planner cannot be read.", "key", item.Key)
-			continue
-		}
-		ld.records.keep(item.Key, recs)
-		for _, rec := range recs {
-			switch {
-			case rec.Stop && at >= len(items)-recentWrites:
-				stops[rec.Worker] = append(stops[rec.Worker], rec.Held...)
-			case rec.Worker != "" && !rec.Stop:
-				workers[rec.Worker] = rec
-			}
-		}
-		all = append(all, recs...)
-	}
-	ld.cell.Restore(now, all)
-	for id, rec := range workers {
-		if rec.Gone {
-			continue
-		}
-		ld.cell.Inherit(now, id, rec.Held)
-		ld.cell.InheritStops(now, id, stops[id])
-		ld.old[id] = !rec.Closed
-	}
-}
-
-// recentWrites is the number of the journal's last writes in which stops may be that
-// are not over: writes are commitGap apart, a stop takes up to 0.9 s.
-const recentWrites = 40
-
-// settle lets workers lapse that no list names any more, and frees the old tasks once
-// no worker can hold any of them unknown.
-func (ld *lead) settle(now time.Duration) {
-	if !ld.loaded {
-		return
-	}
-	open := 0
-	for id, any := range ld.old {
-		if _, ok := ld.sessions[id]; !ok && now > ld.lapseUnknown() {
-			ld.lapseOld(now, id)
-		} else if any {
-			open++
-		}
-	}
-	if open == 0 && !ld.cell.Settled() {
-		ld.cell.Settle(now)
-		ld.log.Info("Whereabouts of all tasks are known.", "after", now.String(), "silent", len(ld.old))
-	}
-}
-
-// lapseUnknown is when a worker that an earlier planner held has surely ended all
-// that it ran, if it has not answered this one: the earlier planner renewed it for
-// the last time at most unproven after its last proof.
-func (ld *lead) lapseUnknown() time.Duration {
-	return unproven + time.Duration(float64(lease)*(1+drift)) + time.Second
-}
-
-func (ld *lead) lapseOld(now time.Duration, id string) {
-	delete(ld.old, id)
-	ld.cell.Lapsed(now, id)
-	ld.log.Info("Worker of an earlier planner has lapsed.", "worker", id)
-}
-
-// takeWorkers takes in changes of the list of workers.
-func (ld *lead) takeWorkers(items []kv.Item, _ bool) {
-	ld.mu.Lock()
-	defer ld.mu.Unlock()
-	for _, item := range items {
-		if item.Gone {
-			ld.unlist(item.Key)
-			continue
-		}
-		en, err := ld.parts.DecodeWorker(item)
-		if err != nil {
-			ld.log.Error(err, "Entry of a worker cannot be read.", "key", item.Key)
-			continue
-		}
-		ld.list(en)
-	}
-	ld.kick()
-}
-
-func (ld *lead) list(en Entry) {
-	ld.cell.PutWorker(ld.now(), en.Worker)
-	se, ok := ld.sessions[en.ID]
-	if !ok {
-		se = newSession(ld, en)
-		ld.sessions[en.ID] = se
-		ld.spawn(func() { se.run(ld.ctx) })
-		ld.log.Info("Worker is listed.", "worker", en.ID, "address", en.Address, "draining", en.Draining)
-		return
-	}
-	if se.entry.Draining != en.Draining {
-		ld.log.Info("Worker drains.", "worker", en.ID, "draining", en.Draining)
-	}
-	se.entry = en
-}
-
-func (ld *lead) unlist(key string) {
-	id := key[len(ld.parts.WorkersPrefix):]
-	ld.cell.Unlist(id)
-	ld.log.Info("Worker's entry is gone.", "worker", id)
-}
-
 // planLoop plans when something has changed, and at each tick.
 func (ld *lead) planLoop(ctx context.Context) {
 	timer := ld.clock.NewTicker(tick)
@@ -362,6 +190,12 @@
 func (ld *lead) flush() {
 	out := ld.cell.Take()
 	ld.records.add(out.Records)
+	for _, rec := range out.Records {
+		if rec.Phase.Ended() {
+			ld.log.Info("Job has ended.", "job", rec.Job, "phase", rec.Phase)
+			ld.measures.count("planner.jobs." + string(rec.Phase))
+		}
+	}
 	for _, sr := range out.Starts {
 		ld.spawn(func() { ld.start(sr) })
 	}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -16,12 +16,10 @@
 	Callers string
 	Ready   string
 	Peers   string
-	// Store is the address of the platform's key-value service, with the calls a second
-	// that all nodes together may make and the size of its values.
-	Store      string
-	Writes     float64
-	Reads      float64
-	ValueBytes int
+	// Store is the address of the platform's key-value service, Writes the writing calls
+	// a second that all nodes together may make.
+	Store  string
+	Writes float64
 	// Advisor is the address of the service that allows workers for steps; empty
 	// where there is none.
 	Advisor string
@@ -38,8 +36,6 @@
 	MinLease time.Duration
 	// KeepEnded is how long the state of an ended job can be asked for.
 	KeepEnded time.Duration
-	// FarFactor is how many times longer work takes away from its rack.
-	FarFactor float64
 	// StopTime is how long a worker takes to end a run.
 	StopTime time.Duration
 }
--- /dev/null
+++ b/internal/term/election.go
@@ -0,0 +1,196 @@
+package term
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tackbeam.example/tackbeam/internal/joblog"
+	"tackbeam.example/tackbeam/internal/kv"
+)
+
+// campaignHedge is how long a candidacy may be without an answer before it is sent
+// again: the store answers in 4 ms.
+const campaignHedge = 60 * time.Millisecond
+
+// campaign takes the leader's key where nobody has it.
+func (tm *Term) campaign(ctx context.Context) {
+	tm.mu.Lock()
+	vacant := tm.loaded && tm.leaderAt == 0 && tm.lease != 0 && !tm.resigned && !tm.clock.Now().Before(tm.abstains)
+	el := joblog.Election{Node: tm.opts.Node, Peers: tm.opts.Peers, Number: tm.highest + 1, Nonce: tm.nonce}
+	lease := tm.lease
+	tm.mu.Unlock()
+	if !vacant {
+		return
+	}
+	raw, err := joblog.Encode(el)
+	if err != nil {
+		tm.log.Error(err, "Node cannot be a candidate.")
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, tm.opts.TTL/2)
+	defer cancel()
+	revision, items, err := tm.store.Settle(call, kv.Settling{Clock: tm.clock, Hedge: campaignHedge}, kv.Txn{
+		Conditions: []kv.Condition{{Key: joblog.Leader}},
+		Puts: []kv.Put{
+			{Key: joblog.Leader, Value: raw, Lease: lease},
+			{Key: joblog.Reigns, Value: []byte(strconv.Itoa(el.Number))},
+		},
+	})
+	switch {
+	case err == nil:
+		tm.changed([]kv.Item{{Key: joblog.Leader, Value: raw, Revision: revision}}, false)
+	case errors.Is(err, kv.ErrConflict):
+		tm.changed(items, false)
+	case errors.Is(err, kv.ErrLeaseGone):
+		tm.dropLease("store does not know it")
+	default:
+		tm.log.Info("Election is open; the watch will tell.", "reason", err.Error())
+	}
+}
+
+// changed takes in changes of the members' keys.
+func (tm *Term) changed(items []kv.Item, reset bool) {
+	tm.mu.Lock()
+	for _, item := range items {
+		tm.take(item)
+	}
+	tm.loaded = tm.loaded || reset
+	tm.mu.Unlock()
+	tm.follow()
+	tm.kick()
+}
+
+func (tm *Term) take(item kv.Item) {
+	switch {
+	case item.Key == joblog.Reigns:
+		if number, err := strconv.Atoi(string(item.Value)); err == nil {
+			tm.highest = max(tm.highest, number)
+		}
+	case item.Key == joblog.Leader:
+		tm.takeLeader(item)
+	case item.Gone:
+		delete(tm.members, item.Key)
+		tm.listed = tm.listed && item.Key != joblog.Nodes+tm.opts.Node
+	default:
+		var mb joblog.Member
+		if err := joblog.Decode(item.Value, &mb); err != nil {
+			tm.log.Error(err, "A member's key cannot be read.", "key", item.Key)
+			return
+		}
+		tm.members[item.Key] = mb
+	}
+}
+
+func (tm *Term) takeLeader(item kv.Item) {
+	if item.Gone || item.Revision == 0 {
+		if item.Revision == 0 || item.Revision >= tm.leaderAt {
+			tm.leaderAt = 0
+		}
+		return
+	}
+	if item.Revision < tm.leaderAt {
+		return // an older answer came late
+	}
+	var el joblog.Election
+	if err := joblog.Decode(item.Value, &el); err != nil {
+		tm.log.Error(err, "The leader's key cannot be read.")
+		return
+	}
+	if item.Revision > tm.leaderAt {
+		tm.log.Info("Planner is known.", "planner", el.Node, "token", item.Revision, "reign", el.Number)
+	}
+	tm.leader, tm.leaderAt = el, item.Revision
+	tm.highest = max(tm.highest, el.Number)
+}
+
+// follow begins or ends this node's reign as the leader's key says.
+func (tm *Term) follow() {
+	tm.mu.Lock()
+	mine := tm.leaderAt > 0 && tm.leader.Nonce == tm.nonce && tm.lease != 0 && !tm.resigned &&
+		!tm.clock.Now().Before(tm.abstains)
+	reigns := tm.reign != nil && mine && tm.reign.token == tm.leaderAt
+	tm.mu.Unlock()
+	if reigns {
+		return
+	}
+	tm.depose("another planner was elected, or none")
+	if mine {
+		tm.begin()
+	}
+}
+
+func (tm *Term) begin() {
+	tm.mu.Lock()
+	defer tm.mu.Unlock()
+	if tm.reign != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	rg := &reign{token: tm.leaderAt, cancel: cancel, done: make(chan struct{})}
+	before := tm.latest
+	tm.reign, tm.latest = rg, rg
+	tm.log.Info("This node plans.", "token", rg.token, "reign", tm.leader.Number)
+	arg := Reign{
+		Token: rg.token, Number: tm.leader.Number, SinceProof: tm.sinceProof,
+		Proven: func() bool { return tm.sinceProof() < tm.opts.TTL },
+		Depose: func(reason string) { go tm.depose(reason) },
+		Yield:  func(reason string) { go tm.yield(reason) },
+	}
+	go func() {
+		defer close(rg.done)
+		if before != nil {
+			<-before.done
+		}
+		tm.opts.Lead(ctx, arg)
+	}()
+}
+
+func (tm *Term) sinceProof() time.Duration {
+	tm.mu.Lock()
+	defer tm.mu.Unlock()
+	return tm.clock.Since(tm.proof)
+}
+
+// depose ends the reign and waits until its work has ended.
+func (tm *Term) depose(reason string) {
+	tm.mu.Lock()
+	rg := tm.reign
+	tm.reign = nil
+	tm.mu.Unlock()
+	if rg == nil {
+		return
+	}
+	tm.log.Info("This node plans no longer.", "token", rg.token, "reason", reason)
+	rg.cancel()
+	<-rg.done
+}
+
+// abstain is how long a node is no candidate after it gave the planner's place up.
+const abstain = 10 * time.Second
+
+// yield gives the planner's place up for another node, where there is one.
+func (tm *Term) yield(reason string) {
+	tm.mu.Lock()
+	token, alone := tm.leaderAt, len(tm.members) < 2
+	mine := tm.reign != nil && tm.reign.token == token
+	if mine && !alone {
+		tm.abstains = tm.clock.Now().Add(abstain)
+	}
+	tm.mu.Unlock()
+	if !mine || alone {
+		return
+	}
+	tm.depose(reason)
+	ctx, cancel := context.WithTimeout(context.Background(), tm.opts.TTL)
+	defer cancel()
+	_, _, err := tm.store.Settle(ctx, kv.Settling{Clock: tm.clock, Hedge: campaignHedge}, kv.Txn{
+		Conditions: []kv.Condition{{Key: joblog.Leader, Revision: token}},
+		Removes:    []string{joblog.Leader},
+	})
+	if err != nil {
+		tm.log.Info("The leader's key could not be removed.", "reason", err.Error())
+	}
+}
--- /dev/null
+++ b/internal/term/lease.go
@@ -0,0 +1,143 @@
+package term
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tackbeam.example/tackbeam/internal/joblog"
+	"tackbeam.example/tackbeam/internal/kv"
+)
+
+// How renewals are spread over the lease's time.
+const (
+	// renewals is how many fit into it while they are answered.
+	renewals = 3
+	// retries is how many fit into it while they are not.
+	retries = 8
+	// maxRenewing is the most that may be open at once.
+	maxRenewing = 6
+)
+
+// retryPause is the pause after a call of the store that failed.
+const retryPause = 100 * time.Millisecond
+
+// grantTimeout bounds the wait for a lease; a slow store answers in 0.25 s.
+const grantTimeout = 400 * time.Millisecond
+
+// join gets a lease and lists the node.
+func (tm *Term) join(ctx context.Context) time.Duration {
+	sent := tm.clock.Now()
+	call, cancel := context.WithTimeout(ctx, grantTimeout)
+	defer cancel()
+	lease, err := tm.store.Grant(call, tm.opts.TTL)
+	if err != nil {
+		return retryPause
+	}
+	tm.mu.Lock()
+	tm.lease, tm.proof, tm.ttl, tm.listed = lease, sent, tm.opts.TTL, false
+	tm.mu.Unlock()
+	tm.log.Info("Lease granted.", "lease", lease)
+	tm.list(ctx)
+	tm.campaign(ctx)
+	return tm.untilRenewal()
+}
+
+// listTimeout bounds the writing of the node's key; it is tried again at each step.
+const listTimeout = 150 * time.Millisecond
+
+// list writes the node's key.
+func (tm *Term) list(ctx context.Context) {
+	raw, err := joblog.Encode(joblog.Member{Node: tm.opts.Node, Peers: tm.opts.Peers, Hall: tm.opts.Hall})
+	if err != nil {
+		tm.log.Error(err, "Node could not be listed.")
+		return
+	}
+	tm.mu.Lock()
+	lease := tm.lease
+	tm.mu.Unlock()
+	call, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	_, _, err = tm.store.Commit(call, kv.Txn{Puts: []kv.Put{{Key: joblog.Nodes + tm.opts.Node, Value: raw, Lease: lease}}})
+	if errors.Is(err, kv.ErrLeaseGone) {
+		tm.dropLease("store does not know it")
+		return
+	}
+	if err != nil {
+		tm.log.Info("Node could not be listed yet.", "reason", err.Error())
+		return
+	}
+	tm.mu.Lock()
+	tm.listed = true
+	tm.mu.Unlock()
+}
+
+// renew sends a renewal of the lease when one is due. It does not wait: an answer may
+// be lost, and others sent after it still come in time.
+func (tm *Term) renew(ctx context.Context) {
+	tm.mu.Lock()
+	lease, due, listed := tm.lease, tm.nextRenewal(), tm.listed
+	sent := tm.clock.Now()
+	send := !sent.Before(due) && tm.renewing < maxRenewing
+	if send {
+		tm.renewing++
+		tm.attempt = sent
+	}
+	tm.mu.Unlock()
+	if !listed {
+		tm.list(ctx)
+	}
+	if send {
+		go tm.keep(ctx, lease, sent)
+	}
+}
+
+// keep sends one renewal and takes its outcome in.
+func (tm *Term) keep(ctx context.Context, lease uint64, sent time.Time) {
+	call, cancel := context.WithTimeout(ctx, tm.opts.TTL)
+	defer cancel()
+	err := tm.store.Keep(call, lease)
+	tm.mu.Lock()
+	tm.renewing--
+	same := tm.lease == lease
+	if err == nil && same && sent.After(tm.proof) {
+		tm.proof = sent
+	}
+	tm.mu.Unlock()
+	if errors.Is(err, kv.ErrLeaseGone) && same {
+		tm.dropLease("it ran out")
+	}
+	tm.kick()
+}
+
+// nextRenewal is when the next renewal is to be sent: a third of the lease's time
+// after the last that was answered, and soon after one that was not. The caller holds
+// the lock.
+func (tm *Term) nextRenewal() time.Time {
+	due := tm.proof.Add(tm.ttl / renewals)
+	if again := tm.attempt.Add(tm.ttl / retries); again.After(due) {
+		return again
+	}
+	return due
+}
+
+// dropLease forgets a lease that is over, and the reign that rested on it.
+func (tm *Term) dropLease(reason string) {
+	tm.mu.Lock()
+	tm.lease = 0
+	tm.mu.Unlock()
+	tm.log.Info("Lease is over.", "reason", reason)
+	tm.mirror.Refresh() // the leader's key may be gone as well, and the watch may be dead
+	tm.depose("lease is over: " + reason)
+}
+
+// untilRenewal returns the time until the next renewal is due.
+func (tm *Term) untilRenewal() time.Duration {
+	tm.mu.Lock()
+	defer tm.mu.Unlock()
+	if tm.lease == 0 {
+		return retryPause
+	}
+	return max(tm.nextRenewal().Sub(tm.clock.Now()), time.Millisecond)
+}
--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -156,8 +156,6 @@
 type Options struct {
 	// Keep is how long an ended job can still be asked for.
 	Keep time.Duration
-	// FarFactor is how many times longer work takes away from its rack.
-	FarFactor float64
 	// FirstRun is the lowest number of a run that this planner starts.
 	FirstRun int
 	// StopTime is how long a worker may take to stop a run. Its reports do not name
--- /dev/null
+++ b/policy/cell/worker.go
@@ -0,0 +1,172 @@
+package cell
+
+import (
+	"time"
+
+	"tackbeam.example/policy/size"
+)
+
+// worker is one worker as the cell knows it.
+type worker struct {
+	Worker
+	// listed workers stand in the list of workers, answered ones have reported to this planner.
+	listed, answered bool
+	used             size.Size
+	places           map[key]*placement
+	// strangers counts the runs there of which the cell knows nothing.
+	strangers int
+	// proof is the record that says that the worker may hold any run; 0 where it gets
+	// none.
+	proof int
+	// seen is the highest end taken in; unnoted are those not yet proved by the journal.
+	seen, noted int
+	unnoted     []note
+	// rest keeps new runs off a worker on which they fail.
+	rest  time.Duration
+	fails int
+	// claim is the gang that keeps the worker free.
+	claim *step
+	// first is when it first reported to this planner, reported when it last did, paced when its fillers were last slowed or let
+	// go, leaves when it may leave.
+	first, reported, paced, leaves time.Duration
+}
+
+// note is an end with the record that proves what followed from it.
+type note struct{ number, proof int }
+
+// Rest times of workers.
+const (
+	// restRoom keeps a worker alone that had less room than the cell thought.
+	restRoom = 300 * time.Millisecond
+	// restFails keeps a worker alone on which failsInRow runs of tasks ended failed.
+	restFails  = 6 * time.Second
+	failsInRow = 3
+	// restHung keeps a worker alone on which a task stood still.
+	restHung = 6 * time.Second
+)
+
+// PutWorker takes in an entry of the list of workers.
+func (cl *Cell) PutWorker(now time.Duration, wk Worker) {
+	old, known := cl.workers[wk.ID]
+	if !known {
+		old = &worker{places: map[key]*placement{}}
+		cl.workers[wk.ID] = old
+	}
+	if wk.Draining && !old.Draining {
+		old.leaves = now + wk.Remaining
+	}
+	old.Worker = wk
+	old.listed = true
+	if wk.Draining {
+		cl.dropClaim(old)
+		cl.shutWorker(old)
+	}
+}
+
+// shutWorker gives a worker no more runs, and records which it may hold: should it
+// fall silent for good, another planner need wait with these tasks only.
+func (cl *Cell) shutWorker(wk *worker) {
+	if wk.proof == 0 {
+		return
+	}
+	rec := Record{Worker: wk.ID, Closed: true}
+	for at := range wk.places {
+		rec.Held = append(rec.Held, Run{Task: at.task, Number: at.run})
+	}
+	cl.record(rec)
+	wk.proof = 0
+}
+
+// Silent takes in that a worker does not answer.
+func (cl *Cell) Silent(id string) {
+	if wk, ok := cl.workers[id]; ok {
+		cl.shutWorker(wk)
+	}
+}
+
+// InheritStops takes in that an earlier planner may have told a worker to stop runs
+// just before this one was elected.
+func (cl *Cell) InheritStops(now time.Duration, id string, runs []Run) {
+	cl.Inherit(now, id, nil)
+	wk := cl.workers[id]
+	for _, rn := range runs {
+		tk := cl.find(rn.Task)
+		if tk == nil || wk.places[key{rn.Task, rn.Number}] != nil {
+			continue
+		}
+		pl := cl.place(now, tk, wk, rn.Number)
+		pl.state, pl.inherited = stopping, true
+	}
+}
+
+// Inherit takes in that a worker holds at most some runs, as an earlier planner has
+// recorded, until it answers or lapses.
+func (cl *Cell) Inherit(now time.Duration, id string, held []Run) {
+	wk, known := cl.workers[id]
+	if !known {
+		cl.PutWorker(now, Worker{ID: id})
+		wk = cl.workers[id]
+		wk.listed = false
+	}
+	for _, rn := range held {
+		tk := cl.find(rn.Task)
+		if tk == nil || tk.done || wk.places[key{rn.Task, rn.Number}] != nil || tk.step.round.job.phase.Ended() {
+			continue
+		}
+		cl.place(now, tk, wk, rn.Number).state = running
+	}
+}
+
+// Unlist takes in that a worker's entry is gone. What it runs is kept until it has
+// lapsed.
+func (cl *Cell) Unlist(id string) {
+	if wk, ok := cl.workers[id]; ok {
+		wk.listed = false
+		cl.dropClaim(wk)
+		cl.shutWorker(wk)
+	}
+}
+
+// Lapsed takes in that nothing can run on a worker any more: its lease is over, or
+// it is gone. It may answer again later.
+func (cl *Cell) Lapsed(now time.Duration, id string) {
+	wk, ok := cl.workers[id]
+	if !ok {
+		return
+	}
+	wk.answered = false
+	for _, pl := range wk.places {
+		cl.release(pl)
+		cl.afterLoss(now, pl)
+	}
+	if !wk.listed {
+		cl.record(Record{Worker: id, Gone: true})
+		delete(cl.workers, id)
+	}
+}
+
+// Noted returns the number of the last end of a worker that the journal proves, and
+// whether later ones wait for that.
+func (cl *Cell) Noted(id string) (number int, waits bool) {
+	wk, ok := cl.workers[id]
+	if !ok {
+		return 0, false
+	}
+	for len(wk.unnoted) > 0 && wk.unnoted[0].proof <= cl.committed {
+		wk.noted = wk.unnoted[0].number
+		wk.unnoted = wk.unnoted[1:]
+	}
+	return wk.noted, len(wk.unnoted) > 0
+}
+
+// Holds reports whether a worker may have runs of the cell.
+func (cl *Cell) Holds(id string) bool {
+	wk, ok := cl.workers[id]
+	return ok && (len(wk.places) > 0 || !wk.answered)
+}
+
+// Listed reports whether a worker is known and in the list.
+func (cl *Cell) Listed(id string) (known, listed bool) {
+	wk, ok := cl.workers[id]
+	return ok, ok && wk.listed
+}
