--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -74,6 +74,19 @@
 	err   error
 }
 
+// ids returns what the batch is about: the jobs' ids, and those of cancelled ones with
+// a dash.
+func (bt *batch) ids() []string {
+	ids := make([]string, 0, len(bt.Jobs)+len(bt.Cancels))
+	for at := range bt.Jobs {
+		ids = append(ids, bt.Jobs[at].ID)
+	}
+	for _, id := range bt.Cancels {
+		ids = append(ids, "-"+id)
+	}
+	return ids
+}
+
 // New returns an intake that Run serves.
 func New(clock clockwork.Clock, log logr.Logger, st *kv.Store, opts Options) *Intake {
 	const base = 36
@@ -186,13 +199,13 @@
 	age := in.clock.Since(began)
 	switch {
 	case err == nil || errors.Is(err, kv.ErrConflict): // only this batch uses the key
-		in.log.Info("Batch is written.", "key", key, "jobs", len(bt.Jobs), "cancels", len(bt.Cancels),
+		in.log.Info("Batch is written.", "key", key, "ids", bt.ids(),
 			"revision", revision, "took", age.String())
 		return nil
 	case errors.Is(err, kv.ErrRefused):
-		in.log.Info("Batch was refused.", "key", key, "jobs", len(bt.Jobs), "took", age.String())
+		in.log.Info("Batch was refused.", "key", key, "ids", bt.ids(), "took", age.String())
 		return fault.New(fault.Unavailable, "the store refused the write; not run").After(comeBack)
 	}
-	in.log.Info("Batch's outcome is not known.", "key", key, "jobs", len(bt.Jobs), "took", age.String(), "reason", err.Error())
+	in.log.Info("Batch's outcome is not known.", "key", key, "ids", bt.ids(), "took", age.String(), "reason", err.Error())
 	return fault.New(fault.Timeout, "the journal did not answer; send it again").AfterStart()
 }
