--- a/internal/planner/lead.go
+++ b/internal/planner/lead.go
@@ -19,9 +19,10 @@
 
 // Times of a reign.
 const (
-	// lease is how long workers go on without a hold: the time to notice a dead
-	// planner (2 s), to elect and load another (1 s), and to reach all workers.
-	lease = 5 * time.Second
+	// usualLease is how long workers go on without a hold, where they may: the time to
+	// notice a dead planner (1.2 s), to elect and load another (1 s), to reach all
+	// workers, and some of an outage of the store.
+	usualLease = 5 * time.Second
 	// unproven is how long after its last proof a planner still renews the leases of
 	// workers: an outage of the store of that time ends no work.
 	unproven = 4 * time.Second
@@ -51,7 +52,10 @@
 	reign term.Reign
 	began time.Time
 
+	// jobs follows the batches of the journal.
 	jobs *mirror.Mirror
+	// lease is how long workers go on without a hold.
+	lease time.Duration
 
 	mu   sync.Mutex
 	cell *cell.Cell
@@ -80,13 +84,16 @@
 	const runsAReign = 64
 	ld := &lead{
 		parts: pt, clock: pt.Clock, log: log, reign: reign, began: pt.Clock.Now(),
-		sessions: map[string]*session{}, old: map[string]bool{},
+		lease: usualLease, sessions: map[string]*session{}, old: map[string]bool{},
 		wake: make(chan struct{}, 1), journaled: make(chan struct{}),
 		cell: cell.New(cell.Options{
 			Keep:     pt.Site.Bounds.KeepEnded,
 			FirstRun: (reign.Number-1)*runsAReign + 1, StopTime: pt.Site.Bounds.StopTime,
 		}),
 	}
+	if most := pt.Site.Bounds.MaxLease; most > 0 {
+		ld.lease = min(ld.lease, most)
+	}
 	ld.measures.registry = pt.Meters
 	ld.records.init()
 	ld.batches.init()
--- a/internal/planner/load.go
+++ b/internal/planner/load.go
@@ -132,11 +132,11 @@
 // that it ran, if it has not answered this one: the earlier planner renewed it for
 // the last time at most unproven after its last proof.
 func (ld *lead) lapseUnknown() time.Duration {
-	return unproven + time.Duration(float64(lease)*(1+drift)) + time.Second
+	return unproven + time.Duration(float64(ld.lease)*(1+drift)) + time.Second
 }
 
 func (ld *lead) lapseOld(now time.Duration, id string) {
 	delete(ld.old, id)
-	ld.cell.Lapsed(now, id)
+	ld.cell.Lapsed(id)
 	ld.log.Info("Worker of an earlier planner has lapsed.", "worker", id)
 }
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -64,7 +64,7 @@
 	if !se.answered || se.lead.reign.SinceProof() > unproven {
 		return se.deadline
 	}
-	se.deadline = max(se.deadline, se.clock+(now-se.heard)+lease)
+	se.deadline = max(se.deadline, se.clock+(now-se.heard)+se.lead.lease)
 	return se.deadline
 }
 
@@ -222,7 +222,7 @@
 		ld.log.Info("Worker's lease is over.", "worker", se.id, "silent_for", (now - se.heard).String())
 	}
 	delete(ld.old, se.id)
-	ld.cell.Lapsed(now, se.id)
+	ld.cell.Lapsed(se.id)
 	se.answered = false
 	se.heard = now
 	if known, _ := ld.cell.Listed(se.id); !known {
@@ -241,7 +241,7 @@
 	ld.log.Info("Worker's incarnation is over.", "worker", se.id)
 	delete(ld.old, se.id)
 	ld.cell.Unlist(se.id)
-	ld.cell.Lapsed(now, se.id)
+	ld.cell.Lapsed(se.id)
 	se.end()
 	ld.settle(now)
 }
--- a/policy/cell/bed_test.go
+++ b/policy/cell/bed_test.go
@@ -398,7 +398,7 @@
 	wk.dead = true
 	wk.runs, wk.stopping = map[work.Task]*fakeRun{}, map[work.Task]*fakeRun{}
 	bd.cell.Unlist(id)
-	bd.cell.Lapsed(bd.now, id)
+	bd.cell.Lapsed(id)
 }
 
 // phases counts the jobs by phase.
--- a/policy/cell/placement.go
+++ b/policy/cell/placement.go
@@ -111,7 +111,7 @@
 }
 
 // afterLoss does what follows when a run is gone without an end that counts.
-func (cl *Cell) afterLoss(_ time.Duration, pl *placement) {
+func (cl *Cell) afterLoss(pl *placement) {
 	st := pl.task.step
 	if st.def.Gang && !pl.task.done {
 		cl.breakGang(st, "gang lost a member")
@@ -154,7 +154,7 @@
 	case RefusedOld, RefusedLate:
 	}
 	cl.release(pl)
-	cl.afterLoss(now, pl)
+	cl.afterLoss(pl)
 }
 
 // StartLost takes in that nobody knows whether a worker has started a run or will: its
--- a/policy/cell/report.go
+++ b/policy/cell/report.go
@@ -37,7 +37,7 @@
 	}
 	for at, pl := range wk.places {
 		if !there[at] {
-			cl.missing(now, pl, sent)
+			cl.missing(pl, sent)
 		}
 	}
 	cl.share(now, wk)
@@ -99,12 +99,12 @@
 
 // missing takes in that a report does not list a run. One that was there is gone. One
 // that is being stopped is gone when the stop must be over.
-func (cl *Cell) missing(now time.Duration, pl *placement, sent time.Duration) {
+func (cl *Cell) missing(pl *placement, sent time.Duration) {
 	over := cl.opts.StopTime + stopMargin
 	switch {
 	case pl.state == unsure && pl.lost <= sent:
 		cl.stop(pl, "start was not answered")
-		cl.afterLoss(now, pl)
+		cl.afterLoss(pl)
 		return
 	case pl.state == running && pl.since <= sent:
 	case pl.stopped > 0 && pl.stopped+over <= sent:
@@ -113,7 +113,7 @@
 		return
 	}
 	cl.release(pl)
-	cl.afterLoss(now, pl)
+	cl.afterLoss(pl)
 }
 
 // end takes in how a run ended.
--- a/policy/cell/worker.go
+++ b/policy/cell/worker.go
@@ -26,9 +26,12 @@
 	fails int
 	// claim is the gang that keeps the worker free.
 	claim *step
-	// first is when it first reported to this planner, reported when it last did, paced when its fillers were last slowed or let
-	// go, leaves when it may leave.
-	first, reported, paced, leaves time.Duration
+	// first is when it first reported to this planner, reported when it last did.
+	first, reported time.Duration
+	// paced is when its fillers were last slowed or let go.
+	paced time.Duration
+	// leaves is when it may leave, if it drains.
+	leaves time.Duration
 }
 
 // note is an end with the record that proves what followed from it.
@@ -129,7 +132,7 @@
 
 // Lapsed takes in that nothing can run on a worker any more: its lease is over, or
 // it is gone. It may answer again later.
-func (cl *Cell) Lapsed(now time.Duration, id string) {
+func (cl *Cell) Lapsed(id string) {
 	wk, ok := cl.workers[id]
 	if !ok {
 		return
@@ -137,7 +140,7 @@
 	wk.answered = false
 	for _, pl := range wk.places {
 		cl.release(pl)
-		cl.afterLoss(now, pl)
+		cl.afterLoss(pl)
 	}
 	if !wk.listed {
 		cl.record(Record{Worker: id, Gone: true})
