Leave a third of the nodes to urgent questions to the advisor

Change: questions that are not urgent use two thirds of the nodes and are put off when the wait there is over 0.3 s; 48 connections to a node.

--- a/internal/advisor/advisor.go
+++ b/internal/advisor/advisor.go
@@ -3,7 +3,9 @@
 package advisor
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,8 +51,12 @@
 	slack = 700 * time.Millisecond
 	// rest is how long a node that did not answer is left alone.
 	rest = time.Second
-	// longest is the longest queue that a question is put into.
+	// longest is the longest queue that an urgent question is put into, patient that
+	// any other is: the longest questions take a second.
 	longest = 2500 * time.Millisecond
+	patient = 300 * time.Millisecond
+	// reserved says which part of the nodes is left to urgent questions: one in three.
+	reserved = 3
 )
 
 // Advise asks the advisor from the node that is free soonest.
@@ -71,24 +77,45 @@
 	return planner.Answer{Tickets: reply.Tickets, Valid: reply.Valid}, err
 }
 
-// choose takes the node whose queue is shortest, this one among equals.
+// choose takes the node whose queue is shortest, this one among equals. Questions that
+// are not urgent leave some nodes to the urgent ones, and wait for their turn rather
+// than fill the queues.
 func (po *Pool) choose(qn cell.Question) (joblog.Member, time.Duration, bool) {
 	po.mu.Lock()
 	defer po.mu.Unlock()
 	now := po.parts.Clock.Now()
-	best, wait := joblog.Member{Node: po.parts.Node}, max(po.free[po.parts.Node].Sub(now), 0)
-	for _, mb := range po.parts.Members() {
+	nodes := po.nodes()
+	most := longest
+	if !qn.Urgent {
+		nodes = nodes[len(nodes)/reserved:]
+		most = patient
+	}
+	best, wait := nodes[0], max(po.free[nodes[0].Node].Sub(now), 0)
+	for _, mb := range nodes[1:] {
 		if queue := max(po.free[mb.Node].Sub(now), 0); queue < wait {
 			best, wait = mb, queue
 		}
 	}
-	if wait > longest {
+	if wait > most {
 		return best, wait, false
 	}
 	po.free[best.Node] = now.Add(wait + qn.Takes)
 	return best, wait, true
 }
 
+// nodes returns the nodes that may ask, this one first and the others by name, so that
+// the ones left to urgent questions stay the same.
+func (po *Pool) nodes() []joblog.Member {
+	nodes := []joblog.Member{{Node: po.parts.Node}}
+	for _, mb := range po.parts.Members() {
+		if mb.Node != po.parts.Node {
+			nodes = append(nodes, mb)
+		}
+	}
+	slices.SortFunc(nodes[1:], func(a, b joblog.Member) int { return cmp.Compare(a.Node, b.Node) })
+	return nodes
+}
+
 func (po *Pool) note(node string, err error) {
 	if err == nil {
 		return
--- /dev/null
+++ b/internal/advisor/advisor_test.go
@@ -0,0 +1,69 @@
+package advisor_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"tackbeam.example/policy/cell"
+
+	"tackbeam.example/tackbeam/internal/advisor"
+	"tackbeam.example/tackbeam/internal/joblog"
+	"tackbeam.example/tackbeam/internal/peerlink"
+	"tackbeam.example/tackbeam/internal/planner"
+)
+
+// TestUrgentQuestions puts far more long questions than the nodes can ask, and urgent
+// ones between them. The urgent ones are answered in time.
+func TestUrgentQuestions(t *testing.T) {
+	cases := map[string]int{"three nodes": 3, "four nodes": 4, "seven nodes": 7}
+	for name, count := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				clock := clockwork.NewRealClock() // the bubble's
+				queues := map[string]chan struct{}{}
+				var members []joblog.Member
+				for _, node := range []string{"a", "b", "c", "d", "e", "f", "g"}[:count] {
+					members = append(members, joblog.Member{Node: node, Peers: node})
+					queues[node] = make(chan struct{}, 1)
+				}
+				ask := func(node string, takes time.Duration) {
+					queues[node] <- struct{}{} // one call of a node at a time
+					time.Sleep(takes)
+					<-queues[node]
+				}
+				pool := advisor.New(advisor.Parts{
+					Clock: clock, Node: "a", Members: func() []joblog.Member { return members },
+					Local: func(_ context.Context, qn cell.Question) (planner.Answer, error) {
+						ask("a", qn.Takes)
+						return planner.Answer{}, nil
+					},
+					Call: func(_ context.Context, address string, rq peerlink.Request) (peerlink.Reply, error) {
+						ask(address, rq.Advise.Takes)
+						return peerlink.Reply{}, nil
+					},
+				})
+				for range 60 {
+					for range 2 * count {
+						go func() {
+							_, err := pool.Advise(t.Context(), cell.Question{Takes: 900 * time.Millisecond})
+							_ = err // a refusal is what many must get here
+						}()
+					}
+					began := time.Now()
+					if _, err := pool.Advise(t.Context(), cell.Question{Takes: 7 * time.Millisecond, Urgent: true}); err != nil {
+						t.Error(err)
+					}
+					if took := time.Since(began); took > 50*time.Millisecond {
+						t.Errorf("an urgent question took %v", took)
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+				time.Sleep(10 * time.Second)
+			})
+		})
+	}
+}
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -49,8 +49,9 @@
 	server *fasthttp.Server
 }
 
-// maxConns is the most connections to one node: the planner is asked by all others.
-const maxConns = 16
+// maxConns is the most connections to one node: the planner is asked by all others, and
+// asks each for advice, of which a node may have 32 questions waiting.
+const maxConns = 48
 
 // callTimeout bounds a handler's work; the longest question to the advisor takes 2 s.
 const callTimeout = 4 * time.Second
