--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -9,6 +9,7 @@
 	"tackbeam.example/policy/cell"
 
 	"tackbeam.example/tackbeam/internal/agent"
+	"tackbeam.example/tackbeam/internal/fault"
 	"tackbeam.example/tackbeam/internal/loop"
 )
 
@@ -150,6 +151,11 @@
 		}
 		ld.cell.Advised(now, qn, answer.Tickets, answer.Valid)
 	})
+	if fault.Is(err, fault.Full) {
+		// Nothing was asked; the cell asks again soon, which may be often.
+		ld.measures.count("planner.advice.put_off")
+		return
+	}
 	ld.log.Info("Advice.", "step", qn.Step.StepName(), "asked", len(qn.Workers), "allowed", len(answer.Tickets),
 		"took", took.String(), "error", text(err))
 }
