--- a/internal/planner/load.go
+++ b/internal/planner/load.go
@@ -123,7 +123,7 @@
 		}
 	}
 	if open == 0 && !ld.cell.Settled() {
-		ld.cell.Settle(now)
+		ld.cell.Settle()
 		ld.log.Info("Whereabouts of all tasks are known.", "after", now.String(), "silent", len(ld.old))
 	}
 }
--- a/internal/planner/records.go
+++ b/internal/planner/records.go
@@ -43,6 +43,11 @@
 	}
 	rc.open = append(rc.open, recs...)
 	rc.count += len(recs)
+	rc.kick()
+}
+
+// kick wakes the writing.
+func (rc *recorder) kick() {
 	select {
 	case rc.wake <- struct{}{}:
 	default:
@@ -80,11 +85,7 @@
 		ld.records.open = ld.records.open[len(recs):]
 		ld.cell.Committed(upTo)
 		if len(ld.records.open) > 0 {
-			ld.records.add(nil)
-			select {
-			case ld.records.wake <- struct{}{}:
-			default:
-			}
+			ld.records.kick()
 		}
 		ld.kick()
 		ld.mu.Unlock()
--- a/policy/cell/bed_test.go
+++ b/policy/cell/bed_test.go
@@ -118,7 +118,7 @@
 			bd.report(id)
 		}
 	}
-	bd.cell.Settle(bd.now)
+	bd.cell.Settle()
 }
 
 // quiet reports whether a worker does not answer now.
--- a/policy/cell/cell_test.go
+++ b/policy/cell/cell_test.go
@@ -174,7 +174,7 @@
 	if out := cl.Take(); len(out.Starts) != 1 || out.Starts[0].Task.Job != "new" {
 		t.Errorf("starts before the old tasks' whereabouts are known: %v", out.Starts)
 	}
-	cl.Settle(3)
+	cl.Settle()
 	cl.Plan(3)
 	out := cl.Take()
 	if len(out.Starts) != 1 || out.Starts[0].Task.Job != "old" {
--- a/policy/cell/placement.go
+++ b/policy/cell/placement.go
@@ -48,7 +48,7 @@
 
 // Settle says that every worker on which an earlier planner may have started tasks
 // has answered or lapsed.
-func (cl *Cell) Settle(now time.Duration) {
+func (cl *Cell) Settle() {
 	cl.settled = true
 	for st := range cl.open {
 		if st.def.Gang && st.placed() > 0 && st.placed() < len(st.tasks) {
--- a/policy/cell/sharing_test.go
+++ b/policy/cell/sharing_test.go
@@ -152,7 +152,7 @@
 	cl.Report(1, "w2", 1, []cell.Run{{Task: task, Number: 2, Percent: 9}}, nil)
 	cl.Report(1, "w3", 1, nil, nil)
 	cl.Report(2, "w1", 2, nil, []cell.End{{Seq: 1, Run: cell.Run{Task: task, Number: 1}, Result: cell.ResultStopped}})
-	cl.Settle(3)
+	cl.Settle()
 	cl.Committed(cl.Recorded())
 	cl.Plan(4)
 	if out := cl.Take(); len(out.Stops)+len(out.Starts) > 0 {
@@ -172,7 +172,7 @@
 	cl.Report(1, "w2", 1, []cell.Run{{Task: task, Number: 65, Percent: 9}}, nil)
 	cl.Report(1, "w1", 1, []cell.Run{{Task: task, Number: 1, Percent: 50}}, nil)
 	cl.Report(1, "w3", 1, nil, nil)
-	cl.Settle(2)
+	cl.Settle()
 	cl.Committed(cl.Recorded())
 	out := cl.Take()
 	if len(out.Stops) != 1 || out.Stops[0].Worker != "w1" {
