Leave the planner's place to nodes with more of a processor

Cause: on the grown sites 6 of 43 nodes have 0.8 of a core and a fast link, the others 0.19 and 10 Mbit/s; whoever wrote first became the planner.

Change: members tell their share of a processor; a node with much less than another waits 0.3 s before it is a candidate, and gives its place up once when a stronger one is listed.

Tests: TestStrongNodePlans, TestWeakNodeGivesWay failed without each of the two.

--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -88,7 +88,7 @@
 		Prefix: ad.ConfigKey, Wait: configWait, Changed: nd.configure,
 	})
 	nd.term = term.New(clock, log, st, term.Options{
-		Node: ad.Site.Node, Peers: ad.Site.Peers, Hall: ad.Site.Hall,
+		Node: ad.Site.Node, Peers: ad.Site.Peers, Hall: ad.Site.Hall, Processors: ad.Site.Processors,
 		TTL:  max(termTTL, ad.Site.Bounds.MinLease),
 		Lead: func(ctx context.Context, reign term.Reign) { nd.planner.Lead(ctx, reign) },
 	})
--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -98,6 +98,8 @@
 	Node  string `cbor:"1,keyasint"`
 	Peers string `cbor:"2,keyasint"`
 	Hall  string `cbor:"3,keyasint"`
+	// Processors is the node's share of a core, 0 where it is not known.
+	Processors float64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Encode returns any value of this package as a value of the store.
--- a/internal/planner/bed_test.go
+++ b/internal/planner/bed_test.go
@@ -67,7 +67,10 @@
 	return funcr.New(func(prefix, args string) { bd.t.Log(bd.clock.Now().Format("05.000"), name, prefix, args) }, funcr.Options{})
 }
 
-func (bd *bed) addNode(name string) *node {
+func (bd *bed) addNode(name string) *node { return bd.addNodeOf(name, 1) }
+
+// addNodeOf adds a node with a share of a core.
+func (bd *bed) addNodeOf(name string, processors float64) *node {
 	st := bd.store.Client(name)
 	nd := &node{meters: metrics.NewRegistry()}
 	nd.planner = planner.New(planner.Parts{
@@ -82,7 +85,7 @@
 		},
 		Queue: func(string) (work.Queue, bool) { return work.Queue{}, false },
 	})
-	nd.term = term.New(bd.clock, bd.log(name), st, term.Options{Node: name, TTL: 2 * time.Second, Lead: func(ctx context.Context, reign term.Reign) {
+	nd.term = term.New(bd.clock, bd.log(name), st, term.Options{Node: name, Processors: processors, TTL: 2 * time.Second, Lead: func(ctx context.Context, reign term.Reign) {
 		nd.reign = reign
 		nd.planner.Lead(ctx, reign)
 	}})
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -321,6 +321,66 @@
 	})
 }
 
+// TestStrongNodePlans lets a planner die: of the other nodes one plans that has as much
+// of a processor as any, and where no such node is left, a weak one does.
+func TestStrongNodePlans(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const weak, strong = 0.2, 0.8
+		bd := newBed(t, time.Second, "w1")
+		defer bd.end()
+		bd.addNodeOf("n1", strong)
+		time.Sleep(100 * time.Millisecond)
+		for _, name := range []string{"n2", "n3", "n4"} {
+			bd.addNodeOf(name, weak)
+		}
+		time.Sleep(50 * time.Millisecond)
+		bd.addNodeOf("n5", strong)
+		time.Sleep(time.Second)
+		for _, tt := range []struct {
+			dies   string
+			strong bool
+		}{{"n1", true}, {"n5", false}} {
+			bd.nodes[tt.dies].cancel()
+			time.Sleep(4 * time.Second)
+			nd := bd.leader()
+			if nd == nil {
+				t.Fatalf("no node plans after %s has died", tt.dies)
+			}
+			if (nd == bd.nodes["n5"]) != tt.strong {
+				t.Errorf("after %s has died, a node of the wrong strength plans", tt.dies)
+			}
+		}
+	})
+}
+
+// TestWeakNodeGivesWay lists a strong node after a weak one was elected: the strong one
+// plans soon. Where it cannot, the weak one goes on planning.
+func TestWeakNodeGivesWay(t *testing.T) {
+	for name, cut := range map[string]bool{"strong node plans": false, "strong node cannot write": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const weak, strong = 0.2, 0.8
+				bd := newBed(t, time.Second, "w1")
+				defer bd.end()
+				first := bd.addNodeOf("n1", weak)
+				time.Sleep(time.Second)
+				second := bd.addNodeOf("n2", strong)
+				time.Sleep(20 * time.Millisecond)
+				bd.store.SetFault(func(client, call string) memkv.Fault {
+					if cut && client == "n2" && call == "commit" {
+						return memkv.Refused
+					}
+					return memkv.None
+				})
+				time.Sleep(2 * time.Second)
+				if first.term.Leading() != cut || second.term.Leading() == cut {
+					t.Errorf("weak node plans: %v, strong node plans: %v", first.term.Leading(), second.term.Leading())
+				}
+			})
+		})
+	}
+}
+
 // TestYield has the planner give its place up: another node plans at once, and the
 // first one does not take the place back.
 func TestYield(t *testing.T) {
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -11,6 +11,9 @@
 	Region string
 	// IP is the node's address.
 	IP string
+	// Processors is what the node may use of the processors, in cores; 0 where the
+	// settings do not tell.
+	Processors float64
 	// Callers, Ready and Peers are addresses to listen on: for jobs, for the
 	// balancer's question whether the node takes callers, for other nodes.
 	Callers string
--- a/internal/term/election.go
+++ b/internal/term/election.go
@@ -17,6 +17,10 @@
 
 // campaign takes the leader's key where nobody has it.
 func (tm *Term) campaign(ctx context.Context) {
+	if wait := tm.deferral(); wait > 0 {
+		tm.clock.AfterFunc(wait, tm.kick)
+		return
+	}
 	tm.mu.Lock()
 	vacant := tm.loaded && tm.leaderAt == 0 && tm.lease != 0 && !tm.resigned && !tm.clock.Now().Before(tm.abstains)
 	el := joblog.Election{Node: tm.opts.Node, Peers: tm.opts.Peers, Number: tm.highest + 1, Nonce: tm.nonce}
@@ -51,15 +55,69 @@
 	}
 }
 
+// How a node with little of a processor leaves the planner's place to stronger ones.
+const (
+	// muchStronger is by what factor another node's share of a processor must be larger.
+	muchStronger = 1.5
+	// deferFor is how long the place is left to it: it hears of the vacancy as soon as
+	// this node does, and a candidacy takes a few ms.
+	deferFor = 300 * time.Millisecond
+	// giveWayEvery is the least time between two times that a planner gives way: the
+	// nodes of a rolling restart come back within it.
+	giveWayEvery = 10 * time.Second
+)
+
+// deferral returns how long to leave the planner's place to a stronger node.
+func (tm *Term) deferral() time.Duration {
+	tm.mu.Lock()
+	defer tm.mu.Unlock()
+	if tm.leaderAt > 0 || !tm.loaded {
+		return 0
+	}
+	if tm.stronger() == "" {
+		return 0
+	}
+	return tm.vacated.Add(deferFor).Sub(tm.clock.Now())
+}
+
+// stronger returns the name of a node with much more of a processor, or "". The caller
+// holds the lock.
+func (tm *Term) stronger() string {
+	for _, mb := range tm.members {
+		if mb.Processors > muchStronger*tm.opts.Processors {
+			return mb.Node
+		}
+	}
+	return ""
+}
+
+// giveWay has a node that plans, because no stronger one was listed, give its place up
+// when one is. It does so rarely: one that is listed may still be unable to plan.
+func (tm *Term) giveWay() {
+	tm.mu.Lock()
+	name := tm.stronger()
+	now := tm.clock.Now()
+	if tm.reign == nil || name == "" || !tm.gaveWay.IsZero() && now.Sub(tm.gaveWay) < giveWayEvery {
+		tm.mu.Unlock()
+		return
+	}
+	tm.gaveWay = now
+	tm.mu.Unlock()
+	go tm.yield("node "+name+" has more of a processor", 0)
+}
+
 // changed takes in changes of the members' keys.
 func (tm *Term) changed(items []kv.Item, reset bool) {
 	tm.mu.Lock()
 	for _, item := range items {
 		tm.take(item)
 	}
-	tm.loaded = tm.loaded || reset
+	if reset && !tm.loaded {
+		tm.loaded, tm.vacated = true, tm.clock.Now()
+	}
 	tm.mu.Unlock()
 	tm.follow()
+	tm.giveWay()
 	tm.kick()
 }
 
@@ -86,8 +144,8 @@
 
 func (tm *Term) takeLeader(item kv.Item) {
 	if item.Gone || item.Revision == 0 {
-		if item.Revision == 0 || item.Revision >= tm.leaderAt {
-			tm.leaderAt = 0
+		if tm.leaderAt > 0 && (item.Revision == 0 || item.Revision >= tm.leaderAt) {
+			tm.leaderAt, tm.vacated = 0, tm.clock.Now()
 		}
 		return
 	}
@@ -137,7 +195,7 @@
 		Token: rg.token, Number: tm.leader.Number, SinceProof: tm.sinceProof,
 		Proven: func() bool { return tm.sinceProof() < tm.opts.TTL },
 		Depose: func(reason string) { go tm.depose(reason) },
-		Yield:  func(reason string) { go tm.yield(reason) },
+		Yield:  func(reason string) { go tm.yield(reason, abstain) },
 	}
 	go func() {
 		defer close(rg.done)
@@ -168,11 +226,12 @@
 	<-rg.done
 }
 
-// abstain is how long a node is no candidate after it gave the planner's place up.
+// abstain is how long a node that was too slow to plan is no candidate.
 const abstain = 10 * time.Second
 
-// yield gives the planner's place up for another node, where there is one.
-func (tm *Term) yield(reason string) {
+// yield gives the planner's place up for another node, where there is one. This node is
+// no candidate for a time.
+func (tm *Term) yield(reason string, abstain time.Duration) {
 	tm.mu.Lock()
 	token, alone := tm.leaderAt, len(tm.members) < 2
 	mine := tm.reign != nil && tm.reign.token == token
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -26,6 +26,9 @@
 	Node  string
 	Peers string
 	Hall  string
+	// Processors is the node's share of a core; nodes with much less than others leave
+	// the planner's place to them.
+	Processors float64
 	// TTL of the lease: a planner that dies is replaced after that.
 	TTL time.Duration
 	// Lead is run while this node is the planner; it ends when its context does.
@@ -67,6 +70,8 @@
 	// leaderAt is the revision of the leader's key, 0 where there is no leader.
 	leaderAt uint64
 	loaded   bool
+	// vacated is when the planner's place was last seen to become free.
+	vacated time.Time
 	// highest is the highest number of a reign seen.
 	highest int
 	lease   uint64
@@ -81,6 +86,8 @@
 	resigned bool
 	// abstains is until when the node is no candidate.
 	abstains time.Time
+	// gaveWay is when it last gave the planner's place up to a stronger node.
+	gaveWay time.Time
 	reign    *reign
 	// latest is the last reign that began, ended or not.
 	latest *reign
