--- a/internal/planner/lead.go
+++ b/internal/planner/lead.go
@@ -77,9 +77,11 @@
 	pace     pace
 	batches  batches
 	dirty    bool
-	wake     chan struct{}
-	ctx      context.Context
-	group    sync.WaitGroup
+	// told is when the steps that wait were last logged.
+	told  time.Duration
+	wake  chan struct{}
+	ctx   context.Context
+	group sync.WaitGroup
 }
 
 func newLead(pt Parts, log logr.Logger, reign term.Reign) *lead {
@@ -183,6 +185,7 @@
 	ld.cell.Tick(now, time.Duration(ld.clock.Now().UnixNano()))
 	ld.settle(now)
 	ld.dirty = true
+	ld.tellWaits(now)
 	jobs, waiting, workers := ld.cell.Sizes()
 	ld.measures.gauge("planner.jobs", jobs)
 	ld.measures.gauge("planner.steps_waiting", waiting)
--- /dev/null
+++ b/internal/planner/waits.go
@@ -0,0 +1,26 @@
+package planner
+
+import "time"
+
+// Which waits are logged.
+const (
+	// waitsEvery is how often, waitsLeast from which age on: most steps start within a
+	// second, gangs within a few.
+	waitsEvery = 2 * time.Second
+	waitsLeast = 4 * time.Second
+	// waitsMost is how many at a time, the longest ones.
+	waitsMost = 5
+)
+
+// tellWaits logs what waits for long, and why. The caller holds the lock.
+func (ld *lead) tellWaits(now time.Duration) {
+	if now-ld.told < waitsEvery {
+		return
+	}
+	ld.told = now
+	for _, wt := range ld.cell.Waits(now, waitsLeast, waitsMost) {
+		ld.log.Info("Step waits.", "step", wt.Step.StepName(), "for", wt.For.String(), "tasks", wt.Tasks,
+			"placed", wt.Placed, "asking", wt.Asking, "asked", wt.Asked, "allowed", wt.Allowed, "room", wt.Room,
+			"kept_free", wt.Claimed)
+	}
+}
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -88,7 +88,7 @@
 	abstains time.Time
 	// gaveWay is when it last gave the planner's place up to a stronger node.
 	gaveWay time.Time
-	reign    *reign
+	reign   *reign
 	// latest is the last reign that began, ended or not.
 	latest *reign
 }
--- /dev/null
+++ b/policy/cell/waits.go
@@ -0,0 +1,57 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"tackbeam.example/policy/work"
+)
+
+// Wait is a step that has waited for long, with what it waits for.
+type Wait struct {
+	Step work.Task
+	// For is how long it has waited, Tasks how many of its tasks do, Placed how many are
+	// on workers or may be there.
+	For           time.Duration
+	Tasks, Placed int
+	// Asking is set while the advisor has a question about it. Asked and Allowed count
+	// the workers of which it has spoken, Room the tasks that those allowed could start.
+	Asking               bool
+	Asked, Allowed, Room int
+	// Claimed counts the workers that are kept free for it.
+	Claimed int
+}
+
+// Waits returns the steps that have waited longest, at most a number of them, and only
+// ones that have waited for a time.
+func (cl *Cell) Waits(now, least time.Duration, most int) []Wait {
+	var steps []*step
+	for st := range cl.open {
+		if st.waits > 0 && now-st.ready >= least {
+			steps = append(steps, st)
+		}
+	}
+	slices.SortFunc(steps, func(a, b *step) int {
+		return cmp.Or(cmp.Compare(a.ready, b.ready), cmp.Compare(a.round.job.spec.ID, b.round.job.spec.ID))
+	})
+	var list []Wait
+	for _, st := range steps[:min(most, len(steps))] {
+		list = append(list, cl.wait(now, st))
+	}
+	return list
+}
+
+func (cl *Cell) wait(now time.Duration, st *step) Wait {
+	wt := Wait{
+		Step:  work.Task{Job: st.round.job.spec.ID, Round: st.round.num, Step: st.num},
+		For:   now - st.ready,
+		Tasks: st.waits, Placed: len(st.tasks) - st.waits,
+		Asking: st.advice.asking, Asked: len(st.advice.verdicts), Allowed: len(st.advice.good),
+		Claimed: len(st.claims),
+	}
+	for cand := range cl.among(st, slices.Values(st.advice.good)) {
+		wt.Room += cand.room
+	}
+	return wt
+}
