--- a/policy/cell/gang.go
+++ b/policy/cell/gang.go
@@ -12,11 +12,8 @@
 	// claimAfter is how long a gang waits before workers are kept free for it: in
 	// that time about a seventh of the running tasks end by themselves.
 	claimAfter = 300 * time.Millisecond
-	// leastClaims is the number of gangs that workers are kept free for at one time in
-	// the smallest cell, workersAClaim how many workers of the cell each further one
-	// needs: a gang takes up to ten, so that at most about half are kept free.
-	leastClaims   = 3
-	workersAClaim = 16
+	// maxClaims is the number of gangs that workers are kept free for at one time.
+	maxClaims = 3
 	// claimEvery is how long a choice of workers stands: in that time few of the
 	// running tasks end, which take seconds.
 	claimEvery = 100 * time.Millisecond
@@ -159,7 +156,7 @@
 // claimLater keeps workers free for a gang that has waited for a while: the ones on
 // which its room comes free soonest.
 func (cl *Cell) claimLater(now time.Duration, st *step, claims *int) {
-	if now-st.ready < claimAfter || *claims >= cl.maxClaims() {
+	if now-st.ready < claimAfter || *claims >= maxClaims {
 		cl.unclaim(st)
 		return
 	}
@@ -186,9 +183,6 @@
 	}
 }
 
-// maxClaims is the number of gangs that workers are kept free for at one time.
-func (cl *Cell) maxClaims() int { return max(leastClaims, len(cl.workers)/workersAClaim) }
-
 // load is how much work a worker has before it is free, in core-seconds.
 func (cl *Cell) load(now time.Duration, wk *worker) float64 {
 	var sum float64
