Gangs ask about workers that have room now

Change: where the allowed ones have too little room now, it asks about ones that have.

Test: TestGangAsksWhereRoomIs.

--- a/policy/cell/advice.go
+++ b/policy/cell/advice.go
@@ -120,27 +120,39 @@
 	cl.question(st, names)
 }
 
-// askGang asks about workers for a gang, full ones too, those with most room first.
+// askGang asks about workers for a gang: full ones too, until those allowed would hold
+// it several times over, and then ones with room now, where those allowed have too
+// little. Workers with most left go first.
 func (cl *Cell) askGang(now time.Duration, st *step) {
 	if st.advice.asking || now < st.advice.again {
 		return
 	}
-	want := float64(len(st.tasks)) * gangSpare
-	for _, id := range st.advice.good {
-		if wk, ok := cl.workers[id]; ok && wk.shelf != nil && cl.may(st, wk) {
-			want -= float64(wk.Capacity.Holds(st.need()))
-		}
-	}
-	if want <= 0 {
-		return
+	share := cl.queue(st.round.job.spec.Queue.Name).good
+	capacity, room := cl.allowedRoom(st)
+	var names []string
+	if want := gangSpare*len(st.tasks) - capacity; want > 0 {
+		names = pick(st.advice.unasked(cl.wide(st)), float64(want), share, minAsked)
+	} else if short := len(st.tasks) - room; short > 0 {
+		names = pick(st.advice.unasked(cl.roomy(st)), askSpare*float64(short), share, minAsked)
 	}
-	names := pick(st.advice.unasked(cl.wide(st)), want, cl.queue(st.round.job.spec.Queue.Name).good, minAsked)
 	if len(names) == 0 {
-		st.advice.again = now + askPause // all workers were asked about
+		st.advice.again = now + askPause // there is none to ask about
 	}
 	cl.question(st, names)
 }
 
+// allowedRoom returns how many tasks of the step the workers that it may run on would
+// hold if they were empty, and how many they could start now.
+func (cl *Cell) allowedRoom(st *step) (capacity, room int) {
+	for _, id := range st.advice.good {
+		if wk, ok := cl.workers[id]; ok && wk.shelf != nil && cl.may(st, wk) {
+			capacity += wk.Capacity.Holds(st.need())
+			room += max(cl.room(st, wk), 0)
+		}
+	}
+	return capacity, room
+}
+
 // pick names workers until the room expected of the allowed ones suffices.
 func pick(cands iter.Seq[candidate], want, share float64, least int) []string {
 	var names []string
--- a/policy/cell/shelf.go
+++ b/policy/cell/shelf.go
@@ -116,6 +116,26 @@
 	}
 }
 
+// roomy yields the workers that could start a task of the step now, those with most
+// left first.
+func (cl *Cell) roomy(st *step) iter.Seq[candidate] {
+	return func(yield func(candidate) bool) {
+		sh, ok := cl.shelves[cl.service(st)]
+		if !ok {
+			return
+		}
+		for _, wk := range slices.Backward(sh.workers[sh.from(st.need().Processors()):]) {
+			cl.looks++
+			if !st.labelled(wk) {
+				continue
+			}
+			if room := cl.room(st, wk); room > 0 && !yield(candidate{wk, room}) {
+				return
+			}
+		}
+	}
+}
+
 // among yields those of the named workers that could start a task of the step now.
 func (cl *Cell) among(st *step, ids iter.Seq[string]) iter.Seq[candidate] {
 	return func(yield func(candidate) bool) {
