--- a/policy/cell/advice_test.go
+++ b/policy/cell/advice_test.go
@@ -44,3 +44,46 @@
 		is.True(!asked[id])
 	}
 }
+
+// TestClaimTakesWhatEndsSoonest has two workers with one task each that ends soon and
+// one that does not. A gang waits for the two that end soon, and tasks with time to
+// spare do not take their room meanwhile.
+func TestClaimTakesWhatEndsSoonest(t *testing.T) {
+	is := is.New(t)
+	cl := crowd(2)
+	half := size.New(30000, 100, 0)
+	plain := work.Queue{Name: "q", Service: "svc", Attempts: 3, Priority: 1, Stretch: 2}
+	patient := work.Queue{Name: "p", Service: "svc", Attempts: 3, Priority: 2, Stretch: 9}
+	submit(cl, "soon", work.Step{Count: 2, Need: half, PerWorker: 1, Estimate: time.Second}, plain)
+	submit(cl, "late", work.Step{Count: 2, Need: half, PerWorker: 1, Estimate: time.Minute}, plain)
+	cl.Plan(0)
+	running := cl.Take().Starts
+	is.Equal(len(running), 4)
+	for _, sr := range running {
+		cl.Started(0, sr)
+	}
+	submit(cl, "gang", work.Step{Count: 2, Gang: true, Need: half, Estimate: time.Second}, plain)
+	submit(cl, "patient", work.Step{Count: 9, Need: half, Estimate: time.Second}, patient)
+	// The tasks that end soon do so one after the other.
+	now := time.Second
+	for _, sr := range running {
+		if sr.Task.Job != "soon" {
+			continue
+		}
+		cl.Plan(now)
+		is.Equal(len(cl.Take().Starts), 0)
+		now += 100 * time.Millisecond
+		var still []cell.Run
+		for _, other := range running {
+			if other.Worker == sr.Worker && other.Task != sr.Task {
+				still = append(still, cell.Run{Task: other.Task, Number: other.Run, Percent: 1})
+			}
+		}
+		cl.Report(now, sr.Worker, now, still, []cell.End{{Seq: 1, Run: cell.Run{Task: sr.Task, Number: sr.Run}, Result: cell.ResultDone}})
+	}
+	cl.Plan(now)
+	for _, sr := range cl.Take().Starts {
+		is.Equal(sr.Task.Job, "gang")
+	}
+	is.Equal(cl.Waits(now, 0, 9)[0].Step.Job, "patient")
+}
--- a/policy/cell/gang.go
+++ b/policy/cell/gang.go
@@ -7,18 +7,6 @@
 	"time"
 )
 
-// Limits of the room that is kept free for gangs that wait.
-const (
-	// claimAfter is how long a gang waits before workers are kept free for it: in
-	// that time about a seventh of the running tasks end by themselves.
-	claimAfter = 300 * time.Millisecond
-	// maxClaims is the number of gangs that workers are kept free for at one time.
-	maxClaims = 3
-	// claimEvery is how long a choice of workers stands: in that time few of the
-	// running tasks end, which take seconds.
-	claimEvery = 100 * time.Millisecond
-)
-
 // planGang places all tasks of a gang, or none.
 func (cl *Cell) planGang(now time.Duration, st *step, claims *int) {
 	if !st.round.job.spec.Queue.Advised {
@@ -126,69 +114,3 @@
 	}
 	return 0
 }
-
-// claim keeps workers free for a gang.
-func (cl *Cell) claim(st *step, chosen []candidate) {
-	cl.unclaim(st)
-	for _, cand := range chosen {
-		if cand.worker.claim == nil {
-			cand.worker.claim = st
-			st.claims = append(st.claims, cand.worker)
-		}
-	}
-}
-
-func (cl *Cell) unclaim(st *step) {
-	for _, wk := range st.claims {
-		if wk.claim == st {
-			wk.claim = nil
-		}
-	}
-	st.claims = nil
-}
-
-func (cl *Cell) dropClaim(wk *worker) {
-	if wk.claim != nil {
-		cl.unclaim(wk.claim)
-	}
-}
-
-// claimLater keeps workers free for a gang that has waited for a while: the ones on
-// which its room comes free soonest.
-func (cl *Cell) claimLater(now time.Duration, st *step, claims *int) {
-	if now-st.ready < claimAfter || *claims >= maxClaims {
-		cl.unclaim(st)
-		return
-	}
-	*claims++
-	if len(st.claims) > 0 && now-st.claimed < claimEvery {
-		return
-	}
-	st.claimed = now
-	var cands []candidate
-	for cand := range cl.wide(st) {
-		if wk := cand.worker; (wk.claim == nil || wk.claim == st) && st.advice.trusts(st, wk) {
-			cands = append(cands, cand)
-		}
-	}
-	slices.SortFunc(cands, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(cl.load(now, a.worker), cl.load(now, b.worker)), cmp.Compare(a.worker.ID, b.worker.ID))
-	})
-	left := len(st.tasks)
-	for at, cand := range cands {
-		if left -= cand.room; left <= 0 {
-			cl.claim(st, cands[:at+1])
-			return
-		}
-	}
-}
-
-// load is how much work a worker has before it is free, in core-seconds.
-func (cl *Cell) load(now time.Duration, wk *worker) float64 {
-	var sum float64
-	for _, pl := range wk.places {
-		rest := max(cl.expect(pl.task.step)-(now-pl.since), 0)
-		sum += rest.Seconds() * float64(pl.need.Processors())
-	}
-	return sum
-}
--- a/policy/cell/job.go
+++ b/policy/cell/job.go
@@ -44,7 +44,7 @@
 	// fails are the gang's failed runs.
 	fails  []int
 	advice advice
-	// claims are the workers that the gang keeps free for itself.
+	// claims are the workers on which room is kept free for the gang.
 	claims []*worker
 	// claimed is when they were chosen.
 	claimed time.Duration
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -160,10 +160,11 @@
 
 // room returns how many tasks of the step a worker could start now.
 func (cl *Cell) room(st *step, wk *worker) int {
+	free := wk.Capacity.Sub(wk.used)
 	if wk.claim != nil && wk.claim != st && !st.urgent() {
-		return 0
+		free = free.Sub(wk.kept)
 	}
-	count := wk.Capacity.Sub(wk.used).Holds(st.need())
+	count := free.Holds(st.need())
 	if st.def.PerWorker > 0 {
 		count = min(count, st.def.PerWorker-st.on(wk))
 	}
--- a/policy/cell/worker.go
+++ b/policy/cell/worker.go
@@ -24,8 +24,9 @@
 	// rest keeps new runs off a worker on which they fail.
 	rest  time.Duration
 	fails int
-	// claim is the gang that keeps the worker free.
+	// claim is the gang that room is kept free for, kept is how much of it.
 	claim *step
+	kept  size.Size
 	// first is when it first reported to this planner, reported when it last did.
 	first, reported time.Duration
 	// paced is when its fillers were last slowed or let go.
