Steps with time to spare leave room to gangs

Change: while a gang that can be in time lacks room on crowded workers, steps that have more than 9 s to spare wait.

--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -21,11 +21,17 @@
 func (cl *Cell) Plan(now time.Duration) {
 	cl.shelve(now)
 	claims := 0
+	short := map[string]bool{} // services with gangs that lack room
 	for _, rd := range cl.byRank(now) {
-		if rd.step.def.Gang {
-			cl.planGang(now, rd.step, &claims)
-		} else {
-			cl.planTasks(now, rd.step)
+		st, service := rd.step, cl.service(rd.step)
+		switch {
+		case st.def.Gang:
+			cl.planGang(now, st, &claims)
+			short[service] = short[service] || cl.lacksRoom(now, rd)
+		case short[service] && rd.patient(now):
+			// it leaves the room that comes free to the gangs
+		default:
+			cl.planTasks(now, st)
 		}
 	}
 }
