Relay requests through other nodes while the store turns one away

Change: a node that is cut off passes jobs, cancels and questions on to at most two other nodes. One of them takes the queue's settings from its own configuration. A request that was sent and not answered is not sent again, and answered as unknown.

Tests: relay.TestDo, cellnode.TestCutOffNode (fails without the relay).

--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -23,6 +23,7 @@
 	"tackbeam.example/tackbeam/internal/mirror"
 	"tackbeam.example/tackbeam/internal/peerlink"
 	"tackbeam.example/tackbeam/internal/planner"
+	"tackbeam.example/tackbeam/internal/relay"
 	"tackbeam.example/tackbeam/internal/routes"
 	"tackbeam.example/tackbeam/internal/site"
 	"tackbeam.example/tackbeam/internal/term"
@@ -72,6 +73,7 @@
 	planner *planner.Planner
 	link    *peerlink.Link
 	pool    *advisor.Pool
+	relay   *relay.Relay
 
 	stopping chan struct{}
 }
@@ -100,6 +102,7 @@
 	nd.pool = advisor.New(advisor.Parts{
 		Clock: clock, Node: ad.Site.Node, Members: nd.term.Members, Local: nd.advise, Call: nd.link.Call,
 	})
+	nd.relay = &relay.Relay{Node: ad.Site.Node, Members: nd.term.Members, Call: nd.link.Call}
 	nd.planner = planner.New(planner.Parts{
 		Clock: clock, Log: log, Store: st, Agents: ad.Agents, Site: ad.Site, Meters: nd.meters,
 		WorkersPrefix: ad.WorkersPrefix, DecodeWorker: ad.DecodeWorker,
@@ -213,29 +216,54 @@
 }
 
 // Submit accepts a job.
-func (nd *Node) Submit(ctx context.Context, jb *work.Job) error { return nd.intake.Submit(ctx, jb) }
+func (nd *Node) Submit(ctx context.Context, jb *work.Job) error {
+	_, err := nd.serve(ctx, peerlink.Request{Submit: jb})
+	return err
+}
 
 // Cancel accepts a cancel.
-func (nd *Node) Cancel(ctx context.Context, id string) error { return nd.intake.Cancel(ctx, id) }
+func (nd *Node) Cancel(ctx context.Context, id string) error {
+	_, err := nd.serve(ctx, peerlink.Request{Cancel: id})
+	return err
+}
 
 // State asks the planner for a job's phase.
 func (nd *Node) State(ctx context.Context, id string) (cell.Phase, error) {
-	if nd.term.Leading() {
-		return nd.planner.State(id)
-	}
-	reply, err := nd.ask(ctx, peerlink.Request{State: id})
+	reply, err := nd.serve(ctx, peerlink.Request{State: id})
 	return reply.Phase, err
 }
 
 // Pending asks the planner how many jobs of a queue have not begun.
 func (nd *Node) Pending(ctx context.Context, queue string) (int, error) {
-	if nd.term.Leading() {
-		return nd.planner.Pending(queue)
-	}
-	reply, err := nd.ask(ctx, peerlink.Request{Pending: queue})
+	reply, err := nd.serve(ctx, peerlink.Request{Pending: queue})
 	return reply.Pending, err
 }
 
+// serve answers a caller's request, through another node while this one is cut off from
+// the store.
+func (nd *Node) serve(ctx context.Context, rq peerlink.Request) (peerlink.Reply, error) {
+	if nd.health.Down() {
+		if reply, ok, err := nd.relay.Do(ctx, rq); ok {
+			metrics.GetOrRegisterCounter("callers.relayed", nd.meters).Inc(1)
+			return reply, err
+		}
+	}
+	return nd.answer(ctx, rq)
+}
+
+// answer answers a caller's request by what this node can do.
+func (nd *Node) answer(ctx context.Context, rq peerlink.Request) (peerlink.Reply, error) {
+	switch {
+	case rq.Submit != nil:
+		return peerlink.Reply{}, nd.intake.Submit(ctx, rq.Submit)
+	case rq.Cancel != "":
+		return peerlink.Reply{}, nd.intake.Cancel(ctx, rq.Cancel)
+	case nd.term.Leading():
+		return nd.fromPlanner(rq)
+	}
+	return nd.ask(ctx, rq)
+}
+
 // askTimeout bounds a question to the planner: it answers from memory.
 const askTimeout = 500 * time.Millisecond
 
@@ -251,6 +279,32 @@
 
 // handle answers other nodes.
 func (nd *Node) handle(ctx context.Context, rq peerlink.Request) (peerlink.Reply, error) {
+	switch {
+	case rq.Relayed:
+		rq.Relayed = false
+		return nd.handleRelayed(ctx, rq)
+	case rq.Advise != nil:
+		answer, err := nd.advise(ctx, *rq.Advise)
+		return peerlink.Reply{Tickets: answer.Tickets, Valid: answer.Valid}, err
+	}
+	return nd.fromPlanner(rq)
+}
+
+// handleRelayed answers a request of another node's caller. The other node's
+// configuration may be old, so a job gets the queue's settings of this one.
+func (nd *Node) handleRelayed(ctx context.Context, rq peerlink.Request) (peerlink.Reply, error) {
+	if rq.Submit != nil {
+		qu, ok := nd.table.Queue(rq.Submit.Queue.Name)
+		if !ok {
+			return peerlink.Reply{}, fault.New(fault.Unavailable, "no queue %s here; not run", rq.Submit.Queue.Name)
+		}
+		rq.Submit.Queue = qu
+	}
+	return nd.answer(ctx, rq)
+}
+
+// fromPlanner answers questions for the planner, where this node is it.
+func (nd *Node) fromPlanner(rq peerlink.Request) (peerlink.Reply, error) {
 	switch {
 	case rq.State != "":
 		phase, err := nd.planner.State(rq.State)
@@ -258,9 +312,6 @@
 	case rq.Pending != "":
 		count, err := nd.planner.Pending(rq.Pending)
 		return peerlink.Reply{Pending: count}, err
-	case rq.Advise != nil:
-		answer, err := nd.advise(ctx, *rq.Advise)
-		return peerlink.Reply{Tickets: answer.Tickets, Valid: answer.Valid}, err
 	}
 	return peerlink.Reply{}, fault.New(fault.BadRequest, "request asks for nothing")
 }
--- /dev/null
+++ b/internal/cellnode/cellnode_test.go
@@ -0,0 +1,139 @@
+package cellnode_test
+
+import (
+	"context"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/size"
+	"tackbeam.example/policy/work"
+
+	"tackbeam.example/tackbeam/internal/cellnode"
+	"tackbeam.example/tackbeam/internal/fault"
+	"tackbeam.example/tackbeam/internal/kv"
+	"tackbeam.example/tackbeam/internal/planner"
+	"tackbeam.example/tackbeam/internal/routes"
+	"tackbeam.example/tackbeam/internal/site"
+	"tackbeam.example/tackbeam/internal/standin/memkv"
+	"tackbeam.example/tackbeam/internal/standin/memworkers"
+)
+
+const (
+	workersPrefix = "workers/"
+	configKey     = "config"
+)
+
+// queue is the only one; each entry of the configuration's value names a version.
+var queue = work.Queue{Name: "q", Service: "svc", Attempts: 3, Stretch: 2}
+
+// deployment is some nodes on one store and one fleet.
+type deployment struct {
+	t     *testing.T
+	store *memkv.Store
+	fleet *memworkers.Fleet
+}
+
+func newDeployment(t *testing.T) *deployment {
+	clock := clockwork.NewRealClock()
+	const run = 50 * time.Millisecond
+	dp := &deployment{t: t, store: memkv.New(clock), fleet: memworkers.New(clock, run)}
+	dp.fleet.Add("w1")
+	dp.store.Set(workersPrefix+"w1", nil)
+	dp.store.Set(configKey, []byte("1"))
+	return dp
+}
+
+// start starts a node that reaches others at a port given by the kernel.
+func (dp *deployment) start(name string) *cellnode.Node {
+	dp.t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		dp.t.Fatal(err)
+	}
+	peers := ln.Addr().String()
+	if err := ln.Close(); err != nil {
+		dp.t.Fatal(err)
+	}
+	nd := cellnode.New(clockwork.NewRealClock(), logr.Discard(), cellnode.Adapter{
+		Site:  &site.Site{Node: name, Peers: peers, Writes: 400, Bounds: site.Bounds{KeepEnded: time.Minute}},
+		Store: dp.store.Client(name), Agents: dp.fleet.Agents(),
+		WorkersPrefix: workersPrefix, ConfigKey: configKey,
+		DecodeWorker: func(item kv.Item) (planner.Entry, error) {
+			return planner.Entry{Worker: cell.Worker{
+				ID: strings.TrimPrefix(item.Key, workersPrefix), Service: "svc", Capacity: size.New(8000, 8000, 0),
+			}}, nil
+		},
+		DecodeConfig: func(item kv.Item) (*routes.Config, error) {
+			return &routes.Config{Version: item.Revision, Routes: []routes.Route{{Host: "h", Prefix: "/", Queue: queue}}}, nil
+		},
+	})
+	for _, sv := range nd.Services() {
+		if err := sv.Start(dp.t.Context()); err != nil {
+			dp.t.Fatal(err)
+		}
+		dp.t.Cleanup(func() {
+			if err := sv.Stop(context.Background()); err != nil {
+				dp.t.Error(err)
+			}
+		})
+	}
+	dp.until("node "+name+" is ready", func() bool { return nd.Ready() == nil })
+	return nd
+}
+
+// until waits for something that must come, without a bound but the test's own.
+func (dp *deployment) until(what string, reached func() bool) {
+	dp.t.Helper()
+	const step = 10 * time.Millisecond
+	for !reached() {
+		select {
+		case <-dp.t.Context().Done():
+			dp.t.Fatalf("test ends before %s", what)
+		case <-time.After(step):
+		}
+	}
+}
+
+// TestCutOffNode cuts one node off from the store: its callers' jobs are accepted
+// through the other node, and it still tells what became of them. Once both are cut
+// off, jobs are refused as surely not run.
+func TestCutOffNode(t *testing.T) {
+	is := is.New(t)
+	dp := newDeployment(t)
+	first, second := dp.start("n1"), dp.start("n2")
+	job := func(id string) *work.Job {
+		return &work.Job{ID: id, Spec: id, Queue: queue, Steps: []work.Step{{Count: 1, Need: size.New(1000, 1000, 0)}}}
+	}
+	is.NoErr(second.Submit(t.Context(), job("before")))
+	cut := map[string]bool{"n2": true}
+	dp.store.SetFault(func(client, _ string) memkv.Fault {
+		if cut[client] {
+			return memkv.Refused
+		}
+		return memkv.None
+	})
+	dp.until("the second node sees that it is cut off", func() bool { return second.Ready() != nil })
+	is.NoErr(second.Submit(t.Context(), job("after")))
+	is.NoErr(second.Cancel(t.Context(), "before"))
+	dp.until("the job that was relayed succeeds", func() bool {
+		phase, err := second.State(t.Context(), "after")
+		return err == nil && phase == cell.Succeeded
+	})
+
+	both := map[string]bool{"n1": true, "n2": true}
+	dp.store.SetFault(func(client, _ string) memkv.Fault {
+		if both[client] {
+			return memkv.Refused
+		}
+		return memkv.None
+	})
+	dp.until("the first node sees it too", func() bool { return first.Ready() != nil })
+	is.True(fault.Is(second.Submit(t.Context(), job("never")), fault.Unavailable)) // surely not run
+}
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -13,12 +13,13 @@
 	"github.com/valyala/fasthttp"
 
 	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/work"
 
 	"tackbeam.example/tackbeam/internal/fault"
 	"tackbeam.example/tackbeam/internal/httpcall"
 )
 
-// Request is a call to another node; one field is set.
+// Request is a call to another node; one field is set, beside Relayed.
 type Request struct {
 	// State asks for the phase of a job.
 	State string `cbor:"1,keyasint,omitempty"`
@@ -26,8 +27,16 @@
 	Pending string `cbor:"2,keyasint,omitempty"`
 	// Advise asks the node to put a question to the advisor.
 	Advise *cell.Question `cbor:"3,keyasint,omitempty"`
+	// Submit is a job to accept, Cancel the id of a job to cancel.
+	Submit *work.Job `cbor:"4,keyasint,omitempty"`
+	Cancel string    `cbor:"5,keyasint,omitempty"`
+	// Relayed has the node answer as it would answer a caller of its own.
+	Relayed bool `cbor:"6,keyasint,omitempty"`
 }
 
+// writes reports whether a request that gets no answer may have changed something.
+func (rq *Request) writes() bool { return rq.Submit != nil || rq.Cancel != "" }
+
 // Reply is the answer to a request.
 type Reply struct {
 	Phase   cell.Phase    `cbor:"1,keyasint,omitempty"`
@@ -38,6 +47,15 @@
 	Fault *fault.Error  `cbor:"5,keyasint,omitempty"`
 }
 
+// unanswered is the kind of a call's error without an answer: Timeout where it may have
+// been carried out.
+func (rq *Request) unanswered(err error) fault.Kind {
+	if rq.writes() && !errors.Is(err, httpcall.ErrUnsent) {
+		return fault.Timeout
+	}
+	return fault.Unavailable
+}
+
 // path of all calls.
 const path = "/peer"
 
@@ -110,11 +128,11 @@
 	}
 	res, err := li.calls.Do(ctx, httpcall.Request{Method: fasthttp.MethodPost, Address: address, Path: path, Body: raw, Polls: true})
 	if err != nil {
-		return Reply{}, fault.New(fault.Unavailable, "node %s did not answer: %v", address, err)
+		return Reply{}, fault.New(rq.unanswered(err), "node %s did not answer: %v", address, err)
 	}
 	var reply Reply
 	if err := cbor.Unmarshal(res.Body, &reply); err != nil {
-		return Reply{}, fault.New(fault.Unavailable, "node %s answered %d: %v", address, res.Status, err)
+		return Reply{}, fault.New(rq.unanswered(err), "node %s answered %d: %v", address, res.Status, err)
 	}
 	if reply.Fault != nil {
 		return Reply{}, reply.Fault
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,66 @@
+package relay_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"tackbeam.example/tackbeam/internal/fault"
+	"tackbeam.example/tackbeam/internal/joblog"
+	"tackbeam.example/tackbeam/internal/peerlink"
+	"tackbeam.example/tackbeam/internal/relay"
+)
+
+// TestDo passes a request on to nodes that answer as the case says, one after the other.
+func TestDo(t *testing.T) {
+	refused := fault.New(fault.Unavailable, "the store is away")
+	unknown := fault.New(fault.Timeout, "no answer")
+	notThere := fault.New(fault.NotFound, "no such job")
+	tests := map[string]struct {
+		nodes   int
+		answers []error
+		calls   int
+		done    bool
+		want    fault.Kind
+	}{
+		"first node takes it":                    {nodes: 4, answers: []error{nil}, calls: 1, done: true},
+		"second node takes it":                   {nodes: 4, answers: []error{refused, nil}, calls: 2, done: true},
+		"nobody can":                             {nodes: 4, answers: []error{refused, refused}, calls: 2},
+		"without an answer it may have been":     {nodes: 4, answers: []error{unknown}, calls: 1, done: true, want: fault.Timeout},
+		"an answer that is a fault is passed on": {nodes: 4, answers: []error{notThere}, calls: 1, done: true, want: fault.NotFound},
+		"no other node":                          {nodes: 1},
+		"one other node, and it cannot":          {nodes: 2, answers: []error{refused}, calls: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			calls := 0
+			re := relay.Relay{
+				Node: "a",
+				Members: func() []joblog.Member {
+					list := []joblog.Member{{Node: "a", Peers: "a"}, {Node: "b", Peers: "b"}, {Node: "c", Peers: "c"}, {Node: "d", Peers: "d"}}
+					return list[:tt.nodes]
+				},
+				Call: func(_ context.Context, address string, rq peerlink.Request) (peerlink.Reply, error) {
+					is.True(address != "a") // a node does not ask itself
+					is.True(rq.Relayed)
+					calls++
+					if err := tt.answers[calls-1]; err != nil {
+						return peerlink.Reply{}, err
+					}
+					return peerlink.Reply{Pending: 7}, nil
+				},
+			}
+			reply, done, err := re.Do(t.Context(), peerlink.Request{Pending: "q"})
+			is.Equal(calls, tt.calls)
+			is.Equal(done, tt.done)
+			if tt.want != "" {
+				is.True(fault.Is(err, tt.want))
+			} else if tt.done {
+				is.NoErr(err)
+				is.Equal(reply.Pending, 7)
+			}
+		})
+	}
+}
