Have the test of a weak node refuse the strong one's candidacy from its start

Cause: TestWeakNodeGivesWay failed once in some runs: the refusal began 20 ms after the strong node did, as its candidacy went out.

--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -364,14 +364,17 @@
 				defer bd.end()
 				first := bd.addNodeOf("n1", weak)
 				time.Sleep(time.Second)
-				second := bd.addNodeOf("n2", strong)
-				time.Sleep(20 * time.Millisecond)
+				commits := 0
 				bd.store.SetFault(func(client, call string) memkv.Fault {
-					if cut && client == "n2" && call == "commit" {
+					if client == "n2" && call == "commit" {
+						commits++
+					}
+					if cut && client == "n2" && call == "commit" && commits > 1 { // the first one lists it
 						return memkv.Refused
 					}
 					return memkv.None
 				})
+				second := bd.addNodeOf("n2", strong)
 				time.Sleep(2 * time.Second)
 				if first.term.Leading() != cut || second.term.Leading() == cut {
 					t.Errorf("weak node plans: %v, strong node plans: %v", first.term.Leading(), second.term.Leading())
@@ -381,6 +384,31 @@
 	}
 }
 
+// TestPlannerRestarts has the planner's process die and start again at once: it knows
+// that its earlier incarnation is dead, and does not wait for the lease's time.
+func TestPlannerRestarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bd := newBed(t, time.Second, "w1", "w2")
+		defer bd.end()
+		first := bd.addNode("n1")
+		time.Sleep(100 * time.Millisecond)
+		bd.addNode("n2")
+		bd.submit(first, "a", 4)
+		time.Sleep(200 * time.Millisecond)
+		first.cancel()
+		time.Sleep(100 * time.Millisecond)
+		again := bd.addNode("n1")
+		time.Sleep(200 * time.Millisecond)
+		if !again.term.Leading() {
+			t.Error("the node that started again does not plan")
+		}
+		bd.await("a", cell.Succeeded, 3*time.Second)
+		if starts := len(bd.fleet.Starts()); starts != 4 {
+			t.Errorf("%d starts of 4 tasks", starts)
+		}
+	})
+}
+
 // TestYield has the planner give its place up: another node plans at once, and the
 // first one does not take the place back.
 func TestYield(t *testing.T) {
