Let a planner that starts again take its own place at once

Change: a node may take the leader's key from an earlier incarnation of itself, under the condition that the key is unchanged. The new key's revision is the higher token as ever.

--- a/internal/term/election.go
+++ b/internal/term/election.go
@@ -15,14 +15,16 @@
 // again: the store answers in 4 ms.
 const campaignHedge = 60 * time.Millisecond
 
-// campaign takes the leader's key where nobody has it.
+// campaign takes the leader's key where nobody has it, or where an earlier incarnation of
+// this node has: that one is dead, since its addresses are this process's now.
 func (tm *Term) campaign(ctx context.Context) {
 	if wait := tm.deferral(); wait > 0 {
 		tm.clock.AfterFunc(wait, tm.kick)
 		return
 	}
 	tm.mu.Lock()
-	vacant := tm.loaded && tm.leaderAt == 0 && tm.lease != 0 && !tm.resigned && !tm.clock.Now().Before(tm.abstains)
+	held := tm.leaderAt // by the earlier incarnation, 0 where nobody has it
+	vacant := tm.loaded && (held == 0 || tm.inherits()) && tm.lease != 0 && !tm.resigned && !tm.clock.Now().Before(tm.abstains)
 	el := joblog.Election{Node: tm.opts.Node, Peers: tm.opts.Peers, Number: tm.highest + 1, Nonce: tm.nonce}
 	lease := tm.lease
 	tm.mu.Unlock()
@@ -37,7 +39,7 @@
 	call, cancel := context.WithTimeout(ctx, tm.opts.TTL/2)
 	defer cancel()
 	revision, items, err := tm.store.Settle(call, kv.Settling{Clock: tm.clock, Hedge: campaignHedge}, kv.Txn{
-		Conditions: []kv.Condition{{Key: joblog.Leader}},
+		Conditions: []kv.Condition{{Key: joblog.Leader, Revision: held}},
 		Puts: []kv.Put{
 			{Key: joblog.Leader, Value: raw, Lease: lease},
 			{Key: joblog.Reigns, Value: []byte(strconv.Itoa(el.Number))},
@@ -55,6 +57,12 @@
 	}
 }
 
+// inherits reports whether the planner is an earlier incarnation of this node. The caller
+// holds the lock.
+func (tm *Term) inherits() bool {
+	return tm.leader.Node == tm.opts.Node && tm.leader.Nonce != tm.nonce
+}
+
 // How a node with little of a processor leaves the planner's place to stronger ones.
 const (
 	// muchStronger is by what factor another node's share of a processor must be larger.
