Questions to the advisor name as many workers as are worth its time

From 56 s on 244 questions in 4 s took 208 node-seconds. Each costs 0.54 s however few workers it names, and many named 5.

Change: a question names at least as many workers as take half of that time. Step waits: tasks that are done no longer count as placed.

Test: TestQuestionsAreWorthTheirTime.

--- a/policy/cell/advice.go
+++ b/policy/cell/advice.go
@@ -92,7 +92,7 @@
 	names := pick(slices.Values(known), float64(short), 1, 1)
 	if len(names) == 0 {
 		share := cl.queue(st.round.job.spec.Queue.Name).good
-		names = pick(st.advice.unasked(cl.tight(st)), float64(short)*askSpare, share, minAsked)
+		names = pick(st.advice.unasked(cl.tight(st)), float64(short)*askSpare, share, leastAsked(st))
 	}
 	cl.question(st, names)
 }
@@ -131,9 +131,9 @@
 	capacity, room := cl.allowedRoom(st)
 	var names []string
 	if want := gangSpare*len(st.tasks) - capacity; want > 0 {
-		names = pick(st.advice.unasked(cl.wide(st)), float64(want), share, minAsked)
+		names = pick(st.advice.unasked(cl.wide(st)), float64(want), share, leastAsked(st))
 	} else if short := len(st.tasks) - room; short > 0 {
-		names = pick(st.advice.unasked(cl.roomy(st)), askSpare*float64(short), share, minAsked)
+		names = pick(st.advice.unasked(cl.roomy(st)), askSpare*float64(short), share, leastAsked(st))
 	}
 	if len(names) == 0 {
 		st.advice.again = now + askPause // there is none to ask about
@@ -153,6 +153,18 @@
 	return capacity, room
 }
 
+// leastAsked is the fewest workers that a question about a step names where there are
+// more: as many as take half of the time that the question takes anyway, since the
+// advisor's time runs out before its knowledge does.
+func leastAsked(st *step) int {
+	qu := st.round.job.spec.Queue
+	if qu.AdviceEach <= 0 {
+		return minAsked
+	}
+	const half = 2
+	return min(max(minAsked, int(qu.AdviceBase/qu.AdviceEach)/half), maxAsked)
+}
+
 // pick names workers until the room expected of the allowed ones suffices.
 func pick(cands iter.Seq[candidate], want, share float64, least int) []string {
 	var names []string
--- a/policy/cell/advice_test.go
+++ b/policy/cell/advice_test.go
@@ -87,3 +87,30 @@
 	}
 	is.Equal(cl.Waits(now, 0, 9)[0].Step.Job, "patient")
 }
+
+// TestQuestionsAreWorthTheirTime checks how many workers a question for one task names:
+// a few, or as many as take half of the time that each question takes anyway.
+func TestQuestionsAreWorthTheirTime(t *testing.T) {
+	tests := map[string]struct {
+		base, each time.Duration
+		want       int
+	}{
+		"no cost":          {want: 5},
+		"cheap question":   {base: 5 * time.Millisecond, each: time.Millisecond, want: 5},
+		"costly question":  {base: 540 * time.Millisecond, each: 9 * time.Millisecond, want: 30},
+		"costly, few each": {base: time.Second, each: time.Millisecond, want: 100},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			cl := crowd(200)
+			submit(cl, "job", work.Step{Count: 1, Need: size.New(1000, 100, 0)}, work.Queue{
+				Name: "q", Service: "svc", Attempts: 3, Advised: true, Priority: 1, AdviceBase: tt.base, AdviceEach: tt.each,
+			})
+			cl.Plan(0)
+			questions := cl.Take().Questions
+			is.Equal(len(questions), 1)
+			is.Equal(len(questions[0].Workers), tt.want)
+		})
+	}
+}
--- a/policy/cell/waits.go
+++ b/policy/cell/waits.go
@@ -11,8 +11,8 @@
 // Wait is a step that has waited for long, with what it waits for.
 type Wait struct {
 	Step work.Task
-	// For is how long it has waited, Tasks how many of its tasks do, Placed how many are
-	// on workers or may be there.
+	// For is how long ago it became ready, Tasks how many of its tasks wait, Placed how
+	// many are on workers or may be there.
 	For           time.Duration
 	Tasks, Placed int
 	// Asking is set while the advisor has a question about it. Asked and Allowed count
@@ -46,7 +46,7 @@
 	wt := Wait{
 		Step:  work.Task{Job: st.round.job.spec.ID, Round: st.round.num, Step: st.num},
 		For:   now - st.ready,
-		Tasks: st.waits, Placed: len(st.tasks) - st.waits,
+		Tasks: st.waits, Placed: st.left - st.waits,
 		Asking: st.advice.asking, Asked: len(st.advice.verdicts), Allowed: len(st.advice.good),
 		Claimed: len(st.claims),
 	}
