--- a/internal/advisor/advisor.go
+++ b/internal/advisor/advisor.go
@@ -55,8 +55,11 @@
 	// any other is: the longest questions take a second.
 	longest = 2500 * time.Millisecond
 	patient = 300 * time.Millisecond
-	// reserved says which part of the nodes is left to urgent questions: one in three.
-	reserved = 3
+	// reserved says which part of the nodes is left to urgent questions: one in three, and
+	// mostReserved how many at most: 250 such questions a second of 12 ms each, which the
+	// largest site asks, keep three busy.
+	reserved     = 3
+	mostReserved = 6
 )
 
 // Advise asks the advisor from the node that is free soonest.
@@ -87,7 +90,7 @@
 	nodes := po.nodes()
 	most := longest
 	if !qn.Urgent {
-		nodes = nodes[len(nodes)/reserved:]
+		nodes = nodes[min(len(nodes)/reserved, mostReserved):]
 		most = patient
 	}
 	best, wait := nodes[0], max(po.free[nodes[0].Node].Sub(now), 0)
--- a/internal/advisor/advisor_test.go
+++ b/internal/advisor/advisor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -67,3 +68,46 @@
 		})
 	}
 }
+
+// TestReserve checks how many long questions are put at once: all nodes but those left
+// to urgent ones, which are a third, and not many where there are many nodes.
+func TestReserve(t *testing.T) {
+	cases := map[string]struct{ nodes, want int }{
+		"three nodes": {3, 2}, "seven nodes": {7, 5}, "forty-three nodes": {43, 37},
+	}
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var members []joblog.Member
+				for n := range tt.nodes {
+					members = append(members, joblog.Member{Node: fmt.Sprintf("n%02d", n), Peers: "p"})
+				}
+				put := make(chan struct{}, tt.nodes)
+				ask := func() (planner.Answer, error) {
+					put <- struct{}{}
+					time.Sleep(time.Second)
+					return planner.Answer{}, nil
+				}
+				pool := advisor.New(advisor.Parts{
+					Clock: clockwork.NewRealClock(), Node: "n00", Members: func() []joblog.Member { return members },
+					Local: func(context.Context, cell.Question) (planner.Answer, error) { return ask() },
+					Call: func(context.Context, string, peerlink.Request) (peerlink.Reply, error) {
+						_, err := ask()
+						return peerlink.Reply{}, err
+					},
+				})
+				for range tt.nodes {
+					go func() {
+						_, err := pool.Advise(t.Context(), cell.Question{Takes: time.Second})
+						_ = err // those beyond the limit are refused
+					}()
+				}
+				synctest.Wait()
+				if got := len(put); got != tt.want {
+					t.Errorf("%d questions at once, want %d", got, tt.want)
+				}
+				time.Sleep(2 * time.Second) // until all have been answered
+			})
+		})
+	}
+}
