End the process although nobody reads its log

Cause: Close of the log queue waited for the reader without a bound; a process with a blocked standard output would not end before the kill.

Change: it waits for half a second.

--- a/internal/logs/queue.go
+++ b/internal/logs/queue.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"time"
 )
 
 // queued is the number of lines that may wait for a slow reader: some seconds of a
@@ -49,13 +50,20 @@
 	}
 }
 
-// Close writes what waits and ends the queue.
+// closeWait is how long the end of a process waits for a reader: most read within a few
+// ms, and one that does not read at all must not keep the process.
+const closeWait = 500 * time.Millisecond
+
+// Close writes what waits, as far as the reader takes it in time, and ends the queue.
 func (qu *Queue) Close() {
 	qu.mu.Lock()
 	qu.ended = true
 	qu.mu.Unlock()
 	qu.kick()
-	<-qu.done
+	select {
+	case <-qu.done:
+	case <-time.After(closeWait):
+	}
 }
 
 func (qu *Queue) run() {
