Give up reads that a silent store has swallowed

Refresh gave up watches only, and the call itself ended with its deadline alone.

Change: Refresh gives up the present call of either kind; the read ends with its context.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -44,7 +44,7 @@
 	asked  time.Time
 	loaded bool
 	down   bool
-	// cancel gives the present watch up.
+	// cancel gives the present call up.
 	cancel context.CancelFunc
 }
 
@@ -104,8 +104,11 @@
 
 // read reads all keys and tells of those that changed or went.
 func (mr *Mirror) read(ctx context.Context) (uint64, error) {
+	call, cancel := context.WithCancel(ctx)
+	defer cancel()
+	mr.setCancel(cancel)
 	sent := mr.clock.Now()
-	items, at, err := mr.store.All(ctx, mr.opts.Prefix)
+	items, at, err := mr.store.All(call, mr.opts.Prefix)
 	if err != nil {
 		return 0, err
 	}
@@ -134,7 +137,7 @@
 // watchSlack is what a watch may take beyond its wait before it counts as dropped.
 const watchSlack = time.Second
 
-// Refresh gives the present watch up, which may be dead, and reads all keys.
+// Refresh gives the present call up, which may be dead, and reads all keys.
 func (mr *Mirror) Refresh() {
 	mr.mu.Lock()
 	defer mr.mu.Unlock()
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -114,3 +114,24 @@
 		is.True(age < 2*time.Second)
 	})
 }
+
+// TestRefreshDuringRead has the store swallow the reading of all keys. Once it is known
+// to answer again, Refresh reads anew at once instead of waiting for that call's end.
+func TestRefreshDuringRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		st := memkv.New(clockwork.NewRealClock())
+		mr, tl := follow(t, st)
+		time.Sleep(time.Second)
+		st.SetFault(func(string, string) memkv.Fault { return memkv.Silent })
+		st.Set("a/new", nil)
+		time.Sleep(10 * time.Second) // the watch is given up, and the read after it is sent
+		st.SetFault(func(string, string) memkv.Fault { return memkv.None })
+		time.Sleep(100 * time.Millisecond)
+		mr.Refresh()
+		time.Sleep(200 * time.Millisecond)
+		is.Equal(tl.told(), []string{"a/new"})
+		age, _ := mr.Age()
+		is.True(age < time.Second)
+	})
+}
