--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -26,6 +26,7 @@
 	"tackbeam.example/tackbeam/internal/recorder"
 	"tackbeam.example/tackbeam/internal/store"
 	"tackbeam.example/tackbeam/internal/table"
+	"tackbeam.example/tackbeam/internal/wake"
 )
 
 // Periods of the home's loops.
@@ -113,7 +114,7 @@
 	placing bool
 	// settling is set once the job's end is on its way to the journal.
 	settling bool
-	kick     chan struct{}
+	kick     wake.Signal
 	changed  chan struct{}
 	accept   *journal.Pending
 	toAck    []nodemsg.Place
@@ -262,14 +263,6 @@
 	return hm.machine.Waiting()
 }
 
-// wake lets the goroutine that sees a job through look again.
-func (en *entry) wake() {
-	select {
-	case en.kick <- struct{}{}:
-	default:
-	}
-}
-
 // notify wakes those who wait for the job to change.
 func (en *entry) notify() {
 	close(en.changed)
@@ -277,5 +270,5 @@
 }
 
 func newEntry(rec job.Record) *entry {
-	return &entry{rec: rec, kick: make(chan struct{}, 1), changed: make(chan struct{})}
+	return &entry{rec: rec, kick: wake.New(), changed: make(chan struct{})}
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -19,6 +19,7 @@
 	"tackbeam.example/tackbeam/internal/joblog"
 	"tackbeam.example/tackbeam/internal/kv"
 	"tackbeam.example/tackbeam/internal/loop"
+	"tackbeam.example/tackbeam/internal/wake"
 )
 
 // Times and sizes of batches.
@@ -63,7 +64,7 @@
 	open    *batch
 	writing int
 	count   int
-	wake    chan struct{}
+	wake    wake.Signal
 }
 
 // batch is what waits for one write.
@@ -92,7 +93,7 @@
 	const base = 36
 	return &Intake{
 		opts: opts, clock: clock, log: log.WithName("intake"), store: st,
-		incarnation: strconv.FormatUint(rand.Uint64(), base), wake: make(chan struct{}, 1),
+		incarnation: strconv.FormatUint(rand.Uint64(), base), wake: wake.New(),
 	}
 }
 
@@ -124,10 +125,7 @@
 	add(bt)
 	bt.bytes += bytes
 	in.mu.Unlock()
-	select {
-	case in.wake <- struct{}{}:
-	default:
-	}
+	in.wake.Give()
 	select {
 	case <-bt.done:
 		return bt.err
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -21,6 +21,7 @@
 	"tackbeam.example/tackbeam/internal/ids"
 	"tackbeam.example/tackbeam/internal/nodemsg"
 	"tackbeam.example/tackbeam/internal/store"
+	"tackbeam.example/tackbeam/internal/wake"
 	"tackbeam.example/tackbeam/internal/wire"
 )
 
@@ -92,7 +93,7 @@
 	versions [slots]uint64
 	seq      uint64
 	fenced   bool
-	wake     chan struct{}
+	wake     wake.Signal
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
 }
@@ -101,7 +102,7 @@
 func New(clock clockwork.Clock, log logr.Logger, cl *store.Client, name string) *Journal {
 	jr := &Journal{
 		clock: clock, log: log.WithName("journal"), store: cl, name: name,
-		places: map[string]place{}, wake: make(chan struct{}, 1),
+		places: map[string]place{}, wake: wake.New(),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	jr.cancel = cancel
@@ -136,10 +137,7 @@
 		pd.fail(fault.New(fault.Full, "the journal is full; come back when jobs have ended"))
 	default:
 		jr.queue = append(jr.queue, pd)
-		select {
-		case jr.wake <- struct{}{}:
-		default:
-		}
+		jr.wake.Give()
 	}
 	return pd
 }
--- a/internal/logs/queue.go
+++ b/internal/logs/queue.go
@@ -5,6 +5,8 @@
 	"io"
 	"sync"
 	"time"
+
+	"tackbeam.example/tackbeam/internal/wake"
 )
 
 // queued is the number of lines that may wait for a slow reader: some seconds of a
@@ -18,14 +20,14 @@
 	mu    sync.Mutex
 	lines [][]byte
 	lost  int
-	wake  chan struct{}
+	wake  wake.Signal
 	ended bool
 	done  chan struct{}
 }
 
 // NewQueue returns a queue that writes to out until Close.
 func NewQueue(out io.Writer) *Queue {
-	qu := &Queue{out: out, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	qu := &Queue{out: out, wake: wake.New(), done: make(chan struct{})}
 	go qu.run()
 	return qu
 }
@@ -39,17 +41,10 @@
 		qu.lost++
 	}
 	qu.mu.Unlock()
-	qu.kick()
+	qu.wake.Give()
 	return len(line), nil
 }
 
-func (qu *Queue) kick() {
-	select {
-	case qu.wake <- struct{}{}:
-	default:
-	}
-}
-
 // closeWait is how long the end of a process waits for a reader: most read within a few
 // ms, and one that does not read at all must not keep the process.
 const closeWait = 500 * time.Millisecond
@@ -59,7 +54,7 @@
 	qu.mu.Lock()
 	qu.ended = true
 	qu.mu.Unlock()
-	qu.kick()
+	qu.wake.Give()
 	select {
 	case <-qu.done:
 	case <-time.After(closeWait):
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"tackbeam.example/tackbeam/internal/wake"
 )
 
 // Every calls act each period until the context ends.
@@ -24,17 +26,14 @@
 
 // Pacer calls an act at a steady period for as long as there is something to do,
 // and sleeps otherwise, so that a node at rest does not wake up for nothing.
-type Pacer struct{ kick chan struct{} }
+type Pacer struct{ kick wake.Signal }
 
 // NewPacer returns a pacer that sleeps.
-func NewPacer() *Pacer { return &Pacer{kick: make(chan struct{}, 1)} }
+func NewPacer() *Pacer { return &Pacer{kick: wake.New()} }
 
 // Kick wakes the pacer; it does not wait.
 func (pc *Pacer) Kick() {
-	select {
-	case pc.kick <- struct{}{}:
-	default:
-	}
+	pc.kick.Give()
 }
 
 // Run calls act each period after a kick, until act reports that nothing is left
--- a/internal/planner/lead.go
+++ b/internal/planner/lead.go
@@ -16,6 +16,7 @@
 	"tackbeam.example/tackbeam/internal/loop"
 	"tackbeam.example/tackbeam/internal/mirror"
 	"tackbeam.example/tackbeam/internal/term"
+	"tackbeam.example/tackbeam/internal/wake"
 )
 
 // Times of a reign.
@@ -79,7 +80,7 @@
 	dirty    bool
 	// told is when the steps that wait were last logged.
 	told  time.Duration
-	wake  chan struct{}
+	wake  wake.Signal
 	ctx   context.Context
 	group sync.WaitGroup
 }
@@ -91,7 +92,7 @@
 	ld := &lead{
 		parts: pt, clock: pt.Clock, log: log, reign: reign, began: pt.Clock.Now(),
 		lease: usualLease, sessions: map[string]*session{}, old: map[string]bool{},
-		wake: make(chan struct{}, 1), journaled: make(chan struct{}),
+		wake: wake.New(), journaled: make(chan struct{}),
 		cell: cell.New(cell.Options{
 			Keep:     pt.Site.Bounds.KeepEnded,
 			FirstRun: (reign.Number-1)*runsAReign + 1, StopTime: pt.Site.Bounds.StopTime,
@@ -169,10 +170,7 @@
 
 func (ld *lead) kick() {
 	ld.dirty = true
-	select {
-	case ld.wake <- struct{}{}:
-	default:
-	}
+	ld.wake.Give()
 }
 
 func (ld *lead) tick() {
--- a/internal/planner/records.go
+++ b/internal/planner/records.go
@@ -11,6 +11,7 @@
 	"tackbeam.example/tackbeam/internal/joblog"
 	"tackbeam.example/tackbeam/internal/kv"
 	"tackbeam.example/tackbeam/internal/loop"
+	"tackbeam.example/tackbeam/internal/wake"
 )
 
 // Times of the writing of records.
@@ -29,12 +30,12 @@
 	// count is how many records were ever added.
 	count int
 	keys  map[string][]cell.Record
-	wake  chan struct{}
+	wake  wake.Signal
 }
 
 func (rc *recorder) init() {
 	rc.keys = map[string][]cell.Record{}
-	rc.wake = make(chan struct{}, 1)
+	rc.wake = wake.New()
 }
 
 func (rc *recorder) add(recs []cell.Record) {
@@ -43,15 +44,7 @@
 	}
 	rc.open = append(rc.open, recs...)
 	rc.count += len(recs)
-	rc.kick()
-}
-
-// kick wakes the writing.
-func (rc *recorder) kick() {
-	select {
-	case rc.wake <- struct{}{}:
-	default:
-	}
+	rc.wake.Give()
 }
 
 func (rc *recorder) keep(key string, recs []cell.Record) { rc.keys[key] = recs }
@@ -85,7 +78,7 @@
 		ld.records.open = ld.records.open[len(recs):]
 		ld.cell.Committed(upTo)
 		if len(ld.records.open) > 0 {
-			ld.records.kick()
+			ld.records.wake.Give()
 		}
 		ld.kick()
 		ld.mu.Unlock()
--- a/internal/term/election.go
+++ b/internal/term/election.go
@@ -19,7 +19,7 @@
 // this node has: that one is dead, since its addresses are this process's now.
 func (tm *Term) campaign(ctx context.Context) {
 	if wait := tm.deferral(); wait > 0 {
-		tm.clock.AfterFunc(wait, tm.kick)
+		tm.clock.AfterFunc(wait, tm.wake.Give)
 		return
 	}
 	tm.mu.Lock()
@@ -126,7 +126,7 @@
 	tm.mu.Unlock()
 	tm.follow()
 	tm.giveWay()
-	tm.kick()
+	tm.wake.Give()
 }
 
 func (tm *Term) take(item kv.Item) {
--- a/internal/term/lease.go
+++ b/internal/term/lease.go
@@ -108,7 +108,7 @@
 	if errors.Is(err, kv.ErrLeaseGone) && same {
 		tm.dropLease("it ran out")
 	}
-	tm.kick()
+	tm.wake.Give()
 }
 
 // nextRenewal is when the next renewal is to be sent: a third of the lease's time
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -19,6 +19,7 @@
 	"tackbeam.example/tackbeam/internal/joblog"
 	"tackbeam.example/tackbeam/internal/kv"
 	"tackbeam.example/tackbeam/internal/mirror"
+	"tackbeam.example/tackbeam/internal/wake"
 )
 
 // Options of a term.
@@ -62,7 +63,7 @@
 	log    logr.Logger
 	store  *kv.Store
 	mirror *mirror.Mirror
-	wake   chan struct{}
+	wake   wake.Signal
 
 	mu      sync.Mutex
 	members map[string]joblog.Member
@@ -105,7 +106,7 @@
 	const base = 36
 	tm := &Term{
 		opts: opts, clock: clock, log: log.WithName("term"), store: st,
-		wake: make(chan struct{}, 1), members: map[string]joblog.Member{},
+		wake: wake.New(), members: map[string]joblog.Member{},
 		nonce: strconv.FormatUint(rand.Uint64(), base),
 	}
 	tm.mirror = mirror.New(clock, log, st, mirror.Options{
@@ -183,10 +184,3 @@
 	tm.campaign(ctx)
 	return tm.untilRenewal()
 }
-
-func (tm *Term) kick() {
-	select {
-	case tm.wake <- struct{}{}:
-	default:
-	}
-}
