--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -15,8 +15,8 @@
 
 // Times of orders.
 const (
-	// stopTimeout is how long a worker may take to answer a stop: it does so within a
-	// few ms, on a lossy link within a retransmission of 200 ms.
+	// stopTimeout is how long a worker may take to answer a stop or a change of pace: it
+	// does so within a few ms, on a lossy link within a retransmission of 200 ms.
 	stopTimeout = 400 * time.Millisecond
 	// stopPatience is added to the time that a stop takes, before a report is asked for
 	// that shows that the run is gone.
@@ -92,17 +92,28 @@
 	}
 }
 
-// stop carries out one stop, and has it ordered again while it is not confirmed.
-func (ld *lead) stop(sp cell.Stop) {
+// send carries an order other than a start to a worker. It reports false where the worker
+// is gone, or the reign over.
+func (ld *lead) send(id string, order func(ctx context.Context, to agent.Target) error) (se *session, sent bool, err error) {
 	ld.mu.Lock()
-	se, ok := ld.sessions[sp.Worker]
+	se, ok := ld.sessions[id]
 	ld.mu.Unlock()
 	if !ok || ld.ctx.Err() != nil {
-		return
+		return nil, false, nil
 	}
 	call, cancel := context.WithTimeout(context.WithoutCancel(ld.ctx), stopTimeout)
 	defer cancel()
-	err := ld.parts.Agents.Stop(call, se.target(), ld.reign.Token, sp)
+	return se, true, order(call, se.target())
+}
+
+// stop carries out one stop, and has it ordered again while it is not confirmed.
+func (ld *lead) stop(sp cell.Stop) {
+	se, sent, err := ld.send(sp.Worker, func(ctx context.Context, to agent.Target) error {
+		return ld.parts.Agents.Stop(ctx, to, ld.reign.Token, sp)
+	})
+	if !sent {
+		return
+	}
 	ld.measures.count("planner.stops")
 	ld.log.Info("Stop.", "task", sp.Task.String(), "run", sp.Run, "worker", sp.Worker, "reason", sp.Reason, "error", text(err))
 	if err == nil {
@@ -122,15 +133,12 @@
 
 // setPace carries out one change of a run's pace.
 func (ld *lead) setPace(pc cell.Pace) {
-	ld.mu.Lock()
-	se, ok := ld.sessions[pc.Worker]
-	ld.mu.Unlock()
-	if !ok || ld.ctx.Err() != nil {
+	se, sent, err := ld.send(pc.Worker, func(ctx context.Context, to agent.Target) error {
+		return ld.parts.Agents.Pace(ctx, to, ld.reign.Token, pc)
+	})
+	if !sent {
 		return
 	}
-	call, cancel := context.WithTimeout(context.WithoutCancel(ld.ctx), stopTimeout)
-	defer cancel()
-	err := ld.parts.Agents.Pace(call, se.target(), ld.reign.Token, pc)
 	ld.log.Info("Pace.", "task", pc.Task.String(), "run", pc.Run, "worker", pc.Worker, "percent", pc.Percent, "error", text(err))
 	if err != nil {
 		ld.orderFailed(se, err)
