Wait for the turn of a candidacy in the term's own pause

Cause: a node that leaves the planner's place to a stronger one set a timer at each look, one for each event meanwhile.

Change: the time left is part of the pause between two looks. No change of behaviour: TestStrongNodePlans and TestWeakNodeGivesWay are unchanged, 20 runs green.

--- a/internal/term/election.go
+++ b/internal/term/election.go
@@ -18,13 +18,10 @@
 // campaign takes the leader's key where nobody has it, or where an earlier incarnation of
 // this node has: that one is dead, since its addresses are this process's now.
 func (tm *Term) campaign(ctx context.Context) {
-	if wait := tm.deferral(); wait > 0 {
-		tm.clock.AfterFunc(wait, tm.wake.Give)
-		return
-	}
 	tm.mu.Lock()
 	held := tm.leaderAt // by the earlier incarnation, 0 where nobody has it
-	vacant := tm.loaded && (held == 0 || tm.inherits()) && tm.lease != 0 && !tm.resigned && !tm.clock.Now().Before(tm.abstains)
+	vacant := tm.loaded && (held == 0 || tm.inherits()) && tm.lease != 0 && !tm.resigned &&
+		!tm.clock.Now().Before(tm.abstains) && tm.deferral() <= 0
 	el := joblog.Election{Node: tm.opts.Node, Peers: tm.opts.Peers, Number: tm.highest + 1, Nonce: tm.nonce}
 	lease := tm.lease
 	tm.mu.Unlock()
@@ -75,14 +72,10 @@
 	giveWayEvery = 10 * time.Second
 )
 
-// deferral returns how long to leave the planner's place to a stronger node.
+// deferral returns how long to leave the planner's place to a stronger node. The caller
+// holds the lock.
 func (tm *Term) deferral() time.Duration {
-	tm.mu.Lock()
-	defer tm.mu.Unlock()
-	if tm.leaderAt > 0 || !tm.loaded {
-		return 0
-	}
-	if tm.stronger() == "" {
+	if tm.leaderAt > 0 || !tm.loaded || tm.stronger() == "" {
 		return 0
 	}
 	return tm.vacated.Add(deferFor).Sub(tm.clock.Now())
--- a/internal/term/lease.go
+++ b/internal/term/lease.go
@@ -41,7 +41,7 @@
 	tm.log.Info("Lease granted.", "lease", lease)
 	tm.list(ctx)
 	tm.campaign(ctx)
-	return tm.untilRenewal()
+	return tm.untilNext()
 }
 
 // listTimeout bounds the writing of the node's key; it is tried again at each step.
@@ -132,12 +132,17 @@
 	tm.depose("lease is over: " + reason)
 }
 
-// untilRenewal returns the time until the next renewal is due.
-func (tm *Term) untilRenewal() time.Duration {
+// untilNext returns the time until the next renewal is due, or a candidacy that was left
+// to a stronger node.
+func (tm *Term) untilNext() time.Duration {
 	tm.mu.Lock()
 	defer tm.mu.Unlock()
 	if tm.lease == 0 {
 		return retryPause
 	}
-	return max(tm.nextRenewal().Sub(tm.clock.Now()), time.Millisecond)
+	wait := max(tm.nextRenewal().Sub(tm.clock.Now()), time.Millisecond)
+	if deferral := tm.deferral(); deferral > 0 {
+		return min(wait, deferral)
+	}
+	return wait
 }
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -182,5 +182,5 @@
 	}
 	tm.renew(ctx)
 	tm.campaign(ctx)
-	return tm.untilRenewal()
+	return tm.untilNext()
 }
