--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -9,7 +9,6 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
-	"tackbeam.example/policy/cell"
 	"tackbeam.example/policy/work"
 )
 
@@ -33,36 +32,6 @@
 	Void bool `cbor:"3,keyasint,omitempty"`
 }
 
-// Encode returns the batch as a value of the store.
-func (bt *Batch) Encode() ([]byte, error) {
-	raw, err := cbor.Marshal(bt)
-	return raw, errors.Wrap(err, "encode batch")
-}
-
-// DecodeBatch reads what Encode wrote.
-func DecodeBatch(raw []byte) (*Batch, error) {
-	var bt Batch
-	if err := cbor.Unmarshal(raw, &bt); err != nil {
-		return nil, errors.Wrap(err, "decode batch")
-	}
-	return &bt, nil
-}
-
-// EncodeRecords returns records as a value of the store.
-func EncodeRecords(recs []cell.Record) ([]byte, error) {
-	raw, err := cbor.Marshal(recs)
-	return raw, errors.Wrap(err, "encode records")
-}
-
-// DecodeRecords reads what EncodeRecords wrote.
-func DecodeRecords(raw []byte) ([]cell.Record, error) {
-	var recs []cell.Record
-	if err := cbor.Unmarshal(raw, &recs); err != nil {
-		return nil, errors.Wrap(err, "decode records")
-	}
-	return recs, nil
-}
-
 // BatchKey is the key of a node's nth batch in one incarnation of the node.
 func BatchKey(node, incarnation string, n int) string {
 	return Batches + node + "." + incarnation + "." + number(n)
@@ -102,13 +71,15 @@
 	Processors float64 `cbor:"4,keyasint,omitempty"`
 }
 
-// Encode returns any value of this package as a value of the store.
+// Encode returns a batch, records, a member or an election as a value of the store.
 func Encode(value any) ([]byte, error) {
 	raw, err := cbor.Marshal(value)
-	return raw, errors.Wrap(err, "encode value")
+	return raw, errors.Wrapf(err, "encode %T", value)
 }
 
 // Decode reads what Encode wrote.
-func Decode(raw []byte, into any) error {
-	return errors.Wrap(cbor.Unmarshal(raw, into), "decode value")
+func Decode[T any](raw []byte) (T, error) {
+	var value T
+	err := cbor.Unmarshal(raw, &value)
+	return value, errors.Wrapf(err, "decode %T", value)
 }
--- a/internal/planner/load.go
+++ b/internal/planner/load.go
@@ -37,12 +37,12 @@
 		if item.Gone {
 			continue
 		}
-		bt, err := joblog.DecodeBatch(item.Value)
+		bt, err := joblog.Decode[joblog.Batch](item.Value)
 		if err != nil {
 			ld.log.Error(err, "A batch of the journal cannot be read.", "key", item.Key)
 			continue
 		}
-		ld.takeBatch(now, item, bt)
+		ld.takeBatch(now, item, &bt)
 	}
 	if whole && !ld.loaded {
 		ld.restore(now, old)
@@ -77,7 +77,7 @@
 	workers := map[string]cell.Record{}
 	stops := map[string][]cell.Run{}
 	for at, item := range items {
-		recs, err := joblog.DecodeRecords(item.Value)
+		recs, err := joblog.Decode[[]cell.Record](item.Value)
 		if err != nil {
 			ld.log.Error(err, "Records of an earlier planner cannot be read.", "key", item.Key)
 			continue
--- a/internal/planner/records.go
+++ b/internal/planner/records.go
@@ -105,7 +105,7 @@
 // commit writes records under a key until the outcome is known. It reports false
 // where the reign ended.
 func (ld *lead) commit(ctx context.Context, key string, recs []cell.Record) bool {
-	raw, err := joblog.EncodeRecords(recs)
+	raw, err := joblog.Encode(recs)
 	if err != nil {
 		ld.reign.Depose("records cannot be encoded: " + err.Error())
 		return false
--- a/internal/term/election.go
+++ b/internal/term/election.go
@@ -134,8 +134,8 @@
 		delete(tm.members, item.Key)
 		tm.listed = tm.listed && item.Key != joblog.Nodes+tm.opts.Node
 	default:
-		var mb joblog.Member
-		if err := joblog.Decode(item.Value, &mb); err != nil {
+		mb, err := joblog.Decode[joblog.Member](item.Value)
+		if err != nil {
 			tm.log.Error(err, "A member's key cannot be read.", "key", item.Key)
 			return
 		}
@@ -153,8 +153,8 @@
 	if item.Revision < tm.leaderAt {
 		return // an older answer came late
 	}
-	var el joblog.Election
-	if err := joblog.Decode(item.Value, &el); err != nil {
+	el, err := joblog.Decode[joblog.Election](item.Value)
+	if err != nil {
 		tm.log.Error(err, "The leader's key cannot be read.")
 		return
 	}
