Say of a waiting step whether it is late, and what its questions came to

Cause: of gangs that never ran, the log showed room and allowed workers, but not whether they stood behind work in time, whether room was ever kept for them, or whether the advisor was too busy. Change: tickets, questions, unanswered ones and lateness in the line of a step that waits; gauges of the oldest wait and of the workers kept free. Nothing is decided by them.

--- a/internal/planner/lead.go
+++ b/internal/planner/lead.go
@@ -188,6 +188,9 @@
 	ld.measures.gauge("planner.jobs", jobs)
 	ld.measures.gauge("planner.steps_waiting", waiting)
 	ld.measures.gauge("planner.workers", workers)
+	oldest, kept := ld.cell.Oldest(now)
+	ld.measures.gauge("planner.oldest_wait_ms", int(oldest.Milliseconds()))
+	ld.measures.gauge("planner.workers_kept_free", kept)
 }
 
 // plan decides, if the term is proven, and has the orders carried out.
--- a/internal/planner/waits.go
+++ b/internal/planner/waits.go
@@ -21,6 +21,6 @@
 	for _, wt := range ld.cell.Waits(now, waitsLeast, waitsMost) {
 		ld.log.Info("Step waits.", "step", wt.Step.StepName(), "for", wt.For.String(), "tasks", wt.Tasks,
 			"placed", wt.Placed, "asking", wt.Asking, "asked", wt.Asked, "allowed", wt.Allowed, "room", wt.Room,
-			"kept_free", wt.Claimed)
+			"kept_free", wt.Claimed, "tickets", wt.Tickets, "questions", wt.Questions, "unanswered", wt.Unanswered, "late", wt.Late)
 	}
 }
--- a/policy/cell/advice.go
+++ b/policy/cell/advice.go
@@ -18,6 +18,8 @@
 	asking bool
 	// again is when the next question may be asked after one that failed.
 	again time.Duration
+	// questions counts the questions, unanswered those that had no answer.
+	questions, unanswered int
 }
 
 // ticket proves to a worker that it may run the step.
@@ -170,6 +172,7 @@
 		return
 	}
 	st.advice.asking = true
+	st.advice.questions++
 	qu := st.round.job.spec.Queue
 	cl.out.Questions = append(cl.out.Questions, Question{
 		Step:    work.Task{Job: st.round.job.spec.ID, Round: st.round.num, Step: st.num},
@@ -215,6 +218,7 @@
 func (cl *Cell) Unadvised(now time.Duration, qn Question) {
 	if st := cl.step(qn.Step); st != nil {
 		st.advice.asking = false
+		st.advice.unanswered++
 		st.advice.again = now + askPause
 	}
 }
--- a/policy/cell/waits.go
+++ b/policy/cell/waits.go
@@ -19,8 +19,15 @@
 	// the workers of which it has spoken, Room the tasks that those allowed could start.
 	Asking               bool
 	Asked, Allowed, Room int
+	// Tickets counts the allowed workers whose tickets can still be used.
+	Tickets int
+	// Questions counts those asked about the step, Unanswered those of them that found
+	// the advisor too busy, or no answer.
+	Questions, Unanswered int
 	// Claimed counts the workers that are kept free for it.
 	Claimed int
+	// Late is set where the job cannot be in time any more.
+	Late bool
 }
 
 // Waits returns the steps that have waited longest, at most a number of them, and only
@@ -48,10 +55,26 @@
 		For:   now - st.ready,
 		Tasks: st.waits, Placed: st.left - st.waits,
 		Asking: st.advice.asking, Asked: len(st.advice.verdicts), Allowed: len(st.advice.good),
-		Claimed: len(st.claims),
+		Questions: st.advice.questions, Unanswered: st.advice.unanswered,
+		Claimed: len(st.claims), Late: cl.rank(now, st).group == groupLate,
 	}
 	for cand := range cl.trusted(st) {
 		wt.Room += cand.room
+		if st.advice.valid(now, cand.worker) {
+			wt.Tickets++
+		}
 	}
 	return wt
 }
+
+// Oldest returns how long the step that has waited longest has waited, and how many
+// workers are kept free for gangs, for measures.
+func (cl *Cell) Oldest(now time.Duration) (wait time.Duration, kept int) {
+	for st := range cl.open {
+		if st.waits > 0 {
+			wait = max(wait, now-st.ready)
+		}
+		kept += len(st.claims)
+	}
+	return wait, kept
+}
