Test connections to the store that go silent, a stand-in of such a path

Cause: open connections may go silent for good, without a reset, while new ones work. A call that failed on one is followed by a call on the next kept one, silent as well.

Story: package silence is a path over TCP that keeps its present connections open, swallows what either end says, its closing too, and passes new ones.

--- /dev/null
+++ b/internal/standin/silence/silence.go
@@ -0,0 +1,118 @@
+// Package silence is a stand-in of a network path whose open connections go silent for
+// good, without a reset, while new ones work.
+package silence
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+)
+
+// Path leads to one address over TCP.
+type Path struct {
+	listener net.Listener
+	target   string
+
+	mu     sync.Mutex
+	links  []*link
+	opened int
+}
+
+// link is one connection through the path, with its two ends.
+type link struct {
+	silent atomic.Bool
+	ends   [2]net.Conn
+}
+
+// New returns a path to an address; it starts at a free port of this machine.
+func New(target string) (*Path, error) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	pt := &Path{listener: ln, target: target}
+	go pt.accept()
+	return pt, nil
+}
+
+// Address returns where the path starts.
+func (pt *Path) Address() string { return pt.listener.Addr().String() }
+
+// Opened returns how many connections were made so far.
+func (pt *Path) Opened() int {
+	pt.mu.Lock()
+	defer pt.mu.Unlock()
+	return pt.opened
+}
+
+// Silence swallows from now on whatever either end of a present connection says, its
+// closing too. Both ends stay open.
+func (pt *Path) Silence() {
+	pt.mu.Lock()
+	defer pt.mu.Unlock()
+	for _, lk := range pt.links {
+		lk.silent.Store(true)
+	}
+}
+
+// Close ends the path and all its connections.
+func (pt *Path) Close() error {
+	err := pt.listener.Close()
+	pt.mu.Lock()
+	defer pt.mu.Unlock()
+	for _, lk := range pt.links {
+		lk.close()
+	}
+	return errors.Wrap(err, "close path")
+}
+
+func (pt *Path) accept() {
+	for {
+		near, err := pt.listener.Accept()
+		if err != nil {
+			return // the path is closed
+		}
+		far, err := net.Dial("tcp4", pt.target)
+		if err != nil {
+			_ = near.Close() // as the address itself refuses it
+			continue
+		}
+		lk := &link{ends: [2]net.Conn{near, far}}
+		pt.mu.Lock()
+		pt.links = append(pt.links, lk)
+		pt.opened++
+		pt.mu.Unlock()
+		go lk.carry(near, far)
+		go lk.carry(far, near)
+	}
+}
+
+// carry takes bytes from one end to the other until the first one closes.
+func (lk *link) carry(from, to net.Conn) {
+	const room = 32 << 10
+	buf := make([]byte, room)
+	for {
+		count, err := from.Read(buf)
+		switch {
+		case err != nil && lk.silent.Load():
+			return
+		case err != nil:
+			lk.close()
+			return
+		case lk.silent.Load():
+			continue
+		}
+		if _, err := to.Write(buf[:count]); err != nil {
+			lk.close()
+			return
+		}
+	}
+}
+
+func (lk *link) close() {
+	for _, end := range lk.ends {
+		_ = end.Close() // it may be closed already
+	}
+}
