Use no connection again that has not answered since a call was overdue

Cause: a call that failed at its deadline closed its own connection only; the others of the same address, silent too, were handed out one after the other, each for a whole time-out.

Change: httpcall makes the exchange itself over the library's pool. A call that is without an answer 300 ms after it may have one (Waits: a watch's or a hold's wait) puts in doubt all connections of its address that have not answered since it was sent; they are closed when they would be used. Those that have answered since are kept, for new ones are dear. Calls between nodes, but for questions to the advisor, are sent again on a new connection when they are overdue: a job or a cancel is one by its id. Waiting for a connection and making one end at the call's deadline, and such a call is told as not sent. The link's server drops connections that are unused for 3 min, so that silent ones do not pile up there.

Conclusion: of connections that are silent all at once only those are waited for that calls took before the first of them was overdue.

--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -1,5 +1,10 @@
 // Package httpcall makes HTTP calls over kept connections, with deadlines that hold
 // even where the other side is silent, and says whether a failed call was sent.
+//
+// A connection may go silent for good without a reset, and others of its address with it.
+// So a call that is overdue puts every connection in doubt that has not answered since that
+// call was sent: it is not used again. Of kept connections that are all silent at once, only
+// those are waited for that calls took before the first of them was overdue.
 package httpcall
 
 import (
@@ -29,6 +34,11 @@
 	// Polls is set for calls whose answer may wait for an event: they are given up
 	// as soon as the context ends.
 	Polls bool
+	// Waits is how long the other side may hold its answer back before it is at work.
+	Waits time.Duration
+	// Again is set for calls that may be carried out twice: one that is overdue is sent
+	// again beside the first, and the first answer counts.
+	Again bool
 }
 
 // Response is the answer to a call.
@@ -51,51 +61,67 @@
 	idle = 2 * time.Minute
 	// forever stands in for a missing deadline.
 	forever = 10 * time.Second
+	// overdue is how long an answer may take, beyond the call's Waits, before the
+	// connection is in doubt: a slow store takes 0.25 s, a lost packet is sent again
+	// after 0.2 s.
+	overdue = 300 * time.Millisecond
 )
 
+// Idle is how long the other side should keep an unused connection: somewhat longer than
+// this side, so that no call meets its end.
+const Idle = idle + idle/2
+
 // Caller keeps the connections to any number of addresses.
 type Caller struct {
 	maxConns int
 	mu       sync.Mutex
-	hosts    map[string]*fasthttp.HostClient
+	hosts    map[string]*host
+}
+
+// host is the connections to one address.
+type host struct {
+	pool *fasthttp.HostClient
+	mu   sync.Mutex
+	// doubt is when the latest call was sent that was overdue: connections that have not
+	// answered since then may be silent.
+	doubt time.Time
 }
 
 // New returns a caller with at most maxConns connections to one address.
 func New(maxConns int) *Caller {
-	return &Caller{maxConns: maxConns, hosts: map[string]*fasthttp.HostClient{}}
+	return &Caller{maxConns: maxConns, hosts: map[string]*host{}}
 }
 
 // Forget closes the idle connections to an address that is gone.
 func (cl *Caller) Forget(address string) {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
-	if host, ok := cl.hosts[address]; ok {
-		host.CloseIdleConnections()
+	if ho, ok := cl.hosts[address]; ok {
+		ho.pool.CloseIdleConnections()
 		delete(cl.hosts, address)
 	}
 }
 
-func (cl *Caller) host(address string) *fasthttp.HostClient {
+func (cl *Caller) host(address string) *host {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
-	host, ok := cl.hosts[address]
+	ho, ok := cl.hosts[address]
 	if !ok {
-		host = &fasthttp.HostClient{
-			Addr: address, MaxConns: cl.maxConns, MaxIdleConnDuration: idle, Dial: dial,
-			NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1,
-			MaxConnWaitTimeout: dialTimeout,
-			RetryIfErr: func(*fasthttp.Request, int, error) (resetTimeout, retry bool) {
-				return false, false
-			},
-		}
-		cl.hosts[address] = host
+		ho = &host{pool: &fasthttp.HostClient{
+			Addr: address, MaxConns: cl.maxConns, MaxIdleConnDuration: idle, DialTimeout: dial,
+			NoDefaultUserAgentHeader: true, MaxConnWaitTimeout: dialTimeout,
+		}}
+		cl.hosts[address] = ho
 	}
-	return host
+	return ho
 }
 
-// dial makes a connection that notices a silent other side.
-func dial(address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, Control: func(_, _ string, raw syscall.RawConn) error {
+// dial makes a connection that notices a silent other side, within a time unless that is 0.
+func dial(address string, within time.Duration) (net.Conn, error) {
+	if within <= 0 || within > dialTimeout {
+		within = dialTimeout
+	}
+	dialer := net.Dialer{Timeout: within, Control: func(_, _ string, raw syscall.RawConn) error {
 		var err error
 		if ctlErr := raw.Control(func(fd uintptr) {
 			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
@@ -104,32 +130,79 @@
 		}
 		return err
 	}}
-	conn, err := dialer.Dial("tcp4", address)
-	if err != nil {
-		return nil, errors.Wrap(ErrUnsent, err.Error())
+	return dialer.Dial("tcp4", address)
+}
+
+// suspect puts the connections in doubt that have not answered since a time.
+func (ho *host) suspect(since time.Time) {
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	if since.After(ho.doubt) {
+		ho.doubt = since
 	}
-	return conn, nil
+}
+
+// doubted reports whether a connection that was last used at a time is in doubt.
+func (ho *host) doubted(used time.Time) bool {
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	return !used.IsZero() && used.Before(ho.doubt) // a new one has not been used
+}
+
+// outcome is how a call ended.
+type outcome struct {
+	res Response
+	err error
 }
 
 // Do makes a call and waits until its answer or the context's deadline.
 func (cl *Caller) Do(ctx context.Context, rq Request) (Response, error) {
-	if !rq.Polls {
+	if !rq.Polls && !rq.Again {
 		return cl.do(ctx, rq)
 	}
-	type outcome struct {
-		res Response
-		err error
-	}
-	done := make(chan outcome, 1)
-	go func() {
+	const tries = 2
+	began := time.Now()
+	done := make(chan outcome, tries)
+	try := func() {
 		res, err := cl.do(ctx, rq)
 		done <- outcome{res, err}
-	}()
-	select {
-	case out := <-done:
-		return out.res, out.err
-	case <-ctx.Done():
-		return Response{}, errors.WithStack(ctx.Err())
+	}
+	go try()
+	open := 1
+	var lost error // what a try says that was sent
+	var again <-chan time.Time
+	if rq.Again {
+		timer := time.NewTimer(rq.Waits + overdue)
+		defer timer.Stop()
+		again = timer.C
+	}
+	for {
+		select {
+		case out := <-done:
+			if out.err == nil {
+				return out.res, nil
+			}
+			if !errors.Is(out.err, ErrUnsent) {
+				lost = out.err
+			}
+			if open--; open > 0 {
+				continue
+			}
+			if lost != nil {
+				return Response{}, lost
+			}
+			return Response{}, out.err
+		case <-again:
+			again = nil
+			open++
+			cl.host(rq.Address).suspect(began) // before the second try chooses its connection
+			go try()
+		case <-ctx.Done():
+			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+				cl.host(rq.Address).suspect(began) // before the caller's next call
+			}
+			return Response{}, errors.WithStack(ctx.Err())
+		}
 	}
 }
 
@@ -153,15 +226,56 @@
 	if !ok {
 		deadline = time.Now().Add(forever)
 	}
-	if err := cl.host(rq.Address).DoDeadline(req, res, deadline); err != nil {
-		if errors.Is(err, fasthttp.ErrNoFreeConns) {
-			return Response{}, errors.Wrap(ErrUnsent, err.Error())
-		}
-		return Response{}, errors.WithStack(err)
+	if err := cl.host(rq.Address).exchange(req, res, deadline, rq.Waits); err != nil {
+		return Response{}, err
 	}
 	return Response{Status: res.StatusCode(), Body: append([]byte(nil), res.Body()...)}, nil
 }
 
+// exchange sends a request on a connection that is not in doubt, and reads the answer.
+func (ho *host) exchange(req *fasthttp.Request, res *fasthttp.Response, deadline time.Time, waits time.Duration) error {
+	left := time.Until(deadline)
+	if left <= 0 {
+		return errors.Wrap(ErrUnsent, "the deadline is over")
+	}
+	cc, err := ho.pool.AcquireConn(left, false)
+	for err == nil && ho.doubted(cc.LastUseTime()) {
+		ho.pool.CloseConn(cc)
+		cc, err = ho.pool.AcquireConn(left, false)
+	}
+	if err != nil {
+		return errors.Wrap(ErrUnsent, err.Error())
+	}
+	sent := time.Now()
+	late := time.AfterFunc(min(waits+overdue, deadline.Sub(sent)), func() { ho.suspect(sent) })
+	defer late.Stop()
+	conn := cc.Conn()
+	if err := conn.SetDeadline(deadline); err != nil {
+		ho.pool.CloseConn(cc)
+		return errors.Wrap(ErrUnsent, err.Error())
+	}
+	writer := ho.pool.AcquireWriter(conn)
+	if err = req.Write(writer); err == nil {
+		err = writer.Flush()
+	}
+	ho.pool.ReleaseWriter(writer)
+	if err == nil {
+		reader := ho.pool.AcquireReader(conn)
+		err = res.Read(reader)
+		ho.pool.ReleaseReader(reader)
+	}
+	var silent net.Error
+	if errors.As(err, &silent) && silent.Timeout() {
+		ho.suspect(sent)
+	}
+	if err != nil || res.ConnectionClose() {
+		ho.pool.CloseConn(cc)
+	} else {
+		ho.pool.ReleaseConn(cc)
+	}
+	return errors.WithStack(err)
+}
+
 // Quiet returns a logger of the HTTP library that tells of nothing but oddities.
 func Quiet(log logr.Logger) fasthttp.Logger { return quiet{log} }
 
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -47,6 +47,22 @@
 	Fault *fault.Error  `cbor:"5,keyasint,omitempty"`
 }
 
+// writeWait is what a slow store takes for a write.
+const writeWait = 250 * time.Millisecond
+
+// waits is how long another node may lawfully work on a request. A question to the advisor
+// may queue there until its caller gives it up.
+func (rq *Request) waits(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	switch {
+	case rq.Advise != nil && ok:
+		return time.Until(deadline)
+	case rq.writes():
+		return writeWait
+	}
+	return 0
+}
+
 // unanswered is the kind of a call's error without an answer: Timeout where it may have
 // been carried out.
 func (rq *Request) unanswered(err error) fault.Kind {
@@ -79,7 +95,7 @@
 	li := &Link{log: log.WithName("peers"), calls: httpcall.New(maxConns), handle: handle}
 	li.server = &fasthttp.Server{
 		Handler: li.serve, NoDefaultServerHeader: true, NoDefaultDate: true,
-		Logger: httpcall.Quiet(li.log),
+		Logger: httpcall.Quiet(li.log), IdleTimeout: httpcall.Idle,
 	}
 	return li
 }
@@ -126,7 +142,12 @@
 	if err != nil {
 		return Reply{}, errors.Wrap(err, "encode request")
 	}
-	res, err := li.calls.Do(ctx, httpcall.Request{Method: fasthttp.MethodPost, Address: address, Path: path, Body: raw, Polls: true})
+	res, err := li.calls.Do(ctx, httpcall.Request{
+		Method: fasthttp.MethodPost, Address: address, Path: path, Body: raw, Polls: true, Waits: rq.waits(ctx),
+		// A job or a cancel is one by its id, however often it comes; a question would cost
+		// the advisor's time twice.
+		Again: rq.Advise == nil,
+	})
 	if err != nil {
 		return Reply{}, fault.New(rq.unanswered(err), "node %s did not answer: %v", address, err)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -33,7 +33,8 @@
 }
 
 // Do passes a request on. It returns false where no node has answered it and it surely
-// was not carried out. A request without an answer is not sent again: it may have been.
+// was not carried out. A request without an answer is not sent to another node: it may have
+// been.
 func (re *Relay) Do(ctx context.Context, rq peerlink.Request) (peerlink.Reply, bool, error) {
 	rq.Relayed = true
 	members := re.Members()
