Test calls while silent connections hold all that an address may have

Cause: the limit on connections of an address counts those whose calls are overdue; while they hold all of it, a call made then waits 0.6 s and is given up.

Story: TestSilenceOfAll has 8 calls hold all 8 connections, silent, and makes another; then it checks that there are no more than three times as many.

--- a/internal/httpcall/silence_test.go
+++ b/internal/httpcall/silence_test.go
@@ -190,3 +190,48 @@
 	group.Wait()
 	is.True(errors.Is(err, httpcall.ErrUnsent))
 }
+
+// TestSilenceOfAll: calls at once held every connection that an address may have, all silent.
+// Further calls found none free until the first gave theirs up, a second later; a lease was
+// over before that.
+//
+// A connection whose call is overdue does not count as one of them: a call made then is
+// answered. There are not more than three times as many all the same.
+func TestSilenceOfAll(t *testing.T) {
+	const (
+		overdue      = 300 * time.Millisecond
+		most         = 8
+		longPatience = 1200 * time.Millisecond
+	)
+	is := is.New(t)
+	fr := newFar(t, most)
+	fr.open(most)
+	fr.path.Silence()
+	var group sync.WaitGroup
+	for range most {
+		group.Go(func() {
+			if fr.call("/", httpcall.Request{}, longPatience) == nil {
+				t.Error("a call that the path has swallowed was answered")
+			}
+		})
+	}
+	time.Sleep(work)
+	began := time.Now()
+	is.NoErr(fr.call("/", httpcall.Request{}, longPatience)) // waits for a connection
+	took := time.Since(began)
+	t.Logf("answered after %v", took)
+	is.True(took <= overdue+margin)
+	group.Wait()
+
+	is.NoErr(fr.call("/", httpcall.Request{}, patience))
+	before := fr.path.Opened()
+	for range 6 {
+		for range most {
+			group.Go(func() { _ = fr.call("/slow", httpcall.Request{Waits: -overdue}, longPatience) }) // overdue at once
+		}
+		time.Sleep(work / 10)
+	}
+	group.Wait()
+	t.Logf("%d connections for %d calls", fr.path.Opened()-before, 6*most)
+	is.True(fr.path.Opened()-before <= 3*most)
+}
