Test that the refusal of a second try does not hide the first

Cause: a write between nodes that is overdue is sent again, and the second try's refusal was told as "not run", while the first may have been carried out.

Story: TestRefusedSecondTry has the first try answered late, and carried out, and the second refused. For a question it makes no difference.

--- a/internal/peerlink/silence_test.go
+++ b/internal/peerlink/silence_test.go
@@ -15,6 +15,7 @@
 	"tackbeam.example/policy/work"
 
 	"tackbeam.example/tackbeam/internal/advisor"
+	"tackbeam.example/tackbeam/internal/fault"
 	"tackbeam.example/tackbeam/internal/joblog"
 	"tackbeam.example/tackbeam/internal/peerlink"
 	"tackbeam.example/tackbeam/internal/planner"
@@ -43,6 +44,8 @@
 	near  *peerlink.Link
 	mu    sync.Mutex
 	asked int
+	// answer, where set, is what the far node makes of each request.
+	answer func() error
 }
 
 func newPair(t *testing.T) *pair {
@@ -74,6 +77,9 @@
 	if rq.State == slow {
 		time.Sleep(100 * time.Millisecond)
 	}
+	if pr.answer != nil {
+		return peerlink.Reply{}, pr.answer()
+	}
 	pr.mu.Lock()
 	defer pr.mu.Unlock()
 	if rq.Advise != nil {
@@ -160,6 +166,43 @@
 	is.True(took <= writeOverdue+margin)
 }
 
+// TestRefusedSecondTry: a job that was sent a second time, because the first try was overdue,
+// was refused, and its caller was told that it surely does not run. The first try was carried
+// out all the same.
+//
+// A refusal of the second try says nothing of the first: the outcome is not known.
+func TestRefusedSecondTry(t *testing.T) {
+	cases := map[string]struct {
+		rq   peerlink.Request
+		want fault.Kind
+	}{
+		"submit":             {peerlink.Request{Submit: &work.Job{ID: "j"}}, fault.Timeout},
+		"cancel":             {peerlink.Request{Cancel: "j"}, fault.Timeout},
+		"a question is lost": {peerlink.Request{State: "j"}, fault.Unavailable},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			pr := newPair(t)
+			tries := make(chan struct{}, 2)
+			pr.answer = func() error {
+				tries <- struct{}{}
+				if len(tries) == 1 {
+					time.Sleep(writeOverdue + margin) // and is carried out
+					return nil
+				}
+				return fault.New(fault.Unavailable, "the store refused the write; not run")
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			_, err := pr.near.Call(ctx, pr.path.Address(), tc.rq)
+			is.Equal(len(tries), 2)
+			is.True(fault.Is(err, tc.want))
+		})
+	}
+}
+
 // TestSilentAdvice: questions to the advisor through another node were lost on one silent
 // connection after the other.
 //
