Tell a write as unknown where only a later try of it was refused

Cause: peerlink took the answer of the second try for the whole call.

Change: httpcall says with an answer whether another try is open (Response.Open); peerlink tells the fault of such a write as a time-out, which its caller answers by sending the same id again.

Conclusion: sending a write again does not make a refusal of what may be done.

--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -45,6 +45,9 @@
 type Response struct {
 	Status int
 	Body   []byte
+	// Open is set where another try of the call has no answer: it may have been carried
+	// out, or may be yet.
+	Open bool
 }
 
 // ErrUnsent means that the call surely did not reach the other side.
@@ -193,13 +196,15 @@
 	for {
 		select {
 		case out := <-done:
+			open--
 			if out.err == nil {
+				out.res.Open = open > 0 || lost != nil
 				return out.res, nil
 			}
 			if !errors.Is(out.err, ErrUnsent) {
 				lost = out.err
 			}
-			if open--; open > 0 {
+			if open > 0 {
 				continue
 			}
 			if lost != nil {
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -155,7 +155,10 @@
 	if err := cbor.Unmarshal(res.Body, &reply); err != nil {
 		return Reply{}, fault.New(rq.unanswered(err), "node %s answered %d: %v", address, res.Status, err)
 	}
-	if reply.Fault != nil {
+	switch {
+	case reply.Fault != nil && res.Open && rq.writes():
+		return Reply{}, fault.New(fault.Timeout, "node %s may have done it on an earlier try: %v", address, reply.Fault)
+	case reply.Fault != nil:
 		return Reply{}, reply.Fault
 	}
 	return reply, nil
