Gather room for gangs in an order in which age counts, and ask for tickets ahead

Cause: as the failing test says: late gangs ranked behind all that could be in time, and room was only kept free for the first three; the room then stood idle while the advisor answered. TestGangAsksWhereRoomIs now says for how long its full workers are full: without an estimate their tasks counted as about to end.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -185,6 +185,7 @@
 // commit writes a batch under a key that only it uses, so that a try whose answer
 // was lost can be told from one that failed.
 func (in *Intake) commit(key string, bt *batch) error {
+	bt.At = time.Duration(in.clock.Now().UnixNano())
 	raw, err := joblog.Encode(&bt.Batch)
 	if err != nil {
 		return fault.New(fault.Internal, "batch cannot be written: %v", err)
--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -5,6 +5,7 @@
 import (
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
@@ -30,6 +31,17 @@
 	Cancels []string   `cbor:"2,keyasint,omitempty"`
 	// Void marks a key that was taken so that a lost write can never take it.
 	Void bool `cbor:"3,keyasint,omitempty"`
+	// At is the time of day, since 1970, at which the node began the batch: how old its jobs
+	// are. Clocks may differ by seconds, so it only orders what waits.
+	At time.Duration `cbor:"4,keyasint,omitempty"`
+}
+
+// Age is how long ago the batch was begun, at a time of day since 1970.
+func (bt *Batch) Age(wall time.Duration) time.Duration {
+	if bt.At == 0 {
+		return 0
+	}
+	return max(wall-bt.At, 0)
 }
 
 // BatchKey is the key of a node's nth batch in one incarnation of the node.
--- a/internal/planner/lead.go
+++ b/internal/planner/lead.go
@@ -110,6 +110,9 @@
 // now is the time since the reign began, on the steady clock.
 func (ld *lead) now() time.Duration { return ld.clock.Since(ld.began) }
 
+// wall is the time of day since 1970.
+func (ld *lead) wall() time.Duration { return time.Duration(ld.clock.Now().UnixNano()) }
+
 func (ld *lead) run(ctx context.Context) {
 	ld.ctx = ctx
 	old, ok := ld.readRecords(ctx)
@@ -180,7 +183,7 @@
 		return
 	}
 	now := ld.now()
-	ld.cell.Tick(now, time.Duration(ld.clock.Now().UnixNano()))
+	ld.cell.Tick(now, ld.wall())
 	ld.settle(now)
 	ld.dirty = true
 	ld.tellWaits(now)
--- a/internal/planner/load.go
+++ b/internal/planner/load.go
@@ -61,7 +61,11 @@
 		if qu, ok := ld.parts.Queue(jb.Queue.Name); ok {
 			jb.Queue = qu
 		}
-		ld.cell.Add(now, jb, inherited)
+		if inherited {
+			ld.cell.AddAged(now, bt.Age(ld.wall()), jb)
+		} else {
+			ld.cell.Add(now, jb, false)
+		}
 		ld.log.Info("Job taken in.", "job", jb.ID, "queue", jb.Queue.Name, "revision", item.Revision, "inherited", inherited)
 	}
 	for _, id := range bt.Cancels {
--- a/policy/cell/advice.go
+++ b/policy/cell/advice.go
@@ -57,6 +57,12 @@
 	// ticketMargin is the time before its end in which a ticket is not used: a start
 	// takes a few ms, a queue of them on a busy node tens of ms.
 	ticketMargin = 100 * time.Millisecond
+	// ticketSpare is the room for which tickets are asked, against what the gang needs: the
+	// estimates of where room comes free first are off.
+	ticketSpare = 1.3
+	// ticketAhead is how long before room is expected the answer may be there: half of the
+	// time that tickets are good for.
+	ticketAhead = 700 * time.Millisecond
 	// askPause follows a question that was not answered.
 	askPause = 100 * time.Millisecond
 )
@@ -109,22 +115,40 @@
 	}
 }
 
-// askAgain asks for new tickets of workers that are known to be allowed.
-func (cl *Cell) askAgain(now time.Duration, st *step, chosen []candidate) {
-	if st.advice.asking || now < st.advice.again {
+// askAhead asks for tickets of the workers on which room for the gang comes free soonest,
+// so that they are there when the room is: the room would stand idle while the advisor
+// answers. The openings are sorted by time.
+func (cl *Cell) askAhead(now time.Duration, st *step, list []opening) {
+	if !st.round.job.spec.Queue.Advised || st.advice.asking || now < st.advice.again {
+		return
+	}
+	qu := st.round.job.spec.Queue
+	full := list[len(st.tasks)-1].at
+	spare := min(int(float64(len(st.tasks))*ticketSpare)+1, len(list))
+	takes := qu.AdviceBase + time.Duration(spare)*qu.AdviceEach
+	if full > now+takes+ticketAhead {
 		return
 	}
+	need := max(full, now+takes) + ticketMargin
 	var names []string
-	for _, cand := range chosen {
-		names = append(names, cand.worker.ID)
+	seen := map[*worker]bool{}
+	lacks := false
+	for at, op := range list[:spare] {
+		if !seen[op.worker] && len(names) < maxAsked && st.advice.tickets[op.worker.ID].until <= need {
+			names = append(names, op.worker.ID)
+			lacks = lacks || at < len(st.tasks)
+		}
+		seen[op.worker] = true
+	}
+	if lacks {
+		cl.question(st, names)
 	}
-	cl.question(st, names)
 }
 
-// askGang asks about workers for a gang: full ones too, until those allowed would hold
-// it several times over, and then ones with room now, where those allowed have too
-// little. Workers with most left go first.
-func (cl *Cell) askGang(now time.Duration, st *step, room int) {
+// askGang asks about workers for a gang: full ones too, until those allowed would hold it
+// several times over, and then ones with room now, where those allowed have too little.
+// Workers with most left go first.
+func (cl *Cell) askGang(now time.Duration, st *step) {
 	if st.advice.asking || now < st.advice.again {
 		return
 	}
@@ -133,12 +157,9 @@
 	var names []string
 	if want := gangSpare*len(st.tasks) - holds; want > 0 {
 		names = pick(st.advice.unasked(cl.wide(st)), float64(want), share, leastAsked(st))
-	} else if short := len(st.tasks) - room; short > 0 {
+	} else if short := len(st.tasks) - total(slices.Collect(cl.trusted(st))); short > 0 {
 		names = pick(st.advice.unasked(cl.roomy(st)), askSpare*float64(short), share, leastAsked(st))
 	}
-	if len(names) == 0 {
-		st.advice.again = now + askPause // there is none to ask about
-	}
 	cl.question(st, names)
 }
 
--- a/policy/cell/advice_test.go
+++ b/policy/cell/advice_test.go
@@ -33,7 +33,7 @@
 	for n := range workers {
 		if id := fmt.Sprintf("w%03d", n); asked[id] {
 			// a run of another job that the worker had already
-			submit(cl, "job"+id, work.Step{Count: 1, Need: whole}, work.Queue{Name: "f", Service: "svc", Attempts: 3})
+			submit(cl, "job"+id, work.Step{Count: 1, Need: whole, Estimate: time.Minute}, work.Queue{Name: "f", Service: "svc", Attempts: 3})
 			cl.Report(0, id, 0, []cell.Run{{Task: work.Task{Job: "job" + id}, Number: 1}}, nil)
 		}
 	}
--- a/policy/cell/busyday_test.go
+++ b/policy/cell/busyday_test.go
@@ -122,7 +122,7 @@
 	bd.reign++
 	bd.cell = cell.New(cell.Options{Keep: 2 * time.Minute, FirstRun: (bd.reign-1)*64 + 1, StopTime: stopTime})
 	for _, ar := range bd.order {
-		bd.cell.Add(bd.now, ar.spec, true)
+		bd.cell.AddAged(bd.now, bd.now-ar.at, ar.spec)
 	}
 	bd.cell.Restore(bd.now, bd.records)
 	for n, id := range bd.workers {
--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -166,6 +166,7 @@
 // Cell is the state of one cell. It is not safe for concurrent use.
 type Cell struct {
 	opts    Options
+	now     time.Duration
 	jobs    map[string]*job
 	workers map[string]*worker
 	// open are the steps with tasks that wait.
--- a/policy/cell/claim.go
+++ b/policy/cell/claim.go
@@ -11,8 +11,12 @@
 	// claimAfter is how long a gang waits before room is kept free for it: in that time
 	// about a seventh of the running tasks end by themselves.
 	claimAfter = 300 * time.Millisecond
-	// maxClaims is the number of gangs that room is kept free for at one time.
-	maxClaims = 3
+	// mostIdle is the part of a service's processors that may stand idle at one time while
+	// room is gathered.
+	mostIdle = 0.05
+	// usualSpare is the part of the processors that is free on a busy day, since tasks leave
+	// what none of them fits into: beyond it nobody misses what stands idle.
+	usualSpare = 0.25
 	// claimEvery is how long a choice of room stands: in that time few of the running
 	// tasks end, which take seconds.
 	claimEvery = 100 * time.Millisecond
@@ -44,21 +48,35 @@
 	}
 }
 
-// claimLater keeps room free for a gang that has waited for a while: the room that is
-// free or comes free soonest.
-func (cl *Cell) claimLater(now time.Duration, st *step, claims *int) {
-	if now-st.ready < claimAfter || *claims >= maxClaims {
+// gather keeps room free for a gang that has waited for a while: the room that is free or
+// comes free soonest. The first gang in the order always gathers, others while the room
+// that stands idle for all of them is small, so that each gets its turn.
+func (cl *Cell) gather(now time.Duration, st *step) {
+	sh, ok := cl.shelves[cl.service(st)]
+	if !ok || now-st.ready < claimAfter || !sh.mayIdle() {
 		cl.unclaim(st)
 		return
 	}
-	*claims++
-	if len(st.claims) > 0 && now-st.claimed < claimEvery {
-		return
+	if len(st.claims) == 0 || now-st.claimed >= claimEvery {
+		st.claimed = now
+		cl.chooseRoom(now, st)
+	}
+	for _, wk := range st.claims {
+		sh.idle += min(wk.kept.Processors(), wk.free())
 	}
-	st.claimed = now
-	if chosen, ok := st.soonest(cl.openings(now, st)); ok {
-		cl.claim(st, chosen)
+}
+
+// chooseRoom keeps the room free that comes free soonest, and has tickets there in time.
+func (cl *Cell) chooseRoom(now time.Duration, st *step) {
+	list := cl.openings(now, st)
+	chosen, ok := st.soonest(list)
+	if !ok {
+		cl.unclaim(st)
+		return
 	}
+	cl.claim(st, chosen)
+	st.full = list[len(st.tasks)-1].at
+	cl.askAhead(now, st, list)
 }
 
 // opening is room for one task of a step on a worker from a time on.
--- a/policy/cell/gang.go
+++ b/policy/cell/gang.go
@@ -9,30 +9,27 @@
 
 // planGang places all tasks of a gang, or none. It reports whether the gang lacks room,
 // not only the advisor's answer.
-func (cl *Cell) planGang(now time.Duration, st *step, claims *int) (short bool) {
-	if !st.round.job.spec.Queue.Advised {
-		if chosen, ok := cl.seat(st, slices.Collect(cl.tight(st))); ok {
-			cl.startGang(now, st, chosen)
-			return false
-		}
-		cl.claimLater(now, st, claims)
-		return true
-	}
-	trusted := slices.Collect(cl.trusted(st))
-	if chosen, ok := cl.seat(st, st.advice.ticketed(now, slices.Values(trusted))); ok {
+func (cl *Cell) planGang(now time.Duration, st *step) (short bool) {
+	if chosen, ok := cl.seat(st, cl.startable(now, st)); ok {
 		cl.startGang(now, st, chosen)
 		return false
 	}
-	if chosen, ok := cl.seat(st, trusted); ok {
-		cl.claim(st, chosen) // the tickets are over; keep the places while asking again
-		cl.askAgain(now, st, chosen)
-		return false
+	cl.gather(now, st)
+	if !st.round.job.spec.Queue.Advised {
+		return true
 	}
-	cl.askGang(now, st, total(trusted))
-	cl.claimLater(now, st, claims)
+	cl.askGang(now, st)
 	return len(st.advice.good) > 0
 }
 
+// startable returns the workers that could start tasks of the gang now.
+func (cl *Cell) startable(now time.Duration, st *step) []candidate {
+	if st.round.job.spec.Queue.Advised {
+		return st.advice.ticketed(now, cl.trusted(st))
+	}
+	return slices.Collect(cl.tight(st))
+}
+
 // startGang starts all tasks of the gang with one run number and one checkpoint.
 func (cl *Cell) startGang(now time.Duration, st *step, chosen []candidate) {
 	run, checkpoint := 0, ""
--- a/policy/cell/job.go
+++ b/policy/cell/job.go
@@ -46,8 +46,8 @@
 	advice advice
 	// claims are the workers on which room is kept free for the gang.
 	claims []*worker
-	// claimed is when they were chosen.
-	claimed time.Duration
+	// claimed is when they were chosen, full when there is expected to be room for all.
+	claimed, full time.Duration
 }
 
 // task is one task. Its runs that are on workers, or may be, are counted; place is the
@@ -72,10 +72,21 @@
 // Add takes in a job of the journal. Inherited ones were there before this planner.
 // A job that is known already stays as it is.
 func (cl *Cell) Add(now time.Duration, spec *work.Job, inherited bool) {
+	cl.add(now, now, spec, inherited)
+}
+
+// AddAged takes in an inherited job that was accepted a while ago: with its age it keeps its
+// place among those that wait. Where each planner counted from its own beginning, what had
+// waited longest began anew behind the rest.
+func (cl *Cell) AddAged(now, age time.Duration, spec *work.Job) {
+	cl.add(now, now-age, spec, true)
+}
+
+func (cl *Cell) add(now, arrived time.Duration, spec *work.Job, inherited bool) {
 	if _, known := cl.jobs[spec.ID]; known {
 		return
 	}
-	jb := &job{spec: spec, inherited: inherited, arrived: now, rounds: map[int]*round{}, phase: Queued}
+	jb := &job{spec: spec, inherited: inherited, arrived: arrived, rounds: map[int]*round{}, phase: Queued}
 	cl.jobs[spec.ID] = jb
 	cl.queue(spec.Queue.Name).pending++
 	if _, cancelled := cl.cancels[spec.ID]; cancelled {
@@ -83,7 +94,7 @@
 		return
 	}
 	if spec.Repeat == nil {
-		cl.openRound(now, jb)
+		cl.openRound(arrived, jb)
 	}
 }
 
--- a/policy/cell/patience.go
+++ b/policy/cell/patience.go
@@ -17,24 +17,15 @@
 // that lack room.
 func (rd ranked) patient(now time.Duration) bool {
 	def := rd.step.def
-	return rd.rank.group == groupInTime && rd.rank.latest-now > ample && !def.Lasting && !def.Filler
+	return rd.rank.group == groupPatient && rd.rank.latest-now > ample && !def.Lasting && !def.Filler
 }
 
 // holdsUp reports whether patient steps should wait for a gang that lacks room: it can
 // be in time, has waited for a while, and most of the workers are in use.
 func (cl *Cell) holdsUp(now time.Duration, rd ranked) bool {
-	if rd.rank.group != groupInTime || now-rd.step.ready < claimAfter {
+	if rd.rank.late || now-rd.step.ready < claimAfter {
 		return false
 	}
-	return crowded(cl.stock(rd.step))
-}
-
-// crowded reports whether most of the processors of the workers are in use.
-func crowded(workers []*worker) bool {
-	var used, all int64
-	for _, wk := range workers {
-		used += wk.used.Processors()
-		all += wk.Capacity.Processors()
-	}
-	return all > 0 && float64(used) >= mostInUse*float64(all)
+	sh, ok := cl.shelves[cl.service(rd.step)]
+	return ok && sh.crowded()
 }
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -19,14 +19,14 @@
 
 // Plan places what waits, as far as there is room, and asks for advice.
 func (cl *Cell) Plan(now time.Duration) {
+	cl.now = now
 	cl.shelve(now)
-	claims := 0
 	short := map[string]bool{} // services with gangs that lack room
 	for _, rd := range cl.byRank(now) {
 		st, service := rd.step, cl.service(rd.step)
 		switch {
 		case st.def.Gang:
-			lacks := cl.planGang(now, st, &claims)
+			lacks := cl.planGang(now, st)
 			short[service] = short[service] || lacks && cl.holdsUp(now, rd)
 		case short[service] && rd.patient(now):
 			// it leaves the room that comes free to the gangs
@@ -61,8 +61,10 @@
 // rank orders steps: lower goes first.
 type rank struct {
 	group int
-	// latest is when the step has to start for its job to be in time.
+	// latest is when the step has to start for its job to be in time, or lateFor after
+	// that where it is late.
 	latest time.Duration
+	late   bool
 	id     string
 	num    int
 }
@@ -74,11 +76,10 @@
 	)
 }
 
-// The groups of ranks: urgent queues, jobs that can be in time, jobs that are late.
+// The groups of ranks: urgent queues go before all others.
 const (
 	groupUrgent = iota
-	groupInTime
-	groupLate
+	groupPatient
 )
 
 func (cl *Cell) rank(now time.Duration, st *step) rank {
@@ -86,16 +87,19 @@
 	qu := jb.spec.Queue
 	chain, rest := cl.chain(st)
 	latest := cl.since(st) + time.Duration(qu.Stretch*float64(chain)) + qu.Target - rest
-	rk := rank{groupInTime, latest, jb.spec.ID, st.num}
-	switch {
-	case qu.Priority == 0:
+	rk := rank{group: groupPatient, latest: latest, late: latest < now, id: jb.spec.ID, num: st.num}
+	if qu.Priority == 0 {
 		rk.group = groupUrgent
-	case latest < now:
-		rk.group = groupLate
+	}
+	if rk.late {
+		rk.latest += lateFor
 	}
 	return rk
 }
 
+// lateFor is how much later than it was due a step that is late ranks...
+const lateFor = 15 * time.Second
+
 // since is when the time of the step's round began to count.
 func (cl *Cell) since(st *step) time.Duration {
 	if st.round.job.spec.Repeat != nil {
@@ -162,7 +166,7 @@
 // room returns how many tasks of the step a worker could start now.
 func (cl *Cell) room(st *step, wk *worker) int {
 	free := wk.Capacity.Sub(wk.used)
-	if wk.claim != nil && wk.claim != st && !st.urgent() {
+	if wk.claim != nil && wk.claim != st && !st.urgent() && cl.now+cl.expect(st) > wk.claim.full {
 		free = free.Sub(wk.kept)
 	}
 	count := free.Holds(st.need())
--- a/policy/cell/shelf.go
+++ b/policy/cell/shelf.go
@@ -10,7 +10,13 @@
 // shelf holds the workers of one service that take new runs now, those with least left
 // of their processors first. A plan looks only at the part of it that has room for a
 // step, so that its effort does not grow with the workers.
-type shelf struct{ workers []*worker }
+type shelf struct {
+	workers []*worker
+	// all and used are processors of all of them when the plan began.
+	all, used int64
+	// idle are those that stand idle while room on them is kept free for gangs.
+	idle int64
+}
 
 // shelve sorts the workers onto their shelves for one plan.
 func (cl *Cell) shelve(now time.Duration) {
@@ -28,6 +34,8 @@
 		}
 		wk.shelf = sh
 		sh.workers = append(sh.workers, wk)
+		sh.all += wk.Capacity.Processors()
+		sh.used += wk.used.Processors()
 	}
 	for _, sh := range cl.shelves {
 		sh.sort()
@@ -52,6 +60,16 @@
 	}
 }
 
+// crowded reports whether most of the processors are in use.
+func (sh *shelf) crowded() bool { return sh.all > 0 && float64(sh.used) >= mostInUse*float64(sh.all) }
+
+// mayIdle reports whether more room may stand idle for gangs: a small part of the shelf, or
+// what nobody else is likely to use.
+func (sh *shelf) mayIdle() bool {
+	spare := float64(sh.all-sh.used) - usualSpare*float64(sh.all)
+	return float64(sh.idle) <= max(mostIdle*float64(sh.all), spare)
+}
+
 // stock returns the workers of the step's service that take new runs, those with least
 // left of their processors first. It must not change while it is walked.
 func (cl *Cell) stock(st *step) []*worker {
--- a/policy/cell/waits.go
+++ b/policy/cell/waits.go
@@ -56,7 +56,7 @@
 		Tasks: st.waits, Placed: st.left - st.waits,
 		Asking: st.advice.asking, Asked: len(st.advice.verdicts), Allowed: len(st.advice.good),
 		Questions: st.advice.questions, Unanswered: st.advice.unanswered,
-		Claimed: len(st.claims), Late: cl.rank(now, st).group == groupLate,
+		Claimed: len(st.claims), Late: cl.rank(now, st).late,
 	}
 	for cand := range cl.trusted(st) {
 		wt.Room += cand.room
