Let urgent tasks spare the room that gangs gather, and ask about more workers only in need

Change: urgent tasks take kept room only where there is no other; a gang asks about more workers only while it gathers and would for 2 s more.

--- a/policy/cell/advice.go
+++ b/policy/cell/advice.go
@@ -63,6 +63,10 @@
 	// ticketAhead is how long before room is expected the answer may be there: half of the
 	// time that tickets are good for.
 	ticketAhead = 700 * time.Millisecond
+	// longGather is how long a gang must still gather for more workers to be asked about:
+	// the question takes a second. Asked about whenever room was short, it took two thirds
+	// of the advisor's time on a day that asks for 0.86 of a cell.
+	longGather = 2 * time.Second
 	// askPause follows a question that was not answered.
 	askPause = 100 * time.Millisecond
 )
@@ -146,8 +150,8 @@
 }
 
 // askGang asks about workers for a gang: full ones too, until those allowed would hold it
-// several times over, and then ones with room now, where those allowed have too little.
-// Workers with most left go first.
+// several times over. A gang that gathers, and would for long, then asks about ones with
+// room now. Workers with most left go first.
 func (cl *Cell) askGang(now time.Duration, st *step) {
 	if st.advice.asking || now < st.advice.again {
 		return
@@ -157,7 +161,8 @@
 	var names []string
 	if want := gangSpare*len(st.tasks) - holds; want > 0 {
 		names = pick(st.advice.unasked(cl.wide(st)), float64(want), share, leastAsked(st))
-	} else if short := len(st.tasks) - total(slices.Collect(cl.trusted(st))); short > 0 {
+	} else if len(st.claims) > 0 && st.full-now > longGather {
+		short := len(st.tasks) - total(slices.Collect(cl.trusted(st)))
 		names = pick(st.advice.unasked(cl.roomy(st)), askSpare*float64(short), share, leastAsked(st))
 	}
 	cl.question(st, names)
--- a/policy/cell/busyday_test.go
+++ b/policy/cell/busyday_test.go
@@ -24,8 +24,12 @@
 	width float64
 	most  int
 	cores float64
-	run   time.Duration
-	gang  bool
+	// memory is in MB.
+	memory float64
+	run    time.Duration
+	gang   bool
+	// fails is the share of jobs of which one run fails halfway.
+	fails float64
 	// off is the spread of the callers' estimates.
 	off float64
 	// good is the share of workers that the advisor allows.
@@ -56,6 +60,9 @@
 	used map[string]int64
 	// questions counts those asked, misses those that found all nodes busy.
 	questions, misses int
+	// took is the advisor's time that each stream used, count its questions.
+	took  [3]time.Duration
+	count [3]int
 }
 
 type arrival struct {
@@ -66,6 +73,7 @@
 	started time.Duration
 	left    int
 	ended   time.Duration
+	fails   bool
 }
 
 type dayRun struct {
@@ -98,9 +106,11 @@
 	dayStep     = 10 * time.Millisecond
 	ticketValid = 1500 * time.Millisecond
 	workerCores = 64000
-	askPatience = 300 * time.Millisecond
-	askLongest  = 2500 * time.Millisecond
-	askReserved = 6
+	// workerMemory is in MB.
+	workerMemory = 131072
+	askPatience  = 300 * time.Millisecond
+	askLongest   = 2500 * time.Millisecond
+	askReserved  = 6
 )
 
 func newBusyDay(seed uint64, workers, nodes int, streams []stream) *busyDay {
@@ -126,7 +136,7 @@
 	}
 	bd.cell.Restore(bd.now, bd.records)
 	for n, id := range bd.workers {
-		bd.cell.PutWorker(bd.now, cell.Worker{ID: id, Service: "svc", Rack: fmt.Sprint(n / 12), Capacity: size.New(workerCores, 131072, 0)})
+		bd.cell.PutWorker(bd.now, cell.Worker{ID: id, Service: "svc", Rack: fmt.Sprint(n / 12), Capacity: size.New(workerCores, workerMemory, 0)})
 		bd.report(id, bd.kept[id])
 	}
 	clear(bd.kept)
@@ -151,10 +161,11 @@
 			run := time.Duration(min(bd.draw(float64(sm.run), 0.5), 2.6*float64(sm.run)))
 			count := min(max(int(math.Round(bd.draw(sm.width, 0.7))), 1), sm.most)
 			cores := int64(1000 * min(bd.draw(sm.cores, 0.4), 30))
-			ar := &arrival{stream: at, at: bd.now, run: run, left: count, spec: &work.Job{
+			memory := int64(min(bd.draw(sm.memory, 0.5), 3*sm.memory, workerMemory))
+			ar := &arrival{stream: at, at: bd.now, run: run, left: count, fails: bd.rd.Float64() < sm.fails, spec: &work.Job{
 				ID: fmt.Sprintf("s%dj%05d", at, len(bd.order)), Queue: sm.queue,
 				Steps: []work.Step{{
-					Count: count, Gang: sm.gang, Need: size.New(cores, 1000, 0),
+					Count: count, Gang: sm.gang, Need: size.New(cores, memory, 0),
 					Estimate: time.Duration(float64(run) * math.Exp(sm.off*bd.rd.NormFloat64())),
 				}},
 			}}
@@ -216,6 +227,11 @@
 	bd.runs[sr.Task] = rn
 	bd.used[sr.Worker] += ar.spec.Steps[0].Need.Processors()
 	bd.cell.Started(bd.now, sr)
+	if ar.fails && sr.Task.Index == 0 {
+		ar.fails = false
+		bd.after(ar.run/2, func() { bd.end(sr.Task, rn, cell.ResultFailed) })
+		return
+	}
 	bd.after(ar.run, func() { bd.end(sr.Task, rn, cell.ResultDone) })
 }
 
@@ -279,6 +295,9 @@
 		return
 	}
 	bd.questions++
+	stream := bd.jobs[qn.Step.Job].stream
+	bd.took[stream] += qn.Takes
+	bd.count[stream]++
 	nodes[best] = bd.now + wait + qn.Takes
 	reign := bd.reign
 	bd.after(wait+qn.Takes, func() {
@@ -286,7 +305,7 @@
 			return
 		}
 		var rows []cell.Ticket
-		good := bd.streams[bd.jobs[qn.Step.Job].stream].good
+		good := bd.streams[stream].good
 		for _, id := range qn.Workers {
 			if allows(qn.Step.StepName(), id, good) {
 				rows = append(rows, cell.Ticket{Worker: id, Text: "t"})
@@ -361,17 +380,17 @@
 		{
 			queue: work.Queue{Name: "wide", Service: "svc", Priority: 1, Attempts: 3, Stretch: 2.2, Target: time.Second, Advised: true,
 				AdviceBase: 540 * time.Millisecond, AdviceEach: 7700 * time.Microsecond},
-			each: every(4.1), width: 20, most: 120, cores: 18, run: 6200 * time.Millisecond, gang: true, off: 0.9, good: 0.25,
+			each: every(4.1), width: 20, most: 120, cores: 18, memory: 26000, fails: 0.05, run: 6200 * time.Millisecond, gang: true, off: 0.9, good: 0.25,
 		},
 		{
 			queue: work.Queue{Name: "patient", Service: "svc", Priority: 2, Attempts: 2, Stretch: 4, Target: 3 * time.Second, Advised: true,
 				AdviceBase: 80 * time.Millisecond, AdviceEach: 1100 * time.Microsecond},
-			each: every(16.8), width: 25, most: 150, cores: 6.9, run: 2200 * time.Millisecond, off: 0.2, good: 0.45,
+			each: every(16.8), width: 25, most: 150, cores: 6.9, memory: 13000, fails: 0.02, run: 2200 * time.Millisecond, off: 0.2, good: 0.45,
 		},
 		{
 			queue: work.Queue{Name: "urgent", Service: "svc", Priority: 0, Attempts: 3, Stretch: 1.5, Target: 250 * time.Millisecond, Advised: true,
 				AdviceBase: 7200 * time.Microsecond, AdviceEach: 100 * time.Microsecond},
-			each: every(125), width: 3.2, most: 19, cores: 9.9, run: 640 * time.Millisecond, off: 0.5, good: 0.7,
+			each: every(125), width: 3.2, most: 19, cores: 9.9, memory: 18000, run: 640 * time.Millisecond, off: 0.5, good: 0.7,
 		},
 	}
 }
--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -165,10 +165,13 @@
 
 // Cell is the state of one cell. It is not safe for concurrent use.
 type Cell struct {
-	opts    Options
-	now     time.Duration
-	jobs    map[string]*job
-	workers map[string]*worker
+	opts Options
+	// now is the time of the present plan; overClaims is set while room that is kept free
+	// for gangs may be used by others.
+	now        time.Duration
+	overClaims bool
+	jobs       map[string]*job
+	workers    map[string]*worker
 	// open are the steps with tasks that wait.
 	open    map[*step]bool
 	shelves map[string]*shelf
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -166,7 +166,7 @@
 // room returns how many tasks of the step a worker could start now.
 func (cl *Cell) room(st *step, wk *worker) int {
 	free := wk.Capacity.Sub(wk.used)
-	if wk.claim != nil && wk.claim != st && !st.urgent() && cl.now+cl.expect(st) > wk.claim.full {
+	if wk.claim != nil && wk.claim != st && !cl.overClaims && cl.now+cl.expect(st) > wk.claim.full {
 		free = free.Sub(wk.kept)
 	}
 	count := free.Holds(st.need())
@@ -195,8 +195,19 @@
 	room   int
 }
 
-// planTasks places the step's tasks one by one.
+// planTasks places the step's tasks one by one. Urgent ones take room that is kept free for
+// gangs only where there is no other: as long as they took any, the workers of a gang that
+// needs whole ones were never all empty at once.
 func (cl *Cell) planTasks(now time.Duration, st *step) {
+	cl.placeTasks(now, st)
+	if st.waits > 0 && st.urgent() {
+		cl.overClaims = true
+		cl.placeTasks(now, st)
+		cl.overClaims = false
+	}
+}
+
+func (cl *Cell) placeTasks(now time.Duration, st *step) {
 	cands := cl.choose(now, st)
 	for _, tk := range st.waiting() {
 		at := fit(tk, cands)
