A leader's key without a reign is laid down at the next step

Cause: term.yield ended the reign, then removed the leader's key; where that failed, the node renewed the lease that carries the key, and no change of the members' keys came to have it look again. A reign ended by a worker's word left the same state. A change that did come began a second reign under the same token, whose records' keys were written already and counted as its own. Change: each step looks whether the node holds the key and does not plan, and removes it; after half of the lease's time without success it leaves the lease to run out and takes another with a new nonce. A token serves one reign. A node abstains only while another one is listed. The test waits for the bubble to be at rest before it reads a reign (the race detector saw the bed's own read). Conclusion: no end of a reign leaves the place taken for longer than one and a half times the lease.

--- a/internal/planner/reigns_test.go
+++ b/internal/planner/reigns_test.go
@@ -52,6 +52,7 @@
 				time.Sleep(100 * time.Millisecond)
 				bd.addNode("n2")
 				time.Sleep(300 * time.Millisecond)
+				synctest.Wait()
 				token := first.reign.Token
 				bd.store.SetFault(tc.fault)
 				time.AfterFunc(tc.lasts, func() { bd.store.SetFault(commits("", memkv.None)) })
@@ -62,6 +63,7 @@
 				for bd.leader() == nil && time.Since(began) < within {
 					time.Sleep(10 * time.Millisecond)
 				}
+				synctest.Wait()
 				is.True(bd.leader() != nil) // somebody plans again
 				is.True(bd.leader().reign.Token > token)
 				t.Log("planner after", time.Since(began))
--- a/internal/term/election.go
+++ b/internal/term/election.go
@@ -15,13 +15,13 @@
 // again: the store answers in 4 ms.
 const campaignHedge = 60 * time.Millisecond
 
-// campaign takes the leader's key where nobody has it, or where an earlier incarnation of
-// this node has: that one is dead, since its addresses are this process's now.
+// campaign takes the leader's key where nobody has it, or where this node had it on an
+// earlier lease: nobody plans by that, and its addresses are this process's now.
 func (tm *Term) campaign(ctx context.Context) {
 	tm.mu.Lock()
-	held := tm.leaderAt // by the earlier incarnation, 0 where nobody has it
+	held := tm.leaderAt // on the earlier lease, 0 where nobody has it
 	vacant := tm.loaded && (held == 0 || tm.inherits()) && tm.lease != 0 && !tm.resigned &&
-		!tm.clock.Now().Before(tm.abstains) && tm.deferral() <= 0
+		!tm.abstaining() && tm.deferral() <= 0
 	el := joblog.Election{Node: tm.opts.Node, Peers: tm.opts.Peers, Number: tm.highest + 1, Nonce: tm.nonce}
 	lease := tm.lease
 	tm.mu.Unlock()
@@ -54,8 +54,8 @@
 	}
 }
 
-// inherits reports whether the planner is an earlier incarnation of this node. The caller
-// holds the lock.
+// inherits reports whether the leader's key is this node's from an earlier lease. The
+// caller holds the lock.
 func (tm *Term) inherits() bool {
 	return tm.leader.Node == tm.opts.Node && tm.leader.Nonce != tm.nonce
 }
@@ -168,19 +168,76 @@
 // follow begins or ends this node's reign as the leader's key says.
 func (tm *Term) follow() {
 	tm.mu.Lock()
-	mine := tm.leaderAt > 0 && tm.leader.Nonce == tm.nonce && tm.lease != 0 && !tm.resigned &&
-		!tm.clock.Now().Before(tm.abstains)
+	mine := tm.holdsKey() && !tm.resigned && !tm.abstaining()
 	reigns := tm.reign != nil && mine && tm.reign.token == tm.leaderAt
+	fresh := mine && !tm.spent()
 	tm.mu.Unlock()
 	if reigns {
 		return
 	}
 	tm.depose("another planner was elected, or none")
-	if mine {
+	if fresh {
 		tm.begin()
 	}
 }
 
+// holdsKey reports whether the leader's key is this node's, on its present lease. The
+// caller holds the lock.
+func (tm *Term) holdsKey() bool {
+	return tm.leaderAt > 0 && tm.leader.Nonce == tm.nonce && tm.lease != 0
+}
+
+// spent reports whether a reign under the leader's key has begun. There is one for each
+// token: a second would find the records' keys written and take them for its own. The
+// caller holds the lock.
+func (tm *Term) spent() bool { return tm.latest != nil && tm.latest.token == tm.leaderAt }
+
+// abstaining reports whether the node leaves the planner's place to others, where there
+// are any. The caller holds the lock.
+func (tm *Term) abstaining() bool {
+	return tm.clock.Now().Before(tm.abstains) && len(tm.members) > 1
+}
+
+// idle returns the token of a leader's key that is this node's though it does not plan by
+// it and will not, or 0. While the last reign ends it may write yet, for half of the
+// lease's time at most. The caller holds the lock.
+func (tm *Term) idle() uint64 {
+	if !tm.holdsKey() || tm.reign != nil || !tm.spent() && !tm.abstaining() {
+		return 0
+	}
+	if tm.latest != nil && !tm.latest.over() && tm.clock.Since(tm.latest.deposed) < tm.opts.TTL/2 {
+		return 0
+	}
+	return tm.leaderAt
+}
+
+// layDown removes the leader's key where this node holds it and does not plan. Each step
+// looks, whatever ended the reign: as long as the lease is renewed the key stays, and
+// without a planner nothing else brings a change. If the key cannot be removed, the lease
+// is left to run out, so that the place is free after one and a half times its time.
+func (tm *Term) layDown(ctx context.Context) {
+	tm.mu.Lock()
+	token := tm.idle()
+	tm.mu.Unlock()
+	if token == 0 {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, tm.opts.TTL/2)
+	defer cancel()
+	revision, items, err := tm.store.Settle(call, kv.Settling{Clock: tm.clock, Hedge: campaignHedge}, kv.Txn{
+		Conditions: []kv.Condition{{Key: joblog.Leader, Revision: token}},
+		Removes:    []string{joblog.Leader},
+	})
+	switch {
+	case err == nil:
+		tm.changed([]kv.Item{{Key: joblog.Leader, Revision: revision, Gone: true}}, false)
+	case errors.Is(err, kv.ErrConflict):
+		tm.changed(items, false)
+	case ctx.Err() == nil:
+		tm.dropLease("the leader's key could not be removed: " + err.Error())
+	}
+}
+
 func (tm *Term) begin() {
 	tm.mu.Lock()
 	defer tm.mu.Unlock()
@@ -218,6 +275,9 @@
 	tm.mu.Lock()
 	rg := tm.reign
 	tm.reign = nil
+	if rg != nil {
+		rg.deposed = tm.clock.Now()
+	}
 	tm.mu.Unlock()
 	if rg == nil {
 		return
@@ -225,13 +285,14 @@
 	tm.log.Info("This node plans no longer.", "token", rg.token, "reason", reason)
 	rg.cancel()
 	<-rg.done
+	tm.wake.Give() // the leader's key may be this node's still
 }
 
 // abstain is how long a node that was too slow to plan is no candidate.
 const abstain = 10 * time.Second
 
 // yield gives the planner's place up for another node, where there is one. This node is
-// no candidate for a time.
+// no candidate for a time; the next step lays the leader's key down.
 func (tm *Term) yield(reason string, abstain time.Duration) {
 	tm.mu.Lock()
 	token, alone := tm.leaderAt, len(tm.members) < 2
@@ -244,13 +305,4 @@
 		return
 	}
 	tm.depose(reason)
-	ctx, cancel := context.WithTimeout(context.Background(), tm.opts.TTL)
-	defer cancel()
-	_, _, err := tm.store.Settle(ctx, kv.Settling{Clock: tm.clock, Hedge: campaignHedge}, kv.Txn{
-		Conditions: []kv.Condition{{Key: joblog.Leader, Revision: token}},
-		Removes:    []string{joblog.Leader},
-	})
-	if err != nil {
-		tm.log.Info("The leader's key could not be removed.", "reason", err.Error())
-	}
 }
--- a/internal/term/lease.go
+++ b/internal/term/lease.go
@@ -125,7 +125,7 @@
 // dropLease forgets a lease that is over, and the reign that rested on it.
 func (tm *Term) dropLease(reason string) {
 	tm.mu.Lock()
-	tm.lease = 0
+	tm.lease, tm.nonce = 0, newNonce() // a leader's key on it is not renewed any more
 	tm.mu.Unlock()
 	tm.log.Info("Lease is over.", "reason", reason)
 	tm.mirror.Refresh() // the leader's key may be gone as well, and the watch may be dead
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -81,7 +81,7 @@
 	// attempt is when the last renewal was sent, renewing counts those without answer.
 	attempt  time.Time
 	renewing int
-	// nonce tells this node's candidacies from those of its earlier incarnations.
+	// nonce tells this node's candidacies from those on its earlier leases.
 	nonce    string
 	listed   bool
 	resigned bool
@@ -99,15 +99,25 @@
 	token  uint64
 	cancel context.CancelFunc
 	done   chan struct{}
+	// deposed is when the reign was told to end.
+	deposed time.Time
+}
+
+// over reports whether the work has ended.
+func (rg *reign) over() bool {
+	select {
+	case <-rg.done:
+		return true
+	default:
+		return false
+	}
 }
 
 // New returns a node that is no member yet.
 func New(clock clockwork.Clock, log logr.Logger, st *kv.Store, opts Options) *Term {
-	const base = 36
 	tm := &Term{
 		opts: opts, clock: clock, log: log.WithName("term"), store: st,
-		wake: wake.New(), members: map[string]joblog.Member{},
-		nonce: strconv.FormatUint(rand.Uint64(), base),
+		wake: wake.New(), members: map[string]joblog.Member{}, nonce: newNonce(),
 	}
 	tm.mirror = mirror.New(clock, log, st, mirror.Options{
 		Prefix: joblog.Members, Wait: watchWait, Changed: tm.changed,
@@ -115,6 +125,11 @@
 	return tm
 }
 
+func newNonce() string {
+	const base = 36
+	return strconv.FormatUint(rand.Uint64(), base)
+}
+
 // Leader returns who the planner is, and false where none is known.
 func (tm *Term) Leader() (joblog.Election, bool) {
 	tm.mu.Lock()
@@ -181,6 +196,7 @@
 		return tm.join(ctx)
 	}
 	tm.renew(ctx)
+	tm.layDown(ctx)
 	tm.campaign(ctx)
 	return tm.untilNext()
 }
