--- a/internal/planner/reigns_test.go
+++ b/internal/planner/reigns_test.go
@@ -1,12 +1,17 @@
 package planner_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"tackbeam.example/policy/cell"
+
+	"tackbeam.example/tackbeam/internal/fault"
+	"tackbeam.example/tackbeam/internal/joblog"
 	"tackbeam.example/tackbeam/internal/standin/memkv"
 )
 
@@ -73,3 +78,47 @@
 		})
 	}
 }
+
+// TestLoadKeepsPages is the story of a cell whose new planner did not get ready: the store
+// lost a third of its answers, the planner before had been stopped, and questions about jobs
+// got 503, "the planner reads the journal", to the end. A day of 100 s leaves 5 pages of
+// records and 11 of batches; one page without an answer had all pages of its kind read
+// again, so that 11 took 123 s on average.
+func TestLoadKeepsPages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		bd := newBed(t, time.Second, "w1")
+		defer bd.end()
+		const page, records, batches = 500, 5, 11
+		for n := range records * page {
+			raw, err := joblog.Encode([]cell.Record{})
+			is.NoErr(err)
+			bd.store.Set(joblog.RecordKey(1, n), raw)
+		}
+		for n := range batches * page {
+			raw, err := joblog.Encode(&joblog.Batch{})
+			is.NoErr(err)
+			bd.store.Set(joblog.BatchKey("n0", "x", n), raw)
+		}
+		first := bd.addNode("n1")
+		time.Sleep(10 * time.Millisecond)
+		const lost = 0.35
+		rnd := rand.New(rand.NewPCG(1, 1))
+		bd.store.SetFault(func(_, call string) memkv.Fault {
+			if call == "range" && rnd.Float64() < lost {
+				return memkv.Lost
+			}
+			return memkv.None
+		})
+		const within = 12 * time.Second // callers are served again that long after a fault
+		began := time.Now()
+		for time.Since(began) < within {
+			if _, err := first.planner.State("none"); fault.Is(err, fault.NotFound) {
+				t.Log("ready after", time.Since(began))
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		t.Error("the planner still reads the journal after", within)
+	})
+}
