Failing test: a reign that ended holds its node for 10 s

Cause, as far as the test shows it: the removal of old keys (collectLoop) commits without a deadline and a call over HTTP that may change something does not end with its context; term.depose waits for the reign's work in the goroutine that follows the members' keys, and the next reign waits as well. Change: memkv's calls without an answer hold on to their deadline, or for 10 s, as those over HTTP do; only reads and watches end with their context. A table of three ends of a reign while the removal of old keys has no answer. Evidence: the node's own next reign and another node's do not answer within 1 s (the latter after 1.06 s, by the bound of the term's step); after the loss of its lease the node knows 0 of 3 members.

--- a/internal/planner/reigns_test.go
+++ b/internal/planner/reigns_test.go
@@ -130,3 +130,76 @@
 	}
 	t.Error("the planner still reads the journal after", within)
 }
+
+// TestDeposedReignLetsGo is the story of a node that was planner, lost its place, and was of
+// no use for 10 s: it sent its callers to itself, and when it was elected again it did not
+// begin. The reign's write that removes old keys had got no answer; it had no deadline, and
+// the call over HTTP held on for 10 s. What ended the reign waited for it: the one that
+// follows the members' keys, and the node's next reign.
+func TestDeposedReignLetsGo(t *testing.T) {
+	cases := map[string]struct {
+		nodes []string
+		end   func(bd *bed, nd *node)
+	}{
+		"its own next reign": {[]string{"n1"}, func(bd *bed, _ *node) { bd.store.Revoke() }},
+		"the reign of another node": {[]string{"n1", "n2"}, func(_ *bed, nd *node) {
+			nd.reign.Yield("test")
+		}},
+		"a lease that is over": {[]string{"n1", "n2"}, func(bd *bed, _ *node) { bd.store.Revoke() }},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				bd := newBed(t, time.Second, "w1")
+				defer time.Sleep(10 * time.Second) // the call without an answer ends
+				defer bd.end()
+				raw, err := joblog.Encode(&joblog.Batch{}) // nobody needs it
+				is.NoErr(err)
+				bd.store.Set(joblog.BatchKey("n0", "x", 1), raw)
+				for _, name := range tc.nodes {
+					bd.addNode(name)
+					time.Sleep(100 * time.Millisecond)
+				}
+				first := bd.nodes["n1"]
+				time.Sleep(9500 * time.Millisecond)
+				asked := 0
+				bd.store.SetFault(func(client, call string) memkv.Fault {
+					if call == "commit" && client == "n1" {
+						if asked++; asked == 1 {
+							return memkv.Silent
+						}
+					}
+					return memkv.None
+				})
+				time.Sleep(600 * time.Millisecond) // old keys are removed after 10 s
+				synctest.Wait()
+				is.Equal(asked, 1)
+				token := first.reign.Token
+				began := time.Now()
+				tc.end(bd, first)
+				const within = time.Second // of the 3 s that a caller waits
+				for !answers(bd, first, token) && time.Since(began) < within {
+					time.Sleep(10 * time.Millisecond)
+				}
+				t.Log("next planner answers after", time.Since(began))
+				is.True(answers(bd, first, token)) // a later planner, which the node knows
+				bd.addNode("n9")
+				time.Sleep(200 * time.Millisecond)
+				is.Equal(len(first.term.Members()), len(tc.nodes)+1) // it follows the members
+			})
+		})
+	}
+}
+
+// answers reports whether a planner with a token after another answers, and a node knows it.
+func answers(bd *bed, nd *node, after uint64) bool {
+	synctest.Wait()
+	el, ok := nd.term.Leader()
+	leader := bd.leader()
+	if !ok || leader == nil || bd.nodes[el.Node] != leader || leader.reign.Token <= after {
+		return false
+	}
+	_, err := leader.planner.State("none")
+	return fault.Is(err, fault.NotFound)
+}
--- a/internal/standin/memkv/memkv.go
+++ b/internal/standin/memkv/memkv.go
@@ -148,12 +148,30 @@
 	case Refused:
 		return kv.ErrRefused
 	case Lost, Silent:
-		<-ctx.Done()
+		st.unanswered(ctx, name)
 		return kv.ErrLost
 	}
 	return nil
 }
 
+// holdOn is how long a call without a deadline waits for its answer.
+const holdOn = 10 * time.Second
+
+// unanswered returns when a call without an answer does: reads and watches as soon as
+// their context ends; the others hold on to their connection until their deadline, as
+// calls over HTTP do, whatever becomes of their caller.
+func (st *Store) unanswered(ctx context.Context, name string) {
+	if name == "range" || name == "watch" {
+		<-ctx.Done()
+		return
+	}
+	wait := holdOn
+	if deadline, ok := ctx.Deadline(); ok {
+		wait = deadline.Sub(st.clock.Now())
+	}
+	st.clock.Sleep(wait)
+}
+
 func (cl *client) scan(ctx context.Context, prefix, after string, _ bool) (kv.Page, error) {
 	const most = 500
 	var page kv.Page
