Nothing waits for a reign that ended but the node's next one, and its calls end with it

Cause: the removal of old keys committed without a deadline; without an answer the call held the reign's work for 10 s. term.depose waited for that work in the goroutine that follows the members' keys, and in the one that renews the lease. Change: the removal is settled within 1 s and ends with the reign; its goroutines left behind have the try's own 1 s. depose tells the reign to end and returns; only Resign, within its context, and the end of the node wait for the last records, and the next reign of the same node as before. Looked for the same cause in term, planner, mirror, kv, intake and cellnode: Grant, Keep, list, campaign and Settle's tries have deadlines; the last records have 0.2 s, orders to workers 0.4 and 0.8 s, holds, advice, reads and watches end with the reign. Conclusion: a reign that ended holds its node for no longer than an order on its way, 0.8 s.

--- a/internal/planner/collect.go
+++ b/internal/planner/collect.go
@@ -15,6 +15,16 @@
 // in it about a thousand jobs end at the largest sites.
 const collectEvery = 10 * time.Second
 
+// How old keys are removed: without haste, what is left is removed the next time.
+const (
+	// collectTimeout bounds one removal; the store answers in 4 ms, when slow in 0.25 s.
+	collectTimeout = time.Second
+	// collectHedge is how long it may be without an answer before it is sent again.
+	collectHedge = 300 * time.Millisecond
+	// collectRefused leaves a store that refuses the first try alone.
+	collectRefused = time.Millisecond
+)
+
 // batches holds which jobs and cancels each batch of the journal tells of, and in
 // how many batches each stands.
 type batches struct {
@@ -51,11 +61,7 @@
 func (ld *lead) collectLoop(ctx context.Context) {
 	for loop.Pause(ctx, ld.clock, collectEvery) {
 		for _, keys := range ld.removable() {
-			_, _, err := ld.parts.Store.Commit(ctx, kv.Txn{
-				Conditions: []kv.Condition{{Key: joblog.Leader, Revision: ld.reign.Token}},
-				Removes:    keys,
-			})
-			if err != nil {
+			if err := ld.remove(ctx, keys); err != nil {
 				ld.log.Info("Old keys of the journal are still there.", "keys", len(keys), "reason", err.Error())
 				break
 			}
@@ -64,6 +70,20 @@
 	}
 }
 
+// remove removes keys, each of which is written once and never again, so that a second
+// try does no harm. Settle ends with the reign: a call that may change something goes on
+// until its deadline, or for 10 s, and would hold the node's next reign up.
+func (ld *lead) remove(ctx context.Context, keys []string) error {
+	call, cancel := context.WithTimeout(ctx, collectTimeout)
+	defer cancel()
+	settling := kv.Settling{Clock: ld.clock, Hedge: collectHedge, Refused: collectRefused}
+	_, _, err := ld.parts.Store.Settle(call, settling, kv.Txn{
+		Conditions: []kv.Condition{{Key: joblog.Leader, Revision: ld.reign.Token}},
+		Removes:    keys,
+	})
+	return err
+}
+
 // removable returns the keys that nobody needs, in groups for one write each.
 func (ld *lead) removable() [][]string {
 	ld.mu.Lock()
--- a/internal/term/election.go
+++ b/internal/term/election.go
@@ -104,7 +104,7 @@
 	}
 	tm.gaveWay = now
 	tm.mu.Unlock()
-	go tm.yield("node "+name+" has more of a processor", 0)
+	tm.yield("node "+name+" has more of a processor", 0)
 }
 
 // changed takes in changes of the members' keys.
@@ -252,10 +252,11 @@
 	arg := Reign{
 		Token: rg.token, Number: tm.leader.Number, SinceProof: tm.sinceProof,
 		Proven: func() bool { return tm.sinceProof() < tm.opts.TTL },
-		Depose: func(reason string) { go tm.depose(reason) },
-		Yield:  func(reason string) { go tm.yield(reason, abstain) },
+		Depose: tm.depose,
+		Yield:  func(reason string) { tm.yield(reason, abstain) },
 	}
 	go func() {
+		defer tm.wake.Give() // the leader's key may be this node's still
 		defer close(rg.done)
 		if before != nil {
 			<-before.done
@@ -270,7 +271,8 @@
 	return tm.clock.Since(tm.proof)
 }
 
-// depose ends the reign and waits until its work has ended.
+// depose ends the reign. It does not wait for its work: whoever follows the members' keys
+// or renews the lease must go on, and the next reign waits for the end by itself.
 func (tm *Term) depose(reason string) {
 	tm.mu.Lock()
 	rg := tm.reign
@@ -284,8 +286,23 @@
 	}
 	tm.log.Info("This node plans no longer.", "token", rg.token, "reason", reason)
 	rg.cancel()
-	<-rg.done
-	tm.wake.Give() // the leader's key may be this node's still
+	tm.wake.Give()
+}
+
+// stop ends the reign and waits until its work has ended, which may write its last
+// records yet.
+func (tm *Term) stop(ctx context.Context, reason string) {
+	tm.depose(reason)
+	tm.mu.Lock()
+	rg := tm.latest
+	tm.mu.Unlock()
+	if rg == nil {
+		return
+	}
+	select {
+	case <-rg.done:
+	case <-ctx.Done():
+	}
 }
 
 // abstain is how long a node that was too slow to plan is no candidate.
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -166,7 +166,7 @@
 		case <-tm.clock.After(pause):
 		}
 	}
-	tm.depose("node ends")
+	tm.stop(context.WithoutCancel(ctx), "node ends")
 }
 
 // Resign ends a reign in order and takes the node off the members' list.
@@ -175,7 +175,7 @@
 	tm.resigned = true
 	lease := tm.lease
 	tm.mu.Unlock()
-	tm.depose("node stops")
+	tm.stop(ctx, "node stops")
 	if lease == 0 {
 		return
 	}
