Put questions to a busy advisor in the order of the plan

Change: a question that finds all nodes busy makes all pause for 20 ms, and a plan puts the first eight in its order.

--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -152,14 +152,18 @@
 	answer, err := ld.parts.Advise(ld.ctx, qn)
 	took := ld.clock.Since(sent)
 	ld.measures.timed("planner.advice", took)
+	busy := fault.Is(err, fault.Full)
 	ld.after(func(now time.Duration) {
-		if err != nil {
+		switch {
+		case busy:
+			ld.cell.PutOff(now, qn)
+		case err != nil:
 			ld.cell.Unadvised(now, qn)
-			return
+		default:
+			ld.cell.Advised(now, qn, answer.Tickets, answer.Valid)
 		}
-		ld.cell.Advised(now, qn, answer.Tickets, answer.Valid)
 	})
-	if fault.Is(err, fault.Full) {
+	if busy {
 		// Nothing was asked; the cell asks again soon, which may be often.
 		ld.measures.count("planner.advice.put_off")
 		return
--- a/policy/cell/advice.go
+++ b/policy/cell/advice.go
@@ -69,6 +69,11 @@
 	longGather = 2 * time.Second
 	// askPause follows a question that was not answered.
 	askPause = 100 * time.Millisecond
+	// busyPause follows a question that found the advisor busy: with 37 nodes that need a
+	// second each, one is free every 27 ms.
+	busyPause = 20 * time.Millisecond
+	// asksAPlan is how many questions that are not urgent one plan puts.
+	asksAPlan = 8
 )
 
 // ticketed returns those of the trusted candidates that have a ticket for the step.
@@ -87,10 +92,21 @@
 	return ad.tickets[wk.ID].until > now+ticketMargin
 }
 
+// mayAsk reports whether a question about the step may be put now. While the advisor is
+// busy only the first few in the order of a plan are, and all of them pause alike: where
+// each paused by itself, whoever came at the right moment was served, and the oldest gangs
+// were put off 80 to 120 times.
+func (cl *Cell) mayAsk(now time.Duration, st *step) bool {
+	if st.advice.asking || now < st.advice.again {
+		return false
+	}
+	return st.urgent() || now >= cl.askAgain && cl.asked < asksAPlan
+}
+
 // ask asks for leave to run tasks for which no allowed worker has room: first of
 // workers that are known to be allowed, then of ones never asked about.
 func (cl *Cell) ask(now time.Duration, st *step, short int) {
-	if !st.round.job.spec.Queue.Advised || st.advice.asking || now < st.advice.again {
+	if !st.round.job.spec.Queue.Advised || !cl.mayAsk(now, st) {
 		return
 	}
 	var known []candidate
@@ -123,7 +139,7 @@
 // so that they are there when the room is: the room would stand idle while the advisor
 // answers. The openings are sorted by time.
 func (cl *Cell) askAhead(now time.Duration, st *step, list []opening) {
-	if !st.round.job.spec.Queue.Advised || st.advice.asking || now < st.advice.again {
+	if !st.round.job.spec.Queue.Advised || !cl.mayAsk(now, st) {
 		return
 	}
 	qu := st.round.job.spec.Queue
@@ -153,7 +169,7 @@
 // several times over. A gang that gathers, and would for long, then asks about ones with
 // room now. Workers with most left go first.
 func (cl *Cell) askGang(now time.Duration, st *step) {
-	if st.advice.asking || now < st.advice.again {
+	if !cl.mayAsk(now, st) {
 		return
 	}
 	share := cl.queue(st.round.job.spec.Queue.Name).good
@@ -199,6 +215,9 @@
 	}
 	st.advice.asking = true
 	st.advice.questions++
+	if !st.urgent() {
+		cl.asked++
+	}
 	qu := st.round.job.spec.Queue
 	cl.out.Questions = append(cl.out.Questions, Question{
 		Step:    work.Task{Job: st.round.job.spec.ID, Round: st.round.num, Step: st.num},
@@ -249,6 +268,15 @@
 	}
 }
 
+// PutOff takes in that a question was not put, since the advisor is busy.
+func (cl *Cell) PutOff(now time.Duration, qn Question) {
+	if st := cl.step(qn.Step); st != nil {
+		st.advice.asking = false
+		st.advice.unanswered++
+	}
+	cl.askAgain = now + busyPause
+}
+
 func (cl *Cell) step(name work.Task) *step {
 	name.Index = 0
 	if tk := cl.find(name); tk != nil {
--- a/policy/cell/busyday_test.go
+++ b/policy/cell/busyday_test.go
@@ -291,7 +291,7 @@
 	wait := max(nodes[best]-bd.now, 0)
 	if wait > most {
 		bd.misses++
-		bd.cell.Unadvised(bd.now, qn)
+		bd.cell.PutOff(bd.now, qn)
 		return
 	}
 	bd.questions++
--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -170,8 +170,12 @@
 	// for gangs may be used by others.
 	now        time.Duration
 	overClaims bool
-	jobs       map[string]*job
-	workers    map[string]*worker
+	// askAgain is when questions that are not urgent may be put again, asked how many the
+	// present plan has put.
+	askAgain time.Duration
+	asked    int
+	jobs     map[string]*job
+	workers  map[string]*worker
 	// open are the steps with tasks that wait.
 	open    map[*step]bool
 	shelves map[string]*shelf
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -19,7 +19,7 @@
 
 // Plan places what waits, as far as there is room, and asks for advice.
 func (cl *Cell) Plan(now time.Duration) {
-	cl.now = now
+	cl.now, cl.asked = now, 0
 	cl.shelve(now)
 	short := map[string]bool{} // services with gangs that lack room
 	for _, rd := range cl.byRank(now) {
