--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -466,3 +466,26 @@
 		bd.await("b", cell.Succeeded, 12*time.Second)
 	})
 }
+
+// TestAgesAreJournaled has a planner end while two jobs wait for room. The next one serves
+// the older one first, as the first would have: it knows when they were accepted.
+func TestAgesAreJournaled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const run = 4 * time.Second
+		bd := newBed(t, run, "w1")
+		defer bd.end()
+		first := bd.addNode("n1")
+		time.Sleep(100 * time.Millisecond)
+		second := bd.addNode("n2")
+		bd.submit(second, "running", 8) // all of the worker
+		time.Sleep(time.Second)
+		bd.submit(second, "b-older", 8)
+		time.Sleep(time.Second)
+		bd.submit(second, "a-younger", 8)
+		first.cancel()
+		bd.await("b-older", cell.Succeeded, 3*run)
+		if phase, err := second.planner.State("a-younger"); err != nil || phase == cell.Succeeded {
+			t.Errorf("the younger job is %s before the older one (%v)", phase, err)
+		}
+	})
+}
