Gathered room is promised once, and late tasks gather it too

Cause: tasks that end before gathered room is full may use it, but each moved the time of that back, so that with a full cell it never came; only gangs gathered; tasks with advice asked only where room was. Change: the promised time of a step never moves back; late steps of single tasks gather and ask widely as gangs do; a late step ranks as if due a minute later (15 s), a tenth of the cell may stand idle for gathering (a twentieth).

--- a/policy/cell/advice.go
+++ b/policy/cell/advice.go
@@ -165,11 +165,11 @@
 	}
 }
 
-// askGang asks about workers for a gang: full ones too, until those allowed would hold it
-// several times over. A gang that gathers, and would for long, then asks about ones with
-// room now. Workers with most left go first.
-func (cl *Cell) askGang(now time.Duration, st *step) {
-	if !cl.mayAsk(now, st) {
+// askWide asks about workers for a step that gathers room: full ones too, until those
+// allowed would hold it several times over, and while it would gather for long then about
+// ones with room now. Workers with most left go first.
+func (cl *Cell) askWide(now time.Duration, st *step) {
+	if !st.round.job.spec.Queue.Advised || !cl.mayAsk(now, st) {
 		return
 	}
 	share := cl.queue(st.round.job.spec.Queue.Name).good
@@ -177,7 +177,7 @@
 	var names []string
 	if want := gangSpare*len(st.tasks) - holds; want > 0 {
 		names = pick(st.advice.unasked(cl.wide(st)), float64(want), share, leastAsked(st))
-	} else if len(st.claims) > 0 && st.full-now > longGather {
+	} else if len(st.claims) > 0 && st.promised-now > longGather {
 		short := len(st.tasks) - total(slices.Collect(cl.trusted(st)))
 		names = pick(st.advice.unasked(cl.roomy(st)), askSpare*float64(short), share, leastAsked(st))
 	}
--- a/policy/cell/claim.go
+++ b/policy/cell/claim.go
@@ -12,8 +12,9 @@
 	// about a seventh of the running tasks end by themselves.
 	claimAfter = 300 * time.Millisecond
 	// mostIdle is the part of a service's processors that may stand idle at one time while
-	// room is gathered.
-	mostIdle = 0.05
+	// room is gathered: on a day that asks for 0.89 of a cell 75 and 80% of the gangs were in
+	// time with a tenth, 72 and 77% with a twentieth.
+	mostIdle = 0.1
 	// usualSpare is the part of the processors that is free on a busy day, since tasks leave
 	// what none of them fits into: beyond it nobody misses what stands idle.
 	usualSpare = 0.25
@@ -48,8 +49,8 @@
 	}
 }
 
-// gather keeps room free for a gang that has waited for a while: the room that is free or
-// comes free soonest. The first gang in the order always gathers, others while the room
+// gather keeps room free for a step that has waited for a while: the room that is free or
+// comes free soonest. The first step in the order always gathers, others while the room
 // that stands idle for all of them is small, so that each gets its turn.
 func (cl *Cell) gather(now time.Duration, st *step) {
 	sh, ok := cl.shelves[cl.service(st)]
@@ -69,14 +70,30 @@
 // chooseRoom keeps the room free that comes free soonest, and has tickets there in time.
 func (cl *Cell) chooseRoom(now time.Duration, st *step) {
 	list := cl.openings(now, st)
-	chosen, ok := st.soonest(list)
+	want := st.waits
+	if !st.def.Gang {
+		want = min(want, len(list)) // its tasks start one by one
+	}
+	chosen, ok := soonest(list, want)
 	if !ok {
 		cl.unclaim(st)
 		return
 	}
 	cl.claim(st, chosen)
-	st.full = list[len(st.tasks)-1].at
-	cl.askAhead(now, st, list)
+	full := list[want-1].at
+	if st.promised == 0 || full < st.promised {
+		st.promised = full
+	}
+	if st.def.Gang {
+		cl.askAhead(now, st, list)
+	}
+}
+
+// lends reports whether a step may use the room that is kept on a worker for another: if
+// its tasks end before that room is promised to be full. The promise never moves back, or
+// tasks of 2 s would use the room for ever, each a little longer.
+func (cl *Cell) lends(wk *worker, st *step) bool {
+	return cl.overClaims || cl.now+cl.expect(st) <= wk.claim.promised
 }
 
 // opening is room for one task of a step on a worker from a time on.
@@ -123,9 +140,9 @@
 	return list
 }
 
-// soonest chooses the openings that come first, one for each task of the gang.
-func (st *step) soonest(list []opening) ([]candidate, bool) {
-	if len(list) < len(st.tasks) {
+// soonest sorts the openings and chooses those that come first, as many as wanted.
+func soonest(list []opening, want int) ([]candidate, bool) {
+	if want == 0 || len(list) < want {
 		return nil, false
 	}
 	slices.SortFunc(list, func(a, b opening) int {
@@ -133,7 +150,7 @@
 	})
 	counts := map[*worker]int{}
 	var chosen []candidate
-	for _, op := range list[:len(st.tasks)] {
+	for _, op := range list[:want] {
 		if counts[op.worker]++; counts[op.worker] == 1 {
 			chosen = append(chosen, candidate{worker: op.worker})
 		}
--- a/policy/cell/gang.go
+++ b/policy/cell/gang.go
@@ -15,11 +15,8 @@
 		return false
 	}
 	cl.gather(now, st)
-	if !st.round.job.spec.Queue.Advised {
-		return true
-	}
-	cl.askGang(now, st)
-	return len(st.advice.good) > 0
+	cl.askWide(now, st)
+	return !st.round.job.spec.Queue.Advised || len(st.advice.good) > 0
 }
 
 // startable returns the workers that could start tasks of the gang now.
@@ -49,6 +46,7 @@
 		cl.start(now, tk, chosen[at].worker, run)
 	}
 	cl.unclaim(st)
+	st.promised = 0
 }
 
 // seat chooses workers that together have room for the whole gang: on one rack if
--- a/policy/cell/job.go
+++ b/policy/cell/job.go
@@ -46,8 +46,9 @@
 	advice advice
 	// claims are the workers on which room is kept free for the gang.
 	claims []*worker
-	// claimed is when they were chosen, full when there is expected to be room for all.
-	claimed, full time.Duration
+	// claimed is when they were chosen, promised the earliest time at which there was
+	// expected to be room for all, 0 before.
+	claimed, promised time.Duration
 }
 
 // task is one task. Its runs that are on workers, or may be, are counted; place is the
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -31,7 +31,7 @@
 		case short[service] && rd.patient(now):
 			// it leaves the room that comes free to the gangs
 		default:
-			cl.planTasks(now, st)
+			cl.planTasks(now, rd)
 		}
 	}
 }
@@ -97,8 +97,11 @@
 	return rk
 }
 
-// lateFor is how much later than it was due a step that is late ranks...
-const lateFor = 15 * time.Second
+// lateFor is how much later than they had to start late steps rank, so that age counts and
+// each is served in the end: behind all that can be in time they waited as long as the
+// stream went on. A shorter time has more jobs late: on a day that asks for 0.89 of a cell
+// of 350 workers 54% of the gangs were in time with 15 s, 66% with 30 s, 72% with 60 s.
+const lateFor = time.Minute
 
 // since is when the time of the step's round began to count.
 func (cl *Cell) since(st *step) time.Duration {
@@ -166,7 +169,7 @@
 // room returns how many tasks of the step a worker could start now.
 func (cl *Cell) room(st *step, wk *worker) int {
 	free := wk.Capacity.Sub(wk.used)
-	if wk.claim != nil && wk.claim != st && !cl.overClaims && cl.now+cl.expect(st) > wk.claim.full {
+	if wk.claim != nil && wk.claim != st && !cl.lends(wk, st) {
 		free = free.Sub(wk.kept)
 	}
 	count := free.Holds(st.need())
@@ -198,12 +201,20 @@
 // planTasks places the step's tasks one by one. Urgent ones take room that is kept free for
 // gangs only where there is no other: as long as they took any, the workers of a gang that
 // needs whole ones were never all empty at once.
-func (cl *Cell) planTasks(now time.Duration, st *step) {
+// Late ones gather room too: wide tasks find none by themselves beside a stream of small ones.
+func (cl *Cell) planTasks(now time.Duration, rd ranked) {
+	st := rd.step
 	cl.placeTasks(now, st)
-	if st.waits > 0 && st.urgent() {
+	switch {
+	case st.waits == 0:
+		cl.unclaim(st)
+	case st.urgent():
 		cl.overClaims = true
 		cl.placeTasks(now, st)
 		cl.overClaims = false
+	case rd.rank.late:
+		cl.gather(now, st)
+		cl.askWide(now, st)
 	}
 }
 
