Send a call again that met the end of a kept connection

Change: a call that may be carried out twice is sent again at once, on a connection made since; the two tries of a call stand in a type of their own, in short functions.

--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -177,54 +177,89 @@
 	if !rq.Polls && !rq.Again {
 		return cl.do(ctx, rq)
 	}
-	const tries = 2
-	began := time.Now()
-	done := make(chan outcome, tries)
-	try := func() {
-		res, err := cl.do(ctx, rq)
-		done <- outcome{res, err}
-	}
-	go try()
-	open := 1
-	var lost error // what a try says that was sent
-	var again <-chan time.Time
+	const most = 2
+	ts := &tries{caller: cl, ctx: ctx, rq: rq, began: time.Now(), done: make(chan outcome, most), left: 1}
 	if rq.Again {
-		timer := time.NewTimer(rq.Waits + overdue)
-		defer timer.Stop()
-		again = timer.C
+		ts.left = most
 	}
+	return ts.run()
+}
+
+// tries are the tries of one call, the second beside the first or after it.
+type tries struct {
+	caller *Caller
+	ctx    context.Context
+	rq     Request
+	began  time.Time
+	done   chan outcome
+	// left is how many tries there may be yet, open how many wait for an answer.
+	left, open int
+	// lost is the error of a try that was sent.
+	lost error
+}
+
+func (ts *tries) run() (Response, error) {
+	ts.begin()
+	timer := time.NewTimer(ts.rq.Waits + overdue)
+	defer timer.Stop()
 	for {
 		select {
-		case out := <-done:
-			open--
+		case out := <-ts.done:
+			ts.open--
 			if out.err == nil {
-				out.res.Open = open > 0 || lost != nil
+				out.res.Open = ts.open > 0 || ts.lost != nil
 				return out.res, nil
 			}
-			if !errors.Is(out.err, ErrUnsent) {
-				lost = out.err
+			if err := ts.failed(out.err); err != nil {
+				return Response{}, err
 			}
-			if open > 0 {
-				continue
+		case <-timer.C:
+			ts.again()
+		case <-ts.ctx.Done():
+			if errors.Is(ts.ctx.Err(), context.DeadlineExceeded) {
+				ts.caller.host(ts.rq.Address).suspect(ts.began) // before the caller's next call
 			}
-			if lost != nil {
-				return Response{}, lost
-			}
-			return Response{}, out.err
-		case <-again:
-			again = nil
-			open++
-			cl.host(rq.Address).suspect(began) // before the second try chooses its connection
-			go try()
-		case <-ctx.Done():
-			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-				cl.host(rq.Address).suspect(began) // before the caller's next call
-			}
-			return Response{}, errors.WithStack(ctx.Err())
+			return Response{}, errors.WithStack(ts.ctx.Err())
 		}
 	}
 }
 
+func (ts *tries) begin() {
+	ts.left--
+	ts.open++
+	go func() {
+		res, err := ts.caller.do(ts.ctx, ts.rq)
+		ts.done <- outcome{res, err}
+	}()
+}
+
+// again begins another try, if there may be one, on a new connection: the others of the
+// address may be silent or ended as well.
+func (ts *tries) again() {
+	if ts.left == 0 {
+		return
+	}
+	ts.caller.host(ts.rq.Address).suspect(ts.began)
+	ts.begin()
+}
+
+// failed takes in the error of a try. It returns the call's error where no other try is
+// open or begins. A request that was sent on a connection that had ended is sent again at
+// once: kept connections end all together when the other side starts anew.
+func (ts *tries) failed(err error) error {
+	if !errors.Is(err, ErrUnsent) {
+		ts.lost = err
+		ts.again()
+	}
+	switch {
+	case ts.open > 0:
+		return nil
+	case ts.lost != nil:
+		return ts.lost
+	}
+	return err
+}
+
 func (cl *Caller) do(ctx context.Context, rq Request) (Response, error) {
 	req := fasthttp.AcquireRequest()
 	res := fasthttp.AcquireResponse()
