--- /dev/null
+++ b/internal/cellnode/requests.go
@@ -0,0 +1,123 @@
+package cellnode
+
+import (
+	"context"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/work"
+
+	"tackbeam.example/tackbeam/internal/fault"
+	"tackbeam.example/tackbeam/internal/peerlink"
+	"tackbeam.example/tackbeam/internal/planner"
+)
+
+// Submit accepts a job.
+func (nd *Node) Submit(ctx context.Context, jb *work.Job) error {
+	_, err := nd.serve(ctx, peerlink.Request{Submit: jb})
+	return err
+}
+
+// Cancel accepts a cancel.
+func (nd *Node) Cancel(ctx context.Context, id string) error {
+	_, err := nd.serve(ctx, peerlink.Request{Cancel: id})
+	return err
+}
+
+// State asks the planner for a job's phase.
+func (nd *Node) State(ctx context.Context, id string) (cell.Phase, error) {
+	reply, err := nd.serve(ctx, peerlink.Request{State: id})
+	return reply.Phase, err
+}
+
+// Pending asks the planner how many jobs of a queue have not begun.
+func (nd *Node) Pending(ctx context.Context, queue string) (int, error) {
+	reply, err := nd.serve(ctx, peerlink.Request{Pending: queue})
+	return reply.Pending, err
+}
+
+// serve answers a caller's request, through another node while this one is cut off from
+// the store.
+func (nd *Node) serve(ctx context.Context, rq peerlink.Request) (peerlink.Reply, error) {
+	if nd.health.Down() {
+		if reply, ok, err := nd.relay.Do(ctx, rq); ok {
+			metrics.GetOrRegisterCounter("callers.relayed", nd.meters).Inc(1)
+			return reply, err
+		}
+	}
+	return nd.answer(ctx, rq)
+}
+
+// answer answers a caller's request by what this node can do.
+func (nd *Node) answer(ctx context.Context, rq peerlink.Request) (peerlink.Reply, error) {
+	switch {
+	case rq.Submit != nil:
+		return peerlink.Reply{}, nd.intake.Submit(ctx, rq.Submit)
+	case rq.Cancel != "":
+		return peerlink.Reply{}, nd.intake.Cancel(ctx, rq.Cancel)
+	case nd.term.Leading():
+		return nd.fromPlanner(rq)
+	}
+	return nd.ask(ctx, rq)
+}
+
+// askTimeout bounds a question to the planner: it answers from memory.
+const askTimeout = 500 * time.Millisecond
+
+func (nd *Node) ask(ctx context.Context, rq peerlink.Request) (peerlink.Reply, error) {
+	el, ok := nd.term.Leader()
+	if !ok {
+		return peerlink.Reply{}, fault.New(fault.Unavailable, "no planner is known").After(comeBack)
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	return nd.link.Call(ctx, el.Peers, rq)
+}
+
+// handle answers other nodes.
+func (nd *Node) handle(ctx context.Context, rq peerlink.Request) (peerlink.Reply, error) {
+	switch {
+	case rq.Relayed:
+		rq.Relayed = false
+		return nd.handleRelayed(ctx, rq)
+	case rq.Advise != nil:
+		answer, err := nd.advise(ctx, *rq.Advise)
+		return peerlink.Reply{Tickets: answer.Tickets, Valid: answer.Valid}, err
+	}
+	return nd.fromPlanner(rq)
+}
+
+// handleRelayed answers a request of another node's caller. The other node's
+// configuration may be old, so a job gets the queue's settings of this one.
+func (nd *Node) handleRelayed(ctx context.Context, rq peerlink.Request) (peerlink.Reply, error) {
+	if rq.Submit != nil {
+		qu, ok := nd.table.Queue(rq.Submit.Queue.Name)
+		if !ok {
+			return peerlink.Reply{}, fault.New(fault.Unavailable, "no queue %s here; not run", rq.Submit.Queue.Name)
+		}
+		rq.Submit.Queue = qu
+	}
+	return nd.answer(ctx, rq)
+}
+
+// fromPlanner answers questions for the planner, where this node is it.
+func (nd *Node) fromPlanner(rq peerlink.Request) (peerlink.Reply, error) {
+	switch {
+	case rq.State != "":
+		phase, err := nd.planner.State(rq.State)
+		return peerlink.Reply{Phase: phase}, err
+	case rq.Pending != "":
+		count, err := nd.planner.Pending(rq.Pending)
+		return peerlink.Reply{Pending: count}, err
+	}
+	return peerlink.Reply{}, fault.New(fault.BadRequest, "request asks for nothing")
+}
+
+func (nd *Node) advise(ctx context.Context, qn cell.Question) (planner.Answer, error) {
+	if nd.adapter.Advise == nil {
+		return planner.Answer{}, fault.New(fault.Unavailable, "the deployment has no advisor")
+	}
+	return nd.adapter.Advise(ctx, qn)
+}
--- /dev/null
+++ b/internal/httpcall/host.go
@@ -0,0 +1,116 @@
+package httpcall
+
+import (
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
+)
+
+// host is the connections to one address.
+type host struct {
+	pool     *fasthttp.HostClient
+	maxConns int
+	mu       sync.Mutex
+	// late is the number of calls that are overdue and still waited for.
+	late int
+	// doubt is when the latest call was sent that was overdue: connections that have not
+	// answered since then may be silent.
+	doubt time.Time
+}
+
+// dial makes a connection that notices a silent other side, within a time unless that is 0.
+func dial(address string, within time.Duration) (net.Conn, error) {
+	if within <= 0 || within > dialTimeout {
+		within = dialTimeout
+	}
+	dialer := net.Dialer{Timeout: within, Control: func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		if ctlErr := raw.Control(func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		}); ctlErr != nil {
+			return ctlErr
+		}
+		return err
+	}}
+	return dialer.Dial("tcp4", address)
+}
+
+// suspect puts the connections in doubt that have not answered since a time.
+func (ho *host) suspect(since time.Time) {
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	if since.After(ho.doubt) {
+		ho.doubt = since
+	}
+}
+
+// addLate has the connections of overdue calls not count as those that there may be.
+func (ho *host) addLate(count int) {
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	ho.late += count
+	ho.pool.SetMaxConns(min(ho.maxConns+max(ho.late, 0), mostTimes*ho.maxConns))
+}
+
+// doubted reports whether a connection that was last used at a time is in doubt.
+func (ho *host) doubted(used time.Time) bool {
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	return !used.IsZero() && used.Before(ho.doubt) // a new one has not been used
+}
+
+// exchange sends a request on a connection that is not in doubt, and reads the answer.
+func (ho *host) exchange(req *fasthttp.Request, res *fasthttp.Response, deadline time.Time, waits time.Duration) error {
+	left := time.Until(deadline)
+	if left <= 0 {
+		return errors.Wrap(ErrUnsent, "the deadline is over")
+	}
+	cc, err := ho.pool.AcquireConn(left, false)
+	for err == nil && ho.doubted(cc.LastUseTime()) {
+		ho.pool.CloseConn(cc)
+		cc, err = ho.pool.AcquireConn(left, false)
+	}
+	if err != nil {
+		return errors.Wrap(ErrUnsent, err.Error())
+	}
+	sent := time.Now()
+	late := time.AfterFunc(min(waits+overdue, deadline.Sub(sent)), func() {
+		ho.suspect(sent)
+		ho.addLate(1)
+	})
+	defer func() {
+		if !late.Stop() {
+			ho.addLate(-1)
+		}
+	}()
+	conn := cc.Conn()
+	if err := conn.SetDeadline(deadline); err != nil {
+		ho.pool.CloseConn(cc)
+		return errors.Wrap(ErrUnsent, err.Error())
+	}
+	writer := ho.pool.AcquireWriter(conn)
+	if err = req.Write(writer); err == nil {
+		err = writer.Flush()
+	}
+	ho.pool.ReleaseWriter(writer)
+	if err == nil {
+		reader := ho.pool.AcquireReader(conn)
+		err = res.Read(reader)
+		ho.pool.ReleaseReader(reader)
+	}
+	var silent net.Error
+	if errors.As(err, &silent) && silent.Timeout() {
+		ho.suspect(sent)
+	}
+	if err != nil || res.ConnectionClose() {
+		ho.pool.CloseConn(cc)
+	} else {
+		ho.pool.ReleaseConn(cc)
+	}
+	return errors.WithStack(err)
+}
