Notice a silent watch before its node counts as in touch again

Cause: a watch of 2 s without an answer counted as dropped after a further second; with the pause before the next try the list of workers was 3.01 s old (measured), a machine is in touch again after 3 s. Change: half a second in place of one, twice what a slow store takes; the test covers the list of workers.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -140,8 +140,10 @@
 	return reading.At(), nil
 }
 
-// watchSlack is what a watch may take beyond its wait before it counts as dropped.
-const watchSlack = time.Second
+// watchSlack is what a watch may take beyond its wait before it counts as dropped: twice
+// what a slow store takes. A silent watch of 2 s is then noticed after 2.5 s, before a node
+// that lost its connections counts as in touch again, after 3 s; with a second it was not.
+const watchSlack = 500 * time.Millisecond
 
 // Refresh gives the present call up, which may be dead, and reads all keys, or the rest of
 // them; what changed in those that were read the watch tells.
