Show that a follower watches in the lowest class

Following.Class is spent on reads only; Client.Watch always spends in class Rest, which leaves half of the burst, so a node that has just started waits for the watch of the cluster map. Change: TestFollowSpendsInItsClass, on a clock that stands still, so that no figure depends on the machine. Conclusion: a fault of the product; listed until the mend.

--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -142,3 +142,56 @@
 		is.Equal(reads, want[class]) // the class leaves its reserve
 	}
 }
+
+// TestFollowSpendsInItsClass follows keys, class by class, once the lowest class has
+// spent its calls. Whoever follows in a higher class reads and watches all the same.
+func TestFollowSpendsInItsClass(t *testing.T) {
+	cases := map[string]struct {
+		class   store.Class
+		watches bool
+	}{
+		"ownership": {store.Ownership, true},
+		"journal":   {store.Journal, true},
+		"table":     {store.Table, true},
+		"rest":      {store.Rest, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			clock := clockwork.NewFakeClock()
+			watched := make(chan bool, 2)
+			cl := store.New(clock, store.Transport{
+				Get: func(context.Context, storemsg.GetRequest) (storemsg.ItemsResponse, store.Outcome, error) {
+					return storemsg.ItemsResponse{}, store.Answered, nil
+				},
+				Watch: func(ctx context.Context, _ storemsg.WatchRequest) (storemsg.ItemsResponse, store.Outcome, error) {
+					watched <- true
+					<-ctx.Done()
+					return storemsg.ItemsResponse{}, store.Lost, ctx.Err()
+				},
+			}, store.Options{Writes: 100, Reads: 1000, Timeout: time.Second})
+			cl.SetNodes(9) // 100 reads a second for this node
+			clock.Advance(time.Minute)
+			for range 50 { // what the lowest class may spend
+				_, err := cl.Get(ctx, store.Rest, "k")
+				is.NoErr(err)
+			}
+			go func() {
+				if clock.BlockUntilContext(ctx, 1) == nil {
+					watched <- false // it waits for calls that only time brings
+				}
+			}()
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				cl.Follow(ctx, store.Following{
+					Class: tc.class, All: func([]storemsg.Item, uint64) {}, Changed: func([]storemsg.Item) {},
+				})
+			}()
+			is.Equal(<-watched, tc.watches)
+			cancel()
+			<-done
+		})
+	}
+}
