Show that an edit passes over a member its node has not heard of

Cause: the answer to an edit names the nodes that have confirmed it and those that have not, out of the cluster map as the editing node last saw it. A member that it has not been told of is in neither list. Change: TestEditNamesNewMembers holds the node's watches back and lets another one join.

--- a/internal/daemon/table_test.go
+++ b/internal/daemon/table_test.go
@@ -2,17 +2,26 @@
 
 import (
 	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
 	"tackbeam.example/tackbeam/internal/api"
 	"tackbeam.example/tackbeam/internal/client"
+	"tackbeam.example/tackbeam/internal/clustermap"
 	"tackbeam.example/tackbeam/internal/fault"
 	"tackbeam.example/tackbeam/internal/standin/standinstore"
+	"tackbeam.example/tackbeam/internal/store"
+	"tackbeam.example/tackbeam/internal/storemsg"
 	"tackbeam.example/tackbeam/internal/table"
+	"tackbeam.example/tackbeam/internal/wire"
 )
 
 func setCell(cl *client.Client, value, expect string) (table.Kept, error) {
@@ -88,6 +97,50 @@
 	})
 }
 
+// deafGate lets a node's calls to the store through, except its watches: these hang,
+// so that the node learns of no change that it does not read itself.
+func deafGate(t *testing.T, bd *bed) *gate {
+	t.Helper()
+	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: bd.store.Addr()})
+	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, rq *http.Request) {
+		if rq.URL.Path == storemsg.WatchPath {
+			<-t.Context().Done()
+			return
+		}
+		proxy.ServeHTTP(rw, rq)
+	}))
+	t.Cleanup(server.Close)
+	return newGate(t, server.Listener.Addr().String())
+}
+
+// TestEditNamesNewMembers edits the table at a node that has not been told yet of
+// another one's joining. The answer names that one among those without the edit.
+func TestEditNamesNewMembers(t *testing.T) {
+	is := is.New(t)
+	bd := newBed(t, 2)
+	bd.gates = map[string]*gate{"n1": deafGate(t, bd)}
+	bd.start("n1")
+	bd.waitSlots(16)
+	cl := store.New(clockwork.NewRealClock(), store.HTTP([]string{bd.store.Addr()}), store.Options{
+		Writes: 1000, Reads: 1000, Timeout: patience,
+	})
+	for joined := false; !joined; { // n1 may write the map meanwhile
+		item, err := cl.Get(t.Context(), store.Ownership, clustermap.Key)
+		is.NoErr(err)
+		mp := clustermap.New()
+		is.NoErr(wire.Decode(item.Value, mp))
+		raw, err := wire.Encode(mp.Join(clustermap.Node{Name: "n2", Incarnation: "first", Peer: "127.0.0.1:1"}))
+		is.NoErr(err)
+		_, joined, err = cl.Put(t.Context(), store.Ownership, store.Write{
+			Key: clustermap.Key, Value: raw, Version: item.Version,
+		})
+		is.NoErr(err)
+	}
+	kept, err := setCell(bd.api("n1"), "7", "")
+	is.NoErr(err)
+	is.Equal(kept.Unconfirmed, []string{"n2"})
+}
+
 // TestIsolatedNode cuts a node off from the store and from the other node. It
 // says that its table may be stale, and takes no jobs.
 func TestIsolatedNode(t *testing.T) {
