Let a follower watch in the class it follows in

Cause: Client.Watch always spent in class Rest, so that the watch of the cluster map waited until half of the burst was back, also where Following.Class is Ownership. A new client's burst is that of a seventh; once it learns that there are one or two nodes, that is under half, and the watch waits for some 0.2 s. Change: Watch takes the class; Follow hands its own on.

--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -57,7 +57,7 @@
 
 // follow waits for changes once; it reports false where the store forgot some.
 func (cl *Client) follow(ctx context.Context, fw Following, after uint64) (uint64, bool, error) {
-	res, err := cl.Watch(ctx, fw.Prefix, after, watchWait)
+	res, err := cl.Watch(ctx, fw.Class, fw.Prefix, after, watchWait)
 	if err != nil || res.Compacted {
 		return after, false, err
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -281,9 +281,9 @@
 
 // Watch waits for changes under the prefix after the revision.
 func (cl *Client) Watch(
-	ctx context.Context, prefix string, after uint64, wait time.Duration,
+	ctx context.Context, class Class, prefix string, after uint64, wait time.Duration,
 ) (storemsg.ItemsResponse, error) {
-	if err := cl.spend(ctx, cl.reads, Rest); err != nil {
+	if err := cl.spend(ctx, cl.reads, class); err != nil {
 		return storemsg.ItemsResponse{}, err
 	}
 	call, cancel := context.WithTimeout(ctx, wait+cl.opts.Timeout)
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -139,7 +139,7 @@
 		is.NoErr(err)
 		item, ok, _ = cl.Put(ctx, store.Rest, store.Write{Key: "live/a", Value: []byte("x"), Lease: id})
 	}
-	res, err := cl.Watch(ctx, "live/", item.Version, 20*time.Second)
+	res, err := cl.Watch(ctx, store.Rest, "live/", item.Version, 20*time.Second)
 	is.NoErr(err)
 	is.Equal(len(res.Items), 1)
 	is.True(res.Items[0].Deleted)
