Tell an edit to the members of the map, not to those a node has heard of

Cause: the editing node pushes a kept row to the nodes of the map that it knows, so that a member it has not been told of is neither asked nor named. Change: after the write, it reads the map anew (one read an edit); who joined before the edit was kept is in it. Where that read fails, the members known are told and a line in the log says so; such an answer may still pass a new member over.

--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -156,7 +156,7 @@
 			if fd.Err() != nil {
 				return nil, fd.Err()
 			}
-			tb = table.New(dm.clock, dm.log, cl, pr, mb.Addresses)
+			tb = table.New(dm.clock, dm.log, cl, pr, mb.Others)
 			mb.Behind(tb.CatchUp)
 			return tb, nil
 		},
--- a/internal/member/beat.go
+++ b/internal/member/beat.go
@@ -57,6 +57,16 @@
 	return addrs
 }
 
+// Others returns the peer addresses of the other nodes, by name, after it has read
+// the map anew: this node may not have been told yet of a member that has joined.
+// Where the store does not answer, they are those that this node knows of.
+func (mb *Member) Others(ctx context.Context) map[string]string {
+	if err := mb.readMap(ctx); err != nil {
+		mb.log.Info("Map cannot be read, a new member may be passed over.", "cause", err.Error())
+	}
+	return mb.Addresses()
+}
+
 func (mb *Member) hears(ps *peerState) bool {
 	return ps.beat.Node != "" && mb.clock.Since(ps.heard) < mb.opts.Suspect
 }
--- a/internal/table/edit.go
+++ b/internal/table/edit.go
@@ -150,7 +150,8 @@
 	return tb.publish(ctx, gone)
 }
 
-// publish takes a kept row into force here and pushes it to all other nodes.
+// publish takes a kept row into force here and pushes it to all other nodes, those
+// that joined before the row was kept included.
 func (tb *Table) publish(ctx context.Context, item storemsg.Item) (Kept, error) {
 	tb.applyItems([]storemsg.Item{item})
 	kept := Kept{}
@@ -162,7 +163,7 @@
 		kept.Row = row
 	}
 	push := nodemsg.Row{Key: item.Key, Value: item.Value, Version: item.Version, Deleted: item.Deleted}
-	others := tb.others()
+	others := tb.others(ctx)
 	answers := make(chan lo.Tuple2[string, bool], len(others))
 	for name, addr := range others {
 		go func() { answers <- lo.T2(name, tb.push(ctx, addr, push)) }()
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -42,7 +42,7 @@
 	store *store.Client
 	peer  *peer.Peer
 	// others returns the addresses of the other nodes, by name.
-	others func() map[string]string
+	others func(context.Context) map[string]string
 
 	current atomic.Pointer[Snapshot]
 	mu      sync.Mutex
@@ -57,7 +57,7 @@
 // New returns an empty table. Others returns the peer addresses of the other nodes.
 func New(
 	clock clockwork.Clock, log logr.Logger, cl *store.Client, pr *peer.Peer,
-	others func() map[string]string,
+	others func(context.Context) map[string]string,
 ) *Table {
 	tb := &Table{
 		clock: clock, log: log.WithName("table"), store: cl, peer: pr, others: others,
