Count a write that was never sent as surely not in

Cause: the transport handed a call on though its context had ended or its deadline had passed, and took the end that followed for one on the way. Change: such a call is refused before anything is sent; a call cut off on the way still may be in.

--- a/internal/store/http.go
+++ b/internal/store/http.go
@@ -52,13 +52,18 @@
 	}
 }
 
-// post makes one call. Only an answer that says so, or a connection that was
-// never made, counts as refused; everything else may have taken effect.
+// post makes one call. Only an answer that says so, a connection that was never
+// made, or a call that was over before it was sent counts as refused; everything
+// else may have taken effect.
 func (ht *httpTransport) post(ctx context.Context, url string, body []byte, res any) (Outcome, error) {
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		deadline = time.Now().Add(defaultTimeout)
 	}
+	// The context's timer may lag behind its deadline.
+	if ctx.Err() != nil || !time.Now().Before(deadline) {
+		return Refused, errors.New("call store: its time was over before it was sent")
+	}
 	done := make(chan answer, 1)
 	go func() { done <- ht.exchange(url, body, deadline) }()
 	select {
