--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -14,6 +14,13 @@
 	"tackbeam.example/tackbeam/internal/storemsg"
 )
 
+const (
+	// patience bounds calls that are answered; it is no measure.
+	patience = 60 * time.Second
+	// hung is how long a call that hangs is waited for; any time will do.
+	hung = 50 * time.Millisecond
+)
+
 // pair starts a stand-in and a client of it.
 func pair(t *testing.T) (*standinstore.Store, *store.Client) {
 	t.Helper()
@@ -71,26 +78,78 @@
 	is.True(st.Counts().Lost > 0)            // replies were lost indeed
 }
 
+// TestOutageSaysWhetherTheWriteMayBeIn gives a write up between two of its tries, when
+// none is under way: of one that is, nobody can say whether it is in.
 func TestOutageSaysWhetherTheWriteMayBeIn(t *testing.T) {
 	cases := map[string]struct {
-		faults standinstore.Faults
-		begun  bool
+		faults  standinstore.Faults
+		timeout time.Duration
+		begun   bool
 	}{
-		"down: surely not written":  {standinstore.Faults{Down: true}, false},
-		"hangs: may be written yet": {standinstore.Faults{Hang: true}, true},
+		"down: surely not written":  {standinstore.Faults{Down: true}, patience, false},
+		"hangs: may be written yet": {standinstore.Faults{Hang: true}, hung, true},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			st, cl := pair(t)
+			st, _ := pair(t)
 			st.SetFaults(tc.faults)
-			ctx, cancel := context.WithTimeout(context.Background(), 600*time.Millisecond)
+			clock := clockwork.NewFakeClock()
+			cl := store.New(clock, store.HTTP([]string{st.Addr()}), store.Options{
+				Writes: 1000, Reads: 1000, Timeout: tc.timeout,
+			})
+			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
-			_, ok, err := cl.Put(ctx, store.Rest, store.Write{Key: "k", Value: []byte("1")})
+			const tries = 4
+			go func() {
+				for try := 1; clock.BlockUntilContext(ctx, 1) == nil; try++ { // the pause after a try
+					if try == tries {
+						cancel()
+						return
+					}
+					clock.Advance(time.Minute) // over any pause
+				}
+			}()
+			_, ok, err := cl.Put(ctx, store.Ownership, store.Write{Key: "k", Value: []byte("1")})
 			is.True(!ok)
 			is.Equal(fault.From(err).Kind, fault.Unavailable)
 			is.Equal(fault.From(err).Begun, tc.begun)
 			is.True(cl.Down())
+			_, writes, failed, _ := cl.Calls()
+			is.Equal(writes, int64(tries))
+			is.True(failed >= tries)                 // the reads that settle a write fail too
+			is.Equal(st.Counts().Revision, int64(0)) // neither fault lets a write take effect
+		})
+	}
+}
+
+// lagging is a context whose deadline has passed, but whose timer has not fired.
+type lagging struct{ context.Context }
+
+// Deadline returns a time that has passed.
+func (lagging) Deadline() (time.Time, bool) { return time.Now().Add(-time.Millisecond), true }
+
+// TestCallPastItsTime makes a write whose time is over before it is sent. The write
+// is not sent, and the caller is told that it surely is not in.
+func TestCallPastItsTime(t *testing.T) {
+	cancelled, cancel := context.WithCancel(t.Context())
+	cancel()
+	expired, cancelExpired := context.WithDeadline(t.Context(), time.Now().Add(-time.Second))
+	defer cancelExpired()
+	cases := map[string]context.Context{
+		"the caller gave up":        cancelled,
+		"the deadline has passed":   expired,
+		"the deadline's timer lags": lagging{t.Context()},
+	}
+	for name, ctx := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			st, _ := pair(t)
+			body := storemsg.PutRequest{Key: "k", Value: []byte("1")}
+			_, oc, err := store.HTTP([]string{st.Addr()}).Put(ctx, body)
+			is.True(err != nil)
+			is.Equal(oc, store.Refused)
+			is.Equal(st.Counts().Writes, int64(0))
 		})
 	}
 }
@@ -108,7 +167,7 @@
 		is.NoErr(err)
 		item, ok, _ = cl.Put(ctx, store.Rest, store.Write{Key: "live/a", Value: []byte("x"), Lease: id})
 	}
-	res, err := cl.Watch(ctx, "live/", item.Version, 20*time.Second)
+	res, err := cl.Watch(ctx, store.Rest, "live/", item.Version, 20*time.Second)
 	is.NoErr(err)
 	is.Equal(len(res.Items), 1)
 	is.True(res.Items[0].Deleted)
@@ -142,3 +201,56 @@
 		is.Equal(reads, want[class]) // the class leaves its reserve
 	}
 }
+
+// TestFollowSpendsInItsClass follows keys, class by class, once the lowest class has
+// spent its calls. Whoever follows in a higher class reads and watches all the same.
+func TestFollowSpendsInItsClass(t *testing.T) {
+	cases := map[string]struct {
+		class   store.Class
+		watches bool
+	}{
+		"ownership": {store.Ownership, true},
+		"journal":   {store.Journal, true},
+		"table":     {store.Table, true},
+		"rest":      {store.Rest, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			clock := clockwork.NewFakeClock()
+			watched := make(chan bool, 2)
+			cl := store.New(clock, store.Transport{
+				Get: func(context.Context, storemsg.GetRequest) (storemsg.ItemsResponse, store.Outcome, error) {
+					return storemsg.ItemsResponse{}, store.Answered, nil
+				},
+				Watch: func(ctx context.Context, _ storemsg.WatchRequest) (storemsg.ItemsResponse, store.Outcome, error) {
+					watched <- true
+					<-ctx.Done()
+					return storemsg.ItemsResponse{}, store.Lost, ctx.Err()
+				},
+			}, store.Options{Writes: 100, Reads: 1000, Timeout: time.Second})
+			cl.SetNodes(9) // 100 reads a second for this node
+			clock.Advance(time.Minute)
+			for range 50 { // what the lowest class may spend
+				_, err := cl.Get(ctx, store.Rest, "k")
+				is.NoErr(err)
+			}
+			go func() {
+				if clock.BlockUntilContext(ctx, 1) == nil {
+					watched <- false // it waits for calls that only time brings
+				}
+			}()
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				cl.Follow(ctx, store.Following{
+					Class: tc.class, All: func([]storemsg.Item, uint64) {}, Changed: func([]storemsg.Item) {},
+				})
+			}()
+			is.Equal(<-watched, tc.watches)
+			cancel()
+			<-done
+		})
+	}
+}
