--- a/policy/cell/gather_test.go
+++ b/policy/cell/gather_test.go
@@ -152,3 +152,70 @@
 	is.Equal(starts[0].Task.Job, "b-older")
 	is.True(cl.Waits(time.Second, 0, 1)[0].For >= 2*time.Second)
 }
+
+// TestLateRanksAMinuteLater has a late task and one in time wait for the same worker: the
+// one in time goes first, until the other is late by a minute.
+func TestLateRanksAMinuteLater(t *testing.T) {
+	tests := map[string]struct {
+		age  time.Duration
+		want string
+	}{
+		"late by half a minute":    {age: 30 * time.Second, want: "in-time"},
+		"late by most of a minute": {age: 55 * time.Second, want: "in-time"},
+		"late by over a minute":    {age: 70 * time.Second, want: "late"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			cl := crowd(1)
+			at := time.Second
+			plain := work.Queue{Name: "q", Service: "svc", Attempts: 3, Priority: 1, Stretch: 2}
+			job := func(id string) *work.Job {
+				return &work.Job{ID: id, Spec: "s", Queue: plain, Steps: []work.Step{{Count: 1, Need: full, Estimate: time.Second}}}
+			}
+			cl.AddAged(at, tt.age, job("late"))
+			cl.Add(at, job("in-time"), false)
+			cl.Plan(at)
+			starts := cl.Take().Starts
+			is.Equal(len(starts), 1)
+			is.Equal(starts[0].Task.Job, tt.want)
+		})
+	}
+}
+
+// TestFewGangsGather has ten gangs lack room in a cell of which three quarters are in use:
+// only so many gather that a tenth of the cell stands idle for them. In an idle cell more do.
+func TestFewGangsGather(t *testing.T) {
+	tests := map[string]struct {
+		busy   int64
+		gather int
+	}{
+		"busy cell": {busy: 49000, gather: 3}, // 20 tasks idle 15 cores each: 300 of 6,400 a gang
+		"idle cell": {busy: 2000, gather: 4},  // beyond the quarter that is free on a busy day
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			const workers, gangs = 100, 10
+			cl := crowd(workers)
+			plain := work.Queue{Name: "q", Service: "svc", Attempts: 3, Priority: 1, Stretch: 2}
+			submit(cl, "busy", work.Step{Count: workers, PerWorker: 1, Need: size.New(tt.busy, 100, 0), Estimate: 5 * time.Second}, plain)
+			cl.Plan(0)
+			for _, sr := range cl.Take().Starts {
+				cl.Started(0, sr)
+			}
+			for n := range gangs {
+				submit(cl, fmt.Sprintf("gang%d", n), work.Step{Count: 20, Gang: true, Need: full, Estimate: time.Second}, plain)
+			}
+			const later = 400 * time.Millisecond // after which gangs gather
+			cl.Plan(later)
+			gather := 0
+			for _, wt := range cl.Waits(later, 0, gangs) {
+				if wt.Claimed > 0 {
+					gather++
+				}
+			}
+			is.Equal(gather, tt.gather)
+		})
+	}
+}
