Renew a promise with the room, and wait for tickets only where there are any

Change: only advised steps wait for tickets; a step that gathers again after a pause promises anew; what is expected now decides whether more workers are asked about.

--- a/policy/cell/advice.go
+++ b/policy/cell/advice.go
@@ -190,7 +190,7 @@
 	var names []string
 	if want := gangSpare*len(st.tasks) - holds; want > 0 {
 		names = pick(st.advice.unasked(cl.wide(st)), float64(want), share, leastAsked(st))
-	} else if len(st.claims) > 0 && st.promised-now > longGather {
+	} else if len(st.claims) > 0 && st.expected-now > longGather {
 		short := len(st.tasks) - total(slices.Collect(cl.trusted(st)))
 		names = pick(st.advice.unasked(cl.roomy(st)), askSpare*float64(short), share, leastAsked(st))
 	}
--- a/policy/cell/claim.go
+++ b/policy/cell/claim.go
@@ -64,6 +64,9 @@
 		cl.unclaim(st)
 		return
 	}
+	if st.gathered < cl.plans-1 {
+		st.promised = 0 // the room was given back meanwhile, and with it the promise
+	}
 	st.gathered = cl.plans
 	if len(st.claims) == 0 && now >= st.rechoose || now-st.claimed >= claimEvery {
 		st.claimed = now
@@ -90,28 +93,34 @@
 		cl.unclaim(st)
 		return
 	}
-	full := list[want-1].at
-	if full > now {
-		st.complete = 0
-	} else if st.complete == 0 {
-		st.complete = now
-	}
-	if st.complete > 0 && now-st.complete > completeMost {
-		st.ticketsFirst = true
+	st.expected = list[want-1].at
+	if st.promised == 0 || st.expected < st.promised {
+		st.promised = st.expected
 	}
-	if st.ticketsFirst {
+	if st.waitsForTickets(now) {
 		cl.unclaim(st)
 	} else {
 		cl.claim(st, chosen)
 	}
-	if st.promised == 0 || full < st.promised {
-		st.promised = full
-	}
 	if st.def.Gang {
 		cl.askAhead(now, st, list)
 	}
 }
 
+// waitsForTickets reports whether a step keeps no room, since the room was all there for
+// long and no tickets came. It does until some come.
+func (st *step) waitsForTickets(now time.Duration) bool {
+	switch {
+	case st.expected > now:
+		st.complete = 0
+	case st.complete == 0:
+		st.complete = now
+	case now-st.complete > completeMost && st.round.job.spec.Queue.Advised:
+		st.ticketsFirst = true
+	}
+	return st.ticketsFirst
+}
+
 // lends reports whether a step may use the room that is kept on a worker for another: if
 // its tasks end before that room is promised to be full. The promise never moves back, or
 // tasks of 2 s would use the room for ever, each a little longer.
--- a/policy/cell/round.go
+++ b/policy/cell/round.go
@@ -31,9 +31,9 @@
 	advice advice
 	// claims are the workers on which room is kept free for the gang.
 	claims []*worker
-	// claimed is when they were chosen, promised the earliest time at which there was
-	// expected to be room for all, 0 before.
-	claimed, promised time.Duration
+	// claimed is when they were chosen, expected when there will be room for all, and
+	// promised the earliest such time since the step began to gather, 0 before.
+	claimed, expected, promised time.Duration
 	// complete is when the room was first all there, 0 while it is not. A step for which it was
 	// there for long has ticketsFirst set: it keeps room again once tickets have come.
 	complete     time.Duration
