--- a/policy/cell/bed_test.go
+++ b/policy/cell/bed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -195,9 +196,7 @@
 }
 
 func (bd *bed) carryOut() {
-	for out := bd.cell.Take(); !out.Empty(); out = bd.cell.Take() {
-		bd.records = append(bd.records, out.Records...)
-		bd.cell.Committed(bd.cell.Recorded())
+	for out := range orders(bd.cell, &bd.records) {
 		for _, sr := range out.Starts {
 			bd.start(sr)
 		}
@@ -210,6 +209,19 @@
 	}
 }
 
+// orders yields what a cell wants done until there is nothing more, and writes its records.
+func orders(cl *cell.Cell, journal *[]cell.Record) iter.Seq[cell.Output] {
+	return func(yield func(cell.Output) bool) {
+		for out := cl.Take(); !out.Empty(); out = cl.Take() {
+			*journal = append(*journal, out.Records...)
+			cl.Committed(cl.Recorded())
+			if !yield(out) {
+				return
+			}
+		}
+	}
+}
+
 // answer allows every second worker.
 func (bd *bed) answer(qn cell.Question) {
 	var rows []cell.Ticket
--- a/policy/cell/busyday_test.go
+++ b/policy/cell/busyday_test.go
@@ -203,9 +203,7 @@
 }
 
 func (bd *busyDay) carryOut() {
-	for out := bd.cell.Take(); !out.Empty(); out = bd.cell.Take() {
-		bd.records = append(bd.records, out.Records...)
-		bd.cell.Committed(bd.cell.Recorded())
+	for out := range orders(bd.cell, &bd.records) {
 		for _, sr := range out.Starts {
 			bd.start(sr)
 		}
