Put connections in doubt whenever a call's deadline is over

At its deadline a call's read fails with an error that is no time-out of the network's kind, and stops the timer that would have put the connections in doubt, where it comes first: then nothing did, and the next call was given the next silent connection. Change: an error after the deadline puts them in doubt, whatever it is.

--- a/internal/httpcall/host.go
+++ b/internal/httpcall/host.go
@@ -103,9 +103,8 @@
 		err = res.Read(reader)
 		ho.pool.ReleaseReader(reader)
 	}
-	var silent net.Error
-	if errors.As(err, &silent) && silent.Timeout() {
-		ho.suspect(sent)
+	if err != nil && !time.Now().Before(deadline) {
+		ho.suspect(sent) // whatever the error is called, and though the timer has not gone off yet
 	}
 	if err != nil || res.ConnectionClose() {
 		ho.pool.CloseConn(cc)
