Failing test: a reign that has ended counts as proven

Cause: whether a reign's lease surely holds was read from the node's present lease. The end of a reign no longer waits for its work, so that work which goes on took the next lease, or a lease without a reign, for its own.

--- a/internal/planner/reigns_test.go
+++ b/internal/planner/reigns_test.go
@@ -203,3 +203,43 @@
 	_, err := leader.planner.State("none")
 	return fault.Is(err, fault.NotFound)
 }
+
+// TestEndedReignIsNotProven is the story of a task that could be started twice: a planner's
+// reign ended, by the word of a worker or since its lease ran out, while the node stayed a
+// member or got another lease. The old reign's work may go on for a while, and asked whether
+// its lease surely holds before it sent a start; it was told of the node's present lease, on
+// which a later planner, or none, rests. In virtual time a reign counted as proven when the
+// next planner had begun, in both cases.
+func TestEndedReignIsNotProven(t *testing.T) {
+	cases := map[string]func(bd *bed, nd *node){
+		"deposed":    func(_ *bed, nd *node) { nd.reign.Depose("test") },
+		"lease lost": func(bd *bed, _ *node) { bd.store.Revoke() },
+	}
+	for name, end := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				bd := newBed(t, time.Second, "w1")
+				defer bd.end()
+				first := bd.addNode("n1")
+				time.Sleep(100 * time.Millisecond)
+				bd.addNode("n2")
+				time.Sleep(300 * time.Millisecond)
+				synctest.Wait()
+				old := first.reign
+				is.True(old.Proven())
+				is.True(old.SinceProof() < time.Second)
+				end(bd, first)
+				const within = 3 * time.Second // the lease's time, and some
+				began := time.Now()
+				for !answers(bd, first, old.Token) && time.Since(began) < within {
+					time.Sleep(10 * time.Millisecond)
+				}
+				is.True(answers(bd, first, old.Token)) // a later planner
+				is.True(bd.leader().reign.Proven())
+				is.True(!old.Proven())                  // it would start tasks under the old token
+				is.True(old.SinceProof() > time.Minute) // it would renew the workers' leases
+			})
+		})
+	}
+}
