Bind the proof of a lease to the reign that rests on it

Cause: Proven and SinceProof read the node's present lease. A reign that was deposed, or whose lease was lost, counted as proven again by the next one, and its work that still went on could send starts under the old token. Change: a reign keeps its lease, and has no proof once it was deposed or the node has another. Plans and starts look whether the reign has ended, too. No test was seen to fail without the looks at the context: mutation trials were not completed.

--- a/internal/planner/lead.go
+++ b/internal/planner/lead.go
@@ -196,11 +196,11 @@
 	ld.measures.gauge("planner.workers_kept_free", kept)
 }
 
-// plan decides, if the term is proven, and has the orders carried out.
+// plan decides, if the reign goes on and is proven, and has the orders carried out.
 func (ld *lead) plan() {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
-	if ld.loaded && ld.dirty && ld.reign.Proven() {
+	if ld.loaded && ld.dirty && ld.ctx.Err() == nil && ld.reign.Proven() {
 		ld.dirty = false
 		began := ld.clock.Now()
 		ld.cell.Plan(ld.now())
--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -28,7 +28,7 @@
 // start carries out one start.
 func (ld *lead) start(sr cell.Start) {
 	se, token, deadline, ok := ld.prepare(sr.Worker)
-	if !ok || !ld.reign.Proven() {
+	if !ok || ld.ctx.Err() != nil || !ld.reign.Proven() {
 		ld.after(func(now time.Duration) { ld.cell.Refused(now, sr, cell.RefusedLate) })
 		ld.log.Info("Start was not sent.", "task", sr.Task.String(), "run", sr.Run, "worker", sr.Worker)
 		return
--- a/internal/planner/records.go
+++ b/internal/planner/records.go
@@ -86,12 +86,13 @@
 }
 
 // commitLast writes what is left when a reign ends in order, so that the next
-// planner knows it at once. It fails where another planner was elected.
+// planner knows it at once. It fails where another planner was elected, or the lease is
+// over: the write carries the condition on the leader's key, and needs no proof.
 func (ld *lead) commitLast(n int) {
 	ld.mu.Lock()
 	recs := ld.records.open
 	ld.mu.Unlock()
-	if len(recs) == 0 || !ld.reign.Proven() {
+	if len(recs) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), lastTimeout)
--- a/internal/term/election.go
+++ b/internal/term/election.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"strconv"
 	"time"
 
@@ -245,15 +246,16 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	rg := &reign{token: tm.leaderAt, cancel: cancel, done: make(chan struct{})}
+	rg := &reign{token: tm.leaderAt, lease: tm.lease, cancel: cancel, done: make(chan struct{})}
 	before := tm.latest
 	tm.reign, tm.latest = rg, rg
 	tm.log.Info("This node plans.", "token", rg.token, "reign", tm.leader.Number)
 	arg := Reign{
-		Token: rg.token, Number: tm.leader.Number, SinceProof: tm.sinceProof,
-		Proven: func() bool { return tm.sinceProof() < tm.opts.TTL },
-		Depose: tm.depose,
-		Yield:  func(reason string) { tm.yield(reason, abstain) },
+		Token: rg.token, Number: tm.leader.Number,
+		SinceProof: func() time.Duration { return tm.sinceProof(rg) },
+		Proven:     func() bool { return tm.sinceProof(rg) < tm.opts.TTL },
+		Depose:     tm.depose,
+		Yield:      func(reason string) { tm.yield(reason, abstain) },
 	}
 	go func() {
 		defer tm.wake.Give() // the leader's key may be this node's still
@@ -265,9 +267,17 @@
 	}()
 }
 
-func (tm *Term) sinceProof() time.Duration {
+// unprovable is the age of the proof of a reign that has ended.
+const unprovable time.Duration = math.MaxInt64
+
+// sinceProof returns how long ago the last renewal that was answered was sent, of the lease
+// that a reign rests on. A reign that was deposed has no proof, whatever lease the node has.
+func (tm *Term) sinceProof(rg *reign) time.Duration {
 	tm.mu.Lock()
 	defer tm.mu.Unlock()
+	if tm.reign != rg || tm.lease != rg.lease {
+		return unprovable
+	}
 	return tm.clock.Since(tm.proof)
 }
 
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -42,9 +42,10 @@
 	Token uint64
 	// Number counts the planners of the cell, from 1.
 	Number int
-	// Proven reports whether the lease surely holds.
+	// Proven reports whether the reign goes on and its lease surely holds.
 	Proven func() bool
-	// SinceProof is how long ago the last renewal that was answered was sent.
+	// SinceProof is how long ago the last renewal that was answered was sent; after the
+	// reign's end it is longer than any time.
 	SinceProof func() time.Duration
 	// Depose ends the reign, for a reason that the log gets.
 	Depose func(reason string)
@@ -96,7 +97,9 @@
 
 // reign is the planner's work that runs, with its end.
 type reign struct {
-	token  uint64
+	token uint64
+	// lease is the one that the leader's key is on.
+	lease  uint64
 	cancel context.CancelFunc
 	done   chan struct{}
 	// deposed is when the reign was told to end.
