Let a planner go on when another node is listed

Beside it, a reign could begin after the lease that its key rested on was dropped between two looks. Change: abstaining keeps new reigns from beginning and ends none; whether one may begin is looked at under the lock in which it begins.

--- a/internal/term/election.go
+++ b/internal/term/election.go
@@ -169,17 +169,20 @@
 // follow begins or ends this node's reign as the leader's key says.
 func (tm *Term) follow() {
 	tm.mu.Lock()
-	mine := tm.holdsKey() && !tm.resigned && !tm.abstaining()
-	reigns := tm.reign != nil && mine && tm.reign.token == tm.leaderAt
-	fresh := mine && !tm.spent()
+	reigns := tm.reign != nil && tm.reign.token == tm.leaderAt && tm.holdsKey() && !tm.resigned
 	tm.mu.Unlock()
 	if reigns {
 		return
 	}
 	tm.depose("another planner was elected, or none")
-	if fresh {
-		tm.begin()
-	}
+	tm.begin()
+}
+
+// mayBegin reports whether a reign may begin under the leader's key. A node that abstains
+// begins none, but goes on with one that it has: it was alone when that began. The caller
+// holds the lock.
+func (tm *Term) mayBegin() bool {
+	return tm.reign == nil && tm.holdsKey() && !tm.resigned && !tm.spent() && !tm.abstaining()
 }
 
 // holdsKey reports whether the leader's key is this node's, on its present lease. The
@@ -239,10 +242,11 @@
 	}
 }
 
+// begin begins a reign, where the key and the lease still say so.
 func (tm *Term) begin() {
 	tm.mu.Lock()
 	defer tm.mu.Unlock()
-	if tm.reign != nil {
+	if !tm.mayBegin() {
 		return
 	}
 	ctx, cancel := context.WithCancel(context.Background())
