One question whether a step is advised, and no second computing of what is known

Cause: the read of the whole change: the same condition stood in eight places, three of them beside the same check of whether a question may be put; a gang's expected time was computed twice; a claim was dropped by hand beside the function for it; a batch's age was computed for each of its jobs; three tests began with the same two nodes. Change: advised(), mayAsk with it, the step's own expected time, dropClaim, one age a batch, addPair. Conclusion: behaviour is as it was.

--- a/internal/planner/load.go
+++ b/internal/planner/load.go
@@ -56,13 +56,14 @@
 
 func (ld *lead) takeBatch(now time.Duration, item kv.Item, bt *joblog.Batch) {
 	inherited := item.Revision < ld.reign.Token
+	age := bt.Age(ld.wall())
 	for at := range bt.Jobs {
 		jb := &bt.Jobs[at]
 		if qu, ok := ld.parts.Queue(jb.Queue.Name); ok {
 			jb.Queue = qu
 		}
 		if inherited {
-			ld.cell.AddAged(now, bt.Age(ld.wall()), jb)
+			ld.cell.AddAged(now, age, jb)
 		} else {
 			ld.cell.Add(now, jb, false)
 		}
--- a/internal/planner/reigns_test.go
+++ b/internal/planner/reigns_test.go
@@ -16,6 +16,16 @@
 	"tackbeam.example/tackbeam/internal/standin/memkv"
 )
 
+// addPair adds two nodes, of which the first plans and knows the second.
+func (bd *bed) addPair() (first, second *node) {
+	first = bd.addNode("n1")
+	time.Sleep(100 * time.Millisecond)
+	second = bd.addNode("n2")
+	time.Sleep(300 * time.Millisecond)
+	synctest.Wait()
+	return first, second
+}
+
 // TestPlaceIsNotHeldIdle is the story of a cell that nobody planned for good: callers got
 // 503 from every node, though all were up and the store answered. The planner gave its
 // place up; its reign ended first, then the store took no writes for 2.5 s, so that the
@@ -54,11 +64,7 @@
 				is := is.New(t)
 				bd := newBed(t, time.Second, "w1")
 				defer bd.end()
-				first := bd.addNode("n1")
-				time.Sleep(100 * time.Millisecond)
-				bd.addNode("n2")
-				time.Sleep(300 * time.Millisecond)
-				synctest.Wait()
+				first, _ := bd.addPair()
 				token := first.reign.Token
 				bd.store.SetFault(tc.fault)
 				time.AfterFunc(tc.lasts, func() { bd.store.SetFault(commits("", memkv.None)) })
@@ -221,11 +227,7 @@
 				is := is.New(t)
 				bd := newBed(t, time.Second, "w1")
 				defer bd.end()
-				first := bd.addNode("n1")
-				time.Sleep(100 * time.Millisecond)
-				bd.addNode("n2")
-				time.Sleep(300 * time.Millisecond)
-				synctest.Wait()
+				first, _ := bd.addPair()
 				old := first.reign
 				is.True(old.Proven())
 				is.True(old.SinceProof() < time.Second)
@@ -255,11 +257,7 @@
 		is := is.New(t)
 		bd := newBed(t, time.Second, "w1")
 		defer bd.end()
-		first := bd.addNode("n1")
-		time.Sleep(100 * time.Millisecond)
-		second := bd.addNode("n2")
-		time.Sleep(300 * time.Millisecond)
-		synctest.Wait()
+		first, second := bd.addPair()
 		yielded := time.Now()
 		first.reign.Yield("test")
 		time.Sleep(500 * time.Millisecond)
--- a/policy/cell/advice.go
+++ b/policy/cell/advice.go
@@ -38,9 +38,12 @@
 	return advice{tickets: map[string]ticket{}, verdicts: map[string]bool{}}
 }
 
+// advised reports whether the step runs only on workers that the advisor allows.
+func (st *step) advised() bool { return st.round.job.spec.Queue.Advised }
+
 // trusts reports whether the worker is known to be allowed, or needs no leave.
 func (ad *advice) trusts(st *step, wk *worker) bool {
-	return !st.round.job.spec.Queue.Advised || ad.verdicts[wk.ID]
+	return !st.advised() || ad.verdicts[wk.ID]
 }
 
 // Limits of questions.
@@ -97,7 +100,7 @@
 // each paused by itself, whoever came at the right moment was served, and the oldest gangs
 // were put off 80 to 120 times.
 func (cl *Cell) mayAsk(now time.Duration, st *step) bool {
-	if st.advice.asking || now < st.advice.again {
+	if !st.advised() || st.advice.asking || now < st.advice.again {
 		return false
 	}
 	return st.urgent() || now >= cl.askAgain && cl.asked < asksAPlan
@@ -106,7 +109,7 @@
 // ask asks for leave to run tasks for which no allowed worker has room: first of
 // workers that are known to be allowed, then of ones never asked about.
 func (cl *Cell) ask(now time.Duration, st *step, short int) {
-	if !st.round.job.spec.Queue.Advised || !cl.mayAsk(now, st) {
+	if !cl.mayAsk(now, st) {
 		return
 	}
 	var known []candidate
@@ -139,17 +142,16 @@
 // so that they are there when the room is: the room would stand idle while the advisor
 // answers. The openings are sorted by time.
 func (cl *Cell) askAhead(now time.Duration, st *step, list []opening) {
-	if !st.round.job.spec.Queue.Advised || !cl.mayAsk(now, st) {
+	if !cl.mayAsk(now, st) {
 		return
 	}
 	qu := st.round.job.spec.Queue
-	full := list[len(st.tasks)-1].at
 	spare := min(int(float64(len(st.tasks))*ticketSpare)+1, len(list))
 	takes := qu.AdviceBase + time.Duration(spare)*qu.AdviceEach
-	if full > now+takes+ticketAhead {
+	if st.expected > now+takes+ticketAhead {
 		return
 	}
-	need := max(full, now+takes) + ticketMargin
+	need := max(st.expected, now+takes) + ticketMargin
 	names, lacks := st.ticketless(list[:spare], need)
 	if len(names) > maxAsked {
 		// One question cannot renew them all: those that have a ticket wait, or the same
@@ -182,7 +184,7 @@
 // allowed would hold it several times over, and while it would gather for long then about
 // ones with room now. Workers with most left go first.
 func (cl *Cell) askWide(now time.Duration, st *step) {
-	if !st.round.job.spec.Queue.Advised || !cl.mayAsk(now, st) {
+	if !cl.mayAsk(now, st) {
 		return
 	}
 	share := cl.queue(st.round.job.spec.Queue.Name).good
--- a/policy/cell/claim.go
+++ b/policy/cell/claim.go
@@ -32,9 +32,7 @@
 	cl.unclaim(st)
 	for _, cand := range chosen {
 		wk := cand.worker
-		if wk.claim != nil {
-			cl.unclaim(wk.claim) // of a step behind this one, which is late
-		}
+		cl.dropClaim(wk) // of a step behind this one, which is late
 		wk.claim, wk.kept = st, st.need().Times(int64(cand.room))
 		st.claims = append(st.claims, wk)
 	}
@@ -115,7 +113,7 @@
 		st.complete = 0
 	case st.complete == 0:
 		st.complete = now
-	case now-st.complete > completeMost && st.round.job.spec.Queue.Advised:
+	case now-st.complete > completeMost && st.advised():
 		st.ticketsFirst = true
 	}
 	return st.ticketsFirst
--- a/policy/cell/gang.go
+++ b/policy/cell/gang.go
@@ -26,12 +26,12 @@
 	}
 	cl.gather(now, st)
 	cl.askWide(now, st)
-	return !st.round.job.spec.Queue.Advised || len(st.advice.good) > 0
+	return !st.advised() || len(st.advice.good) > 0
 }
 
 // startable returns the workers that could start tasks of the gang now.
 func (cl *Cell) startable(now time.Duration, st *step) []candidate {
-	if st.round.job.spec.Queue.Advised {
+	if st.advised() {
 		return st.advice.ticketed(now, cl.trusted(st))
 	}
 	return slices.Collect(cl.tight(st))
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -145,7 +145,7 @@
 // choose returns workers that may start tasks of the step now, the best first, and
 // enough of them for those that wait.
 func (cl *Cell) choose(now time.Duration, st *step) []candidate {
-	if st.round.job.spec.Queue.Advised {
+	if st.advised() {
 		cands := st.advice.ticketed(now, cl.trusted(st))
 		cl.sortTight(st, cands)
 		return cands
