Tell from its progress how long a run that saves it takes

Change: a placement knows whether it goes on from a checkpoint and what it had done when first seen; the time left follows from what it has gained since, counted from its last report. Test: TestRoomWhereProgressIs (fails before, both cases).

--- a/policy/cell/placement.go
+++ b/policy/cell/placement.go
@@ -33,8 +33,12 @@
 	// inherited is set for a stop that an earlier planner may have sent.
 	inherited bool
 	percent   int
-	// moved is when percent last rose.
-	moved time.Duration
+	// moved is when percent last rose; from is what it was when the run was first seen at
+	// work, at the time begun.
+	moved, begun time.Duration
+	from         int
+	// resumed is set for a run that goes on from a checkpoint.
+	resumed bool
 	// load is the worker's figure of the task's load, pace the percentage of its speed
 	// that it was last ordered to work at.
 	load, pace int
@@ -63,7 +67,8 @@
 // place takes room for a run of a task.
 func (cl *Cell) place(now time.Duration, tk *task, wk *worker, run int) *placement {
 	need := tk.step.need()
-	pl := &placement{task: tk, worker: wk, run: run, need: need, moved: now, pace: whole}
+	pl := &placement{task: tk, worker: wk, run: run, need: need, moved: now, begun: now, pace: whole}
+	pl.resumed = tk.checkpoint != ""
 	wk.places[key{tk.name(), run}] = pl
 	wk.used = wk.used.Add(need)
 	if tk.runs == 0 && !tk.done {
@@ -139,7 +144,7 @@
 		return
 	}
 	pl.state = running
-	pl.since, pl.moved = now, now
+	pl.since, pl.moved, pl.begun = now, now, now
 	cl.begin(pl.task.step.round.job)
 }
 
--- /dev/null
+++ b/policy/cell/remains_test.go
@@ -0,0 +1,79 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/size"
+	"tackbeam.example/policy/work"
+)
+
+// TestRoomWhereProgressIs has a task that needs a whole worker wait for one of two, each of
+// which runs half a worker's task that saves its progress. Room is gathered where the
+// progress is greater, and a small task goes to the other. The same holds for runs that went
+// on from a checkpoint: what they have gained since tells their speed.
+func TestRoomWhereProgressIs(t *testing.T) {
+	tests := map[string]struct {
+		checkpoint    string
+		first, second int
+	}{
+		"from the start":    {first: 10, second: 90},
+		"from a checkpoint": {checkpoint: "c1", first: 62, second: 90},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			cl := crowd(2)
+			half := size.New(30000, 100, 0)
+			qu := work.Queue{Name: "q", Service: "svc", Attempts: 3, Priority: 1, Stretch: 9}
+			submit(cl, "half", work.Step{Count: 2, Need: half, PerWorker: 1, Estimate: 10 * time.Second, Checkpoints: true}, qu)
+			cl.Plan(0)
+			started := cl.Take().Starts
+			is.Equal(len(started), 2)
+			for _, sr := range started {
+				cl.Started(0, sr)
+			}
+			report := func(now time.Duration, percents ...int) {
+				for at, id := range []string{"w000", "w001"} {
+					for _, sr := range started {
+						if sr.Worker == id {
+							cl.Report(now, id, now, []cell.Run{{Task: sr.Task, Number: sr.Run, Checkpoint: "c2", Percent: percents[at]}}, nil)
+						}
+					}
+				}
+			}
+			if tt.checkpoint != "" {
+				started = startAgain(cl, started, tt.checkpoint)
+				report(time.Second, 60, 60)
+			}
+			report(3*time.Second, tt.first, tt.second)
+			whole := work.Step{Count: 1, Need: size.New(64000, 100, 0), Estimate: time.Second}
+			submit(cl, "whole", whole, work.Queue{Name: "w", Service: "svc", Attempts: 3, Priority: 1, Stretch: 8})
+			cl.Plan(3 * time.Second)
+			is.Equal(len(cl.Take().Starts), 0)
+			submit(cl, "small", work.Step{Count: 1, Need: half, Estimate: 9 * time.Second}, qu)
+			cl.Plan(3 * time.Second)
+			starts := cl.Take().Starts
+			is.Equal(len(starts), 1)
+			is.Equal(starts[0].Task.Job, "small")
+			is.Equal(starts[0].Worker, "w000")
+		})
+	}
+}
+
+// startAgain stops runs by their ends, which bring a checkpoint, and returns the runs that follow.
+func startAgain(cl *cell.Cell, runs []cell.Start, checkpoint string) []cell.Start {
+	for _, sr := range runs {
+		end := cell.End{Seq: 1, Run: cell.Run{Task: sr.Task, Number: sr.Run, Checkpoint: checkpoint}, Result: cell.ResultStopped}
+		cl.Report(0, sr.Worker, 0, nil, []cell.End{end})
+	}
+	cl.Plan(0)
+	again := cl.Take().Starts
+	for _, sr := range again {
+		cl.Started(0, sr)
+	}
+	return again
+}
--- a/policy/cell/report.go
+++ b/policy/cell/report.go
@@ -86,6 +86,9 @@
 		cl.stop(pl, "an earlier planner's stop")
 	}
 	if rn.Percent != pl.percent {
+		if pl.percent == 0 && pl.resumed {
+			pl.from, pl.begun = rn.Percent, now
+		}
 		pl.percent, pl.moved = rn.Percent, now
 	}
 	if rn.Checkpoint != "" {
@@ -209,7 +212,7 @@
 
 // learn takes in how long a run of a queue's task took.
 func (cl *Cell) learn(now time.Duration, tk *task, pl *placement) {
-	if pl == nil || pl.since == 0 || tk.checkpoint != "" {
+	if pl == nil || pl.since == 0 || pl.resumed {
 		return
 	}
 	const weight = 16
