Tell the planner of batches as soon as they are written

Change: the node that wrote a batch tells the planner, which takes in each batch once; the watch stays for what nobody told. Test: TestPlannerIsTold: with all reads kept from the planner, accepted jobs run (before: never).

--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -97,7 +97,7 @@
 	})
 	nd.intake = intake.New(clock, log, st, intake.Options{
 		Node: ad.Site.Node, Writes: ad.Site.Writes, Down: nd.health.Down,
-		Nodes: func() int { return len(nd.term.Members()) },
+		Nodes: func() int { return len(nd.term.Members()) }, Written: nd.written,
 	})
 	nd.link = peerlink.New(log, nd.handle)
 	nd.pool = advisor.New(advisor.Parts{
--- a/internal/cellnode/cellnode_test.go
+++ b/internal/cellnode/cellnode_test.go
@@ -137,3 +137,36 @@
 	dp.until("the first node sees it too", func() bool { return first.Ready() != nil })
 	is.True(fault.Is(second.Submit(t.Context(), job("never")), fault.Unavailable)) // surely not run
 }
+
+// TestPlannerIsTold keeps everything that is read of the store from the planner, as a slow
+// store does for half a second: jobs that any node accepts begin all the same.
+func TestPlannerIsTold(t *testing.T) {
+	dp := newDeployment(t)
+	planner := dp.start("n1")
+	dp.until("the first node plans", func() bool { _, err := planner.State(t.Context(), "none"); return fault.Is(err, fault.NotFound) })
+	nodes := map[string]*cellnode.Node{"planner": planner, "other": dp.start("n2")}
+	for _, nd := range nodes {
+		dp.until("the planner is known", func() bool { _, err := nd.State(t.Context(), "none"); return fault.Is(err, fault.NotFound) })
+	}
+	dp.store.SetFault(func(client, call string) memkv.Fault {
+		if client == "n1" && (call == "watch" || call == "range") {
+			return memkv.Silent
+		}
+		return memkv.None
+	})
+	for name, nd := range nodes {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.NoErr(nd.Submit(t.Context(), &work.Job{ID: name, Spec: "s", Queue: queue, Steps: []work.Step{{Count: 1, Need: size.New(1000, 1000, 0)}}}))
+			const patience = 10 * time.Second // a bound for a test that fails
+			over := time.After(patience)
+			for phase := cell.Queued; phase != cell.Succeeded; phase, _ = nd.State(t.Context(), name) {
+				select {
+				case <-over:
+					t.Fatalf("the job is %q", phase)
+				case <-time.After(10 * time.Millisecond):
+				}
+			}
+		})
+	}
+}
--- a/internal/cellnode/requests.go
+++ b/internal/cellnode/requests.go
@@ -10,6 +10,7 @@
 	"tackbeam.example/policy/work"
 
 	"tackbeam.example/tackbeam/internal/fault"
+	"tackbeam.example/tackbeam/internal/joblog"
 	"tackbeam.example/tackbeam/internal/peerlink"
 	"tackbeam.example/tackbeam/internal/planner"
 )
@@ -76,6 +77,29 @@
 	return nd.link.Call(ctx, el.Peers, rq)
 }
 
+// tellTimeout bounds the telling of a batch: later the planner's copy of the journal shows it,
+// within half a second where the store answers a hundred times as slowly as it should.
+const tellTimeout = 300 * time.Millisecond
+
+// written tells the planner of a batch that the journal has. Its copy of the journal shows
+// the batch an answer of the store later, which takes 4 ms, or 0.4 s from a slow store.
+func (nd *Node) written(wr joblog.Written) {
+	err := nd.tell(wr)
+	if err != nil {
+		nd.log.Info("Planner was not told of a batch; it sees it in the journal.", "key", wr.Key, "reason", err.Error())
+	}
+}
+
+func (nd *Node) tell(wr joblog.Written) error {
+	if nd.term.Leading() {
+		return nd.planner.Written(wr)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
+	defer cancel()
+	_, err := nd.ask(ctx, peerlink.Request{Written: &wr})
+	return err
+}
+
 // handle answers other nodes.
 func (nd *Node) handle(ctx context.Context, rq peerlink.Request) (peerlink.Reply, error) {
 	switch {
@@ -111,6 +135,8 @@
 	case rq.Pending != "":
 		count, err := nd.planner.Pending(rq.Pending)
 		return peerlink.Reply{Pending: count}, err
+	case rq.Written != nil:
+		return peerlink.Reply{}, nd.planner.Written(*rq.Written)
 	}
 	return peerlink.Reply{}, fault.New(fault.BadRequest, "request asks for nothing")
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -50,6 +50,9 @@
 	Writes float64
 	// Down reports that the store is away: nothing is sent then.
 	Down func() bool
+	// Written is called, beside the callers' answers, with each batch that the store has; nil
+	// calls nobody.
+	Written func(wr joblog.Written)
 }
 
 // Intake is one node's intake.
@@ -200,6 +203,9 @@
 	case err == nil || errors.Is(err, kv.ErrConflict): // only this batch uses the key
 		in.log.Info("Batch is written.", "key", key, "ids", bt.ids(),
 			"revision", revision, "took", age.String())
+		if err == nil && in.opts.Written != nil {
+			go in.opts.Written(joblog.Written{Key: key, Revision: revision, Batch: bt.Batch}) // bounded by its call
+		}
 		return nil
 	case errors.Is(err, kv.ErrRefused):
 		in.log.Info("Batch was refused.", "key", key, "ids", bt.ids(), "took", age.String())
--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -36,6 +36,13 @@
 	At time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
+// Written is a batch that the store has, with its key and the revision of its write.
+type Written struct {
+	Key      string `cbor:"1,keyasint"`
+	Revision uint64 `cbor:"2,keyasint"`
+	Batch    Batch  `cbor:"3,keyasint"`
+}
+
 // mostAge bounds what is believed of a batch's age: work that waited for longer goes first
 // anyway, and fresh work of a node whose clock is hours behind must not stay ahead of all.
 const mostAge = 5 * time.Minute
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -17,6 +17,7 @@
 
 	"tackbeam.example/tackbeam/internal/fault"
 	"tackbeam.example/tackbeam/internal/httpcall"
+	"tackbeam.example/tackbeam/internal/joblog"
 )
 
 // Request is a call to another node; one field is set, beside Relayed.
@@ -32,6 +33,8 @@
 	Cancel string    `cbor:"5,keyasint,omitempty"`
 	// Relayed has the node answer as it would answer a caller of its own.
 	Relayed bool `cbor:"6,keyasint,omitempty"`
+	// Written tells the planner of a batch that the journal has.
+	Written *joblog.Written `cbor:"7,keyasint,omitempty"`
 }
 
 // writes reports whether a request that gets no answer may have changed something.
--- a/internal/planner/collect.go
+++ b/internal/planner/collect.go
@@ -48,6 +48,11 @@
 	}
 }
 
+func (bs *batches) has(key string) bool {
+	_, ok := bs.ids[key]
+	return ok
+}
+
 func (bs *batches) drop(key string) {
 	for _, id := range bs.ids[key] {
 		if bs.held[id]--; bs.held[id] == 0 {
--- a/internal/planner/load.go
+++ b/internal/planner/load.go
@@ -42,7 +42,7 @@
 			ld.log.Error(err, "A batch of the journal cannot be read.", "key", item.Key)
 			continue
 		}
-		ld.takeBatch(now, item, &bt)
+		ld.takeBatch(now, item.Key, item.Revision, &bt)
 	}
 	if whole && !ld.loaded {
 		ld.restore(now, old)
@@ -54,8 +54,23 @@
 	ld.kick()
 }
 
-func (ld *lead) takeBatch(now time.Duration, item kv.Item, bt *joblog.Batch) {
-	inherited := item.Revision < ld.reign.Token
+// written takes in a batch that its node told of. Before the journal has been read whole, that
+// shows it soon enough.
+func (ld *lead) written(wr joblog.Written) {
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	if ld.loaded {
+		ld.takeBatch(ld.now(), wr.Key, wr.Revision, &wr.Batch)
+		ld.kick()
+	}
+}
+
+// takeBatch takes a batch in, unless it was before.
+func (ld *lead) takeBatch(now time.Duration, key string, revision uint64, bt *joblog.Batch) {
+	if ld.batches.has(key) {
+		return
+	}
+	inherited := revision < ld.reign.Token
 	age := bt.Age(ld.wall())
 	for at := range bt.Jobs {
 		jb := &bt.Jobs[at]
@@ -67,13 +82,13 @@
 		} else {
 			ld.cell.Add(now, jb, false)
 		}
-		ld.log.Info("Job taken in.", "job", jb.ID, "queue", jb.Queue.Name, "revision", item.Revision, "inherited", inherited)
+		ld.log.Info("Job taken in.", "job", jb.ID, "queue", jb.Queue.Name, "revision", revision, "inherited", inherited)
 	}
 	for _, id := range bt.Cancels {
 		ld.cell.Cancel(now, id)
-		ld.log.Info("Cancel taken in.", "job", id, "revision", item.Revision)
+		ld.log.Info("Cancel taken in.", "job", id, "revision", revision)
 	}
-	ld.batches.add(item.Key, bt)
+	ld.batches.add(key, bt)
 }
 
 // restore takes in what earlier planners recorded.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -17,6 +17,7 @@
 
 	"tackbeam.example/tackbeam/internal/agent"
 	"tackbeam.example/tackbeam/internal/fault"
+	"tackbeam.example/tackbeam/internal/joblog"
 	"tackbeam.example/tackbeam/internal/kv"
 	"tackbeam.example/tackbeam/internal/site"
 	"tackbeam.example/tackbeam/internal/term"
@@ -118,6 +119,16 @@
 	return ld.pending(queue)
 }
 
+// Written takes in a batch that the journal has, before the journal's copy here shows it.
+func (pl *Planner) Written(wr joblog.Written) error {
+	ld, err := pl.current()
+	if err != nil {
+		return err
+	}
+	ld.written(wr)
+	return nil
+}
+
 // Reroute takes the present settings of the queues over into the jobs that wait.
 func (pl *Planner) Reroute() {
 	if ld, err := pl.current(); err == nil {
