Rank a lasting step from when it came to lack tasks

Change: a lasting step ranks by when it came to lack tasks, and is never late. Test: TestLastingBegunAgain (fails before).

--- a/policy/cell/placement.go
+++ b/policy/cell/placement.go
@@ -90,8 +90,11 @@
 	}
 	delete(pl.worker.places, at)
 	pl.task.runs--
-	if pl.task.runs == 0 && !pl.task.done {
-		pl.task.step.waits++
+	if st := pl.task.step; pl.task.runs == 0 && !pl.task.done {
+		if st.waits == 0 {
+			st.lacks = cl.now
+		}
+		st.waits++
 	}
 	pl.worker.used = pl.worker.used.Sub(pl.need)
 	if pl.task.place == pl {
--- a/policy/cell/rank.go
+++ b/policy/cell/rank.go
@@ -52,9 +52,16 @@
 	groupPatient
 )
 
+// rank of a lasting step counts from when it came to lack tasks, and is never late: it earns
+// while its tasks are at work. Counted from its job's arrival, a task that ended after a
+// while was begun again only after all that could be in time, up to 13 s later on a cell of
+// which twice its room is asked for.
 func (cl *Cell) rank(now time.Duration, st *step) rank {
 	jb := st.round.job
 	qu := jb.spec.Queue
+	if st.def.Lasting {
+		return rank{group: groupPatient, latest: st.lacks + qu.Target, id: jb.spec.ID, num: st.num}
+	}
 	chain, rest := cl.chain(st)
 	latest := cl.since(st) + time.Duration(qu.Stretch*float64(chain)) + qu.Target - rest
 	rk := rank{group: groupPatient, latest: latest, late: latest < now, id: jb.spec.ID, num: st.num}
--- a/policy/cell/round.go
+++ b/policy/cell/round.go
@@ -26,6 +26,8 @@
 	// waits counts the tasks that have to be placed: not done, and on no worker.
 	waits int
 	ready time.Duration
+	// lacks is when tasks last began to wait after none did.
+	lacks time.Duration
 	// fails are the gang's failed runs.
 	fails  []int
 	advice advice
@@ -104,7 +106,7 @@
 		if st.left == 0 || cl.open[st] || !rd.ended(st.def.After) {
 			continue
 		}
-		st.ready = now
+		st.ready, st.lacks = now, now
 		cl.open[st] = true
 	}
 }
