--- a/internal/planner/lead.go
+++ b/internal/planner/lead.go
@@ -80,11 +80,13 @@
 	pace     pace
 	batches  batches
 	dirty    bool
-	// told is when the steps that wait were last logged.
-	told  time.Duration
-	wake  wake.Signal
-	ctx   context.Context
-	group sync.WaitGroup
+	// told is when the steps that wait were last logged, toldLossy whether the log's last word on
+	// lost calls was that there are many.
+	told      time.Duration
+	toldLossy bool
+	wake      wake.Signal
+	ctx       context.Context
+	group     sync.WaitGroup
 }
 
 func newLead(pt Parts, log logr.Logger, reign term.Reign) *lead {
@@ -189,6 +191,7 @@
 	ld.settle(now)
 	ld.dirty = true
 	ld.tellWaits(now)
+	ld.tellLosses()
 	jobs, waiting, workers := ld.cell.Sizes()
 	ld.measures.gauge("planner.jobs", jobs)
 	ld.measures.gauge("planner.steps_waiting", waiting)
--- a/policy/cell/claim.go
+++ b/policy/cell/claim.go
@@ -10,7 +10,7 @@
 
 // Limits of the room that is kept free for steps that wait.
 const (
-	// claimAfter is how long a gang waits before room is kept free for it: in that time
+	// claimAfter is how long a step waits before room is kept free for it: in that time
 	// about a seventh of the running tasks end by themselves.
 	claimAfter = 300 * time.Millisecond
 	// mostIdle is the part of a service's room that may stand idle at one time while
@@ -34,7 +34,7 @@
 	claimEvery = 100 * time.Millisecond
 )
 
-// claim keeps room free for a gang: as many tasks as the candidates' room says.
+// claim keeps room free for a step: as many tasks as the candidates' room says.
 func (cl *Cell) claim(st *step, chosen []candidate) {
 	cl.unclaim(st)
 	for _, cand := range chosen {
@@ -149,7 +149,7 @@
 	at     time.Duration
 }
 
-// openings returns where and when there will be room for tasks of a gang, as far as the
+// openings returns where and when there will be room for tasks of a step, as far as the
 // running tasks tell.
 func (cl *Cell) openings(now time.Duration, st *step) []opening {
 	var list []opening
--- a/policy/cell/evacuate.go
+++ b/policy/cell/evacuate.go
@@ -46,19 +46,6 @@
 	return cl.remains(now, pl) > left+hopeless
 }
 
-// remains estimates how long a run still takes, from its progress so far: by what it has
-// gained since it was first seen at work, which for one that goes on from a checkpoint is
-// more than nothing.
-func (cl *Cell) remains(now time.Duration, pl *placement) time.Duration {
-	const enough = 3 // percent, from which progress tells the speed
-	gained := pl.percent - pl.from
-	if pl.since == 0 || gained < enough {
-		return max(cl.expect(pl.task.step)*time.Duration(whole-pl.percent)/whole-(now-pl.moved), 0)
-	}
-	took := pl.moved - pl.begun
-	return max(took*time.Duration(whole-pl.percent)/time.Duration(gained)-(now-pl.moved), 0)
-}
-
 // away counts the tasks of a lasting step that are not at work.
 func (st *step) away() int {
 	count := 0
--- a/policy/cell/report.go
+++ b/policy/cell/report.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"fmt"
 	"slices"
 	"time"
 )
@@ -76,27 +75,6 @@
 	}
 }
 
-func (cl *Cell) progress(now time.Duration, pl *placement, rn Run) {
-	switch {
-	case pl.state == ordered || pl.state == unsure:
-		pl.state, pl.since = running, now
-		cl.begin(pl.task.step.round.job)
-	case pl.inherited: // the earlier planner's stop has not come
-		pl.inherited, pl.state = false, running
-		cl.stop(pl, "an earlier planner's stop")
-	}
-	if rn.Percent != pl.percent {
-		if pl.percent == 0 && pl.resumed {
-			pl.from, pl.begun = rn.Percent, now
-		}
-		pl.percent, pl.moved = rn.Percent, now
-	}
-	if rn.Checkpoint != "" {
-		pl.task.checkpoint = rn.Checkpoint
-	}
-	pl.load = rn.Load
-}
-
 // stopMargin is added to the time that a worker takes to stop a run.
 const stopMargin = 100 * time.Millisecond
 
@@ -217,35 +195,3 @@
 	}
 	cl.queue(tk.step.round.job.spec.Queue.Name).runs.Note(tk.step.def.Estimate, now-pl.since)
 }
-
-// hungAfter is how long a task may show no progress; the workers' longest tasks of
-// 16 s move by a percent in 0.16 s, on a worker six times as slow in 1 s.
-const hungAfter = 2500 * time.Millisecond
-
-// fresh is the age up to which a report tells how a task is doing.
-const fresh = 1500 * time.Millisecond
-
-// whole is the percentage of a task that has done its work; in a gang it then waits
-// for the others, whose work may be longer.
-const whole = 100
-
-// unhang moves tasks off workers on which they stand still.
-func (cl *Cell) unhang(now time.Duration) {
-	for _, wk := range cl.workers {
-		if now-wk.reported > fresh {
-			continue
-		}
-		for _, pl := range wk.places {
-			def := pl.task.step.def
-			if pl.state != running || pl.percent >= whole || def.Lasting || def.Filler || now-pl.moved < hungAfter {
-				continue
-			}
-			wk.rest = now + restHung
-			pl.task.shun(wk)
-			cl.stop(pl, fmt.Sprintf("task stands still at %d percent", pl.percent))
-			if def.Gang {
-				cl.breakGang(pl.task.step, "gang's member stands still")
-			}
-		}
-	}
-}
--- a/policy/cell/round.go
+++ b/policy/cell/round.go
@@ -31,7 +31,7 @@
 	// fails are the gang's failed runs.
 	fails  []int
 	advice advice
-	// claims are the workers on which room is kept free for the gang.
+	// claims are the workers on which room is kept free for the step.
 	claims []*worker
 	// claimed is when they were chosen, expected when there will be room for all, and
 	// promised the earliest such time since the step began to gather, 0 before.
