--- a/internal/standin/memworkers/memworkers.go
+++ b/internal/standin/memworkers/memworkers.go
@@ -195,8 +195,11 @@
 			waits = len(wk.runs) > 0
 			return nil
 		})
-		if err != nil || len(report.Ends) > 0 {
-			return report, err
+		if err != nil {
+			return agent.Report{}, err // a late hold may still write its report
+		}
+		if len(report.Ends) > 0 {
+			return report, nil
 		}
 		var next <-chan time.Time
 		if waits {
