Keep a lasting step of an urgent queue in the urgent group

Cause: found on a second read: the round on lasting steps returned their rank before the group of the queue was set, so that one of an urgent queue ranked with the patient ones. Change: the group is set first, for all steps; nothing else of the rank changes. Test: TestUrgentLastingGoesFirst (fails before).

--- a/policy/cell/lasting_test.go
+++ b/policy/cell/lasting_test.go
@@ -37,3 +37,19 @@
 	is.Equal(len(starts), 1)
 	is.Equal(starts[0].Task.Job, "lasting")
 }
+
+// TestUrgentLastingGoesFirst has a lasting step of an urgent queue and a patient one that has
+// less time to spare come together: urgent queues go before all others, lasting or not.
+func TestUrgentLastingGoesFirst(t *testing.T) {
+	is := is.New(t)
+	cl := crowd(1)
+	whole := size.New(64000, 100, 0)
+	patient := work.Queue{Name: "p", Service: "svc", Attempts: 3, Priority: 1, Stretch: 1, Target: time.Second}
+	urgent := work.Queue{Name: "u", Service: "svc", Attempts: 3, Priority: 0, Stretch: 1, Target: time.Minute}
+	submit(cl, "patient", work.Step{Count: 1, Need: whole, Estimate: time.Second}, patient)
+	submit(cl, "urgent", work.Step{Count: 1, Need: whole, Lasting: true, Estimate: time.Second}, urgent)
+	cl.Plan(0)
+	starts := cl.Take().Starts
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Task.Job, "urgent")
+}
--- a/policy/cell/rank.go
+++ b/policy/cell/rank.go
@@ -59,15 +59,17 @@
 func (cl *Cell) rank(now time.Duration, st *step) rank {
 	jb := st.round.job
 	qu := jb.spec.Queue
-	if st.def.Lasting {
-		return rank{group: groupPatient, latest: st.lacks + qu.Target, id: jb.spec.ID, num: st.num}
-	}
-	chain, rest := cl.chain(st)
-	latest := cl.since(st) + time.Duration(qu.Stretch*float64(chain)) + qu.Target - rest
-	rk := rank{group: groupPatient, latest: latest, late: latest < now, id: jb.spec.ID, num: st.num}
+	rk := rank{group: groupPatient, id: jb.spec.ID, num: st.num}
 	if qu.Priority == 0 {
 		rk.group = groupUrgent
 	}
+	if st.def.Lasting {
+		rk.latest = st.lacks + qu.Target
+		return rk
+	}
+	chain, rest := cl.chain(st)
+	rk.latest = cl.since(st) + time.Duration(qu.Stretch*float64(chain)) + qu.Target - rest
+	rk.late = rk.latest < now
 	if rk.late {
 		rk.latest += lateFor
 	}
