--- a/internal/httpcall/silence_test.go
+++ b/internal/httpcall/silence_test.go
@@ -12,7 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"tackbeam.example/tackbeam/internal/httpcall"
-	"tackbeam.example/tackbeam/internal/standin/silence"
+	"tackbeam.example/tackbeam/internal/standin/netpath"
 )
 
 // Times of the other side.
@@ -28,7 +28,7 @@
 // far is another side behind a path that can go silent.
 type far struct {
 	t     *testing.T
-	path  *silence.Path
+	path  *netpath.Path
 	calls *httpcall.Caller
 	// server counts its connections.
 	server *fasthttp.Server
@@ -47,7 +47,7 @@
 		rc.SetBodyString("done")
 	}}
 	go func() { _ = server.Serve(ln) }() // ends with the listener
-	path, err := silence.New(ln.Addr().String())
+	path, err := netpath.New(ln.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/peerlink/silence_test.go
+++ b/internal/peerlink/silence_test.go
@@ -20,7 +20,7 @@
 	"tackbeam.example/tackbeam/internal/peerlink"
 	"tackbeam.example/tackbeam/internal/planner"
 	"tackbeam.example/tackbeam/internal/relay"
-	"tackbeam.example/tackbeam/internal/standin/silence"
+	"tackbeam.example/tackbeam/internal/standin/netpath"
 )
 
 const (
@@ -40,7 +40,7 @@
 // pair is a node that calls another behind a path that can go silent.
 type pair struct {
 	t     *testing.T
-	path  *silence.Path
+	path  *netpath.Path
 	near  *peerlink.Link
 	mu    sync.Mutex
 	asked int
@@ -63,7 +63,7 @@
 	if err := far.Serve(address); err != nil {
 		t.Fatal(err)
 	}
-	if pr.path, err = silence.New(address); err != nil {
+	if pr.path, err = netpath.New(address); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = pr.path.Close() })
--- a/internal/standin/silence/silence.go
+++ b/internal/standin/netpath/netpath.go
@@ -1,11 +1,12 @@
-// Package silence is a stand-in of a network path whose open connections go silent for
-// good, without a reset, while new ones work.
-package silence
+// Package netpath is a stand-in of a network path over TCP: its connections may share a
+// bandwidth, be reset, or go silent for good without a reset while new ones work.
+package netpath
 
 import (
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -18,6 +19,11 @@
 	mu     sync.Mutex
 	links  []*link
 	opened int
+	// rate is the bandwidth back to where the path starts, in bytes a second; 0 is no limit.
+	rate int
+	// free is when the bandwidth is free again, carried the bytes that were taken back.
+	free    time.Time
+	carried int
 }
 
 // link is one connection through the path, with its two ends.
@@ -47,6 +53,30 @@
 	return pt.opened
 }
 
+// Narrow gives the way back a bandwidth in bytes a second, which all connections share.
+func (pt *Path) Narrow(rate int) {
+	pt.mu.Lock()
+	defer pt.mu.Unlock()
+	pt.rate = rate
+}
+
+// Carried returns how many bytes were taken back so far.
+func (pt *Path) Carried() int {
+	pt.mu.Lock()
+	defer pt.mu.Unlock()
+	return pt.carried
+}
+
+// Reset ends all present connections.
+func (pt *Path) Reset() {
+	pt.mu.Lock()
+	defer pt.mu.Unlock()
+	for _, lk := range pt.links {
+		lk.close()
+	}
+	pt.links = nil
+}
+
 // Silence swallows from now on whatever either end of a present connection says, its
 // closing too. Both ends stay open.
 func (pt *Path) Silence() {
@@ -84,14 +114,33 @@
 		pt.links = append(pt.links, lk)
 		pt.opened++
 		pt.mu.Unlock()
-		go lk.carry(near, far)
-		go lk.carry(far, near)
+		go lk.carry(near, far, func(int) {})
+		go lk.carry(far, near, pt.pass)
+	}
+}
+
+// pass waits until a number of bytes is through on the way back.
+func (pt *Path) pass(count int) {
+	pt.mu.Lock()
+	pt.carried += count
+	if pt.rate == 0 {
+		pt.mu.Unlock()
+		return
+	}
+	now := time.Now()
+	if pt.free.Before(now) {
+		pt.free = now
 	}
+	pt.free = pt.free.Add(time.Second * time.Duration(count) / time.Duration(pt.rate))
+	wait := pt.free.Sub(now)
+	pt.mu.Unlock()
+	time.Sleep(wait)
 }
 
-// carry takes bytes from one end to the other until the first one closes.
-func (lk *link) carry(from, to net.Conn) {
-	const room = 32 << 10
+// carry takes bytes from one end to the other until the first one closes. Each part waits
+// for pass.
+func (lk *link) carry(from, to net.Conn, pass func(count int)) {
+	const room = 8 << 10 // 7 ms at 10 Mbit/s
 	buf := make([]byte, room)
 	for {
 		count, err := from.Read(buf)
@@ -104,6 +153,7 @@
 		case lk.silent.Load():
 			continue
 		}
+		pass(count)
 		if _, err := to.Write(buf[:count]); err != nil {
 			lk.close()
 			return
--- a/internal/standin/silence/silence_test.go
+++ b/internal/standin/netpath/netpath_test.go
@@ -1,4 +1,4 @@
-package silence_test
+package netpath_test
 
 import (
 	"io"
@@ -9,7 +9,7 @@
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
-	"tackbeam.example/tackbeam/internal/standin/silence"
+	"tackbeam.example/tackbeam/internal/standin/netpath"
 )
 
 // TestSilence has a connection fall silent both ways without an end, while a new one
@@ -30,7 +30,7 @@
 			go func() { _, _ = io.Copy(conn, conn) }() // an echo
 		}
 	}()
-	path, err := silence.New(ln.Addr().String())
+	path, err := netpath.New(ln.Addr().String())
 	is.NoErr(err)
 	defer func() { is.NoErr(path.Close()) }()
 	echo := func(conn net.Conn) error {
@@ -64,3 +64,36 @@
 	is.True(errors.As(err, &timeout) && timeout.Timeout()) // the other end does not learn of the closing
 	is.Equal(path.Opened(), 2)
 }
+
+// TestNarrow takes as long as the bandwidth says, counts what it carried, and ends the
+// connections on a reset.
+func TestNarrow(t *testing.T) {
+	is := is.New(t)
+	const bytes, rate = 100_000, 500_000
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { is.NoErr(ln.Close()) }()
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Write(make([]byte, bytes)) // the other end may be gone
+		}
+	}()
+	path, err := netpath.New(ln.Addr().String())
+	is.NoErr(err)
+	defer func() { is.NoErr(path.Close()) }()
+	path.Narrow(rate)
+	began := time.Now()
+	conn, err := net.Dial("tcp4", path.Address())
+	is.NoErr(err)
+	_, err = io.ReadFull(conn, make([]byte, bytes))
+	is.NoErr(err)
+	is.True(time.Since(began) >= time.Second*bytes/rate)
+	is.Equal(path.Carried(), bytes)
+	path.Reset()
+	_, err = conn.Read(make([]byte, 1))
+	is.True(err != nil)
+}
