Wait for a large answer as long as it keeps coming; leave one that is too large

Change: a call may say that its answer flows: its first byte is due 0.5 s after the lawful wait, and then 1 s may pass without a byte. An answer that has begun no longer puts the other connections in doubt. The store gets two calls of one key with that; nothing uses them yet.

--- a/internal/httpcall/host.go
+++ b/internal/httpcall/host.go
@@ -65,7 +65,7 @@
 }
 
 // exchange sends a request on a connection that is not in doubt, and reads the answer.
-func (ho *host) exchange(req *fasthttp.Request, res *fasthttp.Response, deadline time.Time, waits time.Duration) error {
+func (ho *host) exchange(req *fasthttp.Request, res *fasthttp.Response, deadline time.Time, rq Request) error {
 	left := time.Until(deadline)
 	if left <= 0 {
 		return errors.Wrap(ErrUnsent, "the deadline is over")
@@ -79,31 +79,24 @@
 		return errors.Wrap(ErrUnsent, err.Error())
 	}
 	sent := time.Now()
-	late := time.AfterFunc(min(waits+overdue, deadline.Sub(sent)), func() {
-		ho.suspect(sent)
-		ho.addLate(1)
-	})
-	defer func() {
-		if !late.Stop() {
-			ho.addLate(-1)
-		}
-	}()
-	conn := cc.Conn()
-	if err := conn.SetDeadline(deadline); err != nil {
+	onTime := ho.watch(sent, min(rq.Waits+overdue, deadline.Sub(sent)))
+	defer onTime()
+	fl := &flow{Conn: cc.Conn(), end: deadline, rq: rq, began: onTime}
+	if err := fl.begin(sent); err != nil {
 		ho.pool.CloseConn(cc)
 		return errors.Wrap(ErrUnsent, err.Error())
 	}
-	writer := ho.pool.AcquireWriter(conn)
+	writer := ho.pool.AcquireWriter(fl)
 	if err = req.Write(writer); err == nil {
 		err = writer.Flush()
 	}
 	ho.pool.ReleaseWriter(writer)
 	if err == nil {
-		reader := ho.pool.AcquireReader(conn)
-		err = res.Read(reader)
+		reader := ho.pool.AcquireReader(fl)
+		err = res.ReadLimitBody(reader, rq.Most)
 		ho.pool.ReleaseReader(reader)
 	}
-	if err != nil && !time.Now().Before(deadline) {
+	if err != nil && fl.over() {
 		ho.suspect(sent) // whatever the error is called, and though the timer has not gone off yet
 	}
 	if err != nil || res.ConnectionClose() {
@@ -111,5 +104,19 @@
 	} else {
 		ho.pool.ReleaseConn(cc)
 	}
-	return errors.WithStack(err)
+	return fl.explain(err)
+}
+
+// watch has a call that was sent at a time count as overdue after a while. The function that it
+// returns ends that.
+func (ho *host) watch(sent time.Time, after time.Duration) (end func()) {
+	late := time.AfterFunc(after, func() {
+		ho.suspect(sent)
+		ho.addLate(1)
+	})
+	return sync.OnceFunc(func() {
+		if !late.Stop() {
+			ho.addLate(-1)
+		}
+	})
 }
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -36,6 +36,12 @@
 	// Again is set for calls that may be carried out twice: one that is overdue is sent
 	// again beside the first, and the first answer counts.
 	Again bool
+	// Flows is set for calls whose answer may be of any size. It has to begin firstByte after
+	// Waits, and is then waited for as long as it keeps coming, up to the context's deadline.
+	Flows bool
+	// Most is the size of the largest body that is taken, in bytes; 0 is any. The connection of
+	// a larger one closes before it has come.
+	Most int
 }
 
 // Response is the answer to a call.
@@ -47,8 +53,12 @@
 	Open bool
 }
 
-// ErrUnsent means that the call surely did not reach the other side.
-var ErrUnsent = errors.New("the call was not sent")
+var (
+	// ErrUnsent means that the call surely did not reach the other side.
+	ErrUnsent = errors.New("the call was not sent")
+	// ErrTooLarge means that the answer is larger than the caller takes.
+	ErrTooLarge = errors.New("the answer is larger than asked for")
+)
 
 // Times of connections.
 const (
@@ -143,7 +153,7 @@
 	if !ok {
 		deadline = time.Now().Add(forever)
 	}
-	if err := cl.host(rq.Address).exchange(req, res, deadline, rq.Waits); err != nil {
+	if err := cl.host(rq.Address).exchange(req, res, deadline, rq); err != nil {
 		return Response{}, err
 	}
 	return Response{Status: res.StatusCode(), Body: append([]byte(nil), res.Body()...)}, nil
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -65,6 +65,12 @@
 	Range func(ctx context.Context, prefix, after string, stale bool) (Page, error)
 	// Watch waits for changes of keys with a prefix after a revision.
 	Watch func(ctx context.Context, prefix string, after uint64, wait time.Duration) (Events, error)
+	// Get reads one key, and returns the store's revision too. An absent key has revision 0. The
+	// answer is waited for as long as it keeps coming, whatever its size; one of more than most
+	// bytes is not taken and ErrTooLarge returned, but 0 takes any.
+	Get func(ctx context.Context, key string, most int) (Item, uint64, error)
+	// WatchKey waits for changes of one key after a revision. Its answer is taken as that of Get.
+	WatchKey func(ctx context.Context, key string, after uint64, wait time.Duration, most int) (Events, error)
 	// Commit carries a transaction out and returns its revision. With a conflict it
 	// returns the keys of the conditions as they are.
 	Commit func(ctx context.Context, txn Txn) (uint64, []Item, error)
@@ -84,6 +90,8 @@
 	ErrLeaseGone = errors.New("the lease is over")
 	// ErrHistoryGone means that the changes since the revision are forgotten.
 	ErrHistoryGone = errors.New("the history since that revision is gone")
+	// ErrTooLarge means that the answer is there but larger than the caller takes.
+	ErrTooLarge = errors.New("the answer is larger than asked for")
 	// ErrRefused means that the service did nothing.
 	ErrRefused = errors.New("the store refused the call")
 	// ErrLost means that the call may have been carried out, or may be yet.
--- a/internal/kvhealth/kvhealth.go
+++ b/internal/kvhealth/kvhealth.go
@@ -89,6 +89,18 @@
 			he.noteUnlessEnded(ctx, "watch", sent, err)
 			return events, err
 		},
+		Get: func(ctx context.Context, key string, most int) (kv.Item, uint64, error) {
+			sent := he.clock.Now()
+			item, at, err := st.Get(ctx, key, most)
+			he.noteUnlessEnded(ctx, "get", sent, err)
+			return item, at, err
+		},
+		WatchKey: func(ctx context.Context, key string, after uint64, wait time.Duration, most int) (kv.Events, error) {
+			sent := he.clock.Now()
+			events, err := st.WatchKey(ctx, key, after, wait, most)
+			he.noteUnlessEnded(ctx, "watchkey", sent, err)
+			return events, err
+		},
 		Commit: func(ctx context.Context, txn kv.Txn) (uint64, []kv.Item, error) {
 			sent := he.clock.Now()
 			revision, items, err := st.Commit(ctx, txn)
--- a/internal/standin/memkv/memkv.go
+++ b/internal/standin/memkv/memkv.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"slices"
 	"strings"
 	"sync"
@@ -121,7 +122,8 @@
 func (st *Store) Client(name string) *kv.Store {
 	cl := &client{st, name}
 	return &kv.Store{
-		Range: cl.scan, Watch: cl.watch, Commit: cl.commit, Grant: cl.grant, Keep: cl.keep, End: cl.end,
+		Range: cl.scan, Watch: cl.watch, Get: cl.get, WatchKey: cl.watchKey,
+		Commit: cl.commit, Grant: cl.grant, Keep: cl.keep, End: cl.end,
 	}
 }
 
@@ -226,6 +228,49 @@
 	}
 }
 
+// firstByte is when the answer to a read of one key has to begin, beyond its wait.
+const firstByte = 500 * time.Millisecond
+
+// get reads a key; faults know it as a range.
+func (cl *client) get(ctx context.Context, key string, most int) (kv.Item, uint64, error) {
+	call, cancel := context.WithTimeout(ctx, firstByte)
+	defer cancel()
+	pg, err := cl.scan(call, key, "", false)
+	for _, item := range pg.Items {
+		if err == nil && item.Key == key {
+			return item, pg.At, tooLarge(most, item)
+		}
+	}
+	return kv.Item{Key: key}, pg.At, err
+}
+
+// watchKey waits for changes of a key; faults know it as a watch.
+func (cl *client) watchKey(ctx context.Context, key string, after uint64, wait time.Duration, most int) (kv.Events, error) {
+	call, cancel := context.WithTimeout(ctx, wait+firstByte)
+	defer cancel()
+	ev, err := cl.watch(call, key, after, wait)
+	if err != nil {
+		return kv.Events{}, err
+	}
+	ev.Items = slices.DeleteFunc(ev.Items, func(it kv.Item) bool { return it.Key != key })
+	if err := tooLarge(most, ev.Items...); err != nil {
+		return kv.Events{}, err
+	}
+	return ev, nil
+}
+
+// tooLarge returns an error where items take more bytes on the wire than most, if that is set.
+func tooLarge(most int, items ...kv.Item) error {
+	size := 0
+	for _, item := range items {
+		size += base64.StdEncoding.EncodedLen(len(item.Value))
+	}
+	if most > 0 && size > most {
+		return kv.ErrTooLarge
+	}
+	return nil
+}
+
 func (cl *client) commit(ctx context.Context, txn kv.Txn) (uint64, []kv.Item, error) {
 	st := cl.store
 	var revision uint64
