Pass a changed configuration on between nodes, by what changed

Cause: each change came to each node whole, within limits of time that were constants: 1.4 MB for one route, 1.1 s of a link of 10 Mbit/s, 9 times over where a limit cut it off. Change: package feed in the place of the mirror. Every node watches the key as before, but takes at most 64 kB from the store; a larger change is read by k = max(3, n/16) nodes with the fastest links, and the others ask one of them for the difference (routediff: 55 bytes a route). A node reads whole itself where two readers are silent, or all lack it for long. A node whose store calls fail asks others how old their copies are, so its own stays young. The copy's name in the log is feed. TestCalmConfiguration slows the watch that is now used. TestFlows silenced a path before its connection was there, once, under load: it waits now.

--- a/internal/cellnode/calm_test.go
+++ b/internal/cellnode/calm_test.go
@@ -31,10 +31,10 @@
 		st.Set(configKey, []byte("1"))
 		client := st.Client("n1")
 		const slow = 250 * time.Millisecond
-		watch := client.Watch
-		client.Watch = func(ctx context.Context, prefix string, after uint64, wait time.Duration) (kv.Events, error) {
+		watch := client.WatchKey
+		client.WatchKey = func(ctx context.Context, key string, after uint64, wait time.Duration, most int) (kv.Events, error) {
 			time.Sleep(slow)
-			return watch(ctx, prefix, after, wait)
+			return watch(ctx, key, after, wait, most)
 		}
 		nd := cellnode.New(clock, logr.Discard(), cellnode.Adapter{
 			Site: &site.Site{Node: "n1"}, Store: client, ConfigKey: configKey,
--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -15,11 +15,11 @@
 	"tackbeam.example/tackbeam/internal/advisor"
 	"tackbeam.example/tackbeam/internal/agent"
 	"tackbeam.example/tackbeam/internal/fault"
+	"tackbeam.example/tackbeam/internal/feed"
 	"tackbeam.example/tackbeam/internal/intake"
 	"tackbeam.example/tackbeam/internal/kernel"
 	"tackbeam.example/tackbeam/internal/kv"
 	"tackbeam.example/tackbeam/internal/kvhealth"
-	"tackbeam.example/tackbeam/internal/mirror"
 	"tackbeam.example/tackbeam/internal/peerlink"
 	"tackbeam.example/tackbeam/internal/planner"
 	"tackbeam.example/tackbeam/internal/relay"
@@ -48,14 +48,6 @@
 	// termTTL is how long the planner's place stays taken after it died. A store that
 	// answers 60 times slower than its 4 ms still lets two renewals in time.
 	termTTL = 1200 * time.Millisecond
-	// configWait is how long a watch of the configuration may stay without an answer:
-	// a watch that the network dropped is noticed a second later. The copy's age grows to
-	// twice that and two answers of 0.25 s, which is below staleConfig; with watches of
-	// 1 s a fifth of the answers 404 were 503 in calm times.
-	configWait = 600 * time.Millisecond
-	// staleConfig is the age of the configuration's copy beyond which a node does not
-	// say that a route does not exist: a new one is in force within 2 s.
-	staleConfig = 1800 * time.Millisecond
 	// comeBack is when a caller should ask again.
 	comeBack = time.Second
 )
@@ -68,7 +60,7 @@
 	meters  metrics.Registry
 	health  *kvhealth.Health
 	table   *routes.Table
-	config  *mirror.Mirror
+	config  *feed.Feed
 	intake  *intake.Intake
 	term    *term.Term
 	planner *planner.Planner
@@ -87,11 +79,8 @@
 	}
 	nd.health = kvhealth.New(clock, log, nd.meters)
 	st := nd.health.Wrap(ad.Store)
-	nd.config = mirror.New(clock, log, st, mirror.Options{
-		Prefix: ad.ConfigKey, Wait: configWait, Changed: nd.configure,
-	})
 	nd.term = term.New(clock, log, st, term.Options{
-		Node: ad.Site.Node, Peers: ad.Site.Peers, Hall: ad.Site.Hall, Processors: ad.Site.Processors,
+		Node: ad.Site.Node, Peers: ad.Site.Peers, Hall: ad.Site.Hall, Processors: ad.Site.Processors, Link: ad.Site.Link,
 		TTL:  max(termTTL, ad.Site.Bounds.MinLease),
 		Lead: func(ctx context.Context, reign term.Reign) { nd.planner.Lead(ctx, reign) },
 	})
@@ -100,6 +89,10 @@
 		Nodes: func() int { return len(nd.term.Members()) }, Written: nd.written,
 	})
 	nd.link = peerlink.New(log, nd.handle)
+	nd.config = feed.New(clock, log, st, feed.Options{
+		Key: ad.ConfigKey, Decode: ad.DecodeConfig, InForce: nd.configure,
+		Node: ad.Site.Node, Members: nd.term.Members, Ask: nd.askConfig,
+	})
 	nd.pool = advisor.New(advisor.Parts{
 		Clock: clock, Node: ad.Site.Node, Members: nd.term.Members, Local: nd.advise, Call: nd.link.Call,
 	})
@@ -173,24 +166,6 @@
 	}
 }
 
-// configure puts a new configuration in force.
-func (nd *Node) configure(items []kv.Item, _ bool) {
-	for _, item := range items {
-		if item.Key != nd.adapter.ConfigKey || item.Gone {
-			continue
-		}
-		cf, err := nd.adapter.DecodeConfig(item)
-		if err != nil {
-			nd.log.Error(err, "Configuration cannot be read; the one before stays in force.", "revision", item.Revision)
-			continue
-		}
-		if nd.table.Set(cf) {
-			nd.log.Info("Configuration is in force.", "version", cf.Version, "revision", item.Revision, "routes", len(cf.Routes))
-			nd.planner.Reroute()
-		}
-	}
-}
-
 // Ready reports why the node takes no callers, or nil.
 func (nd *Node) Ready() error {
 	switch {
@@ -203,15 +178,3 @@
 	}
 	return nil
 }
-
-// Configured reports why routes that are not in the table may exist all the same.
-func (nd *Node) Configured() error {
-	age, loaded := nd.config.Age()
-	switch {
-	case !loaded || nd.table.Config() == nil:
-		return fault.New(fault.Unavailable, "no configuration yet").After(comeBack)
-	case age > staleConfig:
-		return fault.New(fault.Stale, "the configuration here is %s old", age.Round(time.Millisecond)).After(comeBack)
-	}
-	return nil
-}
--- a/internal/cellnode/requests.go
+++ b/internal/cellnode/requests.go
@@ -106,6 +106,8 @@
 	case rq.Relayed:
 		rq.Relayed = false
 		return nd.handleRelayed(ctx, rq)
+	case rq.Config != nil:
+		return nd.tellConfig(ctx, *rq.Config)
 	case rq.Advise != nil:
 		answer, err := nd.advise(ctx, *rq.Advise)
 		return peerlink.Reply{Tickets: answer.Tickets, Valid: answer.Valid}, err
--- /dev/null
+++ b/internal/feed/feed.go
@@ -0,0 +1,282 @@
+// Package feed keeps a node's copy of the operators' configuration up to date, and says how
+// old it may be.
+//
+// Each node watches the configuration's key. A change that is small comes with the watch. A large
+// one is read whole by a few nodes only, the readers; the others learn from the watch that there
+// is one, and ask a reader for what changed. So a change of D bytes between nodes in a
+// configuration that the store sends as S bytes is in force on all of n nodes within
+//
+//	notice + max((n*W + k*S)/store, S/reader) + decode + (n/k)*D/reader + D/node + retry
+//
+// where k = max(3, n/16) is the number of readers, or fewer where not so many links are about as
+// fast as the fastest, W the window that comes of an answer that is
+// not taken, and store, reader and node are the bandwidths of their links. A retry costs 0.5 s where
+// a connection was reset (notice and question again), 0.45 s for each reader that is silent, and
+// 1.1 s where the own connection to the store is. Where two readers do not answer a node reads
+// whole itself: S/node more. TestBound has the figures.
+package feed
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"tackbeam.example/tackbeam/internal/joblog"
+	"tackbeam.example/tackbeam/internal/kv"
+	"tackbeam.example/tackbeam/internal/loop"
+	"tackbeam.example/tackbeam/internal/routediff"
+	"tackbeam.example/tackbeam/internal/routes"
+	"tackbeam.example/tackbeam/internal/store"
+)
+
+// Options of a feed. The functions are seams.
+type Options struct {
+	// Key is where the store has the configuration.
+	Key    string
+	Decode func(item kv.Item) (*routes.Config, error)
+	// InForce puts a version in force, and reports whether it is now.
+	InForce func(cf *routes.Config) bool
+	// Node is the name of this node.
+	Node string
+	// Members returns the nodes that are listed, as far as this node knows.
+	Members func() []joblog.Member
+	// Ask puts a question to the feed of another node.
+	Ask func(ctx context.Context, address string, qn Question) (Answer, error)
+}
+
+// Times and sizes.
+const (
+	// watchWait is how long a watch may stay without an answer. The copy's age counts from the
+	// sending of the last call that was answered, so it grows to twice that and two answers of
+	// 0.25 s, the slow store's; with watches of 1 s a fifth of the answers 404 were 503 in calm times.
+	watchWait = 600 * time.Millisecond
+	// lookWait is the wait of the watch after a call that failed: the store tells at once that
+	// nothing has changed.
+	lookWait = time.Millisecond
+	// mostBytes is the largest answer that every node takes from the store: 52 ms on a link of
+	// 10 Mbit/s, and 0.5 s of a store with 1,000 Mbit/s for 1,000 nodes.
+	mostBytes = 64 << 10
+	// longest bounds a call whose answer keeps coming.
+	longest = 10 * time.Second
+	// patience is how long a node leaves the whole to readers that answer but lack it too: they
+	// take 0.2 s, or 1.1 s on a link of 10 Mbit/s. patiencePerNode is what their reading from one
+	// store takes more, 0.7 ms a node at 1.4 MB: 1,000 nodes that lost patience together after 1.2 s
+	// had a change after 4.2 s instead of 1.9 s.
+	patience        = 1200 * time.Millisecond
+	patiencePerNode = time.Millisecond
+	// silentReaders is how many readers in turn that do not answer make a node read whole itself.
+	silentReaders = 2
+	// retryStep is the step of the store's backoff between two tries: 40 to 80 ms.
+	retryStep = 2
+)
+
+// Feed is one node's copy.
+type Feed struct {
+	opts  Options
+	clock clockwork.Clock
+	log   logr.Logger
+	store *kv.Store
+
+	mu sync.Mutex
+	// copy is the latest version that the node has, nil before the first.
+	copy *routes.Config
+	// at is the revision of the store up to which no later version is known of, asOf when the
+	// store was asked that said so.
+	at   uint64
+	asOf time.Time
+	// placed is set while a watch can go on from at.
+	placed bool
+	// behind is since when the copy has been known to lack a change, or, where the place was
+	// lost, to lack one perhaps; zero where it is not.
+	behind time.Time
+	unsure bool
+	// changes lead to the copy, the last one to its revision.
+	changes []*routediff.Diff
+	// later is closed with the next version.
+	later chan struct{}
+
+	// down is set while the store does not answer.
+	down bool
+
+	// The rest belongs to Run.
+	// vouched is when another node was last asked how old its copy is.
+	vouched time.Time
+	// Of the present change: readLast is set where the last try was to read whole, asked is how
+	// many readers were left for the next one, silent how many in turn did not answer.
+	readLast      bool
+	asked, silent int
+}
+
+// New returns a feed that Run keeps up to date.
+func New(clock clockwork.Clock, log logr.Logger, st *kv.Store, opts Options) *Feed {
+	return &Feed{
+		opts: opts, clock: clock, log: log.WithName("feed"), store: st, later: make(chan struct{}),
+	}
+}
+
+// Age returns how old the copy may be: the time since the sending of the last call, of this node or
+// of the one that it asked, by whose answer there was no later version. It reports false before
+// the first.
+func (fd *Feed) Age() (time.Duration, bool) {
+	fd.mu.Lock()
+	defer fd.mu.Unlock()
+	return fd.clock.Since(fd.asOf), !fd.asOf.IsZero()
+}
+
+// Behind reports whether a later version is known to be there, or may well be.
+func (fd *Feed) Behind() bool {
+	fd.mu.Lock()
+	defer fd.mu.Unlock()
+	return !fd.behind.IsZero()
+}
+
+// Run keeps the copy until the context ends.
+func (fd *Feed) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := fd.step(ctx); err != nil {
+			fd.lost(ctx, err)
+		}
+	}
+}
+
+// step makes the call that is due.
+func (fd *Feed) step(ctx context.Context) error {
+	call, cancel := context.WithTimeout(ctx, longest)
+	defer cancel()
+	fd.mu.Lock()
+	placed, behind := fd.placed, fd.behind
+	fd.mu.Unlock()
+	switch {
+	case !behind.IsZero():
+		return fd.catchUp(call, behind)
+	case !placed:
+		return fd.read(call, fd.most())
+	}
+	return fd.watch(call)
+}
+
+// lost notes why the copy stands still, and waits before the next try.
+func (fd *Feed) lost(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if fd.setDown(true) {
+		fd.log.Info("No answer about the configuration; the copy grows old.", "reason", err.Error())
+	}
+	if !fd.Behind() {
+		fd.vouch(ctx)
+	}
+	loop.Pause(ctx, fd.clock, store.Backoff(retryStep))
+}
+
+// most is the largest answer that this node takes from the store; 0 is any.
+func (fd *Feed) most() int {
+	if fd.reads() {
+		return 0
+	}
+	return mostBytes
+}
+
+// watch waits once for a change.
+func (fd *Feed) watch(ctx context.Context) error {
+	wait := watchWait
+	fd.mu.Lock()
+	after := fd.at
+	if fd.down {
+		wait = lookWait
+	}
+	fd.mu.Unlock()
+	sent := fd.clock.Now()
+	events, err := fd.store.WatchKey(ctx, fd.opts.Key, after, wait, fd.most())
+	switch {
+	case errors.Is(err, kv.ErrTooLarge):
+		fd.fallBehind(false)
+		return nil
+	case errors.Is(err, kv.ErrHistoryGone):
+		fd.log.Info("Watch lost history; reading anew.", "after", after)
+		fd.losePlace()
+		return nil
+	case err != nil:
+		return err
+	}
+	for _, item := range events.Items {
+		fd.take(item)
+	}
+	fd.current(sent, events.At)
+	return nil
+}
+
+// read reads the key, unless its value takes more than most bytes.
+func (fd *Feed) read(ctx context.Context, most int) error {
+	sent := fd.clock.Now()
+	item, at, err := fd.store.Get(ctx, fd.opts.Key, most)
+	switch {
+	case errors.Is(err, kv.ErrTooLarge):
+		fd.fallBehind(true)
+		return nil
+	case err != nil:
+		return err
+	}
+	fd.take(item)
+	fd.current(sent, at)
+	return nil
+}
+
+// catchUp makes the next try to get what the copy lacks: by turns from the store and from
+// another node where the whole is this node's to read, and else from another node.
+func (fd *Feed) catchUp(ctx context.Context, behind time.Time) error {
+	if fd.ownRead(behind) && !fd.readLast {
+		fd.readLast = true
+		return fd.read(ctx, 0)
+	}
+	fd.readLast = false
+	return fd.ask(ctx)
+}
+
+// ownRead reports whether the whole is this node's to read.
+func (fd *Feed) ownRead(behind time.Time) bool {
+	long := patience + time.Duration(len(fd.opts.Members()))*patiencePerNode
+	return fd.reads() || fd.silent >= silentReaders || fd.clock.Since(behind) > long
+}
+
+// fallBehind notes that there is a version that the copy lacks, or may be.
+func (fd *Feed) fallBehind(unsure bool) {
+	fd.asked, fd.silent, fd.readLast = 0, 0, false
+	fd.mu.Lock()
+	defer fd.mu.Unlock()
+	fd.behind, fd.unsure = fd.clock.Now(), unsure
+}
+
+func (fd *Feed) losePlace() {
+	fd.mu.Lock()
+	defer fd.mu.Unlock()
+	fd.placed = false
+}
+
+// current notes that there was no version later than the copy's up to a revision, by the answer to
+// a call that was sent at a time.
+func (fd *Feed) current(sent time.Time, at uint64) {
+	fd.mu.Lock()
+	fd.at = max(fd.at, at)
+	fd.placed, fd.behind = true, time.Time{}
+	if sent.After(fd.asOf) {
+		fd.asOf = sent
+	}
+	fd.mu.Unlock()
+	if fd.setDown(false) {
+		fd.log.Info("The configuration is known again.")
+	}
+}
+
+// setDown notes whether the store answers, and reports whether that is new.
+func (fd *Feed) setDown(down bool) bool {
+	fd.mu.Lock()
+	defer fd.mu.Unlock()
+	changed := fd.down != down
+	fd.down = down
+	return changed
+}
--- a/internal/httpcall/flow.go
+++ b/internal/httpcall/flow.go
@@ -8,18 +8,12 @@
 	"github.com/valyala/fasthttp"
 )
 
-// Times of an answer that may be of any size. One limit for the whole would have to know the
-// size and the link: 1.07 MB takes 0.93 s at 10 Mbit/s and 0.05 s at 200 Mbit/s, and nodes that
-// gave it 1.1 s received 10.6 MB in 9 s without an answer. What tells a silent connection from
-// a slow one is that nothing comes.
-const (
-	// firstByte is when the answer has to have begun, beyond the call's Waits: twice what a slow
-	// store takes.
-	firstByte = 500 * time.Millisecond
-	// stall is the longest time in which nothing of it may come: a lost packet is sent again after
-	// 0.2 s, and once more after 0.4 s.
-	stall = time.Second
-)
+// stall is the longest time in which nothing may come of an answer that may be of any size: a
+// lost packet is sent again after 0.2 s, and once more after 0.4 s. One limit for the whole answer
+// would have to know its size and the link: 1.07 MB takes 0.93 s at 10 Mbit/s and 0.05 s at
+// 200 Mbit/s, and nodes that gave it 1.1 s received 10.6 MB in 9 s without an answer. What tells
+// a silent connection from a slow one is that nothing comes.
+const stall = time.Second
 
 // flow is a connection during one call, with the deadline of what is to come next.
 type flow struct {
@@ -35,8 +29,8 @@
 
 // begin sets the deadline of the answer, or of its first byte.
 func (fl *flow) begin(sent time.Time) error {
-	if fl.rq.Flows {
-		return fl.extend(sent.Add(fl.rq.Waits + firstByte))
+	if fl.rq.Begins > 0 {
+		return fl.extend(sent.Add(fl.rq.Waits + fl.rq.Begins))
 	}
 	return fl.extend(fl.end)
 }
@@ -54,7 +48,7 @@
 func (fl *flow) Read(room []byte) (int, error) {
 	count, err := fl.Conn.Read(room)
 	fl.came += count
-	if count > 0 && fl.rq.Flows {
+	if count > 0 && fl.rq.Begins > 0 {
 		fl.began()
 		if err := fl.extend(time.Now().Add(stall)); err != nil {
 			return count, errors.WithStack(err)
--- a/internal/httpcall/flow_test.go
+++ b/internal/httpcall/flow_test.go
@@ -68,11 +68,11 @@
 		ok      bool
 		within  time.Duration
 	}{
-		"slow and whole":      {"/", httpcall.Request{Flows: true}, 0, true, 2 * time.Second},
-		"held, then slow":     {"/held", httpcall.Request{Flows: true, Waits: time.Second}, 0, true, 3 * time.Second},
-		"silent midway":       {"/", httpcall.Request{Flows: true}, 700 * time.Millisecond, false, 700*time.Millisecond + stall},
-		"silent at first":     {"/held", httpcall.Request{Flows: true, Waits: time.Second}, time.Millisecond, false, time.Second + firstByte},
-		"held longer than is": {"/held", httpcall.Request{Flows: true}, 0, false, firstByte},
+		"slow and whole":      {"/", httpcall.Request{Begins: firstByte}, 0, true, 2 * time.Second},
+		"held, then slow":     {"/held", httpcall.Request{Begins: firstByte, Waits: time.Second}, 0, true, 3 * time.Second},
+		"silent midway":       {"/", httpcall.Request{Begins: firstByte}, 700 * time.Millisecond, false, 700*time.Millisecond + stall},
+		"silent at first":     {"/held", httpcall.Request{Begins: firstByte, Waits: time.Second}, 300 * time.Millisecond, false, time.Second + firstByte},
+		"held longer than is": {"/held", httpcall.Request{Begins: firstByte}, 0, false, firstByte},
 	}
 	for name, tc := range cases {
 		for _, polls := range []bool{false, true} {
@@ -102,7 +102,7 @@
 	fr := newStore(t)
 	const patience = 600 * time.Millisecond
 	began := time.Now()
-	is.True(fr.call("/", httpcall.Request{Flows: true}, patience) != nil)
+	is.True(fr.call("/", httpcall.Request{Begins: firstByte}, patience) != nil)
 	is.True(time.Since(began) <= patience+margin)
 }
 
@@ -113,10 +113,10 @@
 	fr := newStore(t)
 	const most = 64 << 10
 	began := time.Now()
-	err := fr.call("/", httpcall.Request{Flows: true, Polls: true, Most: most}, time.Second)
+	err := fr.call("/", httpcall.Request{Begins: firstByte, Polls: true, Most: most}, time.Second)
 	is.True(errors.Is(err, httpcall.ErrTooLarge))
 	is.True(time.Since(began) <= margin)
-	is.NoErr(fr.call("/short", httpcall.Request{Flows: true, Polls: true, Most: most}, time.Second))
+	is.NoErr(fr.call("/short", httpcall.Request{Begins: firstByte, Polls: true, Most: most}, time.Second))
 	time.Sleep(margin)
 	t.Log("carried", fr.path.Carried())
 	is.True(fr.path.Carried() <= most)
@@ -129,7 +129,7 @@
 	fr.open(2)
 	opened := fr.path.Opened()
 	done := make(chan error, 1)
-	go func() { done <- fr.call("/", httpcall.Request{Flows: true}, 10*time.Second) }()
+	go func() { done <- fr.call("/", httpcall.Request{Begins: firstByte}, 10*time.Second) }()
 	time.Sleep(time.Second) // more than an answer may take to begin
 	is.NoErr(fr.call("/short", httpcall.Request{}, time.Second))
 	is.Equal(fr.path.Opened(), opened)
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -36,9 +36,10 @@
 	// Again is set for calls that may be carried out twice: one that is overdue is sent
 	// again beside the first, and the first answer counts.
 	Again bool
-	// Flows is set for calls whose answer may be of any size. It has to begin firstByte after
-	// Waits, and is then waited for as long as it keeps coming, up to the context's deadline.
-	Flows bool
+	// Begins is set for calls whose answer may be of any size: it is when the answer has to have
+	// begun, beyond Waits. It is then waited for as long as it keeps coming, up to the context's
+	// deadline.
+	Begins time.Duration
 	// Most is the size of the largest body that is taken, in bytes; 0 is any. The connection of
 	// a larger one closes before it has come.
 	Most int
--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -93,6 +93,8 @@
 	Hall  string `cbor:"3,keyasint"`
 	// Processors is the node's share of a core, 0 where it is not known.
 	Processors float64 `cbor:"4,keyasint,omitempty"`
+	// Link is the bandwidth of the node's link in Mbit/s, 0 where it is not known.
+	Link float64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Encode returns a batch, records, a member or an election as a value of the store.
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -16,6 +16,7 @@
 	"tackbeam.example/policy/work"
 
 	"tackbeam.example/tackbeam/internal/fault"
+	"tackbeam.example/tackbeam/internal/feed"
 	"tackbeam.example/tackbeam/internal/httpcall"
 	"tackbeam.example/tackbeam/internal/joblog"
 )
@@ -35,6 +36,8 @@
 	Relayed bool `cbor:"6,keyasint,omitempty"`
 	// Written tells the planner of a batch that the journal has.
 	Written *joblog.Written `cbor:"7,keyasint,omitempty"`
+	// Config asks for the configuration.
+	Config *feed.Question `cbor:"8,keyasint,omitempty"`
 }
 
 // writes reports whether a request that gets no answer may have changed something.
@@ -48,6 +51,8 @@
 	// Valid is how long the tickets are good from the answer on.
 	Valid time.Duration `cbor:"4,keyasint,omitempty"`
 	Fault *fault.Error  `cbor:"5,keyasint,omitempty"`
+	// Config is what the node knows of the configuration.
+	Config *feed.Answer `cbor:"6,keyasint,omitempty"`
 }
 
 // writeWait is what a slow store takes for a write.
@@ -62,6 +67,20 @@
 		return time.Until(deadline)
 	case rq.writes():
 		return writeWait
+	case rq.Config != nil:
+		return rq.Config.Hold
+	}
+	return 0
+}
+
+// configBegins is when a configuration has to begin to come: a node answers from memory, and the
+// next one is to be asked in time.
+const configBegins = 300 * time.Millisecond
+
+// begins is when the answer has to have begun where it may be of any size, and 0 where it is small.
+func (rq *Request) begins() time.Duration {
+	if rq.Config != nil {
+		return configBegins
 	}
 	return 0
 }
@@ -148,8 +167,9 @@
 	res, err := li.calls.Do(ctx, httpcall.Request{
 		Method: fasthttp.MethodPost, Address: address, Path: path, Body: raw, Polls: true, Waits: rq.waits(ctx),
 		// A job or a cancel is one by its id, however often it comes; a question would cost
-		// the advisor's time twice.
-		Again: rq.Advise == nil,
+		// the advisor's time twice, and a configuration the links'.
+		Again:  rq.Advise == nil && rq.Config == nil,
+		Begins: rq.begins(),
 	})
 	if err != nil {
 		return Reply{}, fault.New(rq.unanswered(err), "node %s did not answer: %v", address, err)
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -26,8 +26,10 @@
 // Config is one version of the configuration.
 type Config struct {
 	Version uint64
-	Routes  []Route
-	Limits  Limits
+	// Revision is the store's, at which the version was written.
+	Revision uint64
+	Routes   []Route
+	Limits   Limits
 }
 
 // Table is the version in force. It is safe for concurrent use.
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -14,6 +14,8 @@
 	// Processors is what the node may use of the processors, in cores; 0 where the
 	// settings do not tell.
 	Processors float64
+	// Link is the bandwidth of the node's link in Mbit/s; 0 where the settings do not tell.
+	Link float64
 	// Callers, Ready and Peers are addresses to listen on: for jobs, for the
 	// balancer's question whether the node takes callers, for other nodes.
 	Callers string
@@ -41,4 +43,7 @@
 	KeepEnded time.Duration
 	// StopTime is how long a worker takes to end a run.
 	StopTime time.Duration
+	// Apply is within how long of its confirmation a change of the configuration is to be in
+	// force; 0 where the settings do not tell.
+	Apply time.Duration
 }
--- a/internal/term/lease.go
+++ b/internal/term/lease.go
@@ -49,7 +49,9 @@
 
 // list writes the node's key.
 func (tm *Term) list(ctx context.Context) {
-	raw, err := joblog.Encode(joblog.Member{Node: tm.opts.Node, Peers: tm.opts.Peers, Hall: tm.opts.Hall, Processors: tm.opts.Processors})
+	raw, err := joblog.Encode(joblog.Member{
+		Node: tm.opts.Node, Peers: tm.opts.Peers, Hall: tm.opts.Hall, Processors: tm.opts.Processors, Link: tm.opts.Link,
+	})
 	if err != nil {
 		tm.log.Error(err, "Node could not be listed.")
 		return
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -30,6 +30,8 @@
 	// Processors is the node's share of a core; nodes with much less than others leave
 	// the planner's place to them.
 	Processors float64
+	// Link is the bandwidth of the node's link in Mbit/s.
+	Link float64
 	// TTL of the lease: a planner that dies is replaced after that.
 	TTL time.Duration
 	// Lead is run while this node is the planner; it ends when its context does.
