Refuse jobs and counts where a node cannot know which routes are in force

States and cancels of jobs go on: they are about a job, whatever its route is. A relayed count is refused where the route is gone.

--- a/internal/cellnode/config.go
+++ b/internal/cellnode/config.go
@@ -46,6 +46,8 @@
 	switch {
 	case !loaded || nd.table.Config() == nil:
 		return fault.New(fault.Unavailable, "no configuration yet").After(comeBack)
+	case age > nd.staleAfter() && nd.health.Down():
+		return fault.New(fault.Unavailable, "the store is away, the configuration here %s old; not run", age.Round(time.Millisecond)).After(comeBack)
 	case age > nd.staleAfter():
 		return fault.New(fault.Stale, "the configuration here is %s old; not run", age.Round(time.Millisecond)).After(comeBack)
 	}
--- a/internal/cellnode/requests.go
+++ b/internal/cellnode/requests.go
@@ -53,6 +53,11 @@
 
 // answer answers a caller's request by what this node can do.
 func (nd *Node) answer(ctx context.Context, rq peerlink.Request) (peerlink.Reply, error) {
+	if rq.Submit != nil || rq.Pending != "" { // the others are about a job, whatever its route is
+		if err := nd.knows(); err != nil {
+			return peerlink.Reply{}, err
+		}
+	}
 	switch {
 	case rq.Submit != nil:
 		return peerlink.Reply{}, nd.intake.Submit(ctx, rq.Submit)
@@ -116,13 +121,18 @@
 }
 
 // handleRelayed answers a request of another node's caller. The other node's
-// configuration may be old, so a job gets the queue's settings of this one.
+// configuration may be old, so a job gets the queue's settings of this one, and a count is
+// refused where the route is gone.
 func (nd *Node) handleRelayed(ctx context.Context, rq peerlink.Request) (peerlink.Reply, error) {
+	name := rq.Pending
+	if rq.Submit != nil {
+		name = rq.Submit.Queue.Name
+	}
+	qu, ok := nd.table.Queue(name)
+	if name != "" && !ok {
+		return peerlink.Reply{}, fault.New(fault.Unavailable, "no queue %s here; not run", name)
+	}
 	if rq.Submit != nil {
-		qu, ok := nd.table.Queue(rq.Submit.Queue.Name)
-		if !ok {
-			return peerlink.Reply{}, fault.New(fault.Unavailable, "no queue %s here; not run", rq.Submit.Queue.Name)
-		}
 		rq.Submit.Queue = qu
 	}
 	return nd.answer(ctx, rq)
