Failing test: a planner with an older configuration undoes a job's settings

The same cause elsewhere: a copy of unknown age is used as if it were the latest. Each job that a planner takes in, and each job after a takeover, gets the settings of the planner's copy, older or not.

--- a/internal/planner/bed_test.go
+++ b/internal/planner/bed_test.go
@@ -34,6 +34,9 @@
 	store *memkv.Store
 	fleet *memworkers.Fleet
 	nodes map[string]*node
+	// settings are what the planners' copies of the configuration say of the queue; the bed's
+	// jobs carry accepted instead. Without a name there are none.
+	settings, accepted work.Queue
 }
 
 type node struct {
@@ -50,6 +53,7 @@
 	clock := clockwork.NewRealClock() // the bubble's
 	bd := &bed{
 		t: t, clock: clock, store: memkv.New(clock), fleet: memworkers.New(clock, run), nodes: map[string]*node{},
+		accepted: work.Queue{Name: "q", Service: "svc", Attempts: 3, Stretch: 2, Target: time.Second},
 	}
 	for _, id := range workers {
 		bd.addWorker(id)
@@ -83,7 +87,7 @@
 				ID: id, Service: "svc", Capacity: size.New(8000, 8000, 0), Draining: string(item.Value) == "draining",
 			}}, nil
 		},
-		Queue: func(string) (work.Queue, bool) { return work.Queue{}, false },
+		Queue: func(string) (work.Queue, bool) { return bd.settings, bd.settings.Name != "" },
 	})
 	nd.term = term.New(bd.clock, bd.log(name), st, term.Options{Node: name, Processors: processors, TTL: 2 * time.Second, Lead: func(ctx context.Context, reign term.Reign) {
 		nd.reign = reign
@@ -113,7 +117,7 @@
 func (bd *bed) submit(nd *node, id string, tasks int) {
 	bd.t.Helper()
 	jb := &work.Job{
-		ID: id, Spec: id, Queue: work.Queue{Name: "q", Service: "svc", Attempts: 3, Stretch: 2, Target: time.Second},
+		ID: id, Spec: id, Queue: bd.accepted,
 		Steps: []work.Step{{Count: tasks, Need: size.New(1000, 1000, 0), Estimate: time.Second}},
 	}
 	ctx, cancel := context.WithTimeout(bd.t.Context(), 3*time.Second)
--- a/policy/work/work.go
+++ b/policy/work/work.go
@@ -25,6 +25,8 @@
 	// AdviceBase and AdviceEach are what one question takes: at all, and for each worker named.
 	AdviceBase time.Duration `cbor:"8,keyasint,omitempty"`
 	AdviceEach time.Duration `cbor:"9,keyasint,omitempty"`
+	// Version is one of the configuration that has these settings, or that of a later one.
+	Version uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Step is a number of like tasks.
