Take of a job's settings and the planner's the later ones

Cause: a planner put each job that it took in on the settings of its own copy of the configuration, and a relaying node's job on those of the node that took it, older or not. With copies of 7 s a job that was accepted for a new service ran on the old one. Change: settings carry the version that they are from, and the later ones count (Queue.Later): when a job is taken in, after a takeover, when the configuration changes, and when a job is relayed. Before: TestLaterSettings, the job queued for good.

--- a/internal/cellnode/requests.go
+++ b/internal/cellnode/requests.go
@@ -121,8 +121,8 @@
 }
 
 // handleRelayed answers a request of another node's caller. The other node's
-// configuration may be old, so a job gets the queue's settings of this one, and a count is
-// refused where the route is gone.
+// configuration may be old, so a job gets the queue's settings of this one if they are later, and
+// a count is refused where the route is gone.
 func (nd *Node) handleRelayed(ctx context.Context, rq peerlink.Request) (peerlink.Reply, error) {
 	name := rq.Pending
 	if rq.Submit != nil {
@@ -133,7 +133,7 @@
 		return peerlink.Reply{}, fault.New(fault.Unavailable, "no queue %s here; not run", name)
 	}
 	if rq.Submit != nil {
-		rq.Submit.Queue = qu
+		rq.Submit.Queue = rq.Submit.Queue.Later(qu)
 	}
 	return nd.answer(ctx, rq)
 }
--- a/internal/planner/load.go
+++ b/internal/planner/load.go
@@ -75,7 +75,7 @@
 	for at := range bt.Jobs {
 		jb := &bt.Jobs[at]
 		if qu, ok := ld.parts.Queue(jb.Queue.Name); ok {
-			jb.Queue = qu
+			jb.Queue = jb.Queue.Later(qu)
 		}
 		if inherited {
 			ld.cell.AddAged(now, age, jb)
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -75,12 +75,21 @@
 	if now == nil {
 		return nil, ""
 	}
-	if route = now.index.find(bare(host), path); route == nil {
+	found := now.index.find(bare(host), path)
+	if found == nil {
 		return nil, ""
 	}
+	route = now.dated(found)
 	return route, path[len(route.Prefix):]
 }
 
+// dated returns a route with the version that it is from.
+func (ix *indexed) dated(rt *Route) *Route {
+	out := *rt
+	out.Queue.Version = ix.config.Version
+	return &out
+}
+
 // bare returns a host without its port, in lower case.
 func bare(host string) string {
 	if at := strings.LastIndexByte(host, ':'); at >= 0 {
@@ -99,5 +108,5 @@
 	if !ok {
 		return work.Queue{}, false
 	}
-	return route.Queue, true
+	return now.dated(route).Queue, true
 }
--- a/internal/routes/routes_test.go
+++ b/internal/routes/routes_test.go
@@ -72,6 +72,11 @@
 			}
 		}
 		got, _ := tb.Find(host, path)
+		if want != nil {
+			dated := *want
+			dated.Queue.Version = 1 // the table's
+			want = &dated
+		}
 		is.Equal(got, want)
 	}
 }
--- a/policy/cell/job.go
+++ b/policy/cell/job.go
@@ -162,11 +162,11 @@
 }
 
 // Reroute takes the present settings of queues over into the jobs that have not
-// ended. A queue whose route is gone keeps the settings that its jobs came with.
+// ended, unless they came with later ones. A queue whose route is gone keeps the settings that its jobs came with.
 func (cl *Cell) Reroute(settings func(name string) (work.Queue, bool)) {
 	for _, jb := range cl.jobs {
 		if qu, ok := settings(jb.spec.Queue.Name); ok && !jb.phase.Ended() {
-			jb.spec.Queue = qu
+			jb.spec.Queue = jb.spec.Queue.Later(qu)
 		}
 	}
 }
--- a/policy/work/work.go
+++ b/policy/work/work.go
@@ -29,6 +29,15 @@
 	Version uint64 `cbor:"10,keyasint,omitempty"`
 }
 
+// Later returns the settings of the later version, and the present ones where both are of one. A
+// node whose copy is old must not take back what another node accepted a job with.
+func (qu Queue) Later(present Queue) Queue {
+	if present.Version < qu.Version {
+		return qu
+	}
+	return present
+}
+
 // Step is a number of like tasks.
 type Step struct {
 	Count    int           `cbor:"1,keyasint"`
