Take any read of the store as long as it keeps coming

A watch's answer, or a page's, was thrown away where it took longer than a limit that was chosen for small ones. Change: for reads and watches of the store the context's deadline is when the answer has to begin. Then it is taken whole, while it keeps coming. The calls for the configuration work in the same way, in place of a time of their own.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -60,8 +60,9 @@
 	// mostBytes is the largest answer that every node takes from the store: 52 ms on a link of
 	// 10 Mbit/s, and 0.5 s of a store with 1,000 Mbit/s for 1,000 nodes.
 	mostBytes = 64 << 10
-	// longest bounds a call whose answer keeps coming.
-	longest = 10 * time.Second
+	// firstByte is when an answer of the store has to begin, beyond its wait: twice what a slow
+	// store takes.
+	firstByte = 500 * time.Millisecond
 	// patience is how long a node leaves the whole to readers that answer but lack it too: they
 	// take 0.2 s, or 1.1 s on a link of 10 Mbit/s. patiencePerNode is what their reading from one
 	// store takes more, 0.7 ms a node at 1.4 MB: 1,000 nodes that lost patience together after 1.2 s
@@ -145,18 +146,16 @@
 
 // step makes the call that is due.
 func (fd *Feed) step(ctx context.Context) error {
-	call, cancel := context.WithTimeout(ctx, longest)
-	defer cancel()
 	fd.mu.Lock()
 	placed, behind := fd.placed, fd.behind
 	fd.mu.Unlock()
 	switch {
 	case !behind.IsZero():
-		return fd.catchUp(call, behind)
+		return fd.catchUp(ctx, behind)
 	case !placed:
-		return fd.read(call, fd.most())
+		return fd.read(ctx, fd.most())
 	}
-	return fd.watch(call)
+	return fd.watch(ctx)
 }
 
 // lost notes why the copy stands still, and waits before the next try.
@@ -190,8 +189,10 @@
 		wait = lookWait
 	}
 	fd.mu.Unlock()
+	call, cancel := context.WithTimeout(ctx, wait+firstByte)
+	defer cancel()
 	sent := fd.clock.Now()
-	events, err := fd.store.WatchKey(ctx, fd.opts.Key, after, wait, fd.most())
+	events, err := fd.store.WatchKey(call, fd.opts.Key, after, wait, fd.most())
 	switch {
 	case errors.Is(err, kv.ErrTooLarge):
 		fd.fallBehind(false)
@@ -212,8 +213,10 @@
 
 // read reads the key, unless its value takes more than most bytes.
 func (fd *Feed) read(ctx context.Context, most int) error {
+	call, cancel := context.WithTimeout(ctx, firstByte)
+	defer cancel()
 	sent := fd.clock.Now()
-	item, at, err := fd.store.Get(ctx, fd.opts.Key, most)
+	item, at, err := fd.store.Get(call, fd.opts.Key, most)
 	switch {
 	case errors.Is(err, kv.ErrTooLarge):
 		fd.fallBehind(true)
--- a/internal/feed/peers.go
+++ b/internal/feed/peers.go
@@ -48,6 +48,9 @@
 	// hold is how long a question waits at a reader that does not have the change yet, before the
 	// next one is asked.
 	hold = 150 * time.Millisecond
+	// nodeFirstByte is when a node's answer has to begin, beyond the hold: it answers from memory,
+	// and the next one is to be asked in time.
+	nodeFirstByte = 300 * time.Millisecond
 	// vouchAfter is the age of a copy from which other nodes are asked for theirs, where the store
 	// does not answer: half of the copies are younger. Up to so many vouchers are asked in turn, and
 	// not again before vouchEvery.
@@ -174,10 +177,8 @@
 	}
 	fd.vouched = fd.clock.Now()
 	rand.Shuffle(len(sources), func(a, b int) { sources[a], sources[b] = sources[b], sources[a] })
-	call, cancel := context.WithTimeout(ctx, longest)
-	defer cancel()
 	for _, source := range sources[:min(vouchers, len(sources))] {
-		if _, err := fd.askNode(call, source, 0); err != nil {
+		if _, err := fd.askNode(ctx, source, 0); err != nil {
 			fd.log.V(1).Info("Another node did not tell how old its configuration is.", "reason", err.Error())
 		}
 		if !fd.agesBeyond(vouchAfter) {
@@ -200,8 +201,10 @@
 // askNode asks one node, and takes in what it knows.
 func (fd *Feed) askNode(ctx context.Context, mb joblog.Member, hold time.Duration) (Answer, error) {
 	qn := Question{Have: fd.revision(), Hold: hold}
+	call, cancel := context.WithTimeout(ctx, hold+nodeFirstByte)
+	defer cancel()
 	sent := fd.clock.Now()
-	an, err := fd.opts.Ask(ctx, mb.Peers, qn)
+	an, err := fd.opts.Ask(call, mb.Peers, qn)
 	if err != nil {
 		return an, err
 	}
--- a/internal/httpcall/flow.go
+++ b/internal/httpcall/flow.go
@@ -15,48 +15,49 @@
 // a silent connection from a slow one is that nothing comes.
 const stall = time.Second
 
+// longest bounds the time that an answer takes after its beginning.
+const longest = 10 * time.Second
+
 // flow is a connection during one call, with the deadline of what is to come next.
 type flow struct {
 	net.Conn
 	rq Request
-	// end is the call's deadline, until that of what is to come next.
-	end, until time.Time
+	// until is the present deadline, end the last one of an answer that flows.
+	until, end time.Time
 	// began is called as soon as an answer that flows has begun.
 	began func()
 	// came counts the bytes of the answer.
 	came int
 }
 
-// begin sets the deadline of the answer, or of its first byte.
-func (fl *flow) begin(sent time.Time) error {
-	if fl.rq.Begins > 0 {
-		return fl.extend(sent.Add(fl.rq.Waits + fl.rq.Begins))
-	}
-	return fl.extend(fl.end)
-}
-
-// extend sets the deadline, which the call's own one bounds.
-func (fl *flow) extend(until time.Time) error {
-	if until.After(fl.end) {
-		until = fl.end
-	}
-	fl.until = until
-	return fl.SetDeadline(until)
-}
-
 // Read reads what has come, which gives an answer that flows more time.
 func (fl *flow) Read(room []byte) (int, error) {
 	count, err := fl.Conn.Read(room)
+	if count == 0 || !fl.rq.Flows {
+		return count, err
+	}
+	if fl.came == 0 {
+		fl.begin()
+	}
 	fl.came += count
-	if count > 0 && fl.rq.Begins > 0 {
-		fl.began()
-		if err := fl.extend(time.Now().Add(stall)); err != nil {
-			return count, errors.WithStack(err)
-		}
+	fl.until = time.Now().Add(stall)
+	if fl.until.After(fl.end) {
+		fl.until = fl.end
+	}
+	if err := fl.SetReadDeadline(fl.until); err != nil {
+		return count, errors.WithStack(err)
 	}
 	return count, err
 }
 
+func (fl *flow) begin() {
+	fl.end = time.Now().Add(longest)
+	fl.began()
+	if fl.rq.flowing != nil {
+		fl.rq.flowing.Store(true)
+	}
+}
+
 // over reports whether the present deadline has passed.
 func (fl *flow) over() bool { return !time.Now().Before(fl.until) }
 
--- a/internal/httpcall/host.go
+++ b/internal/httpcall/host.go
@@ -81,8 +81,8 @@
 	sent := time.Now()
 	onTime := ho.watch(sent, min(rq.Waits+overdue, deadline.Sub(sent)))
 	defer onTime()
-	fl := &flow{Conn: cc.Conn(), end: deadline, rq: rq, began: onTime}
-	if err := fl.begin(sent); err != nil {
+	fl := &flow{Conn: cc.Conn(), until: deadline, rq: rq, began: onTime}
+	if err := fl.SetDeadline(deadline); err != nil {
 		ho.pool.CloseConn(cc)
 		return errors.Wrap(ErrUnsent, err.Error())
 	}
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -36,13 +37,15 @@
 	// Again is set for calls that may be carried out twice: one that is overdue is sent
 	// again beside the first, and the first answer counts.
 	Again bool
-	// Begins is set for calls whose answer may be of any size: it is when the answer has to have
-	// begun, beyond Waits. It is then waited for as long as it keeps coming, up to the context's
-	// deadline.
-	Begins time.Duration
+	// Flows is set for calls whose answer may be of any size: it has to begin before the context's
+	// deadline, and is then waited for as long as it keeps coming.
+	Flows bool
 	// Most is the size of the largest body that is taken, in bytes; 0 is any. The connection of
 	// a larger one closes before it has come.
 	Most int
+
+	// flowing is set once an answer that flows has begun.
+	flowing *atomic.Bool
 }
 
 // Response is the answer to a call.
@@ -127,6 +130,7 @@
 		return cl.do(ctx, rq)
 	}
 	const most = 2
+	rq.flowing = &atomic.Bool{}
 	ts := &tries{caller: cl, ctx: ctx, rq: rq, began: time.Now(), done: make(chan outcome, most), left: 1}
 	if rq.Again {
 		ts.left = most
--- a/internal/httpcall/tries.go
+++ b/internal/httpcall/tries.go
@@ -30,6 +30,7 @@
 	ts.begin()
 	timer := time.NewTimer(ts.rq.Waits + overdue)
 	defer timer.Stop()
+	given := ts.ctx.Done()
 	for {
 		select {
 		case out := <-ts.done:
@@ -43,8 +44,13 @@
 			}
 		case <-timer.C:
 			ts.again()
-		case <-ts.ctx.Done():
-			if errors.Is(ts.ctx.Err(), context.DeadlineExceeded) {
+		case <-given:
+			late := errors.Is(ts.ctx.Err(), context.DeadlineExceeded)
+			if late && ts.rq.flowing.Load() {
+				given = nil // it has its own end
+				continue
+			}
+			if late {
 				ts.caller.host(ts.rq.Address).suspect(ts.began) // before the caller's next call
 			}
 			return Response{}, errors.WithStack(ts.ctx.Err())
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -58,16 +58,17 @@
 const MaxEntries = 32
 
 // Store carries the calls. The fields are seams: an adapter sets them for a wire
-// format, a test for a fault. Each returns an error of one of the kinds below.
+// format, a test for a fault. Each returns an error of one of the kinds below. The context's
+// deadline is when the answer to a read or a watch has to begin; it is then taken whole, however
+// long that takes, as long as it keeps coming.
 type Store struct {
 	// Range reads keys with a prefix after a key. A stale read is cheap and may be
 	// seconds old.
 	Range func(ctx context.Context, prefix, after string, stale bool) (Page, error)
 	// Watch waits for changes of keys with a prefix after a revision.
 	Watch func(ctx context.Context, prefix string, after uint64, wait time.Duration) (Events, error)
-	// Get reads one key, and returns the store's revision too. An absent key has revision 0. The
-	// answer is waited for as long as it keeps coming, whatever its size; one of more than most
-	// bytes is not taken and ErrTooLarge returned, but 0 takes any.
+	// Get reads one key, and returns the store's revision too. An absent key has revision 0. An
+	// answer of more than most bytes is not taken and ErrTooLarge returned, but 0 takes any.
 	Get func(ctx context.Context, key string, most int) (Item, uint64, error)
 	// WatchKey waits for changes of one key after a revision. Its answer is taken as that of Get.
 	WatchKey func(ctx context.Context, key string, after uint64, wait time.Duration, most int) (Events, error)
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -73,18 +73,6 @@
 	return 0
 }
 
-// configBegins is when a configuration has to begin to come: a node answers from memory, and the
-// next one is to be asked in time.
-const configBegins = 300 * time.Millisecond
-
-// begins is when the answer has to have begun where it may be of any size, and 0 where it is small.
-func (rq *Request) begins() time.Duration {
-	if rq.Config != nil {
-		return configBegins
-	}
-	return 0
-}
-
 // unanswered is the kind of a call's error without an answer: Timeout where it may have
 // been carried out.
 func (rq *Request) unanswered(err error) fault.Kind {
@@ -168,8 +156,8 @@
 		Method: fasthttp.MethodPost, Address: address, Path: path, Body: raw, Polls: true, Waits: rq.waits(ctx),
 		// A job or a cancel is one by its id, however often it comes; a question would cost
 		// the advisor's time twice, and a configuration the links'.
-		Again:  rq.Advise == nil && rq.Config == nil,
-		Begins: rq.begins(),
+		Again: rq.Advise == nil && rq.Config == nil,
+		Flows: rq.Config != nil,
 	})
 	if err != nil {
 		return Reply{}, fault.New(rq.unanswered(err), "node %s did not answer: %v", address, err)
