Tell the configuration's version, routes and age as measures

Sight: the incident's log told of a stale copy only where a caller was refused, and no measure told it.

--- a/internal/cellnode/config.go
+++ b/internal/cellnode/config.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"tackbeam.example/tackbeam/internal/fault"
 	"tackbeam.example/tackbeam/internal/feed"
 	"tackbeam.example/tackbeam/internal/peerlink"
@@ -65,6 +67,34 @@
 	return nil
 }
 
+// measureConfig has the node's measures tell which configuration is in force, how old the copy may
+// be, and how many routes there are.
+func (nd *Node) measureConfig() {
+	gauges := map[string]func() int64{
+		"config.age_ms": func() int64 {
+			if age, loaded := nd.config.Age(); loaded {
+				return age.Milliseconds()
+			}
+			return -1
+		},
+		"config.version": func() int64 { return int64(nd.inForce().Version) },
+		"config.routes":  func() int64 { return int64(len(nd.inForce().Routes)) },
+	}
+	for name, value := range gauges {
+		if err := nd.meters.Register(name, metrics.NewFunctionalGauge(value)); err != nil {
+			nd.log.Error(err, "Measure is not told.", "name", name)
+		}
+	}
+}
+
+// inForce returns the configuration in force, an empty one before the first.
+func (nd *Node) inForce() *routes.Config {
+	if cf := nd.table.Config(); cf != nil {
+		return cf
+	}
+	return &routes.Config{}
+}
+
 // askConfig asks another node for the configuration.
 func (nd *Node) askConfig(ctx context.Context, address string, qn feed.Question) (feed.Answer, error) {
 	reply, err := nd.link.Call(ctx, address, peerlink.Request{Config: &qn})
