--- a/internal/feed/peers.go
+++ b/internal/feed/peers.go
@@ -1,7 +1,6 @@
 package feed
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -9,54 +8,17 @@
 
 	"github.com/pkg/errors"
 
-	"tackbeam.example/tackbeam/internal/fault"
 	"tackbeam.example/tackbeam/internal/joblog"
-	"tackbeam.example/tackbeam/internal/routediff"
 )
 
-// Question asks another node's feed for what the asker's copy lacks.
-type Question struct {
-	// Have is the revision of the asker's copy; 0 where it has none.
-	Have uint64 `cbor:"1,keyasint,omitempty"`
-	// Hold is how long the answer may be held back until there is a later version.
-	Hold time.Duration `cbor:"2,keyasint,omitempty"`
-}
-
-// Answer is what another node's feed knows.
-type Answer struct {
-	// Changes lead from what the asker has to the answering node's copy, in order.
-	Changes []*routediff.Diff `cbor:"1,keyasint,omitempty"`
-	// Revision is that of the copy; up to At there was no later one, as of Age ago.
-	Revision uint64        `cbor:"2,keyasint"`
-	At       uint64        `cbor:"3,keyasint"`
-	Age      time.Duration `cbor:"4,keyasint"`
-	// Coming is set where the answering node is a reader that would have a later version soon.
-	Coming bool `cbor:"5,keyasint,omitempty"`
-}
-
 // How other nodes are asked.
 const (
-	// leastReaders read the whole at the least: two may be lost with a change.
-	leastReaders = 3
-	// askers is how many nodes there are to each reader. 16 times 80 kB, which 1,400 routes take,
-	// are 1 s of a link of 10 Mbit/s; and 63 readers of 1,000 nodes take 1.4 MB each from a store
-	// in 0.7 s, at 1,000 Mbit/s.
-	askers = 16
-	// slowerLink is how many times slower than the fastest a reader's link may be: with a reader of
-	// 10 Mbit/s beside one of 200 a change came to 12 nodes after 2.9 s instead of 0.3 s.
-	slowerLink = 4
 	// hold is how long a question waits at a reader that does not have the change yet, before the
 	// next one is asked.
 	hold = 150 * time.Millisecond
 	// nodeFirstByte is when a node's answer has to begin, beyond the hold: it answers from memory,
 	// and the next one is to be asked in time.
 	nodeFirstByte = 300 * time.Millisecond
-	// mostSending is how much of its time a reader's link is filled ahead: 15 askers take 1.2 s for
-	// 1,400 routes at 10 Mbit/s. With 5,000 routes to nodes that had none 36 askers of three such
-	// readers took 5 s, though the store could send each of them the whole in 1.1 s.
-	mostSending = 1500 * time.Millisecond
-	// routeBytes is what a route takes in an answer, 55 to 72 measured.
-	routeBytes = 72
 	// vouchAfter is the age of a copy from which other nodes are asked for theirs, where the store
 	// does not answer: half of the copies are younger.
 	vouchAfter = 900 * time.Millisecond
@@ -66,101 +28,6 @@
 	vouchEvery = 300 * time.Millisecond
 )
 
-// Answer answers another node.
-func (fd *Feed) Answer(ctx context.Context, qn Question) (Answer, error) {
-	fd.await(ctx, qn)
-	reads := fd.reads()
-	fd.mu.Lock()
-	defer fd.mu.Unlock()
-	if fd.copy == nil {
-		return Answer{}, fault.New(fault.Unavailable, "no configuration here yet")
-	}
-	an := Answer{Revision: fd.copy.Revision, At: fd.at, Age: fd.clock.Since(fd.asOf)}
-	an.Coming = reads && !fd.down
-	if qn.Have < fd.copy.Revision {
-		an.Changes = fd.since(qn.Have)
-	}
-	if !fd.admit(an.Changes) {
-		return Answer{}, fault.New(fault.Full, "too many nodes are sent the configuration").After(mostSending)
-	}
-	return an, nil
-}
-
-// admit reports whether there is time on the link for an answer, and takes it. The caller holds
-// the lock.
-func (fd *Feed) admit(changes []*routediff.Diff) bool {
-	size := 0
-	for _, df := range changes {
-		size += df.Size()
-	}
-	if size == 0 || fd.opts.Link == 0 {
-		return true
-	}
-	now := fd.clock.Now()
-	if fd.sending.Before(now) {
-		fd.sending = now
-	}
-	if fd.sending.Sub(now) > mostSending {
-		return false
-	}
-	const bits, mega = 8, 1e6
-	fd.sending = fd.sending.Add(time.Duration(float64(size*routeBytes*bits) / (fd.opts.Link * mega) * float64(time.Second)))
-	return true
-}
-
-// await waits for a version that is later than the asker's, for as long as it says.
-func (fd *Feed) await(ctx context.Context, qn Question) {
-	over := fd.clock.After(min(qn.Hold, hold))
-	for {
-		fd.mu.Lock()
-		later, here := fd.later, fd.copy != nil && fd.copy.Revision > qn.Have
-		fd.mu.Unlock()
-		if here {
-			return
-		}
-		select {
-		case <-later:
-		case <-over:
-			return
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// ranking returns the members in the order in which they read the whole, those with the fastest
-// links first: the same on all nodes that know the same members.
-func ranking(members []joblog.Member) []joblog.Member {
-	members = slices.Clone(members)
-	slices.SortFunc(members, func(a, b joblog.Member) int {
-		return cmp.Or(cmp.Compare(b.Link, a.Link), cmp.Compare(b.Processors, a.Processors), cmp.Compare(a.Node, b.Node))
-	})
-	return members
-}
-
-// readers returns how many of the members, in their ranking, read the whole.
-func readers(members []joblog.Member) int {
-	most := max(leastReaders, (len(members)+askers-1)/askers)
-	count := 0
-	for count < min(most, len(members)) && members[count].Link*slowerLink >= members[0].Link {
-		count++
-	}
-	return count
-}
-
-// place returns the members in their ranking, and this node's place there, -1 where it is not
-// listed yet.
-func (fd *Feed) place() ([]joblog.Member, int) {
-	members := ranking(fd.opts.Members())
-	return members, slices.IndexFunc(members, func(mb joblog.Member) bool { return mb.Node == fd.opts.Node })
-}
-
-// reads reports whether this node is a reader, or knows no other node.
-func (fd *Feed) reads() bool {
-	members, place := fd.place()
-	return len(members) == 0 || place >= 0 && place < readers(members)
-}
-
 var (
 	// errAlone means that there is no other node to ask.
 	errAlone = errors.New("no other node is known")
