Pass a request on to another node where one cannot know the routes

A relayed job that met a node with an old configuration was refused to its caller, though surely not run, while other nodes could have taken it. Failing case first in TestDo: 1 call, now 2.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -46,7 +46,7 @@
 		}
 		left--
 		reply, err := re.try(ctx, mb, rq)
-		if !fault.Is(err, fault.Unavailable) && !fault.Is(err, fault.Draining) {
+		if !unable(err) {
 			return reply, true, err
 		}
 	}
@@ -58,3 +58,9 @@
 	defer cancel()
 	return re.Call(call, mb.Peers, rq)
 }
+
+// unable reports whether a node surely has not carried a request out, for a reason that another
+// node may not have.
+func unable(err error) bool {
+	return fault.Is(err, fault.Unavailable) || fault.Is(err, fault.Draining) || fault.Is(err, fault.Stale)
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -15,6 +15,7 @@
 // TestDo passes a request on to nodes that answer as the case says, one after the other.
 func TestDo(t *testing.T) {
 	refused := fault.New(fault.Unavailable, "the store is away")
+	stale := fault.New(fault.Stale, "the configuration here is old; not run")
 	unknown := fault.New(fault.Timeout, "no answer")
 	notThere := fault.New(fault.NotFound, "no such job")
 	tests := map[string]struct {
@@ -26,6 +27,7 @@
 	}{
 		"first node takes it":                    {nodes: 4, answers: []error{nil}, calls: 1, done: true},
 		"second node takes it":                   {nodes: 4, answers: []error{refused, nil}, calls: 2, done: true},
+		"first node cannot know the routes":      {nodes: 4, answers: []error{stale, nil}, calls: 2, done: true},
 		"nobody can":                             {nodes: 4, answers: []error{refused, refused}, calls: 2},
 		"without an answer it may have been":     {nodes: 4, answers: []error{unknown}, calls: 1, done: true, want: fault.Timeout},
 		"an answer that is a fault is passed on": {nodes: 4, answers: []error{notThere}, calls: 1, done: true, want: fault.NotFound},
