Split the planner's tests; say once what they share

What is about takeovers stands in a file of its own, the cutting off of a node and the start of two nodes in the bed, which stood in five places.

--- a/internal/planner/bed_test.go
+++ b/internal/planner/bed_test.go
@@ -73,6 +73,24 @@
 
 func (bd *bed) addNode(name string) *node { return bd.addNodeOf(name, 1) }
 
+// addTwo adds a node, which becomes the planner, and another one a little later.
+func (bd *bed) addTwo() (first, second *node) {
+	const apart = 100 * time.Millisecond
+	first = bd.addNode("n1")
+	time.Sleep(apart)
+	return first, bd.addNode("n2")
+}
+
+// cutOff has the store swallow every call of one node.
+func (bd *bed) cutOff(name string) {
+	bd.store.SetFault(func(client, _ string) memkv.Fault {
+		if client == name {
+			return memkv.Silent
+		}
+		return memkv.None
+	})
+}
+
 // addNodeOf adds a node with a share of a core.
 func (bd *bed) addNodeOf(name string, processors float64) *node {
 	st := bd.store.Client(name)
--- a/internal/planner/reigns_test.go
+++ b/internal/planner/reigns_test.go
@@ -18,9 +18,7 @@
 
 // addPair adds two nodes, of which the first plans and knows the second.
 func (bd *bed) addPair() (first, second *node) {
-	first = bd.addNode("n1")
-	time.Sleep(100 * time.Millisecond)
-	second = bd.addNode("n2")
+	first, second = bd.addTwo()
 	time.Sleep(300 * time.Millisecond)
 	synctest.Wait()
 	return first, second
