--- a/internal/standin/memkv/memkv.go
+++ b/internal/standin/memkv/memkv.go
@@ -159,6 +159,9 @@
 }
 
 func (st *Store) endLease(id uint64) {
+	if _, ok := st.leases[id]; !ok {
+		return // keys without a lease have the id 0
+	}
 	delete(st.leases, id)
 	st.revision++
 	for key, en := range st.items {
