Log once a second what the planner had to do

The planner's logs could not tell which part of its work takes the processor after an outage: at 1,100 workers most lines of the moments that matter are dropped. One line a second now has plans and the time they took, starts sent, in flight and refused, the time from the decision to the outcome, holds, questions and the garbage collector's share.

--- a/internal/planner/lead.go
+++ b/internal/planner/lead.go
@@ -77,6 +77,7 @@
 	patience patience
 	losses   losses
 	measures measures
+	effort   effort
 	pace     pace
 	batches  batches
 	dirty    bool
@@ -192,6 +193,7 @@
 	ld.dirty = true
 	ld.tellWaits(now)
 	ld.tellLosses()
+	ld.tellEffort(now)
 	jobs, waiting, workers := ld.cell.Sizes()
 	ld.measures.gauge("planner.jobs", jobs)
 	ld.measures.gauge("planner.steps_waiting", waiting)
@@ -209,7 +211,9 @@
 		ld.dirty = false
 		began := ld.clock.Now()
 		ld.cell.Plan(ld.now())
-		ld.measures.timed("planner.plan", ld.clock.Since(began))
+		took := ld.clock.Since(began)
+		ld.measures.timed("planner.plan", took)
+		ld.effort.plan(took)
 		ld.measures.count("planner.plans")
 	}
 	ld.flush()
@@ -225,8 +229,10 @@
 			ld.measures.count("planner.jobs." + string(rec.Phase))
 		}
 	}
+	now := ld.now()
 	for _, sr := range out.Starts {
-		ld.spawn(func() { ld.start(sr) })
+		ld.effort.begin()
+		ld.spawn(func() { ld.start(sr, now) })
 	}
 	for _, sp := range out.Stops {
 		ld.spawn(func() { ld.stop(sp) })
@@ -239,6 +245,7 @@
 	for _, pc := range out.Paces {
 		ld.spawn(func() { ld.setPace(pc) })
 	}
+	ld.effort.questions += len(out.Questions)
 	for _, qn := range out.Questions {
 		ld.spawn(func() { ld.advise(qn) })
 	}
--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -25,11 +25,14 @@
 	stopPause = 50 * time.Millisecond
 )
 
-// start carries out one start.
-func (ld *lead) start(sr cell.Start) {
+// start carries out one start that was decided at a time of the reign.
+func (ld *lead) start(sr cell.Start, decided time.Duration) {
 	se, token, deadline, ok := ld.prepare(sr.Worker)
 	if !ok || !ld.mayStart() {
-		ld.after(func(now time.Duration) { ld.cell.Refused(now, sr, cell.RefusedLate) })
+		ld.after(func(now time.Duration) {
+			ld.effort.end(now-decided, cell.RefusedLate)
+			ld.cell.Refused(now, sr, cell.RefusedLate)
+		})
 		ld.log.Info("Start was not sent.", "task", sr.Task.String(), "run", sr.Run, "worker", sr.Worker)
 		return
 	}
@@ -48,6 +51,7 @@
 	took := ld.clock.Since(sent)
 	ld.measures.start(took, refusal, err)
 	ld.after(func(now time.Duration) {
+		ld.effort.end(now-decided, refusal)
 		switch {
 		case err == nil && refusal == "":
 			ld.cell.Started(now, sr)
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -131,6 +131,7 @@
 	if se.ended {
 		return agent.Hold{}, 0, false
 	}
+	ld.effort.holds++
 	noted, waits := ld.cell.Noted(se.id)
 	hold, slack = agent.Hold{Token: ld.reign.Token, Noted: noted}, holdSlack
 	if se.answered && !se.silent {
