Use no worker whose entry another writer left

Cause: an entry in the list of workers was decoded without a check: with no phase or an unknown one, no address, no service, a negative capacity, or null, it named a worker, which was called and got tasks. One of a service that nobody uses was held as well.

One that cannot be read counts as gone from the list: a worker that runs tasks is held as before and gets no new ones until its next sound entry, since a worker writes its entry every 1.5 s and its runs should not be lost by what another wrote. Workers of a service that neither the configuration nor a job names are not called until one does. A line in the log once an entry, for 100 of them at most.

--- a/internal/planner/bed_test.go
+++ b/internal/planner/bed_test.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 	"github.com/go-logr/logr/funcr"
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
 	"tackbeam.example/policy/cell"
@@ -37,8 +38,13 @@
 	// settings are what the planners' copies of the configuration say of the queue; the bed's
 	// jobs carry accepted instead. Without a name there are none.
 	settings, accepted work.Queue
+	// serves are the services that the configuration names.
+	serves map[string]bool
 }
 
+// unreadable is the value of an entry in the list of workers that cannot be read.
+const unreadable = "unreadable"
+
 type node struct {
 	planner *planner.Planner
 	term    *term.Term
@@ -53,6 +59,7 @@
 	clock := clockwork.NewRealClock() // the bubble's
 	bd := &bed{
 		t: t, clock: clock, store: memkv.New(clock), fleet: memworkers.New(clock, run), nodes: map[string]*node{},
+		serves:   map[string]bool{"svc": true},
 		accepted: work.Queue{Name: "q", Service: "svc", Attempts: 3, Stretch: 2, Target: time.Second},
 	}
 	for _, id := range workers {
@@ -101,11 +108,19 @@
 		WorkersPrefix: workersPrefix,
 		DecodeWorker: func(item kv.Item) (planner.Entry, error) {
 			id := strings.TrimPrefix(item.Key, workersPrefix)
+			if string(item.Value) == unreadable {
+				return planner.Entry{}, errors.New("the entry cannot be read")
+			}
+			service := "svc"
+			if name, ok := strings.CutPrefix(string(item.Value), "of "); ok {
+				service = name
+			}
 			return planner.Entry{Worker: cell.Worker{
-				ID: id, Service: "svc", Capacity: size.New(8000, 8000, 0), Draining: string(item.Value) == "draining",
+				ID: id, Service: service, Capacity: size.New(8000, 8000, 0), Draining: string(item.Value) == "draining",
 			}}, nil
 		},
-		Queue: func(string) (work.Queue, bool) { return bd.settings, bd.settings.Name != "" },
+		Serves: func(service string) bool { return bd.serves[service] },
+		Queue:  func(string) (work.Queue, bool) { return bd.settings, bd.settings.Name != "" },
 	})
 	nd.term = term.New(bd.clock, bd.log(name), st, term.Options{Node: name, Processors: processors, TTL: 2 * time.Second, Lead: func(ctx context.Context, reign term.Reign) {
 		nd.reign = reign
--- a/internal/planner/lead.go
+++ b/internal/planner/lead.go
@@ -81,6 +81,7 @@
 	losses   losses
 	measures measures
 	effort   effort
+	aside    aside
 	pace     pace
 	batches  batches
 	dirty    bool
@@ -113,6 +114,7 @@
 	ld.measures.registry = pt.Meters
 	ld.records.init()
 	ld.batches.init()
+	ld.aside.init()
 	return ld
 }
 
@@ -198,6 +200,7 @@
 	now := ld.now()
 	ld.cell.Tick(now, ld.wall())
 	ld.settle(now)
+	ld.relist()
 	ld.dirty = true
 	ld.tellWaits(now)
 	ld.tellLosses()
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -51,6 +51,8 @@
 	DecodeWorker  func(item kv.Item) (Entry, error)
 	// Advise asks the advisor through the node that is free soonest.
 	Advise func(ctx context.Context, qn cell.Question) (Answer, error)
+	// Serves reports whether the configuration sends any queue to a service.
+	Serves func(service string) bool
 	// Queue returns the present settings of a queue, or false where its route is gone.
 	Queue func(name string) (work.Queue, bool)
 }
--- a/internal/planner/roster.go
+++ b/internal/planner/roster.go
@@ -1,28 +1,99 @@
 package planner
 
 import (
+	"maps"
+	"slices"
+
 	"tackbeam.example/tackbeam/internal/kv"
 )
 
+// mostAside bounds the entries that are kept in mind because they cannot be read, and the lines
+// about those and others that name no worker to use: a list that somebody fills with other things
+// must not fill memory or log.
+const mostAside = 100
+
+// aside are entries of the list of workers that name no worker to use.
+type aside struct {
+	// unread are the keys of those that cannot be read.
+	unread map[string]bool
+	// unasked are those of services that neither the configuration nor a job names.
+	unasked map[string]Entry
+}
+
+func (as *aside) init() {
+	as.unread = map[string]bool{}
+	as.unasked = map[string]Entry{}
+}
+
+// drop forgets an entry that is gone, or names a worker by now.
+func (as *aside) drop(key string) {
+	delete(as.unread, key)
+	delete(as.unasked, key)
+}
+
 // takeWorkers takes in changes of the list of workers.
 func (ld *lead) takeWorkers(items []kv.Item, _ bool) {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
 	for _, item := range items {
 		if item.Gone {
+			ld.aside.drop(item.Key)
 			ld.unlist(item.Key)
 			continue
 		}
 		en, err := ld.parts.DecodeWorker(item)
 		if err != nil {
-			ld.log.Error(err, "Entry of a worker cannot be read.", "key", item.Key)
+			ld.leaveAside(item.Key, err)
 			continue
 		}
-		ld.list(en)
+		ld.aside.drop(item.Key)
+		ld.enter(item.Key, en)
 	}
 	ld.kick()
 }
 
+// leaveAside takes in an entry that cannot be read. The worker of the key may run tasks, if there
+// is one: it is held as before, gets no new ones, and is listed again with its next sound entry.
+func (ld *lead) leaveAside(key string, err error) {
+	if known, listed := ld.cell.Listed(ld.workerOf(key)); known && listed {
+		ld.unlist(key)
+	}
+	if ld.aside.unread[key] || len(ld.aside.unread) >= mostAside {
+		return
+	}
+	ld.aside.unread[key] = true
+	ld.log.Info("Entry in the list of workers names none to use.", "key", key, "reason", err.Error())
+}
+
+// enter lists a worker if it is known, or if tasks may have to run on workers of its service.
+func (ld *lead) enter(key string, en Entry) {
+	known, _ := ld.cell.Listed(en.ID)
+	if known || ld.serves(en.Service) {
+		ld.list(en)
+		return
+	}
+	if _, told := ld.aside.unasked[key]; !told && len(ld.aside.unasked) < mostAside {
+		ld.log.Info("Worker's service is not in use.", "worker", en.ID, "service", en.Service)
+	}
+	ld.aside.unasked[key] = en
+}
+
+// serves reports whether the configuration or a job names the service.
+func (ld *lead) serves(service string) bool {
+	return ld.parts.Serves(service) || ld.cell.Serving(service)
+}
+
+// relist lists the workers whose services have come into use.
+func (ld *lead) relist() {
+	for _, key := range slices.Sorted(maps.Keys(ld.aside.unasked)) {
+		if en := ld.aside.unasked[key]; ld.serves(en.Service) {
+			delete(ld.aside.unasked, key)
+			ld.list(en)
+			ld.kick()
+		}
+	}
+}
+
 func (ld *lead) list(en Entry) {
 	ld.cell.PutWorker(ld.now(), en.Worker)
 	se, ok := ld.sessions[en.ID]
@@ -40,7 +111,10 @@
 }
 
 func (ld *lead) unlist(key string) {
-	id := key[len(ld.parts.WorkersPrefix):]
+	id := ld.workerOf(key)
 	ld.cell.Unlist(id)
 	ld.log.Info("Worker's entry is gone.", "worker", id)
 }
+
+// workerOf returns the worker's id in a key of the list.
+func (ld *lead) workerOf(key string) string { return key[len(ld.parts.WorkersPrefix):] }
--- a/internal/routes/index.go
+++ b/internal/routes/index.go
@@ -7,6 +7,8 @@
 type index struct {
 	hosts  map[string]*prefixes
 	queues map[string]*Route
+	// services are those whose workers run the queues' tasks.
+	services map[string]bool
 }
 
 // prefixes are the routes of one host.
@@ -19,7 +21,7 @@
 // newIndex returns the index of routes. Of two with one host and prefix, or with one name, the
 // first counts.
 func newIndex(routes []Route) *index {
-	ix := &index{hosts: map[string]*prefixes{}, queues: make(map[string]*Route, len(routes))}
+	ix := &index{hosts: map[string]*prefixes{}, queues: make(map[string]*Route, len(routes)), services: map[string]bool{}}
 	for at := range routes {
 		ix.add(&routes[at])
 	}
@@ -33,6 +35,7 @@
 	if _, ok := ix.queues[rt.Queue.Name]; !ok {
 		ix.queues[rt.Queue.Name] = rt
 	}
+	ix.services[rt.Queue.Service] = true
 	pf, ok := ix.hosts[rt.Host]
 	if !ok {
 		pf = &prefixes{routes: map[string]*Route{}}
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -110,3 +110,9 @@
 	}
 	return now.dated(route).Queue, true
 }
+
+// Serves reports whether any queue's tasks run on workers of a service.
+func (tb *Table) Serves(service string) bool {
+	now := tb.inForce.Load()
+	return now != nil && now.index.services[service]
+}
--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -191,7 +191,9 @@
 	shelves map[string]*shelf
 	queues  map[string]*queue
 	cancels map[string]time.Duration
-	out     Output
+	// services are those that a job's tasks run on.
+	services map[string]bool
+	out      Output
 	// stops wait until the journal has them.
 	stops []provenStop
 	// recorded counts all records so far, committed those that are in the journal.
@@ -221,6 +223,7 @@
 		opts: opts, jobs: map[string]*job{}, workers: map[string]*worker{},
 		window: window{limit: opts.FirstWindow},
 		open:   map[*step]bool{}, shelves: map[string]*shelf{}, queues: map[string]*queue{}, cancels: map[string]time.Duration{},
+		services: map[string]bool{},
 	}
 }
 
--- a/policy/cell/job.go
+++ b/policy/cell/job.go
@@ -40,6 +40,7 @@
 	}
 	jb := &job{spec: spec, inherited: inherited, arrived: arrived, rounds: map[int]*round{}, phase: Queued}
 	cl.jobs[spec.ID] = jb
+	cl.services[spec.Queue.Service] = true
 	cl.queue(spec.Queue.Name).pending++
 	if _, cancelled := cl.cancels[spec.ID]; cancelled {
 		cl.finish(now, jb, Cancelled)
--- a/policy/cell/worker.go
+++ b/policy/cell/worker.go
@@ -176,6 +176,9 @@
 	return ok && (len(wk.places) > 0 || !wk.answered)
 }
 
+// Serving reports whether any job's tasks run on workers of a service.
+func (cl *Cell) Serving(service string) bool { return cl.services[service] }
+
 // Listed reports whether a worker is known and in the list.
 func (cl *Cell) Listed(id string) (known, listed bool) {
 	wk, ok := cl.workers[id]
