Cheapen what a planner does whether anything waits or not

- Shelves of workers last from plan to plan and are put in order again instead of sorted: a calm plan of 1,100 workers 0.15 -> 0.07 ms (BenchmarkPlanCalm).

--- a/internal/planner/lead.go
+++ b/internal/planner/lead.go
@@ -72,6 +72,8 @@
 	loaded bool
 	// journaled is closed then.
 	journaled chan struct{}
+	// committed is closed, and replaced, with each write of records.
+	committed chan struct{}
 	sessions  map[string]*session
 	// old are the workers of earlier planners that have neither answered nor lapsed;
 	// true where they may hold any task, so that all old tasks wait for them.
@@ -101,7 +103,7 @@
 	ld := &lead{
 		parts: pt, clock: pt.Clock, log: log, reign: reign, began: pt.Clock.Now(),
 		lease: usualLease, sessions: map[string]*session{}, old: map[string]bool{},
-		wake: wake.New(), journaled: make(chan struct{}),
+		wake: wake.New(), journaled: make(chan struct{}), committed: make(chan struct{}),
 		cell: cell.New(cell.Options{
 			Keep:     pt.Site.Bounds.KeepEnded,
 			FirstRun: (reign.Number-1)*runsAReign + 1, StopTime: pt.Site.Bounds.StopTime,
--- a/internal/planner/records.go
+++ b/internal/planner/records.go
@@ -77,6 +77,8 @@
 		ld.records.keep(joblog.RecordKey(ld.reign.Token, n), recs)
 		ld.records.open = ld.records.open[len(recs):]
 		ld.cell.Committed(upTo)
+		close(ld.committed)
+		ld.committed = make(chan struct{})
 		if len(ld.records.open) > 0 {
 			ld.records.wake.Give()
 		}
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -27,10 +27,8 @@
 	lossyMisses = 3
 	// holdRetry is the pause after a hold that was not answered.
 	holdRetry = 100 * time.Millisecond
-	// notePause is the pause between looks whether the journal has the ends of the last
-	// report: without that the worker would report them again at once.
-	notePause = 10 * time.Millisecond
-	// noteMost is the longest time without a hold while the journal does not answer.
+	// noteMost is the longest time without a hold while the journal does not have the ends of the
+	// last report: the worker would report them again at once.
 	noteMost = 800 * time.Millisecond
 )
 
@@ -281,13 +279,33 @@
 // settle waits for ends to gather, and for the journal to have those reported.
 func (se *session) settle(ctx context.Context) {
 	ld := se.lead
-	loop.Pause(ctx, ld.clock, holdGap)
-	for waited := time.Duration(0); waited < noteMost; waited += notePause {
-		ld.mu.Lock()
-		_, waits := ld.cell.Noted(se.id)
-		ld.mu.Unlock()
-		if !waits || !loop.Pause(ctx, ld.clock, notePause) {
+	if !loop.Pause(ctx, ld.clock, holdGap) {
+		return
+	}
+	late := ld.clock.NewTimer(noteMost)
+	defer late.Stop()
+	for {
+		waits, committed := se.unnoted()
+		if !waits {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-late.Chan():
 			return
+		case <-committed:
 		}
 	}
 }
+
+// unnoted reports whether the journal lacks ends of the last report, and returns what is closed
+// with its next write. Looking each 10 ms took 1,100 sessions 110,000 looks a second while the
+// store was silent.
+func (se *session) unnoted() (waits bool, committed <-chan struct{}) {
+	ld := se.lead
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	_, waits = ld.cell.Noted(se.id)
+	return waits, ld.committed
+}
--- a/policy/cell/plan_bench_test.go
+++ b/policy/cell/plan_bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +11,40 @@
 	"tackbeam.example/policy/work"
 )
 
+// BenchmarkPlanCalm times a plan of 1,100 workers between two of which ten tasks end and begin:
+// 0.15 ms while the workers were sorted anew for each, 0.07 ms now.
+func BenchmarkPlanCalm(b *testing.B) {
+	const workers, changed = 1100, 10
+	cl := crowd(workers)
+	queue := work.Queue{Name: "f", Service: "svc", Attempts: 3, Priority: 1, Stretch: 2}
+	now := time.Duration(0)
+	runs := map[string]cell.Run{}
+	var order []string
+	plan := func() {
+		cl.Plan(now)
+		for _, sr := range cl.Take().Starts {
+			cl.Started(now, sr)
+			runs[sr.Task.String()] = cell.Run{Task: sr.Task, Number: sr.Run}
+			order = append(order, sr.Worker+"/"+sr.Task.String())
+		}
+	}
+	submit(cl, "full", work.Step{Count: workers * 2, Need: size.New(16000, 100, 0), Estimate: time.Minute}, queue)
+	plan()
+	seqs := map[string]int{}
+	for n := 0; b.Loop(); n++ {
+		b.StopTimer()
+		now += 5 * time.Millisecond
+		for at := range changed {
+			name := order[(n*changed+at*97)%len(order)]
+			worker, task, _ := strings.Cut(name, "/")
+			seqs[worker]++
+			cl.Report(now, worker, 0, nil, []cell.End{{Seq: seqs[worker], Run: runs[task], Result: cell.ResultStopped}})
+		}
+		b.StartTimer()
+		plan()
+	}
+}
+
 // BenchmarkPlanBacklog times a plan of a full cell of 350 workers while many late gangs
 // wait, each with some thirty workers that it may run on. Looking at all of them in each
 // plan took 0.18, 1.7, 18 and 91 ms; it takes 0.11, 0.56, 2.3 and 14 ms.
--- a/policy/cell/shelf.go
+++ b/policy/cell/shelf.go
@@ -15,40 +15,83 @@
 	// used is how many whole workers are in use when the plan begins, idle how many stand
 	// idle while room on them is kept free: of each worker its scarcest resource counts.
 	used, idle float64
+	// fresh counts the workers that were put there since it was sorted.
+	fresh int
 }
 
-// shelve sorts the workers onto their shelves for one plan.
+// shelve puts the workers onto their shelves for one plan. Shelves last from plan to plan, since
+// few workers gain or lose room between two of them: sorting 1,100 workers anew each time was half
+// of a plan's cost while little waits (BenchmarkPlanCalm: 0.15 ms a plan, 0.07 ms now).
 func (cl *Cell) shelve(now time.Duration) {
-	clear(cl.shelves)
+	for service, sh := range cl.shelves {
+		sh.used, sh.idle = 0, 0
+		sh.workers = slices.DeleteFunc(sh.workers, func(wk *worker) bool {
+			if cl.takes(now, wk) && wk.Service == service && !wk.forgotten {
+				return false
+			}
+			wk.shelf = nil
+			return true
+		})
+	}
 	for _, wk := range cl.workers {
 		cl.looks++
-		wk.shelf = nil
-		if !cl.takes(now, wk) {
-			continue
-		}
-		sh, ok := cl.shelves[wk.Service]
-		if !ok {
-			sh = &shelf{}
-			cl.shelves[wk.Service] = sh
+		if wk.shelf == nil && cl.takes(now, wk) {
+			cl.shelf(wk.Service).put(wk)
 		}
-		wk.shelf = sh
-		sh.workers = append(sh.workers, wk)
-		sh.used += wk.used.Share(wk.Capacity)
 	}
 	for _, sh := range cl.shelves {
 		sh.sort()
+		for _, wk := range sh.workers {
+			sh.used += wk.used.Share(wk.Capacity)
+		}
 	}
 }
 
+// shelf returns the shelf of a service.
+func (cl *Cell) shelf(service string) *shelf {
+	sh, ok := cl.shelves[service]
+	if !ok {
+		sh = &shelf{}
+		cl.shelves[service] = sh
+	}
+	return sh
+}
+
+// put adds a worker at no place yet.
+func (sh *shelf) put(wk *worker) {
+	wk.shelf = sh
+	sh.workers = append(sh.workers, wk)
+	sh.fresh++
+}
+
+// mostFresh is the part of a shelf from which on it is sorted anew: below that most workers are in
+// their places, and the others are moved there.
+const mostFresh = 8
+
 func (sh *shelf) sort() {
-	slices.SortFunc(sh.workers, func(a, b *worker) int {
-		return cmp.Or(cmp.Compare(a.free(), b.free()), cmp.Compare(a.ID, b.ID))
-	})
+	if sh.fresh > len(sh.workers)/mostFresh {
+		slices.SortFunc(sh.workers, (*worker).byRoom)
+	}
+	sh.fresh = 0
+	for at, wk := range sh.workers {
+		for ; at > 0 && wk.byRoom(sh.workers[at-1]) < 0; at-- {
+			sh.workers[at] = sh.workers[at-1]
+		}
+		sh.workers[at] = wk
+	}
 	for at, wk := range sh.workers {
 		wk.slot = at
 	}
 }
 
+// byRoom orders workers by what is left of their processors.
+func (wk *worker) byRoom(other *worker) int {
+	if free, others := wk.free(), other.free(); free != others {
+		return cmp.Compare(free, others)
+	}
+	return cmp.Compare(wk.ID, other.ID)
+}
+
 // sink moves a worker to its place after it has lost room.
 func (sh *shelf) sink(wk *worker) {
 	for at := wk.slot; at > 0 && sh.workers[at-1].free() > wk.free(); at-- {
