Refuse at the door what a planner that is behind cannot start soon

Change: a planner whose window of starts is full says once a second how long it needs to start what waits, under a key that all nodes watch anyway, and only from 3 s on. Nodes refuse jobs that are not urgent from 4 s on and urgent ones from 8 s on, at once, as not run, with when to come back. What the planner said counts for 3 s; a node that does not know takes the job. The decision is policy/door.

--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -11,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/door"
 
 	"tackbeam.example/tackbeam/internal/advisor"
 	"tackbeam.example/tackbeam/internal/agent"
@@ -67,6 +69,9 @@
 	link    *peerlink.Link
 	pool    *advisor.Pool
 	relay   *relay.Relay
+	began   time.Time
+	doorMu  sync.Mutex
+	door    door.Door
 
 	stopping chan struct{}
 }
@@ -75,14 +80,15 @@
 func New(clock clockwork.Clock, log logr.Logger, ad Adapter) *Node {
 	nd := &Node{
 		adapter: ad, clock: clock, log: log, meters: metrics.NewRegistry(),
-		table: &routes.Table{}, stopping: make(chan struct{}),
+		began: clock.Now(), table: &routes.Table{}, stopping: make(chan struct{}),
 	}
 	nd.health = kvhealth.New(clock, log, nd.meters)
 	st := nd.health.Wrap(ad.Store)
 	nd.term = term.New(clock, log, st, term.Options{
 		Node: ad.Site.Node, Peers: ad.Site.Peers, Hall: ad.Site.Hall, Processors: ad.Site.Processors, Link: ad.Site.Link,
-		TTL:  max(termTTL, ad.Site.Bounds.MinLease),
-		Lead: func(ctx context.Context, reign term.Reign) { nd.planner.Lead(ctx, reign) },
+		TTL:     max(termTTL, ad.Site.Bounds.MinLease),
+		Backlog: nd.noteBacklog,
+		Lead:    func(ctx context.Context, reign term.Reign) { nd.planner.Lead(ctx, reign) },
 	})
 	nd.intake = intake.New(clock, log, st, intake.Options{
 		Node: ad.Site.Node, Writes: ad.Site.Writes, Down: nd.health.Down,
--- a/internal/cellnode/requests.go
+++ b/internal/cellnode/requests.go
@@ -58,6 +58,11 @@
 			return peerlink.Reply{}, err
 		}
 	}
+	if rq.Submit != nil {
+		if err := nd.admits(rq.Submit); err != nil {
+			return peerlink.Reply{}, err
+		}
+	}
 	switch {
 	case rq.Submit != nil:
 		return peerlink.Reply{}, nd.intake.Submit(ctx, rq.Submit)
--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -20,6 +20,8 @@
 	Leader  = Members + "leader"
 	// Reigns holds the number of the latest reign, which outlasts the leader's key.
 	Reigns  = Members + "reigns"
+	// Backlog is where a planner that is behind says so.
+	Backlog = Members + "backlog"
 	Nodes   = Members + "n/"
 	Batches = Prefix + "j/"
 	Records = Prefix + "p/"
@@ -86,6 +88,12 @@
 	Nonce string `cbor:"4,keyasint"`
 }
 
+// Behind is the value of the backlog's key.
+type Behind struct {
+	// Wait is how long the planner needs to start what waits.
+	Wait time.Duration `cbor:"1,keyasint,omitempty"`
+}
+
 // Member is the value of a node's key.
 type Member struct {
 	Node  string `cbor:"1,keyasint"`
--- /dev/null
+++ b/internal/planner/backlog.go
@@ -0,0 +1,51 @@
+package planner
+
+import (
+	"context"
+	"time"
+
+	"tackbeam.example/tackbeam/internal/joblog"
+	"tackbeam.example/tackbeam/internal/kv"
+)
+
+// How a planner that is behind says so.
+const (
+	// backlogEvery is how often: nodes believe it for three times as long.
+	backlogEvery = time.Second
+	// backlogLeast is the backlog from which it does. All nodes watch the key, so that each write
+	// costs the store an answer to each of them.
+	backlogLeast = 3 * time.Second
+)
+
+// tellBacklog writes how far the planner is behind to the store, where all nodes see it. The caller
+// holds the lock.
+func (ld *lead) tellBacklog(now time.Duration) {
+	if now-ld.saidBacklog < backlogEvery || !ld.reign.Proven() {
+		return
+	}
+	wait := ld.cell.Backlog(now)
+	ld.measures.gauge("planner.backlog_ms", int(wait.Milliseconds()))
+	if wait < backlogLeast && !ld.behind {
+		return
+	}
+	ld.saidBacklog, ld.behind = now, wait >= backlogLeast
+	ld.log.Info("Planner is behind.", "backlog", wait.String())
+	ld.spawn(func() { ld.writeBacklog(wait) })
+}
+
+func (ld *lead) writeBacklog(wait time.Duration) {
+	raw, err := joblog.Encode(joblog.Behind{Wait: wait})
+	if err != nil {
+		ld.log.Error(err, "Backlog cannot be written.")
+		return
+	}
+	ctx, cancel := context.WithTimeout(ld.ctx, backlogEvery)
+	defer cancel()
+	settling := kv.Settling{Clock: ld.clock, Hedge: backlogEvery, Refused: time.Millisecond}
+	if _, _, err := ld.parts.Store.Settle(ctx, settling, kv.Txn{
+		Conditions: []kv.Condition{{Key: joblog.Leader, Revision: ld.reign.Token}},
+		Puts:       []kv.Put{{Key: joblog.Backlog, Value: raw}},
+	}); err != nil {
+		ld.log.Info("Backlog was not written; nodes take jobs as before.", "reason", err.Error())
+	}
+}
--- a/internal/planner/lead.go
+++ b/internal/planner/lead.go
@@ -91,9 +91,12 @@
 	// lost calls was that there are many.
 	told      time.Duration
 	toldLossy bool
-	wake      wake.Signal
-	ctx       context.Context
-	group     sync.WaitGroup
+	// saidBacklog is when the planner last said how far it is behind, behind whether it was.
+	saidBacklog time.Duration
+	behind      bool
+	wake        wake.Signal
+	ctx         context.Context
+	group       sync.WaitGroup
 }
 
 func newLead(pt Parts, log logr.Logger, reign term.Reign) *lead {
@@ -207,6 +210,7 @@
 	ld.tellWaits(now)
 	ld.tellLosses()
 	ld.tellEffort(now)
+	ld.tellBacklog(now)
 	jobs, waiting, workers := ld.cell.Sizes()
 	ld.measures.gauge("planner.jobs", jobs)
 	ld.measures.gauge("planner.steps_waiting", waiting)
--- a/internal/term/election.go
+++ b/internal/term/election.go
@@ -131,6 +131,8 @@
 		}
 	case item.Key == joblog.Leader:
 		tm.takeLeader(item)
+	case item.Key == joblog.Backlog:
+		tm.takeBacklog(item)
 	case item.Gone:
 		delete(tm.members, item.Key)
 		tm.listed = tm.listed && item.Key != joblog.Nodes+tm.opts.Node
@@ -144,6 +146,23 @@
 	}
 }
 
+// takeBacklog takes in how far the planner is behind; where its key is gone, it is not.
+func (tm *Term) takeBacklog(item kv.Item) {
+	if tm.opts.Backlog == nil {
+		return
+	}
+	if item.Gone {
+		tm.opts.Backlog(0)
+		return
+	}
+	behind, err := joblog.Decode[joblog.Behind](item.Value)
+	if err != nil {
+		tm.log.Error(err, "The backlog's key cannot be read.")
+		return
+	}
+	tm.opts.Backlog(behind.Wait)
+}
+
 func (tm *Term) takeLeader(item kv.Item) {
 	if item.Gone || item.Revision == 0 {
 		if tm.leaderAt > 0 && (item.Revision == 0 || item.Revision >= tm.leaderAt) {
--- a/policy/cell/busyday_test.go
+++ b/policy/cell/busyday_test.go
@@ -71,6 +71,8 @@
 	count [3]int
 	// answered takes the answer to the question that is asked in place of the cell, where it is set.
 	answered func(rows []cell.Ticket)
+	// admits reports whether a job is taken; nil where all are.
+	admits func(qu work.Queue) bool
 }
 
 type arrival struct {
@@ -211,6 +213,9 @@
 					Estimate: time.Duration(float64(run) * math.Exp(sm.off*bd.rd.NormFloat64())),
 				}},
 			}}
+			if bd.admits != nil && !bd.admits(sm.queue) {
+				continue
+			}
 			bd.jobs[ar.spec.ID] = ar
 			bd.order = append(bd.order, ar)
 			bd.cell.Add(bd.now, ar.spec, false)
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -46,6 +46,7 @@
 	if cl.window.open(st.urgent()) {
 		return false
 	}
+	cl.window.closed = cl.now
 	return !st.urgent() || !cl.window.askable(cl.pending)
 }
 
--- a/policy/cell/recovery_test.go
+++ b/policy/cell/recovery_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/door"
 	"tackbeam.example/policy/work"
 )
 
@@ -63,6 +64,8 @@
 	planning bool
 	// silent is set while the store is: nothing may start, and no job is accepted.
 	silent bool
+	// ended is set once no more jobs come.
+	ended bool
 	// started counts the starts that workers took, refused those with a lapsed ticket; waits are
 	// the times from the decisions to the answers.
 	started, refused int
@@ -87,7 +90,7 @@
 	ld.cell.Committed(ld.cell.Recorded())
 	ld.cell.Settle()
 	ld.every(dayStep, func() {
-		if !ld.silent {
+		if !ld.silent && !ld.ended {
 			ld.arrive()
 		}
 		ld.wantPlan()
@@ -184,6 +187,9 @@
 	until, err := strconv.ParseInt(sr.Ticket, 10, 64)
 	good := err == nil && time.Duration(until) >= ld.now
 	if good {
+		if ar := ld.jobs[sr.Task.Job]; ar.started == 0 {
+			ar.started = ld.now
+		}
 		ld.started++
 		ld.run(sr)
 	} else {
@@ -248,3 +254,46 @@
 		})
 	}
 }
+
+// TestBacklogIsBounded has a planner start far less than what comes, as a small node that plans
+// since all strong ones are gone. What was accepted begins within the time in which callers ask for
+// it after the last job: without a bound at the door 60 and 3,009 jobs had not.
+func TestBacklogIsBounded(t *testing.T) {
+	const day = 30 * time.Second
+	tests := map[string]struct {
+		share float64
+		least int // starts while jobs come, with or without the bound
+	}{
+		"a small node":        {share: 0.19, least: 30_000},
+		"a slowed small node": {share: 0.1, least: 9000},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ld := newLoadedDay(tt.share, 64)
+			var dr door.Door
+			taken, refused := 0, 0
+			ld.admits = func(qu work.Queue) bool {
+				if _, refuse := dr.Refuse(ld.now, qu.Priority == 0); refuse {
+					refused++
+					return false
+				}
+				taken++
+				return true
+			}
+			ld.every(time.Second, func() {
+				wait := ld.cell.Backlog(ld.now)
+				ld.after(200*time.Millisecond, func() { dr.Note(ld.now, wait) })
+			})
+			ld.pass(day)
+			t.Logf("%d taken, %d refused, %d starts, planner is %s behind", taken, refused, ld.started, ld.cell.Backlog(ld.now))
+			started := ld.started
+			ld.ended = true
+			ld.pass(drained)
+			count, oldest := ld.waiting()
+			t.Logf("%d wait, for up to %s", count, oldest)
+			is.Equal(count, 0)
+			is.True(started >= tt.least) // it takes what it can start
+		})
+	}
+}
--- a/policy/cell/window.go
+++ b/policy/cell/window.go
@@ -42,6 +42,12 @@
 	// since is when the present one began.
 	quickest [2]time.Duration
 	since    time.Duration
+	// rate is how many starts were answered in a second, in the last whole one; answers counts those
+	// since then, from the time counted on.
+	rate, answers int
+	counted       time.Duration
+	// closed is when a start last had to wait since the limit was reached, 0 before.
+	closed time.Duration
 }
 
 // answered takes in how long a start took from its decision to its answer.
@@ -49,6 +55,7 @@
 	if wn.limit == 0 {
 		return
 	}
+	wn.count(now)
 	lag := took - wn.usual(now, took)
 	wn.lag = max(lag, wn.lag-(wn.lag-lag)/lagWeight)
 	switch {
@@ -59,6 +66,15 @@
 	}
 }
 
+// count counts the answers by the second.
+func (wn *window) count(now time.Duration) {
+	wn.answers++
+	if span := now - wn.counted; span >= time.Second {
+		wn.rate = int(float64(wn.answers) / span.Seconds())
+		wn.answers, wn.counted = 0, now
+	}
+}
+
 // usual returns the least time that answers took of late.
 func (wn *window) usual(now, took time.Duration) time.Duration {
 	if wn.since == 0 || now-wn.since > usualSpan {
@@ -111,3 +127,20 @@
 func Rest(took, least time.Duration) time.Duration {
 	return min(max(least, restShare*took), mostRest)
 }
+
+// closedFor is how long after a start had to wait for others the planner counts as behind.
+const closedFor = 2 * time.Second
+
+// Backlog returns how long the planner needs to start what waits, at the rate of the last second,
+// and 0 while it is not behind: what waits then waits for room, or for the advisor.
+func (cl *Cell) Backlog(now time.Duration) time.Duration {
+	wn := &cl.window
+	if wn.closed == 0 || now-wn.closed > closedFor || wn.rate == 0 {
+		return 0
+	}
+	waits := 0
+	for st := range cl.open {
+		waits += st.waits
+	}
+	return time.Duration(waits) * time.Second / time.Duration(wn.rate)
+}
--- /dev/null
+++ b/policy/door/door_test.go
@@ -0,0 +1,48 @@
+package door_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tackbeam.example/policy/door"
+)
+
+func TestRefuse(t *testing.T) {
+	tests := map[string]struct {
+		wait, age time.Duration
+		urgent    bool
+		comeBack  time.Duration
+		refuse    bool
+	}{
+		"nothing waits":             {},
+		"little waits":              {wait: 4 * time.Second},
+		"much waits":                {wait: 7 * time.Second, comeBack: 3 * time.Second, refuse: true},
+		"a little too much waits":   {wait: 4100 * time.Millisecond, comeBack: time.Second, refuse: true},
+		"urgent, much waits":        {wait: 7 * time.Second, urgent: true},
+		"urgent, very much waits":   {wait: 10 * time.Second, urgent: true, comeBack: 2 * time.Second, refuse: true},
+		"much waited, as was known": {wait: 20 * time.Second, age: 4 * time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var dr door.Door
+			dr.Note(time.Minute, tt.wait)
+			comeBack, refuse := dr.Refuse(time.Minute+tt.age, tt.urgent)
+			is.Equal(comeBack, tt.comeBack)
+			is.Equal(refuse, tt.refuse)
+		})
+	}
+}
+
+func ExampleDoor() {
+	var dr door.Door
+	dr.Note(0, 6*time.Second)
+	fmt.Println(dr.Refuse(time.Second, false))
+	fmt.Println(dr.Refuse(time.Second, true))
+	// Output:
+	// 2s true
+	// 0s false
+}
