--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -19,7 +19,7 @@
 	Members = Prefix + "m/"
 	Leader  = Members + "leader"
 	// Reigns holds the number of the latest reign, which outlasts the leader's key.
-	Reigns  = Members + "reigns"
+	Reigns = Members + "reigns"
 	// Backlog is where a planner that is behind says so.
 	Backlog = Members + "backlog"
 	Nodes   = Members + "n/"
