Learn nothing of a run's speed from before it was first seen

Cause: a run that a new planner first saw midway was taken to have begun then, with all of its progress made in no time: its end was expected at once, so that room was gathered in the wrong places after each change of planner, and the time until its end was learned as its run time.

Change: progress and time count from when it was first seen, as for runs that go on from a checkpoint; its run time is not learned.

Test first failing: TestRunsSeenMidway, two runs at 10 and 90 percent: room was gathered at the first.

--- a/policy/cell/placement.go
+++ b/policy/cell/placement.go
@@ -37,8 +37,9 @@
 	// work, at the time begun.
 	moved, begun time.Duration
 	from         int
-	// resumed is set for a run that goes on from a checkpoint.
-	resumed bool
+	// resumed is set for a run that goes on from a checkpoint, midway for one that another planner
+	// started: what it had done when it was first seen says nothing of its speed.
+	resumed, midway bool
 	// load is the worker's figure of the task's load, pace the percentage of its speed
 	// that it was last ordered to work at.
 	load, pace int
--- a/policy/cell/progress.go
+++ b/policy/cell/progress.go
@@ -16,7 +16,7 @@
 		cl.stop(pl, "an earlier planner's stop")
 	}
 	if rn.Percent != pl.percent {
-		if pl.percent == 0 && pl.resumed {
+		if pl.percent == 0 && (pl.resumed || pl.midway) {
 			pl.from, pl.begun = rn.Percent, now
 		}
 		pl.percent, pl.moved = rn.Percent, now
--- a/policy/cell/remains_test.go
+++ b/policy/cell/remains_test.go
@@ -77,3 +77,29 @@
 	}
 	return again
 }
+
+// TestRunsSeenMidway has a new planner see two runs for the first time, one near its beginning and
+// one near its end: it gathers a whole worker's room where the run ends first. It took each for as
+// fast as if it had begun when it was first seen, so that both were about to end.
+func TestRunsSeenMidway(t *testing.T) {
+	is := is.New(t)
+	cl := crowd(2)
+	half := size.New(30000, 100, 0)
+	qu := work.Queue{Name: "q", Service: "svc", Attempts: 3, Priority: 1, Stretch: 9}
+	step := work.Step{Count: 2, Need: half, PerWorker: 1, Estimate: 10 * time.Second}
+	cl.Add(0, &work.Job{ID: "half", Spec: "s", Queue: qu, Steps: []work.Step{step}}, true)
+	const now = 3 * time.Second
+	for at, percent := range []int{10, 90} {
+		run := cell.Run{Task: work.Task{Job: "half", Index: at}, Number: 1, Percent: percent}
+		cl.Report(now, []string{"w000", "w001"}[at], now, []cell.Run{run}, nil)
+	}
+	whole := work.Step{Count: 1, Need: size.New(64000, 100, 0), Estimate: time.Second}
+	submit(cl, "whole", whole, work.Queue{Name: "w", Service: "svc", Attempts: 3, Priority: 1, Stretch: 8})
+	cl.Plan(now)
+	is.Equal(len(cl.Take().Starts), 0)
+	submit(cl, "small", work.Step{Count: 1, Need: half, Estimate: 9 * time.Second}, qu)
+	cl.Plan(now)
+	starts := cl.Take().Starts
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Worker, "w000")
+}
--- a/policy/cell/report.go
+++ b/policy/cell/report.go
@@ -62,7 +62,7 @@
 	}
 	other := tk.place
 	pl := cl.place(now, tk, wk, rn.Number)
-	pl.state, pl.since = running, now
+	pl.state, pl.since, pl.midway = running, now, true
 	cl.begin(jb)
 	cl.progress(now, pl, rn)
 	switch {
@@ -190,7 +190,7 @@
 
 // learn takes in how long a run of a queue's task took.
 func (cl *Cell) learn(now time.Duration, tk *task, pl *placement) {
-	if pl == nil || pl.since == 0 || pl.resumed {
+	if pl == nil || pl.since == 0 || pl.resumed || pl.midway {
 		return
 	}
 	cl.queue(tk.step.round.job.spec.Queue.Name).runs.Note(tk.step.def.Estimate, now-pl.since)
