--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -150,46 +150,6 @@
 	return hold, slack, true
 }
 
-// ask has a worker report at once.
-func (ld *lead) ask(id string) {
-	ld.mu.Lock()
-	defer ld.mu.Unlock()
-	if se, ok := ld.sessions[id]; ok {
-		se.ask()
-	}
-}
-
-// ask has the worker report at once, beside the hold that waits: its answer may be on
-// the way, with ends that a worker that leaves cannot report again. The caller holds
-// the lock.
-func (se *session) ask() {
-	if se.looking || se.ended || !se.answered {
-		return
-	}
-	se.looking = true
-	go se.look() // bounded by its call; nobody waits for it
-}
-
-// look asks for one report.
-func (se *session) look() {
-	ld := se.lead
-	ld.mu.Lock()
-	noted, _ := ld.cell.Noted(se.id)
-	hold := agent.Hold{Token: ld.reign.Token, Noted: noted}
-	ld.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ld.ctx, holdSlack)
-	defer cancel()
-	sent := ld.now()
-	report, err := ld.parts.Agents.Hold(ctx, se.target(), hold)
-	ld.mu.Lock()
-	se.looking = false
-	ld.mu.Unlock()
-	if err != nil {
-		return // the session's own holds draw the consequences
-	}
-	se.take(sent, report)
-}
-
 // take takes a report in.
 func (se *session) take(sent time.Duration, report agent.Report) {
 	ld := se.lead
