Refuse at once a batch that was never sent

Cause: jobs that gather while their node finds the store away were sent into its silence, and their callers waited 3 s for a 504 that left open whether they had run.

Change: a batch that was not sent yet is refused as not run, with when to come back.

Test first failing: TestUnsentBatch.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -107,6 +107,11 @@
 	return in.write(ctx, len(jb.Spec)+overhead*(1+len(jb.Steps)), func(bt *batch) { bt.Jobs = append(bt.Jobs, *jb) })
 }
 
+// away is the answer to what was not sent since the store is away.
+func away() error {
+	return fault.New(fault.Unavailable, "the store is away; not run").After(comeBack)
+}
+
 // Cancel accepts a cancel, with the same errors.
 func (in *Intake) Cancel(ctx context.Context, id string) error {
 	return in.write(ctx, len(id), func(bt *batch) { bt.Cancels = append(bt.Cancels, id) })
@@ -114,7 +119,7 @@
 
 func (in *Intake) write(ctx context.Context, bytes int, add func(*batch)) error {
 	if in.opts.Down() {
-		return fault.New(fault.Unavailable, "the store is away; not run").After(comeBack)
+		return away()
 	}
 	in.mu.Lock()
 	if in.writing >= maxWriting {
@@ -170,6 +175,13 @@
 		in.mu.Unlock()
 		return
 	}
+	if in.opts.Down() { // found while the batch gathered
+		in.mu.Unlock()
+		bt.err = away()
+		close(bt.done)
+		in.log.Info("Batch was not sent: the store is away.", "ids", bt.ids())
+		return
+	}
 	in.writing++
 	in.count++
 	key := joblog.BatchKey(in.opts.Node, in.incarnation, in.count)
--- /dev/null
+++ b/internal/intake/intake_test.go
@@ -0,0 +1,53 @@
+package intake_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"tackbeam.example/policy/work"
+
+	"tackbeam.example/tackbeam/internal/fault"
+	"tackbeam.example/tackbeam/internal/intake"
+	"tackbeam.example/tackbeam/internal/standin/memkv"
+)
+
+// TestUnsentBatch has the store found to be away while a batch gathers. Nothing of it was sent, so
+// its callers are told at once that it has not run; they waited for their 3 s, and were then told
+// that nobody knew.
+func TestUnsentBatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		clock := clockwork.NewRealClock() // the bubble's
+		store := memkv.New(clock)
+		var down atomic.Bool
+		in := intake.New(clock, logr.Discard(), store.Client("n1"), intake.Options{
+			Node: "n1", Writes: 10, Nodes: func() int { return 1 }, Down: down.Load,
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go in.Run(ctx)
+		submit := func(id string) error {
+			call, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+			defer cancel()
+			return in.Submit(call, &work.Job{ID: id})
+		}
+		is.NoErr(submit("first")) // the next batch gathers for 0.2 s
+		answer := make(chan error)
+		go func() { answer <- submit("second") }()
+		time.Sleep(50 * time.Millisecond)
+		store.SetFault(func(string, string) memkv.Fault { return memkv.Silent })
+		down.Store(true)
+		began := time.Now()
+		err := <-answer
+		is.True(fault.Is(err, fault.Unavailable))
+		is.True(fault.From(err).RetryAfter > 0)
+		is.True(time.Since(began) <= 200*time.Millisecond)
+	})
+}
