--- a/internal/logs/queue.go
+++ b/internal/logs/queue.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"slices"
 	"sync"
 	"time"
 
@@ -78,20 +77,15 @@
 	}
 }
 
-// mostWritten is how many bytes one write takes: a reader may take no more than a pipe holds at one
-// time and drop the rest, as of the 1,100 lines of a new planner, 200 kB, of which half were read.
-const mostWritten = 32 << 10
-
-// take returns what waits, or the first part of it, as one piece, so that it costs one write.
+// take returns what waits as one piece, so that it costs one write.
 func (qu *Queue) take() (batch []byte, ended bool) {
 	qu.mu.Lock()
 	defer qu.mu.Unlock()
-	count := 0
-	for ; count < len(qu.lines) && len(batch) < mostWritten; count++ {
-		batch = append(batch, qu.lines[count]...)
+	for _, line := range qu.lines {
+		batch = append(batch, line...)
 	}
-	qu.lines = slices.Delete(qu.lines, 0, count)
-	if qu.lost > 0 && len(qu.lines) == 0 {
+	qu.lines = qu.lines[:0]
+	if qu.lost > 0 {
 		batch = fmt.Appendf(batch, `{"logger":"logs","level":0,"msg":"Lines were dropped: the reader is too slow.","lines":%d}`+"\n", qu.lost)
 		qu.lost = 0
 	}
