Read a worker's address under the lock

The test's own set of services was shared without a lock as well.

Change: the address is read under the planner's lock. Race detector clean on planner, cellnode and term.

--- a/internal/planner/bed_test.go
+++ b/internal/planner/bed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,8 +39,8 @@
 	// settings are what the planners' copies of the configuration say of the queue; the bed's
 	// jobs carry accepted instead. Without a name there are none.
 	settings, accepted work.Queue
-	// serves are the services that the configuration names.
-	serves map[string]bool
+	// serves is the service that the configuration names.
+	serves atomic.Value
 }
 
 // unreadable is the value of an entry in the list of workers that cannot be read.
@@ -59,9 +60,9 @@
 	clock := clockwork.NewRealClock() // the bubble's
 	bd := &bed{
 		t: t, clock: clock, store: memkv.New(clock), fleet: memworkers.New(clock, run), nodes: map[string]*node{},
-		serves:   map[string]bool{"svc": true},
 		accepted: work.Queue{Name: "q", Service: "svc", Attempts: 3, Stretch: 2, Target: time.Second},
 	}
+	bd.serves.Store("svc")
 	for _, id := range workers {
 		bd.addWorker(id)
 	}
@@ -119,7 +120,7 @@
 				ID: id, Service: service, Capacity: size.New(8000, 8000, 0), Draining: string(item.Value) == "draining",
 			}}, nil
 		},
-		Serves: func(service string) bool { return bd.serves[service] },
+		Serves: func(service string) bool { return bd.serves.Load() == service },
 		Queue:  func(string) (work.Queue, bool) { return bd.settings, bd.settings.Name != "" },
 	})
 	nd.term = term.New(bd.clock, bd.log(name), st, term.Options{Node: name, Processors: processors, TTL: 2 * time.Second, Lead: func(ctx context.Context, reign term.Reign) {
--- a/internal/planner/roster_test.go
+++ b/internal/planner/roster_test.go
@@ -39,11 +39,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		bd := newBed(t, time.Second)
 		defer bd.end()
-		bd.serves = map[string]bool{}
+		bd.serves.Store("")
 		bd.addWorker("w1")
 		nd := bd.addNode("n1")
 		time.Sleep(3 * time.Second)
-		bd.serves["svc"] = true
+		bd.serves.Store("svc")
 		time.Sleep(time.Second)
 		bd.submit(nd, "a", 1)
 		bd.await("a", cell.Succeeded, 2*time.Second)
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -57,7 +57,10 @@
 	return &session{lead: ld, id: en.ID, entry: en}
 }
 
+// target is where the worker is called by its present entry. The caller does not hold the lock.
 func (se *session) target() agent.Target {
+	se.lead.mu.Lock()
+	defer se.lead.mu.Unlock()
 	return agent.Target{Address: se.entry.Address, ID: se.id}
 }
 
