Tell urgent work apart in what a planner that is behind refuses

Cause: the first bound counted all tasks, also gangs that wait for the advisor, as the planner's backlog (13 s where 577 starts a second went out and 297 steps waited), and let urgent jobs in until 8 s of it.

Change: the planner says what of its backlog is urgent, and does not count gangs that are not. Urgent jobs are refused from 1 s of urgent work on, others from 4 s of all.

--- a/internal/cellnode/door.go
+++ b/internal/cellnode/door.go
@@ -1,20 +1,19 @@
 package cellnode
 
 import (
-	"time"
-
 	"github.com/rcrowley/go-metrics"
 
 	"tackbeam.example/policy/work"
 
 	"tackbeam.example/tackbeam/internal/fault"
+	"tackbeam.example/tackbeam/internal/joblog"
 )
 
-// noteBacklog takes in how long the planner needs to start what waits.
-func (nd *Node) noteBacklog(wait time.Duration) {
+// noteBacklog takes in how far the planner is behind.
+func (nd *Node) noteBacklog(behind joblog.Behind) {
 	nd.doorMu.Lock()
 	defer nd.doorMu.Unlock()
-	nd.door.Note(nd.clock.Since(nd.began), wait)
+	nd.door.Note(nd.clock.Since(nd.began), behind.Urgent, behind.All)
 }
 
 // admits returns the answer to a job that is refused, or nil for one that is taken.
--- a/internal/cellnode/door_test.go
+++ b/internal/cellnode/door_test.go
@@ -23,7 +23,7 @@
 		return nd.Submit(t.Context(), &work.Job{ID: id, Spec: id, Queue: queue, Steps: []work.Step{{Count: 1, Need: size.New(1000, 1000, 0)}}})
 	}
 	say := func(wait time.Duration) {
-		raw, err := joblog.Encode(joblog.Behind{Wait: wait})
+		raw, err := joblog.Encode(joblog.Behind{Urgent: wait, All: wait})
 		is.NoErr(err)
 		dp.store.Set(joblog.Backlog, raw)
 	}
--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -90,8 +90,9 @@
 
 // Behind is the value of the backlog's key.
 type Behind struct {
-	// Wait is how long the planner needs to start what waits.
-	Wait time.Duration `cbor:"1,keyasint,omitempty"`
+	// All is how long the planner needs to start what waits, Urgent for the urgent part of it.
+	All    time.Duration `cbor:"1,keyasint,omitempty"`
+	Urgent time.Duration `cbor:"2,keyasint,omitempty"`
 }
 
 // Member is the value of a node's key.
--- a/internal/planner/backlog.go
+++ b/internal/planner/backlog.go
@@ -12,9 +12,11 @@
 const (
 	// backlogEvery is how often: nodes believe it for three times as long.
 	backlogEvery = time.Second
-	// backlogLeast is the backlog from which it does. All nodes watch the key, so that each write
-	// costs the store an answer to each of them.
-	backlogLeast = 3 * time.Second
+	// backlogLeast is the urgent backlog from which it does, backlogLeastAll that of all work: somewhat
+	// less than nodes refuse jobs from. All nodes watch the key, so that each write costs the store an
+	// answer to each of them.
+	backlogLeast    = 700 * time.Millisecond
+	backlogLeastAll = 3 * time.Second
 )
 
 // tellBacklog writes how far the planner is behind to the store, where all nodes see it. The caller
@@ -23,18 +25,19 @@
 	if now-ld.saidBacklog < backlogEvery || !ld.reign.Proven() {
 		return
 	}
-	wait := ld.cell.Backlog(now)
-	ld.measures.gauge("planner.backlog_ms", int(wait.Milliseconds()))
-	if wait < backlogLeast && !ld.behind {
+	urgent, all := ld.cell.Backlog(now)
+	ld.measures.gauge("planner.backlog_ms", int(all.Milliseconds()))
+	behind := urgent >= backlogLeast || all >= backlogLeastAll
+	if !behind && !ld.behind {
 		return
 	}
-	ld.saidBacklog, ld.behind = now, wait >= backlogLeast
-	ld.log.Info("Planner is behind.", "backlog", wait.String())
-	ld.spawn(func() { ld.writeBacklog(wait) })
+	ld.saidBacklog, ld.behind = now, behind
+	ld.log.Info("Planner is behind.", "urgent", urgent.String(), "all", all.String())
+	ld.spawn(func() { ld.writeBacklog(joblog.Behind{Urgent: urgent, All: all}) })
 }
 
-func (ld *lead) writeBacklog(wait time.Duration) {
-	raw, err := joblog.Encode(joblog.Behind{Wait: wait})
+func (ld *lead) writeBacklog(behind joblog.Behind) {
+	raw, err := joblog.Encode(behind)
 	if err != nil {
 		ld.log.Error(err, "Backlog cannot be written.")
 		return
--- a/internal/term/election.go
+++ b/internal/term/election.go
@@ -152,7 +152,7 @@
 		return
 	}
 	if item.Gone {
-		tm.opts.Backlog(0)
+		tm.opts.Backlog(joblog.Behind{})
 		return
 	}
 	behind, err := joblog.Decode[joblog.Behind](item.Value)
@@ -160,7 +160,7 @@
 		tm.log.Error(err, "The backlog's key cannot be read.")
 		return
 	}
-	tm.opts.Backlog(behind.Wait)
+	tm.opts.Backlog(behind)
 }
 
 func (tm *Term) takeLeader(item kv.Item) {
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -34,9 +34,9 @@
 	Link float64
 	// TTL of the lease: a planner that dies is replaced after that.
 	TTL time.Duration
-	// Backlog is called with how long the planner needs to start what waits, each time it says so;
+	// Backlog is called with how far the planner is behind, each time it says so;
 	// nil where nobody wants to know. It must not call back.
-	Backlog func(wait time.Duration)
+	Backlog func(behind joblog.Behind)
 	// Lead is run while this node is the planner; it ends when its context does.
 	Lead func(ctx context.Context, reign Reign)
 }
--- a/policy/cell/recovery_test.go
+++ b/policy/cell/recovery_test.go
@@ -363,11 +363,13 @@
 				return true
 			}
 			ld.every(time.Second, func() {
-				wait := ld.cell.Backlog(ld.now)
-				ld.after(200*time.Millisecond, func() { dr.Note(ld.now, wait) })
+				urgent, all := ld.cell.Backlog(ld.now)
+				ld.after(200*time.Millisecond, func() { dr.Note(ld.now, urgent, all) })
 			})
 			ld.pass(day)
-			t.Logf("%d taken, %d refused, %d starts, planner is %s behind", taken, refused, ld.started, ld.cell.Backlog(ld.now))
+			first, all := ld.cell.Backlog(ld.now)
+			urgent, _ := ld.inTime(2)
+			t.Logf("%d taken, %d refused, %d starts, %.2f of the urgent jobs in time, planner is %s and %s behind", taken, refused, ld.started, urgent, first, all)
 			started := ld.started
 			ld.ended = true
 			ld.pass(drained)
--- a/policy/cell/window.go
+++ b/policy/cell/window.go
@@ -131,16 +131,23 @@
 // closedFor is how long after a start had to wait for others the planner counts as behind.
 const closedFor = 2 * time.Second
 
-// Backlog returns how long the planner needs to start what waits, at the rate of the last second,
-// and 0 while it is not behind: what waits then waits for room, or for the advisor.
-func (cl *Cell) Backlog(now time.Duration) time.Duration {
+// Backlog returns how long the planner needs to start the urgent tasks that wait, and all that do, at
+// the rate of the last second; 0 while it is not behind: what waits then waits for room, or for the
+// advisor, as most gangs that are not urgent do at any time, which are not counted.
+func (cl *Cell) Backlog(now time.Duration) (urgent, all time.Duration) {
 	wn := &cl.window
 	if wn.closed == 0 || now-wn.closed > closedFor || wn.rate == 0 {
-		return 0
+		return 0, 0
 	}
-	waits := 0
+	first, rest := 0, 0
 	for st := range cl.open {
-		waits += st.waits
+		switch {
+		case st.urgent():
+			first += st.waits
+		case !st.def.Gang:
+			rest += st.waits
+		}
 	}
-	return time.Duration(waits) * time.Second / time.Duration(wn.rate)
+	span := func(tasks int) time.Duration { return time.Duration(tasks) * time.Second / time.Duration(wn.rate) }
+	return span(first), span(first + rest)
 }
--- a/policy/door/door.go
+++ b/policy/door/door.go
@@ -9,12 +9,12 @@
 // the strong ones are gone: of 1,700 starts a second it sent 1,100, and 14 s after 30 s of that 60
 // jobs had not begun, 3,009 on a slowed one; with the limits all had (TestBacklogIsBounded).
 const (
-	// mostPatient is how much work may wait, by the time that it takes to start, for a job that is not
-	// urgent to be taken: its callers come back later without harm.
+	// mostUrgent is how much urgent work may wait, by the time that it takes to start, for an urgent job
+	// to be taken: its callers wait for an answer within a second or two.
+	mostUrgent = time.Second
+	// mostPatient is how much may wait at all for any other job to be taken: its callers come back later
+	// without harm, and what was accepted before has to begin within 14 s of the last job.
 	mostPatient = 4 * time.Second
-	// mostUrgent is the same for urgent jobs. They go first, so a new one is served at once; but what
-	// was accepted before has to begin as well, within 14 s of the last job.
-	mostUrgent = 8 * time.Second
 	// leastComeBack is the least time after which a caller is asked to come back.
 	leastComeBack = time.Second
 	// oldest is the age from which what the planner said is no ground to refuse: it says it anew each
@@ -24,23 +24,24 @@
 
 // Door is what a node knows of the planner's backlog.
 type Door struct {
-	// wait is how long the planner needs to start what waits, as it said at a time.
-	wait, at time.Duration
+	// urgent is how long the planner needs to start the urgent work that waits, all for all of it, as it
+	// said at a time.
+	urgent, all, at time.Duration
 }
 
-// Note takes in how long the planner needs to start what waits.
-func (dr *Door) Note(now, wait time.Duration) { dr.wait, dr.at = wait, now }
+// Note takes in how long the planner needs to start the urgent work that waits, and all of it.
+func (dr *Door) Note(now, urgent, all time.Duration) { dr.urgent, dr.all, dr.at = urgent, all, now }
 
 // Refuse reports whether a new job is refused, and when its caller should come back: when as much
 // as is too much now has been started. A node that has not heard of the planner for a while takes
 // the job.
 func (dr *Door) Refuse(now time.Duration, urgent bool) (comeBack time.Duration, refuse bool) {
-	most := mostPatient
+	wait, most := dr.all, mostPatient
 	if urgent {
-		most = mostUrgent
+		wait, most = dr.urgent, mostUrgent
 	}
-	if dr.wait <= most || now-dr.at > oldest {
+	if wait <= most || now-dr.at > oldest {
 		return 0, false
 	}
-	return max(dr.wait-most, leastComeBack), true
+	return max(wait-most, leastComeBack), true
 }
