Forget how late a start was once no more are answered

Cause: read in the diff, not seen in a play: a ticket must be good for as long as starts are late, and that fell only with further answers. One start that was answered at its third try, 2.4 s late, had all tickets of 1.5 s count as too short: no start was sent, so no answer came, for good where no others were under way.

Change: lateness counts for a second after the last answer, and 0.3 s of it at most.

Test first failing: TestLateAnswerStopsNothing (0 starts, now 1).

--- a/policy/cell/advice.go
+++ b/policy/cell/advice.go
@@ -60,7 +60,7 @@
 // reaches returns when a start that is decided now has surely reached its worker, so that its
 // ticket must be good until then.
 func (cl *Cell) reaches(now time.Duration) time.Duration {
-	return now + ticketMargin + cl.window.lag
+	return now + ticketMargin + cl.window.late(cl.now)
 }
 
 // goodUntil reports whether the worker has a ticket that ends after a time.
--- a/policy/cell/asking.go
+++ b/policy/cell/asking.go
@@ -220,7 +220,7 @@
 func (cl *Cell) askable(st *step) int {
 	busy := cl.busy > 0 && cl.now-cl.busy < idleAdvisor
 	qu := st.round.job.spec.Queue
-	if busy || cl.window.lag > lateStart || qu.AdviceEach <= 0 {
+	if busy || cl.window.late(cl.now) > lateStart || qu.AdviceEach <= 0 {
 		return maxAsked // neither the advisor nor this node has time to spare, or nothing is gained
 	}
 	quick := int(quickShare * float64(qu.AdviceBase) / float64(qu.AdviceEach))
--- a/policy/cell/window.go
+++ b/policy/cell/window.go
@@ -18,6 +18,10 @@
 	usualSpan = 5 * time.Second
 	// lagWeight is the number of answers after which one that was late counts for little.
 	lagWeight = 64
+	// lagSpan is how long it counts while no more answers come, and mostLag is the most that is believed
+	// of it: a start that is answered at its third try took up to 2.4 s, more than tickets are good for.
+	lagSpan = time.Second
+	mostLag = 300 * time.Millisecond
 	// leastWindow keeps a planner going that is late for other reasons, such as a node that
 	// stood still.
 	leastWindow = 16
@@ -36,8 +40,9 @@
 	limit int
 	// urgent and patient count the starts under way.
 	urgent, patient int
-	// lag is how late answers came of late, the latest ones and those a little before.
-	lag time.Duration
+	// lag is how late answers came of late, the latest ones and those a little before; the last of
+	// them came at lagged.
+	lag, lagged time.Duration
 	// quickest is the least time that an answer took in the present span and in the one before;
 	// since is when the present one began.
 	quickest [2]time.Duration
@@ -57,7 +62,7 @@
 	}
 	wn.count(now)
 	lag := took - wn.usual(now, took)
-	wn.lag = max(lag, wn.lag-(wn.lag-lag)/lagWeight)
+	wn.lag, wn.lagged = max(lag, wn.lag-(wn.lag-lag)/lagWeight), now
 	switch {
 	case lag > lateStart:
 		wn.limit = max(wn.limit-2, leastWindow)
@@ -75,6 +80,14 @@
 	}
 }
 
+// late returns how late a start that is decided now may come.
+func (wn *window) late(now time.Duration) time.Duration {
+	if now-wn.lagged > lagSpan {
+		return 0
+	}
+	return min(wn.lag, mostLag)
+}
+
 // usual returns the least time that answers took of late.
 func (wn *window) usual(now, took time.Duration) time.Duration {
 	if wn.since == 0 || now-wn.since > usualSpan {
