Log the runs that are lost with their worker

Cause: the log said that a worker's incarnation was over, not what ran on it, so that it could not tell whether a run that ended with its worker counted for its task. Change: a line a run, and a counter, where a lease or an incarnation is over with runs. No decision is changed.

--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -209,6 +209,7 @@
 		ld.log.Info("Worker's lease is over.", "worker", se.id, "silent_for", (now - se.heard).String())
 	}
 	delete(ld.old, se.id)
+	se.sayLost()
 	ld.cell.Lapsed(se.id)
 	se.answered = false
 	se.heard = now
@@ -227,12 +228,26 @@
 	}
 	ld.log.Info("Worker's incarnation is over.", "worker", se.id)
 	delete(ld.old, se.id)
+	se.sayLost()
 	ld.cell.Unlist(se.id)
 	ld.cell.Lapsed(se.id)
 	se.end()
 	ld.settle(now)
 }
 
+// sayLost logs the runs that go with the worker. The caller holds the lock.
+func (se *session) sayLost() {
+	ld := se.lead
+	held := ld.cell.Held(se.id)
+	if len(held) == 0 {
+		return
+	}
+	ld.measures.count("planner.workers_lost_with_runs")
+	for _, rn := range held {
+		ld.log.Info("Run is lost with its worker.", "task", rn.Task.String(), "run", rn.Number, "worker", se.id)
+	}
+}
+
 // end ends the session. The caller holds the lock.
 func (se *session) end() {
 	se.ended = true
--- a/policy/cell/worker.go
+++ b/policy/cell/worker.go
@@ -79,11 +79,7 @@
 	if wk.proof == 0 {
 		return
 	}
-	rec := Record{Worker: wk.ID, Closed: true}
-	for at := range wk.places {
-		rec.Held = append(rec.Held, Run{Task: at.task, Number: at.run})
-	}
-	cl.record(rec)
+	cl.record(Record{Worker: wk.ID, Closed: true, Held: wk.held()})
 	wk.proof = 0
 }
 
@@ -176,6 +172,23 @@
 	return ok && (len(wk.places) > 0 || !wk.answered)
 }
 
+// Held returns the runs that a worker may have, in no order.
+func (cl *Cell) Held(id string) []Run {
+	wk, ok := cl.workers[id]
+	if !ok {
+		return nil
+	}
+	return wk.held()
+}
+
+func (wk *worker) held() []Run {
+	var runs []Run
+	for at := range wk.places {
+		runs = append(runs, Run{Task: at.task, Number: at.run})
+	}
+	return runs
+}
+
 // Serving reports whether any job's tasks run on workers of a service.
 func (cl *Cell) Serving(service string) bool { return cl.services[service] }
 
