Begin a lasting task that ends at once again after a pause

Cause: found looking for the same class as the crashes. A lasting task is begun again however it ends, at once, and each end was laid to its worker: one that fails at once was begun 80 times in 10 s on 20 workers, three ends put each of them at rest for 6 s, and nothing else was begun. Change: after two early ends in a row a pause of 0.25 s that doubles up to 2 s; ends from then on are not laid to workers. 10 s at work end the row. Test: TestLastingThatFailsAtOnce fails on the code before (more than 15 starts in 20 s) and passes.

--- a/policy/cell/lasting_test.go
+++ b/policy/cell/lasting_test.go
@@ -53,3 +53,45 @@
 	is.Equal(len(starts), 1)
 	is.Equal(starts[0].Task.Job, "urgent")
 }
+
+// TestLastingThatFailsAtOnce has one lasting task fail as soon as it is begun, beside work that
+// comes all the while. The task is begun again at a bounded rate, at least each 3 s, and its ends do
+// not keep the workers from the other work.
+func TestLastingThatFailsAtOnce(t *testing.T) {
+	is := is.New(t)
+	const workers, span, step = 20, 20 * time.Second, 20 * time.Millisecond
+	cl := crowd(workers)
+	lasting := work.Queue{Name: "l", Service: "svc", Attempts: 3, Priority: 1, Stretch: 2.2, Target: 2500 * time.Millisecond}
+	quick := work.Queue{Name: "q", Service: "svc", Attempts: 3, Priority: 1, Stretch: 2, Target: time.Second}
+	need := size.New(4000, 100, 0)
+	submit(cl, "lasting", work.Step{Count: 1, Need: need, Lasting: true, Estimate: time.Second}, lasting)
+	seen := map[string]int{}
+	starts, late, last, longest := 0, 0, time.Duration(0), time.Duration(0)
+	for now := time.Duration(0); now < span; now += step {
+		for n := range workers {
+			cl.Report(now, fmt.Sprintf("w%03d", n), now, nil, nil)
+		}
+		id := now.String()
+		cl.Add(now, &work.Job{ID: id, Spec: "s", Queue: quick, Steps: []work.Step{{Count: 1, Need: need, Estimate: step}}}, false)
+		cl.Committed(cl.Recorded())
+		cl.Tick(now, now)
+		cl.Plan(now)
+		begun := false
+		for _, sr := range cl.Take().Starts {
+			how := cell.ResultDone
+			if sr.Task.Job == "lasting" {
+				starts, last, longest, how = starts+1, now, max(longest, now-last), cell.ResultFailed
+			}
+			begun = begun || sr.Task.Job == id
+			cl.Started(now, sr)
+			seen[sr.Worker]++
+			cl.Report(now, sr.Worker, now, nil, []cell.End{{Seq: seen[sr.Worker], Run: cell.Run{Task: sr.Task, Number: sr.Run}, Result: how}})
+		}
+		if !begun {
+			late++
+		}
+	}
+	is.True(starts <= 15)             // the lasting task's starts
+	is.True(longest <= 3*time.Second) // the pauses between them
+	is.Equal(late, 0)                 // other jobs that were not begun at once
+}
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -141,7 +141,7 @@
 func (cl *Cell) placeTasks(now time.Duration, st *step) {
 	held := false // up by the window
 	if cands := cl.choose(now, st); len(cands) > 0 {
-		for _, tk := range st.waiting() {
+		for _, tk := range st.waiting(now) {
 			at := fit(tk, cands)
 			if at < 0 {
 				break
@@ -184,11 +184,11 @@
 	return cands
 }
 
-// waiting returns the tasks that have to be placed.
-func (st *step) waiting() []*task {
+// waiting returns the tasks that have to be placed now.
+func (st *step) waiting(now time.Duration) []*task {
 	var tks []*task
 	for _, tk := range st.tasks {
-		if !tk.done && tk.runs == 0 {
+		if !tk.done && tk.runs == 0 && tk.restarts.until <= now {
 			tks = append(tks, tk)
 		}
 	}
--- a/policy/cell/rank.go
+++ b/policy/cell/rank.go
@@ -20,6 +20,9 @@
 		if st.waits == 0 || st.def.Gang && st.waits < len(st.tasks) {
 			continue // all of it runs, or members of the gang are being stopped
 		}
+		if st.pauses(now) {
+			continue
+		}
 		if cl.settled || !st.round.job.inherited {
 			list = append(list, ranked{cl.rank(now, st), st})
 		}
--- a/policy/cell/report.go
+++ b/policy/cell/report.go
@@ -120,6 +120,9 @@
 	if en.Checkpoint != "" {
 		tk.checkpoint = en.Checkpoint
 	}
+	if tk.step.def.Lasting && (en.Result == ResultDone || en.Result == ResultFailed) {
+		tk.restarts.ended(now, pl)
+	}
 	switch {
 	case en.Result == ResultDone && !tk.step.def.Lasting:
 		cl.learn(now, tk, pl)
@@ -139,7 +142,9 @@
 
 // failed counts a failed run against the worker and the task.
 func (cl *Cell) failed(now time.Duration, wk *worker, tk *task, en End) {
-	wk.fails++
+	if !tk.restarts.blamed() {
+		wk.fails++
+	}
 	if wk.fails >= failsInRow {
 		wk.rest = now + restFails
 	}
--- a/policy/cell/round.go
+++ b/policy/cell/round.go
@@ -61,6 +61,7 @@
 	run        int
 	fails      []int
 	crashes    crashes
+	restarts   restarts
 	checkpoint string
 	// avoid are the workers on which it failed or stood still.
 	avoid map[string]bool
