Start no task by a list of workers that may be too old for their room

Cause: a worker that does not guard its room may shrink. Change: no start and no plan by a list that is older than the contact time less 0.5 s, also for a planner that was just elected; the list's watch waits 1 s instead of 2; room that is kept free on a worker whose size changes is chosen anew. What runs on a worker that has become too small stays. Tests: TestShrunkRoom fails before in one of five ways the news can come, passes after; TestPromises with rooms that shrink and grow.

--- a/internal/planner/lead.go
+++ b/internal/planner/lead.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -36,10 +37,14 @@
 	// gatherWorkers is the same for the list of workers, which must be known within
 	// the time that a leaving worker may still get tasks (2 s).
 	gatherWorkers = 250 * time.Millisecond
-	// watchWait is how long a watch may stay without an answer.
-	watchWait = 2 * time.Second
-	// journalWait is the same for the journal, whose age is asked for.
+	// journalWait is the same for the journal, whose age is asked for, listWait for the list of
+	// workers, whose age bounds the starts.
 	journalWait = time.Second
+	listWait    = time.Second
+	// usualContact is the users' contact time where the settings do not tell.
+	usualContact = 3 * time.Second
+	// listSlack is taken off it: a start takes up to 0.4 s from its decision on a lossy link.
+	listSlack = 500 * time.Millisecond
 	// staleJournal is the age of the journal's copy from which a job that is not in it
 	// may exist all the same: an accepted job must be known within 3 s.
 	staleJournal = 2200 * time.Millisecond
@@ -61,8 +66,12 @@
 	reign term.Reign
 	began time.Time
 
-	// jobs follows the batches of the journal.
-	jobs *mirror.Mirror
+	// jobs follows the batches of the journal, workers the list of workers.
+	jobs, workers *mirror.Mirror
+	// staleList is the age of the list from which no task is started. A worker that does not guard
+	// its room may have shrunk since: its next beat says so, and users count the new room one beat
+	// and the contact time later.
+	staleList time.Duration
 	// lease is how long workers go on without a hold.
 	lease time.Duration
 
@@ -113,6 +122,7 @@
 			FirstWindow: firstWindow,
 		}),
 	}
+	ld.staleList = max(cmp.Or(pt.Site.Bounds.Contact, usualContact)-listSlack, listSlack)
 	if most := pt.Site.Bounds.MaxLease; most > 0 {
 		ld.lease = min(ld.lease, most)
 	}
@@ -139,8 +149,8 @@
 		Prefix: joblog.Batches, Wait: journalWait, Pause: gather,
 		Changed: func(items []kv.Item, whole bool) { ld.takeBatches(items, whole, old) },
 	})
-	workers := mirror.New(ld.clock, ld.log, ld.parts.Store, mirror.Options{
-		Prefix: ld.parts.WorkersPrefix, Wait: watchWait, Pause: gatherWorkers,
+	ld.workers = mirror.New(ld.clock, ld.log, ld.parts.Store, mirror.Options{
+		Prefix: ld.parts.WorkersPrefix, Wait: listWait, Pause: gatherWorkers,
 		Changed: ld.takeWorkers,
 	})
 	ld.spawn(func() { ld.jobs.Run(ctx) })
@@ -148,7 +158,7 @@
 		select {
 		case <-ctx.Done():
 		case <-ld.journaled: // before that, a report would name runs of unknown jobs
-			workers.Run(ctx)
+			ld.workers.Run(ctx)
 		}
 	})
 	ld.spawn(func() { ld.commitLoop(ctx) })
@@ -194,6 +204,12 @@
 	return ld.cell.Pending(queue), nil
 }
 
+// knowsRoom reports whether the list of workers is fresh enough to start tasks by it.
+func (ld *lead) knowsRoom() bool {
+	age, read := ld.workers.Age()
+	return read && age < ld.staleList
+}
+
 // fresh returns an error where the journal may have jobs that are not known here.
 func (ld *lead) fresh() error {
 	if age, _ := ld.jobs.Age(); age > staleJournal {
--- a/internal/planner/planloop.go
+++ b/internal/planner/planloop.go
@@ -63,12 +63,12 @@
 	ld.measures.gauge("planner.workers_kept_free", kept)
 }
 
-// plan decides, if the reign goes on and is proven, and has the orders carried out. It returns
+// plan decides, if the reign may start tasks, and has the orders carried out. It returns
 // how long it took to decide.
 func (ld *lead) plan() (took time.Duration) {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
-	if ld.loaded && ld.dirty && ld.ctx.Err() == nil && ld.reign.Proven() {
+	if ld.loaded && ld.dirty && ld.mayStart() {
 		ld.dirty = false
 		began := ld.clock.Now()
 		ld.cell.Plan(ld.now())
--- a/internal/planner/roster.go
+++ b/internal/planner/roster.go
@@ -104,6 +104,9 @@
 		ld.log.Info("Worker is listed.", "worker", en.ID, "address", en.Address, "draining", en.Draining)
 		return
 	}
+	if se.entry.Capacity != en.Capacity {
+		ld.log.Info("Worker's room has changed.", "worker", en.ID, "from", se.entry.Capacity.String(), "to", en.Capacity.String())
+	}
 	if se.entry.Draining != en.Draining {
 		ld.log.Info("Worker drains.", "worker", en.ID, "draining", en.Draining)
 	}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -43,6 +43,9 @@
 	KeepEnded time.Duration
 	// StopTime is how long a worker takes to end a run.
 	StopTime time.Duration
+	// Contact is how long a node must have been undisturbed for promises with a time to bind it; 0
+	// where the settings do not tell.
+	Contact time.Duration
 	// Apply is within how long of its confirmation a change of the configuration is to be in
 	// force; 0 where the settings do not tell.
 	Apply time.Duration
--- a/internal/standin/memworkers/memworkers.go
+++ b/internal/standin/memworkers/memworkers.go
@@ -60,6 +60,7 @@
 	ends     []cell.End
 	seq      int
 	life     life
+	room     room
 }
 
 type run struct {
@@ -264,6 +265,7 @@
 			return nil
 		}
 		fl.check(wk, sr)
+		fl.checkRoom(wk, sr)
 		wk.deadline = max(wk.deadline, deadline)
 		wk.runs[sr.Task] = run{sr.Run, fl.clock.Now()}
 		fl.clock.AfterFunc(fl.run, func() {
--- a/policy/cell/cell_test.go
+++ b/policy/cell/cell_test.go
@@ -39,6 +39,7 @@
 		faults, fails   float64
 		elect, crash    bool
 		cancel, silence bool
+		shrink          bool
 		mayFail, settle int
 	}{
 		"calm":                          {},
@@ -52,6 +53,8 @@
 		"jobs cancelled":                {cancel: true},
 		"everything at once":            {faults: 0.1, fails: 0.05, elect: true, crash: true, silence: true, cancel: true, mayFail: 8},
 		"planners change, orders stray": {elect: true, faults: 0.2},
+		"rooms shrink and grow":         {shrink: true},
+		"rooms shrink, planners change": {shrink: true, elect: true, faults: 0.05},
 	}
 	for name, tc := range cases {
 		for seed := range uint64(12) {
@@ -84,11 +87,17 @@
 						bd.addWorker("w13")
 						bd.cell.PutWorker(bd.now, bd.workers["w13"].Worker)
 					}
+					if tc.shrink {
+						bd.resize(fmt.Sprintf("w%02d", n*7%10), []int64{1, 4, 0, 2}[n%4])
+					}
 					if tc.cancel && n%6 == 5 {
 						bd.cancel(bd.jobs[n-2].ID)
 						bd.carryOut()
 					}
 				}
+				for n := range 10 {
+					bd.resize(fmt.Sprintf("w%02d", n), quarters)
+				}
 				for range 2000 {
 					bd.pass(40 * time.Millisecond)
 				}
--- a/policy/cell/claim.go
+++ b/policy/cell/claim.go
@@ -87,7 +87,7 @@
 
 // idleFor is the part of a worker that stands idle while room on it is kept free.
 func (wk *worker) idleFor(kept size.Size) float64 {
-	return min(kept.Share(wk.Capacity), 1-wk.used.Share(wk.Capacity))
+	return max(min(kept.Share(wk.Capacity), 1-wk.used.Share(wk.Capacity)), 0) // one that shrank may be over its room
 }
 
 // bulky reports whether a task of the step takes so much of a worker that room for it hardly
--- a/policy/cell/shelf.go
+++ b/policy/cell/shelf.go
@@ -42,7 +42,7 @@
 	for _, sh := range cl.shelves {
 		sh.sort()
 		for _, wk := range sh.workers {
-			sh.used += wk.used.Share(wk.Capacity)
+			sh.used += min(wk.used.Share(wk.Capacity), 1) // one that shrank may be over its room
 		}
 	}
 }
--- a/policy/cell/worker.go
+++ b/policy/cell/worker.go
@@ -69,6 +69,9 @@
 	if wk.Draining && !old.Draining {
 		old.leaves = now + wk.Remaining
 	}
+	if wk.Capacity != old.Capacity {
+		cl.dropClaim(old) // what is kept free was counted by the other size
+	}
 	old.Worker = wk
 	old.listed, old.left = true, false
 	if wk.Draining {
