Count the time in which the VM was suspended

Cause: every lease, age and 'in touch' went by Go's steady clock, which stands still while a VM is suspended. A planner that woke went on for up to a whole lease, and a copy was as fresh as before. The time of day is read through bootclock.Wall. A planner whose lease is not proven tells no job's state and no count any more.

--- a/internal/feed/bed_test.go
+++ b/internal/feed/bed_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,6 +22,7 @@
 	"tackbeam.example/tackbeam/internal/kv"
 	"tackbeam.example/tackbeam/internal/routes"
 	"tackbeam.example/tackbeam/internal/standin/memkv"
+	"tackbeam.example/tackbeam/internal/standin/vmclock"
 )
 
 // Links, in Mbit/s, and sizes.
@@ -80,10 +82,12 @@
 
 // node is a feed with its links and faults.
 type node struct {
-	bed      *bed
-	member   joblog.Member
-	feed     *feed.Feed
-	up, down link
+	// suspended is for how long the node's VM was suspended.
+	suspended atomic.Int64
+	bed       *bed
+	member    joblog.Member
+	feed      *feed.Feed
+	up, down  link
 
 	mu    sync.Mutex
 	taken *routes.Config
@@ -177,7 +181,10 @@
 
 // start runs the node's feed until the test ends.
 func (nd *node) start() {
-	clock := clockwork.NewRealClock() // the bubble's
+	clock, err := vmclock.New(clockwork.NewRealClock(), func() time.Duration { return time.Duration(nd.suspended.Load()) })
+	if err != nil {
+		nd.bed.t.Fatal(err)
+	}
 	nd.feed = feed.New(clock, logr.Discard(), nd.store(), feed.Options{
 		Key: key, Node: nd.member.Node, Link: nd.member.Link, Members: nd.bed.members, Ask: nd.ask,
 		Decode: func(item kv.Item) (*routes.Config, error) {
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -193,6 +193,29 @@
 	})
 }
 
+// TestAgeCountsSuspensions has a node's VM suspended: its copy is older by that when it wakes, until
+// the store or another node has answered again.
+func TestAgeCountsSuspensions(t *testing.T) {
+	for _, away := range []time.Duration{500 * time.Millisecond, 3 * time.Second, 20 * time.Second} {
+		t.Run(away.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				bd := newBed(t, 2, 1, 300)
+				bd.until(time.Minute)
+				nd := bd.nodes[0]
+				before, _ := nd.feed.Age()
+				nd.suspended.Store(int64(away))
+				age, loaded := nd.feed.Age()
+				is.True(loaded)
+				is.Equal(age, before+away)
+				time.Sleep(3 * time.Second)
+				age, _ = nd.feed.Age()
+				is.True(age < 2*time.Second)
+			})
+		})
+	}
+}
+
 // TestLostHistory has the store forget its history while nodes cannot watch: those that have the
 // newest version find their place again without reading it.
 func TestLostHistory(t *testing.T) {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -15,6 +15,7 @@
 
 	"tackbeam.example/policy/work"
 
+	"tackbeam.example/tackbeam/internal/bootclock"
 	"tackbeam.example/tackbeam/internal/fault"
 	"tackbeam.example/tackbeam/internal/joblog"
 	"tackbeam.example/tackbeam/internal/kv"
@@ -200,7 +201,7 @@
 // commit writes a batch under a key that only it uses, so that a try whose answer
 // was lost can be told from one that failed.
 func (in *Intake) commit(key string, bt *batch) error {
-	bt.At = time.Duration(in.clock.Now().UnixNano())
+	bt.At = bootclock.Wall(in.clock)
 	raw, err := joblog.Encode(&bt.Batch)
 	if err != nil {
 		return fault.New(fault.Internal, "batch cannot be written: %v", err)
--- a/internal/planner/bed_test.go
+++ b/internal/planner/bed_test.go
@@ -23,6 +23,7 @@
 	"tackbeam.example/tackbeam/internal/site"
 	"tackbeam.example/tackbeam/internal/standin/memkv"
 	"tackbeam.example/tackbeam/internal/standin/memworkers"
+	"tackbeam.example/tackbeam/internal/standin/vmclock"
 	"tackbeam.example/tackbeam/internal/term"
 )
 
@@ -57,6 +58,18 @@
 	meters  metrics.Registry
 	// reign is the node's latest one.
 	reign term.Reign
+	// suspended is for how long the node's VM was suspended.
+	suspended atomic.Int64
+}
+
+// newClock returns the node's clock: steady time goes on in the bubble, what suspensions add to the
+// time of day and to the time since boot is the test's.
+func (nd *node) newClock(bd *bed) clockwork.Clock {
+	clock, err := vmclock.New(bd.clock, func() time.Duration { return time.Duration(nd.suspended.Load()) })
+	if err != nil {
+		bd.t.Fatal(err)
+	}
+	return clock
 }
 
 func newBed(t *testing.T, run time.Duration, workers ...string) *bed {
@@ -106,8 +119,9 @@
 func (bd *bed) addNodeOf(name string, processors float64) *node {
 	st := bd.store.Client(name)
 	nd := &node{meters: metrics.NewRegistry()}
+	clock := nd.newClock(bd)
 	nd.planner = planner.New(planner.Parts{
-		Clock: bd.clock, Log: bd.log(name), Store: st, Agents: bd.fleet.Agents(), Meters: nd.meters,
+		Clock: clock, Log: bd.log(name), Store: st, Agents: bd.fleet.Agents(), Meters: nd.meters,
 		Site:          &site.Site{Bounds: site.Bounds{KeepEnded: time.Minute}},
 		WorkersPrefix: workersPrefix,
 		DecodeWorker: func(item kv.Item) (planner.Entry, error) {
@@ -130,11 +144,11 @@
 		Serves: func(service string) bool { return bd.serves.Load() == service },
 		Queue:  func(string) (work.Queue, bool) { return bd.settings, bd.settings.Name != "" },
 	})
-	nd.term = term.New(bd.clock, bd.log(name), st, term.Options{Node: name, Processors: processors, TTL: 2 * time.Second, Lead: func(ctx context.Context, reign term.Reign) {
+	nd.term = term.New(clock, bd.log(name), st, term.Options{Node: name, Processors: processors, TTL: 2 * time.Second, Lead: func(ctx context.Context, reign term.Reign) {
 		nd.reign = reign
 		nd.planner.Lead(ctx, reign)
 	}})
-	nd.intake = intake.New(bd.clock, bd.log(name), st, intake.Options{
+	nd.intake = intake.New(clock, bd.log(name), st, intake.Options{
 		Node: name, Nodes: func() int { return 2 }, Down: func() bool { return false },
 	})
 	ctx, cancel := context.WithCancel(bd.t.Context())
--- a/internal/planner/lead.go
+++ b/internal/planner/lead.go
@@ -11,6 +11,7 @@
 
 	"tackbeam.example/policy/cell"
 
+	"tackbeam.example/tackbeam/internal/bootclock"
 	"tackbeam.example/tackbeam/internal/fault"
 	"tackbeam.example/tackbeam/internal/joblog"
 	"tackbeam.example/tackbeam/internal/kv"
@@ -137,7 +138,7 @@
 func (ld *lead) now() time.Duration { return ld.clock.Since(ld.began) }
 
 // wall is the time of day since 1970.
-func (ld *lead) wall() time.Duration { return time.Duration(ld.clock.Now().UnixNano()) }
+func (ld *lead) wall() time.Duration { return bootclock.Wall(ld.clock) }
 
 func (ld *lead) run(ctx context.Context) {
 	ld.ctx = ctx
@@ -176,11 +177,23 @@
 	}()
 }
 
+// answers returns why nothing that this planner knows can be told, or nil. One that was suspended
+// may have been followed by another. The caller holds the lock.
+func (ld *lead) answers() error {
+	if !ld.loaded {
+		return notReady("the planner reads the journal")
+	}
+	if !ld.reign.Proven() {
+		return notReady("the planner's lease is not proven")
+	}
+	return nil
+}
+
 func (ld *lead) state(id string) (cell.Phase, error) {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
-	if !ld.loaded {
-		return "", notReady("the planner reads the journal")
+	if err := ld.answers(); err != nil {
+		return "", err
 	}
 	phase, ok := ld.cell.Phase(id)
 	if !ok {
@@ -195,8 +208,8 @@
 func (ld *lead) pending(queue string) (int, error) {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
-	if !ld.loaded {
-		return 0, notReady("the planner reads the journal")
+	if err := ld.answers(); err != nil {
+		return 0, err
 	}
 	if err := ld.fresh(); err != nil {
 		return 0, err
