Begin goroutines of a group in one way

Change: WaitGroup.Go in place of Add, go and Done, 13 places in both schedulers, 28 lines less. No behaviour changes; the packages' tests pass.

--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -165,22 +165,18 @@
 
 // Start begins the loops.
 func (hm *Home) Start(context.Context) error {
-	hm.wg.Add(1)
-	go func() {
-		defer hm.wg.Done()
+	hm.wg.Go(func() {
 		hm.pacer.Run(hm.ctx, hm.Clock, tickEvery, hm.tick)
-	}()
+	})
 	hm.loop(capacityEvery, hm.measure)
 	hm.loop(min(forgetEvery, hm.opts.KeepJobs/(4*keepSteps)), hm.forgetOld)
 	return nil
 }
 
 func (hm *Home) loop(every time.Duration, act func()) {
-	hm.wg.Add(1)
-	go func() {
-		defer hm.wg.Done()
+	hm.wg.Go(func() {
 		loop.Every(hm.ctx, hm.Clock, every, act)
-	}()
+	})
 }
 
 // Stop ends the loops and the journal.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -187,15 +187,13 @@
 	in.count++
 	key := joblog.BatchKey(in.opts.Node, in.incarnation, in.count)
 	in.mu.Unlock()
-	group.Add(1)
-	go func() {
-		defer group.Done()
+	group.Go(func() {
 		bt.err = in.commit(key, bt)
 		close(bt.done)
 		in.mu.Lock()
 		in.writing--
 		in.mu.Unlock()
-	}()
+	})
 }
 
 // commit writes a batch under a key that only it uses, so that a try whose answer
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -106,11 +106,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	jr.cancel = cancel
-	jr.wg.Add(1)
-	go func() {
-		defer jr.wg.Done()
+	jr.wg.Go(func() {
 		jr.run(ctx)
-	}()
+	})
 	return jr
 }
 
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -186,11 +186,9 @@
 		return
 	}
 	ld.sent.Add(1)
-	ld.wg.Add(1)
-	go func() {
-		defer ld.wg.Done()
+	ld.wg.Go(func() {
 		ar.act(ld, due)
 		<-ld.slots
 		ld.answered.Add(1)
-	}()
+	})
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -155,11 +155,9 @@
 		return errors.Wrap(err, "join cluster")
 	}
 	for _, act := range []func(context.Context){mb.beatLoop, mb.leaseLoop, mb.followMap, mb.followLive} {
-		mb.wg.Add(1)
-		go func() {
-			defer mb.wg.Done()
+		mb.wg.Go(func() {
 			act(run)
-		}()
+		})
 	}
 	return nil
 }
--- a/internal/owner/keeper.go
+++ b/internal/owner/keeper.go
@@ -47,11 +47,9 @@
 	kp := &keeper{vm: vm, rack: rack, epoch: epoch, since: now, leaseEnd: now.Add(ow.opts.Lease)}
 	kp.ctx, kp.cancel = context.WithCancel(ow.ctx)
 	ow.keepers[vm.Name] = kp
-	ow.wg.Add(1)
-	go func() {
-		defer ow.wg.Done()
+	ow.wg.Go(func() {
 		ow.keepLoop(kp)
-	}()
+	})
 }
 
 // keepLoop attaches, waits until the link is lost, and attaches again.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -140,22 +140,18 @@
 
 // Start begins the loops.
 func (ow *Owner) Start(context.Context) error {
-	ow.wg.Add(1)
-	go func() {
-		defer ow.wg.Done()
+	ow.wg.Go(func() {
 		ow.pacer.Run(ow.ctx, ow.Clock, tickEvery, ow.tick)
-	}()
+	})
 	ow.loop(tellAgain/2, func() { ow.tellDue(tellAgain) })
 	ow.loop(silenceEvery, ow.dropSilent)
 	return nil
 }
 
 func (ow *Owner) loop(every time.Duration, act func()) {
-	ow.wg.Add(1)
-	go func() {
-		defer ow.wg.Done()
+	ow.wg.Go(func() {
 		loop.Every(ow.ctx, ow.Clock, every, act)
-	}()
+	})
 }
 
 // Stop lets go of all workers.
--- a/internal/owner/task.go
+++ b/internal/owner/task.go
@@ -117,11 +117,9 @@
 	fates := make([]nodemsg.Fate, len(places))
 	var wg sync.WaitGroup
 	for i, pl := range places {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
+		wg.Go(func() {
 			fates[i] = act(pl)
-		}()
+		})
 	}
 	wg.Wait()
 	return fates
--- a/internal/planner/lead.go
+++ b/internal/planner/lead.go
@@ -170,11 +170,7 @@
 }
 
 func (ld *lead) spawn(act func()) {
-	ld.group.Add(1)
-	go func() {
-		defer ld.group.Done()
-		act()
-	}()
+	ld.group.Go(act)
 }
 
 // answers returns why nothing that this planner knows can be told, or nil. One that was suspended
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -92,11 +92,9 @@
 	} else {
 		tb.applyAll(items, revision)
 	}
-	tb.wg.Add(1)
-	go func() {
-		defer tb.wg.Done()
+	tb.wg.Go(func() {
 		tb.follow(run)
-	}()
+	})
 	return nil
 }
 
--- a/internal/vms/vms.go
+++ b/internal/vms/vms.go
@@ -69,11 +69,9 @@
 func (ls *List) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	ls.cancel = cancel
-	ls.wg.Add(1)
-	go func() {
-		defer ls.wg.Done()
+	ls.wg.Go(func() {
 		ls.readLoop(ctx)
-	}()
+	})
 	return nil
 }
 
