Pause a task whose starts all workers refuse as bad

Cause: same class as the crashes, found by looking for starts that are repeated at once and laid to the worker. A start refused as bad put its worker at rest for 6 s and went to the next: 80 tries in 20 s on 20 workers, and nothing else was begun. Change: the pauses of lasting tasks hold for such tasks too: two vain starts are free, then 0.25 s doubling up to 2 s, and workers do not rest for it. Test: TestRefusedByAll, 80 tries before, 15 after, other work begun at once.

--- a/policy/cell/lasting_test.go
+++ b/policy/cell/lasting_test.go
@@ -95,3 +95,41 @@
 	is.True(longest <= 3*time.Second) // the pauses between them
 	is.Equal(late, 0)                 // other jobs that were not begun at once
 }
+
+// TestRefusedByAll has a task whose start every worker refuses as bad, beside work that comes all the
+// while. It is tried again at a bounded rate, and the workers are not kept from the other work.
+func TestRefusedByAll(t *testing.T) {
+	is := is.New(t)
+	const workers, span, step = 20, 20 * time.Second, 20 * time.Millisecond
+	cl := crowd(workers)
+	quick := work.Queue{Name: "q", Service: "svc", Attempts: 3, Priority: 1, Stretch: 2, Target: time.Second}
+	need := size.New(4000, 100, 0)
+	submit(cl, "bad", work.Step{Count: 1, Need: need, Estimate: time.Second}, quick)
+	seen := map[string]int{}
+	tries, late := 0, 0
+	for now := time.Duration(0); now < span; now += step {
+		for n := range workers {
+			cl.Report(now, fmt.Sprintf("w%03d", n), now, nil, nil)
+		}
+		id := now.String()
+		cl.Add(now, &work.Job{ID: id, Spec: "s", Queue: quick, Steps: []work.Step{{Count: 1, Need: need, Estimate: step}}}, false)
+		cl.Committed(cl.Recorded())
+		cl.Tick(now, now)
+		cl.Plan(now)
+		late++
+		for _, sr := range cl.Take().Starts {
+			if sr.Task.Job == "bad" {
+				tries++
+				cl.Refused(now, sr, cell.RefusedBad)
+				continue
+			}
+			late--
+			cl.Started(now, sr)
+			seen[sr.Worker]++
+			cl.Report(now, sr.Worker, now, nil, []cell.End{{Seq: seen[sr.Worker], Run: cell.Run{Task: sr.Task, Number: sr.Run}, Result: cell.ResultDone}})
+		}
+	}
+	t.Logf("%d tries", tries)
+	is.True(tries <= 15) // of the task that all refuse
+	is.Equal(late, 0)    // other jobs that were not begun
+}
--- a/policy/cell/placement.go
+++ b/policy/cell/placement.go
@@ -156,6 +156,9 @@
 	}
 	pl.state = running
 	pl.since, pl.moved, pl.begun = now, now, now
+	if !pl.task.step.def.Lasting {
+		pl.task.tries = tries{}
+	}
 	cl.begin(pl.task.step.round.job)
 }
 
@@ -172,8 +175,12 @@
 		st.advice.lapse(sr.Worker)
 	case RefusedRoom:
 		pl.worker.rest = now + restRoom
-	case RefusedUnhealthy, RefusedBad:
+	case RefusedUnhealthy:
 		pl.worker.rest = now + restFails
+	case RefusedBad:
+		if pl.task.vain(now); !pl.task.tries.blamed() {
+			pl.worker.rest = now + restFails
+		}
 	case RefusedOld, RefusedLate:
 	}
 	cl.release(pl)
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -188,7 +188,7 @@
 func (st *step) waiting(now time.Duration) []*task {
 	var tks []*task
 	for _, tk := range st.tasks {
-		if !tk.done && tk.runs == 0 && tk.restarts.until <= now {
+		if !tk.done && tk.runs == 0 && tk.tries.until <= now {
 			tks = append(tks, tk)
 		}
 	}
--- a/policy/cell/report.go
+++ b/policy/cell/report.go
@@ -121,7 +121,7 @@
 		tk.checkpoint = en.Checkpoint
 	}
 	if tk.step.def.Lasting && (en.Result == ResultDone || en.Result == ResultFailed) {
-		tk.restarts.ended(now, pl)
+		tk.lastingEnded(now, pl)
 	}
 	switch {
 	case en.Result == ResultDone && !tk.step.def.Lasting:
@@ -142,7 +142,7 @@
 
 // failed counts a failed run against the worker and the task.
 func (cl *Cell) failed(now time.Duration, wk *worker, tk *task, en End) {
-	if !tk.restarts.blamed() {
+	if !tk.tries.blamed() {
 		wk.fails++
 	}
 	if wk.fails >= failsInRow {
--- a/policy/cell/round.go
+++ b/policy/cell/round.go
@@ -46,6 +46,8 @@
 	// the last plan in which it gathered.
 	turn, gathered int
 	late           bool
+	// pausing is set once starts of its tasks came to nothing.
+	pausing bool
 	// looked is when room for the gang was last looked for.
 	looked time.Duration
 }
@@ -61,7 +63,7 @@
 	run        int
 	fails      []int
 	crashes    crashes
-	restarts   restarts
+	tries      tries
 	checkpoint string
 	// avoid are the workers on which it failed or stood still.
 	avoid map[string]bool
