Take the loss of a worker off its tasks over a change of planner, and off runs that never were there

Cause: what a next planner forgets. And a start whose only try another incarnation answered counted as a crash under it, though the run never was there. Change: the record of a crash names the worker; a start that another incarnation answers first is refused. Tests: TestCutsAreNoCrashes (the job fails when a worker's answer clears nothing, succeeds so), TestCutOffBesidePlannerChange.

--- a/internal/planner/crashes_test.go
+++ b/internal/planner/crashes_test.go
@@ -158,3 +158,27 @@
 		}
 	})
 }
+
+// TestCutsAreNoCrashes cuts all workers off again and again for longer than their lease, while
+// planners change. They answer again each time, so that nothing is laid to what ran there.
+func TestCutsAreNoCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const cuts, cut, calm = 6, 8 * time.Second, 4 * time.Second
+		bd := newBed(t, 12*time.Second, "w1", "w2", "w3")
+		defer bd.end()
+		nd := bd.addNode("n0")
+		bd.submit(nd, "a", 6)
+		for n := range cuts {
+			time.Sleep(calm)
+			bd.fleet.SetFault(func(string, string) memworkers.Fault { return memworkers.Silent })
+			time.Sleep(cut)
+			if n%2 == 1 {
+				follower := bd.addNode(fmt.Sprintf("n%d", n))
+				nd.cancel()
+				nd = follower
+			}
+			bd.fleet.SetFault(func(string, string) memworkers.Fault { return memworkers.None })
+		}
+		bd.await("a", cell.Succeeded, time.Minute)
+	})
+}
--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -60,6 +60,10 @@
 			ld.cell.Started(now, sr)
 		case err == nil:
 			ld.cell.Refused(now, sr, refusal)
+		case tries == 1 && errors.Is(err, agent.ErrOtherLife):
+			// Another incarnation has answered the only try: the run never was there, and what
+			// ended the worker is not to be laid to it.
+			ld.cell.Refused(now, sr, cell.RefusedLate)
 		default:
 			ld.cell.StartLost(now, sr)
 		}
--- a/policy/cell/crash.go
+++ b/policy/cell/crash.go
@@ -170,8 +170,13 @@
 		return
 	}
 	name, id := pl.task.name(), pl.worker.ID
-	cl.record(Record{Job: name.Job, Task: &name, Result: ResultCrashed, Run: pl.run, Excused: !blamed})
-	cl.excuses[id] = excuse{now, append(cl.excuses[id].runs, Run{Task: name, Number: pl.run})}
+	cl.record(Record{Job: name.Job, Task: &name, Result: ResultCrashed, Run: pl.run, Excused: !blamed, On: id})
+	cl.keepExcuse(now, id, Run{Task: name, Number: pl.run})
+}
+
+// keepExcuse remembers what was laid to a run, should its worker answer again.
+func (cl *Cell) keepExcuse(now time.Duration, id string, run Run) {
+	cl.excuses[id] = excuse{now, append(cl.excuses[id].runs, run)}
 }
 
 // proven reports whether a run shows that its task does not crash workers, and clears the task.
--- a/policy/cell/crash_test.go
+++ b/policy/cell/crash_test.go
@@ -288,3 +288,23 @@
 	is.Equal(bad, 2)
 	is.Equal(good, 1)
 }
+
+// TestCutOffBesidePlannerChange has a worker cut off until its lease is over, and the planner change
+// before it answers again. The next planner takes the loss off its tasks too.
+func TestCutOffBesidePlannerChange(t *testing.T) {
+	is := is.New(t)
+	wd := newWard(t, work.Step{Count: 1, Need: size.New(4000, 100, 0), Estimate: time.Second})
+	sr, _ := wd.start()
+	wd.cell.Silent(wd.now, sr.Worker)
+	wd.cell.Lapsed(wd.now+6*time.Second, sr.Worker)
+	wd.take()
+	next := cell.New(cell.Options{Keep: time.Minute, FirstRun: 65})
+	submit(next, "j", wd.step, work.Queue{Name: "q", Service: "svc", Attempts: 3, Priority: 1, Stretch: 9})
+	next.Restore(0, wd.journal)
+	all, _ := next.Crashes(sr.Task)
+	is.Equal(all, 1)
+	next.PutWorker(0, cell.Worker{ID: sr.Worker, Service: "svc", Capacity: size.New(64000, 128000, 0)})
+	next.Report(0, sr.Worker, 0, nil, nil)
+	all, _ = next.Crashes(sr.Task)
+	is.Equal(all, 0)
+}
--- a/policy/cell/job.go
+++ b/policy/cell/job.go
@@ -92,6 +92,7 @@
 		cl.taskDone(now, tk, false)
 	case ResultCrashed:
 		tk.addCrash(rec.Run, !rec.Excused)
+		cl.keepExcuse(now, rec.On, Run{Task: *rec.Task, Number: rec.Run})
 		over = tk.crashes.tooMany()
 	case ResultCleared:
 		delete(tk.crashes, rec.Run)
--- a/policy/cell/messages.go
+++ b/policy/cell/messages.go
@@ -143,6 +143,8 @@
 	// is closed that it leaves in order.
 	Excused bool `cbor:"11,keyasint,omitempty"`
 	Left    bool `cbor:"12,keyasint,omitempty"`
+	// On is the worker that was lost with a run that crashed.
+	On string `cbor:"13,keyasint,omitempty"`
 }
 
 // Output is what a cell wants done.
