Look at a start's worker again when the start is sent

Change: a start is sent, and sent again, only where its worker is listed, does not drain and holds what was placed on it. Test: TestStands.

--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -30,7 +30,7 @@
 
 // start carries out one start.
 func (ld *lead) start(sr cell.Start) {
-	se, token, deadline, ok := ld.prepare(sr.Worker)
+	se, token, deadline, ok := ld.prepare(sr)
 	if !ok || !ld.mayStart() {
 		ld.after(func(now time.Duration) {
 			ld.effort.end(now-sr.Decided, cell.RefusedLate)
@@ -41,7 +41,7 @@
 	}
 	sent := ld.clock.Now()
 	tries := 0
-	refusal, err := ld.patience.repeat(ld.mayStart, func(wait time.Duration) (cell.Refusal, error) {
+	refusal, err := ld.patience.repeat(func() bool { return ld.mayStart() && ld.stands(sr) }, func(wait time.Duration) (cell.Refusal, error) {
 		tries++
 		call, cancel := context.WithTimeout(context.WithoutCancel(ld.ctx), wait)
 		defer cancel()
@@ -83,13 +83,21 @@
 	return err.Error()
 }
 
-// prepare returns what an order to a worker needs: its session, the fencing token
-// and the deadline that its lease has.
-func (ld *lead) prepare(id string) (*session, uint64, time.Duration, bool) {
+// stands reports whether a start may still be sent to its worker. A planner that is behind sends
+// starts seconds after it decided them, and users allow 2 s after a worker has said that it leaves.
+func (ld *lead) stands(sr cell.Start) bool {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
-	se, ok := ld.sessions[id]
-	if !ok || !se.answered {
+	return ld.cell.Stands(sr)
+}
+
+// prepare returns what a start needs: its worker's session, the fencing token and the deadline
+// that the worker's lease has.
+func (ld *lead) prepare(sr cell.Start) (*session, uint64, time.Duration, bool) {
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	se, ok := ld.sessions[sr.Worker]
+	if !ok || !se.answered || !ld.cell.Stands(sr) {
 		return nil, 0, 0, false
 	}
 	return se, ld.reign.Token, se.extend(ld.now()), true
--- a/internal/standin/memworkers/memworkers.go
+++ b/internal/standin/memworkers/memworkers.go
@@ -134,6 +134,9 @@
 		fl.clock.AfterFunc(LateBy, func() {
 			fl.mu.Lock()
 			defer fl.mu.Unlock()
+			if wk.gone() != nil {
+				return // its incarnation is over, and with it what was on the way to it
+			}
 			fl.advance(wk)
 			_ = act(wk) // nobody waits for the answer any more
 		})
--- a/policy/cell/cell_test.go
+++ b/policy/cell/cell_test.go
@@ -306,3 +306,40 @@
 	}
 	// Output: w1 job1.0.0.0 1
 }
+
+// TestStands has something happen to a worker between the decision on a start and its sending.
+func TestStands(t *testing.T) {
+	entry := cell.Worker{ID: "w000", Service: "svc", Capacity: size.New(64000, 128000, 0)}
+	leaving, small, large := entry, entry, entry
+	leaving.Draining = true
+	small.Capacity = size.New(1000, 128000, 0)
+	large.Capacity = size.New(99000, 128000, 0)
+	tests := map[string]struct {
+		act  func(cl *cell.Cell)
+		want bool
+	}{
+		"nothing":             {func(*cell.Cell) {}, true},
+		"it begins to leave":  {func(cl *cell.Cell) { cl.PutWorker(0, leaving) }, false},
+		"its entry goes":      {func(cl *cell.Cell) { cl.Unlist(entry.ID) }, false},
+		"it shrinks":          {func(cl *cell.Cell) { cl.PutWorker(0, small) }, false},
+		"it grows":            {func(cl *cell.Cell) { cl.PutWorker(0, large) }, true},
+		"its life is over":    {func(cl *cell.Cell) { cl.Over(0, entry.ID) }, false},
+		"it is listed anew":   {func(cl *cell.Cell) { cl.Unlist(entry.ID); cl.PutWorker(0, entry) }, true},
+		"it answers no more":  {func(cl *cell.Cell) { cl.Silent(0, entry.ID) }, true},
+		"another one shrinks": {func(cl *cell.Cell) { other := small; other.ID = "w001"; cl.PutWorker(0, other) }, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			cl := crowd(1)
+			cl.Add(0, batch("a", 1), false)
+			cl.Plan(0)
+			starts := cl.Take().Starts
+			if len(starts) != 1 {
+				t.Fatalf("%d starts", len(starts))
+			}
+			if tt.act(cl); cl.Stands(starts[0]) != tt.want {
+				t.Errorf("stands: %v, want %v", !tt.want, tt.want)
+			}
+		})
+	}
+}
--- a/policy/cell/placement.go
+++ b/policy/cell/placement.go
@@ -187,6 +187,13 @@
 	cl.afterLoss(pl)
 }
 
+// Stands reports whether a start may still be sent: since it was decided its worker may have begun
+// to leave, or shrunk.
+func (cl *Cell) Stands(sr Start) bool {
+	wk, ok := cl.workers[sr.Worker]
+	return ok && wk.listed && !wk.Draining && wk.used.Fits(wk.Capacity)
+}
+
 // StartLost takes in that nobody knows whether a worker has started a run or will: its
 // next report tells, and where it does not have the run, a stop keeps it off for good.
 func (cl *Cell) StartLost(now time.Duration, sr Start) {
