Take no time between two readings of clocks for a suspension

The steady clock was read before the time since boot; a process that lost the processor between the two took that time for a suspension, and its clock stayed ahead by the longest such time. Change: the steady clock is read again after the time since boot. Steps none of whose tasks met a crash are passed without a look at each task. Test: TestSlowReadings, 20 readings 0.3 s apart: a suspension of 0.3 s before, none so.

--- a/internal/bootclock/bootclock.go
+++ b/internal/bootclock/bootclock.go
@@ -62,7 +62,7 @@
 func (cl *Clock) begin() error {
 	steady, wall := cl.read()
 	boot, err := cl.boot()
-	cl.base, cl.offset, cl.looked = boot-steady, wall-steady, steady
+	cl.base, cl.offset, cl.looked = boot-steady, wall-steady, steady // the base may be too much, by the time between the readings
 	return err
 }
 
@@ -94,7 +94,10 @@
 	if err != nil {
 		return // New has said so
 	}
-	if ahead := boot - steady - cl.base; ahead > cl.suspended+noise {
+	// The steady clock is read after the time since boot, so that time which passes between the two
+	// is never taken for a suspension: a busy process may lose the processor there.
+	after, _ := cl.read()
+	if ahead := boot - after - cl.base; ahead > cl.suspended+noise {
 		cl.suspended = ahead
 	}
 }
--- a/internal/bootclock/bootclock_test.go
+++ b/internal/bootclock/bootclock_test.go
@@ -45,6 +45,29 @@
 	}
 }
 
+// TestSlowReadings lets much time pass between the readings of the clocks, as in a process that
+// loses the processor there. It is no suspension, and one that comes later is still seen.
+func TestSlowReadings(t *testing.T) {
+	is := is.New(t)
+	var steady, suspended, between time.Duration
+	cl, err := bootclock.NewOn(clockwork.NewFakeClock(),
+		func() (time.Duration, time.Duration) { return steady, steady + suspended },
+		func() (time.Duration, error) {
+			steady += between
+			return steady + suspended, nil
+		})
+	is.NoErr(err)
+	between = 300 * time.Millisecond
+	for range 20 {
+		steady += 2 * time.Second
+		cl.Now()
+		is.Equal(cl.Suspended(), time.Duration(0))
+	}
+	suspended = 10 * time.Second
+	is.True(cl.Suspended() > 9*time.Second)
+	is.True(cl.Suspended() <= 10*time.Second)
+}
+
 // TestWithoutBootTime has a system that does not tell the time since boot: that is said, and the
 // clock goes by the steady one.
 func TestWithoutBootTime(t *testing.T) {
--- a/policy/cell/crash.go
+++ b/policy/cell/crash.go
@@ -65,12 +65,12 @@
 
 // suspect reports whether workers crashed under a task of the step.
 func (st *step) suspect() bool {
-	return slices.ContainsFunc(st.tasks, (*task).suspect)
+	return st.hit && slices.ContainsFunc(st.tasks, (*task).suspect)
 }
 
 // crashed reports whether a task of the step waits under which workers crashed, explained or not.
 func (st *step) crashed() bool {
-	return slices.ContainsFunc(st.tasks, func(tk *task) bool {
+	return st.hit && slices.ContainsFunc(st.tasks, func(tk *task) bool {
 		return tk.runs == 0 && !tk.done && len(tk.crashes) > 0
 	})
 }
@@ -209,7 +209,7 @@
 	if tk.crashes == nil {
 		tk.crashes = crashes{}
 	}
-	tk.crashes[run] = blamed
+	tk.crashes[run], tk.step.hit = blamed, true
 	return true
 }
 
--- a/policy/cell/round.go
+++ b/policy/cell/round.go
@@ -46,6 +46,8 @@
 	// the last plan in which it gathered.
 	turn, gathered int
 	late           bool
+	// hit is set once a worker crashed under one of its tasks.
+	hit bool
 	// pausing is set once starts of its tasks came to nothing.
 	pausing bool
 	// looked is when room for the gang was last looked for.
