--- a/internal/bootclock/bootclock.go
+++ b/internal/bootclock/bootclock.go
@@ -62,7 +62,9 @@
 func (cl *Clock) begin() error {
 	steady, wall := cl.read()
 	boot, err := cl.boot()
-	cl.base, cl.offset, cl.looked = boot-steady, wall-steady, steady // the base may be too much, by the time between the readings
+	// The base may be too much by the time between the readings, so that too little is seen later,
+	// never too much.
+	cl.base, cl.offset, cl.looked = boot-steady, wall-steady, steady
 	return err
 }
 
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -138,6 +138,7 @@
 		fresh = append(fresh, kv.Item{Key: key, Gone: true})
 	}
 	mr.opts.Changed(fresh, true)
+	mr.behind = false
 	mr.answered(reading.Began())
 	return reading.At(), nil
 }
