--- a/internal/planner/crashes_test.go
+++ b/internal/planner/crashes_test.go
@@ -15,6 +15,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -142,10 +143,10 @@
 		bd.submit(nd, "a", runs)
 		time.Sleep(time.Second)
 		bd.fleet.Crash("w1")
-		stops := 0
+		var stops atomic.Int64
 		bd.fleet.SetFault(func(_, order string) memworkers.Fault {
 			if order == "stop" {
-				stops++
+				stops.Add(1)
 			}
 			return memworkers.None
 		})
@@ -153,8 +154,8 @@
 			t.Fatal(err)
 		}
 		time.Sleep(backAfter + time.Second)
-		if stops > runs*mostEach {
-			t.Errorf("%d stops of %d runs to a worker that had crashed", stops, runs)
+		if sent := stops.Load(); sent > runs*mostEach {
+			t.Errorf("%d stops of %d runs to a worker that had crashed", sent, runs)
 		}
 	})
 }
