Log which life of a worker answers

The log could not tell whether numbers of ends were carried from one life of a worker to the next. born is read from entries and reports, and one line says that another life answers under the same id, with both clocks and the number of the last end that was told to be forgotten. Nothing is decided by it yet.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -32,8 +32,10 @@
 type Report struct {
 	// Clock is the worker's steady clock when it answered.
 	Clock time.Duration
-	Runs  []cell.Run
-	Ends  []cell.End
+	// Born is when the life that answers began, in milliseconds since 1970; 0 where it does not say.
+	Born int64
+	Runs []cell.Run
+	Ends []cell.End
 }
 
 // Agents carries orders to workers. The fields are seams: an adapter sets them for
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -28,6 +28,9 @@
 	cell.Worker
 	Address string
 	Hall    string
+	// Born is when the life that wrote the entry began, in milliseconds since 1970; 0 where it does
+	// not say.
+	Born int64
 }
 
 // Answer is what the advisor said: the workers that may run a step, with tickets
--- a/internal/planner/roster.go
+++ b/internal/planner/roster.go
@@ -101,9 +101,12 @@
 		se = newSession(ld, en)
 		ld.sessions[en.ID] = se
 		ld.spawn(func() { se.run(ld.ctx) })
-		ld.log.Info("Worker is listed.", "worker", en.ID, "address", en.Address, "draining", en.Draining)
+		ld.log.Info("Worker is listed.", "worker", en.ID, "born", en.Born, "address", en.Address, "draining", en.Draining)
 		return
 	}
+	if se.entry.Born != en.Born {
+		ld.log.Info("Worker's entry is of another life.", "worker", en.ID, "born", en.Born, "before", se.entry.Born)
+	}
 	if se.entry.Capacity != en.Capacity {
 		ld.log.Info("Worker's room has changed.", "worker", en.ID, "from", se.entry.Capacity.String(), "to", en.Capacity.String())
 	}
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -43,6 +43,8 @@
 	// clock was the worker's clock when it gave the answer that came at heard.
 	clock time.Duration
 	heard time.Duration
+	// born is when the life began that answered last.
+	born int64
 	// deadline is the latest one that was ever sent, on the worker's clock.
 	deadline time.Duration
 	ended    bool
@@ -163,6 +165,12 @@
 		ld.log.Info("Worker answers again.", "worker", se.id)
 	}
 	se.silent = false
+	if se.answered && report.Born != se.born {
+		noted, _ := ld.cell.Noted(se.id)
+		ld.log.Info("Worker has begun again under its id.", "worker", se.id, "born", report.Born, "before", se.born,
+			"clock", report.Clock.String(), "clock_before", se.clock.String(), "noted", noted, "ends", len(report.Ends))
+	}
+	se.born = report.Born
 	if report.Clock > se.clock {
 		se.clock, se.heard = report.Clock, now
 	}
