Tests of workers that begin again under their ids, which fail

Callers saw tasks run again whose ends had been noted, and jobs whose next step never began. Both come about in virtual time: workers crash after some ends and begin again under their ids, with clock and counts anew. Ten jobs of two tasks then take more starts than tasks, each after a noted end; a gang of four 'lost a member' once a run, 0.7 s apart, and its job's second step does not begin in 3 s. The stand-in of workers plays lives that end and begin again, and carries late orders out in the life that is there by then.

--- a/internal/planner/bed_test.go
+++ b/internal/planner/bed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -87,7 +88,24 @@
 
 func (bd *bed) addWorker(id string) {
 	bd.fleet.Add(id)
-	bd.store.Set(workersPrefix+id, nil)
+	bd.list(id)
+}
+
+// list writes the entry of a worker's present life, with more words.
+func (bd *bed) list(id string, words ...string) {
+	value := append([]string{"born", strconv.FormatInt(bd.fleet.Born(id), 10)}, words...)
+	bd.store.Set(workersPrefix+id, []byte(strings.Join(value, " ")))
+}
+
+// beginAgain ends the lives of workers with all that they run; a while later each begins another
+// under its id, and writes its entry a beat after that.
+func (bd *bed) beginAgain(away time.Duration, ids ...string) {
+	const beat = 100 * time.Millisecond
+	for _, id := range ids {
+		bd.fleet.End(id)
+		bd.clock.AfterFunc(away, func() { bd.fleet.Add(id) })
+		bd.clock.AfterFunc(away+beat, func() { bd.list(id) })
+	}
 }
 
 // log returns a log that a failed test shows.
@@ -129,17 +147,7 @@
 			if string(item.Value) == unreadable {
 				return planner.Entry{}, errors.New("the entry cannot be read")
 			}
-			service := "svc"
-			if name, ok := strings.CutPrefix(string(item.Value), "of "); ok {
-				service = name
-			}
-			capacity := int64(usualRoom)
-			if room, ok := strings.CutPrefix(string(item.Value), "room "); ok {
-				capacity = int64(room[0] - '0')
-			}
-			return planner.Entry{Worker: cell.Worker{
-				ID: id, Service: service, Capacity: size.New(1000*capacity, 8000, 0), Draining: string(item.Value) == "draining",
-			}}, nil
+			return decodeEntry(id, string(item.Value)), nil
 		},
 		Serves: func(service string) bool { return bd.serves.Load() == service },
 		Queue:  func(string) (work.Queue, bool) { return bd.settings, bd.settings.Name != "" },
@@ -159,6 +167,27 @@
 	return nd
 }
 
+// decodeEntry reads a worker's entry: words, some of which have another after them.
+func decodeEntry(id, value string) planner.Entry {
+	en := planner.Entry{Worker: cell.Worker{ID: id, Service: "svc"}}
+	capacity := int64(usualRoom)
+	words := strings.Fields(value)
+	for at, word := range words {
+		switch word {
+		case "of":
+			en.Service = words[at+1]
+		case "room":
+			capacity, _ = strconv.ParseInt(words[at+1], 10, 64) // tests write it well
+		case "born":
+			en.Born, _ = strconv.ParseInt(words[at+1], 10, 64)
+		case "draining":
+			en.Draining = true
+		}
+	}
+	en.Capacity = size.New(1000*capacity, 8000, 0)
+	return en
+}
+
 // leader returns the node that plans, or nil.
 func (bd *bed) leader() *node {
 	for _, nd := range bd.nodes {
@@ -171,14 +200,18 @@
 
 func (bd *bed) submit(nd *node, id string, tasks int) {
 	bd.t.Helper()
-	jb := &work.Job{
+	bd.submitJob(nd, &work.Job{
 		ID: id, Spec: id, Queue: bd.accepted,
 		Steps: []work.Step{{Count: tasks, Need: size.New(1000, 1000, 0), Estimate: time.Second}},
-	}
+	})
+}
+
+func (bd *bed) submitJob(nd *node, jb *work.Job) {
+	bd.t.Helper()
 	ctx, cancel := context.WithTimeout(bd.t.Context(), 3*time.Second)
 	defer cancel()
 	if err := nd.intake.Submit(ctx, jb); err != nil {
-		bd.t.Fatalf("submit %s: %v", id, err)
+		bd.t.Fatalf("submit %s: %v", jb.ID, err)
 	}
 }
 
--- a/internal/standin/memworkers/memworkers.go
+++ b/internal/standin/memworkers/memworkers.go
@@ -77,13 +77,32 @@
 	}
 }
 
-// Add adds a worker.
+// Add adds a worker, or begins another life of one that has ended, under the id that it had. It knows
+// nothing of what was before.
 func (fl *Fleet) Add(id string) {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	fl.workers[id] = &worker{id: id, began: fl.clock.Now(), runs: map[work.Task]run{}, barred: map[work.Task]int{}}
 }
 
+// End ends a worker's life with all that it runs. Until it is added again its address answers
+// nobody; calls that are under way then may reach the next life.
+func (fl *Fleet) End(id string) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	wk := fl.workers[id]
+	wk.life = crashed
+	wk.runs = map[work.Task]run{}
+	fl.wakeHolds()
+}
+
+// Born returns when a worker's present life began, in milliseconds since 1970.
+func (fl *Fleet) Born(id string) int64 {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.workers[id].began.UnixMilli()
+}
+
 // SetFault sets what happens to each order from now on.
 func (fl *Fleet) SetFault(fault func(worker, order string) Fault) {
 	fl.mu.Lock()
@@ -134,8 +153,9 @@
 		fl.clock.AfterFunc(LateBy, func() {
 			fl.mu.Lock()
 			defer fl.mu.Unlock()
+			wk := fl.workers[id] // the life that is there by now
 			if wk.gone() != nil {
-				return // its incarnation is over, and with it what was on the way to it
+				return
 			}
 			fl.advance(wk)
 			_ = act(wk) // nobody waits for the answer any more
@@ -240,7 +260,7 @@
 
 func (fl *Fleet) report(wk *worker) agent.Report {
 	const whole = 100
-	report := agent.Report{Clock: fl.now(wk), Ends: slices.Clone(wk.ends)}
+	report := agent.Report{Clock: fl.now(wk), Born: wk.began.UnixMilli(), Ends: slices.Clone(wk.ends)}
 	for name, rn := range wk.runs {
 		percent := int(whole * fl.clock.Since(rn.began) / fl.run)
 		report.Runs = append(report.Runs, cell.Run{Task: name, Number: rn.number, Percent: percent})
