Name workers by a type for one of their lives, everywhere

No change of what is decided: a life is still made of the id alone. The compiler now shows each place that keeps something of a worker: cell (workers, verdicts, tickets, shunned ones, excuses, records), planner (sessions, workers of earlier planners, stops of earlier planners), agent's target, questions.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -9,12 +9,13 @@
 	"github.com/pkg/errors"
 
 	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/life"
 )
 
-// Target is one incarnation of a worker.
+// Target is one life of a worker.
 type Target struct {
 	Address string
-	ID      string
+	Life    life.Life
 }
 
 // Hold renews the lease of what runs on a worker and asks what runs there.
--- a/internal/planner/bed_test.go
+++ b/internal/planner/bed_test.go
@@ -15,6 +15,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/life"
 	"tackbeam.example/policy/size"
 	"tackbeam.example/policy/work"
 
@@ -169,7 +170,7 @@
 
 // decodeEntry reads a worker's entry: words, some of which have another after them.
 func decodeEntry(id, value string) planner.Entry {
-	en := planner.Entry{Worker: cell.Worker{ID: id, Service: "svc"}}
+	en := planner.Entry{Worker: cell.Worker{ID: life.Of(id, 0), Service: "svc"}}
 	capacity := int64(usualRoom)
 	words := strings.Fields(value)
 	for at, word := range words {
--- a/internal/planner/lead.go
+++ b/internal/planner/lead.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/life"
 
 	"tackbeam.example/tackbeam/internal/bootclock"
 	"tackbeam.example/tackbeam/internal/fault"
@@ -84,10 +85,10 @@
 	journaled chan struct{}
 	// committed is closed, and replaced, with each write of records.
 	committed chan struct{}
-	sessions  map[string]*session
+	sessions  map[life.Life]*session
 	// old are the workers of earlier planners that have neither answered nor lapsed;
 	// true where they may hold any task, so that all old tasks wait for them.
-	old      map[string]bool
+	old      map[life.Life]bool
 	records  recorder
 	patience patience
 	losses   losses
@@ -115,7 +116,7 @@
 	const runsAReign = 64
 	ld := &lead{
 		parts: pt, clock: pt.Clock, log: log, reign: reign, began: pt.Clock.Now(),
-		lease: usualLease, sessions: map[string]*session{}, old: map[string]bool{},
+		lease: usualLease, sessions: map[life.Life]*session{}, old: map[life.Life]bool{},
 		wake: wake.New(), journaled: make(chan struct{}), committed: make(chan struct{}),
 		cell: cell.New(cell.Options{
 			Keep:     pt.Site.Bounds.KeepEnded,
--- a/internal/planner/load.go
+++ b/internal/planner/load.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/life"
 
 	"tackbeam.example/tackbeam/internal/joblog"
 	"tackbeam.example/tackbeam/internal/kv"
@@ -94,8 +95,8 @@
 // restore takes in what earlier planners recorded.
 func (ld *lead) restore(now time.Duration, items []kv.Item) {
 	var all []cell.Record
-	workers := map[string]cell.Record{}
-	stops := map[string][]cell.Run{}
+	workers := map[life.Life]cell.Record{}
+	stops := map[life.Life][]cell.Run{}
 	for at, item := range items {
 		recs, err := joblog.Decode[[]cell.Record](item.Value)
 		if err != nil {
@@ -158,7 +159,7 @@
 	return unproven + time.Duration(float64(ld.lease)*(1+drift)) + time.Second
 }
 
-func (ld *lead) lapseOld(now time.Duration, id string) {
+func (ld *lead) lapseOld(now time.Duration, id life.Life) {
 	delete(ld.old, id)
 	ld.cell.Lapsed(now, id)
 	ld.log.Info("Worker of an earlier planner has lapsed.", "worker", id)
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 
+	"tackbeam.example/policy/life"
+
 	"tackbeam.example/tackbeam/internal/agent"
 )
 
 // ask has a worker report at once.
-func (ld *lead) ask(id string) {
+func (ld *lead) ask(id life.Life) {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
 	if se, ok := ld.sessions[id]; ok {
@@ -30,7 +32,7 @@
 func (se *session) look() {
 	ld := se.lead
 	ld.mu.Lock()
-	noted, _ := ld.cell.Noted(se.id)
+	noted, _ := ld.cell.Noted(se.life)
 	hold := agent.Hold{Token: ld.reign.Token, Noted: noted}
 	ld.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ld.ctx, holdSlack)
--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/life"
 
 	"tackbeam.example/tackbeam/internal/agent"
 	"tackbeam.example/tackbeam/internal/fault"
@@ -115,7 +116,7 @@
 func (ld *lead) orderFailed(se *session, err error) {
 	switch {
 	case errors.Is(err, agent.ErrFenced):
-		ld.reign.Depose("worker " + se.id + " follows a later planner")
+		ld.reign.Depose("worker " + string(se.life) + " follows a later planner")
 	case errors.Is(err, agent.ErrOtherLife):
 		ld.after(func(now time.Duration) { se.dead(now) })
 	}
@@ -123,7 +124,7 @@
 
 // send carries an order other than a start to a worker. It reports false where the worker
 // is gone, or the reign over.
-func (ld *lead) send(id string, order func(ctx context.Context, to agent.Target) error) (se *session, sent bool, err error) {
+func (ld *lead) send(id life.Life, order func(ctx context.Context, to agent.Target) error) (se *session, sent bool, err error) {
 	ld.mu.Lock()
 	se, ok := ld.sessions[id]
 	ld.mu.Unlock()
--- a/internal/planner/roster.go
+++ b/internal/planner/roster.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 
+	"tackbeam.example/policy/life"
+
 	"tackbeam.example/tackbeam/internal/kv"
 )
 
@@ -122,5 +124,5 @@
 	ld.log.Info("Worker's entry is gone.", "worker", id)
 }
 
-// workerOf returns the worker's id in a key of the list.
-func (ld *lead) workerOf(key string) string { return key[len(ld.parts.WorkersPrefix):] }
+// workerOf returns the worker of a key of the list.
+func (ld *lead) workerOf(key string) life.Life { return life.Of(key[len(ld.parts.WorkersPrefix):], 0) }
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -6,6 +6,8 @@
 
 	"github.com/pkg/errors"
 
+	"tackbeam.example/policy/life"
+
 	"tackbeam.example/tackbeam/internal/agent"
 	"tackbeam.example/tackbeam/internal/loop"
 )
@@ -35,7 +37,7 @@
 // session is the planner's link to one incarnation of a worker.
 type session struct {
 	lead  *lead
-	id    string
+	life  life.Life
 	entry Entry
 
 	// answered is set once the worker has answered this planner.
@@ -56,14 +58,14 @@
 }
 
 func newSession(ld *lead, en Entry) *session {
-	return &session{lead: ld, id: en.ID, entry: en}
+	return &session{lead: ld, life: en.ID, entry: en}
 }
 
 // target is where the worker is called by its present entry. The caller does not hold the lock.
 func (se *session) target() agent.Target {
 	se.lead.mu.Lock()
 	defer se.lead.mu.Unlock()
-	return agent.Target{Address: se.entry.Address, ID: se.id}
+	return agent.Target{Address: se.entry.Address, Life: se.life}
 }
 
 // extend returns a deadline a lease from now on the worker's clock, at the least.
@@ -135,7 +137,7 @@
 		return agent.Hold{}, 0, false
 	}
 	ld.effort.holds++
-	noted, waits := ld.cell.Noted(se.id)
+	noted, waits := ld.cell.Noted(se.life)
 	hold, slack = agent.Hold{Token: ld.reign.Token, Noted: noted}, holdSlack
 	if se.answered && !se.silent {
 		// A worker that is silent is only asked: a lease that is renewed without an
@@ -144,7 +146,7 @@
 	}
 	if se.answered && !waits && !se.silent {
 		hold.Wait = holdWait
-		if ld.cell.Serves(se.id) {
+		if ld.cell.Serves(se.life) {
 			hold.Wait = serveWait
 		}
 		if ld.losses.many() {
@@ -162,12 +164,12 @@
 	defer ld.mu.Unlock()
 	now := ld.now()
 	if se.silent {
-		ld.log.Info("Worker answers again.", "worker", se.id)
+		ld.log.Info("Worker answers again.", "worker", se.life)
 	}
 	se.silent = false
 	if se.answered && report.Born != se.born {
-		noted, _ := ld.cell.Noted(se.id)
-		ld.log.Info("Worker has begun again under its id.", "worker", se.id, "born", report.Born, "before", se.born,
+		noted, _ := ld.cell.Noted(se.life)
+		ld.log.Info("Worker has begun again under its id.", "worker", se.life, "born", report.Born, "before", se.born,
 			"clock", report.Clock.String(), "clock_before", se.clock.String(), "noted", noted, "ends", len(report.Ends))
 	}
 	se.born = report.Born
@@ -177,10 +179,10 @@
 	first := !se.answered
 	se.answered = true
 	if first {
-		delete(ld.old, se.id)
+		delete(ld.old, se.life)
 	}
-	for _, en := range ld.cell.Report(now, se.id, sent, report.Runs, report.Ends) {
-		ld.log.Info("End.", "task", en.Task.String(), "run", en.Number, "worker", se.id, "result", en.Result, "seq", en.Seq)
+	for _, en := range ld.cell.Report(now, se.life, sent, report.Runs, report.Ends) {
+		ld.log.Info("End.", "task", en.Task.String(), "run", en.Number, "worker", se.life, "result", en.Result, "seq", en.Seq)
 		ld.measures.count("planner.ends." + string(en.Result))
 	}
 	if first {
@@ -193,7 +195,7 @@
 func (se *session) failed(err error) {
 	ld := se.lead
 	if errors.Is(err, agent.ErrFenced) {
-		ld.reign.Depose("worker " + se.id + " follows a later planner")
+		ld.reign.Depose("worker " + string(se.life) + " follows a later planner")
 		return
 	}
 	ld.mu.Lock()
@@ -205,22 +207,22 @@
 		return
 	}
 	if !se.silent {
-		ld.log.Info("Worker does not answer.", "worker", se.id, "reason", err.Error())
+		ld.log.Info("Worker does not answer.", "worker", se.life, "reason", err.Error())
 	}
 	se.silent = true
 	ld.measures.count("planner.holds_failed")
-	ld.cell.Silent(now, se.id)
+	ld.cell.Silent(now, se.life)
 	if !se.lapsed(now) {
 		return
 	}
-	if ld.cell.Holds(se.id) {
-		ld.log.Info("Worker's lease is over.", "worker", se.id, "silent_for", (now - se.heard).String())
+	if ld.cell.Holds(se.life) {
+		ld.log.Info("Worker's lease is over.", "worker", se.life, "silent_for", (now - se.heard).String())
 	}
-	delete(ld.old, se.id)
-	se.lose(func() { ld.cell.Lapsed(now, se.id) })
+	delete(ld.old, se.life)
+	se.lose(func() { ld.cell.Lapsed(now, se.life) })
 	se.answered = false
 	se.heard = now
-	if known, _ := ld.cell.Listed(se.id); !known {
+	if known, _ := ld.cell.Listed(se.life); !known {
 		se.end()
 	}
 	ld.settle(now)
@@ -233,9 +235,9 @@
 	if se.ended {
 		return
 	}
-	ld.log.Info("Worker's incarnation is over.", "worker", se.id)
-	delete(ld.old, se.id)
-	se.lose(func() { ld.cell.Over(now, se.id) })
+	ld.log.Info("Worker's incarnation is over.", "worker", se.life)
+	delete(ld.old, se.life)
+	se.lose(func() { ld.cell.Over(now, se.life) })
 	se.end()
 	ld.settle(now)
 }
@@ -244,7 +246,7 @@
 // lock.
 func (se *session) lose(takeIn func()) {
 	ld := se.lead
-	held := ld.cell.Held(se.id)
+	held := ld.cell.Held(se.life)
 	takeIn()
 	if len(held) == 0 {
 		return
@@ -252,7 +254,7 @@
 	ld.measures.count("planner.workers_lost_with_runs")
 	for _, rn := range held {
 		crashes, blamed := ld.cell.Crashes(rn.Task)
-		ld.log.Info("Run is lost with its worker.", "task", rn.Task.String(), "run", rn.Number, "worker", se.id,
+		ld.log.Info("Run is lost with its worker.", "task", rn.Task.String(), "run", rn.Number, "worker", se.life,
 			"crashes", crashes, "blamed", blamed)
 	}
 }
@@ -260,7 +262,7 @@
 // end ends the session. The caller holds the lock.
 func (se *session) end() {
 	se.ended = true
-	delete(se.lead.sessions, se.id)
+	delete(se.lead.sessions, se.life)
 }
 
 // settle waits for ends to gather, and for the journal to have those reported.
@@ -293,6 +295,6 @@
 	ld := se.lead
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
-	_, waits = ld.cell.Noted(se.id)
+	_, waits = ld.cell.Noted(se.life)
 	return waits, ld.committed
 }
--- a/policy/cell/advice.go
+++ b/policy/cell/advice.go
@@ -4,13 +4,14 @@
 	"slices"
 	"time"
 
+	"tackbeam.example/policy/life"
 	"tackbeam.example/policy/work"
 )
 
 // advice is what the advisor said of the workers for one step.
 type advice struct {
 	// verdicts hold for good: the leave of a worker that may run the step, nil for one that may not.
-	verdicts map[string]*leave
+	verdicts map[life.Life]*leave
 	// good are those that may.
 	good []*leave
 	// until is when the last of the tickets ends.
@@ -25,7 +26,7 @@
 
 // leave is the advisor's word that a worker may run the step.
 type leave struct {
-	id string
+	id life.Life
 	// worker is the one that had the id when it was last looked for.
 	worker *worker
 	// ticket proves the leave to the worker until a time.
@@ -35,12 +36,12 @@
 
 // Ticket is one row of an answer: the worker may run the step.
 type Ticket struct {
-	Worker string
+	Worker life.Life
 	Text   string
 }
 
 func newAdvice() advice {
-	return advice{verdicts: map[string]*leave{}}
+	return advice{verdicts: map[life.Life]*leave{}}
 }
 
 // advised reports whether the step runs only on workers that the advisor allows.
@@ -78,7 +79,7 @@
 }
 
 // lapse takes in that a worker did not take its ticket.
-func (ad *advice) lapse(id string) {
+func (ad *advice) lapse(id life.Life) {
 	if lv := ad.verdicts[id]; lv != nil {
 		lv.until = 0
 	}
--- a/policy/cell/asking.go
+++ b/policy/cell/asking.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"tackbeam.example/policy/life"
 	"tackbeam.example/policy/work"
 )
 
@@ -94,7 +95,7 @@
 // as are worth its time: a verdict holds for good, and the advisor's time goes by questions.
 // Asked only about workers with room, tasks that need whole ones put up to thirteen questions
 // of half a second each (TestScarceAccelerators: 46% of them in time, 61% with it).
-func (cl *Cell) topUp(st *step, names []string) []string {
+func (cl *Cell) topUp(st *step, names []life.Life) []life.Life {
 	least := leastAsked(st)
 	for cand := range st.advice.unasked(cl.wide(st)) {
 		if len(names) >= least {
@@ -148,7 +149,7 @@
 
 // ticketless names the workers of the openings whose tickets end by a time, and reports
 // whether the first ones, as many as the gang has tasks, are among them.
-func (st *step) ticketless(list []opening, need time.Duration) (names []string, lacks bool) {
+func (st *step) ticketless(list []opening, need time.Duration) (names []life.Life, lacks bool) {
 	seen := map[*worker]bool{}
 	for at, op := range list {
 		if !seen[op.worker] && !st.advice.goodUntil(op.worker, need) {
@@ -169,7 +170,7 @@
 	}
 	share := cl.queue(st.round.job.spec.Queue.Name).good
 	holds := total(slices.Collect(cl.holding(st, cl.allowed(st, nil), capacity)))
-	var names []string
+	var names []life.Life
 	if want := gangSpare*len(st.tasks) - holds; want > 0 {
 		names = pick(st.advice.unasked(cl.wide(st)), float64(want), share, leastAsked(st), mostAsked)
 	} else if len(st.claims) > 0 && st.expected-now > longGather {
@@ -192,8 +193,8 @@
 }
 
 // pick names workers until the room expected of the allowed ones suffices, a number at most.
-func pick(cands iter.Seq[candidate], want, share float64, least, most int) []string {
-	var names []string
+func pick(cands iter.Seq[candidate], want, share float64, least, most int) []life.Life {
+	var names []life.Life
 	for cand := range cands {
 		names = append(names, cand.worker.ID)
 		want -= float64(cand.room) * share
@@ -205,7 +206,7 @@
 }
 
 // question asks about workers, in as many questions of one size as it takes.
-func (cl *Cell) question(st *step, names []string) {
+func (cl *Cell) question(st *step, names []life.Life) {
 	if len(names) == 0 {
 		return
 	}
@@ -228,7 +229,7 @@
 }
 
 // put puts one question.
-func (cl *Cell) put(st *step, names []string) {
+func (cl *Cell) put(st *step, names []life.Life) {
 	st.advice.open++
 	st.advice.questions++
 	if !st.urgent() {
--- a/policy/cell/bed_test.go
+++ b/policy/cell/bed_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/life"
 	"tackbeam.example/policy/size"
 	"tackbeam.example/policy/work"
 )
@@ -21,7 +22,7 @@
 	now     time.Duration
 	cell    *cell.Cell
 	reign   int
-	workers map[string]*fakeWorker
+	workers map[life.Life]*fakeWorker
 	jobs    []*work.Job
 	cancels []string
 	records []cell.Record
@@ -76,20 +77,20 @@
 
 func newBed(t *testing.T, seed uint64, workers int) *bed {
 	bd := &bed{
-		t: t, rd: rand.New(rand.NewPCG(seed, 1)), workers: map[string]*fakeWorker{},
+		t: t, rd: rand.New(rand.NewPCG(seed, 1)), workers: map[life.Life]*fakeWorker{},
 		done: map[work.Task]bool{}, failed: map[work.Task]int{}, bad: map[string]bool{}, crashed: map[work.Task]int{},
 	}
 	for n := range workers {
-		bd.addWorker(fmt.Sprintf("w%02d", n))
+		bd.addWorker(life.Life(fmt.Sprintf("w%02d", n)))
 	}
 	bd.elect()
 	bd.carryOut()
 	return bd
 }
 
-func (bd *bed) addWorker(id string) {
+func (bd *bed) addWorker(id life.Life) {
 	bd.workers[id] = &fakeWorker{
-		Worker: cell.Worker{ID: id, Service: "svc", Capacity: size.New(64000, 128000, 0), Rack: "r" + id[len(id)-1:]},
+		Worker: cell.Worker{ID: id, Service: "svc", Capacity: size.New(64000, 128000, 0), Rack: "r" + string(id[len(id)-1:])},
 		runs:   map[work.Task]*fakeRun{}, stopping: map[work.Task]*fakeRun{}, barred: map[work.Task]int{},
 	}
 }
@@ -110,8 +111,8 @@
 		bd.cell.Cancel(bd.now, id)
 	}
 	bd.cell.Restore(bd.now, bd.records)
-	known := map[string]cell.Record{}
-	stops := map[string][]cell.Run{}
+	known := map[life.Life]cell.Record{}
+	stops := map[life.Life][]cell.Run{}
 	for at, rec := range bd.records {
 		switch {
 		case rec.Stop && at > len(bd.records)-100:
@@ -143,13 +144,13 @@
 func (bd *bed) quiet(wk *fakeWorker) bool { return wk.dead || wk.crashed || wk.silent > bd.now }
 
 // silence lets a worker fall silent for a while.
-func (bd *bed) silence(id string, span time.Duration) {
+func (bd *bed) silence(id life.Life, span time.Duration) {
 	bd.workers[id].silent = bd.now + span
 	bd.cell.Silent(bd.now, id)
 }
 
-func (bd *bed) ids() []string {
-	var ids []string
+func (bd *bed) ids() []life.Life {
+	var ids []life.Life
 	for id := range bd.workers {
 		ids = append(ids, id)
 	}
@@ -178,7 +179,7 @@
 }
 
 // report lets a worker report, as a hold does.
-func (bd *bed) report(id string) {
+func (bd *bed) report(id life.Life) {
 	wk := bd.workers[id]
 	wk.token = bd.reign
 	noted, _ := bd.cell.Noted(id)
@@ -251,7 +252,7 @@
 	var rows []cell.Ticket
 	for _, id := range qn.Workers {
 		if int(id[len(id)-1])%2 == 0 {
-			rows = append(rows, cell.Ticket{Worker: id, Text: qn.Step.StepName() + "/" + id})
+			rows = append(rows, cell.Ticket{Worker: id, Text: qn.Step.StepName() + "/" + string(id)})
 		}
 	}
 	bd.cell.Advised(bd.now, qn, rows, 1500*time.Millisecond)
@@ -351,7 +352,7 @@
 	if slices.Contains(bd.cancels, jb.ID) {
 		bd.t.Fatalf("start of %s, whose job is cancelled", sr.Task)
 	}
-	if jb.Queue.Advised && sr.Ticket != sr.Task.StepName()+"/"+wk.ID {
+	if jb.Queue.Advised && sr.Ticket != sr.Task.StepName()+"/"+string(wk.ID) {
 		bd.t.Fatalf("start of %s on %s with ticket %q", sr.Task, wk.ID, sr.Ticket)
 	}
 }
@@ -453,7 +454,7 @@
 const quarters = 4
 
 // resize lets a worker have a number of quarters of its room from now on.
-func (bd *bed) resize(id string, parts int64) {
+func (bd *bed) resize(id life.Life, parts int64) {
 	wk := bd.workers[id]
 	wk.before, wk.resized = wk.Capacity, bd.now
 	wk.Capacity = size.New(64000*parts/quarters, 128000, 0)
@@ -463,7 +464,7 @@
 }
 
 // crash takes a worker away with all that it runs.
-func (bd *bed) crash(id string) {
+func (bd *bed) crash(id life.Life) {
 	wk := bd.workers[id]
 	wk.dead = true
 	wk.runs, wk.stopping = map[work.Task]*fakeRun{}, map[work.Task]*fakeRun{}
@@ -479,7 +480,7 @@
 const mostStarts = 5
 
 // crashForNow has a worker crash and come back as another incarnation.
-func (bd *bed) crashForNow(id string) {
+func (bd *bed) crashForNow(id life.Life) {
 	wk := bd.workers[id]
 	if wk.dead || wk.crashed {
 		return
@@ -490,7 +491,7 @@
 	bd.later = append(bd.later, timed{bd.now + awayFor, func() {
 		wk.dead = true
 		bd.cell.Over(bd.now, id)
-		next := fmt.Sprintf("%s.%d%c", id[:3], len(bd.workers), id[len(id)-1])
+		next := life.Life(fmt.Sprintf("%s.%d%c", id[:3], len(bd.workers), id[len(id)-1]))
 		bd.addWorker(next)
 		bd.workers[next].Rack = wk.Rack
 		bd.cell.PutWorker(bd.now, bd.workers[next].Worker)
--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"tackbeam.example/policy/forecast"
+	"tackbeam.example/policy/life"
 )
 
 // Options of a cell.
@@ -43,7 +44,7 @@
 	busy    time.Duration
 	asked   int
 	jobs    map[string]*job
-	workers map[string]*worker
+	workers map[life.Life]*worker
 	// open are the steps with tasks that wait.
 	open    map[*step]bool
 	shelves map[string]*shelf
@@ -67,7 +68,7 @@
 	// silences are when workers fell silent of late, excuses what was laid to the tasks of each
 	// worker that has lapsed.
 	silences []time.Duration
-	excuses  map[string]excuse
+	excuses  map[life.Life]excuse
 }
 
 // queue is what the cell learned of a route's jobs.
@@ -82,10 +83,10 @@
 // started wait.
 func New(opts Options) *Cell {
 	return &Cell{
-		opts: opts, jobs: map[string]*job{}, workers: map[string]*worker{},
+		opts: opts, jobs: map[string]*job{}, workers: map[life.Life]*worker{},
 		window: window{limit: opts.FirstWindow},
 		open:   map[*step]bool{}, shelves: map[string]*shelf{}, queues: map[string]*queue{}, cancels: map[string]time.Duration{},
-		services: map[string]bool{}, excuses: map[string]excuse{},
+		services: map[string]bool{}, excuses: map[life.Life]excuse{},
 	}
 }
 
--- a/policy/cell/crash.go
+++ b/policy/cell/crash.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"tackbeam.example/policy/life"
 	"tackbeam.example/policy/work"
 )
 
@@ -110,7 +111,7 @@
 }
 
 // keepExcuse remembers what was laid to a run, should its worker answer again.
-func (cl *Cell) keepExcuse(now time.Duration, id string, run Run) {
+func (cl *Cell) keepExcuse(now time.Duration, id life.Life, run Run) {
 	cl.excuses[id] = excuse{now, append(cl.excuses[id].runs, run)}
 }
 
@@ -159,7 +160,7 @@
 
 // excuse takes the loss of a worker off the tasks that ran on it: it answers again, so that it was
 // cut off and did not crash.
-func (cl *Cell) excuse(id string) {
+func (cl *Cell) excuse(id life.Life) {
 	for _, rn := range cl.excuses[id].runs {
 		if tk := cl.find(rn.Task); tk != nil {
 			cl.clear(tk, rn.Number)
--- a/policy/cell/crash_test.go
+++ b/policy/cell/crash_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/life"
 	"tackbeam.example/policy/size"
 	"tackbeam.example/policy/work"
 )
@@ -123,11 +124,11 @@
 	// journal is what a next planner reads.
 	journal []cell.Record
 	// lost are the workers that answer no more.
-	lost map[string]bool
+	lost map[life.Life]bool
 }
 
 func newWard(t *testing.T, step work.Step) *ward {
-	wd := &ward{I: is.New(t), t: t, cell: crowd(40), step: step, lost: map[string]bool{}}
+	wd := &ward{I: is.New(t), t: t, cell: crowd(40), step: step, lost: map[life.Life]bool{}}
 	wd.cell.Take()
 	submit(wd.cell, "j", step, work.Queue{Name: "q", Service: "svc", Attempts: 3, Priority: 1, Stretch: 9})
 	return wd
@@ -144,7 +145,7 @@
 func (wd *ward) start() (cell.Start, bool) {
 	wd.now += time.Second
 	for n := range 40 {
-		if id := fmt.Sprintf("w%03d", n); !wd.lost[id] {
+		if id := life.Life(fmt.Sprintf("w%03d", n)); !wd.lost[id] {
 			wd.cell.Report(wd.now, id, wd.now, nil, nil)
 		}
 	}
@@ -194,7 +195,7 @@
 		"falls silent with two others": {once, func(wd *ward, sr cell.Start) {
 			wd.now += time.Second
 			for n := range 3 {
-				wd.cell.Silent(wd.now, fmt.Sprintf("w%03d", 39-n))
+				wd.cell.Silent(wd.now, life.Life(fmt.Sprintf("w%03d", 39-n)))
 			}
 			over(wd, sr)
 		}, 4},
--- a/policy/cell/lasting_test.go
+++ b/policy/cell/lasting_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/life"
 	"tackbeam.example/policy/size"
 	"tackbeam.example/policy/work"
 )
@@ -61,10 +62,10 @@
 	cl := crowd(workers)
 	quick := work.Queue{Name: "q", Service: "svc", Attempts: 3, Priority: 1, Stretch: 2, Target: time.Second}
 	submit(cl, "odd", odd, qu)
-	seen := map[string]int{}
+	seen := map[life.Life]int{}
 	for now := time.Duration(0); now < span; now += step {
 		for n := range workers {
-			cl.Report(now, fmt.Sprintf("w%03d", n), now, nil, nil)
+			cl.Report(now, life.Life(fmt.Sprintf("w%03d", n)), now, nil, nil)
 		}
 		cl.Add(now, &work.Job{ID: now.String(), Spec: "s", Queue: quick, Steps: []work.Step{{Count: 1, Need: odd.Need, Estimate: step}}}, false)
 		cl.Committed(cl.Recorded())
--- a/policy/cell/messages.go
+++ b/policy/cell/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"tackbeam.example/policy/life"
 	"tackbeam.example/policy/size"
 	"tackbeam.example/policy/work"
 )
@@ -24,7 +25,7 @@
 
 // Worker is what a worker says of itself.
 type Worker struct {
-	ID       string
+	ID       life.Life
 	Service  string
 	Capacity size.Size
 	// Rack is its rack's label, Labels are all of its labels.
@@ -88,7 +89,7 @@
 
 // Start is an order to start a run on a worker.
 type Start struct {
-	Worker     string
+	Worker     life.Life
 	Task       work.Task
 	Run        int
 	Spec       string
@@ -102,7 +103,7 @@
 
 // Stop is an order to end a run on a worker, and to keep it from starting later.
 type Stop struct {
-	Worker string
+	Worker life.Life
 	Task   work.Task
 	Run    int
 	// Reason is for the log.
@@ -116,7 +117,7 @@
 // Question asks the advisor which workers may run a step.
 type Question struct {
 	Step    work.Task
-	Workers []string
+	Workers []life.Life
 	// Takes is how long the advisor is expected to need.
 	Takes time.Duration
 	// Urgent questions go before others.
@@ -133,10 +134,10 @@
 	Run    int        `cbor:"5,keyasint,omitempty"`
 	// Worker is one that may hold any run from now on; with Closed it gets no more
 	// runs and holds at most Held, with Gone it holds none.
-	Worker string `cbor:"6,keyasint,omitempty"`
-	Gone   bool   `cbor:"7,keyasint,omitempty"`
-	Closed bool   `cbor:"8,keyasint,omitempty"`
-	Held   []Run  `cbor:"9,keyasint,omitempty"`
+	Worker life.Life `cbor:"6,keyasint,omitempty"`
+	Gone   bool      `cbor:"7,keyasint,omitempty"`
+	Closed bool      `cbor:"8,keyasint,omitempty"`
+	Held   []Run     `cbor:"9,keyasint,omitempty"`
 	// Stop says instead that the worker is told to stop the runs in Held.
 	Stop bool `cbor:"10,keyasint,omitempty"`
 	// Excused says of a run that crashed that something else explains it, Left of a worker that
@@ -144,7 +145,7 @@
 	Excused bool `cbor:"11,keyasint,omitempty"`
 	Left    bool `cbor:"12,keyasint,omitempty"`
 	// On is the worker that was lost with a run that crashed.
-	On string `cbor:"13,keyasint,omitempty"`
+	On life.Life `cbor:"13,keyasint,omitempty"`
 }
 
 // Output is what a cell wants done.
@@ -153,7 +154,7 @@
 	Stops  []Stop
 	Paces  []Pace
 	// Asks are workers whose next report is wanted at once.
-	Asks      []string
+	Asks      []life.Life
 	Questions []Question
 	Records   []Record
 }
--- a/policy/cell/placement.go
+++ b/policy/cell/placement.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"tackbeam.example/policy/life"
 	"tackbeam.example/policy/size"
 	"tackbeam.example/policy/work"
 )
@@ -133,7 +134,7 @@
 	}
 }
 
-func (cl *Cell) placement(id string, task work.Task, run int) *placement {
+func (cl *Cell) placement(id life.Life, task work.Task, run int) *placement {
 	wk, ok := cl.workers[id]
 	if !ok {
 		return nil
--- a/policy/cell/plan_bench_test.go
+++ b/policy/cell/plan_bench_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/life"
 	"tackbeam.example/policy/size"
 	"tackbeam.example/policy/work"
 )
@@ -25,7 +26,7 @@
 		for _, sr := range cl.Take().Starts {
 			cl.Started(now, sr)
 			runs[sr.Task.String()] = cell.Run{Task: sr.Task, Number: sr.Run}
-			order = append(order, sr.Worker+"/"+sr.Task.String())
+			order = append(order, string(sr.Worker)+"/"+sr.Task.String())
 		}
 	}
 	submit(cl, "full", work.Step{Count: workers * 2, Need: size.New(16000, 100, 0), Estimate: time.Minute}, queue)
@@ -38,7 +39,7 @@
 			name := order[(n*changed+at*97)%len(order)]
 			worker, task, _ := strings.Cut(name, "/")
 			seqs[worker]++
-			cl.Report(now, worker, 0, nil, []cell.End{{Seq: seqs[worker], Run: runs[task], Result: cell.ResultStopped}})
+			cl.Report(now, life.Life(worker), 0, nil, []cell.End{{Seq: seqs[worker], Run: runs[task], Result: cell.ResultStopped}})
 		}
 		b.StartTimer()
 		plan()
@@ -81,7 +82,7 @@
 				now += gap
 				for n := range workers { // or they count as silent
 					if now%time.Second < gap {
-						cl.Report(now, fmt.Sprintf("w%03d", n), 0, nil, nil)
+						cl.Report(now, life.Life(fmt.Sprintf("w%03d", n)), 0, nil, nil)
 					}
 				}
 				cl.Plan(now)
@@ -111,7 +112,7 @@
 			cl := crowd(350)
 			submit(cl, "full", work.Step{Count: 350 * 8, Need: size.New(8000, 100, 0), Estimate: time.Hour}, work.Queue{Name: "f", Service: "svc", Attempts: 3})
 			cl.Plan(0)
-			by := map[string][]cell.Run{}
+			by := map[life.Life][]cell.Run{}
 			for _, sr := range cl.Take().Starts {
 				cl.Started(0, sr)
 				by[sr.Worker] = append(by[sr.Worker], cell.Run{Task: sr.Task, Number: sr.Run, Percent: 5})
@@ -173,7 +174,7 @@
 				submit(cl, "full", work.Step{Count: 350 * 8, Need: size.New(8000, 100, 0), Estimate: time.Hour}, work.Queue{Name: "f", Service: "svc", Attempts: 3})
 				cl.Plan(0)
 				starts := cl.Take().Starts
-				by := map[string][]cell.Run{}
+				by := map[life.Life][]cell.Run{}
 				for _, sr := range starts {
 					cl.Started(0, sr)
 					by[sr.Worker] = append(by[sr.Worker], cell.Run{Task: sr.Task, Number: sr.Run, Percent: 5})
--- a/policy/cell/recovery_test.go
+++ b/policy/cell/recovery_test.go
@@ -11,6 +11,7 @@
 
 	"tackbeam.example/policy/cell"
 	"tackbeam.example/policy/door"
+	"tackbeam.example/policy/life"
 	"tackbeam.example/policy/work"
 )
 
@@ -110,7 +111,7 @@
 }
 
 // hold has a worker report once a second.
-func (ld *loadedDay) hold(id string) {
+func (ld *loadedDay) hold(id life.Life) {
 	ld.turn(reportCost, func() { ld.report(id, nil) })
 	ld.after(time.Second, func() { ld.hold(id) })
 }
--- a/policy/cell/report.go
+++ b/policy/cell/report.go
@@ -3,11 +3,13 @@
 import (
 	"slices"
 	"time"
+
+	"tackbeam.example/policy/life"
 )
 
 // Report takes in what a worker said of its runs and their ends, in an answer to a
 // call that was sent at a time. It returns the ends that were not reported before.
-func (cl *Cell) Report(now time.Duration, id string, sent time.Duration, runs []Run, ends []End) (fresh []End) {
+func (cl *Cell) Report(now time.Duration, id life.Life, sent time.Duration, runs []Run, ends []End) (fresh []End) {
 	wk, ok := cl.workers[id]
 	if !ok {
 		return nil
@@ -190,7 +192,7 @@
 // shun keeps the task off a worker where others have room.
 func (tk *task) shun(wk *worker) {
 	if tk.avoid == nil {
-		tk.avoid = map[string]bool{}
+		tk.avoid = map[life.Life]bool{}
 	}
 	tk.avoid[wk.ID] = true
 }
--- a/policy/cell/room_test.go
+++ b/policy/cell/room_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/life"
 	"tackbeam.example/policy/size"
 	"tackbeam.example/policy/work"
 )
@@ -17,23 +18,23 @@
 	cl        *cell.Cell
 	now       time.Duration
 	runs      map[work.Task]*flowRun
-	seq       map[string]int
+	seq       map[life.Life]int
 	len       func(work.Task) time.Duration
-	ids       []string
+	ids       []life.Life
 	begun     map[string]time.Duration
-	startOn   map[work.Task]string
+	startOn   map[work.Task]life.Life
 	questions func(cell.Question)
 }
 type flowRun struct {
-	worker      string
+	worker      life.Life
 	num         int
 	begun, over time.Duration
 }
 
 func newFlow(workers int, length func(work.Task) time.Duration) *flow {
-	fl := &flow{cl: crowd(workers), runs: map[work.Task]*flowRun{}, seq: map[string]int{}, len: length, begun: map[string]time.Duration{}, startOn: map[work.Task]string{}}
+	fl := &flow{cl: crowd(workers), runs: map[work.Task]*flowRun{}, seq: map[life.Life]int{}, len: length, begun: map[string]time.Duration{}, startOn: map[work.Task]life.Life{}}
 	for n := range workers {
-		fl.ids = append(fl.ids, fmt.Sprintf("w%03d", n))
+		fl.ids = append(fl.ids, life.Life(fmt.Sprintf("w%03d", n)))
 	}
 	return fl
 }
@@ -133,7 +134,7 @@
 		t.Run(fmt.Sprint("gang ", gang), func(t *testing.T) {
 			is := is.New(t)
 			fl := newFlow(6, nil)
-			for _, id := range []string{"w002", "w003", "w004", "w005"} {
+			for _, id := range []life.Life{"w002", "w003", "w004", "w005"} {
 				fl.cl.PutWorker(0, cell.Worker{ID: id, Service: "svc", Labels: []string{"s"}, Capacity: size.New(64000, 128000, 0)})
 			}
 			fl.len = func(tk work.Task) time.Duration {
--- a/policy/cell/round.go
+++ b/policy/cell/round.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"tackbeam.example/policy/life"
 	"tackbeam.example/policy/work"
 )
 
@@ -68,7 +69,7 @@
 	tries      tries
 	checkpoint string
 	// avoid are the workers on which it failed or stood still.
-	avoid map[string]bool
+	avoid map[life.Life]bool
 }
 
 func (tk *task) name() work.Task {
--- a/policy/cell/sharing.go
+++ b/policy/cell/sharing.go
@@ -3,12 +3,13 @@
 import (
 	"time"
 
+	"tackbeam.example/policy/life"
 	"tackbeam.example/policy/work"
 )
 
 // Pace is an order to let a run work at a percentage of its speed.
 type Pace struct {
-	Worker  string
+	Worker  life.Life
 	Task    work.Task
 	Run     int
 	Percent int
@@ -79,7 +80,7 @@
 }
 
 // Serves reports whether a worker has tasks whose latency must be watched.
-func (cl *Cell) Serves(id string) bool {
+func (cl *Cell) Serves(id life.Life) bool {
 	wk, ok := cl.workers[id]
 	if !ok {
 		return false
--- a/policy/cell/sharing_test.go
+++ b/policy/cell/sharing_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/life"
 	"tackbeam.example/policy/size"
 	"tackbeam.example/policy/work"
 )
@@ -146,7 +147,7 @@
 	cl.Add(0, batch("a", 1), true)
 	task := work.Task{Job: "a"}
 	cl.InheritStops(0, "w1", []cell.Run{{Task: task, Number: 1}})
-	for _, id := range []string{"w1", "w2", "w3"} {
+	for _, id := range []life.Life{"w1", "w2", "w3"} {
 		cl.PutWorker(0, cell.Worker{ID: id, Service: "svc", Capacity: size.New(64000, 128000, 0)})
 	}
 	cl.Report(1, "w2", 1, []cell.Run{{Task: task, Number: 2, Percent: 9}}, nil)
@@ -166,7 +167,7 @@
 	cl := cell.New(cell.Options{Keep: time.Minute, FirstRun: 129, StopTime: time.Second})
 	cl.Add(0, batch("a", 1), true)
 	task := work.Task{Job: "a"}
-	for _, id := range []string{"w1", "w2", "w3"} {
+	for _, id := range []life.Life{"w1", "w2", "w3"} {
 		cl.PutWorker(0, cell.Worker{ID: id, Service: "svc", Capacity: size.New(64000, 128000, 0)})
 	}
 	cl.Report(1, "w2", 1, []cell.Run{{Task: task, Number: 65, Percent: 9}}, nil)
--- a/policy/cell/worker.go
+++ b/policy/cell/worker.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"tackbeam.example/policy/life"
 	"tackbeam.example/policy/size"
 )
 
@@ -91,7 +92,7 @@
 }
 
 // Silent takes in that a worker does not answer.
-func (cl *Cell) Silent(now time.Duration, id string) {
+func (cl *Cell) Silent(now time.Duration, id life.Life) {
 	if wk, ok := cl.workers[id]; ok {
 		cl.fellSilent(now, wk)
 		cl.shutWorker(wk)
@@ -100,7 +101,7 @@
 
 // InheritStops takes in that an earlier planner may have told a worker to stop runs
 // just before this one was elected.
-func (cl *Cell) InheritStops(now time.Duration, id string, runs []Run) {
+func (cl *Cell) InheritStops(now time.Duration, id life.Life, runs []Run) {
 	cl.Inherit(now, id, nil)
 	wk := cl.workers[id]
 	for _, rn := range runs {
@@ -114,14 +115,14 @@
 }
 
 // InheritLeft takes in that a worker was leaving in order.
-func (cl *Cell) InheritLeft(now time.Duration, id string) {
+func (cl *Cell) InheritLeft(now time.Duration, id life.Life) {
 	cl.Inherit(now, id, nil)
 	cl.workers[id].left = true
 }
 
 // Inherit takes in that a worker holds at most some runs, as an earlier planner has
 // recorded, until it answers or lapses.
-func (cl *Cell) Inherit(now time.Duration, id string, held []Run) {
+func (cl *Cell) Inherit(now time.Duration, id life.Life, held []Run) {
 	wk, known := cl.workers[id]
 	if !known {
 		cl.PutWorker(now, Worker{ID: id})
@@ -140,7 +141,7 @@
 
 // Unlist takes in that a worker's entry is gone. What it runs is kept until it has
 // lapsed.
-func (cl *Cell) Unlist(id string) {
+func (cl *Cell) Unlist(id life.Life) {
 	if wk, ok := cl.workers[id]; ok {
 		wk.left = wk.left || wk.listed && wk.answered && !wk.silent
 		cl.unlist(wk)
@@ -154,7 +155,7 @@
 }
 
 // Over takes in that a worker's incarnation is over: another one answers in its place.
-func (cl *Cell) Over(now time.Duration, id string) {
+func (cl *Cell) Over(now time.Duration, id life.Life) {
 	if wk, ok := cl.workers[id]; ok {
 		cl.fellSilent(now, wk)
 		cl.unlist(wk)
@@ -164,7 +165,7 @@
 
 // Lapsed takes in that nothing can run on a worker any more: its lease is over, or
 // it is gone. It may answer again later.
-func (cl *Cell) Lapsed(now time.Duration, id string) {
+func (cl *Cell) Lapsed(now time.Duration, id life.Life) {
 	wk, ok := cl.workers[id]
 	if !ok {
 		return
@@ -185,7 +186,7 @@
 
 // Noted returns the number of the last end of a worker that the journal proves, and
 // whether later ones wait for that.
-func (cl *Cell) Noted(id string) (number int, waits bool) {
+func (cl *Cell) Noted(id life.Life) (number int, waits bool) {
 	wk, ok := cl.workers[id]
 	if !ok {
 		return 0, false
@@ -198,13 +199,13 @@
 }
 
 // Holds reports whether a worker may have runs of the cell.
-func (cl *Cell) Holds(id string) bool {
+func (cl *Cell) Holds(id life.Life) bool {
 	wk, ok := cl.workers[id]
 	return ok && (len(wk.places) > 0 || !wk.answered)
 }
 
 // Held returns the runs that a worker may have, in no order.
-func (cl *Cell) Held(id string) []Run {
+func (cl *Cell) Held(id life.Life) []Run {
 	wk, ok := cl.workers[id]
 	if !ok {
 		return nil
@@ -224,7 +225,7 @@
 func (cl *Cell) Serving(service string) bool { return cl.services[service] }
 
 // Listed reports whether a worker is known and in the list.
-func (cl *Cell) Listed(id string) (known, listed bool) {
+func (cl *Cell) Listed(id life.Life) (known, listed bool) {
 	wk, ok := cl.workers[id]
 	return ok, ok && wk.listed
 }
