Tests of orders to an earlier life that reach the next one, which fail

A start that was not answered is carried out 3 s later in its worker's next life, after the task has ended on another worker; and a report asked of a silent worker tells the next life, which was never heard of, to forget an end that nobody has read.

--- a/internal/planner/lives_test.go
+++ b/internal/planner/lives_test.go
@@ -9,6 +9,8 @@
 	"tackbeam.example/policy/cell"
 	"tackbeam.example/policy/size"
 	"tackbeam.example/policy/work"
+
+	"tackbeam.example/tackbeam/internal/standin/memworkers"
 )
 
 // TestWorkersBeginAgain has workers crash and begin again under their ids. Callers saw tasks run a
@@ -72,3 +74,78 @@
 		bd.submit(bd.leader(), fmt.Sprint(name, n), 2)
 	}
 }
+
+// TestLateStartInNextLife has a start go unanswered, its worker crash and begin again under its id, and
+// the start be carried out there seconds later, when the task has run elsewhere.
+func TestLateStartInNextLife(t *testing.T) {
+	for name, tt := range map[string]struct {
+		// quiet is for how long the next life answers nobody after its first answer.
+		quiet time.Duration
+	}{
+		"next life answers":                   {0},
+		"next life answers once, then nobody": {4 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				bd := newBed(t, time.Second, "w1")
+				defer bd.end()
+				bd.addNode("n1")
+				time.Sleep(time.Second)
+				bd.fleet.SetFault(func(_, order string) memworkers.Fault {
+					if order == "start" {
+						return memworkers.Late
+					}
+					return memworkers.None
+				})
+				bd.submit(bd.leader(), "a", 1)
+				time.Sleep(50 * time.Millisecond) // the start is on its way
+				bd.beginAgain(200*time.Millisecond, "w1")
+				bd.addWorker("w2")
+				time.Sleep(200 * time.Millisecond)
+				answers := 0
+				var since time.Time
+				bd.fleet.SetFault(func(worker, order string) memworkers.Fault {
+					if worker != "w1" || order != "hold" || tt.quiet == 0 {
+						return memworkers.None
+					}
+					if answers++; answers == 1 {
+						since = bd.clock.Now()
+						return memworkers.None
+					}
+					if bd.clock.Since(since) < tt.quiet {
+						return memworkers.Silent
+					}
+					return memworkers.None
+				})
+				bd.await("a", cell.Succeeded, 8*time.Second)
+				time.Sleep(memworkers.LateBy)
+			})
+		})
+	}
+}
+
+// TestEndsOfNextLifeAreRead has a late start be carried out in its worker's next life, and end there,
+// before the planner has heard of that life: the end is taken in, not forgotten unread.
+func TestEndsOfNextLifeAreRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bd := newBed(t, 5*time.Millisecond, "w1")
+		defer bd.end()
+		bd.addNode("n1")
+		time.Sleep(time.Second)
+		bd.submitMany(4, "before")
+		time.Sleep(time.Second)
+		bd.fleet.SetFault(func(_, order string) memworkers.Fault {
+			if order == "start" {
+				return memworkers.Late
+			}
+			return memworkers.None
+		})
+		bd.submit(bd.leader(), "a", 1)
+		time.Sleep(30 * time.Millisecond) // the start is on its way
+		bd.fleet.End("w1")
+		bd.fleet.SetFault(func(_, order string) memworkers.Fault { return memworkers.None })
+		bd.clock.AfterFunc(memworkers.LateBy-35*time.Millisecond, func() { bd.fleet.Add("w1") })
+		bd.clock.AfterFunc(memworkers.LateBy, func() { bd.list("w1") })
+		bd.await("a", cell.Succeeded, 10*time.Second)
+	})
+}
