Bar in a worker's next life what was ordered of the earlier one

Callers saw (in a test; no user has reported it) a task start after its end had been noted: a start that had no answer was carried out in its worker's next life, seconds later, when the task had run elsewhere. Orders name the worker by its id, which both lives have, and what the earlier life was told never to start is not barred in the next.

Each session with a worker now has a higher fencing token than the session before (the reign's number, then 16 bits that count), so that the next life's first report bars all that was ordered before. Why this holds: what is carried out before the report stands in it, as running or as ended; what comes after it has a lower token, and does nothing. A planner that an own later token turns away is not deposed.

Left: an order that comes after the lease of the earlier life is over, in a life that has begun since and has not been heard of, is carried out (ms to 0.3 s).

--- a/internal/planner/lead.go
+++ b/internal/planner/lead.go
@@ -88,6 +88,8 @@
 	sessions  map[life.Life]*session
 	// present are the sessions of the lives that are there by now, by the workers' ids.
 	present map[string]*session
+	// fences counts the sessions with each worker, by its id.
+	fences map[string]uint64
 	// old are the workers of earlier planners that have neither answered nor lapsed;
 	// true where they may hold any task, so that all old tasks wait for them.
 	old map[life.Life]bool
@@ -120,7 +122,7 @@
 	const runsAReign = 64
 	ld := &lead{
 		parts: pt, clock: pt.Clock, log: log, reign: reign, began: pt.Clock.Now(),
-		lease: usualLease, sessions: map[life.Life]*session{}, present: map[string]*session{},
+		lease: usualLease, sessions: map[life.Life]*session{}, present: map[string]*session{}, fences: map[string]uint64{},
 		old: map[life.Life]bool{}, earlier: map[string][]life.Life{},
 		wake: wake.New(), journaled: make(chan struct{}), committed: make(chan struct{}),
 		cell: cell.New(cell.Options{
--- a/internal/planner/lives.go
+++ b/internal/planner/lives.go
@@ -68,7 +68,7 @@
 		en = *se.other
 	}
 	en.ID, se.other = next, nil
-	se.dead(now)
+	se.over(now, func() { ld.cell.Follow(now, se.life, next) })
 	if listed {
 		ld.begin(en)
 		return
--- a/internal/planner/look.go
+++ b/internal/planner/look.go
@@ -33,7 +33,7 @@
 	ld := se.lead
 	ld.mu.Lock()
 	noted, _ := ld.cell.Noted(se.life)
-	hold := agent.Hold{Token: ld.reign.Token, Noted: noted}
+	hold := agent.Hold{Token: se.token, Noted: noted}
 	ld.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ld.ctx, holdSlack)
 	defer cancel()
--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -31,7 +31,7 @@
 
 // start carries out one start.
 func (ld *lead) start(sr cell.Start) {
-	se, token, deadline, ok := ld.prepare(sr)
+	se, deadline, ok := ld.prepare(sr)
 	if !ok || !ld.mayStart() {
 		ld.after(func(now time.Duration) {
 			ld.effort.end(now-sr.Decided, cell.RefusedLate)
@@ -47,7 +47,7 @@
 		call, cancel := context.WithTimeout(context.WithoutCancel(ld.ctx), wait)
 		defer cancel()
 		began := ld.clock.Now()
-		refusal, err := ld.parts.Agents.Start(call, se.target(), token, deadline, sr)
+		refusal, err := ld.parts.Agents.Start(call, se.target(), se.token, deadline, sr)
 		ld.patience.note(ld.clock.Since(began))
 		ld.losses.note(!errors.Is(err, agent.ErrLost))
 		return refusal, err
@@ -56,14 +56,17 @@
 	ld.measures.start(took, refusal, err)
 	ld.after(func(now time.Duration) {
 		ld.effort.end(now-sr.Decided, refusal)
+		if tries > 1 {
+			ld.cell.Strayed(sr)
+		}
 		switch {
 		case err == nil && refusal == "":
 			ld.cell.Started(now, sr)
 		case err == nil:
 			ld.cell.Refused(now, sr, refusal)
-		case tries == 1 && errors.Is(err, agent.ErrOtherLife):
-			// Another incarnation has answered the only try: the run never was there, and what
-			// ended the worker is not to be laid to it.
+		case tries == 1 && (errors.Is(err, agent.ErrOtherLife) || errors.Is(err, agent.ErrFenced)):
+			// Another life has answered the only try: the run never was there, and what ended
+			// the worker is not to be laid to it.
 			ld.cell.Refused(now, sr, cell.RefusedLate)
 		default:
 			ld.cell.StartLost(now, sr)
@@ -92,16 +95,16 @@
 	return ld.cell.Stands(sr)
 }
 
-// prepare returns what a start needs: its worker's session, the fencing token and the deadline
-// that the worker's lease has.
-func (ld *lead) prepare(sr cell.Start) (*session, uint64, time.Duration, bool) {
+// prepare returns what a start needs: its worker's session, and the deadline that the worker's lease
+// has.
+func (ld *lead) prepare(sr cell.Start) (*session, time.Duration, bool) {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
 	se, ok := ld.sessions[sr.Worker]
 	if !ok || !se.answered || !ld.cell.Stands(sr) {
-		return nil, 0, 0, false
+		return nil, 0, false
 	}
-	return se, ld.reign.Token, se.extend(ld.now()), true
+	return se, se.extend(ld.now()), true
 }
 
 // after takes the outcome of an order in, and plans again.
@@ -114,17 +117,14 @@
 
 // orderFailed draws the consequences of an order's error beyond the order itself.
 func (ld *lead) orderFailed(se *session, err error) {
-	switch {
-	case errors.Is(err, agent.ErrFenced):
-		ld.reign.Depose("worker " + string(se.life) + " follows a later planner")
-	case errors.Is(err, agent.ErrOtherLife):
+	if !se.fenced(err) && errors.Is(err, agent.ErrOtherLife) {
 		ld.after(func(now time.Duration) { se.dead(now) })
 	}
 }
 
 // send carries an order other than a start to a worker. It reports false where the worker
 // is gone, or the reign over.
-func (ld *lead) send(id life.Life, order func(ctx context.Context, to agent.Target) error) (se *session, sent bool, err error) {
+func (ld *lead) send(id life.Life, order func(ctx context.Context, to agent.Target, token uint64) error) (se *session, sent bool, err error) {
 	ld.mu.Lock()
 	se, ok := ld.sessions[id]
 	ld.mu.Unlock()
@@ -133,13 +133,13 @@
 	}
 	call, cancel := context.WithTimeout(context.WithoutCancel(ld.ctx), stopTimeout)
 	defer cancel()
-	return se, true, order(call, se.target())
+	return se, true, order(call, se.target(), se.token)
 }
 
 // stop carries out one stop, and has it ordered again while it is not confirmed.
 func (ld *lead) stop(sp cell.Stop) {
-	se, sent, err := ld.send(sp.Worker, func(ctx context.Context, to agent.Target) error {
-		return ld.parts.Agents.Stop(ctx, to, ld.reign.Token, sp)
+	se, sent, err := ld.send(sp.Worker, func(ctx context.Context, to agent.Target, token uint64) error {
+		return ld.parts.Agents.Stop(ctx, to, token, sp)
 	})
 	if !sent {
 		return
@@ -169,8 +169,8 @@
 
 // setPace carries out one change of a run's pace.
 func (ld *lead) setPace(pc cell.Pace) {
-	se, sent, err := ld.send(pc.Worker, func(ctx context.Context, to agent.Target) error {
-		return ld.parts.Agents.Pace(ctx, to, ld.reign.Token, pc)
+	se, sent, err := ld.send(pc.Worker, func(ctx context.Context, to agent.Target, token uint64) error {
+		return ld.parts.Agents.Pace(ctx, to, token, pc)
 	})
 	if !sent {
 		return
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -39,6 +39,8 @@
 	lead  *lead
 	life  life.Life
 	entry Entry
+	// token is that of all orders of the session.
+	token uint64
 	// born is when the life began, 0 while nobody has said so.
 	born int64
 	// other is an entry of another life, nil where there is none.
@@ -60,7 +62,7 @@
 }
 
 func newSession(ld *lead, en Entry) *session {
-	return &session{lead: ld, life: en.ID, born: en.ID.Born(), entry: en}
+	return &session{lead: ld, life: en.ID, born: en.ID.Born(), entry: en, token: ld.fence(en.ID.ID())}
 }
 
 // target is where the worker is called by its present entry. The caller does not hold the lock.
@@ -140,7 +142,7 @@
 	}
 	ld.effort.holds++
 	noted, waits := ld.cell.Noted(se.life)
-	hold, slack = agent.Hold{Token: ld.reign.Token, Noted: noted}, holdSlack
+	hold, slack = agent.Hold{Token: se.token, Noted: noted}, holdSlack
 	if se.answered && !se.silent {
 		// A worker that is silent is only asked: a lease that is renewed without an
 		// answer would never surely be over.
@@ -193,8 +195,7 @@
 // failed draws the consequences of a hold's error.
 func (se *session) failed(err error) {
 	ld := se.lead
-	if errors.Is(err, agent.ErrFenced) {
-		ld.reign.Depose("worker " + string(se.life) + " follows a later planner")
+	if se.fenced(err) {
 		return
 	}
 	ld.mu.Lock()
@@ -232,15 +233,21 @@
 	ld.kick()
 }
 
-// dead notes that the life is over. The caller holds the lock.
+// dead notes that the life is over, and nobody knows of another one of the worker. The caller holds
+// the lock.
 func (se *session) dead(now time.Duration) {
+	se.over(now, func() { se.lead.cell.Over(now, se.life) })
+}
+
+// over ends the session, as the life is over. The caller holds the lock.
+func (se *session) over(now time.Duration, takeIn func()) {
 	ld := se.lead
 	if se.ended {
 		return
 	}
 	ld.log.Info("Worker's life is over.", "worker", se.life)
 	delete(ld.old, se.life)
-	se.lose(func() { ld.cell.Over(now, se.life) })
+	se.lose(takeIn)
 	se.end()
 	se.followed()
 	ld.settle(now)
--- a/policy/cell/worker.go
+++ b/policy/cell/worker.go
@@ -178,12 +178,17 @@
 	}
 	cl.giveUp(now, over)
 	if !wk.listed {
-		cl.record(Record{Worker: id, Gone: true})
-		delete(cl.workers, id)
-		wk.forgotten = true
+		cl.forget(wk)
 	}
 }
 
+// forget forgets a worker that holds nothing.
+func (cl *Cell) forget(wk *worker) {
+	cl.record(Record{Worker: wk.ID, Gone: true})
+	delete(cl.workers, wk.ID)
+	wk.forgotten = true
+}
+
 // Noted returns the number of the last end of a worker that the journal proves, and
 // whether later ones wait for that.
 func (cl *Cell) Noted(id life.Life) (number int, waits bool) {
