Take a run for one of the earlier life only where that has listed it

Callers saw (in a drawn test) a task run twice at a time: its start was answered, by the worker's next life, of which nobody had heard; the planner took it to be lost with the earlier life, and began it elsewhere. What proved it: the start has its answer 49 ms after the next life began, and that life's first report ends it, after run 2 had begun on another worker.

An answer to a start does not say which life gave it. Why this holds: a run is on the life that lists it; before either has, its room and its task are taken.

The stand-in of workers ends connections with the life, and does not count what nobody could bar: an order of an earlier life that is carried out before any session of its own has called this one.

--- a/internal/planner/lives_test.go
+++ b/internal/planner/lives_test.go
@@ -1,7 +1,12 @@
 package planner_test
 
 import (
+	"cmp"
 	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -157,3 +162,120 @@
 		bd.await("a", cell.Succeeded, 10*time.Second)
 	})
 }
+
+// TestOldTasksWaitForNextLife has a planner start a task in a life of a worker that it has not heard of,
+// and die. The next planner's first answer from the worker is of that life, while its entry and the records
+// are of the one before. The task ran twice at a time: with the earlier life the planner took its place in the
+// list of workers that may hold old tasks away, and began the task elsewhere before it had read the
+// next life's first report. What proved it: "Whereabouts of all tasks are known" stood before any report.
+func TestOldTasksWaitForNextLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bd := newBed(t, 3*time.Second, "w1")
+		defer bd.end()
+		first, second := bd.addTwo()
+		time.Sleep(time.Second)
+		bd.fleet.SetFault(func(worker, order string) memworkers.Fault {
+			if worker == "w1" && order == "hold" {
+				return memworkers.Silent
+			}
+			return memworkers.None
+		})
+		time.Sleep(1010 * time.Millisecond) // the hold that waits is answered, the next one is swallowed
+		bd.fleet.End("w1")
+		bd.fleet.Add("w1")
+		bd.submit(second, "a", 1)
+		time.Sleep(100 * time.Millisecond)
+		bd.cutOff("n1")
+		first.cancel()
+		bd.addWorker("w2")
+		answers := 0
+		bd.fleet.SetFault(func(worker, order string) memworkers.Fault {
+			if worker != "w1" || order != "hold" {
+				return memworkers.None
+			}
+			if answers++; answers == 2 {
+				return memworkers.Silent
+			}
+			return memworkers.None
+		})
+		bd.await("a", cell.Succeeded, 12*time.Second)
+	})
+}
+
+// TestLives draws from a seed how workers end and begin again under their ids (alone, a few, all; at
+// once, after a beat, after their lease), with orders that are lost, swallowed or late, a store that is
+// silent and planners that change meanwhile. No task runs twice, and every job ends well.
+//
+//	TACKBEAM_LIVES_SEEDS=200 go test ./internal/planner -run TestLives
+func TestLives(t *testing.T) {
+	seeds, err := strconv.ParseUint(cmp.Or(os.Getenv("TACKBEAM_LIVES_SEEDS"), "12"), 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playLives(t, rand.New(rand.NewPCG(seed, 1))) })
+		})
+	}
+}
+
+// playLives plays one seed of TestLives.
+func playLives(t *testing.T, rnd *rand.Rand) {
+	const workers, jobs = 6, 60
+	need := size.New(1000, 1000, 0)
+	var ids []string
+	for n := range workers {
+		ids = append(ids, fmt.Sprint("w", n))
+	}
+	bd := newBed(t, time.Duration(50+rnd.IntN(900))*time.Millisecond, ids...)
+	defer bd.end()
+	bd.addTwo()
+	time.Sleep(time.Second)
+	odds := rnd.Float64() / 4
+	var mu sync.Mutex
+	bd.fleet.SetFault(func(string, string) memworkers.Fault {
+		mu.Lock()
+		defer mu.Unlock()
+		if rnd.Float64() >= odds {
+			return memworkers.None
+		}
+		return []memworkers.Fault{memworkers.Silent, memworkers.Lost, memworkers.Late}[rnd.IntN(3)]
+	})
+	draw := func(most int) int {
+		mu.Lock()
+		defer mu.Unlock()
+		return rnd.IntN(most)
+	}
+	for n := range jobs {
+		steps := []work.Step{{Count: 1 + draw(3), Need: need, Estimate: time.Second, Gang: draw(4) == 0}}
+		if draw(3) == 0 {
+			steps = append(steps, work.Step{Count: 1 + draw(3), Need: need, Estimate: time.Second, After: []int{0}})
+		}
+		id := fmt.Sprint("j", n)
+		bd.submitJob(bd.nodes["n2"], &work.Job{ID: id, Spec: id, Queue: bd.accepted, Steps: steps})
+		time.Sleep(time.Duration(draw(150)) * time.Millisecond)
+		if draw(12) == 0 {
+			away := []time.Duration{0, 100 * time.Millisecond, time.Second, 7 * time.Second}[draw(4)]
+			first := draw(workers)
+			bd.beginAgain(away, ids[first:min(first+1+draw(workers), workers)]...)
+		}
+		if nd := bd.leader(); nd != nil && draw(12) == 0 {
+			nd.reign.Yield("the test says so")
+		}
+	}
+	bd.fleet.SetFault(func(string, string) memworkers.Fault { return memworkers.None })
+	time.Sleep(40 * time.Second)
+	for n := range jobs {
+		id := fmt.Sprint("j", n)
+		phase, err := bd.leader().planner.State(id)
+		switch {
+		case phase == cell.Succeeded:
+		case phase == cell.Failed && bd.fleet.Losses(id) >= mostLosses:
+		default:
+			t.Errorf("job %s is %q, %v, and %d lives ended under it", id, phase, err, bd.fleet.Losses(id))
+		}
+	}
+}
+
+// mostLosses is how many lives may end under a job before it may fail.
+const mostLosses = 3
--- a/policy/cell/follow.go
+++ b/policy/cell/follow.go
@@ -8,8 +8,9 @@
 )
 
 // A worker may begin again under its id. A start of its earlier life that was not answered may then be
-// carried out in the next one: what names the worker in an order is its id, and what was barred in the
-// earlier life is not in the next. So such a run is kept until a report of the next life, asked for with
+// carried out in the next one, and one that was answered may have been: what names the worker in an order
+// is its id, and what was barred in the earlier life is not in the next. So a run that the earlier life has not
+// reported is kept until a report of the next life, asked for with
 // a token that bars what was ordered before, lists it or does not.
 
 // strayMost is how long such a run is kept where the next life answers nobody: as long as an order may be
@@ -22,7 +23,8 @@
 	until  time.Duration
 }
 
-// Follow takes in that another life of a worker has begun, which ends the earlier one.
+// Follow takes in that another life of a worker has begun, which ends the earlier one. The other one is not
+// listed by that.
 func (cl *Cell) Follow(now time.Duration, earlier, next life.Life) {
 	wk, ok := cl.workers[earlier]
 	if !ok {
@@ -46,14 +48,21 @@
 		return
 	}
 	cl.ghosts[next.ID()] = append(cl.ghosts[next.ID()], ghost{wk, now + strayMost})
+	cl.mayHold(now, next)
 }
 
-// mayStray reports whether the start of a run may be carried out yet, in this life or the next: a try of
-// it has no answer.
-func (pl *placement) mayStray() bool {
-	return pl.open || pl.strays || pl.state == ordered || pl.state == unsure || pl.state == stopping && pl.since == 0
+// mayHold records that a life may hold any run before it is listed: another planner would not wait for what
+// it says of the earlier life's runs.
+func (cl *Cell) mayHold(now time.Duration, id life.Life) {
+	cl.Inherit(now, id, nil)
+	cl.record(Record{Worker: id})
+	cl.workers[id].proof = cl.recorded
 }
 
+// mayStray reports whether a run may be in the worker's next life, or begin there yet: its start, which
+// either life may have answered, was in no report of this one, or a try of it has no answer.
+func (pl *placement) mayStray() bool { return !pl.reported || pl.strays }
+
 // settleGhosts takes in what a life's first report says of runs of earlier lives.
 func (cl *Cell) settleGhosts(id life.Life, runs []Run, ends []End) {
 	ghosts := cl.ghosts[id.ID()]
--- a/policy/cell/placement.go
+++ b/policy/cell/placement.go
@@ -41,8 +41,9 @@
 	// resumed is set for a run that goes on from a checkpoint, midway for one that another planner
 	// started: what it had done when it was first seen says nothing of its speed.
 	resumed, midway bool
-	// open is set while the start has no outcome, strays where a try of it had no answer.
-	open, strays bool
+	// reported is set once the worker has listed the run, strays where a try of its start had no
+	// answer.
+	reported, strays bool
 	// load is the worker's figure of the task's load, pace the percentage of its speed
 	// that it was last ordered to work at.
 	load, pace int
@@ -154,11 +155,7 @@
 func (cl *Cell) Started(now time.Duration, sr Start) {
 	cl.answered(now, sr)
 	pl := cl.placement(sr.Worker, sr.Task, sr.Run)
-	if pl == nil {
-		return
-	}
-	pl.open = false
-	if pl.state != ordered {
+	if pl == nil || pl.state != ordered {
 		return
 	}
 	pl.state = running
@@ -211,11 +208,7 @@
 func (cl *Cell) StartLost(now time.Duration, sr Start) {
 	cl.window.add(sr.Urgent, -1)
 	pl := cl.placement(sr.Worker, sr.Task, sr.Run)
-	if pl == nil {
-		return
-	}
-	pl.open = false
-	if pl.state != ordered {
+	if pl == nil || pl.state != ordered {
 		return
 	}
 	pl.state, pl.lost = unsure, now
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -248,7 +248,7 @@
 // start places a task and orders its start.
 func (cl *Cell) start(now time.Duration, tk *task, wk *worker, run int) {
 	run = max(run, cl.opts.FirstRun)
-	cl.place(now, tk, wk, run).open = true
+	cl.place(now, tk, wk, run)
 	if wk.shelf != nil {
 		wk.shelf.sink(wk)
 	}
--- a/policy/cell/progress.go
+++ b/policy/cell/progress.go
@@ -7,6 +7,7 @@
 
 // progress takes in what a report says of a run that it lists.
 func (cl *Cell) progress(now time.Duration, pl *placement, rn Run) {
+	pl.reported = true
 	switch {
 	case pl.state == ordered || pl.state == unsure:
 		pl.state, pl.since = running, now
