Have old tasks wait for the next life of the worker that may hold them

Callers saw (in a drawn test) a task run twice at a time after planners had changed: the records named the earlier life as one that may hold any task, the worker's first answer was of the next life, and with the earlier one its place among those to wait for was gone, before the next life's first report was read. The next life takes that place now, and leaves it with its report. Why this holds: the place is given up by an answer of the life that holds it, or after the time in which no lease can last.

--- a/internal/planner/lives.go
+++ b/internal/planner/lives.go
@@ -93,6 +93,7 @@
 		en = *se.other
 	}
 	en.ID, se.other = next, nil
+	ld.passOn(se.life, next)
 	se.over(now, func() { ld.cell.Follow(now, se.life, next) })
 	if listed {
 		ld.begin(en)
@@ -102,6 +103,14 @@
 	ld.hold(en)
 }
 
+// passOn has old tasks wait for the next life where they waited for the earlier one: a start that the
+// earlier planner had an answer to may have been carried out in either.
+func (ld *lead) passOn(earlier, next life.Life) {
+	if open, old := ld.old[earlier]; old {
+		ld.old[next] = open
+	}
+}
+
 // followed begins a session with the life whose entry is in the list by now, if there is one.
 func (se *session) followed() {
 	if se.other != nil {
--- a/internal/planner/roster.go
+++ b/internal/planner/roster.go
@@ -117,6 +117,7 @@
 		se.await(en)
 	default: // nobody has answered as the life of the entry before
 		ld.cell.Unlist(se.life)
+		ld.passOn(se.life, en.ID)
 		se.dead(ld.now())
 		ld.begin(en)
 	}
