Test the bound on crashing tasks with workers that begin again under their ids

A worker that answers again takes its loss off the tasks that ran on it; by ids the next life did so, and a task that crashes its worker, back at once, after 1 s or 3 s, had no bound.

--- a/policy/cell/bed_test.go
+++ b/policy/cell/bed_test.go
@@ -39,6 +39,9 @@
 	// bad are the jobs whose tasks crash each worker that starts them, crashed counts that.
 	bad     map[string]bool
 	crashed map[work.Task]int
+	// away is how long workers that crash are away; again is set where they begin again under their ids.
+	away  time.Duration
+	again bool
 	// later are things that happen at a time.
 	later []timed
 }
@@ -78,7 +81,7 @@
 func newBed(t *testing.T, seed uint64, workers int) *bed {
 	bd := &bed{
 		t: t, rd: rand.New(rand.NewPCG(seed, 1)), workers: map[life.Life]*fakeWorker{},
-		done: map[work.Task]bool{}, failed: map[work.Task]int{}, bad: map[string]bool{}, crashed: map[work.Task]int{},
+		done: map[work.Task]bool{}, failed: map[work.Task]int{}, bad: map[string]bool{}, crashed: map[work.Task]int{}, away: awayFor,
 	}
 	for n := range workers {
 		bd.addWorker(life.Life(fmt.Sprintf("w%02d", n)))
@@ -251,7 +254,7 @@
 func (bd *bed) answer(qn cell.Question) {
 	var rows []cell.Ticket
 	for _, id := range qn.Workers {
-		if int(id[len(id)-1])%2 == 0 {
+		if name := id.ID(); int(name[len(name)-1])%2 == 0 {
 			rows = append(rows, cell.Ticket{Worker: id, Text: qn.Step.StepName() + "/" + string(id)})
 		}
 	}
@@ -473,13 +476,13 @@
 	bd.cell.Lapsed(bd.now, id)
 }
 
-// awayFor is how long a worker that crashed is away before another incarnation is in its place.
+// awayFor is how long a worker that crashed is usually away before another one is in its place.
 const awayFor = 3 * time.Second
 
 // mostStarts is how often a task may be started that crashes each worker that starts it.
 const mostStarts = 5
 
-// crashForNow has a worker crash and come back as another incarnation.
+// crashForNow has a worker crash, and another one begin in its place, or the same one again under its id.
 func (bd *bed) crashForNow(id life.Life) {
 	wk := bd.workers[id]
 	if wk.dead || wk.crashed {
@@ -487,11 +490,18 @@
 	}
 	wk.crashed = true
 	wk.runs, wk.stopping = map[work.Task]*fakeRun{}, map[work.Task]*fakeRun{}
-	bd.cell.Silent(bd.now, id)
-	bd.later = append(bd.later, timed{bd.now + awayFor, func() {
+	if !bd.again || bd.away > 0 {
+		bd.cell.Silent(bd.now, id) // nobody notices one that is back at once
+	}
+	bd.later = append(bd.later, timed{bd.now + bd.away, func() {
 		wk.dead = true
-		bd.cell.Over(bd.now, id)
 		next := life.Life(fmt.Sprintf("%s.%d%c", id[:3], len(bd.workers), id[len(id)-1]))
+		if bd.again {
+			next = life.Of(id.ID(), id.Born()+1)
+			bd.cell.Follow(bd.now, id, next)
+		} else {
+			bd.cell.Over(bd.now, id)
+		}
 		bd.addWorker(next)
 		bd.workers[next].Rack = wk.Rack
 		bd.cell.PutWorker(bd.now, bd.workers[next].Worker)
--- a/policy/cell/crash_test.go
+++ b/policy/cell/crash_test.go
@@ -27,22 +27,32 @@
 		longer time.Duration
 		// floods come so fast that two of three workers are away: only the bound holds then.
 		flood bool
+		// again has workers begin again under their ids, after back.
+		again bool
+		back  time.Duration
 	}{
-		"now and then":            {every: 12},
-		"often":                   {every: 5},
-		"beside waves of crashes": {every: 12, wave: 10},
-		"waves only":              {every: 1000, wave: 8},
-		"long runs, waves":        {every: 1000, wave: 20, longer: 6 * time.Second},
-		"planners change":         {every: 8, elect: 6},
-		"orders unanswered":       {every: 12, faults: 0.03},
-		"all of it":               {every: 10, wave: 12, elect: 9, faults: 0.03},
-		"flood":                   {every: 5, wave: 12, elect: 9, faults: 0.03, flood: true},
+		"now and then":                     {every: 12},
+		"often":                            {every: 5},
+		"beside waves of crashes":          {every: 12, wave: 10},
+		"waves only":                       {every: 1000, wave: 8},
+		"long runs, waves":                 {every: 1000, wave: 20, longer: 6 * time.Second},
+		"planners change":                  {every: 8, elect: 6},
+		"orders unanswered":                {every: 12, faults: 0.03},
+		"all of it":                        {every: 10, wave: 12, elect: 9, faults: 0.03},
+		"flood":                            {every: 5, wave: 12, elect: 9, faults: 0.03, flood: true},
+		"under their ids, at once":         {every: 12, again: true},
+		"under their ids, 1 s":             {every: 12, again: true, back: time.Second},
+		"under their ids, 3 s":             {every: 12, wave: 10, again: true, back: awayFor},
+		"under their ids, planners change": {every: 8, elect: 6, again: true},
 	}
 	for name, tt := range tests {
 		for seed := range uint64(8) {
 			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
 				bd := newBed(t, seed, 40)
 				bd.faults, bd.longer = tt.faults, tt.longer
+				if tt.again {
+					bd.again, bd.away = true, tt.back
+				}
 				const jobs, calm = 90, 4
 				passes := calm
 				if tt.flood {
