--- a/internal/standin/memworkers/crash.go
+++ b/internal/standin/memworkers/crash.go
@@ -65,7 +65,7 @@
 	case wk == nil:
 		return nil
 	case wk.life == crashed:
-		return errCut
+		return ErrCut
 	case wk.life == replaced:
 		return agent.ErrOtherLife
 	}
--- a/internal/standin/memworkers/memworkers.go
+++ b/internal/standin/memworkers/memworkers.go
@@ -35,6 +35,9 @@
 // LateBy is how late a late order is carried out.
 const LateBy = 3 * time.Second
 
+// ErrCut means that a call met a connection that had ended with an earlier life of its worker.
+var ErrCut = errors.Wrap(agent.ErrLost, "the worker's connections ended")
+
 // Fleet is a number of workers.
 type Fleet struct {
 	clock clockwork.Clock
@@ -245,7 +248,7 @@
 	broken, earlier := wk.cut[token]
 	if broken && !wk.late {
 		wk.cut[token] = false
-		return errCut
+		return ErrCut
 	}
 	wk.callers[token] = true
 	wk.met = wk.met || !earlier && !wk.late
@@ -356,14 +359,12 @@
 		}
 		return nil
 	})
-	if errors.Is(err, errCut) {
+	if errors.Is(err, ErrCut) {
 		fl.lose(sr)
 	}
 	return refusal, err
 }
 
-// errCut means that a life had ended before a call to it arrived.
-var errCut = errors.Wrap(agent.ErrLost, "the worker's connections ended")
 
 func (fl *Fleet) lose(sr cell.Start) {
 	fl.mu.Lock()
