Believe the worker, not its entry, about which life is there; tests of what comes out of order

An entry of a later life by another writer ends nothing; one of an earlier life, or without a time, is passed over or taken by the id; a life that answers before its entry is in the list gets its tasks once it is listed. 'ghost' is named predecessor.

--- a/internal/planner/lives_test.go
+++ b/internal/planner/lives_test.go
@@ -163,6 +163,56 @@
 	})
 }
 
+// TestEntryOfAnotherLife has entries in the list that name another life of a worker than the one that
+// answers. Only the worker itself says which life is there: what it runs goes on, and it gets more.
+func TestEntryOfAnotherLife(t *testing.T) {
+	for name, born := range map[string]string{
+		"later, by another writer": "9999999999999", "earlier": "5", "time not known": "0",
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				bd := newBed(t, 2*time.Second, "w1")
+				defer bd.end()
+				bd.addNode("n1")
+				time.Sleep(time.Second)
+				bd.submit(bd.leader(), "a", 4)
+				time.Sleep(500 * time.Millisecond)
+				bd.store.Set(workersPrefix+"w1", []byte("born "+born))
+				time.Sleep(500 * time.Millisecond)
+				bd.submit(bd.leader(), "b", 4)
+				bd.await("a", cell.Succeeded, 2*time.Second)
+				bd.await("b", cell.Succeeded, 3*time.Second)
+				if starts := len(bd.fleet.Starts()); starts != 8 {
+					t.Errorf("%d starts of 8 tasks", starts)
+				}
+			})
+		})
+	}
+}
+
+// TestLifeBeforeItsEntry has the worker's next life answer before its entry is in the list, and the entry
+// of the earlier life go meanwhile: it gets tasks once it is listed, and none before.
+func TestLifeBeforeItsEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bd := newBed(t, 300*time.Millisecond, "w1")
+		defer bd.end()
+		bd.addNode("n1")
+		time.Sleep(time.Second)
+		bd.fleet.End("w1")
+		bd.fleet.Add("w1")
+		time.Sleep(time.Second)
+		bd.submit(bd.leader(), "a", 1)
+		time.Sleep(500 * time.Millisecond)
+		bd.store.Remove(workersPrefix + "w1")
+		time.Sleep(500 * time.Millisecond)
+		if starts := len(bd.fleet.Starts()); starts > 0 {
+			t.Errorf("%d starts on a worker that is not listed", starts)
+		}
+		bd.list("w1")
+		bd.await("a", cell.Succeeded, 2*time.Second)
+	})
+}
+
 // TestOldTasksWaitForNextLife has a planner start a task in a life of a worker that it has not heard of,
 // and die. The next planner's first answer from the worker is of that life, while its entry and the records
 // are of the one before. The task ran twice at a time: with the earlier life the planner took its place in the
--- a/internal/standin/memworkers/memworkers.go
+++ b/internal/standin/memworkers/memworkers.go
@@ -365,7 +365,6 @@
 	return refusal, err
 }
 
-
 func (fl *Fleet) lose(sr cell.Start) {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -69,8 +69,8 @@
 	// worker that has lapsed.
 	silences []time.Duration
 	excuses  map[life.Life]excuse
-	// ghosts are earlier lives of workers, by their ids.
-	ghosts map[string][]ghost
+	// predecessors are earlier lives of workers, by their ids.
+	predecessors map[string][]predecessor
 }
 
 // queue is what the cell learned of a route's jobs.
@@ -88,7 +88,7 @@
 		opts: opts, jobs: map[string]*job{}, workers: map[life.Life]*worker{},
 		window: window{limit: opts.FirstWindow},
 		open:   map[*step]bool{}, shelves: map[string]*shelf{}, queues: map[string]*queue{}, cancels: map[string]time.Duration{},
-		services: map[string]bool{}, excuses: map[life.Life]excuse{}, ghosts: map[string][]ghost{},
+		services: map[string]bool{}, excuses: map[life.Life]excuse{}, predecessors: map[string][]predecessor{},
 	}
 }
 
--- a/policy/cell/follow.go
+++ b/policy/cell/follow.go
@@ -17,8 +17,8 @@
 // under way, and run then.
 const strayMost = 15 * time.Second
 
-// ghost is an earlier life of a worker, with the runs that may yet begin in the next one.
-type ghost struct {
+// predecessor is an earlier life of a worker, with the runs that may yet begin in the next one.
+type predecessor struct {
 	worker *worker
 	until  time.Duration
 }
@@ -47,7 +47,7 @@
 		cl.forget(wk)
 		return
 	}
-	cl.ghosts[next.ID()] = append(cl.ghosts[next.ID()], ghost{wk, now + strayMost})
+	cl.predecessors[next.ID()] = append(cl.predecessors[next.ID()], predecessor{wk, now + strayMost})
 	cl.mayHold(now, next)
 }
 
@@ -63,13 +63,13 @@
 // either life may have answered, was in no report of this one, or a try of it has no answer.
 func (pl *placement) mayStray() bool { return !pl.reported || pl.strays }
 
-// settleGhosts takes in what a life's first report says of runs of earlier lives.
-func (cl *Cell) settleGhosts(id life.Life, runs []Run, ends []End) {
-	ghosts := cl.ghosts[id.ID()]
-	if len(ghosts) == 0 {
+// settlePredecessors takes in what a life's first report says of runs of earlier lives.
+func (cl *Cell) settlePredecessors(id life.Life, runs []Run, ends []End) {
+	predecessors := cl.predecessors[id.ID()]
+	if len(predecessors) == 0 {
 		return
 	}
-	delete(cl.ghosts, id.ID())
+	delete(cl.predecessors, id.ID())
 	began := make(map[key]bool, len(runs)+len(ends))
 	for _, rn := range runs {
 		began[key{rn.Task, rn.Number}] = true
@@ -77,14 +77,14 @@
 	for _, en := range ends {
 		began[key{en.Task, en.Number}] = true
 	}
-	for _, gh := range ghosts {
-		cl.settleGhost(gh.worker, began)
+	for _, pr := range predecessors {
+		cl.settlePredecessor(pr.worker, began)
 	}
 }
 
-// settleGhost gives back the room of an earlier life's runs. Those that began in the next life were not
+// settlePredecessor gives back the room of an earlier life's runs. Those that began in the next life were not
 // what ended the earlier one.
-func (cl *Cell) settleGhost(wk *worker, began map[key]bool) {
+func (cl *Cell) settlePredecessor(wk *worker, began map[key]bool) {
 	for at, pl := range wk.places {
 		cl.release(pl)
 		if began[at] {
@@ -96,18 +96,18 @@
 	cl.forget(wk)
 }
 
-// dropGhosts gives up on runs of earlier lives whose next life has not answered for long.
-func (cl *Cell) dropGhosts(now time.Duration) {
-	for id, ghosts := range cl.ghosts {
-		left := slices.DeleteFunc(ghosts, func(gh ghost) bool {
-			if now < gh.until {
+// dropPredecessors gives up on runs of earlier lives whose next life has not answered for long.
+func (cl *Cell) dropPredecessors(now time.Duration) {
+	for id, predecessors := range cl.predecessors {
+		left := slices.DeleteFunc(predecessors, func(pr predecessor) bool {
+			if now < pr.until {
 				return false
 			}
-			cl.settleGhost(gh.worker, nil)
+			cl.settlePredecessor(pr.worker, nil)
 			return true
 		})
-		if cl.ghosts[id] = left; len(left) == 0 {
-			delete(cl.ghosts, id)
+		if cl.predecessors[id] = left; len(left) == 0 {
+			delete(cl.predecessors, id)
 		}
 	}
 }
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -14,7 +14,7 @@
 	cl.openDue(now, wall)
 	cl.unhang(now)
 	cl.evacuate(now)
-	cl.dropGhosts(now)
+	cl.dropPredecessors(now)
 	cl.prune(now)
 }
 
--- a/policy/cell/report.go
+++ b/policy/cell/report.go
@@ -16,7 +16,7 @@
 	}
 	if !wk.answered {
 		wk.answered, wk.first = true, now
-		cl.settleGhosts(id, runs, ends)
+		cl.settlePredecessors(id, runs, ends)
 	}
 	if wk.proof == 0 && wk.listed && !wk.Draining {
 		cl.record(Record{Worker: id})
