--- a/internal/planner/crashes_test.go
+++ b/internal/planner/crashes_test.go
@@ -38,8 +38,16 @@
 	backAfter = 2 * time.Second
 )
 
-// crashOn has each worker crash that starts a task of a job, and come back under another id.
-func (bd *bed) crashOn(jobs ...string) {
+// ids says under which ids workers come back after a crash.
+type ids bool
+
+const (
+	newIDs ids = false
+	ownIDs ids = true
+)
+
+// crashOn has each worker crash that starts a task of a job, and come back.
+func (bd *bed) crashOn(back ids, jobs ...string) {
 	lives := 0
 	bad := func(sr cell.Start) bool {
 		for _, id := range jobs {
@@ -50,6 +58,11 @@
 		return false
 	}
 	bd.fleet.SetCrash(bad, backAfter, func(id string) {
+		if back == ownIDs {
+			bd.fleet.Add(id)
+			bd.list(id)
+			return
+		}
 		lives++
 		bd.store.Remove(workersPrefix + id)
 		bd.addWorker(fmt.Sprintf("%s.%d", id, lives))
@@ -80,50 +93,47 @@
 // TestCrashingTaskIsGivenUp has a task crash each worker that starts it. Its job fails after a few
 // crashes; work beside it, which loses its workers as often as chance has it, does not.
 func TestCrashingTaskIsGivenUp(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		bd := newBed(t, 700*time.Millisecond, "w1", "w2", "w3", "w4", "w5", "w6")
-		defer bd.end()
-		nd := bd.addNode("n1")
-		bd.crashOn("bad")
-		bd.submit(nd, "bad", 1)
-		for n := range 30 {
-			bd.submit(nd, fmt.Sprintf("good%d", n), 5)
-			time.Sleep(time.Second)
-		}
-		bd.checkBound("bad")
-		bd.await("bad", cell.Failed, time.Second)
-		for n := range 30 {
-			bd.await(fmt.Sprintf("good%d", n), cell.Succeeded, 10*time.Second)
-		}
-	})
+	for name, back := range map[string]ids{"workers come back under new ids": newIDs, "under their own": ownIDs} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				bd := newBed(t, 700*time.Millisecond, "w1", "w2", "w3", "w4", "w5", "w6")
+				defer bd.end()
+				nd := bd.addNode("n1")
+				bd.crashOn(back, "bad")
+				bd.submit(nd, "bad", 1)
+				for n := range 30 {
+					bd.submit(nd, fmt.Sprintf("good%d", n), 5)
+					time.Sleep(time.Second)
+				}
+				bd.checkBound("bad")
+				bd.await("bad", cell.Failed, time.Second)
+				for n := range 30 {
+					bd.await(fmt.Sprintf("good%d", n), cell.Succeeded, 10*time.Second)
+				}
+			})
+		})
+	}
 }
 
 // TestCrashesOutlivePlanners has the planner die after each crash, before and after it can know of
 // it. The bound holds over all of them.
 func TestCrashesOutlivePlanners(t *testing.T) {
-	for name, diesAfter := range map[string]time.Duration{
-		"before the worker is back": 300 * time.Millisecond,
-		"after it is back":          backAfter + 700*time.Millisecond,
+	const soon, late = 300 * time.Millisecond, backAfter + 700*time.Millisecond
+	for name, tt := range map[string]struct {
+		diesAfter time.Duration
+		back      ids
+	}{
+		"before the worker is back":           {soon, newIDs},
+		"after it is back":                    {late, newIDs},
+		"before it is back, under its own id": {soon, ownIDs},
+		"after it is back, under its own id":  {late, ownIDs},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				bd := newBed(t, 700*time.Millisecond, "w1", "w2", "w3", "w4", "w5", "w6")
 				defer bd.end()
-				nd := bd.addNode("n0")
-				bd.crashOn("bad")
-				bd.submit(nd, "bad", 1)
-				crashes := 0
-				for next := 1; next < 12; next++ {
-					for waited := 0; waited < longestWait && bd.startsOf("bad")[work.Task{Job: "bad"}] == crashes; waited++ {
-						time.Sleep(10 * time.Millisecond)
-					}
-					crashes = bd.startsOf("bad")[work.Task{Job: "bad"}]
-					time.Sleep(diesAfter)
-					follower := bd.addNode(fmt.Sprintf("n%d", next))
-					nd.cancel()
-					bd.cutOff(fmt.Sprintf("n%d", next-1))
-					nd = follower
-				}
+				bd.crashOn(tt.back, "bad")
+				bd.dieAtCrashes(tt.diesAfter)
 				bd.checkBound("bad")
 				bd.await("bad", cell.Failed, 10*time.Second)
 			})
@@ -131,6 +141,26 @@
 	}
 }
 
+// dieAtCrashes has planner after planner start a task that crashes its worker, and die a while after.
+func (bd *bed) dieAtCrashes(after time.Duration) {
+	const planners = 12
+	nd := bd.addNode("n0")
+	bd.submit(nd, "bad", 1)
+	crashes := 0
+	starts := func() int { return bd.startsOf("bad")[work.Task{Job: "bad"}] }
+	for next := 1; next < planners; next++ {
+		for waited := 0; waited < longestWait && starts() == crashes; waited++ {
+			time.Sleep(10 * time.Millisecond)
+		}
+		crashes = starts()
+		time.Sleep(after)
+		follower := bd.addNode(fmt.Sprintf("n%d", next))
+		nd.cancel()
+		bd.cutOff(fmt.Sprintf("n%d", next-1))
+		nd = follower
+	}
+}
+
 // TestStopsToCrashedWorker has a worker crash whose runs are being stopped. The stops are not sent
 // again and again while nobody listens at its address.
 func TestStopsToCrashedWorker(t *testing.T) {
@@ -139,7 +169,7 @@
 		bd := newBed(t, 20*time.Second, "w1")
 		defer bd.end()
 		nd := bd.addNode("n1")
-		bd.crashOn()
+		bd.crashOn(newIDs)
 		bd.submit(nd, "a", runs)
 		time.Sleep(time.Second)
 		bd.fleet.Crash("w1")
