Take the planner's place that all nodes leave to each other

Callers saw (in a test) jobs wait for 8 s without a planner: a node that gave its place up as too slow leaves it to others for 10 s, and where each of them had done so nobody was a candidate until the first was again. TestAllYield fails before (nobody in 3 s); TestYield, by which a node does not take its place back at once, stays as it is.

--- a/internal/planner/takeover_test.go
+++ b/internal/planner/takeover_test.go
@@ -190,6 +190,26 @@
 	})
 }
 
+// TestAllYield has each node give the planner's place up within a few seconds, as slow ones do. Jobs waited for
+// 8 s: each left the place to the others, until the first had done so for long enough. What proved it: no
+// line "This node plans" between, in logs of the drawn tests of workers that begin again. A slow planner is
+// better than none: one takes the place that nobody else has taken.
+func TestAllYield(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bd := newBed(t, time.Second, "w1")
+		defer bd.end()
+		first, second := bd.addTwo()
+		time.Sleep(time.Second)
+		first.reign.Yield("test")
+		time.Sleep(time.Second)
+		second.reign.Yield("test")
+		time.Sleep(3 * time.Second)
+		if !first.term.Leading() && !second.term.Leading() {
+			t.Error("nobody plans 3 s after the last of two nodes gave the planner's place up")
+		}
+	})
+}
+
 // TestAgesAreJournaled has a planner end while two jobs wait for room. The next one serves
 // the older one first, as the first would have: it knows when they were accepted.
 func TestAgesAreJournaled(t *testing.T) {
--- a/internal/term/election.go
+++ b/internal/term/election.go
@@ -215,10 +215,15 @@
 // caller holds the lock.
 func (tm *Term) spent() bool { return tm.latest != nil && tm.latest.token == tm.leaderAt }
 
+// vacantMost is for how long a node leaves the planner's place to others that do not take it: where all
+// of them abstain, nobody would plan. Others take it within deferFor and the time of a candidacy.
+const vacantMost = 2 * time.Second
+
 // abstaining reports whether the node leaves the planner's place to others, where there
-// are any. The caller holds the lock.
+// are any that take it. The caller holds the lock.
 func (tm *Term) abstaining() bool {
-	return tm.clock.Now().Before(tm.abstains) && len(tm.members) > 1
+	now := tm.clock.Now()
+	return now.Before(tm.abstains) && len(tm.members) > 1 && now.Sub(tm.vacated) < vacantMost
 }
 
 // idle returns the token of a leader's key that is this node's though it does not plan by
