Write the pause that doubles once

It stood five times (cell, planner, home, store's client, trial). policy/backoff serves all; no figure of it changes but the caps of home and trial, which doubled 6 times at most and are at their longest after that anyway.

--- a/internal/home/place.go
+++ b/internal/home/place.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/samber/lo"
 
+	"tackbeam.example/policy/backoff"
 	"tackbeam.example/policy/gather"
 	policy "tackbeam.example/policy/home"
 	"tackbeam.example/tackbeam/internal/column"
@@ -19,16 +19,17 @@
 
 // Times of one try for room.
 const (
-	holdTime     = 8 * time.Second
-	holdTimeout  = 2 * time.Second
-	intentTime   = 6 * time.Second
-	firstBackoff = 25 * time.Millisecond
-	maxBackoff   = time.Second
+	holdTime    = 8 * time.Second
+	holdTimeout = 2 * time.Second
+	intentTime  = 6 * time.Second
 	// reservePause is the pause between the tries of a job that reserves; its
 	// holds are renewed by each.
 	reservePause = 100 * time.Millisecond
 )
 
+// startPause is the pause before a job is placed again.
+var startPause = backoff.Backoff{First: 25 * time.Millisecond, Most: time.Second}
+
 // startTry lets a job try for room. The caller holds the lock.
 func (hm *Home) startTry(tr *policy.Try) {
 	en, ok := hm.jobs[tr.Job]
@@ -197,12 +198,6 @@
 	en.reserved, en.reserving = nil, false
 }
 
-func backoff(try int) time.Duration {
-	const doublings = 6
-	pause := min(firstBackoff<<min(try, doublings), maxBackoff)
-	return pause/2 + rand.N(pause/2)
-}
-
 // intend keeps the intent to start the tasks at their places. The caller holds
 // the lock.
 func (hm *Home) intend(en *entry, places []nodemsg.Place) {
@@ -245,7 +240,7 @@
 			hm.held(en, rec, nil)
 			return
 		}
-		again := hm.now() + backoff(rec.Attempt) // there was room, but no store
+		again := hm.now() + startPause.Jittered(rec.Attempt) // there was room, but no store
 		hm.step(policy.Event{NotPlaced: &policy.NotPlaced{Job: rec.ID, Again: again}})
 		return
 	}
--- a/internal/home/see.go
+++ b/internal/home/see.go
@@ -186,7 +186,7 @@
 	en.rec.State = job.Waiting
 	en.rec.Places, en.statuses, en.saved = nil, nil, nil
 	hm.step(policy.Event{Remove: &policy.Remove{Job: en.rec.ID}})
-	hm.step(policy.Event{Submit: hm.submitEvent(en, hm.now()+backoff(en.rec.Attempt))})
+	hm.step(policy.Event{Submit: hm.submitEvent(en, hm.now()+startPause.Jittered(en.rec.Attempt))})
 	en.notify()
 }
 
--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"tackbeam.example/policy/backoff"
 	"tackbeam.example/policy/cell"
 	"tackbeam.example/policy/life"
 
@@ -22,13 +23,12 @@
 	// stopPatience is added to the time that a stop takes, before a report is asked for
 	// that shows that the run is gone.
 	stopPatience = 120 * time.Millisecond
-	// stopPause is the pause before a stop that was not answered is sent again; it doubles up to
-	// mostStopPause. To a worker that had crashed each stop went out every 57 ms until another
-	// incarnation was in its place, 157 of 712 lines of the log.
-	stopPause     = 50 * time.Millisecond
-	mostStopPause = 800 * time.Millisecond
 )
 
+// stopPause is the pause before a stop that was not answered is sent again: a worker that crashed answers
+// none until another one is in its place.
+var stopPause = backoff.Backoff{First: 50 * time.Millisecond, Most: 800 * time.Millisecond}
+
 // start carries out one start.
 func (ld *lead) start(sr cell.Start) {
 	se, deadline, ok := ld.prepare(sr)
@@ -156,17 +156,11 @@
 		return
 	}
 	ld.orderFailed(se, err)
-	if loop.Pause(ld.ctx, ld.clock, pauseBefore(sp)) {
+	if loop.Pause(ld.ctx, ld.clock, stopPause.After(sp.Tries)) {
 		ld.after(func(time.Duration) { ld.cell.StopLost(sp) })
 	}
 }
 
-// pauseBefore returns the pause before a stop is sent again.
-func pauseBefore(sp cell.Stop) time.Duration {
-	const doublings = 4
-	return min(stopPause<<min(sp.Tries, doublings), mostStopPause)
-}
-
 // setPace carries out one change of a run's pace.
 func (ld *lead) setPace(pc cell.Pace) {
 	se, sent, err := ld.send(pc.Worker, func(ctx context.Context, to agent.Target, token uint64) error {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -6,13 +6,14 @@
 import (
 	"bytes"
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
+	"tackbeam.example/policy/backoff"
+
 	"tackbeam.example/tackbeam/internal/fault"
 	"tackbeam.example/tackbeam/internal/loop"
 	"tackbeam.example/tackbeam/internal/storemsg"
@@ -241,19 +242,11 @@
 	return res, oc, err
 }
 
-// Pauses between tries.
-const (
-	firstPause = 20 * time.Millisecond
-	maxPause   = 2 * time.Second
-)
+var pauses = backoff.Backoff{First: 20 * time.Millisecond, Most: 2 * time.Second}
 
 // Backoff returns the pause before try n, doubled each time up to two seconds,
 // with jitter.
-func Backoff(n int) time.Duration {
-	const doublings = 7
-	pause := min(firstPause<<min(n, doublings), maxPause)
-	return pause/2 + rand.N(pause/2)
-}
+func Backoff(n int) time.Duration { return pauses.Jittered(n) }
 
 // pause waits before the next try; it reports false when the context ends first.
 func (cl *Client) pause(ctx context.Context, try int) bool {
--- a/internal/trial/machines.go
+++ b/internal/trial/machines.go
@@ -4,6 +4,7 @@
 	"hash/fnv"
 	"time"
 
+	"tackbeam.example/policy/backoff"
 	"tackbeam.example/policy/home"
 	"tackbeam.example/policy/ledger"
 	"tackbeam.example/policy/owner"
@@ -17,11 +18,11 @@
 	beatTime     = time.Second
 	holdTime     = 8 * time.Second
 	reservePause = 100 * time.Millisecond
-	firstBackoff = 25 * time.Millisecond
-	maxBackoff   = time.Second
 	atOnce       = 64
 )
 
+var startPause = backoff.Backoff{First: 25 * time.Millisecond, Most: time.Second}
+
 // variant is what one policy changes of the decisions.
 type variant struct {
 	home   home.Rules
@@ -176,15 +177,10 @@
 func (ma *machines) again(jb *job) {
 	ma.homeStep(home.Event{Remove: &home.Remove{Job: jb.ID}})
 	sb := ma.event(jb)
-	sb.Again = ma.wo.now + backoff(jb.attempt)
+	sb.Again = ma.wo.now + startPause.After(jb.attempt)
 	ma.homeStep(home.Event{Submit: sb})
 }
 
-func backoff(try int) time.Duration {
-	const doublings = 6
-	return min(firstBackoff<<min(try, doublings), maxBackoff)
-}
-
 // gone takes out a job that has ended or was cancelled.
 func (ma *machines) gone(jb *job) {
 	ma.release(jb)
--- a/internal/trial/seek.go
+++ b/internal/trial/seek.go
@@ -61,7 +61,7 @@
 		ma.release(jb)
 		again := home.Again(ma.wo.now, jb.attempt)
 		if ma.variant.backoff {
-			again = ma.wo.now + backoff(jb.attempt)
+			again = ma.wo.now + startPause.After(jb.attempt)
 		}
 		ma.notPlaced(jb, again)
 	}
@@ -113,7 +113,7 @@
 		for _, pl := range kept {
 			ma.ownerStep(ma.of[pl.Worker], owner.Event{Ended: &owner.Ended{Task: pl.Task}})
 		}
-		ma.notPlaced(jb, ma.wo.now+backoff(jb.attempt))
+		ma.notPlaced(jb, ma.wo.now+startPause.After(jb.attempt))
 		return
 	}
 	for _, pl := range kept {
--- /dev/null
+++ b/policy/backoff/backoff.go
@@ -0,0 +1,32 @@
+// Package backoff gives the pauses between tries of something that fails again and again.
+package backoff
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Backoff is a pause that doubles with each try.
+type Backoff struct {
+	// First is the pause after the first try, Most the longest.
+	First, Most time.Duration
+}
+
+// After returns the pause after a number of tries before the last one: First for 0 and below.
+func (bo Backoff) After(tries int) time.Duration {
+	pause := bo.First
+	for range tries {
+		if pause >= bo.Most/2 {
+			return bo.Most
+		}
+		pause *= 2
+	}
+	return min(pause, bo.Most)
+}
+
+// Jittered returns a time between half of that and the whole, so that those who failed together do not
+// come back together.
+func (bo Backoff) Jittered(tries int) time.Duration {
+	pause := bo.After(tries)
+	return pause/2 + rand.N(pause/2)
+}
--- a/policy/cell/pauses.go
+++ b/policy/cell/pauses.go
@@ -1,6 +1,10 @@
 package cell
 
-import "time"
+import (
+	"time"
+
+	"tackbeam.example/policy/backoff"
+)
 
 // A lasting task is begun again however it ends, and a task that a worker refuses is tried on
 // another. One that ends, or is refused, at once each time was tried again at once, and each time was
@@ -10,14 +14,14 @@
 	// freeTries is how many vain starts in a row have no consequence for the task: healthy ones
 	// fail at any moment, and workers may be at fault.
 	freeTries = 2
-	// firstPause is the pause before the next start then, which doubles with each vain one.
-	firstPause = 250 * time.Millisecond
-	// mostPause is the longest: users count lasting tasks at work each 2 s, and miss one after 6 s.
-	mostPause = 2 * time.Second
 	// steady is how long a lasting task is at work before its start was no vain one.
 	steady = 10 * time.Second
 )
 
+// vainPause is the pause before the next start then. Users count lasting tasks at work each 2 s, and miss
+// one after 6 s.
+var vainPause = backoff.Backoff{First: 250 * time.Millisecond, Most: 2 * time.Second}
+
 // tries is what came of a task's starts of late.
 type tries struct {
 	// vain counts the vain ones in a row, until is when it may be started again.
@@ -29,23 +33,13 @@
 func (ts *tries) failed(now time.Duration) {
 	ts.vain++
 	if over := ts.vain - freeTries; over > 0 {
-		ts.until = now + pauseAfter(over)
+		ts.until = now + vainPause.After(over-1)
 	}
 }
 
 // blamed reports whether vain starts are laid to the task, not to its workers.
 func (ts *tries) blamed() bool { return ts.vain > freeTries }
 
-func pauseAfter(vain int) time.Duration {
-	pause := firstPause
-	for range vain - 1 {
-		if pause *= 2; pause >= mostPause {
-			return mostPause
-		}
-	}
-	return pause
-}
-
 // vain takes in that a start of the task came to nothing.
 func (tk *task) vain(now time.Duration) {
 	tk.tries.failed(now)
