Move a task that stands still everywhere ever more rarely

Seen in a test (no user has reported it): a task that made no progress anywhere was moved 21 times in a minute, with three workers at rest for it at any time. Each was laid to its worker. The time that it is given now doubles from the third worker on, up to 20 s, and only the first two workers rest. Why this holds: the moves in a time are bounded by the longest time, whatever the workers do. TestStandsStillEverywhere: 21 moves before, 8 at most allowed. Gauge planner.workers_resting.

--- a/internal/planner/planloop.go
+++ b/internal/planner/planloop.go
@@ -61,6 +61,7 @@
 	oldest, kept := ld.cell.Oldest(now)
 	ld.measures.gauge("planner.oldest_wait_ms", int(oldest.Milliseconds()))
 	ld.measures.gauge("planner.workers_kept_free", kept)
+	ld.measures.gauge("planner.workers_resting", ld.cell.Resting(now))
 }
 
 // plan decides, if the reign may start tasks, and has the orders carried out. It returns
--- a/policy/cell/bed_test.go
+++ b/policy/cell/bed_test.go
@@ -34,6 +34,8 @@
 	faults float64
 	// fails is the chance that a run fails.
 	fails float64
+	// still is a job whose tasks make no progress.
+	still string
 	// longer is by how much runs are longer than usual.
 	longer time.Duration
 	// bad are the jobs whose tasks crash each worker that starts them, crashed counts that.
@@ -190,6 +192,9 @@
 	var runs []cell.Run
 	for name, rn := range wk.runs {
 		percent := int(100 * (bd.now - rn.started) / max(rn.ends-rn.started, 1))
+		if name.Job == bd.still {
+			percent = 0
+		}
 		runs = append(runs, cell.Run{Task: name, Number: rn.number, Percent: percent})
 	}
 	bd.cell.Report(bd.now, id, bd.now, runs, slices.Clone(wk.ends))
--- a/policy/cell/cell_test.go
+++ b/policy/cell/cell_test.go
@@ -241,6 +241,34 @@
 	}
 }
 
+// TestStandsStillEverywhere has a task that makes no progress on any worker, among twelve that are healthy. It
+// was moved every 2.5 s without an end, and each worker that it had been on rested for 6 s: three of the
+// twelve were at rest for it at any time. It is moved ever more rarely, and after the second worker it is
+// the task that is at fault.
+func TestStandsStillEverywhere(t *testing.T) {
+	const mostMoves, mostResting, longest = 8, 2, time.Minute
+	bd := newBed(t, 1, 12)
+	bd.still = "a"
+	bd.longer = 2 * longest
+	bd.submit(batch("a", 1))
+	moves := 0
+	for bd.now < longest {
+		before := bd.cell.Recorded()
+		bd.pass(50 * time.Millisecond)
+		for _, rec := range bd.records[max(len(bd.records)-(bd.cell.Recorded()-before), 0):] {
+			if rec.Stop {
+				moves++
+			}
+		}
+	}
+	if moves == 0 || moves > mostMoves {
+		t.Errorf("moved %d times in %v, want 1 to %d", moves, longest, mostMoves)
+	}
+	if resting := bd.cell.Resting(bd.now); resting > mostResting {
+		t.Errorf("%d workers are at rest for one task", resting)
+	}
+}
+
 // TestHung moves a task off a worker on which it makes no progress, but not one that
 // has done its work and waits for the rest of its gang.
 func TestHung(t *testing.T) {
--- a/policy/cell/progress.go
+++ b/policy/cell/progress.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"tackbeam.example/policy/backoff"
 )
 
 // progress takes in what a report says of a run that it lists.
@@ -42,8 +44,15 @@
 }
 
 // hungAfter is how long a task may show no progress; the workers' longest tasks of
-// 16 s move by a percent in 0.16 s, on a worker six times as slow in 1 s.
-const hungAfter = 2500 * time.Millisecond
+// 16 s move by a percent in 0.16 s, on a worker six times as slow in 1 s. One that stands still
+// wherever it is moved is given more time each time, so that it does not go round for ever.
+var hungAfter = backoff.Backoff{First: 2500 * time.Millisecond, Most: 20 * time.Second}
+
+// hungWorkers is how many workers a task may stand still on before the fault is its own.
+const hungWorkers = 2
+
+// hungTime is how long the task may show no progress now.
+func (tk *task) hungTime() time.Duration { return hungAfter.After(tk.hangs - hungWorkers + 1) }
 
 // fresh is the age up to which a report tells how a task is doing.
 const fresh = 1500 * time.Millisecond
@@ -60,10 +69,12 @@
 		}
 		for _, pl := range wk.places {
 			def := pl.task.step.def
-			if pl.state != running || pl.percent >= whole || def.Lasting || def.Filler || now-pl.moved < hungAfter {
+			if pl.state != running || pl.percent >= whole || def.Lasting || def.Filler || now-pl.moved < pl.task.hungTime() {
 				continue
 			}
-			wk.rest = now + restHung
+			if pl.task.hangs++; pl.task.hangs <= hungWorkers {
+				wk.rest = now + restHung
+			}
 			pl.task.shun(wk)
 			cl.stop(pl, fmt.Sprintf("task stands still at %d percent", pl.percent))
 			if def.Gang {
@@ -72,3 +83,14 @@
 		}
 	}
 }
+
+// Resting returns how many workers are at rest, for measures.
+func (cl *Cell) Resting(now time.Duration) int {
+	count := 0
+	for _, wk := range cl.workers {
+		if wk.rest > now {
+			count++
+		}
+	}
+	return count
+}
--- a/policy/cell/round.go
+++ b/policy/cell/round.go
@@ -58,15 +58,17 @@
 // task is one task. Its runs that are on workers, or may be, are counted; place is the
 // one that counts, the others are being stopped.
 type task struct {
-	step       *step
-	index      int
-	done       bool
-	place      *placement
-	runs       int
-	run        int
-	fails      []int
-	crashes    crashes
-	tries      tries
+	step    *step
+	index   int
+	done    bool
+	place   *placement
+	runs    int
+	run     int
+	fails   []int
+	crashes crashes
+	tries   tries
+	// hangs counts the workers on which it stood still.
+	hangs      int
 	checkpoint string
 	// avoid are the workers on which it failed or stood still.
 	avoid map[life.Life]bool
