--- a/policy/cell/cell_test.go
+++ b/policy/cell/cell_test.go
@@ -261,6 +261,7 @@
 			}
 		}
 	}
+	t.Logf("moved %d times", moves)
 	if moves == 0 || moves > mostMoves {
 		t.Errorf("moved %d times in %v, want 1 to %d", moves, longest, mostMoves)
 	}
