--- a/internal/planner/lead.go
+++ b/internal/planner/lead.go
@@ -34,7 +34,7 @@
 	// drift is the most that a worker's clock may run slow against ours.
 	drift = 0.02
 	// gather is the pause between two looks at the journal, whose writers tell of most batches
-	// themselves: with 15 ms the planner asked the store 20 times a second more.
+	// themselves.
 	gather = 100 * time.Millisecond
 	// gatherWorkers is the same for the list of workers, which must be known within
 	// the time that a leaving worker may still get tasks (2 s).
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -303,8 +303,7 @@
 }
 
 // unnoted reports whether the journal lacks ends of the last report, and returns what is closed
-// with its next write. Looking each 10 ms took 1,100 sessions 110,000 looks a second while the
-// store was silent.
+// with its next write: looking again and again would cost most while the store is silent.
 func (se *session) unnoted() (waits bool, committed <-chan struct{}) {
 	ld := se.lead
 	ld.mu.Lock()
--- a/policy/cell/apart.go
+++ b/policy/cell/apart.go
@@ -23,8 +23,7 @@
 // fitApart returns the candidate with room that suits a task under which workers crashed, or -1. A
 // suspect goes where no other one is, so that the next crash tells them apart, and all go where
 // least else runs: a bad one loses least there, and a good one meets no bad one, as those begin where
-// the room is tight. Placed like others, 587 healthy jobs failed in the 64 runs of
-// TestCrashesAreBounded, so placed none.
+// the room is tight. Placed like others, suspects take healthy jobs along.
 func fitApart(tk *task, cands []candidate) int {
 	best, suspect := -1, tk.suspect()
 	var least apartness
--- a/policy/cell/asking.go
+++ b/policy/cell/asking.go
@@ -17,9 +17,8 @@
 	// advisor answers each node by itself, and a gang needs all of its tickets at once.
 	mostAsked = 4 * maxAsked
 	// quickShare is the time that the workers of a question take while the advisor has time for more
-	// questions, against what each takes anyway, so that answers are there sooner: of gangs of 40 tasks
-	// on 1,100 workers 73% were in time with 100 workers a question, 78.5% with this share, which is
-	// 50, and 77% with 35, for a fifth and a half more of the advisor's time (three days).
+	// questions, against what each takes anyway, so that answers are there sooner. A
+	// smaller share takes more of the advisor's time and gains no more.
 	quickShare = 0.72
 	// idleAdvisor is for how long no question must have found the advisor busy for that.
 	idleAdvisor = 2 * time.Second
@@ -93,8 +92,7 @@
 
 // topUp adds workers never asked about, full ones too, to a question until it names as many
 // as are worth its time: a verdict holds for good, and the advisor's time goes by questions.
-// Asked only about workers with room, tasks that need whole ones put up to thirteen questions
-// of half a second each (TestScarceAccelerators: 46% of them in time, 61% with it).
+// Asked only about workers with room, tasks that need whole ones put question after question.
 func (cl *Cell) topUp(st *step, names []life.Life) []life.Life {
 	least := leastAsked(st)
 	for cand := range st.advice.unasked(cl.wide(st)) {
--- a/policy/cell/claim.go
+++ b/policy/cell/claim.go
@@ -14,16 +14,13 @@
 	// about a seventh of the running tasks end by themselves.
 	claimAfter = 300 * time.Millisecond
 	// mostIdle is the part of a service's room that may stand idle at one time while
-	// room is gathered: on a day that asks for 0.89 of a cell 75 and 80% of the gangs were in
-	// time with a tenth, 72 and 77% with a twentieth.
+	// room is gathered: with less of it gangs wait longer than what they displace would.
 	mostIdle = 0.1
 	// usualSpare is the part of the room that is free on a busy day, since tasks leave
 	// what none of them fits into: beyond it nobody misses what stands idle.
 	usualSpare = 0.25
 	// bulkyShare is the part of a worker's scarcest resource from which single tasks have room
-	// gathered before they are late. Beside tasks that need an eighth of a worker those that need
-	// up to all of it were in time in 73% of the cases without and 86% with it; 0.12 and 0.5
-	// do as well (TestScarceAccelerators, ten days of 13 workers).
+	// gathered before they are late: beside small tasks they find none otherwise.
 	bulkyShare = 0.25
 	// completeMost is how long room may be kept that is all there: the advisor's answer takes
 	// 1.3 s at most and the queue before it 0.3 s. Without an end, a gang whose tickets do not
--- a/policy/cell/crash.go
+++ b/policy/cell/crash.go
@@ -9,25 +9,20 @@
 )
 
 // A task may crash each worker that starts it, and a worker that crashed reports no end. Its runs
-// are counted here: a task whose runs were not was started 74 times in two minutes, and 50 of 48
-// workers crashed in ten seconds. A healthy task that ran beside it must not be lost for that, nor
+// are counted here, or it is started without an end and takes worker after worker along. A healthy task that ran beside it must not be lost for that, nor
 // one whose workers died of something else.
 const (
 	// mostBlamed is how many workers may crash under a task, with nothing else to explain it,
-	// before its job fails. Two may be chance: where 25 such tasks come in two minutes and
-	// each takes three of 48 workers along, a worker crashes every 77 s; of tasks that run for 6 s
-	// 1 in 180 meets two crashes by chance, 1 in 2,400 three.
+	// before its job fails. Two may be chance.
 	mostBlamed = 3
 	// mostCrashed is the same with all crashes, explained or not. Users allow two starts more
 	// after the third crash; one is left for a crash that nobody saw, as its planner died with it.
 	mostCrashed = 4
 	// provenAtWork is how long a run of a lasting task is at work before it clears the task: it
-	// meets every crash of a day. A task that crashes its worker later than that is begun again
-	// four times in 90 s.
+	// meets every crash of a day.
 	provenAtWork = 20 * time.Second
 	// together is the time within which workers that fall silent may have one cause: a hold
-	// notices after 0 to 1 s that its worker is gone. Where a third of the workers crashed each 9 s,
-	// 5 of 720 jobs with runs of 6 s failed without this excuse, 1 with it.
+	// notices after 0 to 1 s that its worker is gone.
 	together = 500 * time.Millisecond
 	// manyTogether is how many others have to fall silent then.
 	manyTogether = 2
--- a/policy/cell/gang.go
+++ b/policy/cell/gang.go
@@ -8,8 +8,7 @@
 )
 
 // lookEvery is how often a late gang that does not gather is looked at: a backlog consists
-// of such ones. With 1,000 of them on 350 full workers a plan took 18 ms, three times the
-// pause between two; it takes 2.3 ms (BenchmarkPlanBacklog).
+// of such ones, and looking at each in each plan takes longer than the pause between two.
 const lookEvery = 50 * time.Millisecond
 
 // planGang places all tasks of a gang, or none. It reports whether the gang lacks room,
--- a/policy/cell/pauses.go
+++ b/policy/cell/pauses.go
@@ -7,9 +7,8 @@
 )
 
 // A lasting task is begun again however it ends, and a task that a worker refuses is tried on
-// another. One that ends, or is refused, at once each time was tried again at once, and each time was
-// laid to its worker: 80 tries in 10 s on 20 workers, with all of them at rest and nothing else begun
-// (TestLastingThatFailsAtOnce, TestRefusedByAll).
+// another. One that ends, or is refused, at once each time would be tried again at once, and laid to its
+// worker each time, until all workers are at rest for it.
 const (
 	// freeTries is how many vain starts in a row have no consequence for the task: healthy ones
 	// fail at any moment, and workers may be at fault.
--- a/policy/cell/rank.go
+++ b/policy/cell/rank.go
@@ -85,8 +85,7 @@
 
 // lateFor is how much later than they had to start late steps rank, so that age counts and
 // each is served in the end: behind all that can be in time they waited as long as the
-// stream went on. A shorter time has more jobs late: on a day that asks for 0.89 of a cell
-// of 350 workers 54% of the gangs were in time with 15 s, 66% with 30 s, 72% with 60 s.
+// stream went on. A shorter time has more jobs late.
 const lateFor = time.Minute
 
 // since is when the time of the step's round began to count.
@@ -118,8 +117,7 @@
 }
 
 // expect estimates how long a task of the step runs, by its own estimate as far as those of
-// the queue tell. With the queue's mean for all, 56% of the gangs were in time on a day that
-// asks for more than a cell, with this 67% (TestShortJobsInTime).
+// the queue tell: by the queue's mean alone short jobs are taken to be late.
 func (cl *Cell) expect(st *step) time.Duration {
 	return cl.queue(st.round.job.spec.Queue.Name).runs.Expect(st.def.Estimate)
 }
--- a/policy/cell/shelf.go
+++ b/policy/cell/shelf.go
@@ -20,8 +20,8 @@
 }
 
 // shelve puts the workers onto their shelves for one plan. Shelves last from plan to plan, since
-// few workers gain or lose room between two of them: sorting 1,100 workers anew each time was half
-// of a plan's cost while little waits (BenchmarkPlanCalm: 0.15 ms a plan, 0.07 ms now).
+// few workers gain or lose room between two of them, and sorting all anew each time costs as much as the
+// rest of a plan while little waits.
 func (cl *Cell) shelve(now time.Duration) {
 	for service, sh := range cl.shelves {
 		sh.used, sh.idle = 0, 0
--- a/policy/cell/window.go
+++ b/policy/cell/window.go
@@ -5,10 +5,9 @@
 // Limits of what the planner has under way at one time.
 //
 // They answer a planner that cannot send as fast as it decides, as after an outage: what was
-// decided waited for its turn for 1 to 3 s, its tickets lapsed meanwhile (2,099 starts turned
-// away in 3.6 s), and their questions were put again, 2,900 a second, in plans that left nothing
-// of the processor to the starts. With the limits the rate stays at what the processor bears,
-// whatever waits (TestComesOutOfOutage).
+// decided waits for its turn for seconds, its tickets lapse meanwhile, and their questions are put
+// again, in plans that leave nothing of the processor to the starts. With the limits the rate stays at what
+// the processor bears, whatever waits.
 const (
 	// lateStart is how much later than usual the answer to a start may come: of the 100 ms for
 	// which a ticket must still be good.
--- a/policy/door/door.go
+++ b/policy/door/door.go
@@ -6,8 +6,7 @@
 // What is refused.
 //
 // The limits answer a planner that can start less than what comes, as a small node that plans since
-// the strong ones are gone: of 1,700 starts a second it sent 1,100, and 14 s after 30 s of that 60
-// jobs had not begun, 3,009 on a slowed one; with the limits all had (TestBacklogIsBounded).
+// the strong ones are gone: what it cannot start soon waits for a minute and more.
 const (
 	// mostUrgent is how much urgent work may wait, by the time that it takes to start, for an urgent job
 	// to be taken: its callers wait for an answer within a second or two.
