Tests that tell each mend of workers' lives apart

TestLateStartInNextLife counts starts, and has the next life answer once as it says: before, its first call met a connection that had ended.

--- a/internal/planner/lives_test.go
+++ b/internal/planner/lives_test.go
@@ -88,36 +88,48 @@
 // had ended done on w2. A start with its end noted is what callers see.
 func TestLateStartInNextLife(t *testing.T) {
 	for name, tt := range map[string]struct {
+		// late is how many tries of the start are late.
+		late int
 		// quiet is for how long the next life answers nobody after its first answer.
 		quiet time.Duration
+		// run is how long the task runs, ends when its worker's life ends after it was handed in.
+		run, ends time.Duration
+		// starts are those that are carried out.
+		starts int
 	}{
-		"next life answers":                   {0},
-		"next life answers once, then nobody": {4 * time.Second},
+		"next life answers":                            {3, 0, time.Second, 150 * time.Millisecond, 1},
+		"next life answers once, then nobody":          {3, 4 * time.Second, time.Second, 150 * time.Millisecond, 1},
+		"the second try is answered, the run reported": {1, 4 * time.Second, 2500 * time.Millisecond, 1500 * time.Millisecond, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				bd := newBed(t, time.Second, "w1")
+				bd := newBed(t, tt.run, "w1")
 				defer bd.end()
 				bd.addNode("n1")
 				time.Sleep(time.Second)
+				tries := 0
 				bd.fleet.SetFault(func(_, order string) memworkers.Fault {
-					if order == "start" {
+					if order != "start" {
+						return memworkers.None
+					}
+					if tries++; tries <= tt.late {
 						return memworkers.Late
 					}
 					return memworkers.None
 				})
 				bd.submit(bd.leader(), "a", 1)
-				time.Sleep(50 * time.Millisecond) // the start is on its way
+				time.Sleep(tt.ends) // the first try is on its way
 				bd.beginAgain(200*time.Millisecond, "w1")
 				bd.addWorker("w2")
-				time.Sleep(200 * time.Millisecond)
-				answers := 0
+				time.Sleep(201 * time.Millisecond) // it has just begun
+				calls := 0
 				var since time.Time
 				bd.fleet.SetFault(func(worker, order string) memworkers.Fault {
 					if worker != "w1" || order != "hold" || tt.quiet == 0 {
 						return memworkers.None
 					}
-					if answers++; answers == 1 {
+					// The first call meets a connection that has ended, the second is answered.
+					if calls++; calls <= 2 {
 						since = bd.clock.Now()
 						return memworkers.None
 					}
@@ -126,8 +138,11 @@
 					}
 					return memworkers.None
 				})
-				bd.await("a", cell.Succeeded, 8*time.Second)
+				bd.await("a", cell.Succeeded, 10*time.Second)
 				time.Sleep(memworkers.LateBy)
+				if starts := len(bd.fleet.Starts()); starts != tt.starts {
+					t.Errorf("%d starts, want %d", starts, tt.starts)
+				}
 			})
 		})
 	}
@@ -252,6 +267,59 @@
 	})
 }
 
+// TestNextLifeIsRecorded has a planner hear of a worker's next life before its entry is in the list, and die.
+// The life runs a task, which the one that follows must not begin again: the earlier life is gone in the
+// records, and where the next one was in none nobody waited for what it runs.
+func TestNextLifeIsRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bd := newBed(t, 9*time.Second, "w1")
+		defer bd.end()
+		first, second := bd.addTwo()
+		time.Sleep(time.Second)
+		quiet := func(worker, order string) memworkers.Fault {
+			if worker == "w1" && order == "hold" {
+				return memworkers.Silent
+			}
+			return memworkers.None
+		}
+		bd.fleet.SetFault(quiet)
+		time.Sleep(1010 * time.Millisecond) // the hold that waits is answered, the next one is swallowed
+		bd.fleet.End("w1")
+		bd.fleet.Add("w1")
+		bd.submit(second, "a", 1)
+		time.Sleep(100 * time.Millisecond)
+		bd.fleet.SetFault(func(string, string) memworkers.Fault { return memworkers.None })
+		time.Sleep(2 * time.Second) // the planner hears of the next life, and that it runs the task
+		bd.fleet.SetFault(quiet)
+		bd.cutOff("n1")
+		first.cancel()
+		bd.addWorker("w2")
+		time.Sleep(4 * time.Second) // the planner that follows asks in vain
+		bd.fleet.SetFault(func(string, string) memworkers.Fault { return memworkers.None })
+		bd.await("a", cell.Succeeded, 6*time.Second)
+		if starts := len(bd.fleet.Starts()); starts != 1 {
+			t.Errorf("%d starts of one task", starts)
+		}
+	})
+}
+
+// TestOldTasksWaitForNoEarlierLife has a worker begin again, and be listed so, while no planner is there. The
+// next planner does not wait until the earlier life, which the records name, has surely lapsed.
+func TestOldTasksWaitForNoEarlierLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bd := newBed(t, 2*time.Second, "w1")
+		defer bd.end()
+		first, second := bd.addTwo()
+		time.Sleep(time.Second)
+		bd.submit(second, "a", 4)
+		time.Sleep(500 * time.Millisecond)
+		bd.cutOff("n1")
+		first.cancel()
+		bd.beginAgain(100*time.Millisecond, "w1")
+		bd.await("a", cell.Succeeded, 7*time.Second)
+	})
+}
+
 // TestLives draws from a seed how workers end and begin again under their ids (alone, a few, all; at
 // once, after a beat, after their lease), with orders that are lost, swallowed or late, a store that is
 // silent and planners that change meanwhile. No task runs twice, and every job ends well.
