--- a/internal/planner/lives.go
+++ b/internal/planner/lives.go
@@ -39,15 +39,15 @@
 	return number
 }
 
-// wrote reports whether an entry is of the session's life, as far as both say.
-func (se *session) wrote(en Entry) bool {
+// matches reports whether an entry is of the session's life, as far as both say.
+func (se *session) matches(en Entry) bool {
 	born := en.ID.Born()
 	return born == 0 || born == se.born || se.born == 0 && !se.answered
 }
 
-// await takes in an entry of another life than the one that answered: it is asked at once, and gets
+// expect takes in an entry of another life than the one that answered: it is asked at once, and gets
 // no runs until it has answered as either.
-func (se *session) await(en Entry) {
+func (se *session) expect(en Entry) {
 	ld := se.lead
 	if en.ID.Born() < se.born {
 		ld.log.Info("Entry of an earlier life of a worker is passed over.", "worker", se.life, "entry", en.ID)
@@ -63,9 +63,9 @@
 	se.ask()
 }
 
-// speaks reports whether a report is of the session's life. Where it is of a later one, that begins.
+// accepts reports whether a report is of the session's life. Where it is of a later one, that begins.
 // The caller holds the lock.
-func (se *session) speaks(report agent.Report) bool {
+func (se *session) accepts(report agent.Report) bool {
 	ld := se.lead
 	switch {
 	case report.Born == 0 || report.Born == se.born:
@@ -80,12 +80,12 @@
 	next := life.Of(se.life.ID(), report.Born)
 	ld.log.Info("Worker has begun again under its id.", "worker", next, "before", se.life,
 		"clock", report.Clock.String(), "clock_before", se.clock.String())
-	se.yield(next)
+	se.replace(next)
 	return false
 }
 
-// yield ends the session for another life of the worker, of which the entry may be yet to come.
-func (se *session) yield(next life.Life) {
+// replace ends the session for another life of the worker, of which the entry may be yet to come.
+func (se *session) replace(next life.Life) {
 	ld, now := se.lead, se.lead.now()
 	en := se.entry
 	listed := se.other != nil && se.other.ID == next
@@ -111,17 +111,17 @@
 	}
 }
 
-// followed begins a session with the life whose entry is in the list by now, if there is one.
-func (se *session) followed() {
+// beginOther begins a session with the life whose entry is in the list by now, if there is one.
+func (se *session) beginOther() {
 	if se.other != nil {
 		se.lead.begin(*se.other)
 		se.other = nil
 	}
 }
 
-// first draws the consequences of a life's first answer: lives that earlier planners held under its
+// firstAnswer draws the consequences of a life's first answer: lives that earlier planners held under its
 // id are over.
-func (se *session) first(now time.Duration) {
+func (se *session) firstAnswer(now time.Duration) {
 	ld := se.lead
 	for _, lf := range ld.earlier[se.life.ID()] {
 		if _, old := ld.old[lf]; old && lf != se.life {
--- a/internal/planner/roster.go
+++ b/internal/planner/roster.go
@@ -111,10 +111,10 @@
 	switch {
 	case !ok:
 		ld.begin(en)
-	case se.wrote(en):
+	case se.matches(en):
 		ld.update(se, en)
 	case se.answered:
-		se.await(en)
+		se.expect(en)
 	default: // nobody has answered as the life of the entry before
 		ld.cell.Unlist(se.life)
 		ld.passOn(se.life, en.ID)
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -169,7 +169,7 @@
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
 	now := ld.now()
-	if se.ended || !se.speaks(report) {
+	if se.ended || !se.accepts(report) {
 		return
 	}
 	if se.silent {
@@ -182,7 +182,7 @@
 	first := !se.answered
 	se.answered = true
 	if first {
-		se.first(now)
+		se.firstAnswer(now)
 	}
 	for _, en := range ld.cell.Report(now, se.life, sent, report.Runs, report.Ends) {
 		ld.log.Info("End.", "task", en.Task.String(), "run", en.Number, "worker", se.life, "result", en.Result, "seq", en.Seq)
@@ -229,7 +229,7 @@
 	se.heard = now
 	if known, _ := ld.cell.Listed(se.life); !known {
 		se.end()
-		se.followed()
+		se.beginOther()
 	}
 	ld.settle(now)
 	ld.kick()
@@ -251,7 +251,7 @@
 	delete(ld.old, se.life)
 	se.lose(takeIn)
 	se.end()
-	se.followed()
+	se.beginOther()
 	ld.settle(now)
 }
 
@@ -278,36 +278,3 @@
 	delete(se.lead.sessions, se.life)
 	delete(se.lead.present, se.life.ID())
 }
-
-// settle waits for ends to gather, and for the journal to have those reported.
-func (se *session) settle(ctx context.Context) {
-	ld := se.lead
-	if !loop.Pause(ctx, ld.clock, holdGap) {
-		return
-	}
-	late := ld.clock.NewTimer(noteMost)
-	defer late.Stop()
-	for {
-		waits, committed := se.unnoted()
-		if !waits {
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-late.Chan():
-			return
-		case <-committed:
-		}
-	}
-}
-
-// unnoted reports whether the journal lacks ends of the last report, and returns what is closed
-// with its next write: looking again and again would cost most while the store is silent.
-func (se *session) unnoted() (waits bool, committed <-chan struct{}) {
-	ld := se.lead
-	ld.mu.Lock()
-	defer ld.mu.Unlock()
-	_, waits = ld.cell.Noted(se.life)
-	return waits, ld.committed
-}
--- a/internal/standin/memworkers/memworkers.go
+++ b/internal/standin/memworkers/memworkers.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -35,9 +34,6 @@
 // LateBy is how late a late order is carried out.
 const LateBy = 3 * time.Second
 
-// ErrCut means that a call met a connection that had ended with an earlier life of its worker.
-var ErrCut = errors.Wrap(agent.ErrLost, "the worker's connections ended")
-
 // Fleet is a number of workers.
 type Fleet struct {
 	clock clockwork.Clock
@@ -93,57 +89,6 @@
 	}
 }
 
-// Add adds a worker, or begins another life of one that has ended, under the id that it had. It knows
-// nothing of what was before.
-func (fl *Fleet) Add(id string) {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	wk := &worker{
-		id: id, began: fl.clock.Now(), runs: map[work.Task]run{}, barred: map[work.Task]int{},
-		callers: map[uint64]bool{}, cut: map[uint64]bool{},
-	}
-	if earlier := fl.workers[id]; earlier != nil {
-		fl.finish(earlier)
-		wk.cut = earlier.callers
-		maps.Copy(wk.cut, earlier.cut)
-	}
-	fl.workers[id] = wk
-}
-
-// End ends a worker's life with all that it runs. Until it is added again its address answers
-// nobody; calls that are under way then may reach the next life.
-func (fl *Fleet) End(id string) {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	fl.finish(fl.workers[id])
-}
-
-func (fl *Fleet) finish(wk *worker) {
-	wk.life = crashed
-	for name := range wk.runs {
-		fl.losses[name.Job]++
-	}
-	for _, en := range wk.ends { // nobody has read some of them
-		fl.losses[en.Task.Job]++
-	}
-	wk.runs, wk.ends = map[work.Task]run{}, nil
-	fl.wakeHolds()
-}
-
-// Losses returns how often a life ended under a task of a job, or before a start of it arrived.
-func (fl *Fleet) Losses(job string) int {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	return fl.losses[job]
-}
-
-// Born returns when a worker's present life began, in milliseconds since 1970.
-func (fl *Fleet) Born(id string) int64 {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	return fl.workers[id].began.UnixMilli()
-}
-
 // SetFault sets what happens to each order from now on.
 func (fl *Fleet) SetFault(fault func(worker, order string) Fault) {
 	fl.mu.Lock()
@@ -244,21 +189,6 @@
 	fl.changed = make(chan struct{})
 }
 
-func (wk *worker) admit(token uint64) error {
-	broken, earlier := wk.cut[token]
-	if broken && !wk.late {
-		wk.cut[token] = false
-		return ErrCut
-	}
-	wk.callers[token] = true
-	wk.met = wk.met || !earlier && !wk.late
-	if token < wk.token {
-		return agent.ErrFenced
-	}
-	wk.token = token
-	return nil
-}
-
 func (fl *Fleet) hold(ctx context.Context, to agent.Target, hd agent.Hold) (agent.Report, error) {
 	over := fl.clock.After(hd.Wait)
 	var asked *worker // the life that the call reached
@@ -365,12 +295,6 @@
 	return refusal, err
 }
 
-func (fl *Fleet) lose(sr cell.Start) {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	fl.losses[sr.Task.Job]++
-}
-
 func (fl *Fleet) check(wk *worker, sr cell.Start) {
 	if wk.strayed {
 		return // what is done about the run is checked with the starts that follow
--- a/policy/cell/follow.go
+++ b/policy/cell/follow.go
@@ -7,11 +7,10 @@
 	"tackbeam.example/policy/life"
 )
 
-// A worker may begin again under its id. A start of its earlier life that was not answered may then be
-// carried out in the next one, and one that was answered may have been: what names the worker in an order
-// is its id, and what was barred in the earlier life is not in the next. So a run that the earlier life has not
-// reported is kept until a report of the next life, asked for with
-// a token that bars what was ordered before, lists it or does not.
+// A worker may begin again under its id. A start of its earlier life may then have been carried out in the
+// next one, or may be yet: what names the worker in an order is its id, and what was barred in one life is
+// not in another. So a run that the earlier life has not reported is kept until a report of the next life
+// lists it or does not; that report is asked for with a token that bars what was ordered before.
 
 // strayMost is how long such a run is kept where the next life answers nobody: as long as an order may be
 // under way, and run then.
