Count in the stand-in what a crash takes along too

The soak asks the stand-in how many lives ended under a job, which counted lives that the soak ended, but none that a task had crashed. Both are counted the same way now. The check stays: a job that failed with fewer than three is wrong.

--- a/internal/standin/memworkers/crash.go
+++ b/internal/standin/memworkers/crash.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"tackbeam.example/policy/cell"
-	"tackbeam.example/policy/work"
 
 	"tackbeam.example/tackbeam/internal/agent"
 )
@@ -48,9 +47,7 @@
 	if wk == nil || wk.life != up {
 		return
 	}
-	wk.life = crashed
-	wk.runs = map[work.Task]run{}
-	fl.wakeHolds()
+	fl.finish(wk)
 	fl.clock.AfterFunc(fl.crash.backAfter, func() {
 		fl.mu.Lock()
 		wk.life = replaced
