--- a/internal/planner/bed_test.go
+++ b/internal/planner/bed_test.go
@@ -58,12 +58,15 @@
 	intake  *intake.Intake
 	cancel  context.CancelFunc
 	meters  metrics.Registry
-	// reign is the node's latest one.
-	reign term.Reign
+	// latest is the node's latest reign; it begins one while tests look.
+	latest atomic.Pointer[term.Reign]
 	// suspended is for how long the node's VM was suspended.
 	suspended atomic.Int64
 }
 
+// reign returns the node's latest reign.
+func (nd *node) reign() term.Reign { return *nd.latest.Load() }
+
 // newClock returns the node's clock: steady time goes on in the bubble, what suspensions add to the
 // time of day and to the time since boot is the test's.
 func (nd *node) newClock(bd *bed) clockwork.Clock {
@@ -154,7 +157,7 @@
 		Queue:  func(string) (work.Queue, bool) { return bd.settings, bd.settings.Name != "" },
 	})
 	nd.term = term.New(clock, bd.log(name), st, term.Options{Node: name, Processors: processors, TTL: 2 * time.Second, Lead: func(ctx context.Context, reign term.Reign) {
-		nd.reign = reign
+		nd.latest.Store(&reign)
 		nd.planner.Lead(ctx, reign)
 	}})
 	nd.intake = intake.New(clock, bd.log(name), st, intake.Options{
--- a/internal/planner/lives_test.go
+++ b/internal/planner/lives_test.go
@@ -378,7 +378,7 @@
 			bd.beginAgain(away, ids[first:min(first+1+draw(workers), workers)]...)
 		}
 		if nd := bd.leader(); nd != nil && draw(12) == 0 {
-			nd.reign.Yield("the test says so")
+			nd.reign().Yield("the test says so")
 		}
 	}
 	bd.fleet.SetFault(func(string, string) memworkers.Fault { return memworkers.None })
--- a/internal/planner/reigns_test.go
+++ b/internal/planner/reigns_test.go
@@ -42,8 +42,8 @@
 			return memkv.None
 		}
 	}
-	yield := func(nd *node) { nd.reign.Yield("test") }
-	depose := func(nd *node) { nd.reign.Depose("test") }
+	yield := func(nd *node) { nd.reign().Yield("test") }
+	depose := func(nd *node) { nd.reign().Depose("test") }
 	cases := map[string]struct {
 		end   func(nd *node)
 		fault func(client, call string) memkv.Fault
@@ -63,7 +63,7 @@
 				bd := newBed(t, time.Second, "w1")
 				defer bd.end()
 				first, _ := bd.addPair()
-				token := first.reign.Token
+				token := first.reign().Token
 				bd.store.SetFault(tc.fault)
 				time.AfterFunc(tc.lasts, func() { bd.store.SetFault(commits("", memkv.None)) })
 				tc.end(first)
@@ -75,7 +75,7 @@
 				}
 				synctest.Wait()
 				is.True(bd.leader() != nil) // somebody plans again
-				is.True(bd.leader().reign.Token > token)
+				is.True(bd.leader().reign().Token > token)
 				t.Log("planner after", time.Since(began))
 				time.Sleep(10 * time.Second)
 				is.True(bd.leader() != nil)
@@ -147,7 +147,7 @@
 	}{
 		"its own next reign": {[]string{"n1"}, func(bd *bed, _ *node) { bd.store.Revoke() }},
 		"the reign of another node": {[]string{"n1", "n2"}, func(_ *bed, nd *node) {
-			nd.reign.Yield("test")
+			nd.reign().Yield("test")
 		}},
 		"a lease that is over": {[]string{"n1", "n2"}, func(bd *bed, _ *node) { bd.store.Revoke() }},
 	}
@@ -179,7 +179,7 @@
 				time.Sleep(600 * time.Millisecond) // old keys are removed after 10 s
 				synctest.Wait()
 				is.Equal(asked, 1)
-				token := first.reign.Token
+				token := first.reign().Token
 				began := time.Now()
 				tc.end(bd, first)
 				const within = time.Second // of the 3 s that a caller waits
@@ -201,7 +201,7 @@
 	synctest.Wait()
 	el, ok := nd.term.Leader()
 	leader := bd.leader()
-	if !ok || leader == nil || bd.nodes[el.Node] != leader || leader.reign.Token <= after {
+	if !ok || leader == nil || bd.nodes[el.Node] != leader || leader.reign().Token <= after {
 		return false
 	}
 	_, err := leader.planner.State("none")
@@ -216,7 +216,7 @@
 // next planner had begun, in both cases.
 func TestEndedReignIsNotProven(t *testing.T) {
 	cases := map[string]func(bd *bed, nd *node){
-		"deposed":    func(_ *bed, nd *node) { nd.reign.Depose("test") },
+		"deposed":    func(_ *bed, nd *node) { nd.reign().Depose("test") },
 		"lease lost": func(bd *bed, _ *node) { bd.store.Revoke() },
 	}
 	for name, end := range cases {
@@ -226,7 +226,7 @@
 				bd := newBed(t, time.Second, "w1")
 				defer bd.end()
 				first, _ := bd.addPair()
-				old := first.reign
+				old := first.reign()
 				is.True(old.Proven())
 				is.True(old.SinceProof() < time.Second)
 				end(bd, first)
@@ -236,7 +236,7 @@
 					time.Sleep(10 * time.Millisecond)
 				}
 				is.True(answers(bd, first, old.Token)) // a later planner
-				is.True(bd.leader().reign.Proven())
+				is.True(bd.leader().reign().Proven())
 				is.True(!old.Proven())                  // it would start tasks under the old token
 				is.True(old.SinceProof() > time.Minute) // it would renew the workers' leases
 			})
@@ -257,7 +257,7 @@
 		defer bd.end()
 		first, second := bd.addPair()
 		yielded := time.Now()
-		first.reign.Yield("test")
+		first.reign().Yield("test")
 		time.Sleep(500 * time.Millisecond)
 		synctest.Wait()
 		is.True(!first.term.Leading())
@@ -270,13 +270,13 @@
 		}
 		synctest.Wait()
 		is.True(first.term.Leading()) // alone
-		token := first.reign.Token
+		token := first.reign().Token
 		const abstains = 10 * time.Second
 		is.True(time.Since(yielded) < abstains-time.Second) // it is no candidate yet
 		bd.addNode("n3")
 		time.Sleep(time.Second)
 		synctest.Wait()
 		is.True(first.term.Leading())
-		is.Equal(first.reign.Token, token) // no change of planner without need
+		is.Equal(first.reign().Token, token) // no change of planner without need
 	})
 }
--- a/internal/planner/takeover_test.go
+++ b/internal/planner/takeover_test.go
@@ -176,13 +176,13 @@
 		first, second := bd.addTwo()
 		bd.submit(second, "a", 2)
 		time.Sleep(300 * time.Millisecond)
-		first.reign.Yield("test")
+		first.reign().Yield("test")
 		time.Sleep(100 * time.Millisecond)
 		if first.term.Leading() || !second.term.Leading() {
 			t.Error("the other node does not plan 0.1 s after the planner gave its place up")
 		}
 		bd.await("a", cell.Succeeded, 2*time.Second)
-		second.reign.Yield("test")
+		second.reign().Yield("test")
 		time.Sleep(time.Second)
 		if first.term.Leading() {
 			t.Error("the first node has taken the place back at once")
@@ -200,9 +200,9 @@
 		defer bd.end()
 		first, second := bd.addTwo()
 		time.Sleep(time.Second)
-		first.reign.Yield("test")
+		first.reign().Yield("test")
 		time.Sleep(time.Second)
-		second.reign.Yield("test")
+		second.reign().Yield("test")
 		time.Sleep(3 * time.Second)
 		if !first.term.Leading() && !second.term.Leading() {
 			t.Error("nobody plans 3 s after the last of two nodes gave the planner's place up")
