Return no session that nobody uses

begin and hold of the planner's roster returned the session; no caller took it. No change of behaviour. Lint and internal/planner with -race pass.

--- a/internal/planner/roster.go
+++ b/internal/planner/roster.go
@@ -124,18 +124,17 @@
 }
 
 // begin begins to hold a life of a worker that is listed.
-func (ld *lead) begin(en Entry) *session {
+func (ld *lead) begin(en Entry) {
 	ld.cell.PutWorker(ld.now(), en.Worker)
 	ld.log.Info("Worker is listed.", "worker", en.ID, "address", en.Address, "draining", en.Draining)
-	return ld.hold(en)
+	ld.hold(en)
 }
 
 // hold begins a session with a life of a worker.
-func (ld *lead) hold(en Entry) *session {
+func (ld *lead) hold(en Entry) {
 	se := newSession(ld, en)
 	ld.sessions[se.life], ld.present[se.life.ID()] = se, se
 	ld.spawn(func() { se.run(ld.ctx) })
-	return se
 }
 
 // update takes in a later entry of the life that is there.
