Write once that a worker is listed, and that a test's workers are well again

The log line stood twice in the planner's roster, the fault of no fault five times in its tests. No change of behaviour; no test asserts less. Lint and internal/planner with -race pass.

--- a/internal/planner/bed_test.go
+++ b/internal/planner/bed_test.go
@@ -127,6 +127,11 @@
 	return first, bd.addNode("n2")
 }
 
+// calm has the workers carry out and answer every order from now on.
+func (bd *bed) calm() {
+	bd.fleet.SetFault(func(string, string) memworkers.Fault { return memworkers.None })
+}
+
 // cutOff has the store swallow every call of one node.
 func (bd *bed) cutOff(name string) {
 	bd.store.SetFault(func(client, _ string) memkv.Fault {
--- a/internal/planner/crashes_test.go
+++ b/internal/planner/crashes_test.go
@@ -208,7 +208,7 @@
 				nd.cancel()
 				nd = follower
 			}
-			bd.fleet.SetFault(func(string, string) memworkers.Fault { return memworkers.None })
+			bd.calm()
 		}
 		bd.await("a", cell.Succeeded, time.Minute)
 	})
--- a/internal/planner/lives_test.go
+++ b/internal/planner/lives_test.go
@@ -171,7 +171,7 @@
 		bd.submit(bd.leader(), "a", 1)
 		time.Sleep(30 * time.Millisecond) // the start is on its way
 		bd.fleet.End("w1")
-		bd.fleet.SetFault(func(_, order string) memworkers.Fault { return memworkers.None })
+		bd.calm()
 		bd.clock.AfterFunc(memworkers.LateBy-35*time.Millisecond, func() { bd.fleet.Add("w1") })
 		bd.clock.AfterFunc(memworkers.LateBy, func() { bd.list("w1") })
 		bd.await("a", cell.Succeeded, 10*time.Second)
@@ -288,14 +288,14 @@
 		bd.fleet.Add("w1")
 		bd.submit(second, "a", 1)
 		time.Sleep(100 * time.Millisecond)
-		bd.fleet.SetFault(func(string, string) memworkers.Fault { return memworkers.None })
+		bd.calm()
 		time.Sleep(2 * time.Second) // the planner hears of the next life, and that it runs the task
 		bd.fleet.SetFault(quiet)
 		bd.cutOff("n1")
 		first.cancel()
 		bd.addWorker("w2")
 		time.Sleep(4 * time.Second) // the planner that follows asks in vain
-		bd.fleet.SetFault(func(string, string) memworkers.Fault { return memworkers.None })
+		bd.calm()
 		bd.await("a", cell.Succeeded, 6*time.Second)
 		if starts := len(bd.fleet.Starts()); starts != 1 {
 			t.Errorf("%d starts of one task", starts)
@@ -381,7 +381,7 @@
 			nd.reign().Yield("the test says so")
 		}
 	}
-	bd.fleet.SetFault(func(string, string) memworkers.Fault { return memworkers.None })
+	bd.calm()
 	time.Sleep(40 * time.Second)
 	for n := range jobs {
 		id := fmt.Sprint("j", n)
--- a/internal/planner/roster.go
+++ b/internal/planner/roster.go
@@ -126,10 +126,14 @@
 // begin begins to hold a life of a worker that is listed.
 func (ld *lead) begin(en Entry) {
 	ld.cell.PutWorker(ld.now(), en.Worker)
-	ld.log.Info("Worker is listed.", "worker", en.ID, "address", en.Address, "draining", en.Draining)
+	ld.tellListed(en)
 	ld.hold(en)
 }
 
+func (ld *lead) tellListed(en Entry) {
+	ld.log.Info("Worker is listed.", "worker", en.ID, "address", en.Address, "draining", en.Draining)
+}
+
 // hold begins a session with a life of a worker.
 func (ld *lead) hold(en Entry) {
 	se := newSession(ld, en)
@@ -141,7 +145,7 @@
 func (ld *lead) update(se *session, en Entry) {
 	en.ID, se.other = se.life, nil
 	if _, listed := ld.cell.Listed(se.life); !listed {
-		ld.log.Info("Worker is listed.", "worker", en.ID, "address", en.Address, "draining", en.Draining)
+		ld.tellListed(en)
 	}
 	ld.cell.PutWorker(ld.now(), en.Worker)
 	if se.entry.Capacity != en.Capacity {
