Keep API keys and limits of workspaces on the platform

Cause: nothing on the platform's path read Authorization, tenants or maximum.

Change: a call on a route that is not public needs the key of a workspace; keys are kept as digests and travel so between nodes, in the diffs of the configuration too. A node that may lack a later configuration answers 503, never 401, and a relayed call is judged by the later of the two configurations. The workspace stays with the job; another's caller neither sees nor cancels it. policy/quota counts what each workspace has running, from the order to the proof that it is gone; after a change of planner, what workers that have not reported may hold counts too. A step at its limit keeps no room and asks for no tickets; what can never fit under its limit is refused at once.

--- /dev/null
+++ b/internal/apikey/apikey_test.go
@@ -0,0 +1,24 @@
+package apikey_test
+
+import (
+	"fmt"
+	"testing"
+
+	"tackbeam.example/tackbeam/internal/apikey"
+)
+
+// ExampleOf shows that equal keys have equal digests.
+func ExampleOf() {
+	digest := apikey.Of([]byte("gkcuyj8pjbvk9m68k7b2"))
+	fmt.Println(digest == apikey.Of([]byte("gkcuyj8pjbvk9m68k7b2")), digest == apikey.Of([]byte("gkcuyj8pjbvk9m68k7b3")))
+	// Output: true false
+}
+
+// TestOfDoesNotAllocate: a key is looked up for each request.
+func TestOfDoesNotAllocate(t *testing.T) {
+	key := []byte("gkcuyj8pjbvk9m68k7b2")
+	var got apikey.Digest
+	if allocs := testing.AllocsPerRun(100, func() { got = apikey.Of(key) }); allocs != 0 {
+		t.Errorf("%v allocations for digest %x, want none", allocs, got)
+	}
+}
--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -108,7 +108,7 @@
 	nd.planner = planner.New(planner.Parts{
 		Clock: clock, Log: log, Store: st, Agents: ad.Agents, Site: ad.Site, Meters: nd.meters,
 		WorkersPrefix: ad.WorkersPrefix, DecodeWorker: ad.DecodeWorker,
-		Advise: nd.pool.Advise, Queue: nd.table.Queue, Serves: nd.table.Serves,
+		Advise: nd.pool.Advise, Queue: nd.table.Queue, Workspace: nd.table.Workspace, Serves: nd.table.Serves,
 	})
 	return nd
 }
--- a/internal/cellnode/cellnode_test.go
+++ b/internal/cellnode/cellnode_test.go
@@ -112,7 +112,7 @@
 	job := func(id string) *work.Job {
 		return &work.Job{ID: id, Spec: id, Queue: queue, Steps: []work.Step{{Count: 1, Need: size.New(1000, 1000, 0)}}}
 	}
-	is.NoErr(second.Submit(t.Context(), job("before")))
+	is.NoErr(second.Submit(t.Context(), routes.Caller{}, job("before")))
 	cut := map[string]bool{"n2": true}
 	dp.store.SetFault(func(client, _ string) memkv.Fault {
 		if cut[client] {
@@ -121,10 +121,10 @@
 		return memkv.None
 	})
 	dp.until("the second node sees that it is cut off", func() bool { return second.Ready() != nil })
-	is.NoErr(second.Submit(t.Context(), job("after")))
-	is.NoErr(second.Cancel(t.Context(), "before"))
+	is.NoErr(second.Submit(t.Context(), routes.Caller{}, job("after")))
+	is.NoErr(second.Cancel(t.Context(), routes.Caller{}, "before"))
 	dp.until("the job that was relayed succeeds", func() bool {
-		phase, err := second.State(t.Context(), "after")
+		phase, err := second.State(t.Context(), routes.Caller{}, "after")
 		return err == nil && phase == cell.Succeeded
 	})
 
@@ -136,7 +136,7 @@
 		return memkv.None
 	})
 	dp.until("the first node sees it too", func() bool { return first.Ready() != nil })
-	is.True(fault.Is(second.Submit(t.Context(), job("never")), fault.Unavailable)) // surely not run
+	is.True(fault.Is(second.Submit(t.Context(), routes.Caller{}, job("never")), fault.Unavailable)) // surely not run
 }
 
 // TestPlannerIsTold keeps everything that is read of the store from the planner, as a slow
@@ -144,10 +144,16 @@
 func TestPlannerIsTold(t *testing.T) {
 	dp := newDeployment(t)
 	planner := dp.start("n1")
-	dp.until("the first node plans", func() bool { _, err := planner.State(t.Context(), "none"); return fault.Is(err, fault.NotFound) })
+	dp.until("the first node plans", func() bool {
+		_, err := planner.State(t.Context(), routes.Caller{}, "none")
+		return fault.Is(err, fault.NotFound)
+	})
 	nodes := map[string]*cellnode.Node{"planner": planner, "other": dp.start("n2")}
 	for _, nd := range nodes {
-		dp.until("the planner is known", func() bool { _, err := nd.State(t.Context(), "none"); return fault.Is(err, fault.NotFound) })
+		dp.until("the planner is known", func() bool {
+			_, err := nd.State(t.Context(), routes.Caller{}, "none")
+			return fault.Is(err, fault.NotFound)
+		})
 	}
 	dp.store.SetFault(func(client, call string) memkv.Fault {
 		if client == "n1" && (call == "watch" || call == "range") {
@@ -158,10 +164,10 @@
 	for name, nd := range nodes {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			is.NoErr(nd.Submit(t.Context(), &work.Job{ID: name, Spec: "s", Queue: queue, Steps: []work.Step{{Count: 1, Need: size.New(1000, 1000, 0)}}}))
+			is.NoErr(nd.Submit(t.Context(), routes.Caller{}, &work.Job{ID: name, Spec: "s", Queue: queue, Steps: []work.Step{{Count: 1, Need: size.New(1000, 1000, 0)}}}))
 			const patience = 10 * time.Second // a bound for a test that fails
 			over := time.After(patience)
-			for phase := cell.Queued; phase != cell.Succeeded; phase, _ = nd.State(t.Context(), name) {
+			for phase := cell.Queued; phase != cell.Succeeded; phase, _ = nd.State(t.Context(), routes.Caller{}, name) {
 				select {
 				case <-over:
 					t.Fatalf("the job is %q", phase)
--- a/internal/cellnode/door_test.go
+++ b/internal/cellnode/door_test.go
@@ -11,6 +11,7 @@
 
 	"tackbeam.example/tackbeam/internal/fault"
 	"tackbeam.example/tackbeam/internal/joblog"
+	"tackbeam.example/tackbeam/internal/routes"
 )
 
 // TestPlannerBehind refuses jobs at once, as not run and with a time to come back, while the
@@ -20,7 +21,7 @@
 	dp := newDeployment(t)
 	nd := dp.start("n1")
 	submit := func(id string) error {
-		return nd.Submit(t.Context(), &work.Job{ID: id, Spec: id, Queue: queue, Steps: []work.Step{{Count: 1, Need: size.New(1000, 1000, 0)}}})
+		return nd.Submit(t.Context(), routes.Caller{}, &work.Job{ID: id, Spec: id, Queue: queue, Steps: []work.Step{{Count: 1, Need: size.New(1000, 1000, 0)}}})
 	}
 	say := func(wait time.Duration) {
 		raw, err := joblog.Encode(joblog.Behind{Urgent: wait, All: wait})
--- a/internal/cellnode/old_copy_test.go
+++ b/internal/cellnode/old_copy_test.go
@@ -10,6 +10,7 @@
 	"tackbeam.example/policy/work"
 
 	"tackbeam.example/tackbeam/internal/fault"
+	"tackbeam.example/tackbeam/internal/routes"
 	"tackbeam.example/tackbeam/internal/standin/memkv"
 )
 
@@ -26,8 +27,8 @@
 	job := func(id string) *work.Job {
 		return &work.Job{ID: id, Spec: id, Queue: queue, Steps: []work.Step{{Count: 1, Need: size.New(1000, 1000, 0)}}}
 	}
-	dp.until("the node plans", func() bool { _, err := nd.Pending(t.Context(), queue.Name); return err == nil })
-	is.NoErr(nd.Submit(t.Context(), job("before")))
+	dp.until("the node plans", func() bool { _, err := nd.Pending(t.Context(), routes.Caller{}, queue.Name); return err == nil })
+	is.NoErr(nd.Submit(t.Context(), routes.Caller{}, job("before")))
 	dp.store.SetFault(func(_, call string) memkv.Fault {
 		switch call {
 		case "commit", "grant", "keep", "end":
@@ -37,8 +38,8 @@
 	})
 	time.Sleep(3 * time.Second)
 	calls := map[string]func() error{
-		"a job":   func() error { return nd.Submit(t.Context(), job("meanwhile")) },
-		"a count": func() error { _, err := nd.Pending(t.Context(), queue.Name); return err },
+		"a job":   func() error { return nd.Submit(t.Context(), routes.Caller{}, job("meanwhile")) },
+		"a count": func() error { _, err := nd.Pending(t.Context(), routes.Caller{}, queue.Name); return err },
 	}
 	for name, call := range calls {
 		t.Run(name, func(t *testing.T) {
@@ -51,5 +52,5 @@
 		})
 	}
 	dp.store.SetFault(func(string, string) memkv.Fault { return memkv.None })
-	dp.until("the node knows again", func() bool { return nd.Submit(t.Context(), job("after")) == nil })
+	dp.until("the node knows again", func() bool { return nd.Submit(t.Context(), routes.Caller{}, job("after")) == nil })
 }
--- a/internal/cellnode/requests.go
+++ b/internal/cellnode/requests.go
@@ -13,29 +13,31 @@
 	"tackbeam.example/tackbeam/internal/joblog"
 	"tackbeam.example/tackbeam/internal/peerlink"
 	"tackbeam.example/tackbeam/internal/planner"
+	"tackbeam.example/tackbeam/internal/routes"
 )
 
-// Submit accepts a job.
-func (nd *Node) Submit(ctx context.Context, jb *work.Job) error {
-	_, err := nd.serve(ctx, peerlink.Request{Submit: jb})
+// Submit accepts a caller's job.
+func (nd *Node) Submit(ctx context.Context, cr routes.Caller, jb *work.Job) error {
+	jb.Workspace = cr.Workspace
+	_, err := nd.serve(ctx, peerlink.Request{Submit: jb, Caller: cr})
 	return err
 }
 
-// Cancel accepts a cancel.
-func (nd *Node) Cancel(ctx context.Context, id string) error {
-	_, err := nd.serve(ctx, peerlink.Request{Cancel: id})
+// Cancel accepts a caller's cancel. It has no effect on a job of another workspace.
+func (nd *Node) Cancel(ctx context.Context, cr routes.Caller, id string) error {
+	_, err := nd.serve(ctx, peerlink.Request{Cancel: id, Caller: cr})
 	return err
 }
 
-// State asks the planner for a job's phase.
-func (nd *Node) State(ctx context.Context, id string) (cell.Phase, error) {
-	reply, err := nd.serve(ctx, peerlink.Request{State: id})
+// State asks the planner for the phase of a caller's job. One of another workspace is not known.
+func (nd *Node) State(ctx context.Context, cr routes.Caller, id string) (cell.Phase, error) {
+	reply, err := nd.serve(ctx, peerlink.Request{State: id, Caller: cr})
 	return reply.Phase, err
 }
 
 // Pending asks the planner how many jobs of a queue have not begun.
-func (nd *Node) Pending(ctx context.Context, queue string) (int, error) {
-	reply, err := nd.serve(ctx, peerlink.Request{Pending: queue})
+func (nd *Node) Pending(ctx context.Context, cr routes.Caller, queue string) (int, error) {
+	reply, err := nd.serve(ctx, peerlink.Request{Pending: queue, Caller: cr})
 	return reply.Pending, err
 }
 
@@ -53,12 +55,15 @@
 
 // answer answers a caller's request by what this node can do.
 func (nd *Node) answer(ctx context.Context, rq peerlink.Request) (peerlink.Reply, error) {
-	if rq.Submit != nil || rq.Pending != "" { // the others are about a job, whatever its route is
+	if rq.Submit != nil || rq.Pending != "" || rq.Caller != (routes.Caller{}) { // the others are about a job, whatever its route is
 		if err := nd.knows(); err != nil {
 			return peerlink.Reply{}, err
 		}
 	}
 	if rq.Submit != nil {
+		if err := rq.Submit.CheckLimit(); err != nil {
+			return peerlink.Reply{}, fault.New(fault.NeverFits, "%v; not run", err)
+		}
 		if err := nd.admits(rq.Submit); err != nil {
 			return peerlink.Reply{}, err
 		}
@@ -67,7 +72,7 @@
 	case rq.Submit != nil:
 		return peerlink.Reply{}, nd.intake.Submit(ctx, rq.Submit)
 	case rq.Cancel != "":
-		return peerlink.Reply{}, nd.intake.Cancel(ctx, rq.Cancel)
+		return peerlink.Reply{}, nd.intake.Cancel(ctx, rq.Cancel, rq.Caller.Workspace.Name)
 	case nd.term.Leading():
 		return nd.fromPlanner(rq)
 	}
@@ -127,8 +132,11 @@
 
 // handleRelayed answers a request of another node's caller. The other node's
 // configuration may be old, so a job gets the queue's settings of this one if they are later, and
-// a count is refused where the route is gone.
+// a count is refused where the route is gone, a call where no workspace has the API key any more.
 func (nd *Node) handleRelayed(ctx context.Context, rq peerlink.Request) (peerlink.Reply, error) {
+	if err := nd.recheck(&rq.Caller); err != nil {
+		return peerlink.Reply{}, err
+	}
 	name := rq.Pending
 	if rq.Submit != nil {
 		name = rq.Submit.Queue.Name
@@ -139,15 +147,30 @@
 	}
 	if rq.Submit != nil {
 		rq.Submit.Queue = rq.Submit.Queue.Later(qu)
+		rq.Submit.Workspace = rq.Caller.Workspace
 	}
 	return nd.answer(ctx, rq)
 }
 
+// recheck replaces what another node knows of a caller by what this one does, unless the other one's
+// configuration is the later.
+func (nd *Node) recheck(cr *routes.Caller) error {
+	if *cr == (routes.Caller{}) || cr.Workspace.Version > nd.inForce().Version {
+		return nil
+	}
+	present, ok := nd.table.Caller(cr.Key)
+	if !ok {
+		return fault.New(fault.Unauthorized, "no workspace has this API key; not run")
+	}
+	*cr = present
+	return nil
+}
+
 // fromPlanner answers questions for the planner, where this node is it.
 func (nd *Node) fromPlanner(rq peerlink.Request) (peerlink.Reply, error) {
 	switch {
 	case rq.State != "":
-		phase, err := nd.planner.State(rq.State)
+		phase, err := nd.planner.State(rq.State, rq.Caller.Workspace.Name)
 		return peerlink.Reply{Phase: phase}, err
 	case rq.Pending != "":
 		count, err := nd.planner.Pending(rq.Pending)
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -32,6 +32,7 @@
 	Timeout      Kind = "timeout"
 	Endpoint     Kind = "endpoint_failed"
 	Denied       Kind = "denied"
+	Unauthorized Kind = "unauthorized"
 	NotConfirmed Kind = "not_confirmed"
 	WrongAnswer  Kind = "wrong_answer"
 	Internal     Kind = "internal"
@@ -76,6 +77,7 @@
 	Timeout:      {504, 16, false, "no answer within the deadline; whether it ran is unknown"},
 	Endpoint:     {502, 17, true, "the endpoint failed the request"},
 	Denied:       {403, 18, false, "an explicit allow is missing, or the peer is a stranger"},
+	Unauthorized: {401, 21, false, "the call has no API key, or one that no workspace has; not run"},
 	NotConfirmed: {202, 19, true, "the edit is kept but not every node has confirmed it"},
 	WrongAnswer:  {500, 20, false, "a checked answer was wrong"},
 	Internal:     {500, 1, false, "the node failed; the log has the cause"},
--- a/internal/feed/take.go
+++ b/internal/feed/take.go
@@ -78,14 +78,14 @@
 
 // since returns what leads from a revision to the copy. The caller holds the lock.
 func (fd *Feed) since(revision uint64) []*routediff.Diff {
-	size := 0
+	size, whole := 0, routediff.Whole(fd.copy)
 	for at := len(fd.changes) - 1; at >= 0; at-- {
-		if size += fd.changes[at].Size(); size > len(fd.copy.Routes) {
+		if size += fd.changes[at].Size(); size > whole.Size() {
 			break // the whole is shorter
 		}
 		if fd.changes[at].From == revision {
 			return fd.changes[at:]
 		}
 	}
-	return []*routediff.Diff{routediff.Whole(fd.copy)}
+	return []*routediff.Diff{whole}
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -113,9 +113,18 @@
 	return fault.New(fault.Unavailable, "the store is away; not run").After(comeBack)
 }
 
-// Cancel accepts a cancel, with the same errors.
-func (in *Intake) Cancel(ctx context.Context, id string) error {
-	return in.write(ctx, len(id), func(bt *batch) { bt.Cancels = append(bt.Cancels, id) })
+// Cancel accepts a cancel by a workspace's caller, or by any caller where that is empty, with the same errors.
+func (in *Intake) Cancel(ctx context.Context, id, workspace string) error {
+	return in.write(ctx, len(id)+len(workspace), func(bt *batch) {
+		bt.Cancels = append(bt.Cancels, id)
+		if workspace == "" {
+			return
+		}
+		if bt.Cancellers == nil {
+			bt.Cancellers = map[string]string{}
+		}
+		bt.Cancellers[id] = workspace
+	})
 }
 
 func (in *Intake) write(ctx context.Context, bytes int, add func(*batch)) error {
--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -36,6 +36,9 @@
 	// At is the time of day, since 1970, at which the node began the batch: how old its jobs
 	// are. Clocks may differ by seconds, so it only orders what waits.
 	At time.Duration `cbor:"4,keyasint,omitempty"`
+	// Cancellers are the workspaces whose callers sent the cancels, by the jobs' ids; a cancel that is not
+	// here may be of any job.
+	Cancellers map[string]string `cbor:"5,keyasint,omitempty"`
 }
 
 // Written is a batch that the store has, with its key and the revision of its write.
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -19,6 +19,7 @@
 	"tackbeam.example/tackbeam/internal/feed"
 	"tackbeam.example/tackbeam/internal/httpcall"
 	"tackbeam.example/tackbeam/internal/joblog"
+	"tackbeam.example/tackbeam/internal/routes"
 )
 
 // Request is a call to another node; one field is set, beside Relayed.
@@ -38,6 +39,8 @@
 	Written *joblog.Written `cbor:"7,keyasint,omitempty"`
 	// Config asks for the configuration.
 	Config *feed.Question `cbor:"8,keyasint,omitempty"`
+	// Caller is whose call State, Pending, Submit or Cancel is.
+	Caller routes.Caller `cbor:"9,keyasint,omitzero"`
 }
 
 // writes reports whether a request that gets no answer may have changed something.
--- a/internal/planner/bed_test.go
+++ b/internal/planner/bed_test.go
@@ -42,6 +42,8 @@
 	// settings are what the planners' copies of the configuration say of the queue; the bed's
 	// jobs carry accepted instead. Without a name there are none.
 	settings, accepted work.Queue
+	// workspaces are those that the planners' copies of the configuration have.
+	workspaces map[string]work.Workspace
 	// serves is the service that the configuration names.
 	serves atomic.Value
 }
@@ -160,6 +162,10 @@
 		},
 		Serves: func(service string) bool { return bd.serves.Load() == service },
 		Queue:  func(string) (work.Queue, bool) { return bd.settings, bd.settings.Name != "" },
+		Workspace: func(name string) (work.Workspace, bool) {
+			ws, ok := bd.workspaces[name]
+			return ws, ok
+		},
 	})
 	nd.term = term.New(clock, bd.log(name), st, term.Options{Node: name, Processors: processors, TTL: 2 * time.Second, Lead: func(ctx context.Context, reign term.Reign) {
 		nd.latest.Store(&reign)
@@ -232,7 +238,7 @@
 	var last any
 	for waited := time.Duration(0); waited < within; waited += step {
 		if nd := bd.leader(); nd != nil {
-			phase, err := nd.planner.State(id)
+			phase, err := nd.planner.State(id, "")
 			if err == nil && phase == want {
 				return
 			}
--- a/internal/planner/crashes_test.go
+++ b/internal/planner/crashes_test.go
@@ -180,7 +180,7 @@
 			}
 			return memworkers.None
 		})
-		if err := nd.intake.Cancel(t.Context(), "a"); err != nil {
+		if err := nd.intake.Cancel(t.Context(), "a", ""); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(backAfter + time.Second)
--- a/internal/planner/lead.go
+++ b/internal/planner/lead.go
@@ -193,13 +193,13 @@
 	return nil
 }
 
-func (ld *lead) state(id string) (cell.Phase, error) {
+func (ld *lead) state(id, workspace string) (cell.Phase, error) {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
 	if err := ld.answers(); err != nil {
 		return "", err
 	}
-	phase, ok := ld.cell.Phase(id)
+	phase, ok := ld.cell.Phase(id, workspace)
 	if !ok {
 		if err := ld.fresh(); err != nil {
 			return "", err
@@ -239,5 +239,6 @@
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
 	ld.cell.Reroute(ld.parts.Queue)
+	ld.cell.SetWorkspaces(ld.parts.Workspace)
 	ld.kick()
 }
--- a/internal/planner/load.go
+++ b/internal/planner/load.go
@@ -78,6 +78,9 @@
 		if qu, ok := ld.parts.Queue(jb.Queue.Name); ok {
 			jb.Queue = jb.Queue.Later(qu)
 		}
+		if ws, ok := ld.parts.Workspace(jb.Workspace.Name); ok {
+			jb.Workspace = jb.Workspace.Later(ws)
+		}
 		if inherited {
 			ld.cell.AddAged(now, age, jb)
 		} else {
@@ -86,7 +89,7 @@
 		ld.log.Info("Job taken in.", "job", jb.ID, "queue", jb.Queue.Name, "revision", revision, "inherited", inherited)
 	}
 	for _, id := range bt.Cancels {
-		ld.cell.Cancel(now, id)
+		ld.cell.Cancel(now, id, bt.Cancellers[id])
 		ld.log.Info("Cancel taken in.", "job", id, "revision", revision)
 	}
 	ld.batches.add(key, bt)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -55,6 +55,8 @@
 	Serves func(service string) bool
 	// Queue returns the present settings of a queue, or false where its route is gone.
 	Queue func(name string) (work.Queue, bool)
+	// Workspace returns the present settings of a workspace, or false where the configuration lacks it.
+	Workspace func(name string) (work.Workspace, bool)
 }
 
 // Planner answers for the cell while this node leads it.
@@ -102,14 +104,14 @@
 	return fault.New(fault.Unavailable, "%s; ask again", why).After(comeBack)
 }
 
-// State returns the phase of a job. It answers NotFound only where the journal has
-// been read whole.
-func (pl *Planner) State(id string) (cell.Phase, error) {
+// State returns the phase of a job of a workspace, or of any where that is empty. It answers NotFound only
+// where the journal has been read whole.
+func (pl *Planner) State(id, workspace string) (cell.Phase, error) {
 	ld, err := pl.current()
 	if err != nil {
 		return "", err
 	}
-	return ld.state(id)
+	return ld.state(id, workspace)
 }
 
 // Pending returns how many accepted jobs of a queue have not begun.
@@ -131,7 +133,7 @@
 	return nil
 }
 
-// Reroute takes the present settings of the queues over into the jobs that wait.
+// Reroute takes the present settings of the queues over into the jobs that wait, and those of the workspaces.
 func (pl *Planner) Reroute() {
 	if ld, err := pl.current(); err == nil {
 		ld.reroute()
--- a/internal/routediff/routediff.go
+++ b/internal/routediff/routediff.go
@@ -22,81 +22,120 @@
 	// are gone.
 	Put     []routes.Route `cbor:"5,keyasint,omitempty"`
 	Removed []string       `cbor:"6,keyasint,omitempty"`
+	// Guarded is that of the result.
+	Guarded bool `cbor:"7,keyasint,omitempty"`
+	// PutWorkspaces and RemovedWorkspaces are the same of the workspaces; one with a key more or less
+	// is told of as a whole.
+	PutWorkspaces     []routes.Workspace `cbor:"8,keyasint,omitempty"`
+	RemovedWorkspaces []string           `cbor:"9,keyasint,omitempty"`
 }
 
 // Whole returns the diff that brings a version to a node that has none.
 func Whole(cf *routes.Config) *Diff {
-	return &Diff{To: cf.Revision, Version: cf.Version, Limits: cf.Limits, Put: cf.Routes}
+	return &Diff{
+		To: cf.Revision, Version: cf.Version, Limits: cf.Limits, Put: cf.Routes,
+		Guarded: cf.Guarded, PutWorkspaces: cf.Workspaces,
+	}
 }
 
 // Between returns what leads from one version to another. Where two routes of one of them have
 // one name it brings all.
 func Between(old, cf *routes.Config) *Diff {
-	before, unique := byName(old)
-	after, alsoUnique := byName(cf)
-	if !unique || !alsoUnique {
+	df := &Diff{From: old.Revision, To: cf.Revision, Version: cf.Version, Limits: cf.Limits, Guarded: cf.Guarded}
+	var ok, also bool
+	df.Put, df.Removed, ok = changed(old.Routes, cf.Routes, routeName, func(a, b *routes.Route) bool { return *a == *b })
+	df.PutWorkspaces, df.RemovedWorkspaces, also = changed(old.Workspaces, cf.Workspaces, workspaceName, (*routes.Workspace).Equal)
+	if !ok || !also {
 		return Whole(cf)
 	}
-	df := &Diff{From: old.Revision, To: cf.Revision, Version: cf.Version, Limits: cf.Limits}
-	for _, rt := range cf.Routes {
-		if was, ok := before[rt.Queue.Name]; !ok || was != rt {
-			df.Put = append(df.Put, rt)
+	return df
+}
+
+func routeName(rt *routes.Route) string { return rt.Queue.Name }
+
+func workspaceName(ws *routes.Workspace) string { return ws.Name }
+
+// changed returns the rows that are new or changed, and the names of those that are gone; false where two
+// rows of one side have one name.
+func changed[R any](old, now []R, name func(*R) string, equal func(a, b *R) bool) (put []R, removed []string, ok bool) {
+	before, unique := byName(old, name)
+	after, alsoUnique := byName(now, name)
+	if !unique || !alsoUnique {
+		return nil, nil, false
+	}
+	for at := range now {
+		if was, ok := before[name(&now[at])]; !ok || !equal(was, &now[at]) {
+			put = append(put, now[at])
 		}
 	}
-	for _, rt := range old.Routes {
-		if _, ok := after[rt.Queue.Name]; !ok {
-			df.Removed = append(df.Removed, rt.Queue.Name)
+	for at := range old {
+		if row := name(&old[at]); after[row] == nil {
+			removed = append(removed, row)
 		}
 	}
-	return df
+	return put, removed, true
 }
 
-// byName returns the routes by the names of their queues, and whether each has one of its own.
-func byName(cf *routes.Config) (map[string]routes.Route, bool) {
-	names := make(map[string]routes.Route, len(cf.Routes))
-	for _, rt := range cf.Routes {
-		names[rt.Queue.Name] = rt
+// byName returns rows by their names, and whether each has one of its own.
+func byName[R any](rows []R, name func(*R) string) (map[string]*R, bool) {
+	names := make(map[string]*R, len(rows))
+	for at := range rows {
+		names[name(&rows[at])] = &rows[at]
 	}
-	return names, len(names) == len(cf.Routes)
+	return names, len(names) == len(rows)
 }
 
 // Apply returns what the diff makes of a version, which stays as it is; nil is none.
 func (df *Diff) Apply(old *routes.Config) (*routes.Config, error) {
-	out := &routes.Config{Revision: df.To, Version: df.Version, Limits: df.Limits}
+	out := &routes.Config{Revision: df.To, Version: df.Version, Limits: df.Limits, Guarded: df.Guarded}
 	switch {
 	case df.From == 0:
-		out.Routes = df.Put
+		out.Routes, out.Workspaces = df.Put, df.PutWorkspaces
 		return out, nil
 	case old == nil || old.Revision != df.From:
 		return nil, errors.Errorf("the change begins at revision %d, which is not the present one", df.From)
 	}
-	put := make(map[string]routes.Route, len(df.Put))
-	for _, rt := range df.Put {
-		put[rt.Queue.Name] = rt
-	}
-	removed := make(map[string]bool, len(df.Removed))
-	for _, name := range df.Removed {
-		removed[name] = true
+	out.Routes = apply(old.Routes, df.Put, df.Removed, routeName)
+	out.Workspaces = apply(old.Workspaces, df.PutWorkspaces, df.RemovedWorkspaces, workspaceName)
+	return out, nil
+}
+
+// apply returns old rows with those that are put in their places, or at the end, and without those removed.
+func apply[R any](old, put []R, removed []string, name func(*R) string) []R {
+	fresh, _ := byName(put, name)
+	gone := make(map[string]bool, len(removed))
+	for _, row := range removed {
+		gone[row] = true
 	}
-	out.Routes = make([]routes.Route, 0, len(old.Routes)+len(df.Put)-len(df.Removed))
-	for _, rt := range old.Routes {
-		name := rt.Queue.Name
-		if removed[name] {
-			continue
-		}
-		if fresh, ok := put[name]; ok {
-			rt = fresh
-			delete(put, name)
+	out := make([]R, 0, len(old)+len(put))
+	for at := range old {
+		row := name(&old[at])
+		switch {
+		case gone[row]:
+		case fresh[row] != nil:
+			out = append(out, *fresh[row])
+			delete(fresh, row)
+		default:
+			out = append(out, old[at])
 		}
-		out.Routes = append(out.Routes, rt)
 	}
-	for _, rt := range df.Put {
-		if _, ok := put[rt.Queue.Name]; ok {
-			out.Routes = append(out.Routes, rt)
+	for at := range put {
+		if fresh[name(&put[at])] != nil {
+			out = append(out, put[at])
 		}
 	}
-	return out, nil
+	return out
 }
 
-// Size is the number of routes that the diff tells of.
-func (df *Diff) Size() int { return len(df.Put) + len(df.Removed) }
+// keysARoute is how many API keys take as many bytes as a route.
+const keysARoute = 4
+
+// Size is how much the diff tells of, in routes.
+func (df *Diff) Size() int {
+	rows := len(df.Put) + len(df.Removed) + len(df.PutWorkspaces) + len(df.RemovedWorkspaces)
+	keys := 0
+	for at := range df.PutWorkspaces {
+		keys += len(df.PutWorkspaces[at].Keys)
+	}
+	return rows + keys/keysARoute
+}
--- a/internal/routes/index.go
+++ b/internal/routes/index.go
@@ -1,6 +1,10 @@
 package routes
 
-import "slices"
+import (
+	"slices"
+
+	"tackbeam.example/tackbeam/internal/apikey"
+)
 
 // index finds a route among any number of them: each request looks one up. Of 10,000 routes
 // on 8 hosts a look took 62 us when all were walked through (BenchmarkFind).
@@ -9,6 +13,9 @@
 	queues map[string]*Route
 	// services are those whose workers run the queues' tasks.
 	services map[string]bool
+	// keys and workspaces find a workspace by an API key and by its name.
+	keys       map[apikey.Digest]*Workspace
+	workspaces map[string]*Workspace
 }
 
 // prefixes are the routes of one host.
@@ -18,10 +25,16 @@
 	routes  map[string]*Route
 }
 
-// newIndex returns the index of routes. Of two with one host and prefix, or with one name, the
-// first counts.
-func newIndex(routes []Route) *index {
-	ix := &index{hosts: map[string]*prefixes{}, queues: make(map[string]*Route, len(routes)), services: map[string]bool{}}
+// newIndex returns the index of a configuration. Of two routes with one host and prefix, or of two rows with
+// one name or key, the first counts.
+func newIndex(routes []Route, workspaces []Workspace) *index {
+	ix := &index{
+		hosts: map[string]*prefixes{}, queues: make(map[string]*Route, len(routes)), services: map[string]bool{},
+		keys: map[apikey.Digest]*Workspace{}, workspaces: make(map[string]*Workspace, len(workspaces)),
+	}
+	for at := range workspaces {
+		ix.addWorkspace(&workspaces[at])
+	}
 	for at := range routes {
 		ix.add(&routes[at])
 	}
@@ -31,6 +44,17 @@
 	return ix
 }
 
+func (ix *index) addWorkspace(ws *Workspace) {
+	if _, ok := ix.workspaces[ws.Name]; !ok {
+		ix.workspaces[ws.Name] = ws
+	}
+	for _, key := range ws.Keys {
+		if _, ok := ix.keys[key]; !ok {
+			ix.keys[key] = ws
+		}
+	}
+}
+
 func (ix *index) add(rt *Route) {
 	if _, ok := ix.queues[rt.Queue.Name]; !ok {
 		ix.queues[rt.Queue.Name] = rt
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -3,11 +3,14 @@
 package routes
 
 import (
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
 
 	"tackbeam.example/policy/work"
+
+	"tackbeam.example/tackbeam/internal/apikey"
 )
 
 // Route leads callers of a host and path to a queue. It travels between nodes.
@@ -15,6 +18,19 @@
 	Host   string     `cbor:"1,keyasint"`
 	Prefix string     `cbor:"2,keyasint"`
 	Queue  work.Queue `cbor:"3,keyasint"`
+	// Public routes take calls without an API key.
+	Public bool `cbor:"4,keyasint,omitempty"`
+}
+
+// Workspace is a workspace with the API keys of its callers. It travels between nodes.
+type Workspace struct {
+	work.Workspace `cbor:"1,keyasint"`
+	Keys           []apikey.Digest `cbor:"2,keyasint,omitempty"`
+}
+
+// Equal reports whether both are alike; the order of the keys counts.
+func (ws *Workspace) Equal(other *Workspace) bool {
+	return ws.Workspace == other.Workspace && slices.Equal(ws.Keys, other.Keys)
 }
 
 // Limits are what the operators allow callers. They travel between nodes.
@@ -30,6 +46,9 @@
 	Revision uint64
 	Routes   []Route
 	Limits   Limits
+	// Guarded is set where calls need the API key of a workspace, unless their route is public.
+	Guarded    bool
+	Workspaces []Workspace
 }
 
 // Table is the version in force. It is safe for concurrent use.
@@ -52,7 +71,7 @@
 			return false
 		}
 		if fresh == nil {
-			fresh = &indexed{cf, newIndex(cf.Routes)}
+			fresh = &indexed{cf, newIndex(cf.Routes, cf.Workspaces)}
 		}
 		if tb.inForce.CompareAndSwap(old, fresh) {
 			return true
@@ -111,6 +130,53 @@
 	return now.dated(route).Queue, true
 }
 
+// Caller is who calls, by a node's copy of the configuration. The zero value needs no API key. It travels
+// between nodes.
+type Caller struct {
+	Key apikey.Digest `cbor:"1,keyasint"`
+	// Workspace is the key's, with the version of the configuration that says so.
+	Workspace work.Workspace `cbor:"2,keyasint"`
+}
+
+// Guarded reports whether calls of a route need an API key.
+func (tb *Table) Guarded(rt *Route) bool {
+	now := tb.inForce.Load()
+	return now != nil && now.config.Guarded && !rt.Public
+}
+
+// Caller returns the caller with an API key, or false where no workspace has the key.
+func (tb *Table) Caller(key apikey.Digest) (Caller, bool) {
+	now := tb.inForce.Load()
+	if now == nil {
+		return Caller{}, false
+	}
+	ws, ok := now.index.keys[key]
+	if !ok {
+		return Caller{}, false
+	}
+	return Caller{Key: key, Workspace: now.datedWorkspace(ws)}, true
+}
+
+// Workspace returns the settings of a workspace, or false where the configuration lacks it.
+func (tb *Table) Workspace(name string) (work.Workspace, bool) {
+	now := tb.inForce.Load()
+	if now == nil {
+		return work.Workspace{}, false
+	}
+	ws, ok := now.index.workspaces[name]
+	if !ok {
+		return work.Workspace{}, false
+	}
+	return now.datedWorkspace(ws), true
+}
+
+// datedWorkspace returns a workspace's settings with the version that they are from.
+func (ix *indexed) datedWorkspace(ws *Workspace) work.Workspace {
+	out := ws.Workspace
+	out.Version = ix.config.Version
+	return out
+}
+
 // Serves reports whether any queue's tasks run on workers of a service.
 func (tb *Table) Serves(service string) bool {
 	now := tb.inForce.Load()
--- a/policy/cell/bed_test.go
+++ b/policy/cell/bed_test.go
@@ -113,7 +113,7 @@
 		bd.cell.Add(bd.now, jb, true)
 	}
 	for _, id := range bd.cancels {
-		bd.cell.Cancel(bd.now, id)
+		bd.cell.Cancel(bd.now, id, "")
 	}
 	bd.cell.Restore(bd.now, bd.records)
 	known := map[life.Life]cell.Record{}
@@ -170,7 +170,7 @@
 
 func (bd *bed) cancel(id string) {
 	bd.cancels = append(bd.cancels, id)
-	bd.cell.Cancel(bd.now, id)
+	bd.cell.Cancel(bd.now, id, "")
 }
 
 func (bd *bed) job(id string) *work.Job {
@@ -517,7 +517,7 @@
 func (bd *bed) phases() map[cell.Phase]int {
 	counts := map[cell.Phase]int{}
 	for _, jb := range bd.jobs {
-		phase, ok := bd.cell.Phase(jb.ID)
+		phase, ok := bd.cell.Phase(jb.ID, "")
 		if !ok {
 			bd.t.Errorf("job %s is not known", jb.ID)
 		}
--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -12,6 +12,7 @@
 
 	"tackbeam.example/policy/forecast"
 	"tackbeam.example/policy/life"
+	"tackbeam.example/policy/quota"
 )
 
 // Options of a cell.
@@ -49,7 +50,11 @@
 	open    map[*step]bool
 	shelves map[string]*shelf
 	queues  map[string]*queue
-	cancels map[string]time.Duration
+	cancels map[string]cancel
+	// quota bounds what the workspaces have running.
+	quota *quota.Book
+	// doubted is when it was last counted what may be running unknown.
+	doubted time.Duration
 	// services are those that a job's tasks run on.
 	services map[string]bool
 	out      Output
@@ -87,7 +92,7 @@
 	return &Cell{
 		opts: opts, jobs: map[string]*job{}, workers: map[life.Life]*worker{},
 		window: window{limit: opts.FirstWindow},
-		open:   map[*step]bool{}, shelves: map[string]*shelf{}, queues: map[string]*queue{}, cancels: map[string]time.Duration{},
+		open:   map[*step]bool{}, shelves: map[string]*shelf{}, queues: map[string]*queue{}, cancels: map[string]cancel{}, quota: quota.New(),
 		services: map[string]bool{}, excuses: map[life.Life]excuse{}, predecessors: map[string][]predecessor{},
 	}
 }
@@ -138,10 +143,10 @@
 const firstGood = 0.4
 
 // Phase returns a job's state as far as the journal proves it, or false where the
-// job is not known.
-func (cl *Cell) Phase(id string) (Phase, bool) {
+// job is not known, or is not the workspace's; an empty workspace stands for any.
+func (cl *Cell) Phase(id, workspace string) (Phase, bool) {
 	jb, ok := cl.jobs[id]
-	if !ok {
+	if !ok || !jb.isOf(workspace) {
 		return "", false
 	}
 	if !jb.phase.Ended() {
--- a/policy/cell/cell_test.go
+++ b/policy/cell/cell_test.go
@@ -122,14 +122,14 @@
 	bd.now += 2 * time.Second
 	bd.workers["w00"].advance(bd)
 	bd.report("w00")
-	if phase, _ := bd.cell.Phase("a"); phase != cell.Running {
+	if phase, _ := bd.cell.Phase("a", ""); phase != cell.Running {
 		t.Errorf("phase is %s before the end is in the journal", phase)
 	}
 	if noted, waits := bd.cell.Noted("w00"); noted != 0 || !waits {
 		t.Errorf("end %d may be forgotten before it is in the journal", noted)
 	}
 	bd.carryOut()
-	if phase, _ := bd.cell.Phase("a"); phase != cell.Succeeded {
+	if phase, _ := bd.cell.Phase("a", ""); phase != cell.Succeeded {
 		t.Errorf("phase is %s once the end is in the journal", phase)
 	}
 	if noted, _ := bd.cell.Noted("w00"); noted != 1 {
@@ -143,7 +143,7 @@
 	bd.cancel("a")
 	bd.submit(batch("a", 1))
 	bd.pass(time.Millisecond)
-	if phase, _ := bd.cell.Phase("a"); phase != cell.Cancelled {
+	if phase, _ := bd.cell.Phase("a", ""); phase != cell.Cancelled {
 		t.Errorf("phase is %s, want cancelled", phase)
 	}
 }
@@ -166,7 +166,7 @@
 	for range 100 {
 		bd.pass(100 * time.Millisecond)
 	}
-	if phase, _ := bd.cell.Phase("a"); phase != cell.Succeeded {
+	if phase, _ := bd.cell.Phase("a", ""); phase != cell.Succeeded {
 		t.Errorf("phase is %s after one failed run of two that may", phase)
 	}
 }
@@ -217,7 +217,7 @@
 			t.Errorf("round %d began at %v, want %v", round, begun[round], due)
 		}
 	}
-	if phase, _ := bd.cell.Phase("a"); phase != cell.Succeeded {
+	if phase, _ := bd.cell.Phase("a", ""); phase != cell.Succeeded {
 		t.Errorf("phase is %s after all rounds", phase)
 	}
 }
@@ -358,7 +358,7 @@
 		"its life is over":     {func(cl *cell.Cell) { cl.Over(0, entry.ID) }, false},
 		"it is listed anew":    {func(cl *cell.Cell) { cl.Unlist(entry.ID); cl.PutWorker(0, entry) }, true},
 		"it answers no more":   {func(cl *cell.Cell) { cl.Silent(0, entry.ID) }, true},
-		"its job is cancelled": {func(cl *cell.Cell) { cl.Cancel(0, "a") }, false},
+		"its job is cancelled": {func(cl *cell.Cell) { cl.Cancel(0, "a", "") }, false},
 		"its run is listed": {func(cl *cell.Cell) {
 			cl.Report(0, entry.ID, 0, []cell.Run{{Task: work.Task{Job: "a"}, Number: 1}}, nil)
 		}, false},
--- a/policy/cell/claim.go
+++ b/policy/cell/claim.go
@@ -97,7 +97,7 @@
 // chooseRoom keeps the room free that comes free soonest, and has tickets there in time.
 func (cl *Cell) chooseRoom(now time.Duration, st *step) {
 	list := cl.openings(now, st)
-	want := st.waits
+	want := cl.wants(st)
 	if !st.def.Gang {
 		want = min(want, len(list)) // its tasks start one by one
 	}
--- a/policy/cell/crash_test.go
+++ b/policy/cell/crash_test.go
@@ -114,7 +114,7 @@
 		if bd.bad[jb.ID] {
 			want = cell.Failed
 		}
-		phase, _ := bd.cell.Phase(jb.ID)
+		phase, _ := bd.cell.Phase(jb.ID, "")
 		if othersMay && !bd.bad[jb.ID] && phase == cell.Failed {
 			continue
 		}
@@ -237,10 +237,10 @@
 				tt.lose(wd, sr)
 			}
 			wd.Equal(starts, tt.want)
-			phase, _ := wd.cell.Phase("j")
+			phase, _ := wd.cell.Phase("j", "")
 			wd.take()
 			if tt.want < unbounded {
-				phase, _ = wd.cell.Phase("j")
+				phase, _ = wd.cell.Phase("j", "")
 				wd.Equal(phase, cell.Failed)
 			} else {
 				wd.Equal(phase.Ended(), false)
@@ -256,8 +256,8 @@
 	next := cell.New(cell.Options{Keep: time.Minute, FirstRun: 65})
 	submit(next, "j", wd.step, work.Queue{Name: "q", Service: "svc", Attempts: 3, Priority: 1, Stretch: 9})
 	next.Restore(wd.now, wd.journal)
-	phase, _ := wd.cell.Phase("j")
-	restored, _ := next.Phase("j")
+	phase, _ := wd.cell.Phase("j", "")
+	restored, _ := next.Phase("j", "")
 	wd.Equal(restored.Ended(), phase.Ended())
 	if phase.Ended() {
 		return
--- a/policy/cell/job.go
+++ b/policy/cell/job.go
@@ -42,7 +42,8 @@
 	cl.jobs[spec.ID] = jb
 	cl.services[spec.Queue.Service] = true
 	cl.queue(spec.Queue.Name).pending++
-	if _, cancelled := cl.cancels[spec.ID]; cancelled {
+	cl.quota.Set(spec.Workspace)
+	if cn, cancelled := cl.cancels[spec.ID]; cancelled && jb.isOf(cn.workspace) {
 		cl.finish(now, jb, Cancelled)
 		return
 	}
@@ -51,10 +52,28 @@
 	}
 }
 
-// Cancel takes in a cancel of the journal, which may come before its job.
-func (cl *Cell) Cancel(now time.Duration, id string) {
-	cl.cancels[id] = now
-	if jb, ok := cl.jobs[id]; ok && !jb.phase.Ended() {
+// cancel is a cancel by a workspace's caller, at a time; an empty workspace stands for any.
+type cancel struct {
+	at        time.Duration
+	workspace string
+}
+
+// isOf reports whether the job is a workspace's; an empty name stands for any, and a job without a workspace
+// is everybody's.
+func (jb *job) isOf(workspace string) bool {
+	name := jb.spec.Workspace.Name
+	return workspace == "" || name == "" || name == workspace
+}
+
+// Cancel takes in a cancel of the journal, which may come before its job. One by a caller of another
+// workspace has no effect.
+func (cl *Cell) Cancel(now time.Duration, id, workspace string) {
+	jb, ok := cl.jobs[id]
+	if ok && !jb.isOf(workspace) {
+		return
+	}
+	cl.cancels[id] = cancel{now, workspace}
+	if ok && !jb.phase.Ended() {
 		cl.finish(now, jb, Cancelled)
 	}
 }
@@ -158,8 +177,8 @@
 		cl.ended = cl.ended[1:]
 	}
 	cl.forgetLosses(now)
-	for id, at := range cl.cancels {
-		if now-at > cl.opts.Keep {
+	for id, cn := range cl.cancels {
+		if now-cn.at > cl.opts.Keep {
 			delete(cl.cancels, id)
 		}
 	}
--- a/policy/cell/placement.go
+++ b/policy/cell/placement.go
@@ -59,6 +59,7 @@
 // has answered or lapsed.
 func (cl *Cell) Settle() {
 	cl.settled = true
+	cl.quota.SetDoubts(nil)
 	for st := range cl.open {
 		if st.def.Gang && st.waits > 0 && st.waits < len(st.tasks) {
 			cl.breakGang(st, "gang is not complete")
@@ -76,6 +77,7 @@
 	pl.resumed = tk.checkpoint != ""
 	wk.places[key{tk.name(), run}] = pl
 	wk.used = wk.used.Add(need)
+	cl.quota.Add(tk.step.workspace(), need)
 	if tk.runs == 0 && !tk.done {
 		tk.step.waits--
 	}
@@ -102,6 +104,7 @@
 		st.waits++
 	}
 	pl.worker.used = pl.worker.used.Sub(pl.need)
+	cl.quota.Sub(pl.task.step.workspace(), pl.need)
 	if pl.task.place == pl {
 		pl.task.place = nil
 	}
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -22,6 +22,7 @@
 func (cl *Cell) Plan(now time.Duration) {
 	cl.now, cl.asked, cl.pending = now, 0, 0
 	cl.plans++
+	cl.countDoubts(now)
 	cl.shelve(now)
 	short := map[string]bool{} // services with gangs that lack room
 	for at, rd := range cl.byRank(now) {
@@ -30,6 +31,8 @@
 		switch {
 		case cl.passedOver(st):
 			st.gathered = cl.plans // it keeps its room until its turn comes
+		case cl.atLimit(st):
+			// its workspace may not have more running
 		case st.def.Gang:
 			lacks := cl.planGang(now, rd)
 			short[service] = short[service] || lacks && cl.holdsUp(now, rd)
@@ -62,12 +65,7 @@
 }
 
 // need is the room that one task takes.
-func (st *step) need() size.Size {
-	if st.def.Filler {
-		return size.New(0, st.def.Need.Memory(), st.def.Need.Accelerators())
-	}
-	return st.def.Need
-}
+func (st *step) need() size.Size { return st.def.Room() }
 
 // labelled reports whether a worker has the label that the step requires.
 func (st *step) labelled(wk *worker) bool {
@@ -128,7 +126,7 @@
 	st := rd.step
 	cl.placeTasks(now, st)
 	switch {
-	case st.waits == 0:
+	case cl.wants(st) == 0:
 	case st.urgent():
 		cl.overClaims = true
 		cl.placeTasks(now, st)
@@ -142,7 +140,8 @@
 func (cl *Cell) placeTasks(now time.Duration, st *step) {
 	held := false // up by the window
 	if cands := cl.choose(now, st); len(cands) > 0 {
-		for _, tk := range st.waiting(now) {
+		tks := st.waiting(now)
+		for _, tk := range tks[:min(len(tks), cl.allowance(st))] {
 			at := fit(tk, cands)
 			if at < 0 {
 				break
@@ -154,11 +153,12 @@
 			cl.start(now, tk, cands[at].worker, tk.run+1)
 		}
 	}
-	if st.waits > 0 && !held {
-		cl.ask(now, st, st.waits)
+	wants := cl.wants(st)
+	if wants > 0 && !held {
+		cl.ask(now, st, wants)
 	}
 	if st.urgent() && (held || st.advice.open > 0) {
-		cl.pending += st.waits
+		cl.pending += wants
 	}
 }
 
--- a/policy/cell/sharing_test.go
+++ b/policy/cell/sharing_test.go
@@ -129,12 +129,12 @@
 		}
 		cl.Report(now+1, "w", now+1, nil, []cell.End{{Seq: n + 1, Run: runs[0], Result: how}})
 	}
-	if phase, _ := cl.Phase("a"); phase != cell.Running {
+	if phase, _ := cl.Phase("a", ""); phase != cell.Running {
 		t.Errorf("phase is %s", phase)
 	}
-	cl.Cancel(time.Hour, "a")
+	cl.Cancel(time.Hour, "a", "")
 	cl.Committed(cl.Recorded())
-	if phase, _ := cl.Phase("a"); phase != cell.Cancelled {
+	if phase, _ := cl.Phase("a", ""); phase != cell.Cancelled {
 		t.Errorf("phase after the cancel is %s", phase)
 	}
 }
--- a/policy/cell/turn_test.go
+++ b/policy/cell/turn_test.go
@@ -62,7 +62,7 @@
 				bd.pass(time.Second, true)
 			}
 			t.Logf("%.2f in use; begun after %s, ended after %s", bd.inUse(), one.started-one.at, one.ended-one.at)
-			phase, _ := bd.cell.Phase("one")
+			phase, _ := bd.cell.Phase("one", "")
 			is.Equal(phase, cell.Succeeded)
 		})
 	}
--- a/policy/size/size.go
+++ b/policy/size/size.go
@@ -113,6 +113,14 @@
 	return sz
 }
 
+// Min returns the component-wise minimum of the two sizes.
+func (sz Size) Min(other Size) Size {
+	for d := range sz {
+		sz[d] = min(sz[d], other[d])
+	}
+	return sz
+}
+
 // String returns the size for people, for example "1.5 cores, 512 MiB, 0 accelerators".
 func (sz Size) String() string {
 	return fmt.Sprintf("%g cores, %d MiB, %d accelerators",
--- a/policy/work/work.go
+++ b/policy/work/work.go
@@ -85,6 +85,8 @@
 	Spec   string  `cbor:"3,keyasint"`
 	Steps  []Step  `cbor:"4,keyasint"`
 	Repeat *Repeat `cbor:"5,keyasint,omitempty"`
+	// Workspace is whose work it is.
+	Workspace Workspace `cbor:"6,keyasint,omitzero"`
 }
 
 // Rounds is how many times the steps run.
@@ -127,6 +129,30 @@
 	return nil
 }
 
+// CheckLimit returns what of the job can never run within the limit of its workspace, or nil: a task, or
+// the tasks of a gang together, since these run only all at once.
+func (jb *Job) CheckLimit() error {
+	for num, st := range jb.Steps {
+		together := st.Room()
+		if st.Gang {
+			together = together.Times(int64(st.Count))
+		}
+		if d, over := jb.Workspace.Exceeds(together); over {
+			return fmt.Errorf("step %d of job %s needs %s at once; the limit of workspace %q is %s (%s is too much)",
+				num, jb.ID, together, jb.Workspace.Name, jb.Workspace.Limit, d)
+		}
+	}
+	return nil
+}
+
+// Room is the room that one task of the step takes of a worker and of its workspace's limit.
+func (st *Step) Room() size.Size {
+	if st.Filler {
+		return size.New(0, st.Need.Memory(), st.Need.Accelerators())
+	}
+	return st.Need
+}
+
 // Task names one task of one round of a job.
 type Task struct {
 	Job   string `cbor:"1,keyasint"`
