--- a/policy/cell/bed_test.go
+++ b/policy/cell/bed_test.go
@@ -46,6 +46,13 @@
 	again bool
 	// later are things that happen at a time.
 	later []timed
+	// slowElect is how long some workers do not answer the next planner.
+	slowElect time.Duration
+	// unheard are the workers that have to report before the planner settles.
+	unheard map[life.Life]bool
+	// workspaces are the present settings, allowed the highest limits that may be in force.
+	workspaces map[string]work.Workspace
+	allowed    map[string]size.Size
 }
 
 type timed struct {
@@ -84,6 +91,7 @@
 	bd := &bed{
 		t: t, rd: rand.New(rand.NewPCG(seed, 1)), workers: map[life.Life]*fakeWorker{},
 		done: map[work.Task]bool{}, failed: map[work.Task]int{}, bad: map[string]bool{}, crashed: map[work.Task]int{}, away: awayFor,
+		unheard: map[life.Life]bool{}, workspaces: map[string]work.Workspace{}, allowed: map[string]size.Size{},
 	}
 	for n := range workers {
 		bd.addWorker(life.Life(fmt.Sprintf("w%02d", n)))
@@ -112,6 +120,7 @@
 	for _, jb := range bd.jobs {
 		bd.cell.Add(bd.now, jb, true)
 	}
+	bd.cell.SetWorkspaces(bd.workspace)
 	for _, id := range bd.cancels {
 		bd.cell.Cancel(bd.now, id, "")
 	}
@@ -136,13 +145,69 @@
 			bd.cell.Inherit(bd.now, id, rec.Held)
 		} else {
 			wk.silent = 0 // the runtime waits for such a worker
+			if bd.slowElect > 0 && bd.rd.IntN(2) == 0 {
+				wk.silent = bd.now + time.Duration(bd.rd.Int64N(int64(bd.slowElect)))
+			}
+			if bd.quiet(wk) {
+				bd.unheard[id] = true
+			}
 		}
 		bd.cell.InheritStops(bd.now, id, stops[id])
 		if !bd.quiet(wk) {
 			bd.report(id)
 		}
 	}
-	bd.cell.Settle()
+	bd.settle()
+}
+
+// settle tells the planner once all workers that may hold any task have reported or are gone.
+func (bd *bed) settle() {
+	for id := range bd.unheard {
+		if wk := bd.workers[id]; wk.dead || wk.token == bd.reign {
+			delete(bd.unheard, id)
+		}
+	}
+	if len(bd.unheard) == 0 && !bd.cell.Settled() {
+		bd.cell.Settle()
+	}
+}
+
+func (bd *bed) workspace(name string) (work.Workspace, bool) {
+	ws, ok := bd.workspaces[name]
+	return ws, ok
+}
+
+// limit changes the limit of a workspace; orders that are under way may go by the one before.
+func (bd *bed) limit(name string, limit size.Size) {
+	ws := bd.workspaces[name]
+	bd.allowed[name] = limit.Max(ws.Limit)
+	bd.workspaces[name] = work.Workspace{Name: name, Weight: 1, Limit: limit, Version: ws.Version + 1}
+	bd.cell.SetWorkspaces(bd.workspace)
+	bd.later = append(bd.later, timed{bd.now + underWay, func() { bd.allowed[name] = bd.workspaces[name].Limit }})
+}
+
+// checkLimit fails where a start lifts a workspace past its limit, on all workers together.
+func (bd *bed) checkLimit(sr cell.Start, jb *work.Job, step work.Step) {
+	name := jb.Workspace.Name
+	if name == "" {
+		return
+	}
+	sum := step.Room()
+	for _, wk := range bd.workers {
+		if wk.dead {
+			continue
+		}
+		for _, runs := range []map[work.Task]*fakeRun{wk.runs, wk.stopping} {
+			for task, rn := range runs {
+				if bd.job(task.Job).Workspace.Name == name {
+					sum = sum.Add(rn.need)
+				}
+			}
+		}
+	}
+	if d, over := (work.Workspace{Limit: bd.allowed[name]}).Exceeds(sum); over {
+		bd.t.Fatalf("start of %s lifts workspace %s to %s, which may have %s (%s)", sr.Task, name, sum, bd.allowed[name], d)
+	}
 }
 
 // quiet reports whether a worker does not answer now.
@@ -223,6 +288,7 @@
 			bd.report(id)
 		}
 	}
+	bd.settle()
 	bd.cell.Tick(bd.now, bd.now)
 	bd.cell.Plan(bd.now)
 	bd.carryOut()
@@ -334,6 +400,7 @@
 	if !used.Add(step.Need).Fits(room) {
 		bd.t.Fatalf("start of %s goes over the room of %s", sr.Task, wk.ID)
 	}
+	bd.checkLimit(sr, jb, step)
 	for _, other := range bd.workers {
 		for _, rn := range []*fakeRun{other.runs[sr.Task], other.stopping[sr.Task]} {
 			if rn != nil && !other.dead {
