Play keys and limits in the stand-ins, the soak and on nodes that are cut off

The soak's callers send keys of two workspaces, one with a limit, and one key in forty that nobody has; each version of the configuration has a key of its own, which must work within the bound and not after it. memworkers checks limits over all workers.

--- a/internal/cellnode/cellnode_test.go
+++ b/internal/cellnode/cellnode_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -16,6 +17,7 @@
 	"tackbeam.example/policy/size"
 	"tackbeam.example/policy/work"
 
+	"tackbeam.example/tackbeam/internal/apikey"
 	"tackbeam.example/tackbeam/internal/cellnode"
 	"tackbeam.example/tackbeam/internal/fault"
 	"tackbeam.example/tackbeam/internal/kv"
@@ -72,7 +74,15 @@
 			}}, nil
 		},
 		DecodeConfig: func(item kv.Item) (*routes.Config, error) {
-			return &routes.Config{Version: item.Revision, Routes: []routes.Route{{Host: "h", Prefix: "/", Queue: queue}}}, nil
+			cf := &routes.Config{Version: item.Revision, Routes: []routes.Route{{Host: "h", Prefix: "/", Queue: queue}}}
+			for at, key := range strings.Fields(string(item.Value))[1:] { // after the version
+				cf.Guarded = true
+				cf.Workspaces = append(cf.Workspaces, routes.Workspace{
+					Workspace: work.Workspace{Name: "ws" + strconv.Itoa(at), Limit: size.New(4000, 0, 0)},
+					Keys:      []apikey.Digest{apikey.Of([]byte(key))},
+				})
+			}
+			return cf, nil
 		},
 	})
 	for _, sv := range nd.Services() {
--- a/internal/standin/memworkers/memworkers.go
+++ b/internal/standin/memworkers/memworkers.go
@@ -52,6 +52,7 @@
 	done map[work.Task]bool
 	// losses counts, for each job, the lives that ended with its tasks.
 	losses map[string]int
+	limit  Limit
 }
 
 type worker struct {
@@ -278,6 +279,7 @@
 		fl.checkRoom(wk, sr)
 		wk.deadline = max(wk.deadline, deadline)
 		wk.runs[sr.Task] = run{sr.Run, fl.clock.Now(), wk.strayed}
+		fl.checkLimit(sr)
 		fl.clock.AfterFunc(fl.run, func() {
 			fl.mu.Lock()
 			defer fl.mu.Unlock()
