Bound the calls to the store by the number of nodes

Cause: each entry in the list of members wakes the watches of all nodes, so n nodes that join make n squared calls. Reproduced in virtual time: TestCrowd on the code before: 0 of 301 nodes know all members after 8 s, 95,216 calls, 76,024 refused.

Change: a node that is not among the first eight to take the planner's place looks at the list so rarely that all of them use a tenth of the rate, and asks for a longer lease, so that renewals use a tenth too. A call over the rate (429, kv.ErrLimited) is tried again after pauses that double up to 5 s; pauses stay short while the store is away. The node's own entry is not written again at each wake. The first eight keep short leases and hear of a vacancy at once.

TestCrowd after: 301 nodes know all members after 6.2 s, at rest fewer calls than half of the rate and none refused, known again 3.6 s after 5 s of refusals; 9 and 43 nodes as before (0.1 s).

--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -86,7 +86,7 @@
 	st := nd.health.Wrap(ad.Store)
 	nd.term = term.New(clock, log, st, term.Options{
 		Node: ad.Site.Node, Peers: ad.Site.Peers, Hall: ad.Site.Hall, Processors: ad.Site.Processors, Link: ad.Site.Link,
-		TTL:     max(termTTL, ad.Site.Bounds.MinLease),
+		TTL: max(termTTL, ad.Site.Bounds.MinLease), Reads: ad.Site.Reads,
 		Backlog: nd.noteBacklog,
 		Lead:    func(ctx context.Context, reign term.Reign) { nd.planner.Lead(ctx, reign) },
 	})
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -30,7 +30,6 @@
 	"tackbeam.example/tackbeam/internal/loop"
 	"tackbeam.example/tackbeam/internal/routediff"
 	"tackbeam.example/tackbeam/internal/routes"
-	"tackbeam.example/tackbeam/internal/store"
 )
 
 // Options of a feed. The functions are seams.
@@ -73,8 +72,6 @@
 	// firstByte is when an answer of the store has to begin, beyond its wait: twice what a slow
 	// store takes.
 	firstByte = 500 * time.Millisecond
-	// retryStep is the step of the store's backoff between two tries: 40 to 80 ms.
-	retryStep = 2
 )
 
 // Feed is one node's copy.
@@ -116,6 +113,8 @@
 	size   int
 	// vouched is when another node was last asked how old its copy is.
 	vouched time.Time
+	// retry gives the pauses between tries.
+	retry kv.Retry
 	// Of the present change: readLast is set where the last try was to read whole, asked is how
 	// many readers were left for the next one, failed how many in turn did not answer or were busy.
 	readLast      bool
@@ -198,7 +197,7 @@
 	if !fd.Behind() {
 		fd.vouch(ctx)
 	}
-	loop.Pause(ctx, fd.clock, store.Backoff(retryStep))
+	loop.Pause(ctx, fd.clock, fd.retry.After(err))
 }
 
 // most is the largest answer that this node takes where it has no version yet, or lost its place; 0
@@ -286,6 +285,7 @@
 		fd.asOf = sent
 	}
 	fd.mu.Unlock()
+	fd.retry.Succeeded()
 	if fd.setDown(false) {
 		fd.log.Info("The configuration is known again.")
 	}
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
@@ -95,6 +96,8 @@
 	ErrTooLarge = errors.New("the answer is larger than asked for")
 	// ErrRefused means that the service did nothing.
 	ErrRefused = errors.New("the store refused the call")
+	// ErrLimited is an ErrRefused: the calls of all nodes together are over the service's rate.
+	ErrLimited = fmt.Errorf("%w: over its rate", ErrRefused)
 	// ErrLost means that the call may have been carried out, or may be yet.
 	ErrLost = errors.New("the store did not answer")
 )
--- /dev/null
+++ b/internal/kv/retry.go
@@ -0,0 +1,34 @@
+package kv
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tackbeam.example/policy/backoff"
+)
+
+// Retry gives the pauses between tries of a call that fails. They stay short while the service is away, so that
+// its return is noticed at once, and double while the calls of all nodes are over its rate: with short ones
+// the nodes keep each other over it for ever. The zero value is ready.
+type Retry struct{ limited int }
+
+var (
+	// awayPause is the pause while the service is away.
+	awayPause = backoff.Backoff{First: 80 * time.Millisecond, Most: 80 * time.Millisecond}
+	// limitedPause is the pause while calls are over its rate.
+	limitedPause = backoff.Backoff{First: 160 * time.Millisecond, Most: 5 * time.Second}
+)
+
+// After returns the pause after a try that ended with an error.
+func (rt *Retry) After(err error) time.Duration {
+	if !errors.Is(err, ErrLimited) {
+		rt.limited = 0
+		return awayPause.Jittered(0)
+	}
+	rt.limited++
+	return limitedPause.Jittered(rt.limited - 1)
+}
+
+// Succeeded takes in that a try did.
+func (rt *Retry) Succeeded() { rt.limited = 0 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -15,7 +15,6 @@
 
 	"tackbeam.example/tackbeam/internal/kv"
 	"tackbeam.example/tackbeam/internal/loop"
-	"tackbeam.example/tackbeam/internal/store"
 )
 
 // Options of a mirror.
@@ -23,8 +22,10 @@
 	Prefix string
 	// Wait is how long one watch may stay without an answer.
 	Wait time.Duration
-	// Pause follows each answer of a watch, so that changes gather.
+	// Pause follows each answer of a watch, so that changes gather. Pace, where it is set, returns it anew
+	// each time.
 	Pause time.Duration
+	Pace  func() time.Duration
 	// Changed is called with the keys that changed since the last call, in the order of
 	// their changes, and then, with Gone set, those that were removed. Whole says that all keys were read.
 	Changed func(items []kv.Item, whole bool)
@@ -46,6 +47,8 @@
 	down   bool
 	// behind is set while more changes may wait than the last answer had. Only Run uses it.
 	behind bool
+	// retry gives the pauses between tries. Only Run uses it.
+	retry kv.Retry
 	// cancel gives the present call up.
 	cancel context.CancelFunc
 	// reading is the read of all keys that has begun, nil where none has.
@@ -89,17 +92,15 @@
 		mr.down = true
 		mr.log.Info("Store does not answer; the copy grows old.", "reason", err.Error())
 	}
-	loop.Pause(ctx, mr.clock, store.Backoff(retryStep))
+	loop.Pause(ctx, mr.clock, mr.retry.After(err))
 }
 
-// retryStep is the step of the store's backoff between two tries: 40 to 80 ms.
-const retryStep = 2
-
 func (mr *Mirror) answered(sent time.Time) {
 	mr.mu.Lock()
 	mr.asked = sent
 	mr.loaded = true
 	mr.mu.Unlock()
+	mr.retry.Succeeded()
 	if mr.down {
 		mr.down = false
 		mr.log.Info("Store answers again.")
@@ -169,10 +170,18 @@
 // answer in each pause of 0.25 s: the copy fell behind for good, and called itself fresh.
 const manyEvents = 300
 
+// pause is the time between two watches.
+func (mr *Mirror) pause() time.Duration {
+	if mr.opts.Pace != nil {
+		return mr.opts.Pace()
+	}
+	return mr.opts.Pause
+}
+
 // watch waits once for changes and tells of them. After an answer that may have been cut it asks
 // again at once.
 func (mr *Mirror) watch(ctx context.Context, after uint64) (uint64, error) {
-	if mr.opts.Pause > 0 && !mr.behind && !loop.Pause(ctx, mr.clock, mr.opts.Pause) {
+	if pause := mr.pause(); pause > 0 && !mr.behind && !loop.Pause(ctx, mr.clock, pause) {
 		return 0, ctx.Err()
 	}
 	call, cancel := context.WithTimeout(ctx, mr.opts.Wait+watchSlack)
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -25,6 +25,8 @@
 	// a second that all nodes together may make.
 	Store  string
 	Writes float64
+	// Reads is the same for reading calls; 0 where the settings do not tell.
+	Reads float64
 	// Advisor is the address of the service that allows workers for steps; empty
 	// where there is none.
 	Advisor string
--- a/internal/standin/memkv/client.go
+++ b/internal/standin/memkv/client.go
@@ -41,6 +41,8 @@
 	switch fault {
 	case Refused:
 		return kv.ErrRefused
+	case Limited:
+		return kv.ErrLimited
 	case Lost, Silent:
 		st.unanswered(ctx, name)
 		return kv.ErrLost
--- a/internal/standin/memkv/memkv.go
+++ b/internal/standin/memkv/memkv.go
@@ -45,6 +45,8 @@
 const (
 	None Fault = iota
 	Refused
+	// Limited: the call is refused as one too many for the store's rate.
+	Limited
 	Lost
 	Silent
 )
--- a/internal/term/lease.go
+++ b/internal/term/lease.go
@@ -31,14 +31,16 @@
 	sent := tm.clock.Now()
 	call, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
-	lease, err := tm.store.Grant(call, tm.opts.TTL)
+	ttl := tm.wantedTTL()
+	lease, err := tm.store.Grant(call, ttl)
 	if err != nil {
-		return retryPause
+		return tm.retry.After(err)
 	}
 	tm.mu.Lock()
-	tm.lease, tm.proof, tm.ttl, tm.listed = lease, sent, tm.opts.TTL, false
+	tm.lease, tm.proof, tm.ttl, tm.listed = lease, sent, ttl, false
+	tm.nonce = newNonce() // a leader's key on an earlier lease is not renewed any more
 	tm.mu.Unlock()
-	tm.log.Info("Lease granted.", "lease", lease)
+	tm.log.Info("Lease granted.", "lease", lease, "ttl", ttl.String())
 	tm.list(ctx)
 	tm.campaign(ctx)
 	return tm.untilNext()
@@ -62,6 +64,7 @@
 	call, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	_, _, err = tm.store.Commit(call, kv.Txn{Puts: []kv.Put{{Key: joblog.Nodes + tm.opts.Node, Value: raw, Lease: lease}}})
+	tm.relist = tm.clock.Now().Add(tm.retry.After(err))
 	if errors.Is(err, kv.ErrLeaseGone) {
 		tm.dropLease("store does not know it")
 		return
@@ -70,6 +73,7 @@
 		tm.log.Info("Node could not be listed yet.", "reason", err.Error())
 		return
 	}
+	tm.retry.Succeeded()
 	tm.mu.Lock()
 	tm.listed = true
 	tm.mu.Unlock()
@@ -87,7 +91,7 @@
 		tm.attempt = sent
 	}
 	tm.mu.Unlock()
-	if !listed {
+	if !listed && !sent.Before(tm.relist) {
 		tm.list(ctx)
 	}
 	if send {
@@ -127,7 +131,7 @@
 // dropLease forgets a lease that is over, and the reign that rested on it.
 func (tm *Term) dropLease(reason string) {
 	tm.mu.Lock()
-	tm.lease, tm.nonce = 0, newNonce() // a leader's key on it is not renewed any more
+	tm.lease = 0
 	tm.mu.Unlock()
 	tm.log.Info("Lease is over.", "reason", reason)
 	tm.mirror.Refresh() // the leader's key may be gone as well, and the watch may be dead
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -32,6 +32,8 @@
 	Processors float64
 	// Link is the bandwidth of the node's link in Mbit/s.
 	Link float64
+	// Reads is the store's rate of reading calls for all nodes, a second; 0 where it is not known.
+	Reads float64
 	// TTL of the lease: a planner that dies is replaced after that.
 	TTL time.Duration
 	// Backlog is called with how far the planner is behind, each time it says so;
@@ -88,8 +90,13 @@
 	attempt  time.Time
 	renewing int
 	// nonce tells this node's candidacies from those on its earlier leases.
-	nonce    string
-	listed   bool
+	nonce  string
+	listed bool
+	// retry gives the pauses between tries to join, relist is when the node's key may be written again.
+	retry  kv.Retry
+	relist time.Time
+	// crowded is when the node asks for a longer lease, since it learned of many others; zero before that.
+	crowded  time.Time
 	resigned bool
 	// abstains is until when the node is no candidate.
 	abstains time.Time
@@ -128,7 +135,7 @@
 		wake: wake.New(), members: map[string]joblog.Member{}, nonce: newNonce(),
 	}
 	tm.mirror = mirror.New(clock, log, st, mirror.Options{
-		Prefix: joblog.Members, Wait: watchWait, Changed: tm.changed,
+		Prefix: joblog.Members, Wait: watchWait, Pace: tm.pace, Changed: tm.changed,
 	})
 	return tm
 }
@@ -203,6 +210,9 @@
 	case lease == 0:
 		return tm.join(ctx)
 	}
+	if tm.lengthens() {
+		return tm.join(ctx) // the present lease runs out
+	}
 	tm.renew(ctx)
 	tm.layDown(ctx)
 	tm.campaign(ctx)
