Wait a moment for the end of a job whose state is asked for

Change: the planner answers a question about a job that runs once its end may be told, or after 150 ms; other states at once.

--- a/internal/cellnode/requests.go
+++ b/internal/cellnode/requests.go
@@ -74,12 +74,12 @@
 	case rq.Cancel != "":
 		return peerlink.Reply{}, nd.intake.Cancel(ctx, rq.Cancel, rq.Caller.Workspace.Name)
 	case nd.term.Leading():
-		return nd.fromPlanner(rq)
+		return nd.fromPlanner(ctx, rq)
 	}
 	return nd.ask(ctx, rq)
 }
 
-// askTimeout bounds a question to the planner: it answers from memory.
+// askTimeout bounds a question to the planner: it answers from memory, after a wait of 150 ms at most.
 const askTimeout = 500 * time.Millisecond
 
 func (nd *Node) ask(ctx context.Context, rq peerlink.Request) (peerlink.Reply, error) {
@@ -127,7 +127,7 @@
 		answer, err := nd.advise(ctx, *rq.Advise)
 		return peerlink.Reply{Tickets: answer.Tickets, Valid: answer.Valid}, err
 	}
-	return nd.fromPlanner(rq)
+	return nd.fromPlanner(ctx, rq)
 }
 
 // handleRelayed answers a request of another node's caller. The other node's
@@ -167,10 +167,10 @@
 }
 
 // fromPlanner answers questions for the planner, where this node is it.
-func (nd *Node) fromPlanner(rq peerlink.Request) (peerlink.Reply, error) {
+func (nd *Node) fromPlanner(ctx context.Context, rq peerlink.Request) (peerlink.Reply, error) {
 	switch {
 	case rq.State != "":
-		phase, err := nd.planner.State(rq.State, rq.Caller.Workspace.Name)
+		phase, err := nd.planner.State(ctx, rq.State, rq.Caller.Workspace.Name)
 		return peerlink.Reply{Phase: phase}, err
 	case rq.Pending != "":
 		count, err := nd.planner.Pending(rq.Pending)
--- a/internal/planner/bed_test.go
+++ b/internal/planner/bed_test.go
@@ -238,7 +238,7 @@
 	var last any
 	for waited := time.Duration(0); waited < within; waited += step {
 		if nd := bd.leader(); nd != nil {
-			phase, err := nd.planner.State(id, "")
+			phase, err := nd.planner.State(bd.t.Context(), id, "")
 			if err == nil && phase == want {
 				return
 			}
--- a/internal/planner/lead.go
+++ b/internal/planner/lead.go
@@ -13,7 +13,6 @@
 	"tackbeam.example/policy/life"
 
 	"tackbeam.example/tackbeam/internal/bootclock"
-	"tackbeam.example/tackbeam/internal/fault"
 	"tackbeam.example/tackbeam/internal/joblog"
 	"tackbeam.example/tackbeam/internal/kv"
 	"tackbeam.example/tackbeam/internal/loop"
@@ -193,22 +192,6 @@
 	return nil
 }
 
-func (ld *lead) state(id, workspace string) (cell.Phase, error) {
-	ld.mu.Lock()
-	defer ld.mu.Unlock()
-	if err := ld.answers(); err != nil {
-		return "", err
-	}
-	phase, ok := ld.cell.Phase(id, workspace)
-	if !ok {
-		if err := ld.fresh(); err != nil {
-			return "", err
-		}
-		return "", fault.New(fault.NotFound, "job %s is not known", id)
-	}
-	return phase, nil
-}
-
 func (ld *lead) pending(queue string) (int, error) {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -105,13 +105,13 @@
 }
 
 // State returns the phase of a job of a workspace, or of any where that is empty. It answers NotFound only
-// where the journal has been read whole.
-func (pl *Planner) State(id, workspace string) (cell.Phase, error) {
+// where the journal has been read whole, and waits a little for the end of a job that runs.
+func (pl *Planner) State(ctx context.Context, id, workspace string) (cell.Phase, error) {
 	ld, err := pl.current()
 	if err != nil {
 		return "", err
 	}
-	return ld.state(id, workspace)
+	return ld.awaitState(ctx, id, workspace)
 }
 
 // Pending returns how many accepted jobs of a queue have not begun.
