Tell no backlog by the first seconds of a planner

Change: a planner that has started tasks for less than 2 s is not behind; the first second counts from its first start.

TestTakeoverIsNoBacklog fails without it; TestRecoveryTime and the other tests of the backlog pass as they were.

--- a/policy/cell/window.go
+++ b/policy/cell/window.go
@@ -50,6 +50,8 @@
 	// since then, from the time counted on.
 	rate, answers int
 	counted       time.Duration
+	// first is when the first start was answered.
+	first time.Duration
 	// closed is when a start last had to wait since the limit was reached, 0 before.
 	closed time.Duration
 }
@@ -59,6 +61,9 @@
 	if wn.limit == 0 {
 		return
 	}
+	if wn.first == 0 {
+		wn.first, wn.counted = now, now
+	}
 	wn.count(now)
 	lag := took - wn.usual(now, took)
 	wn.lag, wn.lagged = max(lag, wn.lag-(wn.lag-lag)/lagWeight), now
@@ -140,6 +145,10 @@
 	return min(max(least, restShare*took), mostRest)
 }
 
+// rampUp is how long a planner has to start tasks before its rate tells anything: in its first second it reads the
+// journal, and its window is small. By that rate it took what waited for minutes of work, and jobs were refused.
+const rampUp = 2 * time.Second
+
 // closedFor is how long after a start had to wait for others the planner counts as behind.
 const closedFor = 2 * time.Second
 
@@ -148,7 +157,7 @@
 // advisor, as most gangs that are not urgent do at any time, which are not counted.
 func (cl *Cell) Backlog(now time.Duration) (urgent, all time.Duration) {
 	wn := &cl.window
-	if wn.closed == 0 || now-wn.closed > closedFor || wn.rate == 0 {
+	if wn.closed == 0 || now-wn.closed > closedFor || wn.rate == 0 || now-wn.first < rampUp {
 		return 0, 0
 	}
 	first, rest := 0, 0
--- a/policy/cell/window_test.go
+++ b/policy/cell/window_test.go
@@ -44,3 +44,33 @@
 	submit(cl, "third", one, qu)
 	is.Equal(len(plan(3*time.Second+late)), 1)
 }
+
+// TestTakeoverIsNoBacklog: a planner that had just taken over said that what waited took it 23 minutes, urgent work 3 m 53 s,
+// by the rate of a second in which it had read the journal for the most part. For a second all jobs were refused;
+// 1 s later it was not behind at all.
+func TestTakeoverIsNoBacklog(t *testing.T) {
+	is := is.New(t)
+	cl := cell.New(cell.Options{Keep: time.Minute, FirstRun: 1, FirstWindow: 64})
+	cl.PutWorker(0, cell.Worker{ID: "w1", Service: "svc", Capacity: size.New(1<<40, 1<<40, 0)})
+	cl.Report(0, "w1", 0, nil, nil)
+	cl.Committed(cl.Recorded())
+	cl.Settle()
+	many := work.Step{Count: 5000, Need: size.New(1, 1, 0)}
+	submit(cl, "a", many, work.Queue{Name: "q", Service: "svc", Attempts: 3})
+	startSome := func(now time.Duration) {
+		cl.Plan(now)
+		for _, sr := range cl.Take().Starts {
+			cl.Started(now, sr)
+		}
+	}
+	const begins = 900 * time.Millisecond
+	startSome(begins)
+	startSome(begins + 1100*time.Millisecond)
+	startSome(begins + 1200*time.Millisecond)
+	urgent, all := cl.Backlog(begins + 1200*time.Millisecond)
+	is.Equal(urgent, time.Duration(0))
+	is.Equal(all, time.Duration(0))
+	startSome(begins + 2300*time.Millisecond)
+	urgent, _ = cl.Backlog(begins + 2300*time.Millisecond)
+	is.True(urgent > 10*time.Second) // as slow as that for longer, it is behind
+}
