--- a/policy/cell/window_test.go
+++ b/policy/cell/window_test.go
@@ -57,14 +57,18 @@
 	cl.Settle()
 	many := work.Step{Count: 5000, Need: size.New(1, 1, 0)}
 	submit(cl, "a", many, work.Queue{Name: "q", Service: "svc", Attempts: 3})
+	var underWay []cell.Start
 	startSome := func(now time.Duration) {
 		cl.Plan(now)
-		for _, sr := range cl.Take().Starts {
+		cl.Plan(now) // finds the window full
+		for _, sr := range underWay {
 			cl.Started(now, sr)
 		}
+		underWay = cl.Take().Starts
 	}
 	const begins = 900 * time.Millisecond
 	startSome(begins)
+	startSome(begins + 10*time.Millisecond)
 	startSome(begins + 1100*time.Millisecond)
 	startSome(begins + 1200*time.Millisecond)
 	urgent, all := cl.Backlog(begins + 1200*time.Millisecond)
