Serve what a workspace sends beyond its weight after what others are owed

Change: a job that comes beyond that rate (a second's worth may come at once) ranks behind all that is owed, holds up no other work for its gang and is not urgent; where there is room it begins as before.

--- a/policy/cell/job.go
+++ b/policy/cell/job.go
@@ -12,10 +12,12 @@
 	// inherited jobs were there before this planner: workers may hold their tasks.
 	inherited bool
 	arrived   time.Duration
-	rounds    map[int]*round
-	opened    int
-	finished  int
-	phase     Phase
+	// excess jobs are beyond what their workspace is owed.
+	excess   bool
+	rounds   map[int]*round
+	opened   int
+	finished int
+	phase    Phase
 	// proof is the number of records that must be committed to show that the job has ended.
 	proof   int
 	endedAt time.Duration
@@ -43,6 +45,7 @@
 	cl.services[spec.Queue.Service] = true
 	cl.queue(spec.Queue.Name).pending++
 	cl.quota.Set(spec.Workspace)
+	jb.excess = !inherited && !cl.quota.Owes(spec.Workspace.Name, arrived)
 	if cn, cancelled := cl.cancels[spec.ID]; cancelled && jb.isOf(cn.workspace) {
 		cl.finish(now, jb, Cancelled)
 		return
--- a/policy/cell/patience.go
+++ b/policy/cell/patience.go
@@ -17,13 +17,13 @@
 // that lack room.
 func (rd ranked) patient(now time.Duration) bool {
 	def := rd.step.def
-	return rd.rank.group == groupPatient && !rd.rank.late && rd.rank.latest-now > ample && !def.Lasting && !def.Filler
+	return rd.rank.group != groupUrgent && !rd.rank.late && rd.rank.latest-now > ample && !def.Lasting && !def.Filler
 }
 
 // holdsUp reports whether patient steps should wait for a gang that lacks room: it can
 // be in time, has waited for a while, and most of the workers are in use.
 func (cl *Cell) holdsUp(now time.Duration, rd ranked) bool {
-	if rd.rank.late || now-rd.step.ready < claimAfter {
+	if rd.rank.late || rd.rank.group == groupExcess || now-rd.step.ready < claimAfter {
 		return false
 	}
 	sh, ok := cl.shelves[cl.service(rd.step)]
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -109,7 +109,10 @@
 	return count
 }
 
-func (st *step) urgent() bool { return st.round.job.spec.Queue.Priority == 0 }
+func (st *step) urgent() bool {
+	jb := st.round.job
+	return jb.spec.Queue.Priority == 0 && !jb.excess
+}
 
 // candidate is a worker with the number of tasks that it could start.
 type candidate struct {
--- a/policy/cell/rank.go
+++ b/policy/cell/rank.go
@@ -53,10 +53,12 @@
 	return cmp.Or(cmp.Compare(rk.id, other.id), cmp.Compare(rk.num, other.num))
 }
 
-// The groups of ranks: urgent queues go before all others.
+// The groups of ranks: urgent queues go before all others, and what a workspace sends beyond what it is owed after
+// all that others are.
 const (
 	groupUrgent = iota
 	groupPatient
+	groupExcess
 )
 
 // rank of a lasting step counts from when it came to lack tasks, and is never late: it earns
@@ -67,7 +69,10 @@
 	jb := st.round.job
 	qu := jb.spec.Queue
 	rk := rank{group: groupPatient, id: jb.spec.ID, num: st.num}
-	if qu.Priority == 0 {
+	switch {
+	case jb.excess:
+		rk.group = groupExcess
+	case qu.Priority == 0:
 		rk.group = groupUrgent
 	}
 	if st.def.Lasting {
--- a/policy/quota/quota.go
+++ b/policy/quota/quota.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math"
 	"slices"
+	"time"
 
 	"tackbeam.example/policy/size"
 	"tackbeam.example/policy/work"
@@ -17,6 +18,8 @@
 
 type row struct {
 	work.Workspace
+	// due is when all that was sent up to now would have come at the rate of the weight.
+	due time.Duration
 	// used is what is running or may be, doubt what may be running besides, of which nobody knows where.
 	used, doubt size.Size
 }
@@ -106,6 +109,24 @@
 	Running, Doubt size.Size
 }
 
+// burst is for how long a workspace may have sent nothing before that counts no more in its favour.
+const burst = time.Second
+
+// Owes takes in that a workspace's job came at a time, and reports whether it is within what the workspace is owed:
+// as many jobs a second as its weight says. Without a weight all of them are.
+func (bk *Book) Owes(name string, came time.Duration) bool {
+	rw, ok := bk.rows[name]
+	if !ok || rw.Weight <= 0 {
+		return true
+	}
+	due := max(rw.due, came-burst)
+	if due > came {
+		return false
+	}
+	rw.due = due + time.Duration(float64(time.Second)/rw.Weight)
+	return true
+}
+
 // Uses returns all workspaces by name.
 func (bk *Book) Uses() []Use {
 	var list []Use
--- a/policy/quota/quota_test.go
+++ b/policy/quota/quota_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"testing"
+	"time"
 
 	"tackbeam.example/policy/quota"
 	"tackbeam.example/policy/size"
@@ -70,6 +71,36 @@
 	}
 }
 
+// TestOwes counts the jobs that are owed of a stream.
+func TestOwes(t *testing.T) {
+	cases := map[string]struct {
+		weight float64
+		every  time.Duration
+		want   int // of the stream's 10 s
+	}{
+		"below the weight":  {10, 200 * time.Millisecond, 50},
+		"at the weight":     {10, 100 * time.Millisecond, 100},
+		"seven times of it": {10, 100 * time.Millisecond / 7, 110}, // and a second's worth at first
+		"a part of one":     {0.5, 500 * time.Millisecond, 6},
+		"no weight":         {0, time.Millisecond, 10_000},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			bk := quota.New()
+			bk.Set(work.Workspace{Name: "parts", Weight: tc.weight, Version: 1})
+			owed := 0
+			for came := 5 * time.Second; came < 15*time.Second; came += tc.every {
+				if bk.Owes("parts", came) {
+					owed++
+				}
+			}
+			if owed != tc.want {
+				t.Errorf("%d jobs are owed, want %d", owed, tc.want)
+			}
+		})
+	}
+}
+
 // ExampleBook_Room shows a limit of four cores.
 func ExampleBook_Room() {
 	bk := quota.New()
