Say in logs and pages what a workspace's limit holds up

"Step waits" names the workspace, what it has running, its limit and whether that is what binds; two gauges count workspaces near and over their limits.

--- a/internal/planner/waits.go
+++ b/internal/planner/waits.go
@@ -21,6 +21,26 @@
 	for _, wt := range ld.cell.Waits(now, waitsLeast, waitsMost) {
 		ld.log.Info("Step waits.", "step", wt.Step.StepName(), "for", wt.For.String(), "tasks", wt.Tasks,
 			"placed", wt.Placed, "asking", wt.Asking, "asked", wt.Asked, "allowed", wt.Allowed, "room", wt.Room,
-			"kept_free", wt.Claimed, "tickets", wt.Tickets, "questions", wt.Questions, "unanswered", wt.Unanswered, "late", wt.Late)
+			"kept_free", wt.Claimed, "tickets", wt.Tickets, "questions", wt.Questions, "unanswered", wt.Unanswered, "late", wt.Late,
+			"workspace", wt.Use.Workspace.Name, "at_limit", wt.AtLimit, "excess", wt.Excess,
+			"running", wt.Use.Running.String(), "limit", wt.Use.Workspace.Limit.String())
 	}
+	ld.measureLimits()
+}
+
+// measureLimits tells how many workspaces are full to nine tenths of their limits, and how many are over them, as
+// those are whose limit was lowered below what runs. The caller holds the lock.
+func (ld *lead) measureLimits() {
+	const nearly = 0.9
+	near, over := 0, 0
+	for _, use := range ld.cell.Workspaces() {
+		if _, exceeds := use.Workspace.Exceeds(use.Running); exceeds {
+			over++
+		}
+		if use.Running.Share(use.Workspace.Limit) >= nearly {
+			near++
+		}
+	}
+	ld.measures.gauge("planner.workspaces_near_limit", near)
+	ld.measures.gauge("planner.workspaces_over_limit", over)
 }
--- a/policy/cell/waits.go
+++ b/policy/cell/waits.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"tackbeam.example/policy/quota"
 	"tackbeam.example/policy/work"
 )
 
@@ -28,6 +29,10 @@
 	Claimed int
 	// Late is set where the job cannot be in time any more.
 	Late bool
+	// Use is what the job's workspace has running, AtLimit is set where its limit keeps the step from starting,
+	// Excess where the job is beyond what the workspace is owed.
+	Use             quota.Use
+	AtLimit, Excess bool
 }
 
 // Waits returns the steps that have waited longest, at most a number of them, and only
@@ -57,6 +62,7 @@
 		Asking: st.advice.open > 0, Asked: len(st.advice.verdicts), Allowed: len(st.advice.good),
 		Questions: st.advice.questions, Unanswered: st.advice.unanswered,
 		Claimed: len(st.claims), Late: cl.rank(now, st).late,
+		Use: cl.quota.Use(st.workspace()), AtLimit: cl.atLimit(st), Excess: st.round.job.excess,
 	}
 	need := cl.reaches(now)
 	for cand := range cl.trusted(st) {
