--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -48,7 +48,7 @@
 	workers map[life.Life]*worker
 	// open are the steps with tasks that wait.
 	open    map[*step]bool
-	shelves map[string]*shelf
+	pools   map[string]*pool
 	queues  map[string]*queue
 	cancels map[string]cancel
 	// quota bounds what the workspaces have running.
@@ -92,7 +92,7 @@
 	return &Cell{
 		opts: opts, jobs: map[string]*job{}, workers: map[life.Life]*worker{},
 		window: window{limit: opts.FirstWindow},
-		open:   map[*step]bool{}, shelves: map[string]*shelf{}, queues: map[string]*queue{}, cancels: map[string]cancel{}, quota: quota.New(),
+		open:   map[*step]bool{}, pools: map[string]*pool{}, queues: map[string]*queue{}, cancels: map[string]cancel{}, quota: quota.New(),
 		services: map[string]bool{}, excuses: map[life.Life]excuse{}, predecessors: map[string][]predecessor{},
 	}
 }
--- a/policy/cell/claim.go
+++ b/policy/cell/claim.go
@@ -61,8 +61,8 @@
 // comes free soonest. The first step in the order always gathers, others while the room
 // that stands idle for all of them is small, so that each gets its turn.
 func (cl *Cell) gather(now time.Duration, st *step) {
-	sh, ok := cl.shelves[cl.service(st)]
-	if !ok || now-st.ready < claimAfter || !sh.mayIdle() {
+	po, ok := cl.pools[cl.service(st)]
+	if !ok || now-st.ready < claimAfter || !po.mayIdle() {
 		cl.unclaim(st)
 		return
 	}
@@ -78,7 +78,7 @@
 		return // it is served soon, and must not keep the first of the others from gathering
 	}
 	for _, wk := range st.claims {
-		sh.idle += wk.idleFor(wk.kept)
+		po.idle += wk.idleFor(wk.kept)
 	}
 }
 
--- a/policy/cell/patience.go
+++ b/policy/cell/patience.go
@@ -26,6 +26,6 @@
 	if rd.rank.late || rd.rank.group == groupExcess || now-rd.step.ready < claimAfter {
 		return false
 	}
-	sh, ok := cl.shelves[cl.service(rd.step)]
-	return ok && sh.crowded()
+	po, ok := cl.pools[cl.service(rd.step)]
+	return ok && po.crowded()
 }
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -23,7 +23,7 @@
 	cl.now, cl.asked, cl.pending = now, 0, 0
 	cl.plans++
 	cl.countDoubts(now)
-	cl.shelve(now)
+	cl.fillPools(now)
 	short := map[string]bool{} // services with gangs that lack room
 	for at, rd := range cl.byRank(now) {
 		st, service := rd.step, cl.service(rd.step)
@@ -252,8 +252,8 @@
 func (cl *Cell) start(now time.Duration, tk *task, wk *worker, run int) {
 	run = max(run, cl.opts.FirstRun)
 	cl.place(now, tk, wk, run)
-	if wk.shelf != nil {
-		wk.shelf.sink(wk)
+	if wk.pool != nil {
+		wk.pool.sink(wk)
 	}
 	st := tk.step
 	cl.out.Starts = append(cl.out.Starts, Start{
--- a/policy/cell/shelf.go
+++ b/policy/cell/pool.go
@@ -7,10 +7,10 @@
 	"time"
 )
 
-// shelf holds the workers of one service that take new runs now, those with least left
+// pool holds the workers of one service that take new runs now, those with least left
 // of their processors first. A plan looks only at the part of it that has room for a
 // step, so that its effort does not grow with the workers.
-type shelf struct {
+type pool struct {
 	workers []*worker
 	// used is how many whole workers are in use when the plan begins, idle how many stand
 	// idle while room on them is kept free: of each worker its scarcest resource counts.
@@ -19,67 +19,67 @@
 	fresh int
 }
 
-// shelve puts the workers onto their shelves for one plan. Shelves last from plan to plan, since
+// fillPools puts the workers into their pools for one plan. Pools last from plan to plan, since
 // few workers gain or lose room between two of them, and sorting all anew each time costs as much as the
 // rest of a plan while little waits.
-func (cl *Cell) shelve(now time.Duration) {
-	for service, sh := range cl.shelves {
-		sh.used, sh.idle = 0, 0
-		sh.workers = slices.DeleteFunc(sh.workers, func(wk *worker) bool {
+func (cl *Cell) fillPools(now time.Duration) {
+	for service, po := range cl.pools {
+		po.used, po.idle = 0, 0
+		po.workers = slices.DeleteFunc(po.workers, func(wk *worker) bool {
 			if cl.takes(now, wk) && wk.Service == service && !wk.forgotten {
 				return false
 			}
-			wk.shelf = nil
+			wk.pool = nil
 			return true
 		})
 	}
 	for _, wk := range cl.workers {
 		cl.looks++
-		if wk.shelf == nil && cl.takes(now, wk) {
-			cl.shelf(wk.Service).put(wk)
+		if wk.pool == nil && cl.takes(now, wk) {
+			cl.pool(wk.Service).put(wk)
 		}
 	}
-	for _, sh := range cl.shelves {
-		sh.sort()
-		for _, wk := range sh.workers {
-			sh.used += min(wk.used.Share(wk.Capacity), 1) // one that shrank may be over its room
+	for _, po := range cl.pools {
+		po.sort()
+		for _, wk := range po.workers {
+			po.used += min(wk.used.Share(wk.Capacity), 1) // one that shrank may be over its room
 		}
 	}
 }
 
-// shelf returns the shelf of a service.
-func (cl *Cell) shelf(service string) *shelf {
-	sh, ok := cl.shelves[service]
+// pool returns the pool of a service.
+func (cl *Cell) pool(service string) *pool {
+	po, ok := cl.pools[service]
 	if !ok {
-		sh = &shelf{}
-		cl.shelves[service] = sh
+		po = &pool{}
+		cl.pools[service] = po
 	}
-	return sh
+	return po
 }
 
 // put adds a worker at no place yet.
-func (sh *shelf) put(wk *worker) {
-	wk.shelf = sh
-	sh.workers = append(sh.workers, wk)
-	sh.fresh++
+func (po *pool) put(wk *worker) {
+	wk.pool = po
+	po.workers = append(po.workers, wk)
+	po.fresh++
 }
 
-// mostFresh is the part of a shelf from which on it is sorted anew: below that most workers are in
+// mostFresh is the part of a pool from which on it is sorted anew: below that most workers are in
 // their places, and the others are moved there.
 const mostFresh = 8
 
-func (sh *shelf) sort() {
-	if sh.fresh > len(sh.workers)/mostFresh {
-		slices.SortFunc(sh.workers, (*worker).byRoom)
+func (po *pool) sort() {
+	if po.fresh > len(po.workers)/mostFresh {
+		slices.SortFunc(po.workers, (*worker).byRoom)
 	}
-	sh.fresh = 0
-	for at, wk := range sh.workers {
-		for ; at > 0 && wk.byRoom(sh.workers[at-1]) < 0; at-- {
-			sh.workers[at] = sh.workers[at-1]
+	po.fresh = 0
+	for at, wk := range po.workers {
+		for ; at > 0 && wk.byRoom(po.workers[at-1]) < 0; at-- {
+			po.workers[at] = po.workers[at-1]
 		}
-		sh.workers[at] = wk
+		po.workers[at] = wk
 	}
-	for at, wk := range sh.workers {
+	for at, wk := range po.workers {
 		wk.slot = at
 	}
 }
@@ -93,32 +93,32 @@
 }
 
 // sink moves a worker to its place after it has lost room.
-func (sh *shelf) sink(wk *worker) {
-	for at := wk.slot; at > 0 && sh.workers[at-1].free() > wk.free(); at-- {
-		before := sh.workers[at-1]
-		sh.workers[at], before.slot = before, at
-		sh.workers[at-1], wk.slot = wk, at-1
+func (po *pool) sink(wk *worker) {
+	for at := wk.slot; at > 0 && po.workers[at-1].free() > wk.free(); at-- {
+		before := po.workers[at-1]
+		po.workers[at], before.slot = before, at
+		po.workers[at-1], wk.slot = wk, at-1
 	}
 }
 
 // crowded reports whether most of the workers' room is in use.
-func (sh *shelf) crowded() bool { return sh.used >= mostInUse*sh.all() }
+func (po *pool) crowded() bool { return po.used >= mostInUse*po.all() }
 
-// all is the room of the shelf, in whole workers.
-func (sh *shelf) all() float64 { return float64(len(sh.workers)) }
+// all is the room of the pool, in whole workers.
+func (po *pool) all() float64 { return float64(len(po.workers)) }
 
-// mayIdle reports whether more room may stand idle for gangs: a small part of the shelf, or
+// mayIdle reports whether more room may stand idle for gangs: a small part of the pool, or
 // what nobody else is likely to use.
-func (sh *shelf) mayIdle() bool {
-	spare := (1-usualSpare)*sh.all() - sh.used
-	return sh.idle <= max(mostIdle*sh.all(), spare)
+func (po *pool) mayIdle() bool {
+	spare := (1-usualSpare)*po.all() - po.used
+	return po.idle <= max(mostIdle*po.all(), spare)
 }
 
 // stock returns the workers of the step's service that take new runs, those with least
 // left of their processors first. It must not change while it is walked.
 func (cl *Cell) stock(st *step) []*worker {
-	if sh, ok := cl.shelves[cl.service(st)]; ok {
-		return sh.workers
+	if po, ok := cl.pools[cl.service(st)]; ok {
+		return po.workers
 	}
 	return nil
 }
@@ -210,7 +210,7 @@
 			if only != nil && !only(lv) {
 				continue
 			}
-			if wk := cl.worker(lv); wk != nil && wk.shelf != nil && wk.Service == cl.service(st) && !yield(wk) {
+			if wk := cl.worker(lv); wk != nil && wk.pool != nil && wk.Service == cl.service(st) && !yield(wk) {
 				return
 			}
 		}
--- a/policy/cell/worker.go
+++ b/policy/cell/worker.go
@@ -40,10 +40,10 @@
 	paced time.Duration
 	// leaves is when it may leave, if it drains.
 	leaves time.Duration
-	// shelf is where the present plan finds the worker, nil where it takes no runs, and
+	// pool is where the present plan finds the worker, nil where it takes no runs, and
 	// slot its place there.
-	shelf *shelf
-	slot  int
+	pool *pool
+	slot int
 }
 
 // note is an end with the record that proves what followed from it.
