Say fenced, delayed and attributed to, as the field does

barred, strayed and laid to were words of our own. No behaviour changes; tests of internal/planner, its stand-ins and the promises of policy/cell pass.

--- a/internal/planner/crashes_test.go
+++ b/internal/planner/crashes_test.go
@@ -191,7 +191,7 @@
 }
 
 // TestCutsAreNoCrashes cuts all workers off again and again for longer than their lease, while
-// planners change. They answer again each time, so that nothing is laid to what ran there.
+// planners change. They answer again each time, so that nothing is attributed to what ran there.
 func TestCutsAreNoCrashes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const cuts, cut, calm = 6, 8 * time.Second, 4 * time.Second
--- a/internal/planner/lives_test.go
+++ b/internal/planner/lives_test.go
@@ -83,7 +83,7 @@
 // TestLateStartInNextLife has a start go unanswered, its worker crash and begin again under its id, and
 // the start be carried out there seconds later, when the task has run elsewhere.
 //
-// Orders name a worker by its id, and what was barred in one life is not in the next. What proved it: the
+// Orders name a worker by its id, and what was fenced in one life is not in the next. What proved it: the
 // start that the log gives as run 1 of w1's first life is stopped as run 1 of its second one, 2 s after run 2
 // had ended done on w2. A start with its end noted is what callers see.
 func TestLateStartInNextLife(t *testing.T) {
--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -57,7 +57,7 @@
 	ld.after(func(now time.Duration) {
 		ld.effort.end(now-sr.Decided, refusal)
 		if tries > 1 {
-			ld.cell.Strayed(sr)
+			ld.cell.StartDelayed(sr)
 		}
 		switch {
 		case err == nil && refusal == "":
@@ -66,7 +66,7 @@
 			ld.cell.Refused(now, sr, refusal)
 		case tries == 1 && (errors.Is(err, agent.ErrOtherLife) || errors.Is(err, agent.ErrFenced)):
 			// Another life has answered the only try: the run never was there, and what ended
-			// the worker is not to be laid to it.
+			// the worker is not to be attributed to it.
 			ld.cell.Refused(now, sr, cell.RefusedLate)
 		default:
 			ld.cell.StartLost(now, sr)
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -70,8 +70,8 @@
 	})
 }
 
-// TestOrdersStray loses answers and carries orders out late. No task runs twice.
-func TestOrdersStray(t *testing.T) {
+// TestOrdersDelayed loses answers and carries orders out late. No task runs twice.
+func TestOrdersDelayed(t *testing.T) {
 	cases := map[string]memworkers.Fault{
 		"not carried out":           memworkers.Silent,
 		"carried out, not answered": memworkers.Lost,
--- a/internal/standin/memworkers/lives.go
+++ b/internal/standin/memworkers/lives.go
@@ -20,7 +20,7 @@
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	wk := &worker{
-		id: id, began: fl.clock.Now(), runs: map[work.Task]run{}, barred: map[work.Task]int{},
+		id: id, began: fl.clock.Now(), runs: map[work.Task]run{}, fenced: map[work.Task]int{},
 		callers: map[uint64]bool{}, cut: map[uint64]bool{},
 	}
 	if earlier := fl.workers[id]; earlier != nil {
--- a/internal/standin/memworkers/memworkers.go
+++ b/internal/standin/memworkers/memworkers.go
@@ -61,7 +61,7 @@
 	token    uint64
 	deadline time.Duration
 	runs     map[work.Task]run
-	barred   map[work.Task]int
+	fenced   map[work.Task]int
 	ends     []cell.End
 	seq      int
 	life     life
@@ -70,15 +70,15 @@
 	// an earlier one, whose connections ended with it: true until a call has failed for that.
 	callers, cut map[uint64]bool
 	// met is set once a session of its own has called this life. Orders of an earlier one that are carried
-	// out before that are strayed: nobody could have barred them here. late is set during any late order.
-	met, strayed, late bool
+	// out before that are delayed: nobody could have fenced them here. late is set during any late order.
+	met, delayed, late bool
 }
 
 type run struct {
 	number int
 	began  time.Time
-	// strayed is set for a run that began by a strayed order.
-	strayed bool
+	// delayed is set for a run that began by a delayed order.
+	delayed bool
 }
 
 // New returns a fleet without workers whose tasks run for a time.
@@ -145,9 +145,9 @@
 				return
 			}
 			fl.advance(wk)
-			wk.late, wk.strayed = true, !wk.met
+			wk.late, wk.delayed = true, !wk.met
 			_ = act(wk) // nobody waits for the answer any more
-			wk.late, wk.strayed = false, false
+			wk.late, wk.delayed = false, false
 		})
 	}
 	fl.mu.Unlock()
@@ -178,7 +178,7 @@
 func (fl *Fleet) end(wk *worker, name work.Task, how cell.Result) {
 	number := wk.runs[name].number
 	delete(wk.runs, name)
-	wk.barred[name] = max(wk.barred[name], number)
+	wk.fenced[name] = max(wk.fenced[name], number)
 	wk.seq++
 	wk.ends = append(wk.ends, cell.End{Seq: wk.seq, Run: cell.Run{Task: name, Number: number}, Result: how})
 	fl.wakeHolds()
@@ -239,7 +239,7 @@
 // not start again.
 func (fl *Fleet) note(wk *worker, number int) {
 	wk.ends = slices.DeleteFunc(wk.ends, func(en cell.End) bool {
-		if en.Seq <= number && en.Result == cell.ResultDone && !wk.strayed {
+		if en.Seq <= number && en.Result == cell.ResultDone && !wk.delayed {
 			fl.done[en.Task] = true
 		}
 		return en.Seq <= number
@@ -271,14 +271,14 @@
 		case deadline <= fl.now(wk):
 			refusal = cell.RefusedLate
 			return nil
-		case sr.Run <= wk.barred[sr.Task]:
+		case sr.Run <= wk.fenced[sr.Task]:
 			refusal = cell.RefusedOld
 			return nil
 		}
 		fl.check(wk, sr)
 		fl.checkRoom(wk, sr)
 		wk.deadline = max(wk.deadline, deadline)
-		wk.runs[sr.Task] = run{sr.Run, fl.clock.Now(), wk.strayed}
+		wk.runs[sr.Task] = run{sr.Run, fl.clock.Now(), wk.delayed}
 		fl.checkLimit(sr)
 		fl.clock.AfterFunc(fl.run, func() {
 			fl.mu.Lock()
@@ -298,7 +298,7 @@
 }
 
 func (fl *Fleet) check(wk *worker, sr cell.Start) {
-	if wk.strayed {
+	if wk.delayed {
 		return // what is done about the run is checked with the starts that follow
 	}
 	if fl.done[sr.Task] {
@@ -306,7 +306,7 @@
 	}
 	for _, other := range fl.workers {
 		fl.advance(other)
-		if rn, there := other.runs[sr.Task]; there && (!rn.strayed || other.met) {
+		if rn, there := other.runs[sr.Task]; there && (!rn.delayed || other.met) {
 			fl.trouble = append(fl.trouble, fl.tell(wk, sr)+" while it runs on "+other.id)
 		}
 	}
@@ -322,7 +322,7 @@
 		if err := wk.admit(token); err != nil {
 			return err
 		}
-		wk.barred[sp.Task] = max(wk.barred[sp.Task], sp.Run)
+		wk.fenced[sp.Task] = max(wk.fenced[sp.Task], sp.Run)
 		if rn, there := wk.runs[sp.Task]; there && rn.number <= sp.Run {
 			fl.end(wk, sp.Task, cell.ResultStopped)
 		}
--- a/policy/cell/bed_test.go
+++ b/policy/cell/bed_test.go
@@ -68,7 +68,7 @@
 	stopping map[work.Task]*fakeRun
 	ends     []cell.End
 	seq      int
-	barred   map[work.Task]int
+	fenced   map[work.Task]int
 	dead     bool
 	// crashed workers answer nobody, and are dead once another one is in their place.
 	crashed bool
@@ -104,7 +104,7 @@
 func (bd *bed) addWorker(id life.Life) {
 	bd.workers[id] = &fakeWorker{
 		Worker: cell.Worker{ID: id, Service: "svc", Capacity: size.New(64000, 128000, 0), Rack: "r" + string(id[len(id)-1:])},
-		runs:   map[work.Task]*fakeRun{}, stopping: map[work.Task]*fakeRun{}, barred: map[work.Task]int{},
+		runs:   map[work.Task]*fakeRun{}, stopping: map[work.Task]*fakeRun{}, fenced: map[work.Task]int{},
 	}
 }
 
@@ -373,7 +373,7 @@
 	if rn := wk.runs[sr.Task]; rn != nil && rn.number == sr.Run {
 		return ""
 	}
-	if sr.Run <= wk.barred[sr.Task] {
+	if sr.Run <= wk.fenced[sr.Task] {
 		return cell.RefusedOld
 	}
 	jb := bd.job(sr.Task.Job)
@@ -443,7 +443,7 @@
 		})
 		return
 	}
-	wk.barred[sp.Task] = max(wk.barred[sp.Task], sp.Run)
+	wk.fenced[sp.Task] = max(wk.fenced[sp.Task], sp.Run)
 	if rn := wk.runs[sp.Task]; rn != nil && rn.number <= sp.Run {
 		delete(wk.runs, sp.Task)
 		rn.ends = bd.now + stopTime
@@ -459,7 +459,7 @@
 	}
 	delete(wk.runs, name)
 	delete(wk.stopping, name)
-	wk.barred[name] = max(wk.barred[name], rn.number)
+	wk.fenced[name] = max(wk.fenced[name], rn.number)
 	wk.seq++
 	wk.ends = append(wk.ends, cell.End{Seq: wk.seq, Run: cell.Run{Task: name, Number: rn.number}, Result: how})
 }
--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -70,7 +70,7 @@
 	ended   []*job
 	// looks counts the workers that planning looked at.
 	looks int
-	// silences are when workers fell silent of late, excuses what was laid to the tasks of each
+	// silences are when workers fell silent of late, excuses what was attributed to the tasks of each
 	// worker that has lapsed.
 	silences []time.Duration
 	excuses  map[life.Life]excuse
--- a/policy/cell/cell_test.go
+++ b/policy/cell/cell_test.go
@@ -43,19 +43,19 @@
 		shrink          bool
 		mayFail, settle int
 	}{
-		"calm":                          {},
-		"runs fail":                     {fails: 0.1, mayFail: 8},
-		"orders unanswered":             {faults: 0.1},
-		"planners change":               {elect: true},
-		"planners change, runs fail":    {elect: true, fails: 0.1, mayFail: 8},
-		"workers crash":                 {crash: true},
-		"workers fall silent":           {silence: true},
-		"silence, planners change":      {silence: true, elect: true, fails: 0.02, mayFail: 4},
-		"jobs cancelled":                {cancel: true},
-		"everything at once":            {faults: 0.1, fails: 0.05, elect: true, crash: true, silence: true, cancel: true, mayFail: 8},
-		"planners change, orders stray": {elect: true, faults: 0.2},
-		"rooms shrink and grow":         {shrink: true},
-		"rooms shrink, planners change": {shrink: true, elect: true, faults: 0.05},
+		"calm":                            {},
+		"runs fail":                       {fails: 0.1, mayFail: 8},
+		"orders unanswered":               {faults: 0.1},
+		"planners change":                 {elect: true},
+		"planners change, runs fail":      {elect: true, fails: 0.1, mayFail: 8},
+		"workers crash":                   {crash: true},
+		"workers fall silent":             {silence: true},
+		"silence, planners change":        {silence: true, elect: true, fails: 0.02, mayFail: 4},
+		"jobs cancelled":                  {cancel: true},
+		"everything at once":              {faults: 0.1, fails: 0.05, elect: true, crash: true, silence: true, cancel: true, mayFail: 8},
+		"planners change, orders delayed": {elect: true, faults: 0.2},
+		"rooms shrink and grow":           {shrink: true},
+		"rooms shrink, planners change":   {shrink: true, elect: true, faults: 0.05},
 	}
 	for name, tc := range cases {
 		for seed := range uint64(12) {
--- a/policy/cell/crash.go
+++ b/policy/cell/crash.go
@@ -105,7 +105,7 @@
 	cl.keepExcuse(now, id, Run{Task: name, Number: pl.run})
 }
 
-// keepExcuse remembers what was laid to a run, should its worker answer again.
+// keepExcuse remembers what was attributed to a run, should its worker answer again.
 func (cl *Cell) keepExcuse(now time.Duration, id life.Life, run Run) {
 	cl.excuses[id] = excuse{now, append(cl.excuses[id].runs, run)}
 }
--- a/policy/cell/follow.go
+++ b/policy/cell/follow.go
@@ -8,13 +8,13 @@
 )
 
 // A worker may begin again under its id. A start of its earlier life may then have been carried out in the
-// next one, or may be yet: what names the worker in an order is its id, and what was barred in one life is
+// next one, or may be yet: what names the worker in an order is its id, and what was fenced in one life is
 // not in another. So a run that the earlier life has not reported is kept until a report of the next life
 // lists it or does not; that report is asked for with a token that bars what was ordered before.
 
-// strayMost is how long such a run is kept where the next life answers nobody: as long as an order may be
+// mostDelay is how long such a run is kept where the next life answers nobody: as long as an order may be
 // under way, and run then.
-const strayMost = 15 * time.Second
+const mostDelay = 15 * time.Second
 
 // predecessor is an earlier life of a worker, with the runs that may yet begin in the next one.
 type predecessor struct {
@@ -34,7 +34,7 @@
 	wk.answered = false
 	over := cl.layCrash(now, wk)
 	for _, pl := range wk.places {
-		if pl.mayStray() {
+		if pl.mayBeDelayed() {
 			pl.state, pl.lost = unsure, now
 			continue
 		}
@@ -46,7 +46,7 @@
 		cl.forget(wk)
 		return
 	}
-	cl.predecessors[next.ID()] = append(cl.predecessors[next.ID()], predecessor{wk, now + strayMost})
+	cl.predecessors[next.ID()] = append(cl.predecessors[next.ID()], predecessor{wk, now + mostDelay})
 	cl.mayHold(now, next)
 }
 
@@ -58,9 +58,9 @@
 	cl.workers[id].proof = cl.recorded
 }
 
-// mayStray reports whether a run may be in the worker's next life, or begin there yet: its start, which
+// mayBeDelayed reports whether a run may be in the worker's next life, or begin there yet: its start, which
 // either life may have answered, was in no report of this one, or a try of it has no answer.
-func (pl *placement) mayStray() bool { return !pl.reported || pl.strays }
+func (pl *placement) mayBeDelayed() bool { return !pl.reported || pl.delayed }
 
 // settlePredecessors takes in what a life's first report says of runs of earlier lives.
 func (cl *Cell) settlePredecessors(id life.Life, runs []Run, ends []End) {
@@ -111,9 +111,9 @@
 	}
 }
 
-// Strayed takes in that a try of a start had no answer, though a later one had: it may be carried out yet.
-func (cl *Cell) Strayed(sr Start) {
+// StartDelayed takes in that a try of a start had no answer, though a later one had: it may be carried out yet.
+func (cl *Cell) StartDelayed(sr Start) {
 	if pl := cl.placement(sr.Worker, sr.Task, sr.Run); pl != nil {
-		pl.strays = true
+		pl.delayed = true
 	}
 }
--- a/policy/cell/pauses.go
+++ b/policy/cell/pauses.go
@@ -7,7 +7,7 @@
 )
 
 // A lasting task is begun again however it ends, and a task that a worker refuses is tried on
-// another. One that ends, or is refused, at once each time would be tried again at once, and laid to its
+// another. One that ends, or is refused, at once each time would be tried again at once, and attributed to its
 // worker each time, until all workers are at rest for it.
 const (
 	// freeTries is how many vain starts in a row have no consequence for the task: healthy ones
@@ -36,7 +36,7 @@
 	}
 }
 
-// blamed reports whether vain starts are laid to the task, not to its workers.
+// blamed reports whether vain starts are attributed to the task, not to its workers.
 func (ts *tries) blamed() bool { return ts.vain > freeTries }
 
 // vain takes in that a start of the task came to nothing.
--- a/policy/cell/placement.go
+++ b/policy/cell/placement.go
@@ -41,9 +41,9 @@
 	// resumed is set for a run that goes on from a checkpoint, midway for one that another planner
 	// started: what it had done when it was first seen says nothing of its speed.
 	resumed, midway bool
-	// reported is set once the worker has listed the run, strays where a try of its start had no
+	// reported is set once the worker has listed the run, delayed where a try of its start had no
 	// answer.
-	reported, strays bool
+	reported, delayed bool
 	// load is the worker's figure of the task's load, pace the percentage of its speed
 	// that it was last ordered to work at.
 	load, pace int
