--- a/internal/planner/roster.go
+++ b/internal/planner/roster.go
@@ -40,7 +40,7 @@
 	for _, item := range items {
 		if item.Gone {
 			ld.aside.drop(item.Key)
-			ld.unlist(item.Key)
+			ld.deregister(item.Key)
 			continue
 		}
 		en, err := ld.parts.DecodeWorker(item)
@@ -59,7 +59,7 @@
 func (ld *lead) leaveAside(key string, err error) {
 	if se, ok := ld.present[ld.idOf(key)]; ok {
 		if _, listed := ld.cell.Listed(se.life); listed {
-			ld.unlist(key)
+			ld.deregister(key)
 		}
 	}
 	if ld.aside.unread[key] || len(ld.aside.unread) >= mostAside {
@@ -116,7 +116,7 @@
 	case se.answered:
 		se.expect(en)
 	default: // nobody has answered as the life of the entry before
-		ld.cell.Unlist(se.life)
+		ld.cell.Deregister(se.life)
 		ld.passOn(se.life, en.ID)
 		se.dead(ld.now())
 		ld.begin(en)
@@ -157,13 +157,13 @@
 	se.entry = en
 }
 
-func (ld *lead) unlist(key string) {
+func (ld *lead) deregister(key string) {
 	se, ok := ld.present[ld.idOf(key)]
 	if !ok {
 		return
 	}
 	se.other = nil
-	ld.cell.Unlist(se.life)
+	ld.cell.Deregister(se.life)
 	ld.log.Info("Worker's entry is gone.", "worker", se.life)
 }
 
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -218,7 +218,7 @@
 		return
 	}
 	if se.other != nil {
-		ld.cell.Unlist(se.life) // its entry is of another life by now
+		ld.cell.Deregister(se.life) // its entry is of another life by now
 	}
 	if ld.cell.Holds(se.life) {
 		ld.log.Info("Worker's lease is over.", "worker", se.life, "silent_for", (now - se.heard).String())
--- a/policy/cell/bed_test.go
+++ b/policy/cell/bed_test.go
@@ -544,7 +544,7 @@
 	wk.dead = true
 	wk.runs, wk.stopping = map[work.Task]*fakeRun{}, map[work.Task]*fakeRun{}
 	bd.cell.Silent(bd.now, id)
-	bd.cell.Unlist(id)
+	bd.cell.Deregister(id)
 	bd.cell.Lapsed(bd.now, id)
 }
 
--- a/policy/cell/cell_test.go
+++ b/policy/cell/cell_test.go
@@ -352,11 +352,11 @@
 	}{
 		"nothing":              {func(*cell.Cell) {}, true},
 		"it begins to leave":   {func(cl *cell.Cell) { cl.PutWorker(0, leaving) }, false},
-		"its entry goes":       {func(cl *cell.Cell) { cl.Unlist(entry.ID) }, false},
+		"its entry goes":       {func(cl *cell.Cell) { cl.Deregister(entry.ID) }, false},
 		"it shrinks":           {func(cl *cell.Cell) { cl.PutWorker(0, small) }, false},
 		"it grows":             {func(cl *cell.Cell) { cl.PutWorker(0, large) }, true},
 		"its life is over":     {func(cl *cell.Cell) { cl.Over(0, entry.ID) }, false},
-		"it is listed anew":    {func(cl *cell.Cell) { cl.Unlist(entry.ID); cl.PutWorker(0, entry) }, true},
+		"it is listed anew":    {func(cl *cell.Cell) { cl.Deregister(entry.ID); cl.PutWorker(0, entry) }, true},
 		"it answers no more":   {func(cl *cell.Cell) { cl.Silent(0, entry.ID) }, true},
 		"its job is cancelled": {func(cl *cell.Cell) { cl.Cancel(0, "a", "") }, false},
 		"its run is listed": {func(cl *cell.Cell) {
--- a/policy/cell/crash_test.go
+++ b/policy/cell/crash_test.go
@@ -214,7 +214,7 @@
 			over(wd, sr)
 		}, unbounded},
 		"leaves the list, and ends": {once, func(wd *ward, sr cell.Start) {
-			wd.cell.Unlist(sr.Worker)
+			wd.cell.Deregister(sr.Worker)
 			over(wd, sr)
 		}, unbounded},
 		"lasting, crashes soon": {lasting, over, 3},
--- a/policy/cell/follow.go
+++ b/policy/cell/follow.go
@@ -30,7 +30,7 @@
 		return
 	}
 	cl.fellSilent(now, wk)
-	cl.unlist(wk)
+	cl.deregister(wk)
 	wk.answered = false
 	over := cl.layCrash(now, wk)
 	for _, pl := range wk.places {
--- a/policy/cell/worker.go
+++ b/policy/cell/worker.go
@@ -139,16 +139,16 @@
 	}
 }
 
-// Unlist takes in that a worker's entry is gone. What it runs is kept until it has
+// Deregister takes in that a worker's entry is gone. What it runs is kept until it has
 // lapsed.
-func (cl *Cell) Unlist(id life.Life) {
+func (cl *Cell) Deregister(id life.Life) {
 	if wk, ok := cl.workers[id]; ok {
 		wk.left = wk.left || wk.listed && wk.answered && !wk.silent
-		cl.unlist(wk)
+		cl.deregister(wk)
 	}
 }
 
-func (cl *Cell) unlist(wk *worker) {
+func (cl *Cell) deregister(wk *worker) {
 	wk.listed = false
 	cl.dropClaim(wk)
 	cl.shutWorker(wk)
@@ -158,7 +158,7 @@
 func (cl *Cell) Over(now time.Duration, id life.Life) {
 	if wk, ok := cl.workers[id]; ok {
 		cl.fellSilent(now, wk)
-		cl.unlist(wk)
+		cl.deregister(wk)
 		cl.Lapsed(now, id)
 	}
 }
--- a/policy/home/queue.go
+++ b/policy/home/queue.go
@@ -116,8 +116,8 @@
 	*list = append(*list, gr)
 }
 
-// unlist takes a group off its list.
-func (qu *queue) unlist(gr *group) {
+// deregister takes a group off its list.
+func (qu *queue) deregister(gr *group) {
 	list := &qu.open
 	if gr.parked {
 		list = &qu.parked
@@ -131,7 +131,7 @@
 
 // move parks a group or opens it.
 func (qu *queue) move(gr *group, park bool) {
-	qu.unlist(gr)
+	qu.deregister(gr)
 	gr.parked = park
 	qu.list(gr)
 }
@@ -163,7 +163,7 @@
 		gr.jobs = slices.Delete(gr.jobs, at, at+1)
 	}
 	if len(gr.jobs) == 0 {
-		qu.unlist(gr)
+		qu.deregister(gr)
 		delete(qu.groups, gr.kind)
 	}
 }
--- a/test/matrix_test.go
+++ b/test/matrix_test.go
@@ -64,7 +64,7 @@
 		func(cl *cluster) { cl.fleets[1].kill() }, // a whole rack and hall
 		func(cl *cluster) {
 			for number := 101; number <= 108; number++ {
-				cl.unlist(fmt.Sprintf("w%04d", number))
+				cl.deregister(fmt.Sprintf("w%04d", number))
 			}
 		},
 	},
@@ -96,11 +96,11 @@
 	false2.Leaving = true
 	false3.Rack = "r999"
 	put(cl.t, cl.vmsAddr, vmsmsg.Path, []vmsmsg.VM{false1, false2, false3})
-	cl.unlist(cl.truth[2].Name)
+	cl.deregister(cl.truth[2].Name)
 }
 
-// unlist takes a worker off the list of VMs.
-func (cl *cluster) unlist(name string) {
+// deregister takes a worker off the list of VMs.
+func (cl *cluster) deregister(name string) {
 	send(cl.t, "DELETE", cl.vmsAddr, vmsmsg.Path+"?name="+name, nil)
 }
 
