--- a/policy/quota/quota.go
+++ b/policy/quota/quota.go
@@ -93,15 +93,6 @@
 	return int(count)
 }
 
-// Share returns the dominant share of a whole that a workspace has running, divided by its weight.
-func (bk *Book) Share(name string, whole size.Size) float64 {
-	rw, ok := bk.rows[name]
-	if !ok || rw.Weight <= 0 {
-		return 0
-	}
-	return rw.used.Share(whole) / rw.Weight
-}
-
 // Use is what one workspace has running, for people and measures.
 type Use struct {
 	Workspace work.Workspace
