accept: keep serving after file descriptor exhaustion

The HTTP library treats this error as permanent and leaves its accept loop. A node that is briefly out of descriptors therefore serves no one for the rest of its life, while it goes on planning and renewing its lease. The other nodes send all their requests to it and get no response.

Add internal/accept, a listener that waits and retries accept while the process or the system is short of file descriptors or memory.

TestServesAfterShortage connects while the process cannot open any file. TestAccept covers the error cases. The cause of the planner's descriptor exhaustion is a separate fault.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 
+	"tackbeam.example/tackbeam/internal/accept"
 	"tackbeam.example/tackbeam/internal/api"
 	"tackbeam.example/tackbeam/internal/fault"
 	"tackbeam.example/tackbeam/internal/member"
@@ -127,7 +128,7 @@
 
 // Start begins to listen.
 func (fr *Front) Start(context.Context) error {
-	ln, err := net.Listen("tcp", fr.opts.Listen)
+	ln, err := accept.Listen(fr.Log, "tcp", fr.opts.Listen)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
--- a/internal/metricsrv/metricsrv.go
+++ b/internal/metricsrv/metricsrv.go
@@ -4,7 +4,6 @@
 import (
 	"bytes"
 	"fmt"
-	"net"
 	"slices"
 	"strings"
 	"time"
@@ -14,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 
+	"tackbeam.example/tackbeam/internal/accept"
 	"tackbeam.example/tackbeam/internal/httpcall"
 )
 
@@ -38,7 +38,7 @@
 
 // Listen serves at an address until Close.
 func (sr *Server) Listen(address string) error {
-	ln, err := net.Listen("tcp4", address)
+	ln, err := accept.Listen(sr.log, "tcp4", address)
 	if err != nil {
 		return errors.Wrap(err, "listen for questions about measures")
 	}
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -15,6 +14,7 @@
 	"tackbeam.example/policy/cell"
 	"tackbeam.example/policy/work"
 
+	"tackbeam.example/tackbeam/internal/accept"
 	"tackbeam.example/tackbeam/internal/fault"
 	"tackbeam.example/tackbeam/internal/feed"
 	"tackbeam.example/tackbeam/internal/httpcall"
@@ -115,7 +115,7 @@
 
 // Serve answers other nodes at an address until Close.
 func (li *Link) Serve(address string) error {
-	ln, err := net.Listen("tcp4", address)
+	ln, err := accept.Listen(li.log, "tcp4", address)
 	if err != nil {
 		return errors.Wrap(err, "listen for other nodes")
 	}
