connlimit: bound a node's connections by its file descriptors

A planner keeps one connection to each worker occupied by a hold request, opens more for starts, up to 16 per worker, and kept unused connections for two minutes. Nothing in the code took the descriptor limit into account.

Add internal/connlimit, which counts the connections of the process, including accepted ones. The limit is fifteen sixteenths of the descriptors that the platform's settings allow for sockets. At the limit, the idle connections of the least recently used address are closed. If none are idle, a call waits for its turn until its deadline. Connections to the store are counted but never wait. A start that fails for lack of a descriptor no longer counts against its worker.

Add the metrics connections.open, connections.evicted and connections.refused, and log a line when the limit is reached.

--- a/GNUmakefile
+++ b/GNUmakefile
@@ -7,7 +7,8 @@
 	./internal/home/... ./internal/member/... ./internal/table/... ./internal/worker/... ./internal/daemon/... \
 	./internal/planner/... ./internal/mirror/... ./internal/kv/... ./platform/... \
 	./internal/cellnode/... ./internal/relay/... ./internal/advisor/... ./internal/logs/... \
-	./internal/httpcall/... ./internal/peerlink/... ./internal/standin/netpath/...
+	./internal/httpcall/... ./internal/peerlink/... ./internal/accept/... ./internal/connlimit/... \
+	./internal/standin/netpath/...
 # Tests that are known to fail, from KNOWN-RED.txt: one a line, the name first.
 KNOWN_RED := $(shell sed -n 's/^\([A-Za-z0-9_]*\)[ ,:].*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|')
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -10,6 +10,8 @@
 	"github.com/pkg/errors"
 
 	"tackbeam.example/policy/backoff"
+
+	"tackbeam.example/tackbeam/internal/connlimit"
 )
 
 // Listener is a net.Listener whose Accept retries while the process or the system is out of file descriptors or
@@ -17,6 +19,7 @@
 type Listener struct {
 	net.Listener
 	log   logr.Logger
+	limit *connlimit.Limit
 	sleep func(time.Duration)
 }
 
@@ -29,11 +32,25 @@
 	return &Listener{Listener: ln, log: log, sleep: time.Sleep}, nil
 }
 
+// CountAgainst counts accepted connections against limit without delaying or rejecting them, and returns the listener.
+func (ln *Listener) CountAgainst(limit *connlimit.Limit) *Listener {
+	ln.limit = limit
+	return ln
+}
+
 // retryPause is the backoff between failed calls to accept.
 var retryPause = backoff.Backoff{First: 5 * time.Millisecond, Most: 100 * time.Millisecond}
 
 // Accept waits for the next connection and returns only errors that are not resource shortages.
 func (ln *Listener) Accept() (net.Conn, error) {
+	conn, err := ln.accept()
+	if err != nil {
+		return nil, err
+	}
+	return ln.limit.AddConn(conn), nil
+}
+
+func (ln *Listener) accept() (net.Conn, error) {
 	for failures := 0; ; failures++ {
 		conn, err := ln.Listener.Accept()
 		switch {
--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -16,6 +16,7 @@
 
 	"tackbeam.example/tackbeam/internal/advisor"
 	"tackbeam.example/tackbeam/internal/agent"
+	"tackbeam.example/tackbeam/internal/connlimit"
 	"tackbeam.example/tackbeam/internal/fault"
 	"tackbeam.example/tackbeam/internal/feed"
 	"tackbeam.example/tackbeam/internal/intake"
@@ -35,6 +36,8 @@
 	Site   *site.Site
 	Store  *kv.Store
 	Agents *agent.Agents
+	// Limit bounds the node's connections; nil means no limit.
+	Limit *connlimit.Limit
 	// WorkersPrefix is where the store lists the workers.
 	WorkersPrefix string
 	DecodeWorker  func(item kv.Item) (planner.Entry, error)
@@ -94,7 +97,8 @@
 		Node: ad.Site.Node, Writes: ad.Site.Writes, Down: nd.health.Down,
 		Nodes: func() int { return len(nd.term.Members()) }, Written: nd.written,
 	})
-	nd.link = peerlink.New(log, nd.handle)
+	nd.link = peerlink.New(log, nd.handle).WithLimit(ad.Limit)
+	nd.registerConnectionGauges()
 	nd.config = feed.New(clock, log, st, feed.Options{
 		Key: ad.ConfigKey, Decode: ad.DecodeConfig, InForce: nd.configure,
 		Node: ad.Site.Node, Link: ad.Site.Link, Members: nd.term.Members, Ask: nd.askConfig,
@@ -113,6 +117,16 @@
 	return nd
 }
 
+// registerConnectionGauges adds gauges for the node's connections and their limit to its metrics.
+func (nd *Node) registerConnectionGauges() {
+	for name, value := range map[string]func() int64{
+		"connections.open": nd.adapter.Limit.Open, "connections.evicted": nd.adapter.Limit.Evicted,
+		"connections.refused": nd.adapter.Limit.Refused,
+	} {
+		metrics.NewRegisteredFunctionalGauge(name, nd.meters, value)
+	}
+}
+
 // Meters returns the node's measures.
 func (nd *Node) Meters() metrics.Registry { return nd.meters }
 
--- a/internal/httpcall/host.go
+++ b/internal/httpcall/host.go
@@ -9,12 +9,16 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
+
+	"tackbeam.example/tackbeam/internal/connlimit"
 )
 
 // host is the connections to one address.
 type host struct {
 	pool     *fasthttp.HostClient
 	maxConns int
+	limit    *connlimit.Limit
+	noWait   bool
 	mu       sync.Mutex
 	// late is the number of calls that are overdue and still waited for.
 	late int
@@ -23,11 +27,8 @@
 	doubt time.Time
 }
 
-// dial makes a connection that notices a silent other side, within a time unless that is 0.
+// dial opens a TCP connection with a user timeout, so that an unresponsive peer is detected.
 func dial(address string, within time.Duration) (net.Conn, error) {
-	if within <= 0 || within > dialTimeout {
-		within = dialTimeout
-	}
 	dialer := net.Dialer{Timeout: within, Control: func(_, _ string, raw syscall.RawConn) error {
 		var err error
 		if ctlErr := raw.Control(func(fd uintptr) {
@@ -40,6 +41,28 @@
 	return dialer.Dial("tcp4", address)
 }
 
+// minDialTimeout is the shortest timeout for dialing after a wait for the connection limit.
+const minDialTimeout = 50 * time.Millisecond
+
+// dial opens a connection that counts against the limit. Unless noWait is set, it waits at the limit.
+func (ho *host) dial(address string, within time.Duration) (net.Conn, error) {
+	if within <= 0 || within > dialTimeout {
+		within = dialTimeout
+	}
+	began := time.Now()
+	if ho.noWait {
+		ho.limit.Add()
+	} else if err := ho.limit.Acquire(within); err != nil {
+		return nil, err
+	}
+	conn, err := dial(address, max(within-time.Since(began), minDialTimeout))
+	if err != nil {
+		ho.limit.Release()
+		return nil, err
+	}
+	return ho.limit.ReleaseOnClose(conn), nil
+}
+
 // suspect puts the connections in doubt that have not answered since a time.
 func (ho *host) suspect(since time.Time) {
 	ho.mu.Lock()
@@ -76,7 +99,7 @@
 		cc, err = ho.pool.AcquireConn(left, false)
 	}
 	if err != nil {
-		return errors.Wrap(ErrUnsent, err.Error())
+		return acquireError(err)
 	}
 	sent := time.Now()
 	onTime := ho.watch(sent, min(rq.Waits+overdue, deadline.Sub(sent)))
@@ -103,10 +126,19 @@
 		ho.pool.CloseConn(cc)
 	} else {
 		ho.pool.ReleaseConn(cc)
+		ho.limit.MarkIdle(ho.pool)
 	}
 	return fl.explain(err)
 }
 
+// acquireError returns the error of a call for which no connection could be acquired.
+func acquireError(err error) error {
+	if errors.Is(err, connlimit.ErrLimitReached) || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+		return errors.Wrap(ErrNoDescriptor, err.Error())
+	}
+	return errors.Wrap(ErrUnsent, err.Error())
+}
+
 // watch has a call that was sent at a time count as overdue after a while. The function that it
 // returns ends that.
 func (ho *host) watch(sent time.Time, after time.Duration) (end func()) {
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,8 @@
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"tackbeam.example/tackbeam/internal/connlimit"
 )
 
 // Request is one call.
@@ -60,6 +63,9 @@
 var (
 	// ErrUnsent means that the call surely did not reach the other side.
 	ErrUnsent = errors.New("the call was not sent")
+	// ErrNoDescriptor is an ErrUnsent caused by this process, not by the other side: it has reached its limit of
+	// connections or file descriptors.
+	ErrNoDescriptor = fmt.Errorf("%w: no file descriptor available", ErrUnsent)
 	// ErrTooLarge means that the answer is larger than the caller takes.
 	ErrTooLarge = errors.New("the answer is larger than asked for")
 )
@@ -91,8 +97,11 @@
 // Caller keeps the connections to any number of addresses.
 type Caller struct {
 	maxConns int
-	mu       sync.Mutex
-	hosts    map[string]*host
+	limit    *connlimit.Limit
+	// noWait is set if connections are opened without waiting, even above the limit.
+	noWait bool
+	mu     sync.Mutex
+	hosts  map[string]*host
 }
 
 // New returns a caller with at most maxConns connections to one address.
@@ -100,6 +109,20 @@
 	return &Caller{maxConns: maxConns, hosts: map[string]*host{}}
 }
 
+// WithLimit makes the caller's connections subject to limit: at the limit, idle connections are closed and new ones
+// wait. It must be called before the first call, and returns the caller.
+func (cl *Caller) WithLimit(limit *connlimit.Limit) *Caller {
+	cl.limit = limit
+	return cl
+}
+
+// CountAgainst counts the caller's connections against limit, but opens them without waiting even above it. It must be
+// called before the first call, and returns the caller.
+func (cl *Caller) CountAgainst(limit *connlimit.Limit) *Caller {
+	cl.limit, cl.noWait = limit, true
+	return cl
+}
+
 // Forget closes the idle connections to an address that is gone.
 func (cl *Caller) Forget(address string) {
 	cl.mu.Lock()
@@ -115,10 +138,11 @@
 	defer cl.mu.Unlock()
 	ho, ok := cl.hosts[address]
 	if !ok {
-		ho = &host{maxConns: cl.maxConns, pool: &fasthttp.HostClient{
-			Addr: address, MaxConns: cl.maxConns, MaxIdleConnDuration: idle, DialTimeout: dial,
+		ho = &host{maxConns: cl.maxConns, limit: cl.limit, noWait: cl.noWait}
+		ho.pool = &fasthttp.HostClient{
+			Addr: address, MaxConns: cl.maxConns, MaxIdleConnDuration: idle, DialTimeout: ho.dial,
 			NoDefaultUserAgentHeader: true, MaxConnWaitTimeout: dialTimeout,
-		}}
+		}
 		cl.hosts[address] = ho
 	}
 	return ho
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -15,6 +15,7 @@
 	"tackbeam.example/policy/work"
 
 	"tackbeam.example/tackbeam/internal/accept"
+	"tackbeam.example/tackbeam/internal/connlimit"
 	"tackbeam.example/tackbeam/internal/fault"
 	"tackbeam.example/tackbeam/internal/feed"
 	"tackbeam.example/tackbeam/internal/httpcall"
@@ -91,6 +92,7 @@
 // Link is a node's end of the links to the others.
 type Link struct {
 	log    logr.Logger
+	limit  *connlimit.Limit
 	calls  *httpcall.Caller
 	handle func(ctx context.Context, rq Request) (Reply, error)
 	server *fasthttp.Server
@@ -113,6 +115,14 @@
 	return li
 }
 
+// WithLimit makes connections to other nodes subject to limit and counts connections from them against it. It must be
+// called before the link serves or calls, and returns the link.
+func (li *Link) WithLimit(limit *connlimit.Limit) *Link {
+	li.limit = limit
+	li.calls.WithLimit(limit)
+	return li
+}
+
 // Serve answers other nodes at an address until Close.
 func (li *Link) Serve(address string) error {
 	ln, err := accept.Listen(li.log, "tcp4", address)
@@ -120,7 +130,7 @@
 		return errors.Wrap(err, "listen for other nodes")
 	}
 	go func() {
-		if err := li.server.Serve(ln); err != nil {
+		if err := li.server.Serve(ln.CountAgainst(li.limit)); err != nil {
 			li.log.Error(err, "Link to other nodes has ended.")
 		}
 	}()
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -16,6 +16,8 @@
 	Processors float64
 	// Link is the bandwidth of the node's link in Mbit/s; 0 where the settings do not tell.
 	Link float64
+	// MaxSockets is how many sockets the process may have open; 0 where the settings do not tell.
+	MaxSockets int
 	// Callers, Ready and Peers are addresses to listen on: for jobs, for the
 	// balancer's question whether the node takes callers, for other nodes.
 	Callers string
