planner: limit concurrent first holds to 64 workers

After all 301 nodes of a deployment with 3,003 workers were killed, callers got no answers for 10 to 30 s, and jobs were lost. A new planner sent the first hold to all workers at once, each over a new connection. On 0.4 of a core, the renewals of the planner's own lease (1.2 s) waited for the CPU behind them ("Store is away", call "keep", "i/o timeout").

A worker that has not answered this planner is now called only when one of 64 slots is free. A slot is released when its hold completes or fails, or after 100 ms, so that dead workers do not delay the others.

TestBeginsWithManyWorkers runs in virtual time and simulates a CPU on which a hold takes 1 ms, or 0.1 ms over an existing connection. Before this change it failed with 3,000 workers, and with a quarter of them dead: the planner lost leadership once.

--- a/internal/planner/bed_test.go
+++ b/internal/planner/bed_test.go
@@ -19,6 +19,7 @@
 	"tackbeam.example/policy/size"
 	"tackbeam.example/policy/work"
 
+	"tackbeam.example/tackbeam/internal/agent"
 	"tackbeam.example/tackbeam/internal/intake"
 	"tackbeam.example/tackbeam/internal/kv"
 	"tackbeam.example/tackbeam/internal/planner"
@@ -46,6 +47,9 @@
 	workspaces map[string]work.Workspace
 	// serves is the service that the configuration names.
 	serves atomic.Value
+	// wrapStore, if not nil, wraps each node's store; the nodes then use agents instead of the fleet's own.
+	wrapStore func(st *kv.Store) *kv.Store
+	agents    *agent.Agents
 }
 
 // usualRoom is how many of the bed's tasks a worker has room for.
@@ -146,11 +150,14 @@
 
 // addNodeOf adds a node with a share of a core.
 func (bd *bed) addNodeOf(name string, processors float64) *node {
-	st := bd.store.Client(name)
+	st, agents := bd.store.Client(name), bd.fleet.Agents()
+	if bd.wrapStore != nil {
+		st, agents = bd.wrapStore(st), bd.agents
+	}
 	nd := &node{meters: metrics.NewRegistry()}
 	clock := nd.newClock(bd)
 	nd.planner = planner.New(planner.Parts{
-		Clock: clock, Log: bd.log(name), Store: st, Agents: bd.fleet.Agents(), Meters: nd.meters,
+		Clock: clock, Log: bd.log(name), Store: st, Agents: agents, Meters: nd.meters,
 		Site:          &site.Site{Bounds: site.Bounds{KeepEnded: 2 * time.Minute}},
 		WorkersPrefix: workersPrefix,
 		DecodeWorker: func(item kv.Item) (planner.Entry, error) {
--- a/internal/planner/lead.go
+++ b/internal/planner/lead.go
@@ -110,6 +110,7 @@
 	// saidBacklog is when the planner last said how far it is behind, behind whether it was.
 	saidBacklog time.Duration
 	behind      bool
+	holdLimiter *holdLimiter
 	wake        wake.Signal
 	ctx         context.Context
 	group       sync.WaitGroup
@@ -123,7 +124,7 @@
 		parts: pt, clock: pt.Clock, log: log, reign: reign, began: pt.Clock.Now(),
 		lease: usualLease, sessions: map[life.Life]*session{}, present: map[string]*session{}, fences: map[string]uint64{},
 		old: map[life.Life]bool{}, earlier: map[string][]life.Life{},
-		wake: wake.New(), journaled: make(chan struct{}), committed: make(chan struct{}),
+		holdLimiter: newHoldLimiter(pt.Clock), wake: wake.New(), journaled: make(chan struct{}), committed: make(chan struct{}),
 		cell: cell.New(cell.Options{
 			Keep:     pt.Site.Bounds.KeepEnded,
 			FirstRun: (reign.Number-1)*runsAReign + 1, StopTime: pt.Site.Bounds.StopTime,
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -97,14 +97,20 @@
 // run holds the worker until its incarnation or the reign ends.
 func (se *session) run(ctx context.Context) {
 	for ctx.Err() == nil {
+		release, ok := se.acquireSlot(ctx)
+		if !ok {
+			return
+		}
 		hold, slack, ok := se.next()
 		if !ok {
+			release()
 			return
 		}
 		call, cancel := context.WithTimeout(ctx, hold.Wait+slack)
 		sent := se.lead.now()
 		report, err := se.lead.parts.Agents.Hold(call, se.target(), hold)
 		cancel()
+		release()
 		if ctx.Err() != nil {
 			return
 		}
@@ -122,6 +128,18 @@
 	}
 }
 
+// acquireSlot waits for a slot of the hold limiter and returns a function that releases it. A worker that has answered
+// needs no slot. It returns false if ctx is done first.
+func (se *session) acquireSlot(ctx context.Context) (release func(), ok bool) {
+	se.lead.mu.Lock()
+	answered := se.answered
+	se.lead.mu.Unlock()
+	if answered {
+		return func() {}, true
+	}
+	return se.lead.holdLimiter.acquire(ctx)
+}
+
 // overlooked reports whether a hold's error draws no consequence but another hold: where many
 // calls are lost, one is no sign of its worker.
 func (se *session) overlooked(err error) bool {
