term: depose only the reign that was checked

A new planner could give up its place immediately after taking it, which costs callers an election. The campaign response and the watch on the members' keys report the leader's key from two goroutines. One checked before the reign began, found no reign to continue, and then deposed whichever reign was current: the one the other goroutine had begun in the meantime. Since there is only one reign per token, the leader's key was removed and a new election held.

follow, yield and dropLease now specify the reign to end, and dropLease also takes the lease: a late response for an earlier lease no longer drops the current one.

--- a/internal/term/election.go
+++ b/internal/term/election.go
@@ -49,7 +49,7 @@
 	case errors.Is(err, kv.ErrConflict):
 		tm.changed(items, false)
 	case errors.Is(err, kv.ErrLeaseGone):
-		tm.dropLease("store does not know it")
+		tm.dropLease(lease, "not found in the store")
 	default:
 		tm.log.Info("Election is open; the watch will tell.", "reason", err.Error())
 	}
@@ -188,12 +188,15 @@
 // follow begins or ends this node's reign as the leader's key says.
 func (tm *Term) follow() {
 	tm.mu.Lock()
-	reigns := tm.reign != nil && tm.reign.token == tm.leaderAt && tm.holdsKey() && !tm.resigned
+	rg := tm.reign
+	reigns := rg != nil && rg.token == tm.leaderAt && tm.holdsKey() && !tm.resigned
 	tm.mu.Unlock()
 	if reigns {
 		return
 	}
-	tm.depose("another planner was elected, or none")
+	if rg != nil {
+		tm.deposeReign(rg, "no longer the elected planner")
+	}
 	tm.begin()
 }
 
@@ -245,7 +248,7 @@
 // is left to run out, so that the place is free after one and a half times its time.
 func (tm *Term) layDown(ctx context.Context) {
 	tm.mu.Lock()
-	token := tm.idle()
+	token, lease := tm.idle(), tm.lease
 	tm.mu.Unlock()
 	if token == 0 {
 		return
@@ -262,7 +265,7 @@
 	case errors.Is(err, kv.ErrConflict):
 		tm.changed(items, false)
 	case ctx.Err() == nil:
-		tm.dropLease("the leader's key could not be removed: " + err.Error())
+		tm.dropLease(lease, "the leader's key could not be removed: "+err.Error())
 	}
 }
 
@@ -314,12 +317,22 @@
 func (tm *Term) depose(reason string) {
 	tm.mu.Lock()
 	rg := tm.reign
-	tm.reign = nil
+	tm.mu.Unlock()
 	if rg != nil {
+		tm.deposeReign(rg, reason)
+	}
+}
+
+// deposeReign ends rg if it is still the current reign; otherwise it does nothing.
+func (tm *Term) deposeReign(rg *reign, reason string) {
+	tm.mu.Lock()
+	current := tm.reign == rg
+	if current {
+		tm.reign = nil
 		rg.deposed = tm.clock.Now()
 	}
 	tm.mu.Unlock()
-	if rg == nil {
+	if !current {
 		return
 	}
 	tm.log.Info("This node plans no longer.", "token", rg.token, "reason", reason)
@@ -351,7 +364,8 @@
 func (tm *Term) yield(reason string, abstain time.Duration) {
 	tm.mu.Lock()
 	token, alone := tm.leaderAt, len(tm.members) < 2
-	mine := tm.reign != nil && tm.reign.token == token
+	rg := tm.reign
+	mine := rg != nil && rg.token == token
 	if mine && !alone {
 		tm.abstains = tm.clock.Now().Add(abstain)
 	}
@@ -359,5 +373,5 @@
 	if !mine || alone {
 		return
 	}
-	tm.depose(reason)
+	tm.deposeReign(rg, reason)
 }
--- a/internal/term/lease.go
+++ b/internal/term/lease.go
@@ -66,7 +66,7 @@
 	_, _, err = tm.store.Commit(call, kv.Txn{Puts: []kv.Put{{Key: joblog.Nodes + tm.opts.Node, Value: raw, Lease: lease}}})
 	tm.relist = tm.clock.Now().Add(tm.retry.After(err))
 	if errors.Is(err, kv.ErrLeaseGone) {
-		tm.dropLease("store does not know it")
+		tm.dropLease(lease, "not found in the store")
 		return
 	}
 	if err != nil {
@@ -106,13 +106,12 @@
 	err := tm.store.Keep(call, lease)
 	tm.mu.Lock()
 	tm.renewing--
-	same := tm.lease == lease
-	if err == nil && same && sent.After(tm.proof) {
+	if err == nil && tm.lease == lease && sent.After(tm.proof) {
 		tm.proof = sent
 	}
 	tm.mu.Unlock()
-	if errors.Is(err, kv.ErrLeaseGone) && same {
-		tm.dropLease("it ran out")
+	if errors.Is(err, kv.ErrLeaseGone) {
+		tm.dropLease(lease, "expired")
 	}
 	tm.wake.Give()
 }
@@ -127,14 +126,22 @@
 	return due
 }
 
-// dropLease forgets a lease that is over, and the reign that rested on it.
-func (tm *Term) dropLease(reason string) {
+// dropLease clears the given lease and ends the reign that depends on it. It does nothing
+// if that is no longer the node's current lease.
+func (tm *Term) dropLease(lease uint64, reason string) {
 	tm.mu.Lock()
+	if tm.lease != lease {
+		tm.mu.Unlock()
+		return
+	}
 	tm.lease = 0
+	rg := tm.reign
 	tm.mu.Unlock()
 	tm.log.Info("Lease is over.", "reason", reason)
 	tm.mirror.Refresh() // the leader's key may be gone as well, and the watch may be dead
-	tm.depose("lease is over: " + reason)
+	if rg != nil {
+		tm.deposeReign(rg, "lease is over: "+reason)
+	}
 }
 
 // untilNext returns the time until the next renewal is due, or a candidacy that was left
