feed: allow a slow store more time to begin its answer

When the store took longer than 0.5 s to begin an answer, nodes never served a configuration change, or had no configuration at all. Each call timed out and was repeated indefinitely, and every abandoned call still cost the store its full work.

In virtual time, a store that begins its answers after 0.6 s or 1.8 s keeps a change from all three nodes for 60 s.

The timeout now doubles, up to 2 s, with consecutive calls that time out, starting with the third call, and returns to 0.5 s after an answer. It does not grow while other nodes vouch for the age of the copy, so a node that alone is cut off from the store keeps its short timeout and asks the other nodes as often as before. Failed calls are logged at verbosity 1 with their duration.

TestVerySlowStore failed before the change in all four cases (60 s) and passes now. The test store now abandons an answer that would begin after the caller's deadline, as a real store's answer would be.

--- a/internal/feed/bed_test.go
+++ b/internal/feed/bed_test.go
@@ -253,11 +253,13 @@
 	reset, cut := nd.reset, nd.cut
 	nd.mu.Unlock()
 	_, slow := nd.bed.faults()
-	time.Sleep(slow)
 	if cut {
 		<-ctx.Done()
 		return kv.ErrLost
 	}
+	if !wait(ctx, reset, time.Now().Add(slow)) {
+		return kv.ErrLost
+	}
 	if !carry(reset, bytes, &nd.bed.out, &nd.down) {
 		return kv.ErrLost
 	}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -25,6 +25,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
+	"tackbeam.example/policy/backoff"
+
 	"tackbeam.example/tackbeam/internal/joblog"
 	"tackbeam.example/tackbeam/internal/kv"
 	"tackbeam.example/tackbeam/internal/loop"
@@ -72,8 +74,18 @@
 	// firstByte is when an answer of the store has to begin, beyond its wait: twice what a slow
 	// store takes.
 	firstByte = 500 * time.Millisecond
+	// maxFirstByte is the upper limit of firstByteTimeout. It also bounds how long a pending call
+	// can delay a node after the store has recovered.
+	maxFirstByte = 2 * time.Second
+	// maxVouchedAge is the age of a copy above which the other nodes are assumed to get no answer
+	// from the store either.
+	maxVouchedAge = 2 * vouchAfter
 )
 
+// firstByteTimeout is how long the store may take to begin an answer. It doubles with each
+// counted timeout from the second on, so that a store slower than firstByte can still be read.
+var firstByteTimeout = backoff.Backoff{First: firstByte, Most: maxFirstByte}
+
 // Feed is one node's copy.
 type Feed struct {
 	opts  Options
@@ -111,6 +123,11 @@
 	// value that the store sent took, in bytes.
 	answer time.Duration
 	size   int
+	// timeouts is how many calls to the store have timed out since the last success, counted only
+	// while there is no copy, or it is behind or older than maxVouchedAge. timedOut is set if the
+	// last call to the store timed out.
+	timeouts int
+	timedOut bool
 	// vouched is when another node was last asked how old its copy is.
 	vouched time.Time
 	// retry gives the pauses between tries.
@@ -197,6 +214,10 @@
 	if !fd.Behind() {
 		fd.vouch(ctx)
 	}
+	if age, loaded := fd.Age(); fd.timedOut && (!loaded || age > maxVouchedAge || fd.Behind()) {
+		fd.timeouts++
+	}
+	fd.timedOut = false
 	loop.Pause(ctx, fd.clock, fd.retry.After(err))
 }
 
@@ -226,10 +247,11 @@
 	if down {
 		wait = lookWait
 	}
-	call, cancel := context.WithTimeout(ctx, wait+firstByte)
+	call, cancel := context.WithTimeout(ctx, wait+firstByteTimeout.After(fd.timeouts-1))
 	defer cancel()
 	sent := fd.clock.Now()
 	events, err := fd.store.WatchKey(call, fd.opts.Key, after, wait, fd.mostOfWatch())
+	fd.recordCall(call, "watch", sent, err)
 	switch {
 	case errors.Is(err, kv.ErrTooLarge):
 		fd.fallBehind(false)
@@ -253,10 +275,11 @@
 
 // read reads the key, unless its value takes more than most bytes.
 func (fd *Feed) read(ctx context.Context, most int) error {
-	call, cancel := context.WithTimeout(ctx, firstByte)
+	call, cancel := context.WithTimeout(ctx, firstByteTimeout.After(fd.timeouts-1))
 	defer cancel()
 	sent := fd.clock.Now()
 	item, at, err := fd.store.Get(call, fd.opts.Key, most)
+	fd.recordCall(call, "read", sent, err)
 	switch {
 	case errors.Is(err, kv.ErrTooLarge):
 		fd.fallBehind(true)
@@ -269,6 +292,18 @@
 	return nil
 }
 
+// recordCall records whether a call to the store timed out, resets the timeout count after an
+// answer, and logs a call that had none.
+func (fd *Feed) recordCall(call context.Context, name string, sent time.Time, err error) {
+	if err == nil || errors.Is(err, kv.ErrTooLarge) || errors.Is(err, kv.ErrHistoryGone) {
+		fd.timeouts, fd.timedOut = 0, false
+		return
+	}
+	fd.timedOut = errors.Is(call.Err(), context.DeadlineExceeded)
+	fd.log.V(1).Info("Call to the store failed.", "call", name, "duration", fd.clock.Since(sent).String(),
+		"timeouts", fd.timeouts, "reason", err.Error())
+}
+
 func (fd *Feed) losePlace() {
 	fd.mu.Lock()
 	defer fd.mu.Unlock()
--- /dev/null
+++ b/internal/feed/slow_test.go
@@ -0,0 +1,38 @@
+package feed_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestVerySlowStore guards against nodes that never get a change because the store takes longer
+// than the initial timeout to begin each answer.
+func TestVerySlowStore(t *testing.T) {
+	for name, tc := range map[string]struct {
+		slow time.Duration
+		more int
+	}{
+		"answers after 0.6 s, one route":   {600 * time.Millisecond, 1},
+		"answers after 0.6 s, many routes": {600 * time.Millisecond, 1400},
+		"answers after 1.8 s, one route":   {1800 * time.Millisecond, 1},
+		"answers after 1.8 s, many routes": {1800 * time.Millisecond, 1400},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				bd := newBed(t, 1, 2, 5000)
+				if took := bd.until(time.Minute); took >= time.Minute {
+					t.Fatal("first version not in force after one minute")
+				}
+				time.Sleep(5 * time.Second)
+				bd.set(func() { bd.slow = tc.slow })
+				time.Sleep(5 * time.Second)
+				bd.write(tc.more, 1)
+				limit := 4*tc.slow + inForce
+				if took := bd.until(time.Minute); took > limit {
+					t.Errorf("change in force after %v, want at most %v", took, limit)
+				}
+			})
+		})
+	}
+}
