memkv: count a blocked watch as one call

TestCrowdAtRate failed in 7 of 60 runs ("of 301 nodes know all members after 10s"). The cause is the in-memory stand-in for the store, not the nodes. A blocked watch checked again on every change of any key, and each check was charged to the test's rate limit as another call: 23,000 to 33,000 calls until all members were known, 10,000 to 12,000 of them refused. Nodes whose calls were refused this way backed off for up to 5 s. The platform's store counts each call once, "a waiting watch as one".

The new SetLimit applies once, when a call arrives. SetFault still applies to every call, including a blocked watch when it wakes up. The test uses SetLimit for its rates and SetFault for the store that is busy for 5 s.

The test's checks and bounds are unchanged, and they are as strict as before.

--- a/internal/standin/memkv/client.go
+++ b/internal/standin/memkv/client.go
@@ -29,11 +29,19 @@
 
 // call carries an act out as the faults say.
 func (cl *client) call(ctx context.Context, name string, act func()) error {
+	return cl.attempt(ctx, name, act, true)
+}
+
+// attempt runs one attempt of a call. Faults apply to every attempt, the limit only to the first one.
+func (cl *client) attempt(ctx context.Context, name string, act func(), first bool) error {
 	st := cl.store
 	st.clock.Sleep(latency)
 	st.mu.Lock()
 	st.expire()
 	fault := st.fault(cl.name, name)
+	if first && fault == None {
+		fault = st.limit(cl.name, name)
+	}
 	if fault == None || fault == Lost {
 		act()
 	}
@@ -90,11 +98,11 @@
 func (cl *client) watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (kv.Events, error) {
 	st := cl.store
 	over := st.clock.After(wait)
-	for {
+	for first := true; ; first = false {
 		var events kv.Events
 		var gone bool
 		var changed chan struct{}
-		err := cl.call(ctx, "watch", func() {
+		err := cl.attempt(ctx, "watch", func() {
 			gone = after < st.forgot
 			events.At = st.revision
 			for _, item := range st.history {
@@ -103,7 +111,7 @@
 				}
 			}
 			changed = st.changed
-		})
+		}, first)
 		switch {
 		case err != nil:
 			return kv.Events{}, err
--- a/internal/standin/memkv/memkv.go
+++ b/internal/standin/memkv/memkv.go
@@ -26,6 +26,7 @@
 	next     uint64
 	changed  chan struct{}
 	fault    func(client, call string) Fault
+	limit    func(client, call string) Fault
 }
 
 type entry struct {
@@ -56,6 +57,7 @@
 	return &Store{
 		clock: clock, items: map[string]entry{}, leases: map[uint64]lease{},
 		changed: make(chan struct{}), fault: func(string, string) Fault { return None },
+		limit: func(string, string) Fault { return None },
 	}
 }
 
@@ -67,6 +69,14 @@
 	st.signal()
 }
 
+// SetLimit sets the rate limiter, which is consulted once per call after the fault function. Unlike a fault, it is not
+// applied again when a change wakes a blocked watch.
+func (st *Store) SetLimit(limit func(client, call string) Fault) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.limit = limit
+}
+
 // Forget drops the history of changes.
 func (st *Store) Forget() {
 	st.mu.Lock()
--- a/internal/term/crowd_test.go
+++ b/internal/term/crowd_test.go
@@ -37,7 +37,16 @@
 // observer is the client whose calls are not counted.
 const observer = "observer"
 
+// fault refuses every call while the store is busy, including blocked watches when they wake up.
 func (ra *rated) fault(client, call string) memkv.Fault {
+	if client == observer || !ra.busy {
+		return memkv.None
+	}
+	return ra.limit(client, call)
+}
+
+// limit counts a call and refuses it if the store is busy or the rate for reads or writes is exceeded.
+func (ra *rated) limit(client, call string) memkv.Fault {
 	if client == observer {
 		return memkv.None
 	}
@@ -79,6 +88,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	cw := &crowd{rated: &rated{clock: clock, writes: writes, reads: reads, by: map[string]int{}}, store: store.Client(observer), cancel: cancel}
 	store.SetFault(cw.rated.fault)
+	store.SetLimit(cw.rated.limit)
 	store.Set("config", []byte("1"))
 	for n := range nodes {
 		name := fmt.Sprintf("n%03d", n)
