cellnode: share the tests' fault that silences reads of the store

Two tests had the same fault function, which leaves every read and watch unanswered, and built the same job. deployment.silenceReads and jobOf now serve both. Assertions, times and faults are unchanged.

--- a/internal/cellnode/cellnode_test.go
+++ b/internal/cellnode/cellnode_test.go
@@ -99,6 +99,17 @@
 	return nd
 }
 
+// silenceReads has the store answer no read and no watch from now on. Writes and leases go on.
+func (dp *deployment) silenceReads() {
+	dp.store.SetFault(func(_, call string) memkv.Fault {
+		switch call {
+		case "commit", "grant", "keep", "end":
+			return memkv.None
+		}
+		return memkv.Silent
+	})
+}
+
 // until waits for something that must come, without a bound but the test's own.
 func (dp *deployment) until(what string, reached func() bool) {
 	dp.t.Helper()
--- a/internal/cellnode/keys_test.go
+++ b/internal/cellnode/keys_test.go
@@ -69,13 +69,7 @@
 	cr := dp.caller(nd, "first")
 	step := work.Step{Count: 1, Need: size.New(1000, 1000, 0)}
 	dp.until("jobs are taken", func() bool { return nd.Submit(t.Context(), cr, jobOf("before", step)) == nil })
-	dp.store.SetFault(func(_, call string) memkv.Fault {
-		switch call {
-		case "commit", "grant", "keep", "end":
-			return memkv.None
-		}
-		return memkv.Silent // whatever is read
-	})
+	dp.silenceReads()
 	time.Sleep(3 * time.Second)
 	calls := map[string]func() error{
 		"a job":    func() error { return nd.Submit(t.Context(), cr, jobOf("meanwhile", step)) },
--- a/internal/cellnode/old_copy_test.go
+++ b/internal/cellnode/old_copy_test.go
@@ -24,18 +24,10 @@
 	is := is.New(t)
 	dp := newDeployment(t)
 	nd := dp.start("n1")
-	job := func(id string) *work.Job {
-		return &work.Job{ID: id, Spec: id, Queue: queue, Steps: []work.Step{{Count: 1, Need: size.New(1000, 1000, 0)}}}
-	}
+	job := func(id string) *work.Job { return jobOf(id, work.Step{Count: 1, Need: size.New(1000, 1000, 0)}) }
 	dp.until("the node plans", func() bool { _, err := nd.Pending(t.Context(), routes.Caller{}, queue.Name); return err == nil })
 	is.NoErr(nd.Submit(t.Context(), routes.Caller{}, job("before")))
-	dp.store.SetFault(func(_, call string) memkv.Fault {
-		switch call {
-		case "commit", "grant", "keep", "end":
-			return memkv.None
-		}
-		return memkv.Silent // whatever is read
-	})
+	dp.silenceReads()
 	time.Sleep(3 * time.Second)
 	calls := map[string]func() error{
 		"a job":   func() error { return nd.Submit(t.Context(), routes.Caller{}, job("meanwhile")) },
