planner: a failing test of a lost long-running task after a silent store

Callers saw a long-running task without a run for 17.8 s after the loss of its worker. In virtual time: the worker is lost 2.5 s or 0.1 s before the store goes silent for 4.6 s, then the same node or another one plans. The task is started 17.28, 17.42, 14.87 and 15.02 s after the loss; the lease of 5 s and 1 s more are allowed, counted from the store's return if that is later (8.1, 8.1, 6 and 6 s). Fails in each run; 10.1 s of that pass after the new term's beginning.

--- /dev/null
+++ b/internal/planner/longrunning_test.go
@@ -0,0 +1,109 @@
+package planner_test
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tackbeam.example/policy/size"
+	"tackbeam.example/policy/work"
+
+	"tackbeam.example/tackbeam/internal/standin/memkv"
+)
+
+// Limits of the wait for the next start of a long-running task: its worker's lease, and the time for the planner to
+// notice, decide and send.
+const (
+	workerLease  = 5 * time.Second
+	restartSlack = time.Second
+)
+
+// submitLongRunning submits a job with one long-running task and returns the worker that it runs on.
+func (bd *testbed) submitLongRunning(nd *node, id string) string {
+	bd.t.Helper()
+	bd.submitJob(nd, &work.Job{ID: id, Spec: id, Queue: bd.accepted, Steps: []work.Step{
+		{Count: 1, Need: size.New(1000, 1000, 0), Estimate: time.Second, LongRunning: true},
+	}})
+	time.Sleep(time.Second)
+	return bd.lastStart(id).worker
+}
+
+type executedStart struct {
+	worker string
+	run    int
+}
+
+// lastStart returns the last executed start of a job.
+func (bd *testbed) lastStart(job string) (last executedStart) {
+	for _, sr := range bd.fleet.Starts() {
+		if sr.Task.Job == job {
+			last = executedStart{sr.Worker.WorkerID(), sr.Run}
+		}
+	}
+	return last
+}
+
+// awaitRestart waits until a job has a start with a higher run number, and returns how long that took.
+func (bd *testbed) awaitRestart(job string, run int, limit time.Duration) time.Duration {
+	const step = 10 * time.Millisecond
+	began := time.Now()
+	for bd.lastStart(job).run <= run && time.Since(began) < limit {
+		time.Sleep(step)
+	}
+	return time.Since(began)
+}
+
+// silence makes the store leave all calls unanswered for a time, and those of some nodes for a second more.
+func (bd *testbed) silence(d time.Duration, longer ...string) {
+	bd.store.SetFault(func(string, string) memkv.Fault { return memkv.RequestLost })
+	time.Sleep(d)
+	bd.store.SetFault(func(client, _ string) memkv.Fault {
+		if slices.Contains(longer, client) {
+			return memkv.RequestLost
+		}
+		return memkv.None
+	})
+	bd.clock.AfterFunc(time.Second, func() { bd.store.SetFault(func(string, string) memkv.Fault { return memkv.None }) })
+}
+
+// TestLostTaskRestartsAfterSilentStore guards against a planner that counts the lease of a worker that was lost before
+// its term from the beginning of the term.
+func TestLostTaskRestartsAfterSilentStore(t *testing.T) {
+	const silent = 4600 * time.Millisecond
+	for name, tt := range map[string]struct {
+		// notice is the time from the loss of the worker until the store goes silent.
+		notice time.Duration
+		// longer are the nodes that the store answers later than the others.
+		longer []string
+		plans  string
+	}{
+		"loss was recorded, same node plans":     {2500 * time.Millisecond, []string{"n2"}, "n1"},
+		"loss was not noticed, same node plans":  {100 * time.Millisecond, []string{"n2"}, "n1"},
+		"loss was recorded, other node plans":    {2500 * time.Millisecond, []string{"n1"}, "n2"},
+		"loss was not noticed, other node plans": {100 * time.Millisecond, []string{"n1"}, "n2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				bd := newTestbed(t, time.Hour, "w1", "w2", "w3")
+				defer bd.end()
+				first, _ := bd.addTwo()
+				lost := bd.submitLongRunning(first, "service")
+				time.Sleep(20 * time.Second)
+				run := bd.lastStart("service").run
+				began := time.Now()
+				bd.fleet.Kill(lost)
+				time.Sleep(tt.notice)
+				bd.silence(silent, tt.longer...)
+				answers := time.Since(began)
+				waited := answers + bd.awaitRestart("service", run, 30*time.Second)
+				if limit := max(workerLease, answers) + restartSlack; waited > limit {
+					t.Errorf("the task was started %v after the loss of its worker, more than %v", waited, limit)
+				}
+				if nd := bd.leader(); nd != bd.nodes[tt.plans] {
+					t.Errorf("node %s does not plan", tt.plans)
+				}
+			})
+		})
+	}
+}
