planner: learn from the previous planner when leases of workers expire

Callers saw a long-running task without a run for 17.8 s after the loss of its worker; the store had been silent for some 4 s in between.

Cause: a new planner does not know until when an earlier one renewed the lease of a worker that does not answer. It assumed the worst, counted from the beginning of its own term: 4 s of renewals without the store, 5.1 s of lease and 1 s, 10.1 s in all, also for a worker that had been silent for 7.6 s by then. Until that was over, every task of earlier terms waited that could be on the worker.

Evidence: in the record the run starts 10.5 s after the store's return, with a run number of the next term.

The new planner now asks the node that led the previous term. That node first ends the term, if it does not know yet that it is over, and then tells until when leases run that the term renewed, and those that the term itself had inherited. If its process has restarted since, no lease was renewed after its start. Without an answer the bound is the old one. A later planner must not be taken for the previous one: each election names the term before it, as its write depends on the revision of the key of the term's number, which every election writes.

--- a/internal/cellnode/cellnode_test.go
+++ b/internal/cellnode/cellnode_test.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
 	"tackbeam.example/policy/cell"
 	"tackbeam.example/policy/incarnation"
@@ -198,3 +199,20 @@
 		})
 	}
 }
+
+// TestNextPlannerLearnsLeases guards against a planner that waits for leases of which the previous planner's node knows
+// that they have expired.
+func TestNextPlannerLearnsLeases(t *testing.T) {
+	dp := newDeployment(t)
+	dp.start("n1")
+	second := dp.start("n2")
+	dp.store.SetFault(func(client, _ string) memkv.Fault {
+		if client == "n1" {
+			return memkv.Refused
+		}
+		return memkv.None
+	})
+	dp.store.RevokeLeases()
+	reports := metrics.GetOrRegisterCounter("planner.lease_reports", second.Meters())
+	dp.waitFor("the node that led the term has reported its leases", func() bool { return reports.Count() == 1 })
+}
--- a/internal/cellnode/requests.go
+++ b/internal/cellnode/requests.go
@@ -11,9 +11,11 @@
 
 	"tackbeam.example/tackbeam/internal/fault"
 	"tackbeam.example/tackbeam/internal/joblog"
+	"tackbeam.example/tackbeam/internal/leases"
 	"tackbeam.example/tackbeam/internal/peerlink"
 	"tackbeam.example/tackbeam/internal/planner"
 	"tackbeam.example/tackbeam/internal/routes"
+	"tackbeam.example/tackbeam/internal/term"
 )
 
 // Submit accepts a caller's job.
@@ -125,6 +127,9 @@
 	case rq.Advise != nil:
 		advice, err := nd.advise(ctx, *rq.Advise)
 		return peerlink.Reply{Tickets: advice.Tickets, ValidFor: advice.ValidFor}, err
+	case rq.Leases != nil:
+		report, err := nd.leases(*rq.Leases)
+		return peerlink.Reply{Leases: &report}, err
 	}
 	return nd.servePlannerRequest(ctx, rq)
 }
@@ -180,6 +185,28 @@
 	return peerlink.Reply{}, fault.New(fault.BadRequest, "request contains no operation")
 }
 
+// requestLeases asks the node that led a term about the leases of workers that it renewed.
+func (nd *Node) requestLeases(ctx context.Context, of term.Previous, rq leases.Request) (leases.Report, error) {
+	if of.Node == nd.adapter.Site.Node {
+		return nd.leases(rq)
+	}
+	reply, err := nd.link.Call(ctx, of.PeerAddr, peerlink.Request{Leases: &rq})
+	switch {
+	case err != nil:
+		return leases.Report{}, err
+	case reply.Leases == nil:
+		return leases.Report{}, fault.New(fault.Unavailable, "node %s did not report its leases", of.Node)
+	}
+	return *reply.Leases, nil
+}
+
+// leases answers a request about leases of workers that this node renewed.
+func (nd *Node) leases(rq leases.Request) (leases.Report, error) {
+	report, err := nd.planner.Leases(rq)
+	report.Node = nd.adapter.Site.Node
+	return report, err
+}
+
 func (nd *Node) advise(ctx context.Context, rq cell.AdviceRequest) (planner.Advice, error) {
 	if nd.adapter.Advise == nil {
 		return planner.Advice{}, fault.New(fault.Unavailable, "the deployment has no advisor")
--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -88,6 +88,8 @@
 	Number int `cbor:"3,keyasint"`
 	// Nonce distinguishes the leases of one node, also across restarts.
 	Nonce string `cbor:"4,keyasint"`
+	// Previous is the token of the term before, 0 if this is the first.
+	Previous uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // BacklogSize is the value of the backlog's key.
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -20,6 +20,7 @@
 	"tackbeam.example/tackbeam/internal/feed"
 	"tackbeam.example/tackbeam/internal/httpcall"
 	"tackbeam.example/tackbeam/internal/joblog"
+	"tackbeam.example/tackbeam/internal/leases"
 	"tackbeam.example/tackbeam/internal/routes"
 )
 
@@ -42,6 +43,8 @@
 	Config *feed.Request `cbor:"8,keyasint,omitempty"`
 	// Caller is the caller that sent State, Pending, Submit or Cancel.
 	Caller routes.Caller `cbor:"9,keyasint,omitzero"`
+	// Leases asks about leases of workers that the node renewed.
+	Leases *leases.Request `cbor:"10,keyasint,omitempty"`
 }
 
 // writes reports whether the request may change something.
@@ -57,6 +60,8 @@
 	Fault    *fault.Error  `cbor:"5,keyasint,omitempty"`
 	// Config holds changes of the configuration.
 	Config *feed.Response `cbor:"6,keyasint,omitempty"`
+	// Leases tells when leases of workers have expired.
+	Leases *leases.Report `cbor:"7,keyasint,omitempty"`
 }
 
 // writeWait is how long a write to a slow store takes.
--- a/internal/planner/gc.go
+++ b/internal/planner/gc.go
@@ -134,6 +134,9 @@
 		if rec.Job != "" && (ld.cell.Retains(rec.Job) || ld.batches.refs[rec.Job] > 0) {
 			return true
 		}
+		if rec.LeasesResolved && own {
+			return true
+		}
 		if known, _ := ld.cell.Listed(rec.Worker); rec.Worker != "" && !rec.Stop && own && known {
 			return true
 		}
--- /dev/null
+++ b/internal/planner/inheritedleases.go
@@ -0,0 +1,165 @@
+package planner
+
+import (
+	"context"
+	"time"
+
+	"tackbeam.example/policy/incarnation"
+
+	"tackbeam.example/tackbeam/internal/leases"
+	"tackbeam.example/tackbeam/internal/loop"
+)
+
+// A planner must not start a task elsewhere while a worker that does not answer may still run it under a lease that an
+// earlier planner renewed. How long that can be, only the earlier planner knows. If its node is alive, it is asked.
+// Otherwise the bound counts from the beginning of the term: the earlier planner last renewed the worker's lease at most
+// maxUnrenewed after the last confirmed renewal of its own.
+
+// Timings of the question about inherited leases.
+const (
+	leasesTimeout    = 300 * time.Millisecond
+	leasesRetryPause = 100 * time.Millisecond
+)
+
+// inheritedLeases bounds the leases of workers that earlier planners renewed. Times count from the beginning of the term.
+type inheritedLeases struct {
+	// longest is when all of them have surely expired, unreachable when those of workers that did not answer the
+	// earlier planner have.
+	longest     time.Duration
+	unreachable map[incarnation.ID]time.Duration
+	// ofPreviousOnly is set if only the previous planner renewed any of them.
+	ofPreviousOnly bool
+}
+
+// leaseBound is how long a lease that was renewed now may last on a slow clock.
+func (ld *leader) leaseBound() time.Duration {
+	return time.Duration(float64(ld.lease) * (1 + maxClockDrift))
+}
+
+// inheritedLeaseEnd returns when a worker that has not answered this planner has surely ended all its runs. The caller
+// holds the lock.
+func (ld *leader) inheritedLeaseEnd(id incarnation.ID) time.Duration {
+	if end, ok := ld.inheritedLeases.unreachable[id]; ok {
+		return min(end, ld.inheritedLeases.longest)
+	}
+	return ld.inheritedLeases.longest
+}
+
+// expireLeases applies the ends of leases that are due. A hold to a dead worker takes up to holdSlack, so that its failure
+// may come late.
+func (ld *leader) expireLeases(now time.Duration) {
+	for _, se := range ld.sessions {
+		if se.unreachable && !se.expired {
+			se.expireIfDue(now)
+		}
+	}
+}
+
+// requestLeases asks the previous planner's node about the leases that it renewed, until it answers or the answer is not
+// needed any more.
+func (ld *leader) requestLeases(ctx context.Context) {
+	previous := ld.term.Previous
+	for previous.Node != "" && ld.leasesUnknown() {
+		call, cancel := context.WithTimeout(ctx, leasesTimeout)
+		report, err := ld.opts.Leases(call, previous, leases.Request{Term: previous.Token, Later: ld.term.Token})
+		cancel()
+		if err == nil {
+			ld.applyLeases(report)
+			return
+		}
+		if !loop.Sleep(ctx, ld.clock, leasesRetryPause) {
+			return
+		}
+	}
+}
+
+// leasesUnknown reports whether leases that earlier planners renewed may not have expired yet.
+func (ld *leader) leasesUnknown() bool {
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	return ld.now() <= ld.inheritedLeases.longest
+}
+
+// applyLeases applies the previous planner's report.
+func (ld *leader) applyLeases(report leases.Report) {
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	now, previous := ld.now(), ld.term.Previous
+	switch {
+	case report.Led:
+		ld.inheritedLeases.unreachable = map[incarnation.ID]time.Duration{}
+		for id, remaining := range report.Unreachable {
+			ld.inheritedLeases.unreachable[id] = now + remaining
+		}
+		ld.inheritedLeases.longest = min(ld.inheritedLeases.longest, now+report.Longest)
+	case report.Node == previous.Node:
+		// The process that led the term is dead. The planner before it may have renewed leases for some time after the
+		// election.
+		renewed := now - report.Uptime
+		if !ld.inheritedLeases.ofPreviousOnly {
+			renewed = max(renewed, previous.SeenAt.Sub(ld.began)+maxUnrenewed)
+		}
+		ld.inheritedLeases.longest = min(ld.inheritedLeases.longest, renewed+ld.leaseBound())
+	}
+	ld.metrics.count("planner.lease_reports")
+	ld.log.Info("Leases of the previous planner are known.", "node", report.Node, "led", report.Led, "after", now.String(),
+		"until", ld.inheritedLeases.longest.String(), "unreachable", len(report.Unreachable))
+	ld.expireLeases(now)
+	ld.checkRecovery(now)
+	ld.schedulePlan()
+}
+
+// endedTerm is what is known of the leases of workers when a term has ended.
+type endedTerm struct {
+	token uint64
+	// longest is when the leases of all workers have surely expired, unreachable when those of workers that did not
+	// answer have.
+	longest     time.Time
+	unreachable map[incarnation.ID]time.Time
+}
+
+// endedTerm returns what is known of the leases of workers after the last call of the term has returned.
+func (ld *leader) endedTerm() *endedTerm {
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	et := &endedTerm{token: ld.term.Token, longest: ld.clock.Now(), unreachable: map[incarnation.ID]time.Time{}}
+	if !ld.cell.Recovered() || len(ld.unresolved) > 0 {
+		et.longest = ld.began.Add(ld.inheritedLeases.longest)
+	}
+	for id, se := range ld.sessions {
+		end := ld.began.Add(se.leaseEnd())
+		if se.unreachable {
+			et.unreachable[id] = end
+		}
+		if end.After(et.longest) {
+			et.longest = end
+		}
+	}
+	return et
+}
+
+// Leases answers a request about the leases of a term.
+func (pl *Planner) Leases(rq leases.Request) (leases.Report, error) {
+	pl.mu.Lock()
+	ld, ended := pl.leader, pl.ended
+	pl.mu.Unlock()
+	if ld != nil && ld.term.Token == rq.Term {
+		if rq.Later > rq.Term {
+			ld.term.StepDown("a later planner asks about leases")
+		}
+		return leases.Report{}, unavailable("the term has not ended")
+	}
+	now := pl.opts.Clock.Now()
+	report := leases.Report{Uptime: now.Sub(pl.startedAt)}
+	switch {
+	case ended != nil && ended.token == rq.Term:
+		report.Led, report.Longest = true, ended.longest.Sub(now)
+		report.Unreachable = make(map[incarnation.ID]time.Duration, len(ended.unreachable))
+		for id, end := range ended.unreachable {
+			report.Unreachable[id] = end.Sub(now)
+		}
+	case ended != nil && ended.token > rq.Term || ld != nil && ld.term.Token > rq.Later:
+		return leases.Report{}, unavailable("the node has led a later term")
+	}
+	return report, nil
+}
--- a/internal/planner/leader.go
+++ b/internal/planner/leader.go
@@ -91,6 +91,10 @@
 	// unresolved has the workers of earlier planners that have neither answered nor had their lease expire. The value
 	// is true if the worker may run any task, so that all tasks of earlier planners wait for it.
 	unresolved map[incarnation.ID]bool
+	// inheritedLeases bounds the leases of workers that earlier planners renewed.
+	inheritedLeases inheritedLeases
+	// leasesResolved is set once the journal was told that none of them protects a run any more.
+	leasesResolved bool
 	// earlier has all incarnations that earlier planners recorded, by worker id.
 	earlier      map[string][]incarnation.ID
 	records      recorder
@@ -134,6 +138,7 @@
 	if maxLease := opts.Site.Bounds.MaxLease; maxLease > 0 {
 		ld.lease = min(ld.lease, maxLease)
 	}
+	ld.inheritedLeases.longest = maxUnrenewed + ld.leaseBound() + time.Second
 	ld.metrics.registry = opts.Metrics
 	ld.records.init()
 	ld.batches.init()
@@ -170,6 +175,13 @@
 		}
 	})
 	ld.spawn(func() { ld.commitLoop(ctx) })
+	ld.spawn(func() {
+		select {
+		case <-ctx.Done():
+		case <-ld.journalRead: // the journal bounds the leases too
+			ld.requestLeases(ctx)
+		}
+	})
 	ld.spawn(func() { loop.Every(ctx, ld.clock, tickInterval, ld.yieldIfSlow) })
 	ld.spawn(func() { ld.gcLoop(ctx) })
 	ld.planLoop(ctx)
--- a/internal/planner/load.go
+++ b/internal/planner/load.go
@@ -107,12 +107,15 @@
 			continue
 		}
 		ld.records.keep(item.Key, recs)
+		ofPrevious := ld.isRecordOf(item.Key, ld.term.Previous.Token)
 		for _, rec := range recs {
 			switch {
 			case rec.Stop && at >= len(items)-recentWrites:
 				stops[rec.Worker] = append(stops[rec.Worker], rec.Held...)
 			case rec.Worker != "" && !rec.Stop:
 				workers[rec.Worker] = rec
+			case rec.LeasesResolved:
+				ld.inheritedLeases.ofPreviousOnly = ld.inheritedLeases.ofPreviousOnly || ofPrevious
 			}
 		}
 		all = append(all, recs...)
@@ -132,11 +135,16 @@
 	}
 }
 
+// isRecordOf reports whether a key of records was written in a term.
+func (ld *leader) isRecordOf(key string, token uint64) bool {
+	return key >= joblog.RecordKey(token, 0) && key < joblog.RecordKey(token+1, 0)
+}
+
 // recentWrites is the number of last writes of the journal that may contain unfinished stops: writes are at least
 // commitDelay apart, and a stop takes up to 0.9 s.
 const recentWrites = 40
 
-// checkRecovery expires the leases of workers of earlier planners that are in no list any more. It completes the
+// checkRecovery expires the leases of workers of earlier planners that have no session. It completes the
 // recovery, and so releases the tasks of earlier planners once no worker can run any of them without the planner
 // knowing.
 func (ld *leader) checkRecovery(now time.Duration) {
@@ -145,25 +153,22 @@
 	}
 	open := 0
 	for id, any := range ld.unresolved {
-		if _, ok := ld.sessions[id]; !ok && now > ld.unknownExpiry() {
+		if _, ok := ld.sessions[id]; !ok && now > ld.inheritedLeaseEnd(id) {
 			ld.expireOld(now, id)
 		} else if any {
 			open++
 		}
 	}
+	if len(ld.unresolved) == 0 && !ld.leasesResolved {
+		ld.leasesResolved = true
+		ld.cell.RecordLeasesResolved()
+	}
 	if open == 0 && !ld.cell.Recovered() {
 		ld.cell.FinishRecovery()
 		ld.log.Info("Recovery is complete: no earlier planner's task can be running unknown to this one.", "after", now.String(), "silent", len(ld.unresolved))
 	}
 }
 
-// unknownExpiry is when a worker of an earlier planner that has not answered this one has surely ended all its runs:
-// the earlier planner last renewed the worker's lease at most maxUnrenewed after the last confirmed renewal of its own
-// lease.
-func (ld *leader) unknownExpiry() time.Duration {
-	return maxUnrenewed + time.Duration(float64(ld.lease)*(1+maxClockDrift)) + time.Second
-}
-
 func (ld *leader) expireOld(now time.Duration, id incarnation.ID) {
 	delete(ld.unresolved, id)
 	ld.cell.LeaseExpired(now, id)
--- a/internal/planner/longrunning_test.go
+++ b/internal/planner/longrunning_test.go
@@ -10,6 +10,7 @@
 	"tackbeam.example/policy/work"
 
 	"tackbeam.example/tackbeam/internal/standin/memkv"
+	"tackbeam.example/tackbeam/internal/standin/memworkers"
 )
 
 // Limits of the wait for the next start of a long-running task: its worker's lease, and the time for the planner to
@@ -107,3 +108,80 @@
 		})
 	}
 }
+
+// TestInheritedLeaseIsAwaited guards against a second run of a long-running task that still runs on a worker which does
+// not answer the next planner.
+func TestInheritedLeaseIsAwaited(t *testing.T) {
+	const (
+		ttl = 2 * time.Second
+		// maxRenewal is how long a planner without the store renews the leases of workers.
+		maxRenewal = 4 * time.Second
+	)
+	for name, tt := range map[string]struct {
+		// takeover ends the term of n1. The worker answers nobody from silentFrom on.
+		takeover   func(bd *testbed)
+		silentFrom time.Duration
+		limit      time.Duration
+	}{
+		"planner resigns": {
+			takeover: func(bd *testbed) { bd.nodes["n1"].term.Resign(bd.t.Context()) },
+			limit:    workerLease + restartSlack,
+		},
+		"planner is cut off from the store": {
+			takeover:   func(bd *testbed) { bd.cutOff("n1") },
+			silentFrom: ttl - 100*time.Millisecond,
+			limit:      workerLease + restartSlack,
+		},
+		"planner's key is taken away, and it does not know": {
+			takeover: func(bd *testbed) {
+				bd.cutOff("n1")
+				bd.store.RevokeLeases()
+			},
+			silentFrom: 500 * time.Millisecond,
+			limit:      workerLease + restartSlack,
+		},
+		"planner's process restarts at once": {
+			takeover: func(bd *testbed) {
+				bd.nodes["n1"].cancel()
+				bd.clock.AfterFunc(100*time.Millisecond, func() { bd.addNode("n1") })
+			},
+			limit: workerLease + restartSlack,
+		},
+		"planner's process restarts later": {
+			takeover: func(bd *testbed) {
+				bd.nodes["n1"].cancel()
+				bd.clock.AfterFunc(ttl+time.Second, func() { bd.addNode("n1") })
+			},
+			limit: ttl + time.Second + workerLease + restartSlack,
+		},
+		"planner's node is dead": {
+			takeover: func(bd *testbed) {
+				bd.cutOff("n1")
+				bd.nodes["n1"].cancel()
+			},
+			limit: ttl + maxRenewal + workerLease + 2*restartSlack,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				bd := newTestbed(t, time.Hour, "w1", "w2", "w3")
+				defer bd.end()
+				first, _ := bd.addTwo()
+				silent := bd.submitLongRunning(first, "service")
+				time.Sleep(20 * time.Second)
+				run := bd.lastStart("service").run
+				tt.takeover(bd)
+				time.Sleep(tt.silentFrom)
+				bd.fleet.SetFault(func(worker, _ string) memworkers.Fault {
+					if worker == silent {
+						return memworkers.RequestLost
+					}
+					return memworkers.None
+				})
+				if waited := bd.awaitRestart("service", run, 30*time.Second); waited > tt.limit {
+					t.Errorf("the task was started %v after its worker went silent, more than %v", waited, tt.limit)
+				}
+			})
+		})
+	}
+}
--- a/internal/planner/planloop.go
+++ b/internal/planner/planloop.go
@@ -47,6 +47,7 @@
 	}
 	now := ld.now()
 	ld.cell.Tick(now, ld.wall())
+	ld.expireLeases(now)
 	ld.checkRecovery(now)
 	ld.listNewlyUsed()
 	ld.dirty = true
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -18,6 +18,7 @@
 	"tackbeam.example/tackbeam/internal/fault"
 	"tackbeam.example/tackbeam/internal/joblog"
 	"tackbeam.example/tackbeam/internal/kv"
+	"tackbeam.example/tackbeam/internal/leases"
 	"tackbeam.example/tackbeam/internal/site"
 	"tackbeam.example/tackbeam/internal/term"
 )
@@ -53,6 +54,8 @@
 	ServiceInUse func(service string) bool
 	// Queue returns the current settings of a queue, or false if it has no route.
 	Queue func(name string) (work.Queue, bool)
+	// Leases asks the node that led a term about the leases of workers that it renewed.
+	Leases func(ctx context.Context, of term.Previous, rq leases.Request) (leases.Report, error)
 	// Workspace returns the current settings of a workspace, or false if the configuration lacks it.
 	Workspace func(name string) (work.Workspace, bool)
 }
@@ -62,29 +65,40 @@
 	opts Options
 	log  logr.Logger
 
+	startedAt time.Time
+
 	mu     sync.Mutex
 	leader *leader
+	// ended is the latest term that has ended, nil if none has.
+	ended *endedTerm
 }
 
 // New returns a planner that does not lead.
 func New(opts Options) *Planner {
-	return &Planner{opts: opts, log: opts.Log.WithName("planner")}
+	return &Planner{opts: opts, log: opts.Log.WithName("planner"), startedAt: opts.Clock.Now()}
 }
 
 // Lead plans until ctx is done.
 func (pl *Planner) Lead(ctx context.Context, tm term.Term) {
 	ld := newLeader(pl.opts, pl.log.WithValues("token", tm.Token), tm)
-	pl.setLeader(ld)
-	defer pl.setLeader(nil)
+	pl.begin(ld)
+	defer pl.end(ld)
 	ld.run(ctx)
 }
 
-func (pl *Planner) setLeader(ld *leader) {
+func (pl *Planner) begin(ld *leader) {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	pl.leader = ld
 }
 
+func (pl *Planner) end(ld *leader) {
+	ended := ld.endedTerm()
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	pl.leader, pl.ended = nil, ended
+}
+
 func (pl *Planner) current() (*leader, error) {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -55,6 +55,8 @@
 	deadline    time.Duration
 	ended       bool
 	unreachable bool
+	// expired is set from the end of the lease until the worker answers again.
+	expired bool
 	// unanswered is set if a call to the worker since its last report had no answer.
 	unanswered bool
 	// missed is the number of consecutive unanswered holds.
@@ -83,13 +85,15 @@
 	return se.deadline
 }
 
-// leaseExpired reports whether the worker has surely ended all its runs. The caller holds the lock.
-func (se *session) leaseExpired(now time.Duration) bool {
-	if !se.answered {
-		return now > se.leader.unknownExpiry()
+// leaseEnd returns when the worker has surely ended all its runs. The caller holds the lock.
+func (se *session) leaseEnd() time.Duration {
+	switch {
+	case se.expired:
+		return se.heard
+	case !se.answered:
+		return se.leader.inheritedLeaseEnd(se.incarnation)
 	}
-	since := time.Duration(float64(now-se.heard) * (1 - maxClockDrift))
-	return se.clock+since > se.deadline
+	return se.heard + time.Duration(float64(se.deadline-se.clock)/(1-maxClockDrift))
 }
 
 // run sends holds to the worker until its incarnation or the term ends.
@@ -190,7 +194,7 @@
 	if se.unreachable {
 		ld.log.Info("Worker answers again.", "worker", se.incarnation)
 	}
-	se.unreachable, se.unanswered = false, false
+	se.unreachable, se.unanswered, se.expired = false, false, false
 	if report.Clock > se.clock {
 		se.clock, se.heard = report.Clock, now
 	}
@@ -229,18 +233,24 @@
 	se.unreachable = true
 	ld.metrics.count("planner.holds_failed")
 	ld.cell.Unreachable(now, se.incarnation)
-	if !se.leaseExpired(now) {
+	se.expireIfDue(now)
+}
+
+// expireIfDue applies the end of the lease of a worker that does not answer, once it is over. The caller holds the lock.
+func (se *session) expireIfDue(now time.Duration) {
+	ld := se.leader
+	if now <= se.leaseEnd() {
 		return
 	}
 	if se.other != nil {
 		ld.cell.Deregister(se.incarnation) // its entry is of another incarnation
 	}
-	if ld.cell.MayHoldRuns(se.incarnation) {
+	if !se.expired && ld.cell.MayHoldRuns(se.incarnation) {
 		ld.log.Info("Worker's lease has expired.", "worker", se.incarnation, "silent_for", (now - se.heard).String())
 	}
 	delete(ld.unresolved, se.incarnation)
 	se.lose(func() { ld.cell.LeaseExpired(now, se.incarnation) })
-	se.answered = false
+	se.answered, se.expired = false, true
 	se.heard = now
 	if known, _ := ld.cell.Listed(se.incarnation); !known {
 		se.end()
--- a/internal/planner/testbed_test.go
+++ b/internal/planner/testbed_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -22,6 +23,7 @@
 	"tackbeam.example/tackbeam/internal/agent"
 	"tackbeam.example/tackbeam/internal/intake"
 	"tackbeam.example/tackbeam/internal/kv"
+	"tackbeam.example/tackbeam/internal/leases"
 	"tackbeam.example/tackbeam/internal/planner"
 	"tackbeam.example/tackbeam/internal/site"
 	"tackbeam.example/tackbeam/internal/standin/memkv"
@@ -39,6 +41,8 @@
 	clock clockwork.Clock
 	store *memkv.Store
 	fleet *memworkers.Fleet
+	// mu guards nodes, which planners read to ask each other.
+	mu    sync.Mutex
 	nodes map[string]*node
 	// settings are the settings of the queue in the planners' configuration; there are none if its name is empty.
 	// Submitted jobs carry accepted instead.
@@ -68,6 +72,8 @@
 	latest atomic.Pointer[term.Term]
 	// suspended is the total time for which the node's VM was suspended.
 	suspended atomic.Int64
+	// stopped is set if the node does not answer other nodes.
+	stopped atomic.Bool
 }
 
 // currentTerm returns the node's latest term.
@@ -173,6 +179,7 @@
 			ws, ok := bd.workspaces[name]
 			return ws, ok
 		},
+		Leases: bd.leases,
 	})
 	nd.term = term.New(clock, bd.log(name), st, term.Options{Node: name, Processors: processors, TTL: 2 * time.Second, Lead: func(ctx context.Context, tm term.Term) {
 		nd.latest.Store(&tm)
@@ -182,13 +189,31 @@
 		Node: name, NodeCount: func() int { return 2 }, StoreDown: func() bool { return false },
 	})
 	ctx, cancel := context.WithCancel(bd.t.Context())
-	nd.cancel = cancel
+	nd.cancel = func() {
+		nd.stopped.Store(true)
+		cancel()
+	}
 	go nd.term.Run(ctx)
 	go nd.intake.Run(ctx)
+	bd.mu.Lock()
+	defer bd.mu.Unlock()
 	bd.nodes[name] = nd
 	return nd
 }
 
+// leases answers requests about leases as the nodes do that are running.
+func (bd *testbed) leases(_ context.Context, of term.Previous, rq leases.Request) (leases.Report, error) {
+	bd.mu.Lock()
+	nd := bd.nodes[of.Node]
+	bd.mu.Unlock()
+	if nd == nil || nd.stopped.Load() {
+		return leases.Report{}, errors.New("the node does not answer")
+	}
+	report, err := nd.planner.Leases(rq)
+	report.Node = of.Node
+	return report, err
+}
+
 // decodeEntry decodes a worker's entry: words, some of which are followed by a value.
 func decodeEntry(id, value string) planner.WorkerEntry {
 	en := planner.WorkerEntry{Worker: cell.Worker{ID: incarnation.New(id, 0), Service: "svc"}}
--- a/internal/term/election.go
+++ b/internal/term/election.go
@@ -23,7 +23,9 @@
 	held := er.leaderRevision // revision of the key under the earlier lease, 0 if nobody holds it
 	vacant := er.loaded && (held == 0 || er.keyFromOldLease()) && er.lease != 0 && !er.resigned &&
 		!er.abstaining() && er.deferral() <= 0
-	el := joblog.Election{Node: er.opts.Node, PeerAddr: er.opts.PeerAddr, Number: er.highestNumber + 1, Nonce: er.nonce}
+	el := joblog.Election{
+		Node: er.opts.Node, PeerAddr: er.opts.PeerAddr, Number: er.highestNumber + 1, Nonce: er.nonce, Previous: er.latestToken,
+	}
 	lease := er.lease
 	er.mu.Unlock()
 	if !vacant {
@@ -37,7 +39,7 @@
 	call, cancel := context.WithTimeout(ctx, er.opts.TTL/2)
 	defer cancel()
 	revision, items, err := er.store.CommitWithRetry(call, kv.CommitOptions{Clock: er.clock, HedgeDelay: campaignHedge}, kv.Txn{
-		Conditions: []kv.Condition{{Key: joblog.Leader, Revision: held}},
+		Conditions: []kv.Condition{{Key: joblog.Leader, Revision: held}, {Key: joblog.TermNumber, Revision: el.Previous}},
 		Puts: []kv.Put{
 			{Key: joblog.Leader, Value: raw, Lease: lease},
 			{Key: joblog.TermNumber, Value: []byte(strconv.Itoa(el.Number))},
@@ -126,6 +128,7 @@
 	case item.Key == joblog.TermNumber:
 		if number, err := strconv.Atoi(string(item.Value)); err == nil {
 			er.highestNumber = max(er.highestNumber, number)
+			er.latestToken = max(er.latestToken, item.Revision)
 		}
 	case item.Key == joblog.Leader:
 		er.applyLeader(item)
@@ -177,12 +180,36 @@
 		return
 	}
 	if item.Revision > er.leaderRevision {
+		er.addElection(el, item.Revision)
 		er.log.Info("Planner elected.", "planner", el.Node, "token", item.Revision, "reign", el.Number)
 	}
 	er.leader, er.leaderRevision = el, item.Revision
 	er.highestNumber = max(er.highestNumber, el.Number)
 }
 
+// maxElections is how many elections a node remembers: a term needs the one before, which other nodes may have led for
+// moments only.
+const maxElections = 4
+
+// addElection remembers an election. The caller holds the lock.
+func (er *Elector) addElection(el joblog.Election, token uint64) {
+	if count := len(er.elections); count > 0 && er.elections[count-1].token >= token {
+		return
+	}
+	er.elections = append(er.elections, seenElection{el, token, er.clock.Now()})
+	er.elections = er.elections[max(len(er.elections)-maxElections, 0):]
+}
+
+// previous returns the term before the one of an election. The caller holds the lock.
+func (er *Elector) previous(el joblog.Election) Previous {
+	for _, one := range er.elections {
+		if one.token == el.Previous {
+			return Previous{Token: one.token, Node: one.Node, PeerAddr: one.PeerAddr, SeenAt: one.at}
+		}
+	}
+	return Previous{Token: el.Previous}
+}
+
 // syncTerm begins or ends this node's term according to the leader's key.
 func (er *Elector) syncTerm() {
 	er.mu.Lock()
@@ -278,7 +305,7 @@
 	er.current, er.latest = rt, rt
 	er.log.Info("This node became the planner.", "token", rt.token, "reign", er.leader.Number)
 	arg := Term{
-		Token: rt.token, Number: er.leader.Number,
+		Token: rt.token, Number: er.leader.Number, Previous: er.previous(er.leader),
 		SinceRenewal: func() time.Duration { return er.sinceRenewal(rt) },
 		LeaseHeld:    func() bool { return er.sinceRenewal(rt) < er.opts.TTL },
 		StepDown:     er.stepDown,
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -48,6 +48,8 @@
 	Token uint64
 	// Number counts the terms of the cell, from 1.
 	Number int
+	// Previous is the term before.
+	Previous Previous
 	// LeaseHeld reports whether the term is current and its lease surely has not expired.
 	LeaseHeld func() bool
 	// SinceRenewal returns the time since the last confirmed renewal of the lease was sent; once the term has ended
@@ -59,6 +61,16 @@
 	Yield func(reason string)
 }
 
+// Previous identifies the term before another one.
+type Previous struct {
+	// Token is its fencing token, 0 if there was none.
+	Token uint64
+	// Node is the node that led it, empty if this node does not know that, and PeerAddr its address.
+	Node, PeerAddr string
+	// SeenAt is when this node learned of its election.
+	SeenAt time.Time
+}
+
 // watchWait is how long a watch of the members may stay without an answer. A watch that the network has dropped is
 // noticed half a second after that.
 const watchWait = 2 * time.Second
@@ -80,11 +92,15 @@
 	loaded         bool
 	// vacantSince is when this node last learned that there is no planner.
 	vacantSince time.Time
-	// highestNumber is the highest term number seen.
+	// highestNumber is the highest term number seen, latestToken the token of the latest term, which is the revision of
+	// the number's key.
 	highestNumber int
-	lease         uint64
-	ttl           time.Duration
-	renewedAt     time.Time
+	latestToken   uint64
+	// elections are the latest elections seen.
+	elections []seenElection
+	lease     uint64
+	ttl       time.Duration
+	renewedAt time.Time
 	// lastSent is when the last renewal was sent, pendingRenewals the number of renewals without an answer.
 	lastSent        time.Time
 	pendingRenewals int
@@ -119,6 +135,13 @@
 	endedAt time.Time
 }
 
+// seenElection is an election with the time at which this node learned of it.
+type seenElection struct {
+	joblog.Election
+	token uint64
+	at    time.Time
+}
+
 // finished reports whether Lead has returned.
 func (rt *runningTerm) finished() bool {
 	select {
--- a/policy/cell/placement.go
+++ b/policy/cell/placement.go
@@ -66,6 +66,9 @@
 	}
 }
 
+// RecordLeasesResolved records that no lease which an earlier planner renewed protects a run any more.
+func (cl *Cell) RecordLeasesResolved() { cl.record(Record{LeasesResolved: true}) }
+
 // Recovered reports whether FinishRecovery was called.
 func (cl *Cell) Recovered() bool { return cl.recovered }
 
