planner: record that a worker's lease is not renewed any more

Callers see a long-running task without a run for longer than needed where the planner's VM dies after a worker did.

The next planner, whose question to the dead node is not answered, assumes renewals up to 4 s into its own term.

The next planner then waits for one lease from the beginning of its term.

Beside it, the bound of a lease that is counted from the last renewal was 5.1 s; the deadline sent counts from the worker's clock as estimated since its last report, and 2% slow, so that 5.21 s are needed. Only the bound after the restart of a planner's process used it without a margin.

TestRecordedLossOutlivesPlanner: started 11.86 s after the planner's death before, where the TTL of its key (2 s), the lease (5 s) and 1 s are allowed; passes now. TestRenewalAwaitsRecord: without the wait for the record the task runs twice in each run. TestRenewalsBeforePreviousTerm: a planner cut off from the store goes on renewing while the next one's process restarts; without the bound on that, introduced with the question to the node, the task runs twice. 240 plays of TestRestarts pass.

--- a/internal/planner/inheritedleases.go
+++ b/internal/planner/inheritedleases.go
@@ -31,9 +31,22 @@
 	ofPreviousOnly bool
 }
 
-// leaseBound is how long a lease that was renewed now may last on a slow clock.
+func (il *inheritedLeases) init(longest time.Duration) {
+	il.longest, il.unreachable = longest, map[incarnation.ID]time.Duration{}
+}
+
+// limit adds an upper bound of the end of a worker's lease.
+func (il *inheritedLeases) limit(id incarnation.ID, end time.Duration) {
+	if known, ok := il.unreachable[id]; !ok || end < known {
+		il.unreachable[id] = end
+	}
+}
+
+// leaseBound is how long a lease that was renewed now may last on a slow clock. The deadline that was sent counts from
+// the worker's clock as estimated since its last report.
 func (ld *leader) leaseBound() time.Duration {
-	return time.Duration(float64(ld.lease) * (1 + maxClockDrift))
+	const maxReportAge = lossyMissLimit * (holdWait + holdSlack)
+	return time.Duration((float64(ld.lease) + maxClockDrift*float64(maxReportAge)) / (1 - maxClockDrift))
 }
 
 // inheritedLeaseEnd returns when a worker that has not answered this planner has surely ended all its runs. The caller
@@ -87,9 +100,8 @@
 	now, previous := ld.now(), ld.term.Previous
 	switch {
 	case report.Led:
-		ld.inheritedLeases.unreachable = map[incarnation.ID]time.Duration{}
 		for id, remaining := range report.Unreachable {
-			ld.inheritedLeases.unreachable[id] = now + remaining
+			ld.inheritedLeases.limit(id, now+remaining)
 		}
 		ld.inheritedLeases.longest = min(ld.inheritedLeases.longest, now+report.Longest)
 	case report.Node == previous.Node:
--- a/internal/planner/leader.go
+++ b/internal/planner/leader.go
@@ -138,7 +138,7 @@
 	if maxLease := opts.Site.Bounds.MaxLease; maxLease > 0 {
 		ld.lease = min(ld.lease, maxLease)
 	}
-	ld.inheritedLeases.longest = maxUnrenewed + ld.leaseBound() + time.Second
+	ld.inheritedLeases.init(maxUnrenewed + ld.leaseBound() + time.Second)
 	ld.metrics.registry = opts.Metrics
 	ld.records.init()
 	ld.batches.init()
--- a/internal/planner/load.go
+++ b/internal/planner/load.go
@@ -130,6 +130,9 @@
 		if rec.Departed {
 			ld.cell.InheritDeparted(now, id)
 		}
+		if rec.Unrenewed {
+			ld.inheritedLeases.limit(id, ld.leaseBound()) // the record was written before the term began
+		}
 		ld.unresolved[id] = !rec.Closed
 		ld.earlier[id.WorkerID()] = append(ld.earlier[id.WorkerID()], id)
 	}
--- a/internal/planner/longrunning_test.go
+++ b/internal/planner/longrunning_test.go
@@ -185,3 +185,72 @@
 		})
 	}
 }
+
+// TestRecordedLossOutlivesPlanner guards against a next planner that waits for the renewals which a dead planner might have
+// sent to a worker, although that planner has recorded that the worker does not answer.
+func TestRecordedLossOutlivesPlanner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const ttl = 2 * time.Second
+		bd := newTestbed(t, time.Hour, "w1", "w2", "w3")
+		defer bd.end()
+		first, _ := bd.addTwo()
+		lost := bd.submitLongRunning(first, "service")
+		time.Sleep(20 * time.Second)
+		run := bd.lastStart("service").run
+		bd.fleet.Kill(lost)
+		time.Sleep(2500 * time.Millisecond)
+		bd.cutOff("n1")
+		first.cancel()
+		if waited, limit := bd.awaitRestart("service", run, 30*time.Second), ttl+workerLease+restartSlack; waited > limit {
+			t.Errorf("the task was started %v after the planner's death, more than %v", waited, limit)
+		}
+	})
+}
+
+// TestRenewalAwaitsRecord guards against a second run on behalf of a planner that reads in the journal that a lease is not
+// renewed, while the earlier planner, cut off from the store, renews it again.
+func TestRenewalAwaitsRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bd := newTestbed(t, time.Hour, "w1", "w2")
+		defer bd.end()
+		first, second := bd.addTwo()
+		first.cut("w2") // it would learn there of the next term
+		second.cut("w1")
+		bd.submitLongRunning(first, "service")
+		time.Sleep(20 * time.Second)
+		run := bd.lastStart("service").run
+		first.cut("w1", "w2")
+		time.Sleep(2500 * time.Millisecond)
+		bd.cutOff("n1")
+		first.stopped.Store(true)
+		bd.store.RevokeLeases()
+		first.cut("w2")
+		if waited := bd.awaitRestart("service", run, 30*time.Second); waited > 12*time.Second {
+			t.Errorf("the task was not started elsewhere after %v", waited)
+		}
+	})
+}
+
+// TestRenewalsBeforePreviousTerm guards against a second run on behalf of a planner that takes the restart of the previous
+// planner's process for the end of all renewals, while the planner before that one, cut off from the store, still renews.
+func TestRenewalsBeforePreviousTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bd := newTestbed(t, time.Hour, "w1", "w2")
+		defer bd.end()
+		first, second := bd.addTwo()
+		first.cut("w2") // it would learn there of the next term
+		second.cut("w1")
+		bd.submitLongRunning(first, "service")
+		time.Sleep(20 * time.Second)
+		run := bd.lastStart("service").run
+		bd.cutOff("n1")
+		first.stopped.Store(true)
+		bd.store.RevokeLeases()
+		time.Sleep(500 * time.Millisecond)
+		second.cancel()
+		bd.addNode("n2").cut("w1")
+		if waited := bd.awaitRestart("service", run, 30*time.Second); waited > 12*time.Second {
+			t.Errorf("the task was not started elsewhere after %v", waited)
+		}
+	})
+}
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -78,7 +78,7 @@
 
 // extend returns a deadline at least one lease from now, on the worker's clock. The caller holds the lock.
 func (se *session) extend(now time.Duration) time.Duration {
-	if !se.answered || se.leader.term.SinceRenewal() > maxUnrenewed {
+	if !se.answered || se.leader.term.SinceRenewal() > maxUnrenewed || !se.leader.cell.MayRenew(se.incarnation) {
 		return se.deadline
 	}
 	se.deadline = max(se.deadline, se.clock+(now-se.heard)+se.leader.lease)
--- a/internal/planner/testbed_test.go
+++ b/internal/planner/testbed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -74,8 +75,26 @@
 	suspended atomic.Int64
 	// stopped is set if the node does not answer other nodes.
 	stopped atomic.Bool
+	// cutWorkers has the ids of the workers that do not answer the node's holds.
+	cutWorkers atomic.Pointer[[]string]
 }
 
+// cut makes workers leave the node's holds unanswered, and all others answer them.
+func (nd *node) cut(ids ...string) { nd.cutWorkers.Store(&ids) }
+
+// cutHold wraps the function that sends holds.
+func (nd *node) cutHold(hold holdFunc) holdFunc {
+	return func(ctx context.Context, to agent.Target, hd agent.Hold) (agent.Report, error) {
+		if cut := nd.cutWorkers.Load(); cut != nil && slices.Contains(*cut, to.Incarnation.WorkerID()) {
+			<-ctx.Done()
+			return agent.Report{}, agent.ErrNoAnswer
+		}
+		return hold(ctx, to, hd)
+	}
+}
+
+type holdFunc = func(ctx context.Context, to agent.Target, hd agent.Hold) (agent.Report, error)
+
 // currentTerm returns the node's latest term.
 func (nd *node) currentTerm() term.Term { return *nd.latest.Load() }
 
@@ -157,10 +176,11 @@
 // addNodeOf adds a node that may use a share of a core.
 func (bd *testbed) addNodeOf(name string, processors float64) *node {
 	st, agents := bd.store.Client(name), bd.fleet.Agents()
+	nd := &node{meters: metrics.NewRegistry()}
+	agents.Hold = nd.cutHold(agents.Hold)
 	if bd.wrapStore != nil {
 		st, agents = bd.wrapStore(st), bd.agents
 	}
-	nd := &node{meters: metrics.NewRegistry()}
 	clock := nd.newClock(bd)
 	nd.planner = planner.New(planner.Options{
 		Clock: clock, Log: bd.log(name), Store: st, Agents: agents, Metrics: nd.meters,
--- a/policy/cell/report.go
+++ b/policy/cell/report.go
@@ -18,10 +18,7 @@
 		wk.answered, wk.firstReport = true, now
 		cl.resolvePredecessors(id, runs, ends)
 	}
-	if wk.openRecord == 0 && wk.listed && !wk.Draining {
-		cl.record(Record{Worker: id})
-		wk.openRecord = cl.recorded
-	}
+	cl.recordAnswer(wk)
 	wk.lastReport = now
 	wk.unreachable = false
 	cl.withdrawAttributions(id)
@@ -48,6 +45,23 @@
 	return newEnds
 }
 
+// recordAnswer records what the next planner must know of a worker that answers: it may get any run, or its lease is
+// renewed again.
+func (cl *Cell) recordAnswer(wk *worker) {
+	unrenewed := wk.unrenewed
+	wk.unrenewed = false
+	switch {
+	case wk.openRecord == 0 && wk.listed && !wk.Draining:
+		cl.record(Record{Worker: wk.ID})
+		wk.openRecord = cl.recorded
+	case unrenewed:
+		cl.record(wk.closed())
+	}
+	if unrenewed {
+		wk.renewRecord = cl.recorded
+	}
+}
+
 // runListed applies a run that a report lists.
 func (cl *Cell) runListed(now time.Duration, wk *worker, rn Run) {
 	if pl := wk.placements[placementKey{rn.Task, rn.Number}]; pl != nil {
--- a/policy/cell/worker.go
+++ b/policy/cell/worker.go
@@ -24,6 +24,10 @@
 	// left the list while it answered: it leaves in an orderly way without announcing it.
 	unreachable, departed bool
 	unreachableAt         time.Duration
+	// unrenewed is set from the record that its lease is not renewed until it answers again. Its lease may be renewed
+	// once the journal has the record that follows then, renewRecord.
+	unrenewed   bool
+	renewRecord int
 	// lastEnd is the highest end applied, ackedEnd the highest that the journal has; unacked are those in
 	// between.
 	lastEnd, ackedEnd int
@@ -87,16 +91,34 @@
 	if wk.openRecord == 0 {
 		return
 	}
-	cl.record(Record{Worker: wk.ID, Closed: true, Held: wk.heldRuns(), Departed: wk.Draining || wk.departed})
+	cl.record(wk.closed())
 	wk.openRecord = 0
 }
 
+// closed is the record of a worker that gets no more runs.
+func (wk *worker) closed() Record {
+	return Record{Worker: wk.ID, Closed: true, Held: wk.heldRuns(), Departed: wk.Draining || wk.departed, Unrenewed: wk.unrenewed}
+}
+
 // Unreachable records that a worker does not answer.
 func (cl *Cell) Unreachable(now time.Duration, id incarnation.ID) {
-	if wk, ok := cl.workers[id]; ok {
-		cl.markUnreachable(now, wk)
-		cl.closeWorker(wk)
+	wk, ok := cl.workers[id]
+	if !ok {
+		return
 	}
+	cl.markUnreachable(now, wk)
+	if wk.answered && !wk.unrenewed { // before its first answer, an earlier planner may renew its lease
+		wk.unrenewed, wk.openRecord = true, 0
+		cl.record(wk.closed())
+		return
+	}
+	cl.closeWorker(wk)
+}
+
+// MayRenew reports whether a worker's lease may be renewed: the journal does not say otherwise.
+func (cl *Cell) MayRenew(id incarnation.ID) bool {
+	wk, ok := cl.workers[id]
+	return !ok || !wk.unrenewed && wk.renewRecord <= cl.committed
 }
 
 // InheritStops records that an earlier planner may have told a worker to stop runs just before this one was
