planner: say what a long-running task without a run waits for

"Recovery is complete" named no worker.

Each waiting step now has a reason from a closed list (cell.WaitReason), with the worker and the time left if known. Long-running steps are listed separately, from a second beyond the lease, counted from the last report of a run. The recovery logs the workers that it waits for every 2 s, and the last ones when it ends. The gauge planner.long_running_lacking and the histogram planner.long_running_restart are new; planner.oldest_wait_ms counts long-running steps from when they began to lack tasks, no longer from their first start. "room" of a step that needs no advice is what the workers have; it was always 0.

No decision changes.

Ran: go test ./policy/cell ./internal/planner, TestLostTaskIsLogged 20 times, make lint: all pass.

--- a/internal/planner/leader.go
+++ b/internal/planner/leader.go
@@ -93,6 +93,7 @@
 	unresolved map[incarnation.ID]bool
 	// earlier has all incarnations that earlier planners recorded, by worker id.
 	earlier      map[string][]incarnation.ID
+	recoveryLog  recoveryLog
 	records      recorder
 	replyTimeout replyTimeout
 	lossRate     lossRate
--- a/internal/planner/load.go
+++ b/internal/planner/load.go
@@ -143,18 +143,21 @@
 	if !ld.loaded {
 		return
 	}
-	open := 0
+	awaited := recoveryLog{logged: ld.recoveryLog.logged}
 	for id, any := range ld.unresolved {
 		if _, ok := ld.sessions[id]; !ok && now > ld.unknownExpiry() {
 			ld.expireOld(now, id)
 		} else if any {
-			open++
+			awaited.add(id)
 		}
 	}
-	if open == 0 && !ld.cell.Recovered() {
+	if awaited.count == 0 && !ld.cell.Recovered() {
 		ld.cell.FinishRecovery()
-		ld.log.Info("Recovery is complete: no earlier planner's task can be running unknown to this one.", "after", now.String(), "silent", len(ld.unresolved))
+		// No report of a worker that the recovery waits for has come since the term began.
+		ld.log.Info("Recovery is complete: no earlier planner's task can be running unknown to this one.", "after", now.String(), "silent", len(ld.unresolved),
+			"last", ld.recoveryLog.workers(), "last_count", ld.recoveryLog.count, "last_silent_for", now.String())
 	}
+	ld.recoveryLog = awaited
 }
 
 // unknownExpiry is when a worker of an earlier planner that has not answered this one has surely ended all its runs:
--- a/internal/planner/planloop.go
+++ b/internal/planner/planloop.go
@@ -51,6 +51,7 @@
 	ld.listNewlyUsed()
 	ld.dirty = true
 	ld.logWaits(now)
+	ld.logRecovery(now)
 	ld.logLossRate()
 	ld.logStats(now)
 	ld.reportBacklog(now)
@@ -58,6 +59,7 @@
 	ld.metrics.gauge("planner.jobs", jobs)
 	ld.metrics.gauge("planner.steps_waiting", waiting)
 	ld.metrics.gauge("planner.workers", workers)
+	ld.metrics.gauge("planner.long_running_lacking", ld.cell.LackingTasks())
 	oldest, kept := ld.cell.OldestWait(now)
 	ld.metrics.gauge("planner.oldest_wait_ms", int(oldest.Milliseconds()))
 	ld.metrics.gauge("planner.workers_kept_free", kept)
@@ -92,6 +94,10 @@
 			ld.metrics.count("planner.jobs." + string(rec.Phase))
 		}
 	}
+	for _, rs := range out.Restarts {
+		ld.metrics.observe("planner.long_running_restart", rs.After)
+		ld.log.Info("Long-running task runs again.", "task", rs.Task.String(), "worker", rs.Worker, "after", rs.After.String())
+	}
 	for _, sr := range out.Starts {
 		ld.stats.begin()
 		ld.spawn(func() { ld.sendStart(sr) })
--- a/internal/planner/testbed_test.go
+++ b/internal/planner/testbed_test.go
@@ -50,6 +50,8 @@
 	// wrapStore, if not nil, wraps each node's store; the nodes then use agents instead of the fleet's own.
 	wrapStore func(st *kv.Store) *kv.Store
 	agents    *agent.Agents
+	// logged, if not nil, is called with each line that a node logs.
+	logged func(line string)
 }
 
 // defaultCapacity is the number of the testbed's tasks that a worker can run at once.
@@ -120,7 +122,12 @@
 
 // log returns a logger whose output is shown if the test fails.
 func (bd *testbed) log(name string) logr.Logger {
-	return funcr.New(func(prefix, args string) { bd.t.Log(bd.clock.Now().Format("05.000"), name, prefix, args) }, funcr.Options{})
+	return funcr.New(func(prefix, args string) {
+		bd.t.Log(bd.clock.Now().Format("05.000"), name, prefix, args)
+		if bd.logged != nil {
+			bd.logged(args)
+		}
+	}, funcr.Options{})
 }
 
 func (bd *testbed) addNode(name string) *node { return bd.addNodeOf(name, 1) }
--- a/policy/cell/messages.go
+++ b/policy/cell/messages.go
@@ -158,9 +158,11 @@
 	ReportRequests []incarnation.ID
 	AdviceRequests []AdviceRequest
 	Records        []Record
+	// Restarts are not orders: they have happened.
+	Restarts []Restart
 }
 
 // Empty reports whether there is nothing to do.
 func (ou *Output) Empty() bool {
-	return len(ou.Starts)+len(ou.Stops)+len(ou.Paces)+len(ou.ReportRequests)+len(ou.AdviceRequests)+len(ou.Records) == 0
+	return len(ou.Starts)+len(ou.Stops)+len(ou.Paces)+len(ou.ReportRequests)+len(ou.AdviceRequests)+len(ou.Records)+len(ou.Restarts) == 0
 }
--- a/policy/cell/placement.go
+++ b/policy/cell/placement.go
@@ -163,6 +163,7 @@
 	}
 	pl.state = running
 	pl.runningSince, pl.progressAt, pl.begunAt = now, now, now
+	cl.runSeen(now, pl)
 	if !pl.task.step.def.LongRunning {
 		pl.task.startFailures = startFailures{}
 	}
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -37,7 +37,7 @@
 			lacks := cl.planGang(now, rd)
 			starved[service] = starved[service] || lacks && cl.defersOthers(now, rd)
 		case starved[service] && rd.deferrable(now):
-			// capacity that becomes free is left to the gangs
+			st.deferredPlan = cl.planCount // capacity that becomes free is left to the gangs
 		default:
 			cl.planTasks(now, rd)
 		}
--- a/policy/cell/progress.go
+++ b/policy/cell/progress.go
@@ -10,6 +10,7 @@
 // updateRun applies what a report says about a run that it lists.
 func (cl *Cell) updateRun(now time.Duration, pl *placement, rn Run) {
 	pl.reported = true
+	cl.runSeen(now, pl)
 	switch {
 	case pl.state == ordered || pl.state == unconfirmed:
 		pl.state, pl.runningSince = running, now
--- a/policy/cell/report.go
+++ b/policy/cell/report.go
@@ -123,6 +123,9 @@
 	if en.Checkpoint != "" {
 		tk.checkpoint = en.Checkpoint
 	}
+	if pl != nil && en.Result != ResultLeaseExpired {
+		tk.lastSeen = now // a lapsed run ended at any time since the last report
+	}
 	if tk.step.def.LongRunning && (en.Result == ResultDone || en.Result == ResultFailed) {
 		tk.longRunEnded(now, pl)
 	}
--- a/policy/cell/restart.go
+++ b/policy/cell/restart.go
@@ -39,7 +39,7 @@
 			pl.state, pl.unconfirmedAt = unconfirmed, now
 			continue
 		}
-		cl.release(pl)
+		cl.lose(pl)
 		cl.afterLoss(pl)
 	}
 	cl.failJobs(now, exceeded)
@@ -87,7 +87,7 @@
 // not crash the earlier one.
 func (cl *Cell) resolvePredecessor(wk *worker, began map[placementKey]bool) {
 	for ky, pl := range wk.placements {
-		cl.release(pl)
+		cl.lose(pl)
 		if began[ky] {
 			cl.clearCrash(pl.task, pl.run)
 		} else {
@@ -113,6 +113,17 @@
 	}
 }
 
+// predecessorUntil returns how long the runs of an earlier incarnation are kept if the next one does not answer,
+// and false if the worker is no earlier incarnation.
+func (cl *Cell) predecessorUntil(wk *worker) (time.Duration, bool) {
+	for _, pr := range cl.predecessors[wk.ID.WorkerID()] {
+		if pr.worker == wk {
+			return pr.until, true
+		}
+	}
+	return 0, false
+}
+
 // StartDelayed records that an attempt of a start got no answer although a later one did: it may still be
 // carried out.
 func (cl *Cell) StartDelayed(sr Start) {
--- a/policy/cell/round.go
+++ b/policy/cell/round.go
@@ -47,7 +47,9 @@
 	// planIndex is the step's position in the current plan, late whether it is late there; reservePlan is the
 	// last plan in which it made or kept a reservation.
 	planIndex, reservePlan int
-	late                   bool
+	// deferredPlan is the last plan that left capacity to gangs instead of starting tasks of the step.
+	deferredPlan int
+	late         bool
 	// crashSeen is set once a worker has crashed under one of its tasks.
 	crashSeen bool
 	// hadFailedStarts is set once a start of one of its tasks has failed.
@@ -71,6 +73,10 @@
 	// hangs counts how often it hung.
 	hangs      int
 	checkpoint string
+	// lastSeen is when a worker was last known to have a run of a long-running task, seen whether one ever was. lost
+	// is set while the task waits after the loss of the worker that had its last run.
+	lastSeen   time.Duration
+	seen, lost bool
 	// avoid are the workers on which it failed or hung.
 	avoid map[incarnation.ID]bool
 }
--- a/policy/cell/waiting.go
+++ b/policy/cell/waiting.go
@@ -13,9 +13,12 @@
 type WaitingStep struct {
 	Step work.Task
 	// Waited is how long ago it became ready, Tasks how many of its tasks wait, Placed how many are on workers
-	// or may be.
+	// or may be. For a long-running step, Waited is how long a task has lacked a run, and Tasks counts those that
+	// lack one, also if they may be on workers that do not answer.
 	Waited        time.Duration
 	Tasks, Placed int
+	// WaitsFor is what the task waits for that has waited longest.
+	WaitsFor Wait
 	// AdvicePending is set while an advice request for it is open. Asked and Allowed count the workers with a
 	// verdict and with a permission, Startable the tasks that the allowed ones could start.
 	AdvicePending             bool
@@ -35,11 +38,12 @@
 	AtLimit, Excess bool
 }
 
-// LongestWaiting returns up to limit steps that have waited for at least a given time, longest first.
+// LongestWaiting returns up to limit steps that have waited for at least a given time, longest first. It leaves
+// out long-running steps, which LongestLacking returns.
 func (cl *Cell) LongestWaiting(now, minWait time.Duration, limit int) []WaitingStep {
 	var steps []*step
 	for st := range cl.open {
-		if st.unplaced > 0 && now-st.readyAt >= minWait {
+		if st.unplaced > 0 && !st.def.LongRunning && now-st.readyAt >= minWait {
 			steps = append(steps, st)
 		}
 	}
@@ -48,12 +52,22 @@
 	})
 	var list []WaitingStep
 	for _, st := range steps[:min(limit, len(steps))] {
-		list = append(list, cl.waitingStep(now, st))
+		list = append(list, cl.waitingStep(now, st, st.firstWaiting(now)))
 	}
 	return list
 }
 
-func (cl *Cell) waitingStep(now time.Duration, st *step) WaitingStep {
+// firstWaiting returns a task of a step that waits, preferably one that may be started now.
+func (st *step) firstWaiting(now time.Duration) *task {
+	if tks := st.waiting(now); len(tks) > 0 {
+		return tks[0]
+	}
+	at := slices.IndexFunc(st.tasks, func(tk *task) bool { return !tk.done && tk.runs == 0 })
+	return st.tasks[at]
+}
+
+// waitingStep describes a step with a task that waits.
+func (cl *Cell) waitingStep(now time.Duration, st *step, tk *task) WaitingStep {
 	ws := WaitingStep{
 		Step:   work.Task{Job: st.round.job.spec.ID, Round: st.round.num, Step: st.num},
 		Waited: now - st.readyAt,
@@ -70,6 +84,12 @@
 			ws.Tickets++
 		}
 	}
+	if !st.advised() {
+		for cand := range cl.bestFit(st) {
+			ws.Startable += cand.slots
+		}
+	}
+	ws.WaitsFor = cl.waitsFor(now, tk, &ws)
 	return ws
 }
 
@@ -77,7 +97,12 @@
 // for metrics.
 func (cl *Cell) OldestWait(now time.Duration) (wait time.Duration, reserved int) {
 	for st := range cl.open {
-		if st.unplaced > 0 {
+		switch {
+		case st.unplaced == 0:
+		case st.def.LongRunning:
+			tk, _ := st.lacking()
+			wait = max(wait, now-tk.lackingSince())
+		default:
 			wait = max(wait, now-st.readyAt)
 		}
 		reserved += len(st.reserved)
--- a/policy/cell/worker.go
+++ b/policy/cell/worker.go
@@ -172,7 +172,7 @@
 	wk.answered = false
 	exceeded := cl.attributeLoss(now, wk)
 	for _, pl := range wk.placements {
-		cl.release(pl)
+		cl.lose(pl)
 		cl.afterLoss(pl)
 	}
 	cl.failJobs(now, exceeded)
