--- a/internal/planner/leader.go
+++ b/internal/planner/leader.go
@@ -97,6 +97,7 @@
 	leasesResolved bool
 	// earlier has all incarnations that earlier planners recorded, by worker id.
 	earlier      map[string][]incarnation.ID
+	recoveryLog  recoveryLog
 	records      recorder
 	replyTimeout replyTimeout
 	lossRate     lossRate
