planner: take over which workers do not answer

Cause: the previous planner's node had said that the lease was over, but a worker counts as unreachable only after its own holds failed, and while many calls are lost one or two failures are tolerated, 0.7 s each. That is always so at the beginning of a term if many workers are gone.

A worker that did not answer the previous planner, nor this one yet, now counts as unreachable as soon as that is known. Its first answer undoes that.

--- a/internal/planner/inheritedleases.go
+++ b/internal/planner/inheritedleases.go
@@ -102,6 +102,9 @@
 	case report.Led:
 		for id, remaining := range report.Unreachable {
 			ld.inheritedLeases.limit(id, now+remaining)
+			if se, ok := ld.sessions[id]; ok && !se.answered {
+				se.markUnreachable(now, "it did not answer the previous planner")
+			}
 		}
 		ld.inheritedLeases.longest = min(ld.inheritedLeases.longest, now+report.Longest)
 	case report.Node == previous.Node:
--- a/internal/planner/longrunning_test.go
+++ b/internal/planner/longrunning_test.go
@@ -1,6 +1,7 @@
 package planner_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -55,6 +56,25 @@
 	return time.Since(began)
 }
 
+// workerNames returns names of workers in the order in which the planner fills them.
+func workerNames(count int) []string {
+	var names []string
+	for n := range count {
+		names = append(names, fmt.Sprintf("w%02d", n))
+	}
+	return names
+}
+
+// cutWorkers makes workers leave all calls unanswered. Their runs go on until their leases end.
+func (bd *testbed) cutWorkers(ids ...string) {
+	bd.fleet.SetFault(func(worker, _ string) memworkers.Fault {
+		if slices.Contains(ids, worker) {
+			return memworkers.RequestLost
+		}
+		return memworkers.None
+	})
+}
+
 // silence makes the store leave all calls unanswered for a time, and those of some nodes for a second more.
 func (bd *testbed) silence(d time.Duration, longer ...string) {
 	bd.store.SetFault(func(string, string) memkv.Fault { return memkv.RequestLost })
@@ -78,22 +98,29 @@
 		// longer are the nodes that the store answers later than the others.
 		longer []string
 		plans  string
+		// silent is how many workers leave all calls unanswered, the task's among them; with 0, that one crashes.
+		silent int
 	}{
-		"loss was recorded, same node plans":     {2500 * time.Millisecond, []string{"n2"}, "n1"},
-		"loss was not noticed, same node plans":  {100 * time.Millisecond, []string{"n2"}, "n1"},
-		"loss was recorded, other node plans":    {2500 * time.Millisecond, []string{"n1"}, "n2"},
-		"loss was not noticed, other node plans": {100 * time.Millisecond, []string{"n1"}, "n2"},
+		"loss was recorded, same node plans":     {2500 * time.Millisecond, []string{"n2"}, "n1", 0},
+		"loss was not noticed, same node plans":  {100 * time.Millisecond, []string{"n2"}, "n1", 0},
+		"loss was recorded, other node plans":    {2500 * time.Millisecond, []string{"n1"}, "n2", 0},
+		"loss was not noticed, other node plans": {100 * time.Millisecond, []string{"n1"}, "n2", 0},
+		"many workers are silent":                {2500 * time.Millisecond, []string{"n1"}, "n2", 10},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				bd := newTestbed(t, time.Hour, "w1", "w2", "w3")
+				workers := workerNames(tt.silent + 3)
+				bd := newTestbed(t, time.Hour, workers...)
 				defer bd.end()
 				first, _ := bd.addTwo()
 				lost := bd.submitLongRunning(first, "service")
 				time.Sleep(20 * time.Second)
 				run := bd.lastStart("service").run
 				began := time.Now()
-				bd.fleet.Kill(lost)
+				if tt.silent == 0 {
+					bd.fleet.Kill(lost)
+				}
+				bd.cutWorkers(workers[:tt.silent]...)
 				time.Sleep(tt.notice)
 				bd.silence(silent, tt.longer...)
 				answers := time.Since(began)
@@ -172,12 +199,7 @@
 				run := bd.lastStart("service").run
 				tt.takeover(bd)
 				time.Sleep(tt.silentFrom)
-				bd.fleet.SetFault(func(worker, _ string) memworkers.Fault {
-					if worker == silent {
-						return memworkers.RequestLost
-					}
-					return memworkers.None
-				})
+				bd.cutWorkers(silent)
 				if waited := bd.awaitRestart("service", run, 30*time.Second); waited > tt.limit {
 					t.Errorf("the task was started %v after its worker went silent, more than %v", waited, tt.limit)
 				}
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -227,13 +227,19 @@
 		ld.schedulePlan()
 		return
 	}
+	ld.metrics.count("planner.holds_failed")
+	se.markUnreachable(now, err.Error())
+	se.expireIfDue(now)
+}
+
+// markUnreachable records that the worker does not answer. The caller holds the lock.
+func (se *session) markUnreachable(now time.Duration, reason string) {
+	ld := se.leader
 	if !se.unreachable {
-		ld.log.Info("Worker does not answer.", "worker", se.incarnation, "reason", err.Error())
+		ld.log.Info("Worker does not answer.", "worker", se.incarnation, "reason", reason)
 	}
 	se.unreachable = true
-	ld.metrics.count("planner.holds_failed")
 	ld.cell.Unreachable(now, se.incarnation)
-	se.expireIfDue(now)
 }
 
 // expireIfDue applies the end of the lease of a worker that does not answer, once it is over. The caller holds the lock.
