cell: prepare room and tickets for lost long-running tasks

Users saw a long-running task away for 9 to 13 s after its worker was lost, though workers that the advisor allows for it were only full. Such a task waited among the rest: nothing was done for it before the lease had expired, then its step asked for advice in turn with all others, its tickets expired before there was room, and what became free went to urgent steps, or to whichever step had a ticket at that moment. Small tasks reserved nothing.

A long-running step that has lost tasks now ranks behind urgent steps and before all others, so that it is the first to get a free place in the advisor's queue. It reserves the room that becomes free soonest, one task's size for each task, which urgent steps and backfill leave alone, and renews its tickets before they expire. Cell.Unreachable is told when the worker's lease will surely have expired; from then on the steps with long-running tasks there do the same ahead, with the tickets timed for that moment. Nothing starts before the lease has expired; if the worker answers again, the next plan releases the reservation (TestAnsweringWorkerKeepsLongRunningTask). Verdicts are requested as long as the allowed workers have room for fewer than three times the lacking tasks, within the spread and beside other long-running tasks.

--- a/internal/planner/incarnation.go
+++ b/internal/planner/incarnation.go
@@ -59,7 +59,7 @@
 		return
 	}
 	ld.log.Info("Worker's entry is of another incarnation.", "worker", se.incarnation, "entry", en.ID)
-	ld.cell.Unreachable(ld.now(), se.incarnation)
+	ld.cell.Unreachable(ld.now(), se.incarnation, se.leaseEnd())
 	se.requestReport()
 }
 
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -83,13 +83,12 @@
 	return se.deadline
 }
 
-// leaseExpired reports whether the worker has surely ended all its runs. The caller holds the lock.
-func (se *session) leaseExpired(now time.Duration) bool {
+// leaseEnd returns when the worker will surely have ended all its runs. The caller holds the lock.
+func (se *session) leaseEnd() time.Duration {
 	if !se.answered {
-		return now > se.leader.unknownExpiry()
+		return se.leader.unknownExpiry()
 	}
-	since := time.Duration(float64(now-se.heard) * (1 - maxClockDrift))
-	return se.clock+since > se.deadline
+	return se.heard + time.Duration(float64(se.deadline-se.clock)/(1-maxClockDrift))
 }
 
 // run sends holds to the worker until its incarnation or the term ends.
@@ -228,8 +227,8 @@
 	}
 	se.unreachable = true
 	ld.metrics.count("planner.holds_failed")
-	ld.cell.Unreachable(now, se.incarnation)
-	if !se.leaseExpired(now) {
+	ld.cell.Unreachable(now, se.incarnation, se.leaseEnd())
+	if now <= se.leaseEnd() {
 		return
 	}
 	if se.other != nil {
--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -74,6 +74,8 @@
 	// attributed to tasks, by the worker that was lost.
 	unreachableTimes []time.Duration
 	attributions     map[incarnation.ID]attribution
+	// expecting are the steps with expected restarts.
+	expecting []*step
 	// predecessors are earlier incarnations of workers, by worker ID.
 	predecessors map[string][]predecessor
 }
--- /dev/null
+++ b/policy/cell/longrunning.go
@@ -0,0 +1,141 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"tackbeam.example/policy/incarnation"
+)
+
+// A long-running task serves users of its own, so one that has lost its run must run again soon, however full the
+// cell is. Its step reserves room at once, on the allowed workers where it becomes free soonest, and keeps tickets
+// for them until it has room. What it reserves is one task's size for each task that waits. While a worker is
+// unreachable, its long-running tasks may still run; room and tickets are prepared for the time at which its lease has
+// expired.
+
+// restartMargin is the room on allowed workers that a step looks for, relative to what its waiting tasks need: where
+// room becomes free first is uncertain.
+const restartMargin = 3
+
+// countRestarts counts the tasks of a long-running step that wait to run again. A gang starts as a whole and is left
+// to planGang.
+func (st *step) countRestarts(now time.Duration) {
+	st.restarts = 0
+	if !st.def.LongRunning || st.def.Gang || st.unplaced == 0 {
+		return
+	}
+	for _, tk := range st.tasks {
+		if tk.hasRun() && !tk.done && tk.runs == 0 && tk.startFailures.retryAt <= now {
+			st.restarts++
+		}
+	}
+}
+
+// hasRun reports whether the task has run before. The runs of an earlier planner are not all known; they are likely
+// if other tasks of the step run.
+func (tk *task) hasRun() bool {
+	st := tk.step
+	return tk.run > 0 || st.round.job.inherited && st.unplaced < len(st.tasks)
+}
+
+// expectRestarts counts the long-running tasks that will have to run again unless their worker answers before its
+// lease has expired.
+func (cl *Cell) expectRestarts() {
+	for _, st := range cl.expecting {
+		st.expected = 0
+	}
+	cl.expecting = cl.expecting[:0]
+	for _, wk := range cl.workers {
+		if !wk.unreachable || wk.leaseEnd == 0 {
+			continue
+		}
+		for _, pl := range wk.placements {
+			if pl.restartExpected() && cl.open[pl.task.step] {
+				cl.expectRestart(pl.task.step, wk.leaseEnd)
+			}
+		}
+	}
+}
+
+// restartExpected reports whether the loss of the run makes its task run again.
+func (pl *placement) restartExpected() bool {
+	tk := pl.task
+	return tk.step.def.LongRunning && !tk.step.def.Gang && !tk.done && tk.runs == 1
+}
+
+func (cl *Cell) expectRestart(st *step, from time.Duration) {
+	if st.expected++; st.expected == 1 {
+		st.expectedFrom = from
+		cl.expecting = append(cl.expecting, st)
+	}
+	st.expectedFrom = min(st.expectedFrom, from)
+}
+
+// restarting reports whether long-running tasks of the step wait to run again or are expected to.
+func (st *step) restarting() bool { return st.restarts+st.expected > 0 }
+
+// lacksNone reports whether all tasks of the step run and none of them is expected to be lost.
+func (st *step) lacksNone() bool { return st.unplaced+st.expected == 0 }
+
+// lacking is how many tasks of the step wait, as far as its workspace may have them running, or are expected to.
+func (cl *Cell) lacking(st *step) int { return cl.wanted(st) + st.expected }
+
+// restartAt is the earliest time at which a task of a step with restarts may run again.
+func (st *step) restartAt(now time.Duration) time.Duration {
+	if st.unplaced > 0 {
+		return now
+	}
+	return max(now, st.expectedFrom)
+}
+
+// reserveForRestart reserves room for the tasks of a step that wait or are expected to run again, and requests tickets
+// for it.
+func (cl *Cell) reserveForRestart(now time.Duration, st *step) {
+	st.reservePlan = cl.planCount
+	reselect, mayRequest := now-st.selectedAt >= reselectInterval, cl.mayRequest(now, st)
+	if !reselect && !mayRequest {
+		return
+	}
+	list := cl.openings(now, st, anyWorker)
+	sortOpenings(list)
+	if reselect {
+		st.selectedAt = now
+		free := slices.DeleteFunc(slices.Clone(list), func(op opening) bool { return !st.mayReserve(op.worker) })
+		chosen, _ := earliestOpenings(free, min(cl.lacking(st), len(free)))
+		cl.setReservation(st, chosen)
+	}
+	if mayRequest {
+		cl.requestForRestart(now, st, list)
+	}
+}
+
+// anyWorker admits all workers, including those reserved for other restarts, which take their room soon.
+func anyWorker(*worker) bool { return true }
+
+// requestForRestart requests verdicts on more workers as long as the allowed ones have too little room even when other
+// work has ended, and tickets for the allowed workers where room becomes free soonest. Tickets arrive shortly before a
+// task may run again, and are renewed before they expire. The openings are sorted by time.
+func (cl *Cell) requestForRestart(now time.Duration, st *step, list []opening) {
+	var ids []incarnation.ID
+	limit := minWorkers(st)
+	qu := st.round.job.spec.Queue
+	takes := qu.AdviceBase + time.Duration(min(limit, len(list)))*qu.AdviceEach
+	if at := st.restartAt(now); at <= now+takes+ticketLead {
+		ids, _ = st.withoutTicket(list, cl.latestArrival(max(at, now+takes)))
+		ids = ids[:min(len(ids), limit)]
+	}
+	if want := restartMargin*cl.lacking(st) - len(list); want > 0 {
+		unknown := st.advice.withoutVerdict(cl.candidates(st, backward(cl.poolWorkers(st)), spreadCapacity))
+		ids = slices.Concat(ids, pickWorkers(unknown, float64(want), cl.queue(qu.Name).allowedShare, limit, maxRequestWorkers))
+	}
+	cl.sendRequests(st, ids)
+}
+
+// spreadCapacity returns how many more tasks of the step a worker could take if nothing else ran there.
+func spreadCapacity(st *step, wk *worker) int {
+	count := emptyCapacity(st, wk)
+	if st.def.PerWorker > 0 {
+		count = min(count, st.def.PerWorker-st.tasksOn(wk))
+	}
+	return count
+}
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -24,6 +24,7 @@
 	cl.planCount++
 	cl.updateUnreported(now)
 	cl.fillPools(now)
+	cl.expectRestarts()
 	starved := map[string]bool{} // services with gangs that lack capacity
 	for i, rd := range cl.byRank(now) {
 		st, service := rd.step, cl.service(rd.step)
@@ -31,7 +32,7 @@
 		switch {
 		case cl.skipped(st):
 			st.reservePlan = cl.planCount // it keeps its reservation until it is considered again
-		case cl.atLimit(st):
+		case cl.atLimit(st) && st.expected == 0:
 			// its workspace may not have more running
 		case st.def.Gang:
 			lacks := cl.planGang(now, rd)
@@ -133,6 +134,8 @@
 	st := rd.step
 	cl.placeTasks(now, st)
 	switch {
+	case st.restarting() && cl.lacking(st) > 0:
+		cl.reserveForRestart(now, st)
 	case cl.wanted(st) == 0:
 	case st.urgent():
 		cl.ignoreReserved = true
@@ -161,7 +164,7 @@
 		}
 	}
 	wanted := cl.wanted(st)
-	if wanted > 0 && !windowFull {
+	if wanted > 0 && !windowFull && !st.restarting() {
 		cl.requestAdvice(now, st, wanted)
 	}
 	if st.urgent() && (windowFull || st.advice.pending > 0) {
--- a/policy/cell/rank.go
+++ b/policy/cell/rank.go
@@ -16,10 +16,11 @@
 func (cl *Cell) byRank(now time.Duration) []ranked {
 	var list []ranked
 	for st := range cl.open {
-		if st.unplaced == 0 || st.def.Gang && st.unplaced < len(st.tasks) {
+		st.countRestarts(now)
+		if st.lacksNone() || st.def.Gang && st.unplaced < len(st.tasks) {
 			continue // all of it runs, or members of the gang are being stopped
 		}
-		if st.backsOff(now) {
+		if st.expected == 0 && st.backsOff(now) {
 			continue
 		}
 		if cl.recovered || !st.round.job.inherited {
@@ -52,9 +53,11 @@
 	return cmp.Or(cmp.Compare(rk.id, other.id), cmp.Compare(rk.num, other.num))
 }
 
-// Groups of ranks. Urgent queues come before all others; jobs beyond the rate of their workspace come last.
+// Groups of ranks. Urgent queues come before all others, and then long-running steps that have lost tasks; jobs
+// beyond the rate of their workspace come last.
 const (
 	groupUrgent = iota
+	groupRestart
 	groupNormal
 	groupExcess
 )
@@ -68,10 +71,12 @@
 	qu := jb.spec.Queue
 	rk := rank{group: groupNormal, id: jb.spec.ID, num: st.num}
 	switch {
+	case st.urgent():
+		rk.group = groupUrgent
+	case st.restarting():
+		rk.group = groupRestart
 	case jb.excess:
 		rk.group = groupExcess
-	case qu.Priority == 0:
-		rk.group = groupUrgent
 	}
 	if st.def.LongRunning {
 		rk.latestStart = st.lackingSince + qu.Target
--- a/policy/cell/reservation.go
+++ b/policy/cell/reservation.go
@@ -98,7 +98,7 @@
 
 // selectReservation reserves the capacity that becomes free soonest, and requests tickets for it in time.
 func (cl *Cell) selectReservation(now time.Duration, st *step) {
-	list := cl.openings(now, st)
+	list := cl.openings(now, st, st.mayReserve)
 	want := cl.wanted(st)
 	if !st.def.Gang {
 		want = min(want, len(list)) // its tasks start one by one
@@ -138,9 +138,13 @@
 // allowsBackfill reports whether a step may use capacity that is reserved on a worker for another step: only if
 // its tasks are expected to end before the promised start of the reserving step. The promise is never
 // postponed, or tasks of 2 s would use the capacity forever, each a little longer. An urgent step that finds no
-// other capacity may use it in any case.
+// other capacity may use it in any case, and so may a long-running step that has lost tasks. What is reserved for
+// the latter is little, and nobody else uses it.
 func (cl *Cell) allowsBackfill(wk *worker, st *step) bool {
-	return cl.ignoreReserved || cl.now+cl.expectedRunTime(st) <= wk.reservedFor.promisedAt
+	if wk.reservedFor.restarting() {
+		return false
+	}
+	return st.restarting() || cl.ignoreReserved || cl.now+cl.expectedRunTime(st) <= wk.reservedFor.promisedAt
 }
 
 // opening is free capacity for one task of a step on a worker from a time on.
@@ -149,15 +153,16 @@
 	at     time.Duration
 }
 
-// openings returns where and when there will be capacity for tasks of a step, estimated from the running tasks.
-func (cl *Cell) openings(now time.Duration, st *step) []opening {
+// openings returns where and when there will be capacity for tasks of a step on the admitted workers, estimated from the
+// running tasks.
+func (cl *Cell) openings(now time.Duration, st *step, admits func(*worker) bool) []opening {
 	var list []opening
 	workers := backward(cl.poolWorkers(st))
 	if st.advised() {
 		workers = cl.allowedWorkers(st, nil)
 	}
 	for cand := range cl.candidates(st, workers, emptyCapacity) {
-		if st.mayReserve(cand.worker) {
+		if admits(cand.worker) {
 			list = append(list, cl.openingsOn(now, st, cand.worker)...)
 		}
 	}
@@ -166,9 +171,16 @@
 
 // mayReserve reports whether a step may reserve capacity on a worker: no other step has, or this step is late
 // and the other is ranked behind it. Steps that are in time leave each other's reservations alone, since
-// tickets and time would be lost whenever the order changes.
+// tickets and time would be lost whenever the order changes. Restarts of long-running tasks go before both.
 func (st *step) mayReserve(wk *worker) bool {
-	return wk.reservedFor == nil || wk.reservedFor == st || st.late && wk.reservedFor.planIndex > st.planIndex
+	other := wk.reservedFor
+	switch {
+	case other == nil || other == st:
+		return true
+	case st.restarting() || other.restarting():
+		return !other.restarting()
+	}
+	return st.late && other.planIndex > st.planIndex
 }
 
 // openingsOn returns the openings on one worker, sorted by time. It leaves out capacity that the step could not
@@ -209,9 +221,7 @@
 	if want == 0 || len(list) < want {
 		return nil, false
 	}
-	slices.SortFunc(list, func(a, b opening) int {
-		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.worker.ID, b.worker.ID))
-	})
+	sortOpenings(list)
 	counts := map[*worker]int{}
 	var chosen []candidate
 	for _, op := range list[:want] {
@@ -224,3 +234,10 @@
 	}
 	return chosen, true
 }
+
+// sortOpenings sorts openings by time.
+func sortOpenings(list []opening) {
+	slices.SortFunc(list, func(a, b opening) int {
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.worker.ID, b.worker.ID))
+	})
+}
--- a/policy/cell/round.go
+++ b/policy/cell/round.go
@@ -27,7 +27,13 @@
 	remaining int
 	// unplaced counts the tasks that have to be placed: not done, and not on a worker.
 	unplaced int
-	readyAt  time.Duration
+	// restarts counts those of them that have run before, if the step is long-running, in the current plan.
+	restarts int
+	// expected counts its long-running tasks whose run is on an unreachable worker, expectedFrom is when the first of
+	// these may run again.
+	expected     int
+	expectedFrom time.Duration
+	readyAt      time.Duration
 	// lackingSince is when tasks last began to wait after none did.
 	lackingSince time.Duration
 	// failures are the failed runs of the gang.
--- a/policy/cell/worker.go
+++ b/policy/cell/worker.go
@@ -24,6 +24,8 @@
 	// left the list while it answered: it leaves in an orderly way without announcing it.
 	unreachable, departed bool
 	unreachableAt         time.Duration
+	// leaseEnd is when the lease of an unreachable worker will surely have expired, 0 if it is not known.
+	leaseEnd time.Duration
 	// lastEnd is the highest end applied, ackedEnd the highest that the journal has; unacked are those in
 	// between.
 	lastEnd, ackedEnd int
@@ -91,10 +93,11 @@
 	wk.openRecord = 0
 }
 
-// Unreachable records that a worker does not answer.
-func (cl *Cell) Unreachable(now time.Duration, id incarnation.ID) {
+// Unreachable records that a worker does not answer, and when its lease will surely have expired.
+func (cl *Cell) Unreachable(now time.Duration, id incarnation.ID, leaseEnd time.Duration) {
 	if wk, ok := cl.workers[id]; ok {
 		cl.markUnreachable(now, wk)
+		wk.leaseEnd = leaseEnd
 		cl.closeWorker(wk)
 	}
 }
