planner: the lease of a lost worker ends when its last answered hold says

When a third of the workers fell silent at once, their long-running tasks were away for up to 7.8 s in a cell with room. With so many calls unanswered, a worker counts as unreachable only after three lost holds, and each of these extended its lease once more. After that the end of the lease was noticed when a hold failed, which takes up to 0.8 s.

A hold after an unanswered one now carries the deadline that the one before it had, which counts already, and a hold to an unreachable worker waits no longer than its lease lasts. A worker that answers the second or third hold has lost nothing: at least two seconds of its lease are left then, and the next hold extends it.

TestLostWorkersLeaseIsExtended on the code before: all six cases with a third of the workers lost fail, in the order of a run "lasting.0.0.0 ran again after 7.808s, want at most 6s" and the same for its other tasks; those with one worker pass. Now all pass.

--- /dev/null
+++ b/internal/planner/leaseend_test.go
@@ -0,0 +1,87 @@
+package planner_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/size"
+	"tackbeam.example/policy/work"
+
+	"tackbeam.example/tackbeam/internal/standin/memworkers"
+)
+
+// TestLostWorkersLeaseIsExtended has workers fall silent at different moments of a hold. Their long-running tasks must
+// run again, on a cell with room, within the workers' lease and a second.
+func TestLostWorkersLeaseIsExtended(t *testing.T) {
+	const (
+		workers  = 12
+		maxAway  = 6 * time.Second
+		holdTime = time.Second
+		step     = 200 * time.Millisecond
+	)
+	tests := map[string]struct{ lost int }{
+		"one worker":         {lost: 1},
+		"a third of workers": {lost: workers / 3},
+	}
+	for name, tt := range tests {
+		for after := time.Duration(0); after <= holdTime; after += step {
+			t.Run(fmt.Sprintf("%s after %s", name, after), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					var ids []string
+					for n := range workers {
+						ids = append(ids, fmt.Sprintf("w%02d", n))
+					}
+					bd := newTestbed(t, time.Minute, ids...)
+					defer bd.end()
+					nd := bd.addNode("n1")
+					bd.submitJob(nd, &work.Job{ID: "lasting", Spec: "lasting", Queue: bd.accepted, Steps: []work.Step{{
+						Count: workers, Need: size.New(1000, 1000, 0), Estimate: time.Second, LongRunning: true, PerWorker: 2,
+					}}})
+					bd.await("lasting", cell.Running, 5*time.Second)
+					time.Sleep(2*time.Second + after)
+					lost := map[work.Task]string{}
+					for _, sr := range bd.fleet.Starts() {
+						if id := sr.Worker.WorkerID(); slices.Contains(ids[:tt.lost], id) {
+							lost[sr.Task] = id
+						}
+					}
+					silentAt := bd.silence(ids[:tt.lost])
+					for end := time.Now().Add(2 * maxAway); time.Now().Before(end); time.Sleep(step / 20) {
+						for _, sr := range bd.fleet.Starts() {
+							id, wasLost := lost[sr.Task]
+							if !wasLost || sr.Worker.WorkerID() == id {
+								continue
+							}
+							delete(lost, sr.Task)
+							if away := time.Since(silentAt[id]); away > maxAway {
+								t.Errorf("%s ran again after %s, want at most %s", sr.Task, away, maxAway)
+							}
+						}
+					}
+					if len(silentAt) == 0 || len(lost) > 0 {
+						t.Errorf("%d workers were lost, %d of their tasks did not run again", len(silentAt), len(lost))
+					}
+				})
+			})
+		}
+	}
+}
+
+// silence makes workers answer no calls any more. It returns the times at which each of them was first called after that.
+func (bd *testbed) silence(ids []string) map[string]time.Time {
+	silentAt := map[string]time.Time{}
+	bd.fleet.SetFault(func(id, _ string) memworkers.Fault {
+		if !slices.Contains(ids, id) {
+			return memworkers.None
+		}
+		if _, called := silentAt[id]; !called {
+			silentAt[id] = bd.clock.Now()
+		}
+		return memworkers.RequestLost
+	})
+	return silentAt
+}
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -159,10 +159,19 @@
 	ld.stats.holds++
 	_, waits := ld.cell.AckedEnd(se.incarnation)
 	hold, slack = agent.Hold{Token: se.token, Acked: se.ackedEnd()}, holdSlack
-	if se.answered && !se.unreachable {
+	now := ld.now()
+	switch {
+	case !se.answered:
+	case se.unreachable:
 		// A hold to an unreachable worker does not extend the lease: a lease that is extended without an answer would
-		// never surely expire.
-		hold.Deadline = se.extend(ld.now())
+		// never surely expire. That it has expired is noticed when a hold has failed.
+		if left := se.leaseEnd() - now; left > 0 {
+			slack = min(slack, left+time.Millisecond)
+		}
+	case se.missed > 0:
+		hold.Deadline = se.deadline // not extended, in case the worker is lost, but the call before may have been lost
+	default:
+		hold.Deadline = se.extend(now)
 	}
 	if se.answered && !waits && !se.unreachable {
 		hold.Wait = holdWait
