--- a/internal/planner/load.go
+++ b/internal/planner/load.go
@@ -154,11 +154,18 @@
 	if !ld.loaded {
 		return
 	}
+	_, listRead := ld.workers.Age()
 	awaited := recoveryLog{logged: ld.recoveryLog.logged}
 	for id, any := range ld.unresolved {
-		if _, ok := ld.sessions[id]; !ok && now > ld.inheritedLeaseEnd(id) {
+		_, listed := ld.sessions[id]
+		if !listed && now > ld.inheritedLeaseEnd(id) {
 			ld.expireOld(now, id)
-		} else if any {
+			continue
+		}
+		if !listed && listRead {
+			ld.cell.Unreachable(now, id, ld.inheritedLeaseEnd(id))
+		}
+		if any {
 			awaited.add(id)
 		}
 	}
--- a/internal/planner/longrunning_test.go
+++ b/internal/planner/longrunning_test.go
@@ -11,7 +11,6 @@
 	"tackbeam.example/policy/work"
 
 	"tackbeam.example/tackbeam/internal/standin/memkv"
-	"tackbeam.example/tackbeam/internal/standin/memworkers"
 )
 
 // Limits of the wait for the next start of a long-running task: its worker's lease, and the time for the planner to
@@ -65,16 +64,6 @@
 	return names
 }
 
-// cutWorkers makes workers leave all calls unanswered. Their runs go on until their leases end.
-func (bd *testbed) cutWorkers(ids ...string) {
-	bd.fleet.SetFault(func(worker, _ string) memworkers.Fault {
-		if slices.Contains(ids, worker) {
-			return memworkers.RequestLost
-		}
-		return memworkers.None
-	})
-}
-
 // silence makes the store leave all calls unanswered for a time, and those of some nodes for a second more.
 func (bd *testbed) silence(d time.Duration, longer ...string) {
 	bd.store.SetFault(func(string, string) memkv.Fault { return memkv.RequestLost })
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -85,7 +85,7 @@
 	return se.deadline
 }
 
-// leaseEnd returns when the worker has surely ended all its runs. The caller holds the lock.
+// leaseEnd returns when the worker will surely have ended all its runs. The caller holds the lock.
 func (se *session) leaseEnd() time.Duration {
 	switch {
 	case se.expired:
@@ -164,9 +164,14 @@
 	ld.stats.holds++
 	_, waits := ld.cell.AckedEnd(se.incarnation)
 	hold, slack = agent.Hold{Token: se.token, Acked: se.ackedEnd()}, holdSlack
-	if se.answered && !se.unreachable {
+	switch {
+	case !se.answered:
+	case se.unreachable:
 		// A hold to an unreachable worker does not extend the lease: a lease that is extended without an answer would
 		// never surely expire.
+	case se.missed > 0:
+		hold.Deadline = se.deadline // not extended, in case the worker is lost, but the call before may have been lost
+	default:
 		hold.Deadline = se.extend(ld.now())
 	}
 	if se.answered && !waits && !se.unreachable {
@@ -239,7 +244,7 @@
 		ld.log.Info("Worker does not answer.", "worker", se.incarnation, "reason", reason)
 	}
 	se.unreachable = true
-	ld.cell.Unreachable(now, se.incarnation)
+	ld.cell.Unreachable(now, se.incarnation, se.leaseEnd())
 }
 
 // expireIfDue applies the end of the lease of a worker that does not answer, once it is over. The caller holds the lock.
--- a/policy/cell/waitreason_test.go
+++ b/policy/cell/waitreason_test.go
@@ -76,7 +76,7 @@
 			want: cell.Wait{Reason: cell.WaitPredecessor, Worker: "w000", Remaining: 15*time.Second - checkedAt},
 		},
 		"worker does not answer": {
-			arrange: func(wb *waitBed) { wb.Unreachable(0, wb.start().Worker) },
+			arrange: func(wb *waitBed) { wb.Unreachable(0, wb.start().Worker, workerLease) },
 			want:    cell.Wait{Reason: cell.WaitLease, Worker: "w000"},
 		},
 		"worker of an earlier planner has not answered": {
@@ -230,7 +230,7 @@
 	}{
 		"lease has expired": {
 			end: func(wb *waitBed, sr cell.Start) {
-				wb.Unreachable(3*time.Second, sr.Worker)
+				wb.Unreachable(3*time.Second, sr.Worker, lostAt+workerLease)
 				wb.LeaseExpired(8*time.Second, sr.Worker)
 			},
 			want: []time.Duration{startedAt - lostAt},
--- a/policy/cell/worker.go
+++ b/policy/cell/worker.go
@@ -28,6 +28,8 @@
 	// once the journal has the record that follows then, renewRecord.
 	unrenewed   bool
 	renewRecord int
+	// leaseEnd is when the lease of an unreachable worker will surely have expired, 0 if it is not known.
+	leaseEnd time.Duration
 	// lastEnd is the highest end applied, ackedEnd the highest that the journal has; unacked are those in
 	// between.
 	lastEnd, ackedEnd int
@@ -100,13 +102,14 @@
 	return Record{Worker: wk.ID, Closed: true, Held: wk.heldRuns(), Departed: wk.Draining || wk.departed, Unrenewed: wk.unrenewed}
 }
 
-// Unreachable records that a worker does not answer.
-func (cl *Cell) Unreachable(now time.Duration, id incarnation.ID) {
+// Unreachable records that a worker does not answer, and when its lease will surely have expired.
+func (cl *Cell) Unreachable(now time.Duration, id incarnation.ID, leaseEnd time.Duration) {
 	wk, ok := cl.workers[id]
 	if !ok {
 		return
 	}
 	cl.markUnreachable(now, wk)
+	wk.leaseEnd = leaseEnd
 	if wk.answered && !wk.unrenewed { // before its first answer, an earlier planner may renew its lease
 		wk.unrenewed, wk.openRecord = true, 0
 		cl.record(wk.closed())
