cell: attribute a crash only once the next incarnation has reported

Callers saw a healthy job fail after only two of its workers had ended. In TestRestarts: "job is failed, and 2 incarnations ended under it".

Cause: a start was answered by, or arrived in, the worker's next incarnation, because orders name the worker by its id. When the planner learned of that incarnation, Restarted attributed the end of the earlier one to the run, and failed the job at its third unexplained crash, or its fourth. The next incarnation's first report withdraws such a crash if it lists the run, but it came after the job had ended.

Fix: a run that may be in the next incarnation is attributed when that is decided: its first report omits the run, or it has not reported for 15 s. Until then the run is kept and the task is not started again, so no task gets a start beyond the limit. The log has a line for each attributed crash, since the line about the lost run is now written before the decision.

What remains: a start without an answer whose run is omitted still counts as a crash, as before. It may have crashed the worker or never have arrived, and nothing that the worker reports tells which.

TestRunInNextIncarnationFailsNoJob on the code before: crash_test.go:371: failed != running --- FAIL: TestRunInNextIncarnationFailsNoJob/lists_the_run --- FAIL: TestRunInNextIncarnationFailsNoJob/lists_its_end --- FAIL: TestRunInNextIncarnationFailsNoJob/has_not_answered_yet and it passes now, as do all of policy/cell.

--- a/internal/planner/planloop.go
+++ b/internal/planner/planloop.go
@@ -91,6 +91,11 @@
 			ld.log.Info("Job has ended.", "job", rec.Job, "phase", rec.Phase)
 			ld.metrics.count("planner.jobs." + string(rec.Phase))
 		}
+		if rec.Result == cell.ResultCrashed {
+			crashes, blamed := ld.cell.CrashCounts(*rec.Task)
+			ld.log.Info("Crash was attributed to a run.", "task", rec.Task.String(), "run", rec.Run, "worker", rec.LostWorker,
+				"crashes", crashes, "blamed", blamed)
+		}
 	}
 	for _, sr := range out.Starts {
 		ld.stats.begin()
--- a/policy/cell/crash.go
+++ b/policy/cell/crash.go
@@ -27,7 +27,7 @@
 	// minCorrelated is how many other workers must become unreachable in that window.
 	minCorrelated = 2
 	// unreachableRetention is how long the times at which workers became unreachable are kept: the consequences
-	// are known once the worker's lease of 5 s has expired.
+	// are known maxOrderDelay after the worker's lease of 5 s has expired, at the latest.
 	unreachableRetention = 30 * time.Second
 )
 
@@ -75,13 +75,25 @@
 	return count > minCorrelated // the worker itself is one of them
 }
 
-// attributeLoss attributes the loss of a worker to the tasks that ran on it, and returns those to be given up.
-func (cl *Cell) attributeLoss(now time.Duration, wk *worker) (exceeded []*task) {
+// loseRuns releases runs that were lost with their worker, attributes the loss to their tasks, and fails the jobs
+// of tasks to be given up.
+func (cl *Cell) loseRuns(now time.Duration, wk *worker, lost []*placement) {
+	exceeded := cl.attributeLoss(now, wk, lost)
+	for _, pl := range lost {
+		cl.release(pl)
+		cl.afterLoss(pl)
+	}
+	cl.failJobs(now, exceeded)
+}
+
+// attributeLoss attributes the loss of a worker to the tasks of the runs that were lost with it, and returns those to
+// be given up.
+func (cl *Cell) attributeLoss(now time.Duration, wk *worker, lost []*placement) (exceeded []*task) {
 	if wk.Draining || wk.departed {
 		return nil // it left, announced or not
 	}
 	unexplained := !cl.correlated(wk)
-	for _, pl := range wk.placements {
+	for _, pl := range lost {
 		tk := pl.task
 		if pl.inherited || tk.done || tk.step.round.job.phase.Ended() || cl.harmless(wk, pl) {
 			continue
--- a/policy/cell/crash_test.go
+++ b/policy/cell/crash_test.go
@@ -319,3 +319,57 @@
 	all, _ = next.CrashCounts(sr.Task)
 	is.Equal(all, 0)
 }
+
+// TestRunInNextIncarnationFailsNoJob guards against a job that fails because the worker that ended after a start was
+// counted as the task's third crash, although the next incarnation has the run.
+func TestRunInNextIncarnationFailsNoJob(t *testing.T) {
+	tests := map[string]struct {
+		// reported is set if the earlier incarnation has listed the run.
+		reported bool
+		// answer is what the next incarnation reports of the run.
+		answer func(ct *crashTestbed, next incarnation.ID, run cell.Run)
+		want   cell.Phase
+	}{
+		"lists the run": {answer: func(ct *crashTestbed, next incarnation.ID, run cell.Run) {
+			ct.cell.Report(ct.now, next, ct.now, []cell.Run{run}, nil)
+		}, want: cell.Running},
+		"lists its end": {answer: func(ct *crashTestbed, next incarnation.ID, run cell.Run) {
+			ct.cell.Report(ct.now, next, ct.now, nil, []cell.End{{Seq: 1, Run: run, Result: cell.ResultDone}})
+		}, want: cell.Succeeded},
+		"omits the run": {answer: func(ct *crashTestbed, next incarnation.ID, _ cell.Run) {
+			ct.cell.Report(ct.now, next, ct.now, nil, nil)
+		}, want: cell.Failed},
+		"never answers": {answer: func(ct *crashTestbed, _ incarnation.ID, _ cell.Run) {
+			ct.now += 15 * time.Second
+			ct.cell.Tick(ct.now, ct.now)
+		}, want: cell.Failed},
+		"has not answered yet": {answer: func(ct *crashTestbed, _ incarnation.ID, _ cell.Run) {
+			ct.now += 14 * time.Second
+			ct.cell.Tick(ct.now, ct.now)
+		}, want: cell.Running},
+		"has not answered yet, the earlier one listed the run": {
+			reported: true, answer: func(*crashTestbed, incarnation.ID, cell.Run) {}, want: cell.Failed,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			ct := newCrashTestbed(t, work.Step{Count: 1, Need: size.New(4000, 100, 0), Estimate: time.Second})
+			for range 2 {
+				sr, _ := ct.start()
+				ct.cell.Replaced(ct.now, sr.Worker)
+			}
+			sr, _ := ct.start()
+			run := cell.Run{Task: sr.Task, Number: sr.Run}
+			if tt.reported {
+				ct.cell.Report(ct.now, sr.Worker, ct.now, []cell.Run{run}, nil)
+			}
+			next := incarnation.New(sr.Worker.WorkerID(), 1)
+			ct.cell.Restarted(ct.now, sr.Worker, next)
+			tt.answer(ct, next, run)
+			ct.takeOutput()
+			phase, _ := ct.cell.Phase("j", "")
+			ct.Equal(phase, tt.want)
+			ct.checkRestored()
+		})
+	}
+}
--- a/policy/cell/report.go
+++ b/policy/cell/report.go
@@ -16,7 +16,7 @@
 	}
 	if !wk.answered {
 		wk.answered, wk.firstReport = true, now
-		cl.resolvePredecessors(id, runs, ends)
+		cl.resolvePredecessors(now, id, runs, ends)
 	}
 	if wk.openRecord == 0 && wk.listed && !wk.Draining {
 		cl.record(Record{Worker: id})
--- a/policy/cell/restart.go
+++ b/policy/cell/restart.go
@@ -33,16 +33,15 @@
 	cl.markUnreachable(now, wk)
 	cl.deregister(wk)
 	wk.answered = false
-	exceeded := cl.attributeLoss(now, wk)
+	var lost []*placement
 	for _, pl := range wk.placements {
 		if pl.mayBeDelayed() {
 			pl.state, pl.unconfirmedAt = unconfirmed, now
 			continue
 		}
-		cl.release(pl)
-		cl.afterLoss(pl)
+		lost = append(lost, pl)
 	}
-	cl.failJobs(now, exceeded)
+	cl.loseRuns(now, wk, lost)
 	if len(wk.placements) == 0 {
 		cl.removeWorker(wk)
 		return
@@ -65,7 +64,7 @@
 func (pl *placement) mayBeDelayed() bool { return !pl.reported || pl.delayed }
 
 // resolvePredecessors applies the first report of an incarnation to the runs of earlier ones.
-func (cl *Cell) resolvePredecessors(id incarnation.ID, runs []Run, ends []End) {
+func (cl *Cell) resolvePredecessors(now time.Duration, id incarnation.ID, runs []Run, ends []End) {
 	predecessors := cl.predecessors[id.WorkerID()]
 	if len(predecessors) == 0 {
 		return
@@ -79,21 +78,22 @@
 		began[placementKey{en.Task, en.Number}] = true
 	}
 	for _, pr := range predecessors {
-		cl.resolvePredecessor(pr.worker, began)
+		cl.resolvePredecessor(now, pr.worker, began)
 	}
 }
 
-// resolvePredecessor releases the runs of an earlier incarnation. A run that began in the next incarnation did
-// not crash the earlier one.
-func (cl *Cell) resolvePredecessor(wk *worker, began map[placementKey]bool) {
+// resolvePredecessor releases the runs of an earlier incarnation. Those that did not begin in the next one were
+// lost with it.
+func (cl *Cell) resolvePredecessor(now time.Duration, wk *worker, began map[placementKey]bool) {
+	var lost []*placement
 	for ky, pl := range wk.placements {
-		cl.release(pl)
 		if began[ky] {
-			cl.clearCrash(pl.task, pl.run)
-		} else {
-			cl.afterLoss(pl)
+			cl.release(pl)
+			continue
 		}
+		lost = append(lost, pl)
 	}
+	cl.loseRuns(now, wk, lost)
 	cl.removeWorker(wk)
 }
 
@@ -104,7 +104,7 @@
 			if now < pr.until {
 				return false
 			}
-			cl.resolvePredecessor(pr.worker, nil)
+			cl.resolvePredecessor(now, pr.worker, nil)
 			return true
 		})
 		if cl.predecessors[id] = remaining; len(remaining) == 0 {
--- a/policy/cell/worker.go
+++ b/policy/cell/worker.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"tackbeam.example/policy/incarnation"
@@ -170,12 +172,7 @@
 		return
 	}
 	wk.answered = false
-	exceeded := cl.attributeLoss(now, wk)
-	for _, pl := range wk.placements {
-		cl.release(pl)
-		cl.afterLoss(pl)
-	}
-	cl.failJobs(now, exceeded)
+	cl.loseRuns(now, wk, slices.Collect(maps.Values(wk.placements)))
 	if !wk.listed {
 		cl.removeWorker(wk)
 	}
