planner: leave runs of earlier incarnations to the first report

Callers could see a healthy job fail after two of its workers had ended, when the planner changed while a worker restarted under its id and the third start was carried out by the next incarnation.

Cause: the next planner knows from the records that the earlier incarnation may have the run. The new incarnation's first answer made it count that incarnation as replaced, and its end as the third crash, before the report in the same answer was applied, which lists the run.

Fix: the first answer counts as a restart under the same id, as it does for an incarnation that this planner knew itself. The report, which is applied next, decides on each run: listed, so it goes on here, or omitted, so it was lost.

--- a/internal/planner/incarnation.go
+++ b/internal/planner/incarnation.go
@@ -120,13 +120,13 @@
 }
 
 // resolveEarlier handles the first answer of an incarnation: other incarnations of the worker that earlier planners
-// recorded are over.
+// recorded are over. The answer's report tells which of their runs this one has.
 func (se *session) resolveEarlier(now time.Duration) {
 	ld := se.leader
 	for _, inc := range ld.earlier[se.incarnation.WorkerID()] {
 		if _, old := ld.unresolved[inc]; old && inc != se.incarnation {
 			ld.log.Info("Worker's incarnation is over.", "worker", inc)
-			ld.cell.Replaced(now, inc)
+			ld.cell.Restarted(now, inc, se.incarnation)
 			delete(ld.unresolved, inc)
 		}
 	}
--- a/internal/planner/restarts_test.go
+++ b/internal/planner/restarts_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -317,6 +318,57 @@
 	})
 }
 
+// TestNextPlannerFailsNoJobOfNextIncarnation guards against a job that the next planner fails because the worker that
+// ended after a start was counted as the task's third crash, although the next incarnation carried out the start.
+func TestNextPlannerFailsNoJobOfNextIncarnation(t *testing.T) {
+	for name, listed := range map[string]bool{"next incarnation is listed": true, "previous incarnation is listed": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				bd := newTestbed(t, time.Second, "w1")
+				defer bd.end()
+				first, second := bd.addTwo()
+				time.Sleep(time.Second)
+				bd.submit(second, "a", 1)
+				for crashes := range 2 {
+					for len(bd.fleet.Starts()) == crashes {
+						time.Sleep(10 * time.Millisecond)
+					}
+					time.Sleep(300 * time.Millisecond)
+					bd.restart(500*time.Millisecond, "w1")
+				}
+				var sent atomic.Bool
+				bd.fleet.SetFault(func(_, order string) memworkers.Fault {
+					switch {
+					case order == "start":
+						sent.Store(true)
+						return memworkers.Delayed
+					case sent.Load():
+						return memworkers.RequestLost
+					}
+					return memworkers.None
+				})
+				for !sent.Load() {
+					time.Sleep(10 * time.Millisecond)
+				}
+				bd.fleet.Kill("w1")
+				bd.fleet.Add("w1")
+				if listed {
+					bd.list("w1")
+				}
+				time.Sleep(2 * time.Second) // the planner records that the previous incarnation may have the run
+				bd.cutOff("n1")
+				first.cancel()
+				time.Sleep(memworkers.DelayedBy - 2*time.Second)
+				bd.clearFaults()
+				bd.await("a", cell.Succeeded, 10*time.Second)
+				if starts := len(bd.fleet.Starts()); starts != crashesUntil {
+					t.Errorf("%d starts, want %d", starts, crashesUntil)
+				}
+			})
+		})
+	}
+}
+
 // TestRestarts draws from a seed how workers end and restart under their ids (one, several or all of them; at once,
 // after a heartbeat, or after their lease), with lost, unanswered or late orders and changes of the planner. No task
 // may run twice at a time, and every job must succeed unless minLosses incarnations have ended under it.
