cell: withdraw a crash when another incarnation reports the run

Callers could see a healthy job fail after fewer than three of its workers had ended, when one of them had been silent until its lease expired, and its next incarnation then reported the run.

Cause: the expired lease attributes the end of the earlier incarnation to the run. Only a report of the same incarnation withdrew that; the next one's report, which lists the run or its end, did not.

Fix: a run that is listed where the cell did not know it, or whose end is, withdraws the crash of that run. If it crashes that incarnation too, it is counted again under the same number.

TestRunFoundAfterLeaseExpiredIsNoCrash on the code before: crash_test.go:410: 1 != 0 --- FAIL: TestRunFoundAfterLeaseExpiredIsNoCrash/lists_the_run --- FAIL: TestRunFoundAfterLeaseExpiredIsNoCrash/lists_its_end and it passes now. TestWhatCountsAsCrash has two cases more: a task that the next incarnation lists, and crashes, is given up after three starts; both pass before and after.

--- a/policy/cell/crash_test.go
+++ b/policy/cell/crash_test.go
@@ -169,6 +169,19 @@
 	return starts[0], true
 }
 
+// loseToNext has the next incarnation of a start's worker report the run, and crash.
+func (ct *crashTestbed) loseToNext(sr cell.Start) {
+	next := incarnation.New(sr.Worker.WorkerID(), 1)
+	last := incarnation.New(sr.Worker.WorkerID(), 2)
+	ct.cell.Restarted(ct.now, sr.Worker, next)
+	ct.cell.InheritRuns(ct.now, next, nil)
+	ct.cell.Report(ct.now, next, ct.now, []cell.Run{{Task: sr.Task, Number: sr.Run}}, nil)
+	ct.now += time.Second
+	ct.cell.Restarted(ct.now, next, last)
+	ct.cell.InheritRuns(ct.now, last, nil)
+	ct.cell.Report(ct.now, last, ct.now, nil, nil)
+}
+
 // TestWhatCountsAsCrash loses the worker of a task repeatedly and counts the task's starts.
 func TestWhatCountsAsCrash(t *testing.T) {
 	const unbounded = 12
@@ -217,6 +230,15 @@
 			ct.cell.Deregister(sr.Worker)
 			crash(ct, sr)
 		}, unbounded},
+		"next incarnation lists the run, and crashes": {oneTask, func(ct *crashTestbed, sr cell.Start) {
+			ct.loseToNext(sr)
+		}, 3},
+		"lease expires, next incarnation lists the run, and crashes": {oneTask, func(ct *crashTestbed, sr cell.Start) {
+			ct.cell.Unreachable(ct.now, sr.Worker)
+			ct.now += 6 * time.Second
+			ct.cell.LeaseExpired(ct.now, sr.Worker)
+			ct.loseToNext(sr)
+		}, 3},
 		"long-running, crashes soon": {longRunning, crash, 3},
 		"long-running, crashes after 25 s": {longRunning, func(ct *crashTestbed, sr cell.Start) {
 			ct.now += 25 * time.Second
@@ -373,3 +395,42 @@
 		})
 	}
 }
+
+// TestRunFoundAfterLeaseExpiredIsNoCrash guards against a crash that stays attributed to a run after the worker's next
+// incarnation has reported it. The worker did not answer until the lease of the earlier incarnation had expired.
+func TestRunFoundAfterLeaseExpiredIsNoCrash(t *testing.T) {
+	tests := map[string]struct {
+		runs, ends bool
+		want       int
+	}{
+		"lists the run": {runs: true, want: 0},
+		"lists its end": {ends: true, want: 0},
+		"omits the run": {want: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			ct := newCrashTestbed(t, work.Step{Count: 1, Need: size.New(4000, 100, 0), Estimate: time.Second})
+			sr, _ := ct.start()
+			ct.cell.Unreachable(ct.now, sr.Worker)
+			ct.now += 6 * time.Second
+			ct.cell.LeaseExpired(ct.now, sr.Worker)
+			next := incarnation.New(sr.Worker.WorkerID(), 1)
+			ct.cell.Restarted(ct.now, sr.Worker, next)
+			ct.cell.InheritRuns(ct.now, next, nil)
+			var runs []cell.Run
+			var ends []cell.End
+			run := cell.Run{Task: sr.Task, Number: sr.Run}
+			if tt.runs {
+				runs = append(runs, run)
+			}
+			if tt.ends {
+				ends = append(ends, cell.End{Seq: 1, Run: run, Result: cell.ResultLeaseExpired})
+			}
+			ct.cell.Report(ct.now, next, ct.now, runs, ends)
+			ct.takeOutput()
+			all, _ := ct.cell.CrashCounts(sr.Task)
+			ct.Equal(all, tt.want)
+			ct.checkRestored()
+		})
+	}
+}
--- a/policy/cell/report.go
+++ b/policy/cell/report.go
@@ -68,6 +68,7 @@
 	other := tk.placement
 	pl := cl.place(now, tk, wk, rn.Number)
 	pl.state, pl.runningSince, pl.adopted = running, now, true
+	cl.clearCrash(tk, rn.Number) // it did not crash an earlier incarnation
 	cl.beginJob(jb)
 	cl.updateRun(now, pl, rn)
 	switch {
@@ -119,6 +120,7 @@
 	if tk.done || tk.step.round.job.phase.Ended() {
 		return
 	}
+	cl.clearCrash(tk, en.Number) // it did not crash an earlier incarnation
 	cl.beginJob(tk.step.round.job)
 	if en.Checkpoint != "" {
 		tk.checkpoint = en.Checkpoint
