--- a/policy/cell/report.go
+++ b/policy/cell/report.go
@@ -16,7 +16,7 @@
 	}
 	if !wk.answered {
 		wk.answered, wk.firstReport = true, now
-		cl.resolvePredecessors(id, runs, ends)
+		cl.resolvePredecessors(now, id, runs, ends)
 	}
 	cl.recordAnswer(wk)
 	wk.lastReport = now
@@ -82,6 +82,7 @@
 	other := tk.placement
 	pl := cl.place(now, tk, wk, rn.Number)
 	pl.state, pl.runningSince, pl.adopted = running, now, true
+	cl.clearCrash(tk, rn.Number) // it did not crash an earlier incarnation
 	cl.beginJob(jb)
 	cl.updateRun(now, pl, rn)
 	switch {
@@ -133,6 +134,7 @@
 	if tk.done || tk.step.round.job.phase.Ended() {
 		return
 	}
+	cl.clearCrash(tk, en.Number) // it did not crash an earlier incarnation
 	cl.beginJob(tk.step.round.job)
 	if en.Checkpoint != "" {
 		tk.checkpoint = en.Checkpoint
