cell: a start is delayed no longer than an order may be in transit

Callers saw a task start again 15 s after its worker had restarted under its id, if one attempt of its start had got no answer at any time before and the worker's next incarnation fell silent. Cause: StartDelayed marked the run for ever, and a marked run is kept when its worker restarts, since the attempt may be carried out by the next incarnation.

The mark now ends with the order's time in transit (maxOrderDelay, 15 s). It is compared with when the earlier incarnation was last known to run, the sending of its last answered report, and not with the time of the restart: an attempt may have reached the next incarnation earlier and its run may go on there. If the earlier incarnation still ran 15 s after the attempt, the attempt can reach no later one, so that no task runs twice. In all other cases the run is kept as before.

On the code before, go test ./policy/cell -run TestDelayedStartIsOver: restart_test.go:45: 0 != 1 --- FAIL: TestDelayedStartIsOver/attempt_cannot_be_in_transit (0.00s) go test ./internal/planner -run TestRestartLongAfterDelayedStart: restarts_test.go:436: 1 starts 6 s after the restart, want 2 Both pass now, the second one 20 times in virtual time. TestRestarts|TestLateStart -count=50 passes before and after.

--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -57,7 +57,7 @@
 	ld.update(func(now time.Duration) {
 		ld.stats.end(now-sr.DecidedAt, refusal)
 		if tries > 1 {
-			ld.cell.StartDelayed(sr)
+			ld.cell.StartDelayed(now, sr)
 		}
 		switch {
 		case err == nil && refusal == "":
--- a/internal/planner/restarts_test.go
+++ b/internal/planner/restarts_test.go
@@ -394,3 +394,46 @@
 
 // minLosses is the number of incarnations that must have ended under a job before the job may fail.
 const minLosses = 3
+
+// TestRestartLongAfterDelayedStart guards against a long wait for a worker's next incarnation, which is silent after
+// its first answer, when an attempt of the start got no answer long before the restart.
+func TestRestartLongAfterDelayedStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bd := newTestbed(t, time.Hour, "w1")
+		defer bd.end()
+		bd.addNode("n1")
+		time.Sleep(time.Second)
+		tries := 0
+		bd.fleet.SetFault(func(_, order string) memworkers.Fault {
+			if order == "start" {
+				if tries++; tries == 1 {
+					return memworkers.Delayed
+				}
+			}
+			return memworkers.None
+		})
+		bd.submitJob(bd.leader(), &work.Job{
+			ID: "lasting", Spec: "lasting", Queue: bd.accepted,
+			Steps: []work.Step{{Count: 1, Need: size.New(1000, 1000, 0), Estimate: time.Second, LongRunning: true}},
+		})
+		time.Sleep(30 * time.Second)
+		bd.addWorker("w2")
+		bd.restart(200*time.Millisecond, "w1")
+		time.Sleep(201 * time.Millisecond) // the next incarnation has just begun
+		calls := 0
+		bd.fleet.SetFault(func(worker, order string) memworkers.Fault {
+			if worker != "w1" || order != "hold" {
+				return memworkers.None
+			}
+			// The first call uses a connection that has ended, the second one is answered.
+			if calls++; calls <= 2 {
+				return memworkers.None
+			}
+			return memworkers.RequestLost
+		})
+		time.Sleep(6 * time.Second)
+		if starts := len(bd.fleet.Starts()); starts != 2 {
+			t.Errorf("%d starts 6 s after the restart, want 2", starts)
+		}
+	})
+}
--- a/policy/cell/placement.go
+++ b/policy/cell/placement.go
@@ -41,8 +41,10 @@
 	// resumed is set for a run that continues from a checkpoint, adopted for one that another planner started:
 	// the progress that it had when first seen says nothing about its speed.
 	resumed, adopted bool
-	// reported is set once the worker has listed the run, delayed if an attempt of its start got no answer.
-	reported, delayed bool
+	// reported is set once the worker has listed the run. delayedUntil is how long an attempt of its start that got
+	// no answer may be in transit, 0 if there is none.
+	reported     bool
+	delayedUntil time.Duration
 	// tailLatencyMS is the latency reported for the task, pace the percentage of full speed that it was last
 	// ordered to run at.
 	tailLatencyMS, pace int
--- a/policy/cell/report.go
+++ b/policy/cell/report.go
@@ -22,7 +22,7 @@
 		cl.record(Record{Worker: id})
 		wk.openRecord = cl.recorded
 	}
-	wk.lastReport = now
+	wk.lastReport, wk.aliveAt = now, max(wk.aliveAt, sent)
 	wk.unreachable = false
 	cl.withdrawAttributions(id)
 	for _, en := range ends {
--- a/policy/cell/restart.go
+++ b/policy/cell/restart.go
@@ -13,8 +13,8 @@
 // the next one either lists it or omits it. That report is requested with a fencing token that makes the worker
 // reject all earlier orders.
 
-// maxOrderDelay is how long such a run is kept if the next incarnation does not answer: as long as an order may
-// be in transit and then run.
+// maxOrderDelay is how long an order may be in transit, together with the time for which a run that it begins may
+// then go on. A run is kept for this time if the next incarnation does not answer.
 const maxOrderDelay = 15 * time.Second
 
 // predecessor is an earlier incarnation of a worker, with the runs that may still begin in the next one.
@@ -61,8 +61,8 @@
 
 // mayBeDelayed reports whether a run may be in the worker's next incarnation or may still begin there: no
 // report of this incarnation listed it, so that either one may have answered its start, or an attempt of the
-// start is unanswered.
-func (pl *placement) mayBeDelayed() bool { return !pl.reported || pl.delayed }
+// start was unanswered and may have been in transit when this incarnation was last known to run.
+func (pl *placement) mayBeDelayed() bool { return !pl.reported || pl.worker.aliveAt < pl.delayedUntil }
 
 // resolvePredecessors applies the first report of an incarnation to the runs of earlier ones.
 func (cl *Cell) resolvePredecessors(id incarnation.ID, runs []Run, ends []End) {
@@ -126,8 +126,8 @@
 
 // StartDelayed records that an attempt of a start got no answer although a later one did: it may still be
 // carried out.
-func (cl *Cell) StartDelayed(sr Start) {
+func (cl *Cell) StartDelayed(now time.Duration, sr Start) {
 	if pl := cl.placement(sr.Worker, sr.Task, sr.Run); pl != nil {
-		pl.delayed = true
+		pl.delayedUntil = now + maxOrderDelay
 	}
 }
--- /dev/null
+++ b/policy/cell/restart_test.go
@@ -0,0 +1,48 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/incarnation"
+)
+
+// TestDelayedStartIsOver guards against a run that is kept after its worker's restart because an attempt of its start
+// may be delayed, although its worker still had the run when no attempt could be in transit any more.
+func TestDelayedStartIsOver(t *testing.T) {
+	const restartedAt = time.Minute
+	cases := map[string]struct {
+		// listed is when the report was requested that last listed the run.
+		listed time.Duration
+		// kept is how long the run is kept after the restart.
+		kept time.Duration
+	}{
+		"attempt cannot be in transit": {listed: 15 * time.Second, kept: 0},
+		"attempt may be in transit":    {listed: 15*time.Second - 1, kept: 15 * time.Second},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			wb := newWaitBed()
+			sr := wb.submit().Starts[0]
+			wb.StartDelayed(0, sr)
+			wb.Started(0, sr)
+			run := cell.Run{Task: sr.Task, Number: sr.Run}
+			wb.Report(tc.listed+time.Second, sr.Worker, tc.listed, []cell.Run{run}, nil)
+			wb.Restarted(restartedAt, sr.Worker, incarnation.New(sr.Worker.WorkerID(), 1))
+			startsAt := func(now time.Duration) int {
+				wb.Report(now, "w001", now, nil, nil)
+				wb.Tick(now, now)
+				wb.Plan(now)
+				return len(wb.TakeOutput().Starts)
+			}
+			if tc.kept > 0 {
+				is.Equal(startsAt(restartedAt+tc.kept-1), 0)
+			}
+			is.Equal(startsAt(restartedAt+tc.kept), 1)
+		})
+	}
+}
--- a/policy/cell/waitreason_test.go
+++ b/policy/cell/waitreason_test.go
@@ -70,7 +70,7 @@
 		"next incarnation has not reported": {
 			arrange: func(wb *waitBed) {
 				sr := wb.start()
-				wb.StartDelayed(sr)
+				wb.StartDelayed(0, sr)
 				wb.Restarted(0, sr.Worker, next)
 			},
 			want: cell.Wait{Reason: cell.WaitPredecessor, Worker: "w000", Remaining: 15*time.Second - checkedAt},
--- a/policy/cell/worker.go
+++ b/policy/cell/worker.go
@@ -34,8 +34,9 @@
 	// reservedFor is the step that capacity is reserved for, reservedSize how much of it.
 	reservedFor  *step
 	reservedSize size.Size
-	// firstReport is when it first reported to this planner, lastReport when it last did.
-	firstReport, lastReport time.Duration
+	// firstReport is when it first reported to this planner, lastReport when it last did. aliveAt is when the call
+	// was sent that it last answered with a report.
+	firstReport, lastReport, aliveAt time.Duration
 	// pacedAt is when the pace of its best-effort tasks was last changed.
 	pacedAt time.Duration
 	// leavesAt is when it may leave if it is draining.
