cell: the wait for a silent next incarnation counts from the last order

By reading: a task waits for up to 20 s after the loss of its worker if that restarts under its id some seconds later, answers once and falls silent, since the runs that may be in the next incarnation were kept for 15 s (maxOrderDelay) from when the restart was noticed, however long the worker had been away.

What may begin such a run there, or extend its lease, is an order with a deadline that was sent to the earlier incarnation: a start, one of its attempts, or a hold. The planner records when it sends one (DeadlineSent), and the runs are kept for 15 s from the last of them. An earlier planner may send some until maxUnrenewed into the term, so that no earlier time counts; where nothing was sent the wait counts from the restart as before. The expired lease of the next incarnation proves nothing about an order that is still in transit.

On the code before, go test ./policy/cell ./internal/planner -run TestSilentNextIncarnation: restart_test.go:71: 0 != 1 --- FAIL: TestSilentNextIncarnation/one (0.00s) --- FAIL: TestSilentNextIncarnation/last_one_counts (0.00s) --- FAIL: TestSilentNextIncarnation/long_ago (0.00s) restarts_test.go:479: 0 starts 16 s after the last order, want 1 Now they pass (20 times in virtual time), as do policy/cell, internal/planner and TestRestarts|TestLateStart -count=50.

--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -42,7 +42,7 @@
 	}
 	sent := ld.clock.Now()
 	tries := 0
-	refusal, err := ld.replyTimeout.retry(func() bool { return ld.canPlan() && ld.startValid(sr) }, func(wait time.Duration) (cell.Refusal, error) {
+	refusal, err := ld.replyTimeout.retry(func() bool { return ld.canPlan() && ld.mayRepeat(sr) }, func(wait time.Duration) (cell.Refusal, error) {
 		tries++
 		call, cancel := context.WithTimeout(context.WithoutCancel(ld.ctx), wait)
 		defer cancel()
@@ -87,12 +87,17 @@
 	return err.Error()
 }
 
-// startValid reports whether a start may still be sent to its worker. A planner that is behind sends starts seconds
-// after their decision, but a worker may be given tasks only for 2 s after it has announced that it leaves.
-func (ld *leader) startValid(sr cell.Start) bool {
+// mayRepeat reports whether a start may be sent to its worker again, and records that it is. A planner that is behind
+// sends starts seconds after their decision, but a worker may be given tasks only for 2 s after it has announced that it
+// leaves.
+func (ld *leader) mayRepeat(sr cell.Start) bool {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
-	return ld.cell.StartValid(sr)
+	if !ld.cell.StartValid(sr) {
+		return false
+	}
+	ld.deadlineSent(ld.now(), sr.Worker)
+	return true
 }
 
 // prepareStart returns the session of a start's worker and the deadline of the worker's lease.
--- a/internal/planner/restarts_test.go
+++ b/internal/planner/restarts_test.go
@@ -437,3 +437,46 @@
 		}
 	})
 }
+
+// TestSilentNextIncarnation guards against a wait that counts from when a worker's restart was noticed. The worker is away
+// for 4 s after the start of a task got no answer, and its next incarnation answers one call only. The task must start
+// elsewhere 15 s after the last order to the earlier one.
+func TestSilentNextIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bd := newTestbed(t, time.Hour, "w1")
+		defer bd.end()
+		bd.addNode("n1")
+		time.Sleep(5 * time.Second) // an earlier planner would send no orders any more
+		bd.fleet.SetFault(func(_, order string) memworkers.Fault {
+			if order == "start" {
+				return memworkers.RequestLost
+			}
+			return memworkers.None
+		})
+		bd.submit(bd.leader(), "a", 1)
+		time.Sleep(150 * time.Millisecond) // the last attempt is under way
+		const away = 4 * time.Second
+		bd.restart(away, "w1")
+		bd.addWorker("w2")
+		time.Sleep(away + time.Millisecond)
+		calls := 0
+		bd.fleet.SetFault(func(worker, order string) memworkers.Fault {
+			if worker != "w1" || order != "hold" {
+				return memworkers.None
+			}
+			// The first call uses a connection that has ended, the second one is answered.
+			if calls++; calls <= 2 {
+				return memworkers.None
+			}
+			return memworkers.RequestLost
+		})
+		time.Sleep(15*time.Second - away - 100*time.Millisecond)
+		if starts := len(bd.fleet.Starts()); starts != 0 {
+			t.Errorf("%d starts within 15 s after the last order", starts)
+		}
+		time.Sleep(time.Second)
+		if starts := len(bd.fleet.Starts()); starts != 1 {
+			t.Errorf("%d starts 16 s after the last order, want 1", starts)
+		}
+	})
+}
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -74,15 +74,24 @@
 	return agent.Target{Address: se.entry.Address, Incarnation: se.incarnation}
 }
 
-// extend returns a deadline at least one lease from now, on the worker's clock. The caller holds the lock.
+// extend returns a deadline at least one lease from now, on the worker's clock, for an order that is sent now. The caller
+// holds the lock.
 func (se *session) extend(now time.Duration) time.Duration {
-	if !se.answered || se.leader.term.SinceRenewal() > maxUnrenewed {
-		return se.deadline
+	if se.answered && se.leader.term.SinceRenewal() <= maxUnrenewed {
+		se.deadline = max(se.deadline, se.clock+(now-se.heard)+se.leader.lease)
+	}
+	if se.deadline > 0 {
+		se.leader.deadlineSent(now, se.incarnation)
 	}
-	se.deadline = max(se.deadline, se.clock+(now-se.heard)+se.leader.lease)
 	return se.deadline
 }
 
+// deadlineSent records that an order with a deadline is sent to a worker. The earlier planner may still send some at the
+// beginning of the term. The caller holds the lock.
+func (ld *leader) deadlineSent(now time.Duration, id incarnation.ID) {
+	ld.cell.DeadlineSent(max(now, maxUnrenewed), id)
+}
+
 // leaseExpired reports whether the worker has surely ended all its runs. The caller holds the lock.
 func (se *session) leaseExpired(now time.Duration) bool {
 	if !se.answered {
--- a/policy/cell/restart.go
+++ b/policy/cell/restart.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -13,8 +14,9 @@
 // the next one either lists it or omits it. That report is requested with a fencing token that makes the worker
 // reject all earlier orders.
 
-// maxOrderDelay is how long an order may be in transit, together with the time for which a run that it begins may
-// then go on. A run is kept for this time if the next incarnation does not answer.
+// maxOrderDelay is how long an order may be in transit, together with the time for which a run that it begins, or
+// whose lease it extends, may then go on. A run is kept for this time after the last order to the earlier
+// incarnation if the next one does not answer.
 const maxOrderDelay = 15 * time.Second
 
 // predecessor is an earlier incarnation of a worker, with the runs that may still begin in the next one.
@@ -47,7 +49,8 @@
 		cl.removeWorker(wk)
 		return
 	}
-	cl.predecessors[next.WorkerID()] = append(cl.predecessors[next.WorkerID()], predecessor{wk, now + maxOrderDelay})
+	lastOrder := cmp.Or(wk.deadlineSentAt, now)
+	cl.predecessors[next.WorkerID()] = append(cl.predecessors[next.WorkerID()], predecessor{wk, lastOrder + maxOrderDelay})
 	cl.addUnlisted(now, next)
 }
 
@@ -124,6 +127,13 @@
 	return 0, false
 }
 
+// DeadlineSent records that an order with a deadline is sent to a worker: it may extend the lease of what runs there.
+func (cl *Cell) DeadlineSent(now time.Duration, id incarnation.ID) {
+	if wk, ok := cl.workers[id]; ok {
+		wk.deadlineSentAt = max(wk.deadlineSentAt, now)
+	}
+}
+
 // StartDelayed records that an attempt of a start got no answer although a later one did: it may still be
 // carried out.
 func (cl *Cell) StartDelayed(now time.Duration, sr Start) {
--- a/policy/cell/restart_test.go
+++ b/policy/cell/restart_test.go
@@ -33,16 +33,50 @@
 			run := cell.Run{Task: sr.Task, Number: sr.Run}
 			wb.Report(tc.listed+time.Second, sr.Worker, tc.listed, []cell.Run{run}, nil)
 			wb.Restarted(restartedAt, sr.Worker, incarnation.New(sr.Worker.WorkerID(), 1))
-			startsAt := func(now time.Duration) int {
-				wb.Report(now, "w001", now, nil, nil)
-				wb.Tick(now, now)
-				wb.Plan(now)
-				return len(wb.TakeOutput().Starts)
-			}
 			if tc.kept > 0 {
-				is.Equal(startsAt(restartedAt+tc.kept-1), 0)
+				is.Equal(wb.startsAt(restartedAt+tc.kept-1), 0)
 			}
-			is.Equal(startsAt(restartedAt+tc.kept), 1)
+			is.Equal(wb.startsAt(restartedAt+tc.kept), 1)
 		})
 	}
 }
+
+// TestSilentNextIncarnation guards against a wait for a worker's next incarnation that counts from when its restart was
+// noticed, although no order has been sent to the earlier one for longer.
+func TestSilentNextIncarnation(t *testing.T) {
+	const restartedAt = 20 * time.Second
+	cases := map[string]struct {
+		// sent are the times at which orders with a deadline were sent.
+		sent []time.Duration
+		// until is how long the run is kept.
+		until time.Duration
+	}{
+		"not known":       {until: 35 * time.Second},
+		"one":             {sent: []time.Duration{17 * time.Second}, until: 32 * time.Second},
+		"last one counts": {sent: []time.Duration{17 * time.Second, 16 * time.Second}, until: 32 * time.Second},
+		"long ago":        {sent: []time.Duration{time.Second}, until: restartedAt},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			wb := newWaitBed()
+			sr := wb.start()
+			for _, at := range tc.sent {
+				wb.DeadlineSent(at, sr.Worker)
+			}
+			wb.Restarted(restartedAt, sr.Worker, incarnation.New(sr.Worker.WorkerID(), 1))
+			if tc.until > restartedAt {
+				is.Equal(wb.startsAt(tc.until-1), 0)
+			}
+			is.Equal(wb.startsAt(tc.until), 1)
+		})
+	}
+}
+
+// startsAt returns how many starts a plan at a time orders, with w001 having reported.
+func (wb *waitBed) startsAt(now time.Duration) int {
+	wb.Report(now, "w001", now, nil, nil)
+	wb.Tick(now, now)
+	wb.Plan(now)
+	return len(wb.TakeOutput().Starts)
+}
--- a/policy/cell/worker.go
+++ b/policy/cell/worker.go
@@ -37,6 +37,8 @@
 	// firstReport is when it first reported to this planner, lastReport when it last did. aliveAt is when the call
 	// was sent that it last answered with a report.
 	firstReport, lastReport, aliveAt time.Duration
+	// deadlineSentAt is when an order with a deadline was last sent to it, 0 if that is not known.
+	deadlineSentAt time.Duration
 	// pacedAt is when the pace of its best-effort tasks was last changed.
 	pacedAt time.Duration
 	// leavesAt is when it may leave if it is draining.
