--- a/policy/cell/report.go
+++ b/policy/cell/report.go
@@ -19,7 +19,7 @@
 		cl.resolvePredecessors(now, id, runs, ends)
 	}
 	cl.recordAnswer(wk)
-	wk.lastReport = now
+	wk.lastReport, wk.aliveAt = now, max(wk.aliveAt, sent)
 	wk.unreachable = false
 	cl.withdrawAttributions(id)
 	for _, en := range ends {
--- a/policy/cell/restart.go
+++ b/policy/cell/restart.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -13,8 +14,9 @@
 // the next one either lists it or omits it. That report is requested with a fencing token that makes the worker
 // reject all earlier orders.
 
-// maxOrderDelay is how long such a run is kept if the next incarnation does not answer: as long as an order may
-// be in transit and then run.
+// maxOrderDelay is how long an order may be in transit, together with the time for which a run that it begins, or
+// whose lease it extends, may then go on. A run is kept for this time after the last order to the earlier
+// incarnation if the next one does not answer.
 const maxOrderDelay = 15 * time.Second
 
 // predecessor is an earlier incarnation of a worker, with the runs that may still begin in the next one.
@@ -46,7 +48,8 @@
 		cl.removeWorker(wk)
 		return
 	}
-	cl.predecessors[next.WorkerID()] = append(cl.predecessors[next.WorkerID()], predecessor{wk, now + maxOrderDelay})
+	lastOrder := cmp.Or(wk.deadlineSentAt, now)
+	cl.predecessors[next.WorkerID()] = append(cl.predecessors[next.WorkerID()], predecessor{wk, lastOrder + maxOrderDelay})
 	cl.addUnlisted(now, next)
 }
 
@@ -60,8 +63,8 @@
 
 // mayBeDelayed reports whether a run may be in the worker's next incarnation or may still begin there: no
 // report of this incarnation listed it, so that either one may have answered its start, or an attempt of the
-// start is unanswered.
-func (pl *placement) mayBeDelayed() bool { return !pl.reported || pl.delayed }
+// start was unanswered and may have been in transit when this incarnation was last known to run.
+func (pl *placement) mayBeDelayed() bool { return !pl.reported || pl.worker.aliveAt < pl.delayedUntil }
 
 // resolvePredecessors applies the first report of an incarnation to the runs of earlier ones.
 func (cl *Cell) resolvePredecessors(now time.Duration, id incarnation.ID, runs []Run, ends []End) {
@@ -124,10 +127,17 @@
 	return 0, false
 }
 
+// DeadlineSent records that an order with a deadline is sent to a worker: it may extend the lease of what runs there.
+func (cl *Cell) DeadlineSent(now time.Duration, id incarnation.ID) {
+	if wk, ok := cl.workers[id]; ok {
+		wk.deadlineSentAt = max(wk.deadlineSentAt, now)
+	}
+}
+
 // StartDelayed records that an attempt of a start got no answer although a later one did: it may still be
 // carried out.
-func (cl *Cell) StartDelayed(sr Start) {
+func (cl *Cell) StartDelayed(now time.Duration, sr Start) {
 	if pl := cl.placement(sr.Worker, sr.Task, sr.Run); pl != nil {
-		pl.delayed = true
+		pl.delayedUntil = now + maxOrderDelay
 	}
 }
