planner: a start does not extend the lease of a worker that may be lost

Each start extended its worker's lease. One that was sent to a silent worker before the planner noticed, 1.7 s at most, let the lease end that much later, and with it the time at which the worker's long-running tasks could run again.

Holds extend the lease every second, so a start now carries the deadline that holds have set while more than half of the lease is left. Before the first hold with a deadline, none is left, and a start extends it as before.

The cases with starts of TestLostWorkersLeaseIsExtended on the code before: all twelve fail, with up to "ran again after 7.428s, want at most 6s". Now all pass. The test counts from the first hold without an answer: a start may be lost while the hold before it is still answered.

--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -103,7 +103,7 @@
 	if !ok || !se.answered || !ld.cell.StartValid(sr) {
 		return nil, 0, false
 	}
-	return se, se.extend(ld.now()), true
+	return se, se.startDeadline(ld.now()), true
 }
 
 // update applies the outcome of an order to the cell, and schedules a planning pass.
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -83,6 +83,16 @@
 	return se.deadline
 }
 
+// startDeadline returns the deadline for a start, on the worker's clock. Holds extend the lease. A start does so only if
+// little of it is left, as before the first hold: the worker may be lost, and its lease would then expire later. The
+// caller holds the lock.
+func (se *session) startDeadline(now time.Duration) time.Duration {
+	if se.leaseEnd()-now > se.leader.lease/2 {
+		return se.deadline
+	}
+	return se.extend(now)
+}
+
 // leaseEnd returns when the worker will surely have ended all its runs. The caller holds the lock.
 func (se *session) leaseEnd() time.Duration {
 	if !se.answered {
