--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -94,6 +94,17 @@
 	ld.cell.DeadlineSent(max(now, maxUnrenewed), id)
 }
 
+// startDeadline returns the deadline for a start, on the worker's clock. Holds extend the lease. A start does so only if
+// little of it is left, as before the first hold: the worker may be lost, and its lease would then expire later. The
+// caller holds the lock.
+func (se *session) startDeadline(now time.Duration) time.Duration {
+	if se.leaseEnd()-now > se.leader.lease/2 {
+		se.leader.deadlineSent(now, se.incarnation)
+		return se.deadline
+	}
+	return se.extend(now)
+}
+
 // leaseEnd returns when the worker will surely have ended all its runs. The caller holds the lock.
 func (se *session) leaseEnd() time.Duration {
 	switch {
