cell: the quarantine of all allowed workers is a wait reason of its own

Such a step was logged as waiting for capacity, which hides that room exists: a run of TestLostTaskRestarts with failing jobs beside it showed "capacity" with room 0 while both workers were in quarantine.

Ran: go test ./policy/cell -run 'TestWait|TestRestartsOf|TestDelayed|TestSilent' -count=3, TestLostTaskIsLogged 10 times, make lint: all pass.

--- a/policy/cell/waitreason.go
+++ b/policy/cell/waitreason.go
@@ -32,6 +32,8 @@
 	WaitGangs WaitReason = "gangs"
 	// WaitCommit: the journal lacks the records that the workers may have runs.
 	WaitCommit WaitReason = "commit"
+	// WaitQuarantine: all workers that may run it are in quarantine or take no runs for another reason.
+	WaitQuarantine WaitReason = "quarantine"
 	// WaitAdvice: no allowed worker is known, or those with capacity lack a ticket.
 	WaitAdvice WaitReason = "advice"
 	// WaitCapacity: the workers that may run it have no capacity for it.
@@ -69,6 +71,9 @@
 	case cl.awaitsCommit(st):
 		return Wait{Reason: WaitCommit}
 	}
+	if wk := cl.firstQuarantined(now, st); wk != nil {
+		return Wait{Reason: WaitQuarantine, Worker: wk.ID, Remaining: wk.quarantineUntil - now}
+	}
 	needed := 1
 	if st.def.Gang {
 		needed = len(st.tasks)
@@ -144,3 +149,21 @@
 	}
 	return false
 }
+
+// firstQuarantined returns the worker whose quarantine ends first if none that may run the step takes runs, or nil.
+func (cl *Cell) firstQuarantined(now time.Duration, st *step) *worker {
+	var first *worker
+	for _, wk := range cl.workers {
+		allowed := !st.advised() || st.advice.verdicts[wk.ID] != nil
+		if wk.Service != cl.service(st) || !st.hasLabel(wk) || !allowed {
+			continue
+		}
+		if wk.pool != nil {
+			return nil
+		}
+		if wk.listed && wk.answers() && wk.quarantineUntil > now && (first == nil || wk.quarantineUntil < first.quarantineUntil) {
+			first = wk
+		}
+	}
+	return first
+}
--- a/policy/cell/waitreason_test.go
+++ b/policy/cell/waitreason_test.go
@@ -142,6 +142,15 @@
 			},
 			want: cell.Wait{Reason: cell.WaitCommit},
 		},
+		"workers are in quarantine": {
+			arrange: func(wb *waitBed) {
+				wb.Refused(0, wb.submit().Starts[0], cell.RefusedNoCapacity)
+				wb.Plan(0)
+				wb.Refused(50*time.Millisecond, wb.TakeOutput().Starts[0], cell.RefusedNoCapacity)
+				wb.Plan(50 * time.Millisecond)
+			},
+			want: cell.Wait{Reason: cell.WaitQuarantine, Worker: "w000", Remaining: 200 * time.Millisecond},
+		},
 		"no allowed worker is known": {
 			arrange: func(wb *waitBed) {
 				wb.queue.Advised = true
