cell: keep the pools sorted between plans instead of sorting them in each

A plan asked each of its 3,000 workers three times whether it takes runs, went over the map of all workers twice and compared each pooled worker with the one before it. Now a pool takes out the workers that changed since the last plan and inserts them again, workers without a pool are kept apart, and reservations are released by the steps that hold them. The pools are the same as before: TestPoolsFollowWorkers compares them with ones that are made from all workers.

--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -46,6 +46,8 @@
 	requestsSent  int
 	jobs          map[string]*job
 	workers       map[incarnation.ID]*worker
+	// unpooled holds the workers that are in no pool.
+	unpooled map[*worker]bool
 	// open holds the steps that are ready and not finished.
 	open    map[*step]bool
 	pools   map[string]*pool
@@ -90,7 +92,7 @@
 // FinishRecovery.
 func New(opts Options) *Cell {
 	return &Cell{
-		opts: opts, jobs: map[string]*job{}, workers: map[incarnation.ID]*worker{},
+		opts: opts, jobs: map[string]*job{}, workers: map[incarnation.ID]*worker{}, unpooled: map[*worker]bool{},
 		window: window{limit: opts.InitialWindow},
 		open:   map[*step]bool{}, pools: map[string]*pool{}, queues: map[string]*queue{}, cancels: map[string]cancel{}, quota: quota.New(),
 		services: map[string]bool{}, attributions: map[incarnation.ID]attribution{}, predecessors: map[string][]predecessor{},
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -59,9 +59,9 @@
 // tasks wait any more, or they may not start now, as when their workspace is at its limit or they are deferred in
 // favour of gangs. Skipped steps keep theirs.
 func (cl *Cell) releaseStaleReservations() {
-	for _, wk := range cl.workers {
-		if wk.reservedFor != nil && wk.reservedFor.reservePlan != cl.planCount {
-			cl.releaseReservation(wk.reservedFor)
+	for st := range cl.open {
+		if len(st.reserved) > 0 && st.reservePlan != cl.planCount {
+			cl.releaseReservation(st)
 		}
 	}
 }
--- a/policy/cell/plan_bench_test.go
+++ b/policy/cell/plan_bench_test.go
@@ -200,3 +200,46 @@
 		}
 	}
 }
+
+// BenchmarkPlanManyWorkers measures a plan for 3,000 workers, of which a tenth run a task, with one task ending and
+// another one starting between two plans. Each worker reports once per second.
+func BenchmarkPlanManyWorkers(b *testing.B) {
+	const workers, interval, gap = 3000, time.Second, 5 * time.Millisecond
+	cl := newTestCell(workers)
+	queue := work.Queue{Name: "f", Service: "svc", Attempts: 3, Priority: 1, Stretch: 2}
+	var ids []incarnation.ID
+	for n := range workers {
+		ids = append(ids, incarnation.ID(fmt.Sprintf("w%03d", n)))
+	}
+	now := time.Duration(0)
+	runs, seqs := map[incarnation.ID][]cell.Run{}, map[incarnation.ID]int{}
+	var order []incarnation.ID // of the workers with the oldest runs
+	plan := func() {
+		cl.Plan(now)
+		for _, sr := range cl.TakeOutput().Starts {
+			cl.Started(now, sr)
+			runs[sr.Worker] = append(runs[sr.Worker], cell.Run{Task: sr.Task, Number: sr.Run, Percent: 5})
+			order = append(order, sr.Worker)
+		}
+	}
+	submitStep(cl, "first", work.Step{Count: workers / 10, Need: size.New(32000, 100, 0), Estimate: time.Minute}, queue)
+	plan()
+	for n := 0; b.Loop(); n++ {
+		b.StopTimer()
+		now += gap
+		oldest := order[0]
+		order = order[1:]
+		seqs[oldest]++
+		ended := cell.End{Seq: seqs[oldest], Run: runs[oldest][0], Result: cell.ResultDone}
+		runs[oldest] = runs[oldest][1:]
+		cl.Report(now, oldest, now, runs[oldest], []cell.End{ended})
+		for at := range workers * int(gap) / int(interval) {
+			id := ids[(n*workers*int(gap)/int(interval)+at)%workers]
+			cl.Report(now, id, now, runs[id], nil)
+		}
+		submitStep(cl, fmt.Sprint("job", n), work.Step{Count: 1, Need: size.New(32000, 100, 0), Estimate: time.Minute}, queue)
+		cl.SetCommitted(cl.RecordCount())
+		b.StartTimer()
+		plan()
+	}
+}
--- a/policy/cell/pool.go
+++ b/policy/cell/pool.go
@@ -15,8 +15,8 @@
 	// used is how many whole workers are in use when the plan begins, idle how many are idle because they are
 	// reserved. The scarcest resource of each worker counts.
 	used, idle float64
-	// unsorted counts the workers added since the pool was last sorted.
-	unsorted int
+	// unsorted are the workers to be inserted at their position.
+	unsorted []*worker
 }
 
 // fillPools adds the workers to their pools for a plan. Pools are kept between plans, since few workers gain or
@@ -24,27 +24,46 @@
 // little waits.
 func (cl *Cell) fillPools(now time.Duration) {
 	for service, po := range cl.pools {
-		po.used, po.idle = 0, 0
-		po.workers = slices.DeleteFunc(po.workers, func(wk *worker) bool {
-			if cl.acceptsRuns(now, wk) && wk.Service == service && !wk.removed {
-				return false
-			}
-			wk.pool = nil
-			return true
-		})
+		po.idle = 0
+		cl.removeUnsorted(now, po, service)
 	}
-	for _, wk := range cl.workers {
+	for wk := range cl.unpooled {
 		cl.examined++
-		if wk.pool == nil && cl.acceptsRuns(now, wk) {
-			cl.pool(wk.Service).add(wk)
+		if cl.acceptsRuns(now, wk) {
+			delete(cl.unpooled, wk)
+			po := cl.pool(wk.Service)
+			wk.pool = po
+			po.unsorted = append(po.unsorted, wk)
 		}
 	}
 	for _, po := range cl.pools {
-		po.sort()
-		for _, wk := range po.workers {
-			po.used += min(wk.used.DominantShare(wk.Capacity), 1) // a worker that shrank may be over its capacity
+		po.insertUnsorted()
+	}
+}
+
+// removeUnsorted removes the workers that take no new runs of the pool's service, and those that were moved, or whose
+// free processors have changed, since they were sorted. The others are in order.
+func (cl *Cell) removeUnsorted(now time.Duration, po *pool, service string) {
+	kept := 0
+	for i, wk := range po.workers {
+		cl.examined++
+		switch {
+		case !cl.acceptsRuns(now, wk) || wk.removed || wk.Service != service:
+			wk.pool = nil
+			if !wk.removed {
+				cl.unpooled[wk] = true
+			}
+		case wk.moved || wk.freeProcessors() != wk.sortedFree:
+			po.unsorted = append(po.unsorted, wk)
+		default:
+			if kept < i {
+				po.workers[kept] = wk
+			}
+			kept++
 		}
 	}
+	clear(po.workers[kept:])
+	po.workers = po.workers[:kept]
 }
 
 // pool returns the pool of a service.
@@ -57,30 +76,29 @@
 	return po
 }
 
-// add appends a worker; sort moves it to its position.
-func (po *pool) add(wk *worker) {
-	wk.pool = po
-	po.workers = append(po.workers, wk)
-	po.unsorted++
-}
-
-// resortDivisor is the fraction of the pool, one in so many, beyond which new workers cause a full sort. With
-// fewer, most workers are in position and the others are moved there.
-const resortDivisor = 8
-
-func (po *pool) sort() {
-	if po.unsorted > len(po.workers)/resortDivisor {
-		slices.SortFunc(po.workers, (*worker).compareFree)
-	}
-	po.unsorted = 0
+// insertUnsorted inserts the unsorted workers at their positions.
+func (po *pool) insertUnsorted() {
+	slices.SortFunc(po.unsorted, (*worker).compareFree)
+	sorted := len(po.workers) // the workers before this position are in order, those behind it are in place
+	po.workers = append(po.workers, po.unsorted...)
+	for missing := len(po.unsorted); missing > 0; missing-- {
+		wk := po.unsorted[missing-1]
+		wk.sortedFree, wk.moved = wk.freeProcessors(), false
+		at, _ := slices.BinarySearchFunc(po.workers[:sorted], wk, (*worker).compareFree)
+		copy(po.workers[at+missing:], po.workers[at:sorted])
+		po.workers[at+missing-1] = wk
+		sorted = at
+	}
+	clear(po.unsorted)
+	po.unsorted = po.unsorted[:0]
+	po.used = 0
 	for i, wk := range po.workers {
-		for ; i > 0 && wk.compareFree(po.workers[i-1]) < 0; i-- {
-			po.workers[i] = po.workers[i-1]
+		if wk.poolIndex != i {
+			wk.poolIndex = i
+		}
+		if !wk.used.IsZero() {
+			po.used += min(wk.used.DominantShare(wk.Capacity), 1) // a worker that shrank may be over its capacity
 		}
-		po.workers[i] = wk
-	}
-	for i, wk := range po.workers {
-		wk.poolIndex = i
 	}
 }
 
@@ -94,6 +112,7 @@
 
 // moveDown moves a worker to its position after it has lost free capacity.
 func (po *pool) moveDown(wk *worker) {
+	wk.moved = true // it may be behind workers of the same size, and its run may be released
 	for i := wk.poolIndex; i > 0 && po.workers[i-1].freeProcessors() > wk.freeProcessors(); i-- {
 		before := po.workers[i-1]
 		po.workers[i], before.poolIndex = before, i
--- a/policy/cell/worker.go
+++ b/policy/cell/worker.go
@@ -43,6 +43,9 @@
 	// pool is the pool that has the worker, nil if it takes no runs; poolIndex is its position there.
 	pool      *pool
 	poolIndex int
+	// sortedFree is its number of free processors when it was last sorted; moved is set if it has been moved since.
+	sortedFree int64
+	moved      bool
 }
 
 // endNote is the end of a run, by its number on the worker, and the number of records that must be committed for
@@ -66,6 +69,7 @@
 	if !known {
 		old = &worker{placements: map[placementKey]*placement{}}
 		cl.workers[wk.ID] = old
+		cl.unpooled[old] = true
 	}
 	if wk.Draining && !old.Draining {
 		old.leavesAt = now + wk.Remaining
@@ -185,6 +189,7 @@
 func (cl *Cell) removeWorker(wk *worker) {
 	cl.record(Record{Worker: wk.ID, Gone: true})
 	delete(cl.workers, wk.ID)
+	delete(cl.unpooled, wk)
 	wk.removed = true
 }
 
