httpcall, planner: no timers for holds that need none

A hold is sent once, so that its timer for another attempt never had an effect, nor had its flag of a streamed response.

--- a/internal/httpcall/attempts.go
+++ b/internal/httpcall/attempts.go
@@ -28,8 +28,12 @@
 
 func (as *attempts) run() (Response, error) {
 	as.start()
-	timer := time.NewTimer(as.rq.ServerWait + overdueAfter)
-	defer timer.Stop()
+	var overdue <-chan time.Time
+	if as.remaining > 0 {
+		timer := time.NewTimer(as.rq.ServerWait + overdueAfter)
+		defer timer.Stop()
+		overdue = timer.C
+	}
 	ctxDone := as.ctx.Done()
 	for {
 		select {
@@ -42,11 +46,11 @@
 			if err := as.handleError(out.err); err != nil {
 				return Response{}, err
 			}
-		case <-timer.C:
+		case <-overdue:
 			as.retry()
 		case <-ctxDone:
 			deadlinePassed := errors.Is(as.ctx.Err(), context.DeadlineExceeded)
-			if deadlinePassed && as.rq.streaming.Load() {
+			if deadlinePassed && as.rq.Streamed && as.rq.streaming.Load() {
 				ctxDone = nil // a streamed response has its own deadline
 				continue
 			}
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -151,7 +151,9 @@
 		return cl.do(ctx, rq)
 	}
 	const maxAttempts = 2
-	rq.streaming = &atomic.Bool{}
+	if rq.Streamed {
+		rq.streaming = &atomic.Bool{}
+	}
 	as := &attempts{caller: cl, ctx: ctx, rq: rq, startedAt: time.Now(), done: make(chan outcome, maxAttempts), remaining: 1}
 	if rq.Idempotent {
 		as.remaining = maxAttempts
--- a/internal/planner/awaitcommit.go
+++ b/internal/planner/awaitcommit.go
@@ -12,13 +12,13 @@
 	if !loop.Sleep(ctx, ld.clock, holdPause) {
 		return
 	}
+	waits, committed := se.uncommittedEnds()
+	if !waits {
+		return
+	}
 	late := ld.clock.NewTimer(maxCommitWait)
 	defer late.Stop()
-	for {
-		waits, committed := se.uncommittedEnds()
-		if !waits {
-			return
-		}
+	for ; waits; waits, committed = se.uncommittedEnds() {
 		select {
 		case <-ctx.Done():
 			return
