cell: prepare restarts while the recovery awaits unreachable workers

After a takeover, the tasks of earlier terms wait until no worker can run them unknown to the planner.

Once all other workers have reported, a long-running task that none of them has is lost or on a worker that does not answer. Its step now reserves room and requests tickets from then on, as it does for an unreachable worker of the planner's own term. Nothing is started before the recovery is complete.

TestAdviceOnRestartAwaitsRecovery fails on the code before: no request.

--- a/policy/cell/longrunning.go
+++ b/policy/cell/longrunning.go
@@ -71,6 +71,20 @@
 	st.expectedFrom = min(st.expectedFrom, from)
 }
 
+// awaitsUnreachable reports whether the recovery waits for workers that do not answer only. Then tasks of inherited jobs
+// that no worker has reported are lost or on one of these, and their restarts are prepared.
+func (cl *Cell) awaitsUnreachable() bool {
+	if cl.recovered {
+		return false
+	}
+	for _, wk := range cl.workers {
+		if !wk.answered && !wk.unreachable {
+			return false
+		}
+	}
+	return true
+}
+
 // restarting reports whether long-running tasks of the step wait to run again or are expected to.
 func (st *step) restarting() bool { return st.restarts+st.expected > 0 }
 
--- a/policy/cell/longrunning_test.go
+++ b/policy/cell/longrunning_test.go
@@ -119,3 +119,39 @@
 	is.True(tries <= 15) // starts of the refused task
 	is.Equal(late, 0)    // other jobs that were not started at once
 }
+
+// TestAdviceOnRestartAwaitsRecovery guards against a planner that requests advice on a lost long-running task of an
+// earlier planner only once the recovery is complete.
+func TestAdviceOnRestartAwaitsRecovery(t *testing.T) {
+	is := is.New(t)
+	const leaseEnd = 4 * time.Second
+	cl := cell.New(cell.Options{Retention: time.Minute, FirstRun: 65})
+	qu := work.Queue{Name: "l", Service: "svc", Attempts: 3, Priority: 1, Target: time.Second, Advised: true}
+	need := size.New(4000, 100, 0)
+	cl.Add(0, &work.Job{ID: "lasting", Spec: "s", Queue: qu, Steps: []work.Step{{Count: 2, Need: need, LongRunning: true}}}, true)
+	for _, id := range []incarnation.ID{"w0", "w1", "w2"} {
+		cl.PutWorker(0, cell.Worker{ID: id, Service: "svc", Capacity: size.New(64000, 128000, 0)})
+	}
+	runs := map[incarnation.ID][]cell.Run{"w0": {{Task: work.Task{Job: "lasting"}, Number: 1}}}
+	cl.Report(0, "w0", 0, runs["w0"], nil)
+	cl.SetCommitted(cl.RecordCount())
+	cl.Plan(0)
+	is.Equal(len(cl.TakeOutput().AdviceRequests), 0) // the other task may be on any worker
+	cl.Report(0, "w1", 0, nil, nil)
+	cl.SetCommitted(cl.RecordCount())
+	cl.Unreachable(time.Second, "w2", leaseEnd)
+	cl.Plan(time.Second)
+	out := cl.TakeOutput()
+	is.Equal(len(out.Starts), 0)
+	is.Equal(len(out.AdviceRequests), 1)
+	cl.AddAdvice(3*time.Second, out.AdviceRequests[0], []cell.Ticket{{Worker: "w1", Text: "t"}}, 2*time.Second)
+	for _, id := range []incarnation.ID{"w0", "w1"} {
+		cl.Report(leaseEnd, id, leaseEnd, runs[id], nil)
+	}
+	cl.LeaseExpired(leaseEnd, "w2")
+	cl.FinishRecovery()
+	cl.Plan(leaseEnd)
+	starts := cl.TakeOutput().Starts
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Worker, incarnation.ID("w1"))
+}
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -132,7 +132,9 @@
 // them out.
 func (cl *Cell) planTasks(now time.Duration, rd ranked) {
 	st := rd.step
-	cl.placeTasks(now, st)
+	if cl.mayStart(st) {
+		cl.placeTasks(now, st)
+	}
 	switch {
 	case st.restarting() && cl.lacking(st) > 0:
 		cl.reserveForRestart(now, st)
--- a/policy/cell/rank.go
+++ b/policy/cell/rank.go
@@ -15,6 +15,7 @@
 // byRank returns the steps that have tasks to place, in the order in which they are served.
 func (cl *Cell) byRank(now time.Duration) []ranked {
 	var list []ranked
+	prepares := cl.awaitsUnreachable()
 	for st := range cl.open {
 		st.countRestarts(now)
 		if st.lacksNone() || st.def.Gang && st.unplaced < len(st.tasks) {
@@ -23,7 +24,7 @@
 		if st.expected == 0 && st.backsOff(now) {
 			continue
 		}
-		if cl.recovered || !st.round.job.inherited {
+		if cl.mayStart(st) || prepares && st.restarting() {
 			list = append(list, ranked{cl.rank(now, st), st})
 		}
 	}
@@ -31,6 +32,10 @@
 	return list
 }
 
+// mayStart reports whether tasks of the step may be started: before the recovery is complete, a worker may run those of
+// an inherited job without the cell knowing.
+func (cl *Cell) mayStart(st *step) bool { return cl.recovered || !st.round.job.inherited }
+
 // rank orders steps; the lowest is served first.
 type rank struct {
 	group int
