cell: preempt for a lost long-running task that finds no room in time

If too little room for the restarts is expected within a second after the lease, the run on an allowed worker whose stop loses least work is stopped: one that saves checkpoints if there is any; never an urgent one, a member of a gang or a long-running one. It happens as late as the time of a stop allows, for one restart at a time, and once a second at the most, as the start may be refused. A run that is being stopped counts as capacity that is free soon.

TestPreemptionIsRepeatedAtOnce fails without the pause of a second.

--- a/policy/cell/longrunning.go
+++ b/policy/cell/longrunning.go
@@ -117,12 +117,86 @@
 		free := slices.DeleteFunc(slices.Clone(list), func(op opening) bool { return !st.mayReserve(op.worker) })
 		chosen, _ := earliestOpenings(free, min(cl.lacking(st), len(free)))
 		cl.setReservation(st, chosen)
+		cl.preemptForRestart(now, st, free)
 	}
 	if mayRequest {
 		cl.requestForRestart(now, st, list)
 	}
 }
 
+// maxRestartDelay is how long after its worker's lease has expired a long-running task should run again.
+const maxRestartDelay = time.Second
+
+// preemptForRestart stops runs on allowed workers if too little room for the restarts is expected in time: what runs there
+// may last much longer. It does so as late as the time of a stop allows, since an unreachable worker may answer again.
+func (cl *Cell) preemptForRestart(now time.Duration, st *step, free []opening) {
+	leaseEnd := st.expectedFrom
+	if st.unplaced > 0 {
+		leaseEnd = st.lackingSince
+	}
+	stopped := now + cl.opts.StopTimeout + stopMargin
+	if stopped < leaseEnd || now < st.preemptAfter {
+		return
+	}
+	due := max(leaseEnd+maxRestartDelay, stopped)
+	missing := min(cl.lacking(st), st.restarts+st.expected)
+	for _, op := range free {
+		if op.at <= due {
+			missing--
+		}
+	}
+	for ; missing > 0; missing-- {
+		pl := cl.cheapestPreemption(now, st)
+		if pl == nil {
+			return
+		}
+		st.preemptAfter = now + maxRestartDelay // the room may be refused, and must not be made again at once
+		cl.stop(pl, "room for a long-running task that lost its worker")
+	}
+}
+
+// cheapestPreemption returns the run whose stop makes room for a task of the step at the least loss of work, or nil.
+func (cl *Cell) cheapestPreemption(now time.Duration, st *step) *placement {
+	workers := backward(cl.poolWorkers(st))
+	if st.advised() {
+		workers = cl.allowedWorkers(st, nil)
+	}
+	var best *placement
+	var least float64
+	for cand := range cl.candidates(st, workers, spreadCapacity) {
+		wk := cand.worker
+		if !st.mayReserve(wk) {
+			continue
+		}
+		room := wk.Capacity.Sub(wk.used)
+		for _, pl := range wk.placements {
+			if !pl.preemptible() || !st.need().Fits(room.Add(pl.need)) {
+				continue
+			}
+			if loss := pl.lossIfStopped(now); best == nil || loss < least {
+				best, least = pl, loss
+			}
+		}
+	}
+	return best
+}
+
+// preemptible reports whether a run may be stopped to make room. The members of a gang would all be stopped, and urgent
+// tasks end soon.
+func (pl *placement) preemptible() bool {
+	def := pl.task.step.def
+	return pl.state == running && !def.LongRunning && !def.Gang && !pl.task.step.urgent()
+}
+
+// lossIfStopped is the work that a stop of the run loses, in core-seconds.
+func (pl *placement) lossIfStopped(now time.Duration) float64 {
+	if pl.task.step.def.Checkpoints {
+		return 0
+	}
+	const milli = 1000
+	return (now - pl.runningSince).Seconds() * float64(pl.need.Processors()) / milli
+}
+
 // anyWorker admits all workers, including those reserved for other restarts, which take their room soon.
 func anyWorker(*worker) bool { return true }
 
--- a/policy/cell/longrunning_test.go
+++ b/policy/cell/longrunning_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -155,3 +156,50 @@
 	is.Equal(len(starts), 1)
 	is.Equal(starts[0].Worker, incarnation.ID("w1"))
 }
+
+// TestPreemptionIsRepeatedAtOnce guards against run after run that is stopped for a long-running task whose starts are
+// refused.
+func TestPreemptionIsRepeatedAtOnce(t *testing.T) {
+	is := is.New(t)
+	cl := newTestCell(12)
+	half := size.New(32000, 100, 0)
+	submitStep(cl, "lasting", work.Step{Count: 1, Need: half, LongRunning: true}, work.Queue{Name: "l", Service: "svc", Attempts: 3, Priority: 1})
+	cl.Plan(0)
+	lost := cl.TakeOutput().Starts[0]
+	cl.Started(0, lost)
+	submitStep(cl, "batch", work.Step{Count: 23, Need: half, Estimate: time.Minute}, work.Queue{Name: "b", Service: "svc", Attempts: 3, Priority: 2})
+	cl.Plan(0)
+	runs := map[incarnation.ID][]cell.Run{}
+	for _, sr := range cl.TakeOutput().Starts {
+		cl.Started(0, sr)
+		runs[sr.Worker] = append(runs[sr.Worker], cell.Run{Task: sr.Task, Number: sr.Run})
+	}
+	cl.Unreachable(0, lost.Worker, workerLease)
+	cl.LeaseExpired(workerLease, lost.Worker)
+	stops := 0
+	const span, step = 3 * time.Second, 20 * time.Millisecond
+	for now := workerLease; now < workerLease+span; now += step {
+		for id, held := range runs {
+			for n := range held {
+				held[n].Percent = 1 + int(10*(now-workerLease)/time.Second)
+			}
+			if id != lost.Worker {
+				cl.Report(now, id, now, held, nil)
+			}
+		}
+		cl.SetCommitted(cl.RecordCount())
+		cl.Tick(now, now)
+		cl.Plan(now)
+		out := cl.TakeOutput()
+		for _, sp := range out.Stops {
+			stops++
+			cl.Stopped(now, sp)
+			runs[sp.Worker] = slices.DeleteFunc(runs[sp.Worker], func(rn cell.Run) bool { return rn.Task == sp.Task })
+		}
+		for _, sr := range out.Starts {
+			cl.Refused(now, sr, cell.RefusedNoCapacity)
+		}
+	}
+	is.True(stops > 0)
+	is.True(stops <= int(span/time.Second)) // one a second
+}
--- a/policy/cell/reservation.go
+++ b/policy/cell/reservation.go
@@ -195,7 +195,11 @@
 		if pl.task.step.def.LongRunning && pl.state != stopping {
 			continue
 		}
-		ends = append(ends, ending{now + cl.remainingTime(now, pl), pl})
+		remaining := cl.remainingTime(now, pl)
+		if pl.state == stopping {
+			remaining = min(remaining, cl.opts.StopTimeout)
+		}
+		ends = append(ends, ending{now + remaining, pl})
 	}
 	slices.SortFunc(ends, func(a, b ending) int { return cmp.Compare(a.at, b.at) })
 	free := wk.Capacity.Sub(wk.used)
--- a/policy/cell/round.go
+++ b/policy/cell/round.go
@@ -33,6 +33,8 @@
 	// these may run again.
 	expected     int
 	expectedFrom time.Duration
+	// preemptAfter is when runs of others may be stopped again to make room for restarts.
+	preemptAfter time.Duration
 	readyAt      time.Duration
 	// lackingSince is when tasks last began to wait after none did.
 	lackingSince time.Duration
