--- a/internal/planner/crashes_test.go
+++ b/internal/planner/crashes_test.go
@@ -27,7 +27,7 @@
 	// the number of further starts that exceeds the limit.
 	crashesUntil = 3
 	startsAfter  = 3
-	// maxPolls is how many times 10 ms a task may wait for its next start: a new planner waits 10.1 s for a worker that
+	// maxPolls is how many times 10 ms a task may wait for its next start: a new planner waits 10.2 s for a worker that
 	// is in no list any more.
 	maxPolls = 1200
 	// backAfter is how long a crashed worker is away.
