cell: do not attribute a start that was decided after the restart

Callers saw a healthy job fail after only two of its workers had ended, when a third start never arrived.

Cause: the next incarnation's omission counts as a crash of the earlier one, because a start without an answer may have crashed it. But this start was decided after the next incarnation had begun, so that the earlier one cannot have had the run.

Fix: the clock in the next incarnation's report says by when it had begun. A run that was decided later, and that the first report of that very incarnation omits, has begun nowhere: its resources are freed and nothing is attributed. It can't begin later, since the report was requested with a higher fencing token. Everything else is attributed as before: a start decided earlier, one that another planner decided, a clock that does not fit the last answer of the earlier incarnation, a next incarnation that never reports, or that ends too before it has, since the run may have crashed that one.

With the new call disabled, "omits the run, whose start was decided later" of TestRunInNextIncarnationFailsNoJob fails as well; the cases for what must still be attributed pass both ways.

--- a/internal/planner/incarnation.go
+++ b/internal/planner/incarnation.go
@@ -80,12 +80,24 @@
 	next := incarnation.New(se.incarnation.WorkerID(), report.StartedAt)
 	ld.log.Info("Worker has restarted under the same id.", "worker", next, "before", se.incarnation,
 		"clock", report.Clock.String(), "clock_before", se.clock.String())
-	se.replace(next)
+	se.replace(next, se.nextBegan(report))
 	return false
 }
 
-// replace ends the session in favour of another incarnation of the worker, whose entry may not be in the list yet.
-func (se *session) replace(next incarnation.ID) {
+// nextBegan returns the latest time at which the next incarnation can have begun, by the clock in its report. A clock
+// that puts that before the last answer of this incarnation did not start at 0, and tells nothing.
+func (se *session) nextBegan(report agent.Report) time.Duration {
+	now := se.leader.now()
+	began := now - time.Duration(float64(report.Clock)*(1-maxClockDrift))
+	if !se.answered || began < se.heard {
+		return now
+	}
+	return began
+}
+
+// replace ends the session in favour of another incarnation of the worker, which began at the given time or before. Its
+// entry may not be in the list yet.
+func (se *session) replace(next incarnation.ID, began time.Duration) {
 	ld, now := se.leader, se.leader.now()
 	en := se.entry
 	listed := se.other != nil && se.other.ID == next
@@ -94,7 +106,7 @@
 	}
 	en.ID, se.other = next, nil
 	ld.transferUnresolved(se.incarnation, next)
-	se.close(now, func() { ld.cell.Restarted(now, se.incarnation, next) })
+	se.close(now, func() { ld.cell.Restarted(now, se.incarnation, next, began) })
 	if listed {
 		ld.addWorker(en)
 		return
@@ -126,7 +138,7 @@
 	for _, inc := range ld.earlier[se.incarnation.WorkerID()] {
 		if _, old := ld.unresolved[inc]; old && inc != se.incarnation {
 			ld.log.Info("Worker's incarnation is over.", "worker", inc)
-			ld.cell.Restarted(now, inc, se.incarnation)
+			ld.cell.Restarted(now, inc, se.incarnation, now)
 			delete(ld.unresolved, inc)
 		}
 	}
--- a/internal/planner/restarts_test.go
+++ b/internal/planner/restarts_test.go
@@ -369,6 +369,41 @@
 	}
 }
 
+// TestStartAfterRestartIsNoCrash guards against a job that fails because a start that never arrived was counted as the
+// task's third crash, although the worker had restarted before the start was decided.
+func TestStartAfterRestartIsNoCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bd := newTestbed(t, time.Second, "w1")
+		defer bd.end()
+		nd := bd.addNode("n1")
+		time.Sleep(time.Second)
+		bd.submit(nd, "a", 1)
+		for crashes := range 2 {
+			for len(bd.fleet.Starts()) == crashes {
+				time.Sleep(10 * time.Millisecond)
+			}
+			time.Sleep(300 * time.Millisecond)
+			bd.fleet.Kill("w1")
+			time.Sleep(500 * time.Millisecond)
+			bd.fleet.Add("w1")
+			if crashes == 0 {
+				bd.list("w1")
+			}
+		}
+		entry := fmt.Sprint("born ", bd.fleet.StartedAt("w1")) // it gets no start before it is listed
+		time.Sleep(time.Second)
+		bd.fleet.SetFault(func(string, string) memworkers.Fault { return memworkers.RequestLost })
+		bd.fleet.Kill("w1")
+		bd.fleet.Add("w1")
+		time.Sleep(10 * time.Millisecond)
+		bd.store.Set(workersPrefix+"w1", []byte(entry))
+		time.Sleep(300 * time.Millisecond) // no attempt of the start arrives
+		bd.clearFaults()
+		bd.list("w1")
+		bd.await("a", cell.Succeeded, 10*time.Second)
+	})
+}
+
 // TestRestarts draws from a seed how workers end and restart under their ids (one, several or all of them; at once,
 // after a heartbeat, or after their lease), with lost, unanswered or late orders and changes of the planner. No task
 // may run twice at a time, and every job must succeed unless minLosses incarnations have ended under it.
--- a/policy/cell/crash_test.go
+++ b/policy/cell/crash_test.go
@@ -173,11 +173,11 @@
 func (ct *crashTestbed) loseToNext(sr cell.Start) {
 	next := incarnation.New(sr.Worker.WorkerID(), 1)
 	last := incarnation.New(sr.Worker.WorkerID(), 2)
-	ct.cell.Restarted(ct.now, sr.Worker, next)
+	ct.cell.Restarted(ct.now, sr.Worker, next, ct.now)
 	ct.cell.InheritRuns(ct.now, next, nil)
 	ct.cell.Report(ct.now, next, ct.now, []cell.Run{{Task: sr.Task, Number: sr.Run}}, nil)
 	ct.now += time.Second
-	ct.cell.Restarted(ct.now, next, last)
+	ct.cell.Restarted(ct.now, next, last, ct.now)
 	ct.cell.InheritRuns(ct.now, last, nil)
 	ct.cell.Report(ct.now, last, ct.now, nil, nil)
 }
@@ -346,8 +346,9 @@
 // counted as the task's third crash, although the next incarnation has the run.
 func TestRunInNextIncarnationFailsNoJob(t *testing.T) {
 	tests := map[string]struct {
-		// reported is set if the earlier incarnation has listed the run.
-		reported bool
+		// reported is set if the earlier incarnation has listed the run, late if the start was decided after the
+		// next one had begun.
+		reported, late bool
 		// answer is what the next incarnation reports of the run.
 		answer func(ct *crashTestbed, next incarnation.ID, run cell.Run)
 		want   cell.Phase
@@ -361,6 +362,19 @@
 		"omits the run": {answer: func(ct *crashTestbed, next incarnation.ID, _ cell.Run) {
 			ct.cell.Report(ct.now, next, ct.now, nil, nil)
 		}, want: cell.Failed},
+		"omits the run, whose start was decided later": {late: true, answer: func(ct *crashTestbed, next incarnation.ID, _ cell.Run) {
+			ct.cell.Report(ct.now, next, ct.now, nil, nil)
+		}, want: cell.Running},
+		"ends too, the one after it omits the run": {late: true, answer: func(ct *crashTestbed, next incarnation.ID, _ cell.Run) {
+			last := incarnation.New(next.WorkerID(), next.StartedAt()+1)
+			ct.cell.Restarted(ct.now, next, last, ct.now)
+			ct.cell.InheritRuns(ct.now, last, nil)
+			ct.cell.Report(ct.now, last, ct.now, nil, nil)
+		}, want: cell.Failed},
+		"never answers, the start was decided later": {late: true, answer: func(ct *crashTestbed, _ incarnation.ID, _ cell.Run) {
+			ct.now += 15 * time.Second
+			ct.cell.Tick(ct.now, ct.now)
+		}, want: cell.Failed},
 		"never answers": {answer: func(ct *crashTestbed, _ incarnation.ID, _ cell.Run) {
 			ct.now += 15 * time.Second
 			ct.cell.Tick(ct.now, ct.now)
@@ -385,8 +399,12 @@
 			if tt.reported {
 				ct.cell.Report(ct.now, sr.Worker, ct.now, []cell.Run{run}, nil)
 			}
-			next := incarnation.New(sr.Worker.WorkerID(), 1)
-			ct.cell.Restarted(ct.now, sr.Worker, next)
+			next, began := incarnation.New(sr.Worker.WorkerID(), 1), ct.now+50*time.Millisecond
+			if tt.late {
+				began = ct.now - 50*time.Millisecond
+			}
+			ct.now += 100 * time.Millisecond
+			ct.cell.Restarted(ct.now, sr.Worker, next, began)
 			tt.answer(ct, next, run)
 			ct.takeOutput()
 			phase, _ := ct.cell.Phase("j", "")
@@ -415,7 +433,7 @@
 			ct.now += 6 * time.Second
 			ct.cell.LeaseExpired(ct.now, sr.Worker)
 			next := incarnation.New(sr.Worker.WorkerID(), 1)
-			ct.cell.Restarted(ct.now, sr.Worker, next)
+			ct.cell.Restarted(ct.now, sr.Worker, next, ct.now)
 			ct.cell.InheritRuns(ct.now, next, nil)
 			var runs []cell.Run
 			var ends []cell.End
--- a/policy/cell/placement.go
+++ b/policy/cell/placement.go
@@ -26,6 +26,8 @@
 	run    int
 	need   size.Size
 	state  state
+	// decidedAt is when the run was placed here; unknown for an adopted run.
+	decidedAt time.Duration
 	// runningSince is when the worker was first known to have the run.
 	runningSince time.Duration
 	// stoppedAt is when the worker confirmed the stop, 0 before that; unconfirmedAt is when the start was given
@@ -72,7 +74,7 @@
 // place takes resources on a worker for a run of a task.
 func (cl *Cell) place(now time.Duration, tk *task, wk *worker, run int) *placement {
 	need := tk.step.need()
-	pl := &placement{task: tk, worker: wk, run: run, need: need, progressAt: now, begunAt: now, pace: fullPercent}
+	pl := &placement{task: tk, worker: wk, run: run, need: need, decidedAt: now, progressAt: now, begunAt: now, pace: fullPercent}
 	pl.resumed = tk.checkpoint != ""
 	wk.placements[placementKey{tk.name(), run}] = pl
 	wk.used = wk.used.Add(need)
--- a/policy/cell/restart.go
+++ b/policy/cell/restart.go
@@ -21,11 +21,14 @@
 type predecessor struct {
 	worker *worker
 	until  time.Duration
+	// next is the incarnation that follows, nextBegan the latest time at which it can have begun.
+	next      incarnation.ID
+	nextBegan time.Duration
 }
 
-// Restarted records that the next incarnation of a worker has begun, which ends the earlier one. The next one
-// is not listed by this call.
-func (cl *Cell) Restarted(now time.Duration, earlier, next incarnation.ID) {
+// Restarted records that the next incarnation of a worker has begun, at the given time or before, which ends the
+// earlier one. The next one is not listed by this call.
+func (cl *Cell) Restarted(now time.Duration, earlier, next incarnation.ID, began time.Duration) {
 	wk, ok := cl.workers[earlier]
 	if !ok {
 		return
@@ -46,7 +49,7 @@
 		cl.removeWorker(wk)
 		return
 	}
-	cl.predecessors[next.WorkerID()] = append(cl.predecessors[next.WorkerID()], predecessor{wk, now + maxOrderDelay})
+	cl.predecessors[next.WorkerID()] = append(cl.predecessors[next.WorkerID()], predecessor{wk, now + maxOrderDelay, next, began})
 	cl.addUnlisted(now, next)
 }
 
@@ -78,10 +81,24 @@
 		began[placementKey{en.Task, en.Number}] = true
 	}
 	for _, pr := range predecessors {
+		if pr.next == id {
+			cl.releaseNotBegun(pr, began)
+		}
 		cl.resolvePredecessor(now, pr.worker, began)
 	}
 }
 
+// releaseNotBegun releases the runs that neither incarnation has had: their starts were decided after the next one
+// had begun, and its first report omits them.
+func (cl *Cell) releaseNotBegun(pr predecessor, began map[placementKey]bool) {
+	for ky, pl := range pr.worker.placements {
+		if !began[ky] && !pl.adopted && pl.decidedAt >= pr.nextBegan {
+			cl.release(pl)
+			cl.afterLoss(pl)
+		}
+	}
+}
+
 // resolvePredecessor releases the runs of an earlier incarnation. Those that did not begin in the next one were
 // lost with it.
 func (cl *Cell) resolvePredecessor(now time.Duration, wk *worker, began map[placementKey]bool) {
--- a/policy/cell/testbed_test.go
+++ b/policy/cell/testbed_test.go
@@ -571,7 +571,7 @@
 		next := incarnation.ID(fmt.Sprintf("%s.%d%c", id[:3], len(bd.workers), id[len(id)-1]))
 		if bd.restartSameID {
 			next = incarnation.New(id.WorkerID(), id.StartedAt()+1)
-			bd.cell.Restarted(bd.now, id, next)
+			bd.cell.Restarted(bd.now, id, next, bd.now)
 		} else {
 			bd.cell.Replaced(bd.now, id)
 		}
