--- a/policy/cell/restart_test.go
+++ b/policy/cell/restart_test.go
@@ -32,7 +32,7 @@
 			wb.Started(0, sr)
 			run := cell.Run{Task: sr.Task, Number: sr.Run}
 			wb.Report(tc.listed+time.Second, sr.Worker, tc.listed, []cell.Run{run}, nil)
-			wb.Restarted(restartedAt, sr.Worker, incarnation.New(sr.Worker.WorkerID(), 1))
+			wb.Restarted(restartedAt, sr.Worker, incarnation.New(sr.Worker.WorkerID(), 1), restartedAt)
 			if tc.kept > 0 {
 				is.Equal(wb.startsAt(restartedAt+tc.kept-1), 0)
 			}
@@ -64,7 +64,7 @@
 			for _, at := range tc.sent {
 				wb.DeadlineSent(at, sr.Worker)
 			}
-			wb.Restarted(restartedAt, sr.Worker, incarnation.New(sr.Worker.WorkerID(), 1))
+			wb.Restarted(restartedAt, sr.Worker, incarnation.New(sr.Worker.WorkerID(), 1), restartedAt)
 			if tc.until > restartedAt {
 				is.Equal(wb.startsAt(tc.until-1), 0)
 			}
--- a/policy/cell/waitreason_test.go
+++ b/policy/cell/waitreason_test.go
@@ -71,7 +71,7 @@
 			arrange: func(wb *waitBed) {
 				sr := wb.start()
 				wb.StartDelayed(0, sr)
-				wb.Restarted(0, sr.Worker, next)
+				wb.Restarted(0, sr.Worker, next, 0)
 			},
 			want: cell.Wait{Reason: cell.WaitPredecessor, Worker: "w000", Remaining: 15*time.Second - checkedAt},
 		},
@@ -246,7 +246,7 @@
 		},
 		"worker has restarted": {
 			end: func(wb *waitBed, sr cell.Start) {
-				wb.Restarted(8*time.Second, sr.Worker, incarnation.New(sr.Worker.WorkerID(), 1))
+				wb.Restarted(8*time.Second, sr.Worker, incarnation.New(sr.Worker.WorkerID(), 1), 8*time.Second)
 			},
 			want: []time.Duration{startedAt - lostAt},
 		},
