feed: ask other nodes as often while calls to the store time out late

Callers of such a node are refused, because its copy is older than 1.8 s, and learn of a change that late.

Cause: a node asks other nodes only between its calls to the store. Once its copy is older than 1.8 s, the timeout of these calls doubles, up to 2 s, on the assumption that the other nodes get no answer either. One does here, but is behind itself for 2.8 s after the change, so that all copies pass 1.8 s. From then on a node asks three of 42 others every 2.08 s instead of every 0.58 s, and the change spreads by three or four rounds in the time that is left. Traced with the log lines and requests of four failing runs of 60.

While a call with such a timeout is pending, other nodes are now asked every 0.5 s, as often as if the timeout had not grown. The store's answer ends a pending request. A version that another node sends meanwhile may be the one that the store's late answer announces as too large; the node then no longer counts as behind, which would cost a read of the full configuration.

In an outage of the store for all nodes, each sends six small requests a second to others instead of one and a half.

--- a/internal/feed/catchup.go
+++ b/internal/feed/catchup.go
@@ -35,8 +35,12 @@
 	return fd.isReader() || fd.failures >= maxFailures || fd.clock.Since(behindSince) > delay
 }
 
-// markBehind records that there is, or may be, a version that the copy lacks.
-func (fd *Feed) markBehind(maybeBehind bool) {
+// markBehind records that, according to a call that began with the given revision of the copy, there is, or may be, a
+// version that the copy lacks.
+func (fd *Feed) markBehind(had uint64, maybeBehind bool) {
+	if fd.revision() > had {
+		return // another node has sent a version since, which may be this one
+	}
 	fd.readersSkipped, fd.failures, fd.lastWasFull = 0, 0, false
 	fd.mu.Lock()
 	defer fd.mu.Unlock()
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -248,12 +248,17 @@
 	}
 	call, cancel := context.WithTimeout(ctx, wait+firstByteTimeout.Delay(fd.timeouts-1))
 	defer cancel()
-	sent := fd.clock.Now()
-	events, err := fd.store.WatchKey(call, fd.opts.Key, after, wait, fd.maxWatchSize())
+	maxSize := fd.maxWatchSize()
+	had, sent := fd.revision(), fd.clock.Now()
+	var events kv.Events
+	err := fd.callStore(ctx, wait, func() (err error) {
+		events, err = fd.store.WatchKey(call, fd.opts.Key, after, wait, maxSize)
+		return err
+	})
 	fd.recordCall(call, "watch", sent, err)
 	switch {
 	case errors.Is(err, kv.ErrTooLarge):
-		fd.markBehind(false)
+		fd.markBehind(had, false)
 		return nil
 	case errors.Is(err, kv.ErrCompacted):
 		fd.log.Info("Store no longer has the history for the watch; reading again.", "after", after)
@@ -276,12 +281,17 @@
 func (fd *Feed) read(ctx context.Context, maxSize int) error {
 	call, cancel := context.WithTimeout(ctx, firstByteTimeout.Delay(fd.timeouts-1))
 	defer cancel()
-	sent := fd.clock.Now()
-	item, at, err := fd.store.Get(call, fd.opts.Key, maxSize)
+	had, sent := fd.revision(), fd.clock.Now()
+	var item kv.Item
+	var at uint64
+	err := fd.callStore(ctx, 0, func() (err error) {
+		item, at, err = fd.store.Get(call, fd.opts.Key, maxSize)
+		return err
+	})
 	fd.recordCall(call, "read", sent, err)
 	switch {
 	case errors.Is(err, kv.ErrTooLarge):
-		fd.markBehind(true)
+		fd.markBehind(had, true)
 		return nil
 	case err != nil:
 		return err
@@ -291,18 +301,6 @@
 	return nil
 }
 
-// recordCall records whether a call to the store timed out, resets the timeout count after an answer, and logs a
-// failed call.
-func (fd *Feed) recordCall(call context.Context, name string, sent time.Time, err error) {
-	if err == nil || errors.Is(err, kv.ErrTooLarge) || errors.Is(err, kv.ErrCompacted) {
-		fd.timeouts, fd.timedOut = 0, false
-		return
-	}
-	fd.timedOut = errors.Is(call.Err(), context.DeadlineExceeded)
-	fd.log.V(1).Info("Call to the store failed.", "call", name, "duration", fd.clock.Since(sent).String(),
-		"timeouts", fd.timeouts, "reason", err.Error())
-}
-
 func (fd *Feed) resetWatch() {
 	fd.mu.Lock()
 	defer fd.mu.Unlock()
