memkv: do not answer a watch that was canceled before its answer began

TestRefreshAfterOutage failed in 27 of 10,000 runs on: "not true: age <= 20*time.Millisecond", once in 20 runs of internal/feed. The feed cancels its pending watch and sends another one. The stand-in did not look at the context during its 4 ms of latency, and if the wait of the watch was over by then, answered it at random: the copy's age then counted from up to 4 ms before the outage's end. A canceled call over HTTP has no answer, and the response to a watch has to begin before its deadline (kv.Store).

TestCanceledWatch failed in 10 of 10 runs before: "canceled watch: error <nil>, want store did not answer".

--- a/internal/standin/memkv/client.go
+++ b/internal/standin/memkv/client.go
@@ -114,6 +114,8 @@
 		switch {
 		case err != nil:
 			return kv.Events{}, err
+		case ctx.Err() != nil:
+			return kv.Events{}, kv.ErrNoAnswer
 		case compacted:
 			return kv.Events{}, kv.ErrCompacted
 		case len(events.Items) > 0:
