--- a/policy/cell/plan_bench_test.go
+++ b/policy/cell/plan_bench_test.go
@@ -201,6 +201,15 @@
 	}
 }
 
+// BenchmarkTickManyWorkers measures the periodic work for 3,000 workers without tasks.
+func BenchmarkTickManyWorkers(b *testing.B) {
+	const workers = 3000
+	cl := newTestCell(workers)
+	for b.Loop() {
+		cl.Tick(time.Second, 0)
+	}
+}
+
 // BenchmarkPlanManyWorkers measures a plan for 3,000 workers, of which a tenth run a task, with one task ending and
 // another one starting between two plans. Each worker reports once per second.
 func BenchmarkPlanManyWorkers(b *testing.B) {
--- a/policy/cell/progress.go
+++ b/policy/cell/progress.go
@@ -63,7 +63,7 @@
 // stopHungRuns stops tasks that make no progress, so that they restart on other workers.
 func (cl *Cell) stopHungRuns(now time.Duration) {
 	for _, wk := range cl.workers {
-		if now-wk.lastReport > maxProgressAge {
+		if len(wk.placements) == 0 || now-wk.lastReport > maxProgressAge {
 			continue
 		}
 		for _, pl := range wk.placements {
