planner: believe an earlier planner's "not renewed" only from the term before

A later one to which the worker answers renews the lease at once; if it loses the store before its own record is written, or the worker drains and gets none, the planner after it read the old record and started the worker's tasks elsewhere up to 4 s too early. In that time a task runs twice.

Such a record counts only if the previous planner wrote it.

--- a/internal/planner/load.go
+++ b/internal/planner/load.go
@@ -99,6 +99,7 @@
 func (ld *leader) restore(now time.Duration, items []kv.Item) {
 	var all []cell.Record
 	workers := map[incarnation.ID]cell.Record{}
+	ofPrevious := map[incarnation.ID]bool{} // whether the previous planner wrote the worker's record
 	stops := map[incarnation.ID][]cell.Run{}
 	for at, item := range items {
 		recs, err := joblog.Decode[[]cell.Record](item.Value)
@@ -107,15 +108,15 @@
 			continue
 		}
 		ld.records.keep(item.Key, recs)
-		ofPrevious := ld.isRecordOf(item.Key, ld.term.Previous.Token)
+		previous := ld.isRecordOf(item.Key, ld.term.Previous.Token)
 		for _, rec := range recs {
 			switch {
 			case rec.Stop && at >= len(items)-recentWrites:
 				stops[rec.Worker] = append(stops[rec.Worker], rec.Held...)
 			case rec.Worker != "" && !rec.Stop:
-				workers[rec.Worker] = rec
+				workers[rec.Worker], ofPrevious[rec.Worker] = rec, previous
 			case rec.LeasesResolved:
-				ld.inheritedLeases.ofPreviousOnly = ld.inheritedLeases.ofPreviousOnly || ofPrevious
+				ld.inheritedLeases.ofPreviousOnly = ld.inheritedLeases.ofPreviousOnly || previous
 			}
 		}
 		all = append(all, recs...)
@@ -130,7 +131,7 @@
 		if rec.Departed {
 			ld.cell.InheritDeparted(now, id)
 		}
-		if rec.Unrenewed {
+		if rec.Unrenewed && ofPrevious[id] { // a planner in between may have renewed the lease
 			ld.inheritedLeases.limit(id, ld.leaseBound()) // the record was written before the term began
 		}
 		ld.unresolved[id] = !rec.Closed
