planner: keep the inherited lease of a worker until it is renewed

If that term ended within 30 ms of the answer, the next planner was told that all leases had expired, and started the worker's task elsewhere after 60 to 70 ms.

A session keeps the end of the lease that the worker had when it first answered, bounded by one lease from then on, as a worker rejects renewals by earlier planners from its first answer to a later one. That also covers the earlier planner's estimate of the worker's clock.

--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -55,6 +55,8 @@
 	deadline    time.Duration
 	ended       bool
 	unreachable bool
+	// inheritedEnd is when the lease has surely expired that the worker had when it first answered.
+	inheritedEnd time.Duration
 	// expired is set from the end of the lease until the worker answers again.
 	expired bool
 	// unanswered is set if a call to the worker since its last report had no answer.
@@ -98,7 +100,7 @@
 // little of it is left, as before the first hold: the worker may be lost, and its lease would then expire later. The
 // caller holds the lock.
 func (se *session) startDeadline(now time.Duration) time.Duration {
-	if se.leaseEnd()-now > se.leader.lease/2 {
+	if se.deadline > 0 && se.leaseEnd()-now > se.leader.lease/2 {
 		se.leader.deadlineSent(now, se.incarnation)
 		return se.deadline
 	}
@@ -113,7 +115,7 @@
 	case !se.answered:
 		return se.leader.inheritedLeaseEnd(se.incarnation)
 	}
-	return se.heard + time.Duration(float64(se.deadline-se.clock)/(1-maxClockDrift))
+	return max(se.heard+time.Duration(float64(se.deadline-se.clock)/(1-maxClockDrift)), se.inheritedEnd)
 }
 
 // run sends holds to the worker until its incarnation or the term ends.
@@ -225,8 +227,9 @@
 		se.clock, se.heard = report.Clock, now
 	}
 	first := !se.answered
-	se.answered = true
 	if first {
+		se.inheritedEnd = min(se.leaseEnd(), now+ld.leaseBound()) // the worker rejects an earlier planner's renewals now
+		se.answered = true
 		se.resolveEarlier(now)
 	}
 	for _, en := range ld.cell.Report(now, se.incarnation, sent, report.Runs, report.Ends) {
