planner: no shorter wait for a worker that has restarted under its id

That planner keeps the run for 15 s; if another one takes over, its bound was the reported one and the task ran twice.

A request about a term that has ended no longer ends a later term of the same node.

--- a/internal/planner/inheritedleases.go
+++ b/internal/planner/inheritedleases.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"tackbeam.example/policy/incarnation"
@@ -27,12 +28,14 @@
 	// earlier planner have.
 	longest     time.Duration
 	unreachable map[incarnation.ID]time.Duration
+	// worstCase is longest as known from the beginning of the term alone.
+	worstCase time.Duration
 	// ofPreviousOnly is set if only the previous planner renewed any of them.
 	ofPreviousOnly bool
 }
 
 func (il *inheritedLeases) init(longest time.Duration) {
-	il.longest, il.unreachable = longest, map[incarnation.ID]time.Duration{}
+	il.longest, il.worstCase, il.unreachable = longest, longest, map[incarnation.ID]time.Duration{}
 }
 
 // limit adds an upper bound of the end of a worker's lease.
@@ -52,6 +55,10 @@
 // inheritedLeaseEnd returns when a worker that has not answered this planner has surely ended all its runs. The caller
 // holds the lock.
 func (ld *leader) inheritedLeaseEnd(id incarnation.ID) time.Duration {
+	if len(ld.earlier[id.WorkerID()]) > 1 {
+		// An order for an earlier incarnation may be carried out late, and then gives a lease that nobody knows of.
+		return ld.inheritedLeases.worstCase
+	}
 	if end, ok := ld.inheritedLeases.unreachable[id]; ok {
 		return min(end, ld.inheritedLeases.longest)
 	}
@@ -159,7 +166,7 @@
 	ld, ended := pl.leader, pl.ended
 	pl.mu.Unlock()
 	if ld != nil && ld.term.Token == rq.Term {
-		if rq.Later > rq.Term {
+		if rq.Later > rq.Term && ld.term.SinceRenewal() < math.MaxInt64 {
 			ld.term.StepDown("a later planner asks about leases")
 		}
 		return leases.Report{}, unavailable("the term has not ended")
