cell: record a draining worker that holds runs in each term

A worker that drains gets no record of a new planner, which removes the records of earlier ones after 10 s. The planner after that does not know of the worker, and if it cannot reach it, starts its tasks at once elsewhere while they run on.

The first report of a worker that gets no new runs but holds some is recorded, with these runs.

--- a/policy/cell/report.go
+++ b/policy/cell/report.go
@@ -14,7 +14,8 @@
 	if !ok {
 		return nil
 	}
-	if !wk.answered {
+	first := !wk.answered
+	if first {
 		wk.answered, wk.firstReport = true, now
 		cl.resolvePredecessors(now, id, runs, ends)
 	}
@@ -41,6 +42,9 @@
 			cl.runMissing(pl, sent)
 		}
 	}
+	if first && wk.openRecord == 0 && len(wk.placements) > 0 {
+		cl.record(wk.closed()) // the record of the planner that used it is removed
+	}
 	cl.throttle(now, wk)
 	return newEnds
 }
