cell: record that a lease is not renewed after two lost calls only

TestLostHoldInOutageEndsRuns fails on the code before for outages of 5, 6 and 7 s: 2 starts, want 1.

--- a/policy/cell/worker.go
+++ b/policy/cell/worker.go
@@ -117,9 +117,12 @@
 	if !ok {
 		return
 	}
+	repeated := wk.unreachable
 	cl.markUnreachable(now, wk)
 	wk.leaseEnd = leaseEnd
-	if wk.answered && !wk.unrenewed { // before its first answer, an earlier planner may renew its lease
+	// After a single lost call the lease must be renewed at once, also while the journal cannot be written. Before the
+	// worker's first answer, an earlier planner may renew its lease.
+	if repeated && wk.answered && !wk.unrenewed {
 		wk.unrenewed, wk.openRecord = true, 0
 		cl.record(wk.closed())
 		return
