cell: restart, reserve and preempt only for tasks known to have run

Restarts are the tasks that the cell knows to have run, each counted from when its last run was released; they are placed before others of their step, and only for them room is reserved and runs are stopped. During a recovery a step only requests tickets. The room that a stop makes is reserved in the next plan.

--- a/policy/cell/longrunning.go
+++ b/policy/cell/longrunning.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -25,19 +26,24 @@
 		return
 	}
 	for _, tk := range st.tasks {
-		if tk.hasRun() && !tk.done && tk.runs == 0 && tk.startFailures.retryAt <= now {
-			st.restarts++
+		if tk.run == 0 || tk.done || tk.runs > 0 || tk.startFailures.retryAt > now {
+			continue
+		}
+		if st.restarts++; st.restarts == 1 || tk.releasedAt < st.restartsSince {
+			st.restartsSince = tk.releasedAt
 		}
 	}
 }
 
-// hasRun reports whether the task has run before. The runs of an earlier planner are not all known; they are likely
-// if other tasks of the step run.
-func (tk *task) hasRun() bool {
-	st := tk.step
-	return tk.run > 0 || st.round.job.inherited && st.unplaced < len(st.tasks)
+// mayHaveRun reports whether a task that waits may have run under an earlier planner without the cell knowing: other
+// tasks of its step do.
+func (st *step) mayHaveRun() bool {
+	return st.def.LongRunning && !st.def.Gang && st.round.job.inherited && st.unplaced > 0 && st.unplaced < len(st.tasks)
 }
 
+// restartsFirst orders tasks that have run before others.
+func restartsFirst(a, b *task) int { return cmp.Compare(min(b.run, 1), min(a.run, 1)) }
+
 // expectRestarts counts the long-running tasks that will have to run again unless their worker answers before its
 // lease has expired.
 func (cl *Cell) expectRestarts() {
@@ -91,12 +97,13 @@
 // lacksNone reports whether all tasks of the step run and none of them is expected to be lost.
 func (st *step) lacksNone() bool { return st.unplaced+st.expected == 0 }
 
-// lacking is how many tasks of the step wait, as far as its workspace may have them running, or are expected to.
-func (cl *Cell) lacking(st *step) int { return cl.wanted(st) + st.expected }
+// lacking is how many tasks of the step wait to run again, as far as its workspace may have them running, or are
+// expected to.
+func (cl *Cell) lacking(st *step) int { return min(st.restarts, cl.allowance(st)) + st.expected }
 
 // restartAt is the earliest time at which a task of a step with restarts may run again.
 func (st *step) restartAt(now time.Duration) time.Duration {
-	if st.unplaced > 0 {
+	if st.restarts > 0 {
 		return now
 	}
 	return max(now, st.expectedFrom)
@@ -120,26 +127,35 @@
 		cl.preemptForRestart(now, st, free)
 	}
 	if mayRequest {
-		cl.requestForRestart(now, st, list)
+		cl.requestForRestart(now, st, list, cl.lacking(st))
 	}
 }
 
+// prepareRestart requests tickets for the tasks of a step that may not start before the recovery is complete.
+func (cl *Cell) prepareRestart(now time.Duration, st *step) {
+	if !cl.mayRequest(now, st) {
+		return
+	}
+	list := cl.openings(now, st, anyWorker)
+	sortOpenings(list)
+	cl.requestForRestart(now, st, list, cl.wanted(st)+st.expected)
+}
+
 // maxRestartDelay is how long after its worker's lease has expired a long-running task should run again.
 const maxRestartDelay = time.Second
 
 // preemptForRestart stops runs on allowed workers if too little room for the restarts is expected in time: what runs there
 // may last much longer. It does so as late as the time of a stop allows, since an unreachable worker may answer again.
 func (cl *Cell) preemptForRestart(now time.Duration, st *step, free []opening) {
-	leaseEnd := st.expectedFrom
-	if st.unplaced > 0 {
-		leaseEnd = st.lackingSince
+	leaseEnd, missing := st.expectedFrom, st.expected
+	if st.restarts > 0 {
+		leaseEnd, missing = st.restartsSince, min(st.restarts, cl.allowance(st))
 	}
 	stopped := now + cl.opts.StopTimeout + stopMargin
 	if stopped < leaseEnd || now < st.preemptAfter {
 		return
 	}
 	due := max(leaseEnd+maxRestartDelay, stopped)
-	missing := min(cl.lacking(st), st.restarts+st.expected)
 	for _, op := range free {
 		if op.at <= due {
 			missing--
@@ -151,6 +167,7 @@
 			return
 		}
 		st.preemptAfter = now + maxRestartDelay // the room may be refused, and must not be made again at once
+		st.selectedAt = 0                       // the next plan reserves the room that is made
 		cl.stop(pl, "room for a long-running task that lost its worker")
 	}
 }
@@ -203,7 +220,7 @@
 // requestForRestart requests verdicts on more workers as long as the allowed ones have too little room even when other
 // work has ended, and tickets for the allowed workers where room becomes free soonest. Tickets arrive shortly before a
 // task may run again, and are renewed before they expire. The openings are sorted by time.
-func (cl *Cell) requestForRestart(now time.Duration, st *step, list []opening) {
+func (cl *Cell) requestForRestart(now time.Duration, st *step, list []opening, lacking int) {
 	var ids []incarnation.ID
 	limit := minWorkers(st)
 	qu := st.round.job.spec.Queue
@@ -212,7 +229,7 @@
 		ids, _ = st.withoutTicket(list, cl.latestArrival(max(at, now+takes)))
 		ids = ids[:min(len(ids), limit)]
 	}
-	if want := restartMargin*cl.lacking(st) - len(list); want > 0 {
+	if want := restartMargin*lacking - len(list); want > 0 {
 		unknown := st.advice.withoutVerdict(cl.candidates(st, backward(cl.poolWorkers(st)), spreadCapacity))
 		ids = slices.Concat(ids, pickWorkers(unknown, float64(want), cl.queue(qu.Name).allowedShare, limit, maxRequestWorkers))
 	}
--- a/policy/cell/placement.go
+++ b/policy/cell/placement.go
@@ -104,6 +104,7 @@
 	delete(pl.worker.placements, ky)
 	pl.task.runs--
 	if st := pl.task.step; pl.task.runs == 0 && !pl.task.done {
+		pl.task.releasedAt = cl.now
 		if st.unplaced == 0 {
 			st.lackingSince = cl.now
 		}
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -132,9 +132,11 @@
 // them out.
 func (cl *Cell) planTasks(now time.Duration, rd ranked) {
 	st := rd.step
-	if cl.mayStart(st) {
-		cl.placeTasks(now, st)
+	if !cl.mayStart(st) {
+		cl.prepareRestart(now, st)
+		return
 	}
+	cl.placeTasks(now, st)
 	switch {
 	case st.restarting() && cl.lacking(st) > 0:
 		cl.reserveForRestart(now, st)
@@ -153,6 +155,9 @@
 	windowFull := false
 	if cands := cl.chooseWorkers(now, st); len(cands) > 0 {
 		tks := st.waiting(now)
+		if st.restarts > 0 {
+			slices.SortStableFunc(tks, restartsFirst)
+		}
 		for _, tk := range tks[:min(len(tks), cl.allowance(st))] {
 			i := firstFit(tk, cands)
 			if i < 0 {
--- a/policy/cell/rank.go
+++ b/policy/cell/rank.go
@@ -24,7 +24,7 @@
 		if st.expected == 0 && st.backsOff(now) {
 			continue
 		}
-		if cl.mayStart(st) || prepares && st.restarting() {
+		if cl.mayStart(st) || prepares && (st.restarting() || st.mayHaveRun()) {
 			list = append(list, ranked{cl.rank(now, st), st})
 		}
 	}
--- a/policy/cell/round.go
+++ b/policy/cell/round.go
@@ -29,6 +29,8 @@
 	unplaced int
 	// restarts counts those of them that have run before, if the step is long-running, in the current plan.
 	restarts int
+	// restartsSince is since when the first of these has waited.
+	restartsSince time.Duration
 	// expected counts its long-running tasks whose run is on an unreachable worker, expectedFrom is when the first of
 	// these may run again.
 	expected     int
@@ -69,12 +71,14 @@
 // task is one task. runs counts its runs that are, or may be, on workers. placement is the current one; the
 // others are being stopped.
 type task struct {
-	step          *step
-	index         int
-	done          bool
-	placement     *placement
-	runs          int
-	run           int
+	step      *step
+	index     int
+	done      bool
+	placement *placement
+	runs      int
+	run       int
+	// releasedAt is when the last of its runs was released.
+	releasedAt    time.Duration
 	failures      []int
 	crashes       crashes
 	startFailures startFailures
