--- a/internal/leases/leases.go
+++ b/internal/leases/leases.go
@@ -26,6 +26,6 @@
 	// Unreachable has the workers that did not answer when the term ended, with the time until their leases have surely
 	// expired. It may be negative.
 	Unreachable map[incarnation.ID]time.Duration `cbor:"4,keyasint,omitempty"`
-	// Longest is the time until the leases of all workers have surely expired.
-	Longest time.Duration `cbor:"5,keyasint,omitempty"`
+	// AllExpired is the time until the leases of all workers have surely expired.
+	AllExpired time.Duration `cbor:"5,keyasint,omitempty"`
 }
--- a/internal/planner/inheritedleases.go
+++ b/internal/planner/inheritedleases.go
@@ -24,18 +24,18 @@
 
 // inheritedLeases bounds the leases of workers that earlier planners renewed. Times count from the beginning of the term.
 type inheritedLeases struct {
-	// longest is when all of them have surely expired, unreachable when those of workers that did not answer the
+	// allExpired is when all of them have surely expired, unreachable when those of workers that did not answer the
 	// earlier planner have.
-	longest     time.Duration
+	allExpired  time.Duration
 	unreachable map[incarnation.ID]time.Duration
-	// worstCase is longest as known from the beginning of the term alone.
+	// worstCase is allExpired as known from the beginning of the term alone.
 	worstCase time.Duration
 	// ofPreviousOnly is set if only the previous planner renewed any of them.
 	ofPreviousOnly bool
 }
 
-func (il *inheritedLeases) init(longest time.Duration) {
-	il.longest, il.worstCase, il.unreachable = longest, longest, map[incarnation.ID]time.Duration{}
+func (il *inheritedLeases) init(allExpired time.Duration) {
+	il.allExpired, il.worstCase, il.unreachable = allExpired, allExpired, map[incarnation.ID]time.Duration{}
 }
 
 // limit adds an upper bound of the end of a worker's lease.
@@ -60,9 +60,9 @@
 		return ld.inheritedLeases.worstCase
 	}
 	if end, ok := ld.inheritedLeases.unreachable[id]; ok {
-		return min(end, ld.inheritedLeases.longest)
+		return min(end, ld.inheritedLeases.allExpired)
 	}
-	return ld.inheritedLeases.longest
+	return ld.inheritedLeases.allExpired
 }
 
 // expireLeases applies the ends of leases that are due. A hold to a dead worker takes up to holdSlack, so that its failure
@@ -97,7 +97,7 @@
 func (ld *leader) leasesUnknown() bool {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
-	return ld.now() <= ld.inheritedLeases.longest
+	return ld.now() <= ld.inheritedLeases.allExpired
 }
 
 // applyLeases applies the previous planner's report.
@@ -113,7 +113,7 @@
 				se.markUnreachable(now, "it did not answer the previous planner")
 			}
 		}
-		ld.inheritedLeases.longest = min(ld.inheritedLeases.longest, now+report.Longest)
+		ld.inheritedLeases.allExpired = min(ld.inheritedLeases.allExpired, now+report.AllExpired)
 	case report.Node == previous.Node:
 		// The process that led the term is dead. The planner before it may have renewed leases for some time after the
 		// election.
@@ -121,11 +121,11 @@
 		if !ld.inheritedLeases.ofPreviousOnly {
 			renewed = max(renewed, previous.SeenAt.Sub(ld.began)+maxUnrenewed)
 		}
-		ld.inheritedLeases.longest = min(ld.inheritedLeases.longest, renewed+ld.leaseBound())
+		ld.inheritedLeases.allExpired = min(ld.inheritedLeases.allExpired, renewed+ld.leaseBound())
 	}
 	ld.metrics.count("planner.lease_reports")
 	ld.log.Info("Leases of the previous planner are known.", "node", report.Node, "led", report.Led, "after", now.String(),
-		"until", ld.inheritedLeases.longest.String(), "unreachable", len(report.Unreachable))
+		"until", ld.inheritedLeases.allExpired.String(), "unreachable", len(report.Unreachable))
 	ld.expireLeases(now)
 	ld.checkRecovery(now)
 	ld.schedulePlan()
@@ -134,9 +134,9 @@
 // endedTerm is what is known of the leases of workers when a term has ended.
 type endedTerm struct {
 	token uint64
-	// longest is when the leases of all workers have surely expired, unreachable when those of workers that did not
+	// allExpired is when the leases of all workers have surely expired, unreachable when those of workers that did not
 	// answer have.
-	longest     time.Time
+	allExpired  time.Time
 	unreachable map[incarnation.ID]time.Time
 }
 
@@ -144,17 +144,17 @@
 func (ld *leader) endedTerm() *endedTerm {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
-	et := &endedTerm{token: ld.term.Token, longest: ld.clock.Now(), unreachable: map[incarnation.ID]time.Time{}}
+	et := &endedTerm{token: ld.term.Token, allExpired: ld.clock.Now(), unreachable: map[incarnation.ID]time.Time{}}
 	if !ld.cell.Recovered() || len(ld.unresolved) > 0 {
-		et.longest = ld.began.Add(ld.inheritedLeases.longest)
+		et.allExpired = ld.began.Add(ld.inheritedLeases.allExpired)
 	}
 	for id, se := range ld.sessions {
 		end := ld.began.Add(se.leaseEnd())
 		if se.unreachable {
 			et.unreachable[id] = end
 		}
-		if end.After(et.longest) {
-			et.longest = end
+		if end.After(et.allExpired) {
+			et.allExpired = end
 		}
 	}
 	return et
@@ -175,7 +175,7 @@
 	report := leases.Report{Uptime: now.Sub(pl.startedAt)}
 	switch {
 	case ended != nil && ended.token == rq.Term:
-		report.Led, report.Longest = true, ended.longest.Sub(now)
+		report.Led, report.AllExpired = true, ended.allExpired.Sub(now)
 		report.Unreachable = make(map[incarnation.ID]time.Duration, len(ended.unreachable))
 		for id, end := range ended.unreachable {
 			report.Unreachable[id] = end.Sub(now)
--- a/internal/planner/leaseend_test.go
+++ b/internal/planner/leaseend_test.go
@@ -81,8 +81,7 @@
 }
 
 // cutWorkers makes workers answer no more calls, except for a hold that is open, so that their runs go on until their leases
-// end. It returns the times of the first holds that
-// they do not answer, when the leases were last extended.
+// end. It returns the times of the first holds that they do not answer, when the leases were last extended.
 func (bd *testbed) cutWorkers(ids ...string) map[string]time.Time {
 	silentAt := map[string]time.Time{}
 	bd.fleet.SetFault(func(id, order string) memworkers.Fault {
--- a/internal/term/election.go
+++ b/internal/term/election.go
@@ -126,10 +126,7 @@
 func (er *Elector) applyItem(item kv.Item) {
 	switch {
 	case item.Key == joblog.TermNumber:
-		if number, err := strconv.Atoi(string(item.Value)); err == nil {
-			er.highestNumber = max(er.highestNumber, number)
-			er.latestToken = max(er.latestToken, item.Revision)
-		}
+		er.applyNumber(item)
 	case item.Key == joblog.Leader:
 		er.applyLeader(item)
 	case item.Key == joblog.Backlog:
@@ -147,6 +144,19 @@
 	}
 }
 
+// applyNumber applies the key of the term number. An outdated revision makes the next candidacy fail, whose answer has the
+// present one.
+func (er *Elector) applyNumber(item kv.Item) {
+	if item.Deleted {
+		er.latestToken = 0
+		return
+	}
+	er.latestToken = item.Revision
+	if number, err := strconv.Atoi(string(item.Value)); err == nil {
+		er.highestNumber = max(er.highestNumber, number)
+	}
+}
+
 // applyBacklog reports the planner's backlog; it is zero if the key is gone.
 func (er *Elector) applyBacklog(item kv.Item) {
 	if er.opts.OnBacklog == nil {
--- a/policy/cell/longrunning.go
+++ b/policy/cell/longrunning.go
@@ -97,9 +97,11 @@
 // lacksNone reports whether all tasks of the step run and none of them is expected to be lost.
 func (st *step) lacksNone() bool { return st.unplaced+st.expected == 0 }
 
-// lacking is how many tasks of the step wait to run again, as far as its workspace may have them running, or are
+// lackingRestarts is how many tasks of the step wait to run again, as far as its workspace may have them running, or are
 // expected to.
-func (cl *Cell) lacking(st *step) int { return min(st.restarts, cl.allowance(st)) + st.expected }
+func (cl *Cell) lackingRestarts(st *step) int {
+	return min(st.restarts, cl.allowance(st)) + st.expected
+}
 
 // restartAt is the earliest time at which a task of a step with restarts may run again.
 func (st *step) restartAt(now time.Duration) time.Duration {
@@ -122,12 +124,12 @@
 	if reselect {
 		st.selectedAt = now
 		free := slices.DeleteFunc(slices.Clone(list), func(op opening) bool { return !st.mayReserve(op.worker) })
-		chosen, _ := earliestOpenings(free, min(cl.lacking(st), len(free)))
+		chosen, _ := earliestOpenings(free, min(cl.lackingRestarts(st), len(free)))
 		cl.setReservation(st, chosen)
 		cl.preemptForRestart(now, st, free)
 	}
 	if mayRequest {
-		cl.requestForRestart(now, st, list, cl.lacking(st))
+		cl.requestForRestart(now, st, list, cl.lackingRestarts(st))
 	}
 }
 
--- a/policy/cell/messages.go
+++ b/policy/cell/messages.go
@@ -147,11 +147,11 @@
 	Departed  bool `cbor:"12,keyasint,omitempty"`
 	// LostWorker is the worker that was lost with a crashed run.
 	LostWorker incarnation.ID `cbor:"13,keyasint,omitempty"`
-	// Unrenewed marks a closed worker that does not answer and whose lease is not renewed from now on.
-	Unrenewed bool `cbor:"15,keyasint,omitempty"`
 	// LeasesResolved says that no lease which an earlier planner renewed protects a run any more: it has expired, or its
 	// worker has answered this planner.
 	LeasesResolved bool `cbor:"14,keyasint,omitempty"`
+	// Unrenewed marks a closed worker that does not answer and whose lease is not renewed from now on.
+	Unrenewed bool `cbor:"15,keyasint,omitempty"`
 }
 
 // Output holds the orders to workers, the requests and the records that a cell has produced.
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -138,7 +138,7 @@
 	}
 	cl.placeTasks(now, st)
 	switch {
-	case st.restarting() && cl.lacking(st) > 0:
+	case st.restarting() && cl.lackingRestarts(st) > 0:
 		cl.reserveForRestart(now, st)
 	case cl.wanted(st) == 0:
 	case st.urgent():
