planner, feed: tests in a bubble use a clock that the race detector bears

make race ended once in internal/planner with "ThreadSanitizer: CHECK failed: tsan_rtl.cpp:346 ((exiting || thr->fast_state.epoch() == kEpochLast)) != (0)", without a race. The runtime (go1.26.8, time.go, unlockAndRun) gives all timers of a synctest bubble one race context and does not lock it. The bubble runs its timers one after the other, but a timer that is set to the present time, and a channel timer or ticker that has expired without a receiver, is run by the goroutine that uses it. Two at once use one thread state of the detector.

The clock of internal/standin/bubbleclock sets its timers by AfterFunc to later times only, which the bubble itself runs.

--- a/internal/feed/storecall_test.go
+++ b/internal/feed/storecall_test.go
@@ -10,13 +10,13 @@
 	"time"
 
 	"github.com/go-logr/logr"
-	"github.com/jonboulle/clockwork"
 
 	"tackbeam.example/tackbeam/internal/feed"
 	"tackbeam.example/tackbeam/internal/joblog"
 	"tackbeam.example/tackbeam/internal/kv"
 	"tackbeam.example/tackbeam/internal/routediff"
 	"tackbeam.example/tackbeam/internal/routes"
+	"tackbeam.example/tackbeam/internal/standin/bubbleclock"
 )
 
 // TestLongTimeoutKeepsCopyFresh guards against a node that asks others less often while its calls to the store time
@@ -84,7 +84,7 @@
 func TestLateNoticeOfKnownChange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		an := &announcer{sent: make(chan struct{})}
-		fd := feed.New(clockwork.NewRealClock(), logr.Discard(), an.store(), an.options())
+		fd := feed.New(bubbleclock.New(), logr.Discard(), an.store(), an.options())
 		ctx, cancel := context.WithCancel(t.Context())
 		var running sync.WaitGroup
 		running.Go(func() { fd.Run(ctx) })
--- a/internal/feed/testbed_test.go
+++ b/internal/feed/testbed_test.go
@@ -11,7 +11,6 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-logr/logr"
-	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
 	"tackbeam.example/policy/work"
@@ -21,6 +20,7 @@
 	"tackbeam.example/tackbeam/internal/joblog"
 	"tackbeam.example/tackbeam/internal/kv"
 	"tackbeam.example/tackbeam/internal/routes"
+	"tackbeam.example/tackbeam/internal/standin/bubbleclock"
 	"tackbeam.example/tackbeam/internal/standin/memkv"
 	"tackbeam.example/tackbeam/internal/standin/vmclock"
 )
@@ -115,7 +115,7 @@
 
 // newTestbed starts nodes with fast and with small links and a first version.
 func newTestbed(t *testing.T, fast, small, count int) *testbed {
-	bd := &testbed{t: t, mem: memkv.New(clockwork.NewRealClock()), out: link{mbps: storeLink}, versions: map[uint64]*routes.Config{}}
+	bd := &testbed{t: t, mem: memkv.New(bubbleclock.New()), out: link{mbps: storeLink}, versions: map[uint64]*routes.Config{}}
 	bd.write(count, 0)
 	for n := range fast + small {
 		mbps := float64(smallLink)
@@ -181,7 +181,7 @@
 
 // start runs the node's feed until the test ends.
 func (nd *node) start() {
-	clock, err := vmclock.New(clockwork.NewRealClock(), func() time.Duration { return time.Duration(nd.suspended.Load()) })
+	clock, err := vmclock.New(bubbleclock.New(), func() time.Duration { return time.Duration(nd.suspended.Load()) })
 	if err != nil {
 		nd.testbed.t.Fatal(err)
 	}
@@ -325,7 +325,7 @@
 // wait waits until the given time, and reports whether neither a reset nor the context ended it before.
 func wait(ctx context.Context, reset <-chan struct{}, end time.Time) bool {
 	select {
-	case <-time.After(time.Until(end)):
+	case <-bubbleclock.New().After(time.Until(end)):
 		return true
 	case <-reset:
 	case <-ctx.Done():
--- a/internal/planner/terms_test.go
+++ b/internal/planner/terms_test.go
@@ -64,7 +64,7 @@
 				first, _ := bd.addPair()
 				token := first.currentTerm().Token
 				bd.store.SetFault(tc.fault)
-				time.AfterFunc(tc.lasts, func() { bd.store.SetFault(commits("", memkv.None)) })
+				bd.clock.AfterFunc(tc.lasts, func() { bd.store.SetFault(commits("", memkv.None)) })
 				tc.end(first)
 				time.Sleep(100 * time.Millisecond)
 				const within = 5 * time.Second // more than twice the TTL of the lease
--- a/internal/planner/testbed_test.go
+++ b/internal/planner/testbed_test.go
@@ -27,6 +27,7 @@
 	"tackbeam.example/tackbeam/internal/leases"
 	"tackbeam.example/tackbeam/internal/planner"
 	"tackbeam.example/tackbeam/internal/site"
+	"tackbeam.example/tackbeam/internal/standin/bubbleclock"
 	"tackbeam.example/tackbeam/internal/standin/memkv"
 	"tackbeam.example/tackbeam/internal/standin/memworkers"
 	"tackbeam.example/tackbeam/internal/standin/vmclock"
@@ -111,7 +112,7 @@
 }
 
 func newTestbed(t *testing.T, run time.Duration, workers ...string) *testbed {
-	clock := clockwork.NewRealClock() // of the bubble
+	clock := bubbleclock.New()
 	bd := &testbed{
 		t: t, clock: clock, store: memkv.New(clock), fleet: memworkers.New(clock, run), nodes: map[string]*node{},
 		accepted: work.Queue{Name: "q", Service: "svc", Attempts: 3, Stretch: 2, Target: time.Second},
