--- a/internal/planner/drainingrecord_test.go
+++ b/internal/planner/drainingrecord_test.go
@@ -23,9 +23,7 @@
 				run := bd.lastStart("service").run
 				first.term.Resign(t.Context())
 				first.cancel()
-				for bd.leader() != second {
-					time.Sleep(time.Millisecond)
-				}
+				bd.awaitLeader(second)
 				bd.addNode("n3").cut(worker)
 				time.Sleep(led)
 				second.term.Resign(t.Context())
--- a/internal/planner/firstanswer_test.go
+++ b/internal/planner/firstanswer_test.go
@@ -21,9 +21,7 @@
 				run := bd.lastStart("service").run
 				first.term.Resign(t.Context())
 				first.cancel()
-				for bd.leader() != second {
-					time.Sleep(time.Millisecond)
-				}
+				bd.awaitLeader(second)
 				time.Sleep(delay)
 				bd.addNode("n3").cut(worker)
 				time.Sleep(delay)
--- a/internal/planner/incarnationhandover_test.go
+++ b/internal/planner/incarnationhandover_test.go
@@ -31,17 +31,7 @@
 		bd.restart(away, "w1")
 		bd.addWorker("w2")
 		time.Sleep(away + time.Millisecond)
-		calls := 0
-		bd.fleet.SetFault(func(worker, order string) memworkers.Fault {
-			if worker != "w1" || order != "hold" {
-				return memworkers.None
-			}
-			// The first call uses a connection that has ended, the second one is answered.
-			if calls++; calls <= 2 {
-				return memworkers.None
-			}
-			return memworkers.RequestLost
-		})
+		bd.answerOneHold("w1")
 		time.Sleep(1500 * time.Millisecond)
 		first.term.Resign(t.Context())
 		for began := time.Now(); bd.lastStart("a").worker != "w2" && time.Since(began) < maxWait; {
--- a/internal/planner/restarts_test.go
+++ b/internal/planner/restarts_test.go
@@ -507,17 +507,7 @@
 		bd.addWorker("w2")
 		bd.restart(200*time.Millisecond, "w1")
 		time.Sleep(201 * time.Millisecond) // the next incarnation has just begun
-		calls := 0
-		bd.fleet.SetFault(func(worker, order string) memworkers.Fault {
-			if worker != "w1" || order != "hold" {
-				return memworkers.None
-			}
-			// The first call uses a connection that has ended, the second one is answered.
-			if calls++; calls <= 2 {
-				return memworkers.None
-			}
-			return memworkers.RequestLost
-		})
+		bd.answerOneHold("w1")
 		time.Sleep(6 * time.Second)
 		if starts := len(bd.fleet.Starts()); starts != 2 {
 			t.Errorf("%d starts 6 s after the restart, want 2", starts)
@@ -546,17 +536,7 @@
 		bd.restart(away, "w1")
 		bd.addWorker("w2")
 		time.Sleep(away + time.Millisecond)
-		calls := 0
-		bd.fleet.SetFault(func(worker, order string) memworkers.Fault {
-			if worker != "w1" || order != "hold" {
-				return memworkers.None
-			}
-			// The first call uses a connection that has ended, the second one is answered.
-			if calls++; calls <= 2 {
-				return memworkers.None
-			}
-			return memworkers.RequestLost
-		})
+		bd.answerOneHold("w1")
 		time.Sleep(15*time.Second - away - 100*time.Millisecond)
 		if starts := len(bd.fleet.Starts()); starts != 0 {
 			t.Errorf("%d starts within 15 s after the last order", starts)
--- a/internal/planner/testbed_test.go
+++ b/internal/planner/testbed_test.go
@@ -274,6 +274,28 @@
 	return nil
 }
 
+// awaitLeader waits until a node plans.
+func (bd *testbed) awaitLeader(nd *node) {
+	for bd.leader() != nd {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// answerOneHold makes a worker that has just restarted answer the first hold that reaches it, and no later one. The call
+// before that fails, since its connection has ended.
+func (bd *testbed) answerOneHold(id string) {
+	calls := 0
+	bd.fleet.SetFault(func(worker, order string) memworkers.Fault {
+		if worker != id || order != "hold" {
+			return memworkers.None
+		}
+		if calls++; calls <= 2 {
+			return memworkers.None
+		}
+		return memworkers.RequestLost
+	})
+}
+
 func (bd *testbed) submit(nd *node, id string, tasks int) {
 	bd.t.Helper()
 	bd.submitJob(nd, &work.Job{
--- a/internal/planner/unrenewed_test.go
+++ b/internal/planner/unrenewed_test.go
@@ -42,9 +42,7 @@
 		time.Sleep(2900 * time.Millisecond) // the planner has recorded that the worker does not answer
 		first.stopped.Store(true)
 		first.term.Resign(t.Context())
-		for bd.leader() != second {
-			time.Sleep(time.Millisecond)
-		}
+		bd.awaitLeader(second)
 		time.Sleep(20 * time.Millisecond) // the worker has answered, and the record of that is not written yet
 		setCutOff("n2")
 		second.stopped.Store(true)
@@ -70,9 +68,7 @@
 		time.Sleep(2900 * time.Millisecond) // the planner has recorded that the worker does not answer
 		first.term.Resign(t.Context())
 		first.cancel()
-		for bd.leader() != second {
-			time.Sleep(time.Millisecond)
-		}
+		bd.awaitLeader(second)
 		third := bd.addNode("n3")
 		third.cut(worker)
 		time.Sleep(10 * time.Second)
