--- a/internal/planner/inheritedleases.go
+++ b/internal/planner/inheritedleases.go
@@ -163,8 +163,8 @@
 // Leases answers a request about the leases of a term.
 func (pl *Planner) Leases(rq leases.Request) (leases.Report, error) {
 	pl.mu.Lock()
+	defer pl.mu.Unlock()
 	ld, ended := pl.leader, pl.ended
-	pl.mu.Unlock()
 	if ld != nil && ld.term.Token == rq.Term {
 		if rq.Later > rq.Term && ld.term.SinceRenewal() < math.MaxInt64 {
 			ld.term.StepDown("a later planner asks about leases")
@@ -182,6 +182,8 @@
 		}
 	case ended != nil && ended.token > rq.Term || ld != nil && ld.term.Token > rq.Later:
 		return leases.Report{}, unavailable("the node has led a later term")
+	default:
+		pl.disclaimed = max(pl.disclaimed, rq.Term)
 	}
 	return report, nil
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -71,6 +71,8 @@
 	leader *leader
 	// ended is the latest term that has ended, nil if none has.
 	ended *endedTerm
+	// disclaimed is the latest term of which another planner was told that this process has not led it.
+	disclaimed uint64
 }
 
 // New returns a planner that does not lead.
@@ -81,15 +83,23 @@
 // Lead plans until ctx is done.
 func (pl *Planner) Lead(ctx context.Context, tm term.Term) {
 	ld := newLeader(pl.opts, pl.log.WithValues("token", tm.Token), tm)
-	pl.begin(ld)
+	if !pl.begin(ld) {
+		tm.StepDown("a later planner was told that this node has not led the term")
+		return
+	}
 	defer pl.end(ld)
 	ld.run(ctx)
 }
 
-func (pl *Planner) begin(ld *leader) {
+// begin reports whether the term may begin.
+func (pl *Planner) begin(ld *leader) bool {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
+	if ld.term.Token <= pl.disclaimed {
+		return false
+	}
 	pl.leader = ld
+	return true
 }
 
 func (pl *Planner) end(ld *leader) {
