--- a/internal/standin/memworkers/memworkers.go
+++ b/internal/standin/memworkers/memworkers.go
@@ -46,7 +46,9 @@
 	run   time.Duration
 	crash crashRule
 	// starts are all executed starts in order.
-	starts     []cell.Start
+	starts []cell.Start
+	// startLog describes each start in starts, with its time.
+	startLog   []string
 	violations []string
 	// done are the tasks whose successful end was acknowledged.
 	done map[work.Task]bool
@@ -106,6 +108,19 @@
 	return slices.Clone(fl.starts)
 }
 
+// StartLog describes the executed starts of a job's tasks in order.
+func (fl *Fleet) StartLog(job string) []string {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	var log []string
+	for n, sr := range fl.starts {
+		if sr.Task.Job == job {
+			log = append(log, fl.startLog[n])
+		}
+	}
+	return log
+}
+
 // Violations returns the violated invariants: two concurrent runs of a task, a start of a task whose successful end was
 // acknowledged, or a start over a limit or a worker's capacity.
 func (fl *Fleet) Violations() []string {
@@ -287,6 +302,7 @@
 			fl.wakeHolds() // the run is done
 		})
 		fl.starts = append(fl.starts, sr)
+		fl.startLog = append(fl.startLog, fl.describeStart(wk, sr))
 		if fl.crash.triggers(sr) {
 			fl.clock.AfterFunc(crashDelay, func() { fl.Crash(to.Incarnation.WorkerID()) })
 		}
