cell: keep a held run that an earlier planner was stopping

A start could exceed a worker's capacity, and a task could run twice at a time, just after a change of planner: in TestCrashesAreBounded/flood with recorded starts, "start of a50.0.0.3 exceeds the capacity of worker w28.818". Not seen outside tests.

Cause: the next planner places the runs that a closed worker holds, and then those that were being stopped; the second step skipped a run that was placed already. It counted as running, and a report that omitted it released it at once, although a worker omits a run as soon as it has the stop, up to the time of a stop (0.9 s) before the run is gone.

Such a run is now taken as being stopped, so that it is kept for that time. Its loss with the worker still counts as a crash, since the worker did hold it; a run that is known only from the record of its stop does not count, as before.

TestInheritedStopOfHeldRun on the code before: throttle_test.go:177: 0 != 1 It passes now, and so do TestInvariants, TestCrashesAreBounded and internal/planner.

--- a/policy/cell/crash.go
+++ b/policy/cell/crash.go
@@ -95,7 +95,8 @@
 	unexplained := !cl.correlated(wk)
 	for _, pl := range lost {
 		tk := pl.task
-		if pl.inherited || tk.done || tk.step.round.job.phase.Ended() || cl.harmless(wk, pl) {
+		// A run that is known only from the record of its stop may have ended before.
+		if pl.inherited && !pl.adopted || tk.done || tk.step.round.job.phase.Ended() || cl.harmless(wk, pl) {
 			continue
 		}
 		cl.attributeCrash(now, pl, unexplained)
--- a/policy/cell/throttle_test.go
+++ b/policy/cell/throttle_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"tackbeam.example/policy/cell"
 	"tackbeam.example/policy/incarnation"
 	"tackbeam.example/policy/size"
@@ -161,6 +163,23 @@
 	}
 }
 
+// TestInheritedStopOfHeldRun guards against a task that runs twice at a time: the earlier planner recorded that the
+// worker holds the run, and that it is being stopped.
+func TestInheritedStopOfHeldRun(t *testing.T) {
+	const stopTime = time.Second
+	is := is.New(t)
+	cl := cell.New(cell.Options{Retention: time.Minute, FirstRun: 65, StopTimeout: stopTime})
+	cl.Add(0, batchJob("a", 1), true)
+	runs := []cell.Run{{Task: work.Task{Job: "a"}, Number: 1}}
+	cl.InheritRuns(0, "w1", runs)
+	cl.InheritStops(0, "w1", runs)
+	cl.Report(1, "w1", 1, nil, nil) // a worker omits a run that it is stopping
+	is.Equal(len(cl.HeldRuns("w1")), 1)
+	over := 2 * stopTime
+	cl.Report(over, "w1", over, nil, nil)
+	is.Equal(len(cl.HeldRuns("w1")), 0)
+}
+
 // TestTwoRuns has runs of one task from two planners on two workers. The older run is stopped, and the task does not
 // start again while either run exists.
 func TestTwoRuns(t *testing.T) {
--- a/policy/cell/worker.go
+++ b/policy/cell/worker.go
@@ -143,10 +143,13 @@
 	wk := cl.workers[id]
 	for _, rn := range runs {
 		tk := cl.findTask(rn.Task)
-		if tk == nil || wk.placements[placementKey{rn.Task, rn.Number}] != nil {
+		if tk == nil {
 			continue
 		}
-		pl := cl.place(now, tk, wk, rn.Number)
+		pl := wk.placements[placementKey{rn.Task, rn.Number}]
+		if pl == nil {
+			pl = cl.place(now, tk, wk, rn.Number)
+		}
 		pl.state, pl.inherited = stopping, true
 	}
 }
