cell: record the starts that follow a first crash

What callers saw: a job that crashes its workers was started six times where users allow five (two after the third crash).

A planner that cannot write goes on starting tasks until its term ends (1b: the crash is attributed, the task starts again 1 ms later, and neither record is written), and which task ran on a worker that was lost with its planner stands nowhere (1a). maxCrashes leaves room for one such crash.

Change: starts after a first crash are recorded with their workers before they are sent. These are the starts of a task to which a crash is attributed and, once a planner has lost a worker on which its predecessor may have started anything, of all unfinished jobs that it inherited; that a job is among them is recorded too. The next planner takes a recorded start for a run on that worker until the worker reports without it.

Why it works: a task has at most one start that is neither recorded nor attributed, its first, and four that are counted: five.

While the store does not answer, such a task does not start; `waits_for` says commit.

Tests that read the starts of a suspect now commit the records first.

--- a/internal/planner/crashes_test.go
+++ b/internal/planner/crashes_test.go
@@ -111,25 +111,33 @@
 	}
 }
 
-// TestCrashesOutlivePlanners stops the planner after each crash, before and after it can detect the crash. The limit
+// TestCrashesOutlivePlanners stops planners after crashes, before and after they can detect and record them. The limit
 // must hold across planners.
 func TestCrashesOutlivePlanners(t *testing.T) {
-	const soon, late = 300 * time.Millisecond, backAfter + 700*time.Millisecond
+	const atOnce, soon, late = 20 * time.Millisecond, 300 * time.Millisecond, backAfter + 700*time.Millisecond
 	for name, tt := range map[string]struct {
 		diesAfter time.Duration
 		back      ids
+		// every is the number of crashes of which a planner dies at the last.
+		every int
 	}{
-		"before the worker is back":           {soon, newIDs},
-		"after it is back":                    {late, newIDs},
-		"before it is back, under its own id": {soon, ownIDs},
-		"after it is back, under its own id":  {late, ownIDs},
+		"before the worker is back":                            {soon, newIDs, 1},
+		"after it is back":                                     {late, newIDs, 1},
+		"before it is back, under its own id":                  {soon, ownIDs, 1},
+		"after it is back, under its own id":                   {late, ownIDs, 1},
+		"before the crash is recorded":                         {atOnce, newIDs, 1},
+		"before the crash is recorded, under its own id":       {atOnce, ownIDs, 1},
+		"before the last two crashes are recorded":             {atOnce, newIDs, 2},
+		"before the last two are recorded, under its own id":   {atOnce, ownIDs, 2},
+		"before the last three are recorded":                   {atOnce, newIDs, 3},
+		"before the last three are recorded, under its own id": {atOnce, ownIDs, 3},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				bd := newTestbed(t, 700*time.Millisecond, "w1", "w2", "w3", "w4", "w5", "w6")
 				defer bd.end()
 				bd.crashOn(tt.back, "bad")
-				bd.dieAtCrashes(tt.diesAfter)
+				bd.dieAtCrashes(tt.diesAfter, tt.every)
 				bd.checkBound("bad")
 				bd.await("bad", cell.Failed, 10*time.Second)
 			})
@@ -137,16 +145,16 @@
 	}
 }
 
-// dieAtCrashes has each of a series of planners start a task that crashes its worker, and stops the planner some time
-// later.
-func (bd *testbed) dieAtCrashes(after time.Duration) {
+// dieAtCrashes has each of a series of planners start a task that crashes its workers a number of times, and stops the
+// planner some time after the last one.
+func (bd *testbed) dieAtCrashes(after time.Duration, every int) {
 	const planners = 12
 	nd := bd.addNode("n0")
 	bd.submit(nd, "bad", 1)
 	crashes := 0
 	starts := func() int { return bd.startsOf("bad")[work.Task{Job: "bad"}] }
 	for next := 1; next < planners; next++ {
-		for waited := 0; waited < maxPolls && starts() == crashes; waited++ {
+		for waited := 0; waited < maxPolls*every && starts() < crashes+every; waited++ {
 			time.Sleep(10 * time.Millisecond)
 		}
 		crashes = starts()
--- a/internal/planner/incarnation.go
+++ b/internal/planner/incarnation.go
@@ -139,7 +139,7 @@
 		if _, old := ld.unresolved[inc]; old && inc != se.incarnation {
 			ld.log.Info("Worker's incarnation is over.", "worker", inc)
 			ld.cell.Restarted(now, inc, se.incarnation, now)
-			delete(ld.unresolved, inc)
+			ld.resolveLost(inc)
 		}
 	}
 	delete(ld.unresolved, se.incarnation)
--- a/internal/planner/load.go
+++ b/internal/planner/load.go
@@ -122,6 +122,12 @@
 		all = append(all, recs...)
 	}
 	ld.cell.Restore(now, all)
+	for id, runs := range ld.cell.RecordedStarts() {
+		rec, known := workers[id]
+		workers[id] = cell.Record{
+			Worker: id, Closed: !known || rec.Gone || rec.Closed, Held: append(rec.Held, runs...), Departed: rec.Departed, Unrenewed: rec.Unrenewed,
+		}
+	}
 	for id, rec := range workers {
 		if rec.Gone {
 			continue
@@ -184,7 +190,15 @@
 }
 
 func (ld *leader) expireOld(now time.Duration, id incarnation.ID) {
-	delete(ld.unresolved, id)
+	ld.resolveLost(id)
 	ld.cell.LeaseExpired(now, id)
 	ld.log.Info("Lease of an earlier planner's worker has expired.", "worker", id)
 }
+
+// resolveLost ends the wait for a worker of an earlier planner that was lost. The caller holds the lock.
+func (ld *leader) resolveLost(id incarnation.ID) {
+	if ld.unresolved[id] {
+		ld.cell.RecordUnknownLoss()
+	}
+	delete(ld.unresolved, id)
+}
--- a/internal/planner/planloop.go
+++ b/internal/planner/planloop.go
@@ -96,7 +96,7 @@
 		}
 		if rec.Result == cell.ResultCrashed {
 			crashes, blamed := ld.cell.CrashCounts(*rec.Task)
-			ld.log.Info("Crash was attributed to a run.", "task", rec.Task.String(), "run", rec.Run, "worker", rec.LostWorker,
+			ld.log.Info("Crash was attributed to a run.", "task", rec.Task.String(), "run", rec.Run, "worker", rec.RunWorker,
 				"crashes", crashes, "blamed", blamed)
 		}
 	}
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -283,7 +283,7 @@
 	if !se.expired && ld.cell.MayHoldRuns(se.incarnation) {
 		ld.log.Info("Worker's lease has expired.", "worker", se.incarnation, "silent_for", (now - se.heard).String())
 	}
-	delete(ld.unresolved, se.incarnation)
+	ld.resolveLost(se.incarnation)
 	se.lose(func() { ld.cell.LeaseExpired(now, se.incarnation) })
 	se.answered, se.expired = false, true
 	se.heard = now
@@ -308,7 +308,7 @@
 		return
 	}
 	ld.log.Info("Worker's incarnation is over.", "worker", se.incarnation)
-	delete(ld.unresolved, se.incarnation)
+	ld.resolveLost(se.incarnation)
 	se.lose(update)
 	se.end()
 	se.startOther()
--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -62,6 +62,9 @@
 	out      Output
 	// stops are held back until the journal has their records.
 	stops []journaledStop
+	// starts are held back likewise (see recordStart). recordedStarts are the workers of the runs whose starts were recorded.
+	starts         []journaledStart
+	recordedStarts map[placementKey]incarnation.ID
 	// recorded counts all records so far, committed those that the journal has.
 	recorded, committed int
 	recovered           bool
@@ -98,6 +101,7 @@
 		window: window{limit: opts.InitialWindow},
 		open:   map[*step]bool{}, pools: map[string]*pool{}, queues: map[string]*queue{}, cancels: map[string]cancel{}, quota: quota.New(),
 		services: map[string]bool{}, attributions: map[incarnation.ID]attribution{}, predecessors: map[string][]predecessor{},
+		recordedStarts: map[placementKey]incarnation.ID{},
 	}
 }
 
@@ -115,6 +119,7 @@
 		cl.out.Stops = append(cl.out.Stops, cl.stops[0].Stop)
 		cl.stops = cl.stops[1:]
 	}
+	cl.releaseStarts()
 	out := cl.out
 	cl.out = Output{}
 	out.Stops = slices.DeleteFunc(out.Stops, func(sp Stop) bool {
--- a/policy/cell/crash.go
+++ b/policy/cell/crash.go
@@ -99,7 +99,7 @@
 		if pl.inherited && !pl.adopted || tk.done || tk.step.round.job.phase.Ended() || cl.harmless(wk, pl) {
 			continue
 		}
-		cl.attributeCrash(now, pl, unexplained)
+		cl.attributeCrash(now, pl, unexplained && !cl.mayNotHaveBegun(pl))
 		if tk.crashes.exceeded() {
 			exceeded = append(exceeded, tk)
 		}
@@ -113,7 +113,7 @@
 		return
 	}
 	name, id := pl.task.name(), pl.worker.ID
-	cl.record(Record{Job: name.Job, Task: &name, Result: ResultCrashed, Run: pl.run, Explained: !unexplained, LostWorker: id})
+	cl.record(Record{Job: name.Job, Task: &name, Result: ResultCrashed, Run: pl.run, Explained: !unexplained, RunWorker: id})
 	cl.keepAttribution(now, id, Run{Task: name, Number: pl.run})
 }
 
--- a/policy/cell/crash_test.go
+++ b/policy/cell/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -161,7 +162,7 @@
 	}
 	ct.takeOutput()
 	ct.cell.Plan(ct.now)
-	starts := ct.takeOutput().Starts
+	starts := slices.Concat(ct.takeOutput().Starts, ct.takeOutput().Starts) // some wait for the records of the first output
 	if len(starts) == 0 {
 		return cell.Start{}, false
 	}
@@ -301,12 +302,12 @@
 	submitStep(cl, "good", step, qu)
 	place := func() map[string]cell.Start {
 		cl.Plan(0)
+		cl.SetCommitted(cl.RecordCount())
 		placed := map[string]cell.Start{}
 		for _, sr := range cl.TakeOutput().Starts {
 			cl.Started(0, sr)
 			placed[sr.Task.Job] = sr
 		}
-		cl.SetCommitted(cl.RecordCount())
 		return placed
 	}
 	placed := place()
--- a/policy/cell/job.go
+++ b/policy/cell/job.go
@@ -11,7 +11,9 @@
 	spec *work.Job
 	// inherited jobs were accepted before this planner took over: workers may hold their tasks.
 	inherited bool
-	arrivedAt time.Duration
+	// mayHaveCrashed is set if its tasks may have run on a worker that was lost, without a record of that.
+	mayHaveCrashed bool
+	arrivedAt      time.Duration
 	// excess jobs exceed the rate that their workspace is entitled to.
 	excess         bool
 	rounds         map[int]*round
@@ -89,7 +91,15 @@
 		}
 	}
 	for _, rec := range recs {
-		if jb, ok := cl.jobs[rec.Job]; ok && rec.Task != nil && !jb.phase.Ended() {
+		jb, ok := cl.jobs[rec.Job]
+		if !ok || jb.phase.Ended() {
+			continue
+		}
+		jb.mayHaveCrashed = jb.mayHaveCrashed || rec.MayHaveCrashed
+		if rec.Started != nil {
+			cl.restoreStart(now, jb, rec)
+		}
+		if rec.Task != nil {
 			cl.restore(now, jb, rec)
 		}
 	}
@@ -108,13 +118,14 @@
 		return
 	}
 	tk.run = max(tk.run, rec.Run)
+	delete(cl.recordedStarts, placementKey{*rec.Task, rec.Run})
 	exceeded := false
 	switch rec.Result {
 	case ResultDone:
 		cl.taskDone(now, tk, false)
 	case ResultCrashed:
 		tk.addCrash(rec.Run, !rec.Explained)
-		cl.keepAttribution(now, rec.LostWorker, Run{Task: *rec.Task, Number: rec.Run})
+		cl.keepAttribution(now, rec.RunWorker, Run{Task: *rec.Task, Number: rec.Run})
 		exceeded = tk.crashes.exceeded()
 	case ResultCleared:
 		delete(tk.crashes, rec.Run)
--- a/policy/cell/messages.go
+++ b/policy/cell/messages.go
@@ -97,7 +97,7 @@
 	Checkpoint string
 	// Urgent is set for queues that are served before others.
 	Urgent bool
-	// DecidedAt is when the plan placed the task.
+	// DecidedAt is when the plan placed the task, or when the journal had the record that the start waited for.
 	DecidedAt time.Duration
 }
 
@@ -145,13 +145,17 @@
 	// leaves in an orderly way.
 	Explained bool `cbor:"11,keyasint,omitempty"`
 	Departed  bool `cbor:"12,keyasint,omitempty"`
-	// LostWorker is the worker that was lost with a crashed run.
-	LostWorker incarnation.ID `cbor:"13,keyasint,omitempty"`
+	// RunWorker is the worker that was lost with a crashed run, or is about to get the run in Started.
+	RunWorker incarnation.ID `cbor:"13,keyasint,omitempty"`
 	// LeasesResolved says that no lease which an earlier planner renewed protects a run any more: it has expired, or its
 	// worker has answered this planner.
 	LeasesResolved bool `cbor:"14,keyasint,omitempty"`
 	// Unrenewed marks a closed worker that does not answer and whose lease is not renewed from now on.
 	Unrenewed bool `cbor:"15,keyasint,omitempty"`
+	// Started is a run whose start is sent to RunWorker once the journal has this record.
+	Started *Run `cbor:"16,keyasint,omitempty"`
+	// MayHaveCrashed says that tasks of the job may have run on a worker that was lost, without a record of that.
+	MayHaveCrashed bool `cbor:"17,keyasint,omitempty"`
 }
 
 // Output holds the orders to workers, the requests and the records that a cell has produced.
--- a/policy/cell/placement.go
+++ b/policy/cell/placement.go
@@ -26,8 +26,10 @@
 	run    int
 	need   size.Size
 	state  state
-	// decidedAt is when the run was placed here; unknown for an adopted run.
+	// decidedAt is when its start was decided (see Start.DecidedAt); unknown for an adopted run.
 	decidedAt time.Duration
+	// unsent is set until the journal has the record that the start must wait for.
+	unsent bool
 	// runningSince is when the worker was first known to have the run.
 	runningSince time.Duration
 	// stoppedAt is when the worker confirmed the stop, 0 before that; unconfirmedAt is when the start was given
@@ -115,6 +117,7 @@
 	if pl.task.placement == pl {
 		pl.task.placement = nil
 	}
+	cl.resolveStart(pl)
 }
 
 // stop orders the end of a run.
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -264,16 +264,21 @@
 // start places a task and orders its start.
 func (cl *Cell) start(now time.Duration, tk *task, wk *worker, run int) {
 	run = max(run, cl.opts.FirstRun)
-	cl.place(now, tk, wk, run)
+	pl := cl.place(now, tk, wk, run)
 	if wk.pool != nil {
 		wk.pool.moveDown(wk)
 	}
 	st := tk.step
-	cl.out.Starts = append(cl.out.Starts, Start{
+	sr := Start{
 		Worker: wk.ID, Task: tk.name(), Run: run, Spec: st.round.job.spec.Spec,
 		Ticket: st.advice.ticket(wk), Checkpoint: tk.checkpoint, Urgent: st.urgent(), DecidedAt: now,
-	})
+	}
 	cl.window.add(st.urgent(), 1)
+	if tk.recordsStarts() {
+		cl.recordStart(pl, sr)
+		return
+	}
+	cl.out.Starts = append(cl.out.Starts, sr)
 }
 
 func (cl *Cell) service(st *step) string { return st.round.job.spec.Queue.Service }
--- a/policy/cell/restart.go
+++ b/policy/cell/restart.go
@@ -38,6 +38,7 @@
 	cl.markUnreachable(now, wk)
 	cl.deregister(wk)
 	wk.answered = false
+	cl.releaseUnsent(wk)
 	var lost []*placement
 	for _, pl := range wk.placements {
 		if pl.mayBeDelayed() {
--- a/policy/cell/restart_test.go
+++ b/policy/cell/restart_test.go
@@ -78,5 +78,6 @@
 	wb.Report(now, "w001", now, nil, nil)
 	wb.Tick(now, now)
 	wb.Plan(now)
+	wb.SetCommitted(wb.RecordCount())
 	return len(wb.TakeOutput().Starts)
 }
--- a/policy/cell/testbed_test.go
+++ b/policy/cell/testbed_test.go
@@ -136,15 +136,15 @@
 			lastRecord[rec.Worker] = rec
 		}
 	}
+	recorded := bd.cell.RecordedStarts()
 	for _, id := range bd.workerIDs() {
 		wk, rec := bd.workers[id], lastRecord[id]
 		if wk.dead {
 			continue
 		}
 		bd.cell.PutWorker(bd.now, wk.Worker)
-		if rec.Closed {
-			bd.cell.InheritRuns(bd.now, id, rec.Held)
-		} else {
+		bd.cell.InheritRuns(bd.now, id, slices.Concat(rec.Held, recorded[id]))
+		if !rec.Closed {
 			wk.downUntil = 0 // recovery waits for a worker that may hold any task
 			if bd.maxReportDelay > 0 && bd.rng.IntN(2) == 0 {
 				wk.downUntil = bd.now + time.Duration(bd.rng.Int64N(int64(bd.maxReportDelay)))
--- a/policy/cell/waitreason.go
+++ b/policy/cell/waitreason.go
@@ -30,7 +30,7 @@
 	WaitLimit WaitReason = "limit"
 	// WaitGangs: capacity is left to gangs.
 	WaitGangs WaitReason = "gangs"
-	// WaitCommit: the journal lacks the records that the workers may have runs.
+	// WaitCommit: the journal lacks the records that the workers may have runs, or that of the task's start.
 	WaitCommit WaitReason = "commit"
 	// WaitQuarantine: all workers that may run it are in quarantine or take no runs for another reason.
 	WaitQuarantine WaitReason = "quarantine"
@@ -118,6 +118,8 @@
 	switch {
 	case !pl.worker.answers():
 		wt.Reason = WaitLease
+	case pl.unsent:
+		wt.Reason = WaitCommit
 	case pl.state == ordered:
 		wt.Reason = WaitStart
 	}
--- a/policy/cell/waitreason_test.go
+++ b/policy/cell/waitreason_test.go
@@ -142,6 +142,13 @@
 			},
 			want: cell.Wait{Reason: cell.WaitCommit},
 		},
+		"journal lacks the record of its start": {
+			arrange: func(wb *waitBed) {
+				wb.Replaced(0, wb.start().Worker)
+				wb.Plan(0)
+			},
+			want: cell.Wait{Reason: cell.WaitCommit, Worker: "w001"},
+		},
 		"workers are in quarantine": {
 			arrange: func(wb *waitBed) {
 				wb.Refused(0, wb.submit().Starts[0], cell.RefusedNoCapacity)
@@ -267,6 +274,7 @@
 			is.Equal(wb.LackingTasks(), 1)
 			wb.Report(startedAt, "w001", startedAt, nil, nil)
 			wb.Plan(startedAt)
+			wb.SetCommitted(wb.RecordCount())
 			next := wb.TakeOutput().Starts[0]
 			wb.Started(startedAt, next)
 			var got []time.Duration
--- a/policy/cell/worker.go
+++ b/policy/cell/worker.go
@@ -210,6 +210,7 @@
 		return
 	}
 	wk.answered = false
+	cl.releaseUnsent(wk)
 	cl.loseRuns(now, wk, slices.Collect(maps.Values(wk.placements)))
 	if !wk.listed {
 		cl.removeWorker(wk)
