tests: reserve ports on which a server listens later

What callers saw: nothing yet.

Change: the ports are reserved with internal/standin/ports. They are not among those that the kernel gives out.

--- a/internal/cellnode/cellnode_test.go
+++ b/internal/cellnode/cellnode_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"strconv"
 	"strings"
 	"testing"
@@ -27,6 +26,7 @@
 	"tackbeam.example/tackbeam/internal/site"
 	"tackbeam.example/tackbeam/internal/standin/memkv"
 	"tackbeam.example/tackbeam/internal/standin/memworkers"
+	"tackbeam.example/tackbeam/internal/standin/ports"
 )
 
 const (
@@ -57,16 +57,13 @@
 // start starts a node that listens for other nodes on a free port.
 func (dp *deployment) start(name string) *cellnode.Node {
 	dp.t.Helper()
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	block, err := ports.Reserve(1)
 	if err != nil {
 		dp.t.Fatal(err)
 	}
-	peers := ln.Addr().String()
-	if err := ln.Close(); err != nil {
-		dp.t.Fatal(err)
-	}
+	dp.t.Cleanup(func() { _ = block.Close() })
 	nd := cellnode.New(clockwork.NewRealClock(), logr.Discard(), cellnode.Adapter{
-		Site:  &site.Site{Node: name, PeerAddr: peers, StoreWriteRate: 400, Bounds: site.Bounds{JobRetention: time.Minute}},
+		Site:  &site.Site{Node: name, PeerAddr: block.Address(0), StoreWriteRate: 400, Bounds: site.Bounds{JobRetention: time.Minute}},
 		Store: dp.store.Client(name), Agents: dp.fleet.Agents(),
 		WorkersPrefix: workersPrefix, ConfigKey: configKey,
 		DecodeWorker: func(item kv.Item) (planner.WorkerEntry, error) {
--- a/internal/peerlink/unresponsive_test.go
+++ b/internal/peerlink/unresponsive_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"testing"
 	"time"
@@ -21,6 +20,7 @@
 	"tackbeam.example/tackbeam/internal/planner"
 	"tackbeam.example/tackbeam/internal/relay"
 	"tackbeam.example/tackbeam/internal/standin/netpath"
+	"tackbeam.example/tackbeam/internal/standin/ports"
 )
 
 const (
@@ -50,14 +50,12 @@
 
 func newPair(t *testing.T) *pair {
 	t.Helper()
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	block, err := ports.Reserve(1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := ln.Addr().String()
-	if err := ln.Close(); err != nil {
-		t.Fatal(err)
-	}
+	t.Cleanup(func() { _ = block.Close() })
+	address := block.Address(0)
 	pr := &pair{t: t}
 	far := peerlink.New(logr.Discard(), pr.handle)
 	if err := far.Serve(address); err != nil {
