cell: keep the runs of a recurring job that a worker holds

Cause: the rounds of a recurring job open at the first tick. The next planner applies the runs that a closed worker holds, and the stops under way, before that, and dropped those whose task it did not find.

The round that a run belongs to is opened first, as it is for a run that a report lists: an earlier planner has opened it.

On the code before: TestInheritedRunOfRound: throttle_test.go:198: 0 != 1 TestCrashesOutlivePlanners/before the worker is back, recurring job: bad.0.0.0 was started 11 times Both pass now, as do TestInvariants and TestCrashesAreBounded.

--- a/internal/planner/crashes_test.go
+++ b/internal/planner/crashes_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/size"
 	"tackbeam.example/policy/work"
 
 	"tackbeam.example/tackbeam/internal/standin/memworkers"
@@ -119,25 +120,33 @@
 		diesAfter time.Duration
 		back      ids
 		// every is the number of crashes of which a planner dies at the last.
-		every int
+		every     int
+		recurring bool
 	}{
-		"before the worker is back":                            {soon, newIDs, 1},
-		"after it is back":                                     {late, newIDs, 1},
-		"before it is back, under its own id":                  {soon, ownIDs, 1},
-		"after it is back, under its own id":                   {late, ownIDs, 1},
-		"before the crash is recorded":                         {atOnce, newIDs, 1},
-		"before the crash is recorded, under its own id":       {atOnce, ownIDs, 1},
-		"before the last two crashes are recorded":             {atOnce, newIDs, 2},
-		"before the last two are recorded, under its own id":   {atOnce, ownIDs, 2},
-		"before the last three are recorded":                   {atOnce, newIDs, 3},
-		"before the last three are recorded, under its own id": {atOnce, ownIDs, 3},
+		"before the worker is back":                            {soon, newIDs, 1, false},
+		"after it is back":                                     {late, newIDs, 1, false},
+		"before it is back, under its own id":                  {soon, ownIDs, 1, false},
+		"after it is back, under its own id":                   {late, ownIDs, 1, false},
+		"before the crash is recorded":                         {atOnce, newIDs, 1, false},
+		"before the crash is recorded, under its own id":       {atOnce, ownIDs, 1, false},
+		"before the last two crashes are recorded":             {atOnce, newIDs, 2, false},
+		"before the last two are recorded, under its own id":   {atOnce, ownIDs, 2, false},
+		"before the last three are recorded":                   {atOnce, newIDs, 3, false},
+		"before the last three are recorded, under its own id": {atOnce, ownIDs, 3, false},
+		"before the worker is back, recurring job":             {soon, newIDs, 1, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				bd := newTestbed(t, 700*time.Millisecond, "w1", "w2", "w3", "w4", "w5", "w6")
 				defer bd.end()
 				bd.crashOn(tt.back, "bad")
-				bd.dieAtCrashes(tt.diesAfter, tt.every)
+				jb := &work.Job{ID: "bad", Spec: "bad", Queue: bd.accepted, Steps: []work.Step{
+					{Count: 1, Need: size.New(1000, 1000, 0), Estimate: time.Second},
+				}}
+				if tt.recurring {
+					jb.Repeat = &work.Repeat{Count: 1, Start: time.Duration(bd.clock.Now().UnixNano()), Every: time.Hour}
+				}
+				bd.dieAtCrashes(jb, tt.diesAfter, tt.every)
 				bd.checkBound("bad")
 				bd.await("bad", cell.Failed, 10*time.Second)
 			})
@@ -147,12 +156,12 @@
 
 // dieAtCrashes has each of a series of planners start a task that crashes its workers a number of times, and stops the
 // planner some time after the last one.
-func (bd *testbed) dieAtCrashes(after time.Duration, every int) {
+func (bd *testbed) dieAtCrashes(jb *work.Job, after time.Duration, every int) {
 	const planners = 12
 	nd := bd.addNode("n0")
-	bd.submit(nd, "bad", 1)
+	bd.submitJob(nd, jb)
 	crashes := 0
-	starts := func() int { return bd.startsOf("bad")[work.Task{Job: "bad"}] }
+	starts := func() int { return bd.startsOf(jb.ID)[work.Task{Job: jb.ID}] }
 	for next := 1; next < planners; next++ {
 		for waited := 0; waited < maxPolls*every && starts() < crashes+every; waited++ {
 			time.Sleep(10 * time.Millisecond)
--- a/policy/cell/job.go
+++ b/policy/cell/job.go
@@ -150,6 +150,15 @@
 	return rd.task(name)
 }
 
+// openTask returns the task of that name, and opens its round if an earlier planner has. It returns nil if there is no
+// such task.
+func (cl *Cell) openTask(now time.Duration, name work.Task) *task {
+	if jb, ok := cl.jobs[name.Job]; ok {
+		cl.round(now, jb, name.Round)
+	}
+	return cl.findTask(name)
+}
+
 // beginJob records that a task of the job has begun.
 func (cl *Cell) beginJob(jb *job) {
 	if jb.phase == Queued {
--- a/policy/cell/throttle_test.go
+++ b/policy/cell/throttle_test.go
@@ -180,6 +180,25 @@
 	is.Equal(len(cl.HeldRuns("w1")), 0)
 }
 
+// TestInheritedRunOfRound guards against a task of a recurring job that runs twice at a time: the worker may still have
+// the run that an earlier planner recorded.
+func TestInheritedRunOfRound(t *testing.T) {
+	is := is.New(t)
+	cl := cell.New(cell.Options{Retention: time.Minute, FirstRun: 65})
+	jb := batchJob("a", 1)
+	jb.Repeat = &work.Repeat{Count: 2, Start: 0, Every: time.Hour}
+	cl.Add(0, jb, true)
+	cl.InheritRuns(0, "w1", []cell.Run{{Task: work.Task{Job: "a"}, Number: 1}})
+	cl.PutWorker(0, cell.Worker{ID: "w2", Service: "svc", Capacity: size.New(64000, 128000, 0)})
+	cl.Report(1, "w2", 1, nil, nil)
+	cl.FinishRecovery()
+	cl.SetCommitted(cl.RecordCount())
+	cl.Tick(2, 2)
+	cl.Plan(2)
+	is.Equal(len(cl.HeldRuns("w1")), 1)
+	is.Equal(len(cl.TakeOutput().Starts), 0)
+}
+
 // TestTwoRuns has runs of one task from two planners on two workers. The older run is stopped, and the task does not
 // start again while either run exists.
 func TestTwoRuns(t *testing.T) {
--- a/policy/cell/worker.go
+++ b/policy/cell/worker.go
@@ -142,7 +142,7 @@
 	cl.InheritRuns(now, id, nil)
 	wk := cl.workers[id]
 	for _, rn := range runs {
-		tk := cl.findTask(rn.Task)
+		tk := cl.openTask(now, rn.Task)
 		if tk == nil {
 			continue
 		}
@@ -170,7 +170,7 @@
 		wk.listed = false
 	}
 	for _, rn := range held {
-		tk := cl.findTask(rn.Task)
+		tk := cl.openTask(now, rn.Task)
 		if tk == nil || tk.done || wk.placements[placementKey{rn.Task, rn.Number}] != nil || tk.step.round.job.phase.Ended() {
 			continue
 		}
