--- a/internal/planner/gc.go
+++ b/internal/planner/gc.go
@@ -65,7 +65,11 @@
 // gcLoop removes batches and records whose jobs are no longer known to the cell.
 func (ld *leader) gcLoop(ctx context.Context) {
 	for loop.Sleep(ctx, ld.clock, gcInterval) {
-		for _, keys := range ld.removable() {
+		groups, after := ld.removable()
+		if !ld.awaitRecords(ctx, after) {
+			return
+		}
+		for _, keys := range groups {
 			if err := ld.remove(ctx, keys); err != nil {
 				ld.log.Info("Removing old keys of the journal failed; trying again in the next round.", "keys", len(keys), "reason", err.Error())
 				break
@@ -88,12 +92,13 @@
 	return err
 }
 
-// removable returns the keys that are no longer needed, in groups of one write each.
-func (ld *leader) removable() [][]string {
+// removable returns the keys that are no longer needed, in groups of one write each. They may be removed once the
+// journal has that many records: some replace what the keys say.
+func (ld *leader) removable() (groups [][]string, after int) {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
 	if !ld.loaded || !ld.cell.Recovered() {
-		return nil
+		return nil, 0
 	}
 	var keys []string
 	for key, ids := range ld.batches.ids {
@@ -107,13 +112,29 @@
 		}
 	}
 	const maxKeys = kv.MaxEntries - 1 // one entry is the condition
-	var groups [][]string
 	for len(keys) > 0 {
 		n := min(len(keys), maxKeys)
 		groups = append(groups, keys[:n])
 		keys = keys[n:]
 	}
-	return groups
+	return groups, ld.cell.RecordCount()
+}
+
+// awaitRecords waits until the journal has a number of records of this term. It returns false if the term ends first.
+func (ld *leader) awaitRecords(ctx context.Context, count int) bool {
+	for {
+		ld.mu.Lock()
+		has, committed := ld.cell.HasCommitted(count), ld.committed
+		ld.mu.Unlock()
+		if has {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-committed:
+		}
+	}
 }
 
 func (ld *leader) anyKnown(ids []string) bool {
@@ -127,7 +148,7 @@
 
 // needed reports whether a record concerns a job or worker that still matters. The record of an ended job stays until
 // its batch is removed, because otherwise another planner would run the job again. Records of workers by earlier
-// planners are not needed: each planner records the workers that it uses itself.
+// planners are not needed once these have answered or were lost: each planner records the workers that it uses itself.
 func (ld *leader) needed(key string, recs []cell.Record) bool {
 	own := key >= joblog.RecordKey(ld.term.Token, 0)
 	for _, rec := range recs {
@@ -137,7 +158,11 @@
 		if rec.LeasesResolved && own {
 			return true
 		}
-		if known, _ := ld.cell.Listed(rec.Worker); rec.Worker != "" && !rec.Stop && own && known {
+		if rec.Worker == "" || rec.Stop {
+			continue
+		}
+		known, _ := ld.cell.Listed(rec.Worker)
+		if _, unresolved := ld.unresolved[rec.Worker]; unresolved || own && known {
 			return true
 		}
 	}
--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -134,6 +134,9 @@
 // SetCommitted marks the first n records as committed to the journal.
 func (cl *Cell) SetCommitted(n int) { cl.committed = max(cl.committed, n) }
 
+// HasCommitted reports whether the first n records are committed to the journal.
+func (cl *Cell) HasCommitted(n int) bool { return n <= cl.committed }
+
 func (cl *Cell) record(rec Record) {
 	cl.out.Records = append(cl.out.Records, rec)
 	cl.recorded++
