--- a/internal/planner/leader.go
+++ b/internal/planner/leader.go
@@ -122,7 +122,7 @@
 
 func newLeader(opts Options, log logr.Logger, tm term.Term) *leader {
 	// runsPerTerm is more than the number of starts of one task in one term, so that run numbers increase across terms
-	// although starts are not journaled.
+	// although most starts are not journaled.
 	const runsPerTerm = 64
 	ld := &leader{
 		opts: opts, clock: opts.Clock, log: log, term: tm, began: opts.Clock.Now(),
--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -62,9 +62,11 @@
 	out      Output
 	// stops are held back until the journal has their records.
 	stops []journaledStop
-	// starts are held back likewise (see recordStart). recordedStarts are the workers of the runs whose starts were recorded.
+	// starts are held back likewise. recordedStarts are the workers of the runs whose starts were recorded, unknownLoss
+	// is set once the inherited jobs were marked by RecordUnknownLoss.
 	starts         []journaledStart
 	recordedStarts map[placementKey]incarnation.ID
+	unknownLoss    bool
 	// recorded counts all records so far, committed those that the journal has.
 	recorded, committed int
 	recovered           bool
--- a/policy/cell/job.go
+++ b/policy/cell/job.go
@@ -91,13 +91,16 @@
 		}
 	}
 	for _, rec := range recs {
+		if rec.Gone {
+			cl.forgetStarts(rec.Worker)
+		}
 		jb, ok := cl.jobs[rec.Job]
 		if !ok || jb.phase.Ended() {
 			continue
 		}
 		jb.mayHaveCrashed = jb.mayHaveCrashed || rec.MayHaveCrashed
 		if rec.Started != nil {
-			cl.restoreStart(now, jb, rec)
+			cl.restoreStart(now, rec)
 		}
 		if rec.Task != nil {
 			cl.restore(now, jb, rec)
--- a/policy/cell/messages.go
+++ b/policy/cell/messages.go
@@ -60,8 +60,8 @@
 	ResultAlone        Result = "alone"
 )
 
-// Results that appear in records only: the run's worker crashed, or the crash is no longer held against the
-// task.
+// Results that appear in records only: the run's worker crashed, or nothing is held against the task for the run: its
+// worker did not crash, or its start was recorded and it is over.
 const (
 	ResultCrashed Result = "crashed"
 	ResultCleared Result = "cleared"
--- a/policy/cell/placement.go
+++ b/policy/cell/placement.go
@@ -125,6 +125,10 @@
 	if pl.state == stopping {
 		return
 	}
+	if pl.unsent {
+		cl.release(pl)
+		return
+	}
 	pl.state = stopping
 	run := Run{Task: pl.task.name(), Number: pl.run}
 	cl.record(Record{Worker: pl.worker.ID, Stop: true, Held: []Run{run}})
--- a/policy/cell/recordedstart.go
+++ b/policy/cell/recordedstart.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"maps"
 	"time"
 
 	"tackbeam.example/policy/incarnation"
@@ -17,11 +18,19 @@
 	record int
 }
 
-// recordsStarts reports whether starts of the task must be recorded: it has crashed a worker, or may have.
-func (tk *task) recordsStarts() bool { return len(tk.crashes) > 0 || tk.step.round.job.mayHaveCrashed }
+// recordsStarts reports whether starts of the task must be recorded: it has crashed a worker, or may have. The starts of
+// a gang are sent together.
+func (tk *task) recordsStarts() bool {
+	st := tk.step
+	return len(tk.crashes) > 0 || st.def.Gang && st.crashSeen || st.round.job.mayHaveCrashed
+}
 
 // RecordUnknownLoss records that a worker was lost on which an earlier planner may have started any task.
 func (cl *Cell) RecordUnknownLoss() {
+	if cl.unknownLoss {
+		return
+	}
+	cl.unknownLoss = true
 	for id, jb := range cl.jobs {
 		if jb.inherited && !jb.mayHaveCrashed && !jb.phase.Ended() {
 			jb.mayHaveCrashed = true
@@ -38,16 +47,15 @@
 	cl.starts = append(cl.starts, journaledStart{sr, cl.recorded})
 }
 
-// releaseStarts orders the starts whose records are in the journal. A run that was stopped or released in the meantime
-// is not started, nor one whose worker no longer answers: its loss would be attributed to the run.
+// releaseStarts orders the starts whose records are in the journal, unless their runs have been released since.
 func (cl *Cell) releaseStarts() {
 	for len(cl.starts) > 0 && cl.starts[0].record <= cl.committed {
 		sr := cl.starts[0].Start
 		cl.starts = cl.starts[1:]
 		pl := cl.placement(sr.Worker, sr.Task, sr.Run)
-		if pl == nil || pl.state != ordered || !pl.worker.answers() {
+		if pl == nil || !cl.maySend(pl) {
 			cl.window.add(sr.Urgent, -1)
-			if pl != nil && pl.state == ordered {
+			if pl != nil {
 				cl.release(pl)
 				cl.afterLoss(pl)
 			}
@@ -55,10 +63,18 @@
 		}
 		pl.unsent = false
 		pl.decidedAt, sr.DecidedAt = cl.now, cl.now
+		sr.Ticket = pl.task.step.advice.ticket(pl.worker)
 		cl.out.Starts = append(cl.out.Starts, sr)
 	}
 }
 
+// maySend reports whether a start that was held back may be sent: its ticket is still valid, and its worker answers, so
+// that the worker's loss can be attributed to the run.
+func (cl *Cell) maySend(pl *placement) bool {
+	st := pl.task.step
+	return pl.worker.answers() && (!st.advised() || st.advice.hasTicketUntil(pl.worker, cl.latestArrival(cl.now)))
+}
+
 // releaseUnsent releases the runs on a worker whose starts were not sent.
 func (cl *Cell) releaseUnsent(wk *worker) {
 	for _, pl := range wk.placements {
@@ -91,18 +107,20 @@
 }
 
 // restoreStart restores a recorded start of an earlier planner.
-func (cl *Cell) restoreStart(now time.Duration, jb *job, rec Record) {
+func (cl *Cell) restoreStart(now time.Duration, rec Record) {
 	name := rec.Started.Task
-	rd := cl.round(now, jb, name.Round)
-	if rd == nil {
-		return
-	}
-	if tk := rd.task(name); tk != nil {
+	if tk := cl.openTask(now, name); tk != nil {
 		tk.run = max(tk.run, rec.Started.Number)
 		cl.recordedStarts[placementKey{name, rec.Started.Number}] = rec.RunWorker
 	}
 }
 
+// forgetStarts forgets the recorded starts on a worker that is gone. A planner that does not know of such records leaves
+// them unresolved.
+func (cl *Cell) forgetStarts(id incarnation.ID) {
+	maps.DeleteFunc(cl.recordedStarts, func(_ placementKey, one incarnation.ID) bool { return one == id })
+}
+
 // RecordedStarts returns the runs that workers may have by the recorded starts of earlier planners.
 func (cl *Cell) RecordedStarts() map[incarnation.ID][]Run {
 	runs := map[incarnation.ID][]Run{}
--- a/policy/cell/recordedstart_test.go
+++ b/policy/cell/recordedstart_test.go
@@ -137,3 +137,75 @@
 	is.Equal(len(out.Records), 1)
 	is.Equal(len(ct.takeOutput().Starts), 1)
 }
+
+// TestGangStartsTogether guards against members of a gang that wait at their workers for one whose start waits for the
+// journal.
+func TestGangStartsTogether(t *testing.T) {
+	const members = 3
+	is := is.New(t)
+	ct := newCrashTestbed(t, work.Step{Count: members, Gang: true, PerWorker: 1, Need: size.New(4000, 100, 0), Estimate: time.Second})
+	ct.cell.Plan(ct.now)
+	starts := ct.takeOutput().Starts
+	is.Equal(len(starts), members)
+	for _, sr := range starts {
+		ct.cell.Started(ct.now, sr)
+	}
+	ct.cell.Replaced(ct.now, starts[0].Worker)
+	for _, sr := range starts[1:] {
+		run := cell.Run{Task: sr.Task, Number: sr.Run}
+		ct.cell.Report(ct.now, sr.Worker, ct.now, nil, []cell.End{{Seq: 1, Run: run, Result: cell.ResultStopped}})
+	}
+	ct.takeOutput()
+	ct.cell.Plan(ct.now)
+	is.Equal(len(ct.takeOutput().Starts), 0)
+	is.Equal(len(ct.takeOutput().Starts), members)
+}
+
+// TestHeldStartHasValidTicket guards against a start that its worker rejects because the ticket expired while the start
+// waited for the journal.
+func TestHeldStartHasValidTicket(t *testing.T) {
+	for name, tt := range map[string]struct {
+		committed time.Duration
+		want      int
+	}{
+		"valid":   {100 * time.Millisecond, 1},
+		"expired": {time.Second, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ct := newSuspectTestbed(t)
+			qu := work.Queue{Name: "q", Service: "svc", Attempts: 3, Priority: 1, Stretch: 9, Advised: true}
+			ct.cell.Add(ct.now, &work.Job{ID: "advised", Spec: "s", Queue: qu, Steps: []work.Step{ct.step}}, true)
+			ct.cell.Cancel(ct.now, "j", "")
+			ct.cell.RecordUnknownLoss()
+			ct.cell.Plan(ct.now)
+			rq := ct.takeOutput().AdviceRequests[0]
+			ct.cell.AddAdvice(ct.now, rq, []cell.Ticket{{Worker: rq.Workers[0], Text: "ticket"}}, 500*time.Millisecond)
+			ct.cell.Plan(ct.now)
+			ct.Equal(len(ct.cell.TakeOutput().Starts), 0)
+			ct.cell.SetCommitted(ct.cell.RecordCount())
+			ct.cell.Plan(ct.now + tt.committed)
+			ct.Equal(len(ct.cell.TakeOutput().Starts), tt.want)
+		})
+	}
+}
+
+// TestUnsentRunEndsAtOnce guards against a stop of a run that no worker has, for which its capacity would wait.
+func TestUnsentRunEndsAtOnce(t *testing.T) {
+	ct := newSuspectTestbed(t)
+	ct.cell.Plan(ct.now)
+	id := ct.takeOutput().Records[0].RunWorker
+	ct.cell.Cancel(ct.now, "j", "")
+	ct.Equal(len(ct.cell.HeldRuns(id)), 0)
+	out := ct.takeOutput()
+	ct.Equal(len(out.Starts)+len(out.Stops), 0)
+}
+
+// TestStartOnGoneWorkerIsForgotten guards against a crash that is attributed to a run which an earlier version of the
+// planner has resolved without a record.
+func TestStartOnGoneWorkerIsForgotten(t *testing.T) {
+	ct := newSuspectTestbed(t)
+	sr, _ := ct.start()
+	ct.journal = append(ct.journal, cell.Record{Worker: sr.Worker, Gone: true})
+	ct.nextPlanner()
+	ct.Equal(len(ct.cell.RecordedStarts()), 0)
+}
