memworkers: log what the workers carry out

A failing test of the planner showed the planners' log only: which incarnation carried out a start, and which call made it forget an end, had to be guessed. Fleet.SetLog sets a logger of incarnations, starts, ends, acknowledgements and orders that fail; the planner's test bed uses it, so that the lines appear with a failing test, in the order of the planners' own.

--- a/internal/planner/testbed_test.go
+++ b/internal/planner/testbed_test.go
@@ -118,6 +118,7 @@
 		accepted: work.Queue{Name: "q", Service: "svc", Attempts: 3, Stretch: 2, Target: time.Second},
 	}
 	bd.serves.Store("svc")
+	bd.fleet.SetLog(bd.log("workers"))
 	for _, id := range workers {
 		bd.addWorker(id)
 	}
--- a/internal/standin/memworkers/incarnations.go
+++ b/internal/standin/memworkers/incarnations.go
@@ -29,8 +29,12 @@
 		maps.Copy(wk.closedSessions, earlier.sessions) // also those that met an earlier restart
 	}
 	fl.workers[id] = wk
+	fl.log.Info("Incarnation begins.", "worker", id, "born", wk.born())
 }
 
+// born returns the start time of the incarnation in milliseconds since 1970.
+func (wk *worker) born() int64 { return wk.startedAt.UnixMilli() }
+
 // Kill ends a worker's incarnation and all its runs. Until the worker is added again, its address does not answer;
 // calls that are in flight then may reach the next incarnation.
 func (fl *Fleet) Kill(id string) {
@@ -42,6 +46,7 @@
 // endIncarnation ends a worker's incarnation. The caller holds the lock.
 func (fl *Fleet) endIncarnation(wk *worker) {
 	wk.state = crashed
+	fl.log.Info("Incarnation is over.", "worker", wk.id, "born", wk.born(), "runs", len(wk.runs), "ends", len(wk.ends))
 	for name := range wk.runs {
 		fl.lostRuns[name.Job]++
 	}
@@ -64,7 +69,7 @@
 func (fl *Fleet) StartedAt(id string) int64 {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
-	return fl.workers[id].startedAt.UnixMilli()
+	return fl.workers[id].born()
 }
 
 // admit accepts a call of a session unless the session's connection is closed or its fencing token is too low.
--- a/internal/standin/memworkers/memworkers.go
+++ b/internal/standin/memworkers/memworkers.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
@@ -37,6 +38,7 @@
 // Fleet is a set of workers.
 type Fleet struct {
 	clock clockwork.Clock
+	log   logr.Logger
 
 	mu      sync.Mutex
 	workers map[string]*worker
@@ -86,12 +88,15 @@
 // New returns a fleet without workers. Each task runs for the given time.
 func New(clock clockwork.Clock, run time.Duration) *Fleet {
 	return &Fleet{
-		clock: clock, workers: map[string]*worker{}, changed: make(chan struct{}), run: run,
+		clock: clock, log: logr.Discard(), workers: map[string]*worker{}, changed: make(chan struct{}), run: run,
 		fault: func(string, string) Fault { return None }, done: map[work.Task]bool{}, lostRuns: map[string]int{},
 		crash: crashRule{triggers: func(cell.Start) bool { return false }, onRestart: func(string) {}},
 	}
 }
 
+// SetLog sets the logger of what the workers carry out. It is called before the first call to a worker.
+func (fl *Fleet) SetLog(log logr.Logger) { fl.log = log }
+
 // SetFault sets the function that decides on the fault of each order.
 func (fl *Fleet) SetFault(fault func(worker, order string) Fault) {
 	fl.mu.Lock()
@@ -138,6 +143,9 @@
 		fl.advance(wk)
 		err = act(wk)
 	}
+	if fault != None || err != nil {
+		fl.log.Info("Order fails.", "worker", id, "order", order, "fault", fault, "error", err)
+	}
 	if fault == Delayed {
 		fl.clock.AfterFunc(DelayedBy, func() {
 			fl.mu.Lock()
@@ -148,7 +156,8 @@
 			}
 			fl.advance(wk)
 			wk.executingDelayed, wk.delayed = true, !wk.contacted
-			_ = act(wk) // the caller no longer waits for the answer
+			err := act(wk) // the caller no longer waits for the answer
+			fl.log.Info("Executed delayed order.", "worker", id, "born", wk.born(), "order", order, "contacted", wk.contacted, "error", err)
 			wk.executingDelayed, wk.delayed = false, false
 		})
 	}
@@ -183,6 +192,7 @@
 	wk.fenced[name] = max(wk.fenced[name], number)
 	wk.seq++
 	wk.ends = append(wk.ends, cell.End{Seq: wk.seq, Run: cell.Run{Task: name, Number: number}, Result: result})
+	fl.log.Info("Run ended.", "worker", wk.id, "born", wk.born(), "task", name.String(), "run", number, "seq", wk.seq, "result", result)
 	fl.wakeHolds()
 }
 
@@ -243,6 +253,10 @@
 		if en.Seq <= number && en.Result == cell.ResultDone && !wk.delayed {
 			fl.done[en.Task] = true
 		}
+		if en.Seq <= number {
+			fl.log.Info("End acknowledged.", "worker", wk.id, "born", wk.born(), "task", en.Task.String(), "run", en.Number, "seq", en.Seq,
+				"upTo", number, "token", wk.token, "delayed", wk.executingDelayed, "contacted", wk.contacted)
+		}
 		return en.Seq <= number
 	})
 }
@@ -280,6 +294,8 @@
 		fl.checkCapacity(wk, sr)
 		wk.deadline = max(wk.deadline, deadline)
 		wk.runs[sr.Task] = run{sr.Run, fl.clock.Now(), wk.delayed}
+		fl.log.Info("Run started.", "worker", wk.id, "born", wk.born(), "task", sr.Task.String(), "run", sr.Run, "for", sr.Worker, "token", token,
+			"delayed", wk.executingDelayed, "contacted", wk.contacted)
 		fl.checkLimit(sr)
 		fl.clock.AfterFunc(fl.run, func() {
 			fl.mu.Lock()
