planner: acknowledge no end after a start that the next incarnation answered

Callers saw a task run again after it had succeeded: TestRestarts, "j19.0.0.0 starts on w4 ... although its end was acknowledged" (TWICE in the users' rules).

Cause: after a call without an answer no end is acknowledged, as another incarnation may be there. But a start that the next incarnation answers counted as an answer of the earlier one, although each answer carries the worker's clock.

Fix: Agents.Start returns the clock of the answer too. If it shows less than this incarnation's can show by now (its last report's clock and the time since, on a clock that is slow by 2%), the planner acknowledges nothing until the next report, and requests one at once. An answer without a clock tells nothing, as before; a wrong suspicion costs one report.

What is left: the same with a start that the next incarnation carries out without an answer. The workers of the test bed are stricter here than the users' may be: they apply the acknowledgement of a waiting hold to ends that come while it waits. They were left as they are.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -38,13 +38,21 @@
 	Ends      []cell.End
 }
 
+// StartAnswer is a worker's answer to a start.
+type StartAnswer struct {
+	// Refusal is why the worker did not start the run, empty if it has it.
+	Refusal cell.Refusal
+	// Clock is the worker's monotonic clock when it answered, 0 if unknown.
+	Clock time.Duration
+}
+
 // Agents sends orders to workers. The adapter of a wire format sets the fields; tests may replace them to inject
 // faults.
 type Agents struct {
 	// Hold returns one of the errors below, possibly wrapped.
 	Hold func(ctx context.Context, to Target, hold Hold) (Report, error)
 	// Start starts a run that may go on until the deadline on the worker's clock. A refusal is not an error.
-	Start func(ctx context.Context, to Target, token uint64, deadline time.Duration, start cell.Start) (cell.Refusal, error)
+	Start func(ctx context.Context, to Target, token uint64, deadline time.Duration, start cell.Start) (StartAnswer, error)
 	// Stop ends a run, and prevents it from starting later.
 	Stop func(ctx context.Context, to Target, token uint64, stop cell.Stop) error
 	// Pace makes a run work at a percentage of its speed.
--- a/internal/planner/incarnation.go
+++ b/internal/planner/incarnation.go
@@ -28,8 +28,37 @@
 	}
 }
 
+// minClock returns the least time that the incarnation's clock can show when it answers a call that is sent now.
+func (se *session) minClock() time.Duration {
+	const resolution = time.Millisecond // of clocks in answers
+	ld := se.leader
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	if !se.answered {
+		return 0
+	}
+	return se.clock + time.Duration(float64(ld.now()-se.heard)*(1-maxClockDrift)) - resolution
+}
+
+// recordClock compares the clock in the answer to a call with the least time that this incarnation's can show. If it
+// shows less, the next one has probably answered. A report, which is requested at once, tells.
+func (se *session) recordClock(least, clock time.Duration) {
+	ld := se.leader
+	if clock <= 0 || clock >= least {
+		return
+	}
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	if se.ended {
+		return
+	}
+	ld.log.Info("Worker's clock is earlier than before.", "worker", se.incarnation, "clock", clock.String(), "least", least.String())
+	se.unanswered = true
+	se.requestReport()
+}
+
 // ackedEnd returns the number of the last end that the worker need not report again, for the next call to it. After a
-// call without an answer another incarnation may be running, which would forget ends of its own that were not read;
+// call without an answer of this incarnation another incarnation may be running, which would forget ends of its own that were not read;
 // then the result is 0. The caller holds the lock.
 func (se *session) ackedEnd() int {
 	if se.unanswered {
--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -46,11 +46,12 @@
 		tries++
 		call, cancel := context.WithTimeout(context.WithoutCancel(ld.ctx), wait)
 		defer cancel()
-		began := ld.clock.Now()
-		refusal, err := ld.opts.Agents.Start(call, se.target(), se.token, deadline, sr)
+		began, leastClock := ld.clock.Now(), se.minClock()
+		answer, err := ld.opts.Agents.Start(call, se.target(), se.token, deadline, sr)
 		ld.replyTimeout.record(ld.clock.Since(began))
 		se.recordCall(err)
-		return refusal, err
+		se.recordClock(leastClock, answer.Clock)
+		return answer.Refusal, err
 	})
 	took := ld.clock.Since(sent)
 	ld.metrics.start(took, refusal, err)
--- a/internal/planner/restarts_test.go
+++ b/internal/planner/restarts_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -176,6 +177,52 @@
 	})
 }
 
+// TestAckForgetsEndsOfNextIncarnation guards against a task that runs again because the planner made its worker's next
+// incarnation forget the end, although the answer to the start showed that incarnation's clock.
+func TestAckForgetsEndsOfNextIncarnation(t *testing.T) {
+	for name, lostHolds := range map[string]int{"first report is answered": 0, "first report is lost": 1} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				bd := newTestbed(t, 5*time.Millisecond, "w1")
+				defer bd.end()
+				bd.logged = func(line string) {
+					if strings.Contains(line, "Run has ended.") && strings.Contains(line, "steps.0.0.0") {
+						go bd.restart(0, "w1") // no hold is pending now that would fail
+					}
+				}
+				bd.addNode("n1")
+				time.Sleep(time.Second)
+				bd.submitMany(4, "before")
+				time.Sleep(time.Second)
+				starts, holds := 0, 0
+				bd.fleet.SetFault(func(_, order string) memworkers.Fault {
+					switch {
+					case order == "start":
+						// The second start uses a connection of before, which has gone silent.
+						if starts++; starts == 2 {
+							return memworkers.ResponseLost
+						}
+					case starts >= 2:
+						if holds++; holds <= lostHolds {
+							return memworkers.RequestLost
+						}
+					}
+					return memworkers.None
+				})
+				need := size.New(1000, 1000, 0)
+				bd.submitJob(bd.leader(), &work.Job{ID: "steps", Spec: "steps", Queue: bd.accepted, Steps: []work.Step{
+					{Count: 1, Need: need, Estimate: time.Second},
+					{Count: 3, Need: need, Estimate: time.Second, After: []int{0}},
+				}})
+				bd.await("steps", cell.Succeeded, 10*time.Second)
+				if starts := len(bd.fleet.Starts()); starts != 12 {
+					t.Errorf("%d starts of 12 tasks", starts)
+				}
+			})
+		})
+	}
+}
+
 // TestEntryOfOtherIncarnation writes entries that name another incarnation of a worker than the one that answers. Only
 // the worker's own reports tell which incarnation is running: its runs go on, and it gets more.
 func TestEntryOfOtherIncarnation(t *testing.T) {
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -59,7 +59,7 @@
 	inheritedEnd time.Duration
 	// expired is set from the end of the lease until the worker answers again.
 	expired bool
-	// unanswered is set if a call to the worker since its last report had no answer.
+	// unanswered is set if a call to the worker since its last report had no answer of this incarnation.
 	unanswered bool
 	// missed is the number of consecutive unanswered holds.
 	missed int
--- a/internal/standin/memworkers/memworkers.go
+++ b/internal/standin/memworkers/memworkers.go
@@ -273,21 +273,22 @@
 
 func (fl *Fleet) start(
 	ctx context.Context, to agent.Target, token uint64, deadline time.Duration, sr cell.Start,
-) (cell.Refusal, error) {
-	var refusal cell.Refusal
+) (agent.StartAnswer, error) {
+	var answer agent.StartAnswer
 	err := fl.deliver(ctx, to.Incarnation.WorkerID(), "start", func(wk *worker) error {
 		if err := wk.admit(token); err != nil {
 			return err
 		}
+		answer.Clock = fl.now(wk)
 		rn, found := wk.runs[sr.Task]
 		switch {
 		case found && rn.number == sr.Run:
 			return nil
 		case deadline <= fl.now(wk):
-			refusal = cell.RefusedLate
+			answer.Refusal = cell.RefusedLate
 			return nil
 		case sr.Run <= wk.fenced[sr.Task]:
-			refusal = cell.RefusedStale
+			answer.Refusal = cell.RefusedStale
 			return nil
 		}
 		fl.checkDuplicate(wk, sr)
@@ -311,7 +312,10 @@
 	if errors.Is(err, ErrConnectionClosed) {
 		fl.countLostStart(sr)
 	}
-	return refusal, err
+	if err != nil {
+		return agent.StartAnswer{}, err // not the variable answer: a delayed start may still write it
+	}
+	return answer, nil
 }
 
 func (fl *Fleet) checkDuplicate(wk *worker, sr cell.Start) {
