--- a/internal/standin/memworkers/memworkers.go
+++ b/internal/standin/memworkers/memworkers.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
@@ -37,6 +38,7 @@
 // Fleet is a set of workers.
 type Fleet struct {
 	clock clockwork.Clock
+	log   logr.Logger
 
 	mu      sync.Mutex
 	workers map[string]*worker
@@ -88,12 +90,15 @@
 // New returns a fleet without workers. Each task runs for the given time.
 func New(clock clockwork.Clock, run time.Duration) *Fleet {
 	return &Fleet{
-		clock: clock, workers: map[string]*worker{}, changed: make(chan struct{}), run: run,
+		clock: clock, log: logr.Discard(), workers: map[string]*worker{}, changed: make(chan struct{}), run: run,
 		fault: func(string, string) Fault { return None }, done: map[work.Task]bool{}, lostRuns: map[string]int{},
 		crash: crashRule{triggers: func(cell.Start) bool { return false }, onRestart: func(string) {}},
 	}
 }
 
+// SetLog sets the logger of what the workers carry out. It is called before the first call to a worker.
+func (fl *Fleet) SetLog(log logr.Logger) { fl.log = log }
+
 // SetFault sets the function that decides on the fault of each order.
 func (fl *Fleet) SetFault(fault func(worker, order string) Fault) {
 	fl.mu.Lock()
@@ -153,6 +158,9 @@
 		fl.advance(wk)
 		err = act(wk)
 	}
+	if fault != None || err != nil {
+		fl.log.Info("Order fails.", "worker", id, "order", order, "fault", fault, "error", err)
+	}
 	if fault == Delayed {
 		fl.clock.AfterFunc(DelayedBy, func() {
 			fl.mu.Lock()
@@ -163,7 +171,8 @@
 			}
 			fl.advance(wk)
 			wk.executingDelayed, wk.delayed = true, !wk.contacted
-			_ = act(wk) // the caller no longer waits for the answer
+			err := act(wk) // the caller no longer waits for the answer
+			fl.log.Info("Executed delayed order.", "worker", id, "born", wk.born(), "order", order, "contacted", wk.contacted, "error", err)
 			wk.executingDelayed, wk.delayed = false, false
 		})
 	}
@@ -198,6 +207,7 @@
 	wk.fenced[name] = max(wk.fenced[name], number)
 	wk.seq++
 	wk.ends = append(wk.ends, cell.End{Seq: wk.seq, Run: cell.Run{Task: name, Number: number}, Result: result})
+	fl.log.Info("Run ended.", "worker", wk.id, "born", wk.born(), "task", name.String(), "run", number, "seq", wk.seq, "result", result)
 	fl.wakeHolds()
 }
 
@@ -258,6 +268,10 @@
 		if en.Seq <= number && en.Result == cell.ResultDone && !wk.delayed {
 			fl.done[en.Task] = true
 		}
+		if en.Seq <= number {
+			fl.log.Info("End acknowledged.", "worker", wk.id, "born", wk.born(), "task", en.Task.String(), "run", en.Number, "seq", en.Seq,
+				"upTo", number, "token", wk.token, "delayed", wk.executingDelayed, "contacted", wk.contacted)
+		}
 		return en.Seq <= number
 	})
 }
@@ -274,27 +288,30 @@
 
 func (fl *Fleet) start(
 	ctx context.Context, to agent.Target, token uint64, deadline time.Duration, sr cell.Start,
-) (cell.Refusal, error) {
-	var refusal cell.Refusal
+) (agent.StartAnswer, error) {
+	var answer agent.StartAnswer
 	err := fl.deliver(ctx, to.Incarnation.WorkerID(), "start", func(wk *worker) error {
 		if err := wk.admit(token); err != nil {
 			return err
 		}
+		answer.Clock = fl.now(wk)
 		rn, found := wk.runs[sr.Task]
 		switch {
 		case found && rn.number == sr.Run:
 			return nil
 		case deadline <= fl.now(wk):
-			refusal = cell.RefusedLate
+			answer.Refusal = cell.RefusedLate
 			return nil
 		case sr.Run <= wk.fenced[sr.Task]:
-			refusal = cell.RefusedStale
+			answer.Refusal = cell.RefusedStale
 			return nil
 		}
 		fl.checkDuplicate(wk, sr)
 		fl.checkCapacity(wk, sr)
 		wk.deadline = max(wk.deadline, deadline)
 		wk.runs[sr.Task] = run{sr.Run, fl.clock.Now(), wk.delayed}
+		fl.log.Info("Run started.", "worker", wk.id, "born", wk.born(), "task", sr.Task.String(), "run", sr.Run, "for", sr.Worker, "token", token,
+			"delayed", wk.executingDelayed, "contacted", wk.contacted)
 		fl.checkLimit(sr)
 		fl.clock.AfterFunc(fl.run, func() {
 			fl.mu.Lock()
@@ -311,7 +328,10 @@
 	if errors.Is(err, ErrConnectionClosed) {
 		fl.countLostStart(sr)
 	}
-	return refusal, err
+	if err != nil {
+		return agent.StartAnswer{}, err // not the variable answer: a delayed start may still write it
+	}
+	return answer, nil
 }
 
 func (fl *Fleet) checkDuplicate(wk *worker, sr cell.Start) {
