--- a/internal/planner/load.go
+++ b/internal/planner/load.go
@@ -122,7 +122,7 @@
 		all = append(all, recs...)
 	}
 	ld.cell.Restore(now, all)
-	for id, runs := range ld.cell.RecordedStarts() {
+	for id, runs := range ld.cell.RecordedStarts() { // the worker may hold them, whatever its last record says
 		rec, known := workers[id]
 		workers[id] = cell.Record{
 			Worker: id, Closed: !known || rec.Gone || rec.Closed, Held: append(rec.Held, runs...), Departed: rec.Departed, Unrenewed: rec.Unrenewed,
