--- a/internal/planner/stats.go
+++ b/internal/planner/stats.go
@@ -55,7 +55,7 @@
 	if now-st.since < statsInterval {
 		return
 	}
-	collected, heap := gcUsage()
+	collected, heap, memory := memoryUsage()
 	var each time.Duration
 	if st.ended > 0 {
 		each = st.took / time.Duration(st.ended)
@@ -65,14 +65,29 @@
 	ld.log.Info("Planner statistics.", "over", (now - st.since).String(), "plans", st.plans, "planned", st.planned.String(),
 		"steps_waiting", waiting, "starts", st.sent, "window", window, "in_flight", st.inFlight, "most_in_flight", st.maxInFlight,
 		"start_took", each.String(), "refused", st.refused, "holds", st.holds, "questions", st.adviceRequests,
-		"collector_s", collected-st.gcSeconds, "heap_mb", heap>>20)
+		"collector_s", collected-st.gcSeconds, "heap_mb", heap>>20, "memory_mb", memory>>20,
+		"sessions", len(ld.sessions), "answered", ld.answeredSessions())
 	*st = stats{since: now, inFlight: st.inFlight, maxInFlight: st.inFlight, gcSeconds: collected}
 }
 
-// gcUsage returns the CPU time in seconds that the garbage collector has used, and the size in bytes of the live heap
-// at its last run.
-func gcUsage() (seconds float64, heap uint64) {
-	samples := []metrics.Sample{{Name: "/cpu/classes/gc/total:cpu-seconds"}, {Name: "/gc/heap/live:bytes"}}
+// answeredSessions returns the number of workers that have answered this planner. The caller holds the lock.
+func (ld *leader) answeredSessions() int {
+	count := 0
+	for _, se := range ld.sessions {
+		if se.answered {
+			count++
+		}
+	}
+	return count
+}
+
+// memoryUsage returns the CPU time in seconds that the garbage collector has used, the size in bytes of the live heap
+// at its last run, and the memory that the process has from the operating system.
+func memoryUsage() (collectorSeconds float64, heap, memory uint64) {
+	samples := []metrics.Sample{
+		{Name: "/cpu/classes/gc/total:cpu-seconds"}, {Name: "/gc/heap/live:bytes"},
+		{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"},
+	}
 	metrics.Read(samples)
-	return samples[0].Value.Float64(), samples[1].Value.Uint64()
+	return samples[0].Value.Float64(), samples[1].Value.Uint64(), samples[2].Value.Uint64() - samples[3].Value.Uint64()
 }
