--- a/internal/planner/crashplay_test.go
+++ b/internal/planner/crashplay_test.go
@@ -33,15 +33,20 @@
 //
 //	TACKBEAM_LIVES_SEEDS=200 go test ./internal/planner -run TestCrashingStartsAreBounded
 func TestCrashingStartsAreBounded(t *testing.T) {
+	for seed := range crashPlaySeeds(t) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runCrashPlay(t, rand.New(rand.NewPCG(seed, 2)), 0) })
+		})
+	}
+}
+
+// crashPlaySeeds returns the number of seeds to play.
+func crashPlaySeeds(t *testing.T) uint64 {
 	seeds, err := strconv.ParseUint(cmp.Or(os.Getenv("TACKBEAM_LIVES_SEEDS"), "12"), 10, 64)
 	if err != nil {
 		t.Fatal(err)
 	}
-	for seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { runCrashPlay(t, rand.New(rand.NewPCG(seed, 2))) })
-		})
-	}
+	return seeds
 }
 
 const (
@@ -85,8 +90,10 @@
 	thawed chan struct{} // closed unless the node is frozen
 }
 
-func runCrashPlay(t *testing.T, rnd *rand.Rand) {
+// runCrashPlay plays one seed. At least minInUse workers are in use, 0 for the planner's default.
+func runCrashPlay(t *testing.T, rnd *rand.Rand, minInUse int) {
 	cp := newCrashPlay(t, rnd)
+	cp.minInUse = minInUse
 	defer cp.end()
 	for range crashPlayNodes {
 		cp.start()
--- a/internal/planner/leader.go
+++ b/internal/planner/leader.go
@@ -104,6 +104,7 @@
 	metrics      metricSet
 	stats        stats
 	ignored      ignoredEntries
+	standby      standbyWorkers
 	tickMonitor  tickMonitor
 	batches      batchIndex
 	dirty        bool
@@ -132,7 +133,7 @@
 		cell: cell.New(cell.Options{
 			Retention: opts.Site.Bounds.JobRetention,
 			FirstRun:  (tm.Number-1)*runsPerTerm + 1, StopTimeout: opts.Site.Bounds.StopTimeout,
-			InitialWindow: initialWindow,
+			InitialWindow: initialWindow, MinInUse: opts.MinInUse,
 		}),
 	}
 	ld.maxListAge = max(cmp.Or(opts.Site.Bounds.Contact, defaultContact)-listMargin, listMargin)
@@ -144,6 +145,7 @@
 	ld.records.init()
 	ld.batches.init()
 	ld.ignored.init()
+	ld.standby.init()
 	return ld
 }
 
--- a/internal/planner/planloop.go
+++ b/internal/planner/planloop.go
@@ -50,6 +50,8 @@
 	ld.expireLeases(now)
 	ld.checkRecovery(now)
 	ld.listNewlyUsed()
+	ld.activateWorkers()
+	ld.retireWorkers(now)
 	ld.dirty = true
 	ld.logWaits(now)
 	ld.logRecovery(now)
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -22,6 +22,9 @@
 	latencyHoldWait = 400 * time.Millisecond
 	// holdSlack is the time beyond its wait that a hold may take.
 	holdSlack = 700 * time.Millisecond
+	// firstAnswerTimeout is the time from which the first answer of a worker is overdue. It takes a few ms, on a lossy
+	// link a retransmission of 200 ms more.
+	firstAnswerTimeout = 300 * time.Millisecond
 	// holdPause is the pause between two holds of a worker, in which ends accumulate.
 	holdPause = 30 * time.Millisecond
 	// lossyMissLimit is the number of consecutive lost holds from which a worker counts as unreachable while many calls
@@ -153,7 +156,7 @@
 }
 
 // acquireSlot waits for a slot of the hold limiter and returns a function that releases it. A worker that has answered
-// needs no slot. It returns false if ctx is done first.
+// needs no slot; the answer of another one is overdue after firstAnswerTimeout. It returns false if ctx is done first.
 func (se *session) acquireSlot(ctx context.Context) (release func(), ok bool) {
 	se.leader.mu.Lock()
 	answered := se.answered
@@ -161,7 +164,19 @@
 	if answered {
 		return func() {}, true
 	}
-	return se.leader.holdLimiter.acquire(ctx)
+	releaseSlot, ok := se.leader.holdLimiter.acquire(ctx)
+	if !ok {
+		return nil, false
+	}
+	timer := se.leader.clock.AfterFunc(firstAnswerTimeout, func() {
+		se.leader.mu.Lock()
+		defer se.leader.mu.Unlock()
+		se.leader.cell.AnswerOverdue(se.incarnation)
+	})
+	return func() {
+		timer.Stop()
+		releaseSlot()
+	}, true
 }
 
 // tolerated reports whether a hold's error is followed only by another hold: while many calls are lost, a single one is
--- a/internal/planner/testbed_test.go
+++ b/internal/planner/testbed_test.go
@@ -56,6 +56,8 @@
 	// wrapStore, if not nil, wraps each node's store; the nodes then use agents instead of the fleet's own.
 	wrapStore func(st *kv.Store) *kv.Store
 	agents    *agent.Agents
+	// minInUse is the least number of workers in use.
+	minInUse int
 	// logged, if not nil, is called with each line that a node logs.
 	logged func(line string)
 }
@@ -194,7 +196,7 @@
 	nd.planner = planner.New(planner.Options{
 		Clock: clock, Log: bd.log(name), Store: st, Agents: agents, Metrics: nd.meters,
 		Site:          &site.Site{Bounds: site.Bounds{JobRetention: 2 * time.Minute}},
-		WorkersPrefix: workersPrefix,
+		WorkersPrefix: workersPrefix, MinInUse: bd.minInUse,
 		DecodeWorker: func(item kv.Item) (planner.WorkerEntry, error) {
 			id := strings.TrimPrefix(item.Key, workersPrefix)
 			if string(item.Value) == unreadable {
--- a/internal/planner/workerlist.go
+++ b/internal/planner/workerlist.go
@@ -39,6 +39,7 @@
 	for _, item := range items {
 		if item.Deleted {
 			ld.ignored.drop(item.Key)
+			ld.dropStandby(item.Key)
 			ld.deregister(item.Key)
 			continue
 		}
@@ -50,12 +51,14 @@
 		ld.ignored.drop(item.Key)
 		ld.addEntry(item.Key, en)
 	}
+	ld.activateWorkers()
 	ld.schedulePlan()
 }
 
 // ignore handles an entry that cannot be decoded. If there is a worker with the key, it may run tasks: its lease is
 // renewed as before, but it gets no new tasks until it has written a valid entry.
 func (ld *leader) ignore(key string, err error) {
+	ld.dropStandby(key)
 	if se, ok := ld.current[ld.workerID(key)]; ok {
 		if _, listed := ld.cell.Listed(se.incarnation); listed {
 			ld.deregister(key)
@@ -68,12 +71,18 @@
 	ld.log.Info("Ignoring an entry in the list of workers that cannot be decoded.", "key", key, "reason", err.Error())
 }
 
-// addEntry lists a worker if it is known already, or if its service is in use.
+// addEntry lists a worker that may have runs, and puts another one on standby if its service is in use.
 func (ld *leader) addEntry(key string, en WorkerEntry) {
-	if ld.current[en.ID.WorkerID()] != nil || ld.inherited(en.ID) || ld.serviceInUse(en.Service) {
+	if ld.current[en.ID.WorkerID()] != nil || ld.inherited(en.ID) {
+		ld.dropStandby(key)
 		ld.applyEntry(en)
 		return
 	}
+	if ld.serviceInUse(en.Service) {
+		ld.putStandby(key, en)
+		return
+	}
+	ld.dropStandby(key)
 	if _, known := ld.ignored.unusedService[key]; !known && len(ld.ignored.unusedService) < maxIgnored {
 		ld.log.Info("Worker's service is not in use.", "worker", en.ID, "service", en.Service)
 	}
@@ -90,7 +99,7 @@
 	for _, key := range slices.Sorted(maps.Keys(ld.ignored.unusedService)) {
 		if en := ld.ignored.unusedService[key]; ld.serviceInUse(en.Service) {
 			delete(ld.ignored.unusedService, key)
-			ld.applyEntry(en)
+			ld.addEntry(key, en)
 			ld.schedulePlan()
 		}
 	}
--- a/policy/cell/advicerequest.go
+++ b/policy/cell/advicerequest.go
@@ -87,6 +87,8 @@
 	}
 	if len(ids) > 0 {
 		ids = cl.fillRequest(st, ids)
+	} else {
+		cl.noteLack(now, st)
 	}
 	cl.sendRequests(st, ids)
 }
@@ -170,11 +172,17 @@
 	share := cl.queue(st.round.job.spec.Queue.Name).allowedShare
 	capacity := totalSlots(slices.Collect(cl.candidates(st, cl.allowedWorkers(st, nil), emptyCapacity)))
 	var ids []incarnation.ID
+	lacks := false
 	if want := gangRequestMargin*len(st.tasks) - capacity; want > 0 {
+		lacks = capacity < len(st.tasks)
 		ids = pickWorkers(st.advice.withoutVerdict(cl.allWorkers(st)), float64(want), share, minWorkers(st), maxStepWorkers)
 	} else if len(st.reserved) > 0 && st.expectedAt-now > longReservation {
 		short := len(st.tasks) - totalSlots(slices.Collect(cl.allowedCandidates(st)))
 		ids = pickWorkers(st.advice.withoutVerdict(cl.worstFit(st)), requestMargin*float64(short), share, minWorkers(st), maxStepWorkers)
+		lacks = true
+	}
+	if lacks && len(ids) == 0 {
+		cl.noteLack(now, st)
 	}
 	cl.sendRequests(st, ids)
 }
--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -27,6 +27,8 @@
 	// StopTimeout is how long a worker may take to stop a run. Meanwhile its reports omit the run although it
 	// is still running.
 	StopTimeout time.Duration
+	// MinInUse is how many workers of a service are in use even if there is no work; 0 means a default.
+	MinInUse int
 }
 
 // Cell is the state of one cell. It is not safe for concurrent use.
@@ -48,6 +50,8 @@
 	workers       map[incarnation.ID]*worker
 	// unpooled holds the workers that are in no pool.
 	unpooled map[*worker]bool
+	// standby holds the workers that are not in use, by service.
+	standby map[string]*standby
 	// open holds the steps that are ready and not finished.
 	open    map[*step]bool
 	pools   map[string]*pool
@@ -99,7 +103,7 @@
 // FinishRecovery.
 func New(opts Options) *Cell {
 	return &Cell{
-		opts: opts, jobs: map[string]*job{}, workers: map[incarnation.ID]*worker{}, unpooled: map[*worker]bool{},
+		opts: opts, jobs: map[string]*job{}, workers: map[incarnation.ID]*worker{}, unpooled: map[*worker]bool{}, standby: map[string]*standby{},
 		window: window{limit: opts.InitialWindow},
 		open:   map[*step]bool{}, pools: map[string]*pool{}, queues: map[string]*queue{}, cancels: map[string]cancel{}, quota: quota.New(),
 		services: map[string]bool{}, attributions: map[incarnation.ID]attribution{}, predecessors: map[string][]predecessor{},
--- a/policy/cell/gang.go
+++ b/policy/cell/gang.go
@@ -27,6 +27,9 @@
 		cl.startGang(now, st, chosen)
 		return false
 	}
+	if !st.advised() {
+		cl.noteLack(now, st)
+	}
 	cl.reserve(now, st)
 	cl.requestForReservation(now, st)
 	return !st.advised() || len(st.advice.allowed) > 0
--- a/policy/cell/placement.go
+++ b/policy/cell/placement.go
@@ -84,7 +84,7 @@
 	pl := &placement{task: tk, worker: wk, run: run, need: need, decidedAt: now, progressAt: now, begunAt: now, pace: fullPercent}
 	pl.resumed = tk.checkpoint != ""
 	wk.placements[placementKey{tk.name(), run}] = pl
-	wk.used = wk.used.Add(need)
+	wk.used, wk.usedAt = wk.used.Add(need), now
 	cl.quota.Add(tk.step.workspace(), need)
 	if tk.runs == 0 && !tk.done {
 		tk.step.unplaced--
@@ -112,7 +112,7 @@
 		}
 		st.unplaced++
 	}
-	pl.worker.used = pl.worker.used.Sub(pl.need)
+	pl.worker.used, pl.worker.usedAt = pl.worker.used.Sub(pl.need), max(cl.now, pl.worker.lastReport)
 	cl.quota.Sub(pl.task.step.workspace(), pl.need)
 	if pl.task.placement == pl {
 		pl.task.placement = nil
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -171,6 +171,9 @@
 		}
 	}
 	wanted := cl.wanted(st)
+	if wanted > 0 && !windowFull && !st.advised() {
+		cl.noteLack(now, st)
+	}
 	if wanted > 0 && !windowFull && !st.restarting() {
 		cl.requestAdvice(now, st, wanted)
 	}
--- a/policy/cell/report.go
+++ b/policy/cell/report.go
@@ -16,12 +16,12 @@
 	}
 	first := !wk.answered
 	if first {
-		wk.answered, wk.firstReport = true, now
+		wk.answered, wk.firstReport, wk.usedAt = true, now, max(wk.usedAt, now)
 		cl.resolvePredecessors(now, id, runs, ends)
 	}
 	cl.recordAnswer(wk)
 	wk.lastReport, wk.aliveAt = now, max(wk.aliveAt, sent)
-	wk.unreachable = false
+	wk.unreachable, wk.overdue = false, false
 	cl.withdrawAttributions(id)
 	for _, en := range ends {
 		if en.Seq > wk.lastEnd {
--- a/policy/cell/round.go
+++ b/policy/cell/round.go
@@ -60,6 +60,8 @@
 	// deferredPlan is the last plan that left capacity to gangs instead of starting tasks of the step.
 	deferredPlan int
 	late         bool
+	// lackedAt is when a plan last found no room for the step, 0 if none did. It has lacked room since lackedSince.
+	lackedAt, lackedSince time.Duration
 	// crashSeen is set once a worker has crashed under one of its tasks.
 	crashSeen bool
 	// hadFailedStarts is set once a start of one of its tasks has failed.
--- a/policy/cell/worker.go
+++ b/policy/cell/worker.go
@@ -14,6 +14,8 @@
 	Worker
 	// listed workers have an entry in the list of workers, answered ones have reported to this planner.
 	listed, answered bool
+	// overdue is set while its first answer to this planner is overdue.
+	overdue bool
 	// removed is set once the cell has discarded the worker.
 	removed    bool
 	used       size.Size
@@ -45,6 +47,8 @@
 	// firstReport is when it first reported to this planner, lastReport when it last did. aliveAt is when the call
 	// was sent that it last answered with a report.
 	firstReport, lastReport, aliveAt time.Duration
+	// usedAt is when a run on it was last placed or released, at least its first report.
+	usedAt time.Duration
 	// deadlineSentAt is when an order with a deadline was last sent to it, 0 if that is not known.
 	deadlineSentAt time.Duration
 	// pacedAt is when the pace of its best-effort tasks was last changed.
