--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -17,6 +17,8 @@
 	LinkMbps float64
 	// MaxSockets is the number of sockets that the process may have open; 0 if the settings do not specify it.
 	MaxSockets int
+	// MemoryMB is the memory in MB (10^6 bytes) beyond which the process is killed; 0 if the settings do not specify it.
+	MemoryMB int
 	// CallerAddr, ReadyAddr and PeerAddr are the addresses to listen on for callers, for the load
 	// balancer's readiness checks and for other nodes.
 	CallerAddr string
