--- a/internal/feed/peers.go
+++ b/internal/feed/peers.go
@@ -22,9 +22,11 @@
 	// peerCheckAge is the age of the copy from which other nodes are asked for theirs if the store does not answer.
 	// Half of the copies are younger.
 	peerCheckAge = 900 * time.Millisecond
-	// peerCheckCount is how many nodes are asked in turn for a younger copy, peerCheckInterval the minimum time
-	// until they are asked again.
+	// peerCheckCount is how many nodes are asked in turn for a younger copy, maxPeerChecks how many if one of them
+	// reaches the store: a quarter of the copies are as old as peerCheckAge, and the next check is 0.6 s later.
+	// peerCheckInterval is the minimum time until they are asked again.
 	peerCheckCount    = 3
+	maxPeerChecks     = 10
 	peerCheckInterval = 300 * time.Millisecond
 )
 
@@ -76,13 +78,19 @@
 	}
 	fd.lastPeerCheck = fd.clock.Now()
 	rand.Shuffle(len(sources), func(a, b int) { sources[a], sources[b] = sources[b], sources[a] })
-	for _, source := range sources[:min(peerCheckCount, len(sources))] {
-		if _, err := fd.requestFrom(ctx, source, 0); err != nil {
+	storeReached := false
+	for at, source := range sources[:min(maxPeerChecks, len(sources))] {
+		if at >= peerCheckCount && !storeReached {
+			return // the store probably answers no node
+		}
+		rs, err := fd.requestFrom(ctx, source, 0)
+		if err != nil {
 			fd.log.V(1).Info("Another node did not report the age of its configuration.", "reason", err.Error())
 		}
 		if !fd.olderThan(peerCheckAge) {
 			return
 		}
+		storeReached = storeReached || rs.Revision > 0 && rs.Age < maxConfirmedAge
 	}
 }
 
