--- a/internal/planner/gc.go
+++ b/internal/planner/gc.go
@@ -148,7 +148,8 @@
 
 // needed reports whether a record concerns a job or worker that still matters. The record of an ended job stays until
 // its batch is removed, because otherwise another planner would run the job again. Records of workers by earlier
-// planners are not needed once these have answered or were lost: each planner records the workers that it uses itself.
+// planners are not needed once these have answered or were lost: each planner records the workers that it uses itself,
+// and those that it has lost.
 func (ld *leader) needed(key string, recs []cell.Record) bool {
 	own := key >= joblog.RecordKey(ld.term.Token, 0)
 	for _, rec := range recs {
@@ -161,6 +162,9 @@
 		if rec.Worker == "" || rec.Stop {
 			continue
 		}
+		if rec.Gone && own && ld.keepLoss(rec.Worker) {
+			return true
+		}
 		known, _ := ld.cell.Listed(rec.Worker)
 		if _, unresolved := ld.unresolved[rec.Worker]; unresolved || own && known {
 			return true
--- a/internal/planner/load.go
+++ b/internal/planner/load.go
@@ -119,6 +119,11 @@
 				ld.inheritedLeases.ofPreviousOnly = ld.inheritedLeases.ofPreviousOnly || previous
 			}
 		}
+		for _, rec := range recs {
+			if rec.Worker != "" {
+				ld.standby.recorded[rec.Worker.WorkerID()] = true
+			}
+		}
 		all = append(all, recs...)
 	}
 	ld.cell.Restore(now, all)
--- a/internal/planner/planloop.go
+++ b/internal/planner/planloop.go
@@ -62,6 +62,7 @@
 	ld.metrics.gauge("planner.jobs", jobs)
 	ld.metrics.gauge("planner.steps_waiting", waiting)
 	ld.metrics.gauge("planner.workers", workers)
+	ld.metrics.gauge("planner.workers_standby", len(ld.standby.entries))
 	ld.metrics.gauge("planner.long_running_lacking", ld.cell.LackingTasks())
 	oldest, kept := ld.cell.OldestWait(now)
 	ld.metrics.gauge("planner.oldest_wait_ms", int(oldest.Milliseconds()))
@@ -92,6 +93,9 @@
 	out := ld.cell.TakeOutput()
 	ld.records.add(out.Records)
 	for _, rec := range out.Records {
+		if rec.Gone {
+			ld.standby.lostAt[rec.Worker.WorkerID()] = ld.now()
+		}
 		if rec.Phase.Ended() {
 			ld.log.Info("Job has ended.", "job", rec.Job, "phase", rec.Phase)
 			ld.metrics.count("planner.jobs." + string(rec.Phase))
--- a/internal/planner/standby.go
+++ b/internal/planner/standby.go
@@ -9,15 +9,44 @@
 // retireInterval is the interval between two searches for workers that are not needed any more.
 const retireInterval = time.Second
 
+// maxOrderDelay is how long an order may be in transit.
+const maxOrderDelay = 15 * time.Second
+
 // standbyWorkers are the entries of the list whose workers are on standby: there is no session with them. The cell
 // decides which are needed.
 type standbyWorkers struct {
 	entries map[string]WorkerEntry // by key in the list
 	// retiredAt is when workers were last searched that are not needed any more.
 	retiredAt time.Duration
+	// recorded are the ids of the workers that earlier planners recorded. lostAt is when workers were lost.
+	recorded map[string]bool
+	lostAt   map[string]time.Duration
+}
+
+func (sb *standbyWorkers) init() {
+	sb.entries, sb.recorded, sb.lostAt = map[string]WorkerEntry{}, map[string]bool{}, map[string]time.Duration{}
+}
+
+// mayGetOrders reports whether an order to an earlier incarnation of a worker may still be in transit. Then the worker
+// must be called at once under a new token, so that it rejects that order. A worker that was retired before its entry
+// changed gets none.
+func (ld *leader) mayGetOrders(key, workerID string) bool {
+	if _, standby := ld.standby.entries[key]; standby {
+		return false
+	}
+	return ld.sessionCounts[workerID] > 0 || ld.standby.recorded[workerID]
 }
 
-func (sb *standbyWorkers) init() { sb.entries = map[string]WorkerEntry{} }
+// keepLoss reports whether the record of a lost worker must stay in the journal, so that the next planner calls the
+// worker if it returns under its id.
+func (ld *leader) keepLoss(id incarnation.ID) bool {
+	at, lost := ld.standby.lostAt[id.WorkerID()]
+	if lost && ld.now()-at > maxOrderDelay {
+		delete(ld.standby.lostAt, id.WorkerID())
+		return false
+	}
+	return lost
+}
 
 // putStandby puts a listed worker on standby, or updates its entry there.
 func (ld *leader) putStandby(key string, en WorkerEntry) {
--- a/internal/planner/standby_test.go
+++ b/internal/planner/standby_test.go
@@ -121,6 +121,55 @@
 	})
 }
 
+// TestReturningWorkerIsCalled guards against a worker that is lost, returns under its id and stays on standby: it would
+// carry out a late order to its earlier incarnation while the task runs elsewhere.
+func TestReturningWorkerIsCalled(t *testing.T) {
+	for name, tc := range map[string]struct {
+		// away is how long the worker is away, and planner how long after its loss the planner dies; 0 for never.
+		away, planner time.Duration
+	}{
+		"same planner":               {away: 14 * time.Second},
+		"next planner":               {away: 14 * time.Second, planner: 2 * time.Second},
+		"recorded loss, then a next": {away: 14 * time.Second, planner: 11500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				hc := &holdCounter{workers: map[string]bool{}}
+				bd := newTestbed(t, time.Second)
+				bd.minInUse = 1
+				defer bd.end()
+				for at := range 20 {
+					bd.addWorker(fmt.Sprint("w", at))
+				}
+				bd.agents = hc.wrapAgents(bd.fleet.Agents())
+				bd.wrapStore = func(st *kv.Store) *kv.Store { return st }
+				first, _ := bd.addTwo()
+				bd.submit(first, "a", 1)
+				bd.await("a", cell.Succeeded, 3*time.Second)
+				lost := bd.fleet.Starts()[0].Worker.WorkerID()
+				bd.fleet.Kill(lost)
+				bd.store.Delete(workersPrefix + lost)
+				if tc.planner > 0 {
+					time.Sleep(tc.planner)
+					bd.cutOff("n1")
+					first.cancel()
+				}
+				time.Sleep(tc.away - tc.planner)
+				bd.addWorker(lost)
+				hc.mu.Lock()
+				delete(hc.workers, lost)
+				hc.mu.Unlock()
+				time.Sleep(time.Second)
+				hc.mu.Lock()
+				defer hc.mu.Unlock()
+				if !hc.workers[lost] {
+					t.Errorf("worker %s was not called within a second of its return", lost)
+				}
+			})
+		})
+	}
+}
+
 // TestRetiredWorkerRestarts has workers go on standby and restart there. Their tasks run once, also if the planner has
 // changed meanwhile.
 func TestRetiredWorkerRestarts(t *testing.T) {
--- a/internal/planner/workerlist.go
+++ b/internal/planner/workerlist.go
@@ -73,7 +73,8 @@
 
 // addEntry lists a worker that may have runs, and puts another one on standby if its service is in use.
 func (ld *leader) addEntry(key string, en WorkerEntry) {
-	if ld.current[en.ID.WorkerID()] != nil || ld.inherited(en.ID) {
+	id := en.ID.WorkerID()
+	if ld.current[id] != nil || ld.inherited(en.ID) || ld.serviceInUse(en.Service) && ld.mayGetOrders(key, id) {
 		ld.dropStandby(key)
 		ld.applyEntry(en)
 		return
