--- a/internal/planner/standby.go
+++ b/internal/planner/standby.go
@@ -50,7 +50,9 @@
 
 // putStandby puts a listed worker on standby, or updates its entry there.
 func (ld *leader) putStandby(key string, en WorkerEntry) {
-	ld.dropStandby(key)
+	if old, ok := ld.standby.entries[key]; ok && (old.ID != en.ID || old.Service != en.Service) {
+		ld.cell.RemoveStandby(old.Service, old.ID)
+	}
 	ld.standby.entries[key] = en
 	ld.cell.PutStandby(en.Worker)
 }
--- a/policy/cell/standby.go
+++ b/policy/cell/standby.go
@@ -34,11 +34,16 @@
 		sb = &standby{workers: map[incarnation.ID]Worker{}}
 		cl.standby[wk.Service] = sb
 	}
-	if _, known := sb.workers[wk.ID]; !known {
-		sb.order, sb.sorted = append(sb.order, wk.ID), false
-	}
+	_, known := sb.workers[wk.ID]
 	sb.workers[wk.ID] = wk
 	sb.largest = sb.largest.Max(wk.Capacity)
+	if known {
+		return
+	}
+	sb.order, sb.sorted = append(sb.order, wk.ID), false
+	if len(sb.order) > 2*len(sb.workers) {
+		sb.sort() // most of the listed ones have left or are listed twice
+	}
 }
 
 // RemoveStandby removes a worker of a service from standby.
