--- a/internal/planner/restarts_test.go
+++ b/internal/planner/restarts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -17,6 +18,8 @@
 	"tackbeam.example/policy/size"
 	"tackbeam.example/policy/work"
 
+	"tackbeam.example/tackbeam/internal/agent"
+	"tackbeam.example/tackbeam/internal/kv"
 	"tackbeam.example/tackbeam/internal/standin/memworkers"
 )
 
@@ -223,6 +226,45 @@
 	}
 }
 
+// TestWaitingHoldAcknowledgesNothing guards against a task that runs again because a hold with an acknowledgement waited
+// at a worker's next incarnation, which had just begun: that one forgot an end by its number.
+func TestWaitingHoldAcknowledgesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bd := newTestbed(t, 200*time.Millisecond, "w1")
+		defer bd.end()
+		const silence = 500 * time.Millisecond
+		var restarted, answers atomic.Bool
+		bd.agents = bd.fleet.Agents()
+		hold := bd.agents.Hold
+		bd.agents.Hold = func(ctx context.Context, to agent.Target, hd agent.Hold) (agent.Report, error) {
+			switch {
+			case hd.Acked > 0 && restarted.CompareAndSwap(false, true):
+				bd.restart(0, "w1")
+				bd.clock.AfterFunc(silence, func() { answers.Store(true) })
+				time.Sleep(time.Millisecond)
+				_, _ = hold(ctx, to, agent.Hold{Token: hd.Token}) // on a connection that has ended
+			case restarted.Load() && !answers.Load() && hd.Acked == 0 && hd.Wait == 0:
+				<-ctx.Done() // the reports that are requested meanwhile are lost
+				return agent.Report{}, agent.ErrNoAnswer
+			}
+			return hold(ctx, to, hd)
+		}
+		bd.wrapStore = func(st *kv.Store) *kv.Store { return st }
+		bd.addNode("n1")
+		time.Sleep(time.Second)
+		bd.submit(bd.leader(), "a", 1)
+		for !restarted.Load() {
+			time.Sleep(time.Millisecond)
+		}
+		bd.submit(bd.leader(), "b", 1)
+		bd.await("a", cell.Succeeded, 5*time.Second)
+		bd.await("b", cell.Succeeded, 10*time.Second)
+		if starts := len(bd.fleet.Starts()); starts != 2 {
+			t.Errorf("%d starts of 2 tasks", starts)
+		}
+	})
+}
+
 // TestEntryOfOtherIncarnation writes entries that name another incarnation of a worker than the one that answers. Only
 // the worker's own reports tell which incarnation is running: its runs go on, and it gets more.
 func TestEntryOfOtherIncarnation(t *testing.T) {
