--- a/internal/planner/standby.go
+++ b/internal/planner/standby.go
@@ -3,15 +3,13 @@
 import (
 	"time"
 
+	"tackbeam.example/policy/cell"
 	"tackbeam.example/policy/incarnation"
 )
 
 // retireInterval is the interval between two searches for workers that are not needed any more.
 const retireInterval = time.Second
 
-// maxOrderDelay is how long an order may be in transit.
-const maxOrderDelay = 15 * time.Second
-
 // standbyWorkers are the entries of the list whose workers are on standby: there is no session with them. The cell
 // decides which are needed.
 type standbyWorkers struct {
@@ -41,14 +39,14 @@
 // worker if it returns under its id.
 func (ld *leader) keepLoss(id incarnation.ID) bool {
 	at, lost := ld.standby.lostAt[id.WorkerID()]
-	if lost && ld.now()-at > maxOrderDelay {
+	if lost && ld.now()-at > cell.MaxOrderDelay {
 		delete(ld.standby.lostAt, id.WorkerID())
 		return false
 	}
 	return lost
 }
 
-// putStandby puts a listed worker on standby, or updates its entry there.
+// putStandby puts a listed worker on standby, or updates its entry there. The caller holds the lock.
 func (ld *leader) putStandby(key string, en WorkerEntry) {
 	if old, ok := ld.standby.entries[key]; ok && (old.ID != en.ID || old.Service != en.Service) {
 		ld.cell.RemoveStandby(old.Service, old.ID)
@@ -65,7 +63,7 @@
 	}
 }
 
-// activateWorkers begins sessions with the workers on standby that are needed.
+// activateWorkers begins sessions with the workers on standby that are needed. The caller holds the lock.
 func (ld *leader) activateWorkers() {
 	ids := ld.cell.Activate(ld.now())
 	if len(ids) == 0 {
--- a/policy/cell/crash.go
+++ b/policy/cell/crash.go
@@ -27,7 +27,7 @@
 	// minCorrelated is how many other workers must become unreachable in that window.
 	minCorrelated = 2
 	// unreachableRetention is how long the times at which workers became unreachable are kept: the consequences
-	// are known maxOrderDelay after the worker's lease of 5 s has expired, at the latest.
+	// are known MaxOrderDelay after the worker's lease of 5 s has expired, at the latest.
 	unreachableRetention = 30 * time.Second
 )
 
--- a/policy/cell/demand.go
+++ b/policy/cell/demand.go
@@ -23,7 +23,7 @@
 	surplusFactor = 2
 	// minIdle is how long a worker must have had no run before it goes on standby: no order to it is in transit any
 	// more.
-	minIdle = maxOrderDelay + 5*time.Second
+	minIdle = MaxOrderDelay + 5*time.Second
 	// lackInterval is how long a step must lack room for its demand to grow by as much again.
 	lackInterval = 300 * time.Millisecond
 	// lackMemory is how long a step counts as lacking room after a plan has found none for it.
--- a/policy/cell/restart.go
+++ b/policy/cell/restart.go
@@ -14,10 +14,10 @@
 // the next one either lists it or omits it. That report is requested with a fencing token that makes the worker
 // reject all earlier orders.
 
-// maxOrderDelay is how long an order may be in transit, together with the time for which a run that it begins, or
+// MaxOrderDelay is how long an order may be in transit, together with the time for which a run that it begins, or
 // whose lease it extends, may then go on. A run is kept for this time after the last order to the earlier
 // incarnation if the next one does not answer.
-const maxOrderDelay = 15 * time.Second
+const MaxOrderDelay = 15 * time.Second
 
 // predecessor is an earlier incarnation of a worker, with the runs that may still begin in the next one.
 type predecessor struct {
@@ -53,7 +53,7 @@
 		return
 	}
 	lastOrder := cmp.Or(wk.deadlineSentAt, now)
-	cl.predecessors[next.WorkerID()] = append(cl.predecessors[next.WorkerID()], predecessor{wk, lastOrder + maxOrderDelay, next, began})
+	cl.predecessors[next.WorkerID()] = append(cl.predecessors[next.WorkerID()], predecessor{wk, lastOrder + MaxOrderDelay, next, began})
 	cl.addUnlisted(now, next)
 }
 
@@ -156,6 +156,6 @@
 // carried out.
 func (cl *Cell) StartDelayed(now time.Duration, sr Start) {
 	if pl := cl.placement(sr.Worker, sr.Task, sr.Run); pl != nil {
-		pl.delayedUntil = now + maxOrderDelay
+		pl.delayedUntil = now + MaxOrderDelay
 	}
 }
