planner: acknowledge ends of restarting workers in holds that do not wait

A worker that restarts under its id can receive a hold of its previous incarnation. If that hold acknowledges ends and waits, the next incarnation forgets ends of its own that come meanwhile, and their tasks run again. TestWaitingHoldAcknowledgesNothing shows that each time.

Where workers report when they started, a hold that acknowledges new ends now returns at once, and one that waits acknowledges nothing: the worker has forgotten the earlier ends already. Workers without a start time have a new id in each incarnation and refuse such a hold, so their holds are unchanged.

--- a/internal/planner/incarnation.go
+++ b/internal/planner/incarnation.go
@@ -68,6 +68,12 @@
 	return number
 }
 
+// mayWaitWithAck reports whether a hold that acknowledges ends may wait at the worker. A worker that restarts under its
+// id may receive the hold in its next incarnation: if the hold waits there, that incarnation forgets ends of its own,
+// which come meanwhile, and their tasks run again. A worker that reports no start time has an id of its own in each
+// incarnation and refuses the hold.
+func (se *session) mayWaitWithAck() bool { return se.startedAt == 0 }
+
 // matches reports whether an entry may be of the session's incarnation, as far as the start times are known.
 func (se *session) matches(en WorkerEntry) bool {
 	startedAt := en.ID.StartedAt()
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -43,5 +43,5 @@
 	if err != nil {
 		return // the session's own holds handle the failure
 	}
-	se.apply(sent, report)
+	se.apply(sent, hold, report)
 }
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -68,6 +68,8 @@
 	missed int
 	// requesting is set while a report is requested in addition to the pending hold.
 	requesting bool
+	// acked is the highest end that the worker is known to have forgotten after an acknowledgement.
+	acked int
 }
 
 func newSession(ld *leader, en WorkerEntry) *session {
@@ -150,7 +152,7 @@
 			loop.Sleep(ctx, se.leader.clock, holdRetryPause)
 			continue
 		}
-		se.apply(sent, report)
+		se.apply(sent, hold, report)
 		se.awaitCommit(ctx)
 	}
 }
@@ -212,6 +214,12 @@
 	default:
 		hold.Deadline = se.extend(ld.now())
 	}
+	if !se.mayWaitWithAck() {
+		if hold.Acked > se.acked {
+			return hold, slack, true
+		}
+		hold.Acked = 0 // the worker has forgotten these ends
+	}
 	if se.answered && !waits && !se.unreachable {
 		hold.Wait = holdWait
 		if ld.cell.HasLatencyTarget(se.incarnation) {
@@ -225,8 +233,8 @@
 	return hold, slack, true
 }
 
-// apply applies a report.
-func (se *session) apply(sent time.Duration, report agent.Report) {
+// apply applies the report that answers a hold.
+func (se *session) apply(sent time.Duration, hold agent.Hold, report agent.Report) {
 	ld := se.leader
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
@@ -238,6 +246,7 @@
 		ld.log.Info("Worker answers again.", "worker", se.incarnation)
 	}
 	se.unreachable, se.unanswered, se.expired = false, false, false
+	se.acked = max(se.acked, hold.Acked)
 	if report.Clock > se.clock {
 		se.clock, se.heard = report.Clock, now
 	}
