feed: bound a check of other nodes' copies to 0.9 s

A node whose copy is old asks up to ten nodes one after the other once one of them reaches the store, and the next call to the store waits for that. Nodes that do not answer take 0.3 s each, so a check took up to 3 s, and two checks could follow each other without a pause, since the pause was counted from the beginning of a check.

A check now ends after 0.9 s, and the next one begins 0.3 s after its end at the earliest.

TestPeerCheckIsBounded: 1.8, 2.4 and 2.7 s before (all silent, five and one of ten reach the store), at most 0.9 s now. The tests of internal/feed pass.

--- a/internal/feed/peers.go
+++ b/internal/feed/peers.go
@@ -24,10 +24,13 @@
 	peerCheckAge = 900 * time.Millisecond
 	// peerCheckCount is how many nodes are asked in turn for a younger copy, maxPeerChecks how many if one of them
 	// reaches the store: a quarter of the copies are as old as peerCheckAge, and the next check is 0.6 s later.
-	// peerCheckInterval is the minimum time until they are asked again.
+	// peerCheckInterval is the minimum time from the end of a check until the next one.
 	peerCheckCount    = 3
 	maxPeerChecks     = 10
 	peerCheckInterval = 300 * time.Millisecond
+	// peerCheckTimeout bounds a check, since the next call to the store waits for it: it leaves time for three nodes
+	// that do not answer.
+	peerCheckTimeout = peerCheckCount * nodeFirstByte
 )
 
 var (
@@ -76,7 +79,9 @@
 	if !fd.olderThan(peerCheckAge) || fd.clock.Since(fd.lastPeerCheck) < peerCheckInterval {
 		return
 	}
-	fd.lastPeerCheck = fd.clock.Now()
+	defer func() { fd.lastPeerCheck = fd.clock.Now() }()
+	ctx, cancel := context.WithTimeout(ctx, peerCheckTimeout)
+	defer cancel()
 	rand.Shuffle(len(sources), func(a, b int) { sources[a], sources[b] = sources[b], sources[a] })
 	storeReached := false
 	for at, source := range sources[:min(maxPeerChecks, len(sources))] {
@@ -87,7 +92,7 @@
 		if err != nil {
 			fd.log.V(1).Info("Another node did not report the age of its configuration.", "reason", err.Error())
 		}
-		if !fd.olderThan(peerCheckAge) {
+		if !fd.olderThan(peerCheckAge) || ctx.Err() != nil {
 			return
 		}
 		storeReached = storeReached || rs.Revision > 0 && rs.Age < maxConfirmedAge
--- a/internal/feed/peers_test.go
+++ b/internal/feed/peers_test.go
@@ -118,3 +118,54 @@
 		})
 	}
 }
+
+// TestPeerCheckIsBounded guards against a node that waits for silent nodes, one after the other, before its next call to
+// the store.
+func TestPeerCheckIsBounded(t *testing.T) {
+	for name, answering := range map[string]int{"all are silent": 0, "one reaches the store": 1, "five reach the store": 5} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const maxDuration = 900 * time.Millisecond
+				ap := &agedPeers{old: 1150 * time.Millisecond, oldCount: 100}
+				members := []joblog.Member{{Node: "asker", Link: smallLink}}
+				for at := range 20 {
+					members = append(members, joblog.Member{Node: fmt.Sprint("n", at), Link: fastLink})
+				}
+				const pause = 100 * time.Millisecond // between two checks
+				var asked int
+				var began, ended time.Time
+				var longest time.Duration
+				request := func(ctx context.Context, addr string, rq feed.Request) (feed.Response, error) {
+					if time.Since(ended) > pause {
+						began, asked = time.Now(), 0
+					}
+					defer func() { ended, longest = time.Now(), max(longest, time.Since(began)) }()
+					if asked++; asked <= answering {
+						return ap.request(ctx, addr, rq)
+					}
+					<-ctx.Done()
+					return feed.Response{}, ctx.Err()
+				}
+				fd := feed.New(bubbleclock.New(), logr.Discard(), ap.store(), feed.Options{
+					Key: key, Node: "asker", Link: smallLink,
+					Decode:   func(kv.Item) (*routes.Config, error) { return &routes.Config{Version: 1}, nil },
+					Activate: func(*routes.Config) bool { return true },
+					Members:  func() []joblog.Member { return members },
+					Request:  request,
+				})
+				ctx, cancel := context.WithCancel(t.Context())
+				var running sync.WaitGroup
+				running.Go(func() { fd.Run(ctx) })
+				defer running.Wait()
+				defer cancel()
+				time.Sleep(5 * time.Second)
+				ap.silent.Store(true)
+				time.Sleep(10 * time.Second)
+				synctest.Wait()
+				if longest == 0 || longest > maxDuration {
+					t.Errorf("nodes were asked for %v at one time, want at most %v", longest, maxDuration)
+				}
+			})
+		})
+	}
+}
