--- a/internal/nodecli/nodecli.go
+++ b/internal/nodecli/nodecli.go
@@ -14,6 +14,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
+	"tackbeam.example/policy/feature"
+
 	"tackbeam.example/tackbeam/internal/daemon"
 	"tackbeam.example/tackbeam/internal/fault"
 	"tackbeam.example/tackbeam/internal/logs"
@@ -26,17 +28,18 @@
 
 // options are the command-line options of tackbeamd.
 type options struct {
-	Config     string `long:"config" description:"file with the node's settings, JSON"`
-	Check      bool   `long:"check" description:"check the settings and end"`
-	Settings   bool   `long:"settings" description:"print the page on all settings and end"`
-	Standalone bool   `long:"standalone" description:"run one node with stand-ins of the platform in this process"`
-	Platform   bool   `long:"platform" description:"run one node on the users' platform, with the settings file that it lays out"`
-	Metrics    int    `long:"metrics" description:"port of the node's address at which measures are served, with --platform; 0 for none"`
-	Listen     string `long:"listen" default:"127.0.0.1:7420" description:"address for callers, with --standalone"`
-	Workers    int    `long:"workers" default:"50" description:"stand-in workers, with --standalone"`
-	Record     string `long:"record" description:"file for the trace of decisions, with --standalone"`
-	Verbosity  int    `long:"verbosity" description:"verbosity of the log, with --standalone"`
-	Version    bool   `long:"version" description:"print the release and end"`
+	Config     string   `long:"config" description:"file with the node's settings, JSON"`
+	Check      bool     `long:"check" description:"check the settings and end"`
+	Settings   bool     `long:"settings" description:"print the page on all settings and end"`
+	Standalone bool     `long:"standalone" description:"run one node with stand-ins of the platform in this process"`
+	Platform   bool     `long:"platform" description:"run one node on the users' platform, with the settings file that it lays out"`
+	Enable     []string `long:"enable" description:"optional feature of scheduling, with --platform; may be repeated"`
+	Metrics    int      `long:"metrics" description:"port of the node's address at which measures are served, with --platform; 0 for none"`
+	Listen     string   `long:"listen" default:"127.0.0.1:7420" description:"address for callers, with --standalone"`
+	Workers    int      `long:"workers" default:"50" description:"stand-in workers, with --standalone"`
+	Record     string   `long:"record" description:"file for the trace of decisions, with --standalone"`
+	Verbosity  int      `long:"verbosity" description:"verbosity of the log, with --standalone"`
+	Version    bool     `long:"version" description:"print the release and end"`
 }
 
 // Run executes a command line and returns the exit code.
@@ -82,7 +85,11 @@
 			OnReady: printReady(out),
 		})
 	case op.Platform:
-		return platform.Run(out, op.Metrics)
+		features, err := feature.Parse(op.Enable)
+		if err != nil {
+			return fault.New(fault.BadRequest, "--enable: %s", err)
+		}
+		return platform.Run(out, op.Metrics, features)
 	case op.Config == "":
 		return fault.New(fault.BadRequest, "give --config FILE, --platform or --standalone; see tackbeamd --help")
 	}
--- a/internal/planner/leader.go
+++ b/internal/planner/leader.go
@@ -133,7 +133,7 @@
 		cell: cell.New(cell.Options{
 			Retention: opts.Site.Bounds.JobRetention,
 			FirstRun:  (tm.Number-1)*runsPerTerm + 1, StopTimeout: opts.Site.Bounds.StopTimeout,
-			InitialWindow: initialWindow, MinInUse: opts.MinInUse,
+			InitialWindow: initialWindow, MinInUse: opts.MinInUse, Features: opts.Site.Features,
 		}),
 	}
 	ld.maxListAge = max(cmp.Or(opts.Site.Bounds.Contact, defaultContact)-listMargin, listMargin)
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -2,7 +2,11 @@
 // guarantees. A node reads them from its settings, before it contacts any other component.
 package site
 
-import "time"
+import (
+	"time"
+
+	"tackbeam.example/policy/feature"
+)
 
 // Site is the place of one node in a deployment.
 type Site struct {
@@ -33,6 +37,8 @@
 	// AdvisorAddr is the address of the service that allows workers for steps; empty if there is none.
 	AdvisorAddr string
 	Bounds      Bounds
+	// Features are the optional features of scheduling that are enabled.
+	Features feature.Set
 }
 
 // Bounds are the time limits that the deployment guarantees or requires.
--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"tackbeam.example/policy/feature"
 	"tackbeam.example/policy/forecast"
 	"tackbeam.example/policy/incarnation"
 	"tackbeam.example/policy/quota"
@@ -29,6 +30,8 @@
 	StopTimeout time.Duration
 	// MinInUse is how many workers of a service are in use even if there is no work; 0 means a default.
 	MinInUse int
+	// Features are the optional features that are enabled.
+	Features feature.Set
 }
 
 // Cell is the state of one cell. It is not safe for concurrent use.
