logs: write all of a batch to a pipe with a slow reader

The queue writes many lines at once; a pipe in non-blocking mode accepts a part of that while its reader is slow, and the rest of the batch was discarded.

The rest is now written once there is room. After another error, the lines that were not written are counted, and the next batch waits for the next line rather than being tried in a loop.

TestPartialWrites and TestFailedWrite fail before and pass now.

--- a/internal/logs/queue.go
+++ b/internal/logs/queue.go
@@ -1,9 +1,12 @@
 package logs
 
 import (
+	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"sync"
+	"syscall"
 	"time"
 
 	"tackbeam.example/tackbeam/internal/wake"
@@ -66,13 +69,38 @@
 	for range qu.wake {
 		for {
 			batch, ended := qu.takeAll()
-			if len(batch) == 0 && ended {
-				return
+			if len(batch) > 0 && qu.write(batch) {
+				continue
 			}
-			if len(batch) == 0 {
-				break
+			if ended {
+				return
 			}
-			_, _ = qu.out.Write(batch) // a failure to write the log cannot be logged
+			break
+		}
+	}
+}
+
+// writeRetryPause is the pause before a write is repeated that the output did not accept for now. A pipe with a slow
+// reader has room again within milliseconds.
+const writeRetryPause = 5 * time.Millisecond
+
+// write writes a batch. A pipe that is in non-blocking mode accepts only part of it while its reader is slow; the rest is
+// written once there is room. After another error, the lines that were not written count as dropped, and the result is
+// false.
+func (qu *Queue) write(batch []byte) bool {
+	for {
+		written, err := qu.out.Write(batch)
+		batch = batch[written:]
+		switch {
+		case err == nil:
+			return true
+		case errors.Is(err, syscall.EAGAIN):
+			time.Sleep(writeRetryPause)
+		default:
+			qu.mu.Lock()
+			qu.dropped += bytes.Count(batch, []byte("\n"))
+			qu.mu.Unlock()
+			return false
 		}
 	}
 }
--- a/internal/logs/queue_test.go
+++ b/internal/logs/queue_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"io"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -83,3 +85,56 @@
 		close(ga.opened) // lets the queue's goroutine end
 	})
 }
+
+// partialWriter is a writer that accepts a few bytes of each write and returns an error for the rest.
+type partialWriter struct {
+	err  error
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (pw *partialWriter) Write(text []byte) (int, error) {
+	const accepted = 7
+	pw.mu.Lock()
+	defer pw.mu.Unlock()
+	if len(text) <= accepted {
+		return pw.text.Write(text)
+	}
+	pw.text.Write(text[:accepted])
+	return accepted, pw.err
+}
+
+// TestPartialWrites guards against lines that are cut or missing because the output accepted only part of a batch.
+func TestPartialWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		pw := &partialWriter{err: syscall.EAGAIN}
+		qu := logs.NewQueue(pw)
+		var want strings.Builder
+		for n := range 20 {
+			_, err := fmt.Fprintf(io.MultiWriter(qu, &want), "line %d\n", n)
+			is.NoErr(err)
+		}
+		qu.Close()
+		is.Equal(pw.text.String(), want.String())
+	})
+}
+
+// TestFailedWrite guards against lines that are missing without a count after an output failed.
+func TestFailedWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		pw := &partialWriter{err: io.ErrShortWrite}
+		qu := logs.NewQueue(pw)
+		_, err := fmt.Fprint(qu, "a long line\n")
+		is.NoErr(err)
+		synctest.Wait()
+		pw.mu.Lock()
+		pw.err = syscall.EAGAIN
+		pw.mu.Unlock()
+		_, err = fmt.Fprint(qu, "next\n")
+		is.NoErr(err)
+		qu.Close()
+		is.True(strings.Contains(pw.text.String(), `"lines":1}`))
+	})
+}
