logs: write at most 4 KB at a time

So the pipe reported no error: it drops the rest of a write that is larger than what it takes whole.

A write is now at most 4,096 bytes (PIPE_BUF) of whole lines.

--- a/internal/logs/queue.go
+++ b/internal/logs/queue.go
@@ -89,11 +89,12 @@
 // false.
 func (qu *Queue) write(batch []byte) bool {
 	for {
-		written, err := qu.out.Write(batch)
+		written, err := qu.out.Write(batch[:nextWrite(batch)])
 		batch = batch[written:]
 		switch {
-		case err == nil:
+		case err == nil && len(batch) == 0:
 			return true
+		case err == nil:
 		case errors.Is(err, syscall.EAGAIN):
 			time.Sleep(writeRetryPause)
 		default:
@@ -105,6 +106,21 @@
 	}
 }
 
+// maxWrite is the largest amount of bytes that a pipe takes whole or not at all (PIPE_BUF).
+const maxWrite = 4096
+
+// nextWrite returns the length of the whole lines at the beginning of a batch that one write takes, or of the first part
+// of a line that is longer than that.
+func nextWrite(batch []byte) int {
+	if len(batch) <= maxWrite {
+		return len(batch)
+	}
+	if end := bytes.LastIndexByte(batch[:maxWrite], '\n'); end >= 0 {
+		return end + 1
+	}
+	return maxWrite
+}
+
 // takeAll removes all queued lines and returns them as one buffer, so that they need only one write.
 func (qu *Queue) takeAll() (batch []byte, ended bool) {
 	qu.mu.Lock()
--- a/internal/logs/queue_test.go
+++ b/internal/logs/queue_test.go
@@ -138,3 +138,38 @@
 		is.True(strings.Contains(pw.text.String(), `"lines":1}`))
 	})
 }
+
+// TestWritesWholeLines guards against lines that are cut by a pipe which accepts only part of a large write: each write
+// has to be small enough to be taken whole, and to end with a line.
+func TestWritesWholeLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const atomicSize = 4096
+		ga := &gatedWriter{opened: make(chan struct{})}
+		var sizes []int
+		qu := logs.NewQueue(writerFunc(func(text []byte) (int, error) {
+			<-ga.opened
+			is.True(strings.HasSuffix(string(text), "\n"))
+			sizes = append(sizes, len(text))
+			return len(text), nil
+		}))
+		for n := range 500 {
+			_, err := fmt.Fprintf(qu, "line %d%s\n", n, strings.Repeat(" ", n))
+			is.NoErr(err)
+		}
+		close(ga.opened)
+		qu.Close()
+		sum := 0
+		for _, size := range sizes {
+			is.True(size <= atomicSize)
+			sum += size
+		}
+		const written = 500*499/2 + 500*len("line \n") + 10 + 90*2 + 400*3
+		is.Equal(sum, written)
+	})
+}
+
+// writerFunc is a writer that consists of its Write method.
+type writerFunc func(text []byte) (int, error)
+
+func (wf writerFunc) Write(text []byte) (int, error) { return wf(text) }
