admission: refuse jobs that cannot be in time, and bound jobs without a planner

Nodes know only the backlog that the planner cannot send, so they accept urgent jobs for which there will be no capacity, and any number of jobs while there is no planner.

No node calls this yet.

--- a/policy/admission/admission.go
+++ b/policy/admission/admission.go
@@ -1,7 +1,12 @@
-// Package admission decides which new jobs a cell refuses because more work is waiting than it can start soon.
+// Package admission decides which new jobs a cell refuses because more work is waiting than it can start soon, or in
+// time, or because there is no planner to start it.
 package admission
 
-import "time"
+import (
+	"time"
+
+	"tackbeam.example/policy/fairshare"
+)
 
 // Limits of the backlog.
 //
@@ -21,11 +26,19 @@
 	maxAge = 3 * time.Second
 )
 
-// Controller holds the last backlog that the planner reported to a node.
+// Controller holds what the planner last reported to a node.
 type Controller struct {
 	// urgent and all are how long the planner needs to start the waiting urgent work and all waiting work,
 	// as reported at a time.
 	urgent, all, at time.Duration
+	// shares are what is admitted of urgent work, as reported at a time.
+	shares   map[fairshare.Key]fairshare.Share
+	sharesAt time.Duration
+	// term is the term of the last report, startRate the last reported rate of starts per second, 0 if unknown.
+	term      uint64
+	startRate int
+	// unplanned is how many starts the jobs take that were accepted since there last was a planner that had reported.
+	unplanned int
 }
 
 // Update records how long the planner needs to start the waiting urgent work, and all waiting work.
