--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -64,6 +64,8 @@
 	quota *quota.Tracker
 	// unreportedAt is when the unreported usage of the workspaces was last estimated.
 	unreportedAt time.Duration
+	// arrivals measures the urgent work, nil unless jobs are admitted by capacity.
+	arrivals *arrivals
 	// services are the services that tasks of any job run on.
 	services map[string]bool
 	out      Output
@@ -110,7 +112,7 @@
 		window: window{limit: opts.InitialWindow},
 		open:   map[*step]bool{}, pools: map[string]*pool{}, queues: map[string]*queue{}, cancels: map[string]cancel{}, quota: quota.New(),
 		services: map[string]bool{}, attributions: map[incarnation.ID]attribution{}, predecessors: map[string][]predecessor{},
-		recordedStarts: map[placementKey]incarnation.ID{},
+		recordedStarts: map[placementKey]incarnation.ID{}, arrivals: newArrivals(opts.Features),
 	}
 }
 
--- a/policy/cell/loadtestbed_test.go
+++ b/policy/cell/loadtestbed_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/feature"
 	"tackbeam.example/policy/incarnation"
 	"tackbeam.example/policy/size"
 	"tackbeam.example/policy/work"
@@ -39,6 +40,7 @@
 	estimateSpread float64
 	// allowedShare is the share of workers that the advisor allows.
 	allowedShare float64
+	workspace    work.Workspace
 }
 
 // loadTestbed is a cell under steady load, with an advisor that needs time to answer.
@@ -78,7 +80,9 @@
 	// onStart, if set, is called for each run that begins, onLostStart for each start that is sent to a lost worker.
 	onStart, onLostStart func(cell.Start)
 	// admit reports whether a job is accepted; nil accepts all.
-	admit func(qu work.Queue) bool
+	admit func(jb *work.Job) bool
+	// features are the features of new planners.
+	features feature.Set
 }
 
 type simJob struct {
@@ -175,7 +179,7 @@
 func (bd *loadTestbed) replacePlanner() {
 	bd.noPlanner = false
 	bd.term++
-	bd.cell = cell.New(cell.Options{Retention: 2 * time.Minute, FirstRun: (bd.term-1)*64 + 1, StopTimeout: stopTime})
+	bd.cell = cell.New(cell.Options{Retention: 2 * time.Minute, FirstRun: (bd.term-1)*64 + 1, StopTimeout: stopTime, Features: bd.features})
 	for _, sj := range bd.arrivals {
 		bd.cell.AddAged(bd.now, bd.now-sj.arrivedAt, sj.spec)
 	}
@@ -215,13 +219,13 @@
 				accelerators = sm.accelerators[bd.rng.IntN(len(sm.accelerators))]
 			}
 			sj := &simJob{stream: at, arrivedAt: bd.now, runTime: run, remaining: count, willFail: bd.rng.Float64() < sm.failing, spec: &work.Job{
-				ID: fmt.Sprintf("s%dj%05d", at, len(bd.arrivals)), Queue: sm.queue,
+				ID: fmt.Sprintf("s%dj%05d", at, len(bd.arrivals)), Queue: sm.queue, Workspace: sm.workspace,
 				Steps: []work.Step{{
 					Count: count, Gang: sm.gang, Checkpoints: sm.checkpointing > 0 && bd.rng.Float64() < sm.checkpointing, Need: size.New(cores, memory, accelerators),
 					Estimate: time.Duration(float64(run) * math.Exp(sm.estimateSpread*bd.rng.NormFloat64())),
 				}},
 			}}
-			if bd.admit != nil && !bd.admit(sm.queue) {
+			if bd.admit != nil && !bd.admit(sj.spec) {
 				continue
 			}
 			bd.jobs[sj.spec.ID] = sj
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -277,6 +277,7 @@
 		Ticket: st.advice.ticket(wk), Checkpoint: tk.checkpoint, Urgent: st.urgent(), DecidedAt: now,
 	}
 	cl.window.add(st.urgent(), 1)
+	cl.noteStart(now, st)
 	if tk.recordsStarts() {
 		cl.recordStart(pl, sr)
 		return
--- a/policy/cell/recovery_test.go
+++ b/policy/cell/recovery_test.go
@@ -353,8 +353,8 @@
 			ld := newLoadedPlanner(tt.share, 1100, 147)
 			var dr admission.Controller
 			accepted, refused := 0, 0
-			ld.admit = func(qu work.Queue) bool {
-				if _, refuse := dr.Refuse(ld.now, qu.Priority == 0); refuse {
+			ld.admit = func(jb *work.Job) bool {
+				if _, refuse := dr.Refuse(ld.now, jb.Queue.Priority == 0); refuse {
 					refused++
 					return false
 				}
--- a/policy/cell/round.go
+++ b/policy/cell/round.go
@@ -128,6 +128,7 @@
 		rd.steps = append(rd.steps, st)
 	}
 	cl.openSteps(now, rd)
+	cl.noteArrival(now, rd)
 }
 
 // openSteps opens the steps of a round whose predecessors have ended.
