planner, cellnode: admit jobs by capacity (room-admission)

With the feature, the planner writes the shares of urgent work below 1 into the backlog record, at most each 0.5 s and once when that ends, and once per term when it has been planning for 2 s. Nodes refuse jobs by it, and accept only their part of what a planner starts in 4 s until one has reported.

Without the feature, records and decisions are the same as before. Nodes of other versions ignore the new fields.

--- a/internal/cellnode/admission.go
+++ b/internal/cellnode/admission.go
@@ -1,30 +1,81 @@
 package cellnode
 
 import (
+	"math/rand/v2"
+	"time"
+
 	"github.com/rcrowley/go-metrics"
 
+	"tackbeam.example/policy/fairshare"
+	"tackbeam.example/policy/feature"
 	"tackbeam.example/policy/work"
 
 	"tackbeam.example/tackbeam/internal/fault"
 	"tackbeam.example/tackbeam/internal/joblog"
 )
 
-// updateBacklog passes the size of the planner's backlog on to admission control.
+// updateBacklog passes a report of the planner on to admission control.
 func (nd *Node) updateBacklog(backlog joblog.BacklogSize) {
 	nd.admissionMu.Lock()
 	defer nd.admissionMu.Unlock()
-	nd.admission.Update(nd.clock.Since(nd.startedAt), backlog.Urgent, backlog.Total)
+	now := nd.clock.Since(nd.startedAt)
+	nd.admission.Update(now, backlog.Urgent, backlog.Total)
+	if !nd.adapter.Site.Features.Has(feature.RoomAdmission) {
+		return
+	}
+	var shares []fairshare.Share
+	for _, sh := range backlog.Shares {
+		shares = append(shares, fairshare.Share{
+			Key: fairshare.Key{Service: sh.Service, Workspace: sh.Workspace}, Admitted: sh.Admitted, Wait: sh.Wait, Drain: sh.Drain,
+		})
+	}
+	nd.admission.UpdateShares(now, shares)
+	nd.admission.UpdatePlanner(backlog.Term, backlog.StartRate)
 }
 
-// admit returns an error if the job is refused because of the planner's backlog, or nil.
+// admit returns an error if the job is refused because it would have to wait for too long, or nil.
 func (nd *Node) admit(jb *work.Job) error {
 	nd.admissionMu.Lock()
 	defer nd.admissionMu.Unlock()
-	retryAfter, refuse := nd.admission.Refuse(nd.clock.Since(nd.startedAt), jb.Queue.Priority == 0)
+	now := nd.clock.Since(nd.startedAt)
+	retryAfter, refuse := nd.admission.Refuse(now, jb.Queue.Priority == 0)
+	if refuse {
+		metrics.GetOrRegisterCounter("callers.refused_for_backlog", nd.meters).Inc(1)
+		nd.log.Info("Job refused because of the backlog.", "job", jb.ID, "queue", jb.Queue.Name, "come_back", retryAfter.String())
+		return fault.New(fault.Full, "backlog too long to start the job soon; not run").WithRetryAfter(retryAfter)
+	}
+	if !nd.adapter.Site.Features.Has(feature.RoomAdmission) {
+		return nil
+	}
+	return nd.admitByCapacity(now, jb)
+}
+
+// admitByCapacity returns an error if the job cannot be in time, or if too much was accepted without a planner. The
+// caller holds admissionMu.
+func (nd *Node) admitByCapacity(now time.Duration, jb *work.Job) error {
+	token, electedAt := nd.term.Planner()
+	if retryAfter, refuse := nd.admission.RefuseForRoom(now, token, jb, rand.Float64); refuse {
+		metrics.GetOrRegisterCounter("callers.refused_for_room", nd.meters).Inc(1)
+		return fault.New(fault.Full, "capacity for the workspace's urgent jobs is in use, the job cannot be in time; not run").WithRetryAfter(retryAfter)
+	}
+	retryAfter, refuse := nd.admission.RefuseUnplanned(token, nd.clock.Since(electedAt), len(nd.term.Members()), jb, rand.Float64)
+	nd.logUnplanned(refuse)
 	if !refuse {
 		return nil
 	}
-	metrics.GetOrRegisterCounter("callers.refused_for_backlog", nd.meters).Inc(1)
-	nd.log.Info("Job refused because of the backlog.", "job", jb.ID, "queue", jb.Queue.Name, "come_back", retryAfter.String())
-	return fault.New(fault.Full, "backlog too long to start the job soon; not run").WithRetryAfter(retryAfter)
+	metrics.GetOrRegisterCounter("callers.refused_without_planner", nd.meters).Inc(1)
+	return fault.New(fault.Full, "no planner has reported yet, and as much as it can start soon is accepted; not run").WithRetryAfter(retryAfter)
+}
+
+// logUnplanned logs when the node begins to refuse jobs because there is no planner, and when there is one again. The
+// caller holds admissionMu.
+func (nd *Node) logUnplanned(refused bool) {
+	switch {
+	case refused && !nd.refusesUnplanned:
+		nd.refusesUnplanned = true
+		nd.log.Info("Jobs are refused until a planner has reported.", "nodes", len(nd.term.Members()))
+	case nd.refusesUnplanned && !nd.admission.Unplanned():
+		nd.refusesUnplanned = false
+		nd.log.Info("Jobs are no longer refused for lack of a planner.")
+	}
 }
--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -74,6 +74,8 @@
 	startedAt   time.Time
 	admissionMu sync.Mutex
 	admission   admission.Controller
+	// refusesUnplanned is set once a job was refused because there is no planner, until there is one.
+	refusesUnplanned bool
 
 	stopping chan struct{}
 }
--- a/internal/cellnode/cellnode_test.go
+++ b/internal/cellnode/cellnode_test.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/feature"
 	"tackbeam.example/policy/incarnation"
 	"tackbeam.example/policy/size"
 	"tackbeam.example/policy/work"
@@ -42,6 +43,8 @@
 	t     *testing.T
 	store *memkv.Store
 	fleet *memworkers.Fleet
+	// features are the features that are enabled for nodes.
+	features feature.Set
 }
 
 func newDeployment(t *testing.T) *deployment {
@@ -63,7 +66,7 @@
 	}
 	dp.t.Cleanup(func() { _ = block.Close() })
 	nd := cellnode.New(clockwork.NewRealClock(), logr.Discard(), cellnode.Adapter{
-		Site:  &site.Site{Node: name, PeerAddr: block.Address(0), StoreWriteRate: 400, Bounds: site.Bounds{JobRetention: time.Minute}},
+		Site:  &site.Site{Node: name, PeerAddr: block.Address(0), StoreWriteRate: 400, Bounds: site.Bounds{JobRetention: time.Minute}, Features: dp.features},
 		Store: dp.store.Client(name), Agents: dp.fleet.Agents(),
 		WorkersPrefix: workersPrefix, ConfigKey: configKey,
 		DecodeWorker: func(item kv.Item) (planner.WorkerEntry, error) {
--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -97,6 +97,26 @@
 	// Total is the time that the planner needs to start all waiting work, Urgent that for its urgent part.
 	Total  time.Duration `cbor:"1,keyasint,omitempty"`
 	Urgent time.Duration `cbor:"2,keyasint,omitempty"`
+	// Term is the token of the planner's term, 0 from a planner that does not admit jobs by capacity.
+	Term uint64 `cbor:"3,keyasint,omitempty"`
+	// StartRate is how many starts per second the planner sustains, 0 if unknown.
+	StartRate int `cbor:"4,keyasint,omitempty"`
+	// Shares names the workspaces of whose urgent work less than all is admitted, lowest share first, at most MaxShares.
+	Shares []AdmittedShare `cbor:"5,keyasint,omitempty"`
+}
+
+// MaxShares is the maximum number of shares in a BacklogSize, which each node receives up to twice per second.
+const MaxShares = 64
+
+// AdmittedShare is the share of a workspace's urgent work for a service that nodes admit.
+type AdmittedShare struct {
+	Service   string `cbor:"1,keyasint"`
+	Workspace string `cbor:"2,keyasint,omitempty"`
+	// Admitted is between 0 and 1.
+	Admitted float64 `cbor:"3,keyasint"`
+	// Wait is the expected wait of admitted work, Drain the time until the present excess has been started.
+	Wait  time.Duration `cbor:"4,keyasint,omitempty"`
+	Drain time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // Member is the value of a node's key.
--- a/internal/joblog/joblog_test.go
+++ b/internal/joblog/joblog_test.go
@@ -26,3 +26,25 @@
 		})
 	}
 }
+
+// TestBacklogOfOtherVersions guards against nodes and planners of different versions that cannot read each other's
+// reports of the backlog.
+func TestBacklogOfOtherVersions(t *testing.T) {
+	is := is.New(t)
+	type old struct {
+		Total  time.Duration `cbor:"1,keyasint,omitempty"`
+		Urgent time.Duration `cbor:"2,keyasint,omitempty"`
+	}
+	raw, err := joblog.Encode(joblog.BacklogSize{
+		Total: time.Second, Term: 3, StartRate: 400, Shares: []joblog.AdmittedShare{{Service: "s", Workspace: "w", Admitted: 0.5}},
+	})
+	is.NoErr(err)
+	read, err := joblog.Decode[old](raw)
+	is.NoErr(err)
+	is.Equal(read, old{Total: time.Second})
+	raw, err = joblog.Encode(old{Urgent: time.Minute})
+	is.NoErr(err)
+	size, err := joblog.Decode[joblog.BacklogSize](raw)
+	is.NoErr(err)
+	is.Equal(size, joblog.BacklogSize{Urgent: time.Minute})
+}
--- a/internal/planner/backlog.go
+++ b/internal/planner/backlog.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"tackbeam.example/policy/feature"
+
 	"tackbeam.example/tackbeam/internal/joblog"
 	"tackbeam.example/tackbeam/internal/kv"
 )
@@ -21,6 +23,10 @@
 
 // reportBacklog writes the planner's backlog to the store, where all nodes see it. The caller holds the lock.
 func (ld *leader) reportBacklog(now time.Duration) {
+	if ld.opts.Site.Features.Has(feature.RoomAdmission) {
+		ld.reportAdmission(now)
+		return
+	}
 	if now-ld.backlogReported < backlogInterval || !ld.term.LeaseHeld() {
 		return
 	}
@@ -35,11 +41,12 @@
 	ld.spawn(func() { ld.writeBacklog(joblog.BacklogSize{Urgent: urgent, Total: all}) })
 }
 
-func (ld *leader) writeBacklog(size joblog.BacklogSize) {
+// writeBacklog reports whether the backlog was written.
+func (ld *leader) writeBacklog(size joblog.BacklogSize) bool {
 	raw, err := joblog.Encode(size)
 	if err != nil {
 		ld.log.Error(err, "Backlog could not be encoded.")
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ld.ctx, backlogInterval)
 	defer cancel()
@@ -49,5 +56,7 @@
 		Puts:       []kv.Put{{Key: joblog.Backlog, Value: raw}},
 	}); err != nil {
 		ld.log.Info("Backlog was not written to the store; nodes accept jobs as before.", "reason", err.Error())
+		return false
 	}
+	return true
 }
--- a/internal/planner/leader.go
+++ b/internal/planner/leader.go
@@ -115,10 +115,12 @@
 	// backlogReported is when the backlog was last reported, behind whether the planner was behind then.
 	backlogReported time.Duration
 	behind          bool
-	holdLimiter     *holdLimiter
-	wake            wake.Signal
-	ctx             context.Context
-	group           sync.WaitGroup
+	// admission is what was reported if jobs are admitted by capacity.
+	admission   admissionReport
+	holdLimiter *holdLimiter
+	wake        wake.Signal
+	ctx         context.Context
+	group       sync.WaitGroup
 }
 
 func newLeader(opts Options, log logr.Logger, tm term.Term) *leader {
--- a/internal/planner/testbed_test.go
+++ b/internal/planner/testbed_test.go
@@ -17,12 +17,14 @@
 	"github.com/rcrowley/go-metrics"
 
 	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/feature"
 	"tackbeam.example/policy/incarnation"
 	"tackbeam.example/policy/size"
 	"tackbeam.example/policy/work"
 
 	"tackbeam.example/tackbeam/internal/agent"
 	"tackbeam.example/tackbeam/internal/intake"
+	"tackbeam.example/tackbeam/internal/joblog"
 	"tackbeam.example/tackbeam/internal/kv"
 	"tackbeam.example/tackbeam/internal/leases"
 	"tackbeam.example/tackbeam/internal/planner"
@@ -58,6 +60,10 @@
 	agents    *agent.Agents
 	// minInUse is the least number of workers in use.
 	minInUse int
+	// features are the features that are enabled for nodes.
+	features feature.Set
+	// onBacklog, if not nil, is called with each report of a planner that a node sees.
+	onBacklog func(backlog joblog.BacklogSize)
 	// logged, if not nil, is called with each line that a node logs.
 	logged func(line string)
 }
@@ -195,7 +201,7 @@
 	clock := nd.newClock(bd)
 	nd.planner = planner.New(planner.Options{
 		Clock: clock, Log: bd.log(name), Store: st, Agents: agents, Metrics: nd.meters,
-		Site:          &site.Site{Bounds: site.Bounds{JobRetention: 2 * time.Minute}},
+		Site:          &site.Site{Bounds: site.Bounds{JobRetention: 2 * time.Minute}, Features: bd.features},
 		WorkersPrefix: workersPrefix, MinInUse: bd.minInUse,
 		DecodeWorker: func(item kv.Item) (planner.WorkerEntry, error) {
 			id := strings.TrimPrefix(item.Key, workersPrefix)
@@ -212,7 +218,7 @@
 		},
 		Leases: bd.leases,
 	})
-	nd.term = term.New(clock, bd.log(name), st, term.Options{Node: name, Processors: processors, TTL: 2 * time.Second, Lead: func(ctx context.Context, tm term.Term) {
+	nd.term = term.New(clock, bd.log(name), st, term.Options{Node: name, Processors: processors, TTL: 2 * time.Second, OnBacklog: bd.onBacklog, Lead: func(ctx context.Context, tm term.Term) {
 		nd.latest.Store(&tm)
 		nd.planner.Lead(ctx, tm)
 	}})
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -176,6 +176,22 @@
 	return er.leader, er.leaderRevision > 0
 }
 
+// Planner returns the token of the current planner's term and when this node learned of its election. The token is 0 if
+// no planner is known.
+func (er *Elector) Planner() (token uint64, electedAt time.Time) {
+	er.mu.Lock()
+	defer er.mu.Unlock()
+	if er.leaderRevision == 0 {
+		return 0, time.Time{}
+	}
+	for _, el := range er.elections {
+		if el.token == er.leaderRevision {
+			electedAt = el.at
+		}
+	}
+	return er.leaderRevision, electedAt
+}
+
 // Leading reports whether this node is the planner.
 func (er *Elector) Leading() bool {
 	er.mu.Lock()
