cell, planner: place work by the speeds of workers

Cause: urgent tasks start at once, and their jobs are late nevertheless, because the tasks run on slow workers.

Change: with the feature worker-speeds, urgent steps, gangs and steps whose latest start is near take workers that are not slow first, also in advice requests and reservations. Long-running and best-effort tasks take slow workers first. A slow worker is used if no other has capacity. The planner logs changes and counts slow workers (planner.workers_slow).

--- a/internal/planner/planloop.go
+++ b/internal/planner/planloop.go
@@ -68,6 +68,7 @@
 	ld.metrics.gauge("planner.oldest_wait_ms", int(oldest.Milliseconds()))
 	ld.metrics.gauge("planner.workers_kept_free", kept)
 	ld.metrics.gauge("planner.workers_resting", ld.cell.Quarantined(now))
+	ld.metrics.gauge("planner.workers_slow", ld.cell.SlowWorkers())
 }
 
 // plan runs a planning pass, if the planner may start tasks, and sends the resulting orders. It returns the duration of
@@ -110,6 +111,13 @@
 		ld.metrics.observe("planner.long_running_restart", rs.After)
 		ld.log.Info("Long-running task runs again.", "task", rs.Task.String(), "worker", rs.Worker, "after", rs.After.String())
 	}
+	for _, sc := range out.SpeedChanges {
+		message := "Worker is slow."
+		if !sc.Slow {
+			message = "Worker is not slow any more."
+		}
+		ld.log.Info(message, "worker", sc.Worker, "speed", sc.Speed, "runs", sc.Runs)
+	}
 	for _, sr := range out.Starts {
 		ld.stats.begin()
 		ld.spawn(func() { ld.sendStart(sr) })
--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -14,6 +14,7 @@
 	"tackbeam.example/policy/forecast"
 	"tackbeam.example/policy/incarnation"
 	"tackbeam.example/policy/quota"
+	"tackbeam.example/policy/speed"
 )
 
 // Options configure a cell.
@@ -90,6 +91,8 @@
 	attributions     map[incarnation.ID]attribution
 	// expecting are the steps with expected restarts.
 	expecting []*step
+	// speeds are the models of the workers' speeds by service, nil if the feature is not enabled.
+	speeds map[string]*speed.Model
 	// predecessors are earlier incarnations of workers, by worker ID.
 	predecessors map[string][]predecessor
 }
@@ -105,13 +108,17 @@
 // New returns an empty cell. Tasks that an earlier planner may have started are not placed before
 // FinishRecovery.
 func New(opts Options) *Cell {
-	return &Cell{
+	cl := &Cell{
 		opts: opts, jobs: map[string]*job{}, workers: map[incarnation.ID]*worker{}, unpooled: map[*worker]bool{}, standby: map[string]*standby{},
 		window: window{limit: opts.InitialWindow},
 		open:   map[*step]bool{}, pools: map[string]*pool{}, queues: map[string]*queue{}, cancels: map[string]cancel{}, quota: quota.New(),
 		services: map[string]bool{}, attributions: map[incarnation.ID]attribution{}, predecessors: map[string][]predecessor{},
 		recordedStarts: map[placementKey]incarnation.ID{},
 	}
+	if opts.Features.Has(feature.WorkerSpeeds) {
+		cl.speeds = map[string]*speed.Model{}
+	}
+	return cl
 }
 
 // journaledStop is a stop together with the record that the journal must have first: reports omit a run that is
--- a/policy/cell/gang.go
+++ b/policy/cell/gang.go
@@ -83,7 +83,7 @@
 }
 
 // fill takes workers until all tasks of the gang have a place: first those not to be avoided, among them those
-// near the step's data, and among these the ones with most slots.
+// that are not slow, then those near the step's data, and among these the ones with most slots.
 func (st *step) fill(cands []candidate) ([]candidate, bool) {
 	remaining := len(st.tasks)
 	if totalSlots(cands) < remaining {
@@ -94,6 +94,7 @@
 	slices.SortFunc(cands, func(a, b candidate) int {
 		return cmp.Or(
 			cmp.Compare(st.avoided(a.worker, suspect), st.avoided(b.worker, suspect)),
+			cmp.Compare(st.speedClass(a.worker), st.speedClass(b.worker)),
 			cmp.Compare(st.rackDistance(a.worker), st.rackDistance(b.worker)),
 			cmp.Compare(b.slots, a.slots), cmp.Compare(a.worker.freeProcessors(), b.worker.freeProcessors()),
 			cmp.Compare(a.worker.ID, b.worker.ID),
--- a/policy/cell/loadtestbed_test.go
+++ b/policy/cell/loadtestbed_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/feature"
 	"tackbeam.example/policy/incarnation"
 	"tackbeam.example/policy/size"
 	"tackbeam.example/policy/work"
@@ -78,7 +79,16 @@
 	// onStart, if set, is called for each run that begins, onLostStart for each start that is sent to a lost worker.
 	onStart, onLostStart func(cell.Start)
 	// admit reports whether a job is accepted; nil accepts all.
-	admit func(qu work.Queue) bool
+	admit    func(qu work.Queue) bool
+	features feature.Set
+	// speeds are the speeds of the workers, 1 if it is nil. If it is set, the tasks of a gang end together.
+	speeds map[incarnation.ID]float64
+	// tailShare is the share of tasks that take seven times as long by themselves.
+	tailShare float64
+	// demand is the demand relative to that of the streams; nil is 1 at all times.
+	demand func(now time.Duration) float64
+	// slow are the workers that the planner has called slow.
+	slow map[incarnation.ID]bool
 }
 
 type simJob struct {
@@ -97,6 +107,9 @@
 	worker    incarnation.ID
 	startedAt time.Duration
 	endsAt    time.Duration
+	// runTime is how long it takes without a checkpoint. finished is set once it waits for the others of its gang.
+	runTime  time.Duration
+	finished bool
 	// restored is the work done by earlier runs, from which this run continues after the restore.
 	restored time.Duration
 }
@@ -173,9 +186,9 @@
 
 // replacePlanner starts a new planner, which knows the journal and what the workers report.
 func (bd *loadTestbed) replacePlanner() {
-	bd.noPlanner = false
+	bd.noPlanner, bd.slow = false, map[incarnation.ID]bool{}
 	bd.term++
-	bd.cell = cell.New(cell.Options{Retention: 2 * time.Minute, FirstRun: (bd.term-1)*64 + 1, StopTimeout: stopTime})
+	bd.cell = cell.New(cell.Options{Retention: 2 * time.Minute, FirstRun: (bd.term-1)*64 + 1, StopTimeout: stopTime, Features: bd.features})
 	for _, sj := range bd.arrivals {
 		bd.cell.AddAged(bd.now, bd.now-sj.arrivedAt, sj.spec)
 	}
@@ -205,7 +218,11 @@
 func (bd *loadTestbed) submitArrivals() {
 	for at, sm := range bd.streams {
 		for bd.nextArrival[at] <= bd.now {
-			bd.nextArrival[at] += time.Duration(bd.rng.ExpFloat64() * float64(sm.interval))
+			interval := float64(sm.interval)
+			if bd.demand != nil {
+				interval /= bd.demand(bd.now)
+			}
+			bd.nextArrival[at] += time.Duration(bd.rng.ExpFloat64() * interval)
 			run := time.Duration(min(bd.drawLogNormal(float64(sm.runTime), 0.5), 2.6*float64(sm.runTime)))
 			count := min(max(int(math.Round(bd.drawLogNormal(sm.tasks, 0.7))), 1), sm.maxTasks)
 			cores := int64(1000 * min(bd.drawLogNormal(sm.cores, 0.4), max(30, sm.cores)))
@@ -268,6 +285,9 @@
 		for _, req := range out.AdviceRequests {
 			bd.requestAdvice(req)
 		}
+		for _, sc := range out.SpeedChanges {
+			bd.slow[sc.Worker] = sc.Slow
+		}
 	}
 }
 
@@ -292,7 +312,8 @@
 	if sj.startedAt == 0 {
 		sj.startedAt = bd.now
 	}
-	rn := &simRun{number: sr.Run, worker: sr.Worker, startedAt: bd.now, endsAt: bd.now + sj.runTime}
+	rn := &simRun{number: sr.Run, worker: sr.Worker, startedAt: bd.now, runTime: bd.runTimeOn(sr, sj)}
+	rn.endsAt = bd.now + rn.runTime
 	if sr.Checkpoint != "" {
 		rn.restored, _ = time.ParseDuration(sr.Checkpoint) // written by checkpoint
 		rn.endsAt += restoreTime - rn.restored
@@ -304,7 +325,44 @@
 		bd.schedule(sj.runTime/2, func() { bd.end(sr.Task, rn, cell.ResultFailed) })
 		return
 	}
-	bd.schedule(rn.endsAt-bd.now, func() { bd.end(sr.Task, rn, cell.ResultDone) })
+	bd.schedule(rn.endsAt-bd.now, func() { bd.finish(sr.Task, rn) })
+}
+
+// runTimeOn returns how long a task runs on the worker of its start.
+func (bd *loadTestbed) runTimeOn(sr cell.Start, sj *simJob) time.Duration {
+	if bd.speeds == nil {
+		return sj.runTime
+	}
+	const tailFactor, parts = 7, 1000
+	runTime := float64(sj.runTime) / bd.speeds[sr.Worker]
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(sr.Task.String()))
+	if float64(hash.Sum32()%parts) < parts*bd.tailShare {
+		runTime *= tailFactor
+	}
+	return time.Duration(runTime)
+}
+
+// finish ends a run that has done its work, or the runs of its gang if it is the last one.
+func (bd *loadTestbed) finish(name work.Task, rn *simRun) {
+	if bd.runs[name] != rn {
+		return
+	}
+	st := bd.jobs[name.Job].spec.Steps[0]
+	if !st.Gang || bd.speeds == nil {
+		bd.end(name, rn, cell.ResultDone)
+		return
+	}
+	rn.finished = true
+	member := name
+	for member.Index = range st.Count {
+		if other := bd.runs[member]; other == nil || !other.finished {
+			return
+		}
+	}
+	for member.Index = range st.Count {
+		bd.end(member, bd.runs[member], cell.ResultDone)
+	}
 }
 
 func (bd *loadTestbed) stop(sp cell.Stop) {
@@ -351,7 +409,7 @@
 	for name, rn := range bd.runs {
 		if rn.worker == id {
 			sj := bd.jobs[name.Job]
-			run := cell.Run{Task: name, Number: rn.number, Percent: int(100 * rn.done(bd.now) / sj.runTime)}
+			run := cell.Run{Task: name, Number: rn.number, Percent: min(int(100*rn.done(bd.now)/rn.runTime), 100)}
 			if sj.spec.Steps[0].Checkpoints {
 				run.Checkpoint = rn.checkpoint(bd.now)
 			}
@@ -455,7 +513,7 @@
 	share := func(list []*simJob) float64 {
 		onTime := 0
 		for _, sj := range list {
-			if qu := sj.spec.Queue; sj.endedAt > 0 && sj.endedAt-sj.arrivedAt <= time.Duration(qu.Stretch*float64(sj.runTime))+qu.Target {
+			if sj.onTime() {
 				onTime++
 			}
 		}
@@ -464,6 +522,12 @@
 	return share(list), share(list[:len(list)/10])
 }
 
+// onTime reports whether a job ended within its objective.
+func (sj *simJob) onTime() bool {
+	qu := sj.spec.Queue
+	return sj.endedAt > 0 && sj.endedAt-sj.arrivedAt <= time.Duration(qu.Stretch*float64(sj.runTime))+qu.Target
+}
+
 // coreSeconds returns the processor time that a job uses.
 func (sj *simJob) coreSeconds() float64 {
 	st := sj.spec.Steps[0]
--- a/policy/cell/longrunning.go
+++ b/policy/cell/longrunning.go
@@ -120,11 +120,11 @@
 		return
 	}
 	list := cl.openings(now, st, anyWorker)
-	sortOpenings(list)
+	sortOpenings(st, list)
 	if reselect {
 		st.selectedAt = now
 		free := slices.DeleteFunc(slices.Clone(list), func(op opening) bool { return !st.mayReserve(op.worker) })
-		chosen, _ := earliestOpenings(free, min(cl.lackingRestarts(st), len(free)))
+		chosen, _ := earliestOpenings(st, free, min(cl.lackingRestarts(st), len(free)))
 		cl.setReservation(st, chosen)
 		cl.preemptForRestart(now, st, free)
 	}
@@ -139,7 +139,7 @@
 		return
 	}
 	list := cl.openings(now, st, anyWorker)
-	sortOpenings(list)
+	sortOpenings(st, list)
 	cl.requestForRestart(now, st, list, cl.wanted(st)+st.expected)
 }
 
--- a/policy/cell/messages.go
+++ b/policy/cell/messages.go
@@ -169,9 +169,11 @@
 	Records        []Record
 	// Restarts are not orders: they have happened.
 	Restarts []Restart
+	// SpeedChanges are not orders either.
+	SpeedChanges []SpeedChange
 }
 
 // Empty reports whether there is nothing to do.
 func (ou *Output) Empty() bool {
-	return len(ou.Starts)+len(ou.Stops)+len(ou.Paces)+len(ou.ReportRequests)+len(ou.AdviceRequests)+len(ou.Records)+len(ou.Restarts) == 0
+	return len(ou.Starts)+len(ou.Stops)+len(ou.Paces)+len(ou.ReportRequests)+len(ou.AdviceRequests)+len(ou.Records)+len(ou.Restarts)+len(ou.SpeedChanges) == 0
 }
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -16,6 +16,7 @@
 	cl.evacuate(now)
 	cl.expirePredecessors(now)
 	cl.prune(now)
+	cl.refreshSpeeds(now)
 }
 
 // Plan places waiting tasks as far as capacity allows, and requests advice.
@@ -28,7 +29,7 @@
 	starved := map[string]bool{} // services with gangs that lack capacity
 	for i, rd := range cl.byRank(now) {
 		st, service := rd.step, cl.service(rd.step)
-		st.planIndex, st.late = i, rd.rank.late
+		st.planIndex, st.late, st.speedOrder = i, rd.rank.late, cl.speedOrder(now, rd)
 		switch {
 		case cl.skipped(st):
 			st.reservePlan = cl.planCount // it keeps its reservation until it is considered again
@@ -237,8 +238,8 @@
 	return fallback
 }
 
-// sortBestFit orders workers by distance to the step's data and then by best fit, so that whole workers stay
-// free for wide gangs. Best-effort tasks go where most processors are free.
+// sortBestFit orders workers by speed class, then by distance to the step's data and then by best fit, so that whole
+// workers stay free for wide gangs. Best-effort tasks go where most processors are free.
 func (cl *Cell) sortBestFit(st *step, cands []candidate) {
 	order := 1
 	if st.def.BestEffort {
@@ -246,6 +247,7 @@
 	}
 	slices.SortFunc(cands, func(a, b candidate) int {
 		return cmp.Or(
+			cmp.Compare(st.speedClass(a.worker), st.speedClass(b.worker)),
 			cmp.Compare(st.rackDistance(a.worker), st.rackDistance(b.worker)),
 			order*cmp.Compare(a.worker.freeProcessors(), b.worker.freeProcessors()),
 			cmp.Compare(a.worker.ID, b.worker.ID),
--- a/policy/cell/pool.go
+++ b/policy/cell/pool.go
@@ -178,18 +178,18 @@
 	}
 }
 
-// bestFit yields the workers that could start a task of the step now: first those near its data, then by best
-// fit, so that whole workers stay free for wide gangs. Best-effort tasks go where most processors are free.
+// bestFit yields the workers that could start a task of the step now: by speed class, then those near its data, then by
+// best fit, so that whole workers stay free for wide gangs. Best-effort tasks go where most processors are free.
 func (cl *Cell) bestFit(st *step) iter.Seq[candidate] {
 	workers := cl.withFreeProcessors(st)
 	order := slices.Values(workers)
 	if st.def.BestEffort {
 		order = backward(workers)
 	}
-	if st.def.Rack == "" {
-		return cl.candidates(st, order, cl.startable)
+	if st.def.Rack != "" {
+		order = st.nearFirst(order)
 	}
-	return cl.candidates(st, st.nearFirst(order), cl.startable)
+	return cl.candidates(st, cl.bySpeed(st, order), cl.startable)
 }
 
 // nearFirst yields the workers in the rack of the step's data, and then the others.
@@ -205,18 +205,19 @@
 	}
 }
 
-// allWorkers yields the workers that may run the step, including full ones, those with most free processors
-// first, each with the number of the step's tasks that it would hold if it were empty.
+// allWorkers yields the workers that may run the step, including full ones, by speed class, those with most free
+// processors first, each with the number of the step's tasks that it would hold if it were empty.
 func (cl *Cell) allWorkers(st *step) iter.Seq[candidate] {
-	return cl.candidates(st, backward(cl.poolWorkers(st)), emptyCapacity)
+	return cl.candidates(st, cl.bySpeed(st, backward(cl.poolWorkers(st))), emptyCapacity)
 }
 
 // emptyCapacity returns how many tasks of the step a worker would hold if it were empty.
 func emptyCapacity(st *step, wk *worker) int { return wk.Capacity.FitCount(st.need()) }
 
-// worstFit yields the workers that could start a task of the step now, those with most free processors first.
+// worstFit yields the workers that could start a task of the step now, by speed class, those with most free processors
+// first.
 func (cl *Cell) worstFit(st *step) iter.Seq[candidate] {
-	return cl.candidates(st, backward(cl.withFreeProcessors(st)), cl.startable)
+	return cl.candidates(st, cl.bySpeed(st, backward(cl.withFreeProcessors(st))), cl.startable)
 }
 
 // allowedWorkers yields the workers that the advisor allowed for the step and that take runs now. If filter is
--- a/policy/cell/report.go
+++ b/policy/cell/report.go
@@ -226,5 +226,6 @@
 	if pl == nil || pl.runningSince == 0 || pl.resumed || pl.adopted {
 		return
 	}
+	cl.learnSpeed(now, pl)
 	cl.queue(tk.step.round.job.spec.Queue.Name).runTimes.Observe(tk.step.def.Estimate, now-pl.runningSince)
 }
--- a/policy/cell/reservation.go
+++ b/policy/cell/reservation.go
@@ -103,7 +103,7 @@
 	if !st.def.Gang {
 		want = min(want, len(list)) // its tasks start one by one
 	}
-	chosen, ok := earliestOpenings(list, want)
+	chosen, ok := earliestOpenings(st, list, want)
 	if !ok {
 		st.reselectAt = now + reselectInterval
 		cl.releaseReservation(st)
@@ -221,11 +221,11 @@
 }
 
 // earliestOpenings sorts the openings by time and chooses the first ones, as many as wanted.
-func earliestOpenings(list []opening, want int) ([]candidate, bool) {
+func earliestOpenings(st *step, list []opening, want int) ([]candidate, bool) {
 	if want == 0 || len(list) < want {
 		return nil, false
 	}
-	sortOpenings(list)
+	sortOpenings(st, list)
 	counts := map[*worker]int{}
 	var chosen []candidate
 	for _, op := range list[:want] {
@@ -239,9 +239,9 @@
 	return chosen, true
 }
 
-// sortOpenings sorts openings by time.
-func sortOpenings(list []opening) {
+// sortOpenings sorts openings for tasks of a step by time, those at the same time by speed class.
+func sortOpenings(st *step, list []opening) {
 	slices.SortFunc(list, func(a, b opening) int {
-		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.worker.ID, b.worker.ID))
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(st.speedClass(a.worker), st.speedClass(b.worker)), cmp.Compare(a.worker.ID, b.worker.ID))
 	})
 }
--- a/policy/cell/round.go
+++ b/policy/cell/round.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"tackbeam.example/policy/incarnation"
+	"tackbeam.example/policy/speed"
 	"tackbeam.example/policy/work"
 )
 
@@ -68,6 +69,10 @@
 	hadFailedStarts bool
 	// lastTried is when the gang was last considered.
 	lastTried time.Duration
+	// runTimes are the run times of its tasks, from which the speeds of workers are learned.
+	runTimes speed.Group
+	// speedOrder is the order of workers by speed in the current plan.
+	speedOrder speedOrder
 }
 
 // task is one task. runs counts its runs that are, or may be, on workers. placement is the current one; the
--- a/policy/cell/worker.go
+++ b/policy/cell/worker.go
@@ -61,6 +61,8 @@
 	// sortedFree is its number of free processors when it was last sorted; moved is set if it has been moved since.
 	sortedFree int64
 	moved      bool
+	// slow is set while tasks run slowly on it.
+	slow bool
 }
 
 // endNote is the end of a run, by its number on the worker, and the number of records that must be committed for
@@ -89,6 +91,9 @@
 	if wk.Draining && !old.Draining {
 		old.leavesAt = now + wk.Remaining
 	}
+	if wk.Service != old.Service {
+		cl.forgetSpeed(old)
+	}
 	if wk.Capacity != old.Capacity {
 		cl.dropReservation(old) // the reservation was computed for the old capacity
 	}
@@ -226,6 +231,7 @@
 	cl.record(Record{Worker: wk.ID, Gone: true})
 	delete(cl.workers, wk.ID)
 	delete(cl.unpooled, wk)
+	cl.forgetSpeed(wk)
 	wk.removed = true
 }
 
