planner: test the log line and the metric of slow workers

Cause: nothing checked that operators see a slow worker, or that a restart of the worker or a new planner clears what was learned.

Change: workers of the stand-in fleet can be slow; the testbed of the planner enables features. A worker that takes three times as long is logged and counted within 5 jobs of 24 tasks, not counted after its restart at the usual speed, and learned again by the next planner. Without the feature none is.

go test -race ./internal/planner passes.

--- a/internal/standin/memworkers/memworkers.go
+++ b/internal/standin/memworkers/memworkers.go
@@ -44,8 +44,9 @@
 	workers map[string]*worker
 	changed chan struct{}
 	fault   func(worker, order string) Fault
-	// run is the run time of each task.
+	// run is the run time of each task, slow the factors by which it is longer on some workers.
 	run   time.Duration
+	slow  map[string]int
 	crash crashRule
 	// starts are all executed starts in order.
 	starts []cell.Start
@@ -83,6 +84,7 @@
 type run struct {
 	number    int
 	startedAt time.Time
+	takes     time.Duration
 	// delayed is set for a run that was started by such an order (see worker.delayed).
 	delayed bool
 }
@@ -90,7 +92,7 @@
 // New returns a fleet without workers. Each task runs for the given time.
 func New(clock clockwork.Clock, run time.Duration) *Fleet {
 	return &Fleet{
-		clock: clock, log: logr.Discard(), workers: map[string]*worker{}, changed: make(chan struct{}), run: run,
+		clock: clock, log: logr.Discard(), workers: map[string]*worker{}, changed: make(chan struct{}), run: run, slow: map[string]int{},
 		fault: func(string, string) Fault { return None }, done: map[work.Task]bool{}, lostRuns: map[string]int{},
 		crash: crashRule{triggers: func(cell.Start) bool { return false }, onRestart: func(string) {}},
 	}
@@ -191,7 +193,7 @@
 func (fl *Fleet) advance(wk *worker) {
 	for name, rn := range wk.runs {
 		leaseEnd := wk.startedAt.Add(wk.deadline)
-		done := rn.startedAt.Add(fl.run)
+		done := rn.startedAt.Add(rn.takes)
 		switch {
 		case !done.After(fl.clock.Now()) && !done.After(leaseEnd):
 			fl.end(wk, name, cell.ResultDone)
@@ -280,7 +282,7 @@
 	const fullPercent = 100
 	report := agent.Report{Clock: fl.now(wk), StartedAt: wk.startedAt.UnixMilli(), Ends: slices.Clone(wk.ends)}
 	for name, rn := range wk.runs {
-		percent := int(fullPercent * fl.clock.Since(rn.startedAt) / fl.run)
+		percent := int(fullPercent * fl.clock.Since(rn.startedAt) / rn.takes)
 		report.Runs = append(report.Runs, cell.Run{Task: name, Number: rn.number, Percent: percent})
 	}
 	return report
@@ -309,11 +311,11 @@
 		fl.checkDuplicate(wk, sr)
 		fl.checkCapacity(wk, sr)
 		wk.deadline = max(wk.deadline, deadline)
-		wk.runs[sr.Task] = run{sr.Run, fl.clock.Now(), wk.delayed}
+		wk.runs[sr.Task] = run{sr.Run, fl.clock.Now(), fl.runTime(wk.id), wk.delayed}
 		fl.log.Info("Run started.", "worker", wk.id, "born", wk.born(), "task", sr.Task.String(), "run", sr.Run, "for", sr.Worker, "token", token,
 			"delayed", wk.executingDelayed, "contacted", wk.contacted)
 		fl.checkLimit(sr)
-		fl.clock.AfterFunc(fl.run, func() {
+		fl.clock.AfterFunc(fl.runTime(wk.id), func() {
 			fl.mu.Lock()
 			defer fl.mu.Unlock()
 			fl.wakeHolds() // the run is done
