--- a/internal/cellnode/admission_test.go
+++ b/internal/cellnode/admission_test.go
@@ -1,6 +1,7 @@
 package cellnode_test
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -112,3 +113,41 @@
 	is.True(metrics.GetOrRegisterCounter("callers.refused_for_room", nd.Meters()).Count() > 0)
 	dp.waitFor("jobs are accepted once the report is old", func() bool { return submitTasks(t, nd, "b", 1) == nil })
 }
+
+// TestReportsWhileSubmitting guards against a deadlock between a report of the planner, which arrives under the
+// elector's lock, and a job, for which the node asks the elector for the planner.
+func TestReportsWhileSubmitting(t *testing.T) {
+	is := is.New(t)
+	dp := newDeployment(t)
+	dp.features = feature.RoomAdmission
+	dp.preventElection()
+	nd := dp.start("n1")
+	report := func(admitted float64) {
+		raw, err := joblog.Encode(joblog.BacklogSize{Term: 1, Shares: []joblog.AdmittedShare{{Service: queue.Service, Admitted: admitted}}})
+		is.NoErr(err)
+		dp.store.Set(joblog.Backlog, raw)
+	}
+	report(0)
+	dp.waitFor("a job is refused", func() bool { return submitTasks(t, nd, "a", 1) != nil })
+	const reports, callers = 2000, 2
+	ended := make(chan struct{})
+	var group sync.WaitGroup
+	for range callers {
+		group.Go(func() {
+			for {
+				select {
+				case <-ended:
+					return
+				default:
+					_ = submitTasks(t, nd, "b", 1) // refused
+				}
+			}
+		})
+	}
+	for n := range reports {
+		report(0.001 / float64(n+1))
+		time.Sleep(100 * time.Microsecond)
+	}
+	close(ended)
+	group.Wait()
+}
