policy/cell: test that tickets which count for longer end a skip

Cause: a step that found no capacity notes for which tickets that holds. When starts are answered sooner, tickets count for longer, and the note does not hold any more. No test failed without that check.

Change: TestTicketsCountForLonger.

Measured: the test passes, and fails when the check is removed.

--- a/policy/cell/shortcut_test.go
+++ b/policy/cell/shortcut_test.go
@@ -222,3 +222,45 @@
 		wl.report(id, nil)
 	})
 }
+
+// TestTicketsCountForLonger has a step find no capacity while starts are answered so late that its ticket for a free
+// worker would expire before the start arrives. Once starts are answered sooner, the ticket is valid long enough, and the
+// step must not stay skipped.
+func TestTicketsCountForLonger(t *testing.T) {
+	is := is.New(t)
+	cl := cell.New(cell.Options{Retention: time.Minute, FirstRun: 1, InitialWindow: 1000})
+	cl.PutWorker(0, cell.Worker{ID: "full", Service: "svc", Capacity: size.New(64000, 64000, 0), Labels: []string{"filled"}})
+	cl.PutWorker(0, cell.Worker{ID: "free", Service: "svc", Capacity: size.New(64000, 64000, 0)})
+	now := time.Second
+	cl.Report(now, "full", now, nil, nil)
+	cl.Report(now, "free", now, nil, nil)
+	cl.SetCommitted(cl.RecordCount())
+	cl.FinishRecovery()
+	plan := func() cell.Output {
+		cl.Plan(now)
+		return cl.TakeOutput()
+	}
+	submitStep(cl, "filler", work.Step{Count: 64, Label: "filled", Need: size.New(1000, 1000, 0), Estimate: time.Hour}, plainQueue("f", 1, 2))
+	starts := plan().Starts
+	is.Equal(len(starts), 64)
+	cl.Started(now, starts[0]) // the next one takes longer
+	now += 200 * time.Millisecond
+	cl.Started(now, starts[1])
+
+	submitStep(cl, "one", work.Step{Count: 1, Need: size.New(1000, 1000, 0), Estimate: time.Hour}, work.Queue{Name: "q", Service: "svc", Attempts: 3, Advised: true, Stretch: 2})
+	requests := plan().AdviceRequests
+	is.Equal(len(requests), 1)
+	cl.AddAdvice(now, requests[0], []cell.Ticket{{Worker: "full", Text: "t"}}, time.Second)
+	cl.AddAdvice(now, requests[0], []cell.Ticket{{Worker: "free", Text: "t"}}, 250*time.Millisecond)
+	now += time.Millisecond
+	is.Equal(len(plan().Starts), 0)
+
+	for _, sr := range starts[2:] {
+		sr.DecidedAt = now // these are answered at once
+		cl.Started(now, sr)
+	}
+	now += time.Millisecond
+	starts = plan().Starts
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Worker, incarnation.ID("free"))
+}
