--- a/policy/cell/shortcut_test.go
+++ b/policy/cell/shortcut_test.go
@@ -264,3 +264,23 @@
 	is.Equal(len(starts), 1)
 	is.Equal(starts[0].Worker, incarnation.ID("free"))
 }
+
+// TestQueueNeedsNoMoreAdvice has the advisor refuse the only worker, and then changes the queue so that its steps need
+// no advice. The step must not stay off the worker because of the verdict that it has.
+func TestQueueNeedsNoMoreAdvice(t *testing.T) {
+	is := is.New(t)
+	cl := newTestCell(1)
+	qu := work.Queue{Name: "q", Service: "svc", Attempts: 3, Advised: true, Priority: 1, Stretch: 2}
+	submitStep(cl, "one", work.Step{Count: 1, Need: size.New(1000, 100, 0), Estimate: time.Second}, qu)
+	cl.Plan(0)
+	requests := cl.TakeOutput().AdviceRequests
+	is.Equal(len(requests), 1)
+	cl.AddAdvice(0, requests[0], nil, time.Second)
+	cl.Plan(time.Millisecond)
+	is.Equal(len(cl.TakeOutput().Starts), 0)
+
+	qu.Version, qu.Advised = 1, false
+	cl.UpdateQueues(func(string) (work.Queue, bool) { return qu, true })
+	cl.Plan(2 * time.Millisecond)
+	is.Equal(len(cl.TakeOutput().Starts), 1)
+}
