--- a/policy/cell/advice.go
+++ b/policy/cell/advice.go
@@ -55,8 +55,11 @@
 	if st.advice.until <= until {
 		return nil
 	}
+	if cl.lacks(st, withTicket, until) {
+		return nil
+	}
 	valid := func(pm *permission) bool { return pm.until > until }
-	return slices.Collect(cl.candidates(st, cl.allowedWorkers(st, valid), cl.startable))
+	return slices.Collect(cl.search(st, withTicket, until, cl.allowedWorkers(st, valid)))
 }
 
 // latestArrival returns when a start that is decided now will have reached its worker at the latest. The ticket
@@ -116,6 +119,7 @@
 		pm.ticket, pm.until = row.Text, now+valid
 		st.advice.until = max(st.advice.until, pm.until)
 	}
+	cl.addAnswer(st, rows)
 	if newVerdicts > 0 {
 		const weight = 0.1
 		qu := cl.queue(st.round.job.spec.Queue.Name)
--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -12,7 +12,9 @@
 
 	"tackbeam.example/policy/feature"
 	"tackbeam.example/policy/forecast"
+	"tackbeam.example/policy/gainlog"
 	"tackbeam.example/policy/incarnation"
+	"tackbeam.example/policy/nearsort"
 	"tackbeam.example/policy/quota"
 	"tackbeam.example/policy/speed"
 )
@@ -91,6 +93,22 @@
 	// attributed to tasks, by the worker that was lost.
 	unreachableTimes []time.Duration
 	attributions     map[incarnation.ID]attribution
+	// reserving holds the steps that capacity is reserved for.
+	reserving map[*step]bool
+	// ranking is the order of the last plan, sorted by sorter. notRanked are the other open steps, spareSteps is memory
+	// for them.
+	ranking               []ranked
+	sorter                nearsort.Sorter[ranked]
+	notRanked, spareSteps []*step
+	// gains logs the workers that have gained capacity, recent are those of the last plan and this one.
+	gains  *gainlog.Log[*worker]
+	recent recentGains
+	// poolChanges counts the changes of the pools and of their workers' entries.
+	poolChanges int
+	// settings counts the changes of the queues' settings.
+	settings int
+	// noShortcuts makes plans compute anew what they otherwise know from earlier ones. Tests compare the decisions.
+	noShortcuts bool
 	// expecting are the steps with expected restarts.
 	expecting []*step
 	// speeds are the models of the workers' speeds by service, nil if the feature is not enabled.
@@ -115,7 +133,7 @@
 		window: window{limit: opts.InitialWindow},
 		open:   map[*step]bool{}, pools: map[string]*pool{}, queues: map[string]*queue{}, cancels: map[string]cancel{}, quota: quota.New(),
 		services: map[string]bool{}, attributions: map[incarnation.ID]attribution{}, predecessors: map[string][]predecessor{},
-		recordedStarts: map[placementKey]incarnation.ID{}, arrivals: newArrivals(opts.Features),
+		recordedStarts: map[placementKey]incarnation.ID{}, arrivals: newArrivals(opts.Features), reserving: map[*step]bool{}, gains: gainlog.New[*worker](gainsKept), recent: recentGains{indexes: map[*worker]int{}}, sorter: nearsort.Sorter[ranked]{Compare: compareRanked},
 	}
 	if opts.Features.Has(feature.WorkerSpeeds) {
 		cl.speeds = map[string]*speed.Model{}
--- a/policy/cell/loadtestbed_test.go
+++ b/policy/cell/loadtestbed_test.go
@@ -77,8 +77,21 @@
 	requestCounts [4]int
 	// onAdvice, if set, receives the answer to an advice request instead of the cell.
 	onAdvice func(rows []cell.Ticket)
+	// onCell, if set, is called for each new planner's cell, onOutput for all that a cell has produced.
+	onCell   func(*cell.Cell)
+	onOutput func(cell.Output)
 	// onStart, if set, is called for each run that begins, onLostStart for each start that is sent to a lost worker.
 	onStart, onLostStart func(cell.Start)
+	// refuse, if set, tells whether a worker refuses a start, and why. adviceFails is set while the advisor does not answer.
+	refuse      func(cell.Start) (cell.Refusal, bool)
+	adviceFails bool
+	// startDelay is how long the answer to a start takes, initialWindow the limit that planners begin with on starts without
+	// an answer.
+	startDelay    time.Duration
+	initialWindow int
+	// planTime is the processor time that plans took, planCount their number.
+	planTime  time.Duration
+	planCount int
 	// admit reports whether a job is accepted; nil accepts all.
 	admit func(jb *work.Job) bool
 	// features are the features of new planners.
@@ -190,7 +203,10 @@
 func (bd *loadTestbed) replacePlanner() {
 	bd.noPlanner, bd.slow = false, map[incarnation.ID]bool{}
 	bd.term++
-	bd.cell = cell.New(cell.Options{Retention: 2 * time.Minute, FirstRun: (bd.term-1)*64 + 1, StopTimeout: stopTime, Features: bd.features})
+	bd.cell = cell.New(cell.Options{Retention: 2 * time.Minute, FirstRun: (bd.term-1)*64 + 1, StopTimeout: stopTime, InitialWindow: bd.initialWindow, Features: bd.features})
+	if bd.onCell != nil {
+		bd.onCell(bd.cell)
+	}
 	for _, sj := range bd.arrivals {
 		bd.cell.AddAged(bd.now, bd.now-sj.arrivedAt, sj.spec)
 	}
@@ -271,13 +287,19 @@
 				bd.report(id, nil)
 			}
 		}
+		began := time.Now()
 		bd.cell.Plan(bd.now)
+		bd.planTime += time.Since(began)
+		bd.planCount++
 		bd.executeOrders()
 	}
 }
 
 func (bd *loadTestbed) executeOrders() {
 	for out := range drainOutput(bd.cell, &bd.records) {
+		if bd.onOutput != nil {
+			bd.onOutput(out)
+		}
 		for _, sr := range out.Starts {
 			bd.start(sr)
 		}
@@ -301,10 +323,20 @@
 		bd.schedule(startTimeout, func() { bd.cell.StartUnconfirmed(bd.now, sr) })
 		return
 	}
+	if bd.refuse != nil {
+		if why, refused := bd.refuse(sr); refused {
+			bd.cell.Refused(bd.now, sr, why)
+			return
+		}
+	}
 	bd.beginRun(sr)
 	if bd.onStart != nil {
 		bd.onStart(sr)
 	}
+	if bd.startDelay > 0 {
+		bd.schedule(bd.startDelay, func() { bd.cell.Started(bd.now, sr) })
+		return
+	}
 	bd.cell.Started(bd.now, sr)
 }
 
@@ -449,6 +481,10 @@
 		if term != bd.term {
 			return
 		}
+		if bd.adviceFails {
+			bd.cell.AdviceFailed(bd.now, req)
+			return
+		}
 		var rows []cell.Ticket
 		allowedShare := bd.streams[stream].allowedShare
 		for _, id := range req.Workers {
