--- a/internal/planner/admission_test.go
+++ b/internal/planner/admission_test.go
@@ -64,6 +64,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				bd := newTestbed(t, time.Second, "w1")
+				defer bd.end()
 				bd.features = tt.features
 				rs := bd.watchReports()
 				nd := bd.addNode("n1")
@@ -97,6 +98,7 @@
 		is := is.New(t)
 		const run, interval, loadTime = 500 * time.Millisecond, 100 * time.Millisecond, 6 * time.Second
 		bd := newTestbed(t, run, "w1")
+		defer bd.end()
 		bd.features = feature.RoomAdmission
 		var mu sync.Mutex
 		var lines []string
