cell: ask the advice budget before requests

With advice-budget enabled, plans count down the capacity in their order, steps without room send no requests, answers without a start are followed by growing pauses while the advisor has no time to spare, and the advisor's time replaces the limit of eight requests. Without the feature nothing changes.

--- a/policy/cell/advice.go
+++ b/policy/cell/advice.go
@@ -20,6 +20,12 @@
 	pending int
 	// retryAt is the earliest time for the next request after one that failed.
 	retryAt time.Duration
+	// unused counts the answers since the last start of the step, and pausedUntil is the end of the pause after the
+	// last one; they are used with feature.AdviceBudget only. noRoom is set while the budget finds no room for the
+	// step, noTime while it has no time for its request.
+	unused         int
+	pausedUntil    time.Duration
+	noRoom, noTime bool
 	// requests counts the requests, unanswered those of them that got no answer.
 	requests, unanswered int
 }
@@ -93,6 +99,7 @@
 		return
 	}
 	st.advice.pending--
+	cl.adviceAnswered(now, st, rq, valid)
 	st.selectedAt = 0 // with the new information, other capacity may become free sooner
 	newVerdicts := 0
 	for _, id := range rq.Workers {
@@ -128,6 +135,7 @@
 
 // AdviceFailed records that a request got no answer.
 func (cl *Cell) AdviceFailed(now time.Duration, rq AdviceRequest) {
+	cl.refundAdvice(now, rq)
 	if st := cl.step(rq.Step); st != nil {
 		st.advice.pending--
 		st.advice.unanswered++
@@ -137,6 +145,7 @@
 
 // AdviceDeferred records that a request was not sent because the advisor is busy.
 func (cl *Cell) AdviceDeferred(now time.Duration, rq AdviceRequest) {
+	cl.refundAdvice(now, rq)
 	if st := cl.step(rq.Step); st != nil {
 		st.advice.pending--
 		st.advice.unanswered++
--- a/policy/cell/advicerequest.go
+++ b/policy/cell/advicerequest.go
@@ -49,7 +49,7 @@
 	// advisorBusyPause follows a request that found the advisor busy: with 37 nodes that need one second each,
 	// one becomes free every 27 ms.
 	advisorBusyPause = 20 * time.Millisecond
-	// requestsPerPlan is how many non-urgent requests one plan sends at most.
+	// requestsPerPlan is how many non-urgent requests one plan sends at most, unless an advice budget decides.
 	requestsPerPlan = 8
 )
 
@@ -60,10 +60,13 @@
 	if !st.advised() || st.advice.pending > 0 || now < st.advice.retryAt {
 		return false
 	}
+	if cl.budgetRefuses(now, st) {
+		return false
+	}
 	if st.urgent() {
 		return cl.window.allowsRequests(cl.urgentPending)
 	}
-	return now >= cl.nextRequestAt && cl.requestsSent < requestsPerPlan
+	return now >= cl.nextRequestAt && cl.withinRequestLimit(now, st)
 }
 
 // requestAdvice requests permission for tasks that no allowed worker has capacity for: first from workers that
@@ -244,9 +247,11 @@
 		cl.requestsSent++
 	}
 	qu := st.round.job.spec.Queue
-	cl.out.AdviceRequests = append(cl.out.AdviceRequests, AdviceRequest{
+	rq := AdviceRequest{
 		Step:    work.Task{Job: st.round.job.spec.ID, Round: st.round.num, Step: st.num},
 		Workers: ids, Urgent: st.urgent(),
 		Takes: qu.AdviceBase + time.Duration(len(ids))*qu.AdviceEach,
-	})
+	}
+	cl.out.AdviceRequests = append(cl.out.AdviceRequests, rq)
+	cl.spendAdvice(rq)
 }
--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"tackbeam.example/policy/advicebudget"
 	"tackbeam.example/policy/feature"
 	"tackbeam.example/policy/forecast"
 	"tackbeam.example/policy/incarnation"
@@ -64,6 +65,8 @@
 	quota *quota.Tracker
 	// unreportedAt is when the unreported usage of the workspaces was last estimated.
 	unreportedAt time.Duration
+	// adviceBudget is nil unless feature.AdviceBudget is enabled.
+	adviceBudget *advicebudget.Budget
 	// services are the services that tasks of any job run on.
 	services map[string]bool
 	out      Output
@@ -107,8 +110,8 @@
 func New(opts Options) *Cell {
 	return &Cell{
 		opts: opts, jobs: map[string]*job{}, workers: map[incarnation.ID]*worker{}, unpooled: map[*worker]bool{}, standby: map[string]*standby{},
-		window: window{limit: opts.InitialWindow},
-		open:   map[*step]bool{}, pools: map[string]*pool{}, queues: map[string]*queue{}, cancels: map[string]cancel{}, quota: quota.New(),
+		window: window{limit: opts.InitialWindow}, adviceBudget: newAdviceBudget(opts.Features),
+		open: map[*step]bool{}, pools: map[string]*pool{}, queues: map[string]*queue{}, cancels: map[string]cancel{}, quota: quota.New(),
 		services: map[string]bool{}, attributions: map[incarnation.ID]attribution{}, predecessors: map[string][]predecessor{},
 		recordedStarts: map[placementKey]incarnation.ID{},
 	}
--- a/policy/cell/loadtestbed_test.go
+++ b/policy/cell/loadtestbed_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/feature"
 	"tackbeam.example/policy/incarnation"
 	"tackbeam.example/policy/size"
 	"tackbeam.example/policy/work"
@@ -43,11 +44,13 @@
 
 // loadTestbed is a cell under steady load, with an advisor that needs time to answer.
 type loadTestbed struct {
-	rng     *rand.Rand
-	now     time.Duration
-	cell    *cell.Cell
-	term    int
-	workers []incarnation.ID
+	rng  *rand.Rand
+	now  time.Duration
+	cell *cell.Cell
+	// features are the optional features of the next planner.
+	features feature.Set
+	term     int
+	workers  []incarnation.ID
 	// capacity is what each worker has, unless capacities has another value for it.
 	capacity   size.Size
 	capacities map[incarnation.ID]size.Size
@@ -73,6 +76,8 @@
 	// advisorTime is the advisor's time that each stream used, requestCounts the number of its requests.
 	advisorTime   [4]time.Duration
 	requestCounts [4]int
+	// silent is set while the advisor gives no answers.
+	silent bool
 	// onAdvice, if set, receives the answer to an advice request instead of the cell.
 	onAdvice func(rows []cell.Ticket)
 	// onStart, if set, is called for each run that begins, onLostStart for each start that is sent to a lost worker.
@@ -175,7 +180,8 @@
 func (bd *loadTestbed) replacePlanner() {
 	bd.noPlanner = false
 	bd.term++
-	bd.cell = cell.New(cell.Options{Retention: 2 * time.Minute, FirstRun: (bd.term-1)*64 + 1, StopTimeout: stopTime})
+	bd.cell = cell.New(cell.Options{Retention: 2 * time.Minute, FirstRun: (bd.term-1)*64 + 1, StopTimeout: stopTime, Features: bd.features})
+	bd.cell.SetAdvisorNodes(bd.now, len(bd.nodeFreeAt))
 	for _, sj := range bd.arrivals {
 		bd.cell.AddAged(bd.now, bd.now-sj.arrivedAt, sj.spec)
 	}
@@ -389,6 +395,10 @@
 		if term != bd.term {
 			return
 		}
+		if bd.silent {
+			bd.cell.AdviceFailed(bd.now, req)
+			return
+		}
 		var rows []cell.Ticket
 		allowedShare := bd.streams[stream].allowedShare
 		for _, id := range req.Workers {
--- a/policy/cell/placement.go
+++ b/policy/cell/placement.go
@@ -114,6 +114,7 @@
 	}
 	pl.worker.used, pl.worker.usedAt = pl.worker.used.Sub(pl.need), max(cl.now, pl.worker.lastReport)
 	cl.quota.Sub(pl.task.step.workspace(), pl.need)
+	cl.noteReleased(pl)
 	if pl.task.placement == pl {
 		pl.task.placement = nil
 	}
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -25,6 +25,7 @@
 	cl.updateUnreported(now)
 	cl.fillPools(now)
 	cl.expectRestarts()
+	cl.beginAdvicePlan()
 	starved := map[string]bool{} // services with gangs that lack capacity
 	for i, rd := range cl.byRank(now) {
 		st, service := rd.step, cl.service(rd.step)
@@ -35,11 +36,13 @@
 		case cl.atLimit(st) && st.expected == 0:
 			// its workspace may not have more running
 		case st.def.Gang:
+			cl.considerAdvice(now, st)
 			lacks := cl.planGang(now, rd)
 			starved[service] = starved[service] || lacks && cl.defersOthers(now, rd)
 		case starved[service] && rd.deferrable(now):
 			st.deferredPlan = cl.planCount // capacity that becomes free is left to the gangs
 		default:
+			cl.considerAdvice(now, st)
 			cl.planTasks(now, rd)
 		}
 	}
@@ -277,6 +280,7 @@
 		Ticket: st.advice.ticket(wk), Checkpoint: tk.checkpoint, Urgent: st.urgent(), DecidedAt: now,
 	}
 	cl.window.add(st.urgent(), 1)
+	st.advice.unused, st.advice.pausedUntil = 0, 0
 	if tk.recordsStarts() {
 		cl.recordStart(pl, sr)
 		return
