--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -112,7 +112,7 @@
 		Clock: clock, Log: log, Store: st, Agents: ad.Agents, Site: ad.Site, Metrics: nd.meters,
 		WorkersPrefix: ad.WorkersPrefix, DecodeWorker: ad.DecodeWorker,
 		Advise: nd.pool.Advise, Queue: nd.table.Queue, Workspace: nd.table.Workspace, ServiceInUse: nd.table.HasService,
-		Leases: nd.requestLeases,
+		Leases: nd.requestLeases, NodeCount: func() int { return len(nd.term.Members()) },
 	})
 	return nd
 }
--- a/internal/planner/leader.go
+++ b/internal/planner/leader.go
@@ -104,6 +104,7 @@
 	metrics      metricSet
 	stats        stats
 	ignored      ignoredEntries
+	adviceStats  adviceStats
 	standby      standbyWorkers
 	tickMonitor  tickMonitor
 	batches      batchIndex
--- a/internal/planner/planloop.go
+++ b/internal/planner/planloop.go
@@ -57,6 +57,7 @@
 	ld.logRecovery(now)
 	ld.logLossRate()
 	ld.logStats(now)
+	ld.updateAdviceBudget(now)
 	ld.reportBacklog(now)
 	jobs, waiting, workers := ld.cell.Counts()
 	ld.metrics.gauge("planner.jobs", jobs)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -50,6 +50,8 @@
 	DecodeWorker  func(item kv.Item) (WorkerEntry, error)
 	// Advise asks the advisor through the node that is expected to be free first.
 	Advise func(ctx context.Context, qn cell.AdviceRequest) (Advice, error)
+	// NodeCount returns the number of registered nodes, which send requests to the advisor; nil if it is not known.
+	NodeCount func() int
 	// ServiceInUse reports whether the configuration routes any queue to a service.
 	ServiceInUse func(service string) bool
 	// Queue returns the current settings of a queue, or false if it has no route.
--- a/internal/planner/testbed_test.go
+++ b/internal/planner/testbed_test.go
@@ -17,6 +17,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/feature"
 	"tackbeam.example/policy/incarnation"
 	"tackbeam.example/policy/size"
 	"tackbeam.example/policy/work"
@@ -56,6 +57,9 @@
 	// wrapStore, if not nil, wraps each node's store; the nodes then use agents instead of the fleet's own.
 	wrapStore func(st *kv.Store) *kv.Store
 	agents    *agent.Agents
+	// features are the optional features that are enabled, advise answers the planners' requests to the advisor.
+	features feature.Set
+	advise   func(ctx context.Context, rq cell.AdviceRequest) (planner.Advice, error)
 	// minInUse is the least number of workers in use.
 	minInUse int
 	// logged, if not nil, is called with each line that a node logs.
@@ -65,6 +69,9 @@
 // defaultCapacity is the number of the testbed's tasks that a worker can run at once.
 const defaultCapacity = 8
 
+// nodeCount is the number of nodes that planners take to send requests to the advisor.
+const nodeCount = 2
+
 // unreadable is the value of an entry in the list of workers that cannot be decoded.
 const unreadable = "unreadable"
 
@@ -195,7 +202,7 @@
 	clock := nd.newClock(bd)
 	nd.planner = planner.New(planner.Options{
 		Clock: clock, Log: bd.log(name), Store: st, Agents: agents, Metrics: nd.meters,
-		Site:          &site.Site{Bounds: site.Bounds{JobRetention: 2 * time.Minute}},
+		Site:          &site.Site{Bounds: site.Bounds{JobRetention: 2 * time.Minute}, Features: bd.features},
 		WorkersPrefix: workersPrefix, MinInUse: bd.minInUse,
 		DecodeWorker: func(item kv.Item) (planner.WorkerEntry, error) {
 			id := strings.TrimPrefix(item.Key, workersPrefix)
@@ -210,7 +217,7 @@
 			ws, ok := bd.workspaces[name]
 			return ws, ok
 		},
-		Leases: bd.leases,
+		Leases: bd.leases, Advise: bd.advise, NodeCount: func() int { return nodeCount },
 	})
 	nd.term = term.New(clock, bd.log(name), st, term.Options{Node: name, Processors: processors, TTL: 2 * time.Second, Lead: func(ctx context.Context, tm term.Term) {
 		nd.latest.Store(&tm)
