advicebudget: let gangs request advice while the advisor allows few workers

A gang was refused requests unless all of it fitted into the share of the rest that the advisor allows.

Now all of the rest counts, and a gang without a reservation still takes nothing that it could not use soon.

--- a/policy/advicebudget/advicebudget_test.go
+++ b/policy/advicebudget/advicebudget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -77,6 +78,13 @@
 			steps: []advicebudget.Demand{waiting(5, 60), with(waiting(6, 60), func(dm *advicebudget.Demand) { dm.Gang = true }), waiting(1, 60)},
 			want:  []bool{true, false, true}, // it does not keep others from the capacity that it cannot use
 		},
+		"gangs that the advisor allows on few workers": {
+			free: 64,
+			steps: slices.Repeat([]advicebudget.Demand{with(waiting(3, 60), func(dm *advicebudget.Demand) {
+				dm.Gang, dm.Share = true, 0.05
+			})}, 3),
+			want: []bool{true, true, true},
+		},
 		"several have waited long": {
 			steps: []advicebudget.Demand{waiting(1, 60), overdue, overdue}, want: []bool{true, true, false},
 		},
--- a/policy/advicebudget/room.go
+++ b/policy/advicebudget/room.go
@@ -190,10 +190,11 @@
 	return left
 }
 
-// fits reports whether a task of the step fits into what is left, or all of a gang.
+// fits reports whether a task of the step fits into what is left, or all of a gang. The share that the advisor allows does
+// not count here: while it allows few workers, all gangs but the first would get no requests, with most capacity free.
 func (dm Demand) fits(left size.Size) bool {
 	if dm.Gang {
-		return dm.Need.Times(int64(dm.Tasks)).Fits(dm.share(left))
+		return dm.Need.Times(int64(dm.Tasks)).Fits(left)
 	}
 	return dm.Need.Fits(left)
 }
