--- a/internal/planner/testbed_test.go
+++ b/internal/planner/testbed_test.go
@@ -58,10 +58,11 @@
 	// wrapStore, if not nil, wraps each node's store; the nodes then use agents instead of the fleet's own.
 	wrapStore func(st *kv.Store) *kv.Store
 	agents    *agent.Agents
+	// features are the optional features that are enabled, advise answers the planners' requests to the advisor.
+	features feature.Set
+	advise   func(ctx context.Context, rq cell.AdviceRequest) (planner.Advice, error)
 	// minInUse is the least number of workers in use.
 	minInUse int
-	// features are the features that are enabled for nodes.
-	features feature.Set
 	// onBacklog, if not nil, is called with each report of a planner that a node sees.
 	onBacklog func(backlog joblog.BacklogSize)
 	// logged, if not nil, is called with each line that a node logs.
@@ -71,6 +72,9 @@
 // defaultCapacity is the number of the testbed's tasks that a worker can run at once.
 const defaultCapacity = 8
 
+// nodeCount is the number of nodes that planners take to send requests to the advisor.
+const nodeCount = 2
+
 // unreadable is the value of an entry in the list of workers that cannot be decoded.
 const unreadable = "unreadable"
 
@@ -216,7 +220,7 @@
 			ws, ok := bd.workspaces[name]
 			return ws, ok
 		},
-		Leases: bd.leases,
+		Leases: bd.leases, Advise: bd.advise, NodeCount: func() int { return nodeCount },
 	})
 	nd.term = term.New(clock, bd.log(name), st, term.Options{Node: name, Processors: processors, TTL: 2 * time.Second, OnBacklog: bd.onBacklog, Lead: func(ctx context.Context, tm term.Term) {
 		nd.latest.Store(&tm)
--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"tackbeam.example/policy/advicebudget"
 	"tackbeam.example/policy/feature"
 	"tackbeam.example/policy/forecast"
 	"tackbeam.example/policy/gainlog"
@@ -69,6 +70,8 @@
 	unreportedAt time.Duration
 	// arrivals measures the urgent work, nil unless jobs are admitted by capacity.
 	arrivals *arrivals
+	// adviceBudget is nil unless feature.AdviceBudget is enabled.
+	adviceBudget *advicebudget.Budget
 	// services are the services that tasks of any job run on.
 	services map[string]bool
 	out      Output
@@ -130,8 +133,8 @@
 func New(opts Options) *Cell {
 	cl := &Cell{
 		opts: opts, jobs: map[string]*job{}, workers: map[incarnation.ID]*worker{}, unpooled: map[*worker]bool{}, standby: map[string]*standby{},
-		window: window{limit: opts.InitialWindow},
-		open:   map[*step]bool{}, pools: map[string]*pool{}, queues: map[string]*queue{}, cancels: map[string]cancel{}, quota: quota.New(),
+		window: window{limit: opts.InitialWindow}, adviceBudget: newAdviceBudget(opts.Features),
+		open: map[*step]bool{}, pools: map[string]*pool{}, queues: map[string]*queue{}, cancels: map[string]cancel{}, quota: quota.New(),
 		services: map[string]bool{}, attributions: map[incarnation.ID]attribution{}, predecessors: map[string][]predecessor{},
 		recordedStarts: map[placementKey]incarnation.ID{}, arrivals: newArrivals(opts.Features), reserving: map[*step]bool{}, gains: gainlog.New[*worker](gainsKept), recent: recentGains{indexes: map[*worker]int{}}, sorter: nearsort.Sorter[ranked]{Compare: compareRanked},
 	}
--- a/policy/cell/loadtestbed_test.go
+++ b/policy/cell/loadtestbed_test.go
@@ -45,11 +45,13 @@
 
 // loadTestbed is a cell under steady load, with an advisor that needs time to answer.
 type loadTestbed struct {
-	rng     *rand.Rand
-	now     time.Duration
-	cell    *cell.Cell
-	term    int
-	workers []incarnation.ID
+	rng  *rand.Rand
+	now  time.Duration
+	cell *cell.Cell
+	// features are the optional features of the next planner.
+	features feature.Set
+	term     int
+	workers  []incarnation.ID
 	// capacity is what each worker has, unless capacities has another value for it.
 	capacity   size.Size
 	capacities map[incarnation.ID]size.Size
@@ -94,8 +96,6 @@
 	planCount int
 	// admit reports whether a job is accepted; nil accepts all.
 	admit func(jb *work.Job) bool
-	// features are the features of new planners.
-	features feature.Set
 	// speeds are the speeds of the workers, 1 if it is nil. If it is set, the tasks of a gang end together.
 	speeds map[incarnation.ID]float64
 	// tailShare is the share of tasks that take seven times as long by themselves.
@@ -207,6 +207,7 @@
 	if bd.onCell != nil {
 		bd.onCell(bd.cell)
 	}
+	bd.cell.SetAdvisorNodes(bd.now, len(bd.nodeFreeAt))
 	for _, sj := range bd.arrivals {
 		bd.cell.AddAged(bd.now, bd.now-sj.arrivedAt, sj.spec)
 	}
--- a/policy/cell/placement.go
+++ b/policy/cell/placement.go
@@ -117,6 +117,7 @@
 	cl.quota.Sub(pl.task.step.workspace(), pl.need)
 	cl.noteEnd(pl.task.step)
 	cl.gained(pl.worker)
+	cl.noteReleased(pl)
 	if pl.task.placement == pl {
 		pl.task.placement = nil
 	}
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -27,6 +27,7 @@
 	cl.beginGains()
 	cl.fillPools(now)
 	cl.expectRestarts()
+	cl.beginAdvicePlan()
 	starved := map[string]bool{} // services with gangs that lack capacity
 	for i, rd := range cl.byRank(now) {
 		st := rd.step
@@ -37,12 +38,14 @@
 		case cl.atLimit(st) && st.expected == 0:
 			// its workspace may not have more running
 		case st.def.Gang:
+			cl.considerAdvice(now, st)
 			if lacks := cl.planGang(now, rd); lacks && cl.defersOthers(now, rd) {
 				starved[cl.service(st)] = true
 			}
 		case len(starved) > 0 && starved[cl.service(st)] && rd.deferrable(now):
 			st.deferredPlan = cl.planCount // capacity that becomes free is left to the gangs
 		default:
+			cl.considerAdvice(now, st)
 			cl.planTasks(now, rd)
 		}
 	}
@@ -285,6 +288,7 @@
 	}
 	cl.window.add(st.urgent(), 1)
 	cl.noteStart(now, st)
+	st.advice.unused, st.advice.pausedUntil = 0, 0
 	if tk.recordsStarts() {
 		cl.recordStart(pl, sr)
 		return
