--- a/policy/cell/demand.go
+++ b/policy/cell/demand.go
@@ -16,9 +16,9 @@
 	// defaultMinInUse is how many workers of a service are in use even if there is no work, so that a burst finds room at
 	// once.
 	defaultMinInUse = 64
-	// headroom is the capacity in use relative to what running and waiting tasks take. Steps find few workers that
+	// useFactor is the capacity in use relative to what running and waiting tasks take. Steps find few workers that
 	// they may run on, and gangs need many at the same time.
-	headroom = 3
+	useFactor = 3
 	// surplusFactor is how many times more workers than needed must be in use before any goes on standby.
 	surplusFactor = 2
 	// minIdle is how long a worker must have had no run before it goes on standby: no order to it is in transit any
@@ -43,7 +43,7 @@
 
 // target is how many workers of a service should be in use.
 func (cl *Cell) target(us *serviceUse) int {
-	return cmp.Or(cl.opts.MinInUse, defaultMinInUse) + int(math.Ceil(headroom*(us.used+us.demand)))
+	return cmp.Or(cl.opts.MinInUse, defaultMinInUse) + int(math.Ceil(useFactor*(us.used+us.demand)))
 }
 
 // Activate chooses the workers on standby that are needed now. They are on standby no more; the caller adds them with
@@ -95,7 +95,7 @@
 // since it needs a label or a large worker.
 func (cl *Cell) activateFor(now time.Duration, sb *standby, st *step) []incarnation.ID {
 	intervals := 1 + float64(now-st.lackedSince)/float64(lackInterval)
-	want := int(math.Ceil(headroom * intervals * cl.workersFor(st, sb.largest)))
+	want := int(math.Ceil(useFactor * intervals * cl.workersFor(st, sb.largest)))
 	for _, wk := range cl.workers {
 		if wk.inUse(cl.service(st)) && st.suits(&wk.Worker) {
 			want--
