cell: leave headroom for urgent work with the feature urgent-headroom

Deferrable steps took all capacity that was free, so that a burst of urgent jobs found none.

With the feature, the cell tells the forecast of each service which urgent tasks arrive and are done, and steps with time to spare do not start tasks that would leave less than the forecast. Steps that hold a reservation, late, long-running and best-effort ones are exempt. Deferred steps wait for "headroom". Without the feature, no decision changes.

--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -12,6 +12,7 @@
 
 	"tackbeam.example/policy/feature"
 	"tackbeam.example/policy/forecast"
+	"tackbeam.example/policy/headroom"
 	"tackbeam.example/policy/incarnation"
 	"tackbeam.example/policy/quota"
 )
@@ -92,6 +93,10 @@
 	expecting []*step
 	// predecessors are earlier incarnations of workers, by worker ID.
 	predecessors map[string][]predecessor
+	// forecasts are the forecasts of urgent demand by service; limitedBy is the one that limits the starts of the step
+	// being planned, or nil.
+	forecasts map[string]*headroom.Forecast
+	limitedBy *headroom.Forecast
 }
 
 // queue is what the cell has learned from the jobs of a route.
@@ -110,6 +115,7 @@
 		window: window{limit: opts.InitialWindow},
 		open:   map[*step]bool{}, pools: map[string]*pool{}, queues: map[string]*queue{}, cancels: map[string]cancel{}, quota: quota.New(),
 		services: map[string]bool{}, attributions: map[incarnation.ID]attribution{}, predecessors: map[string][]predecessor{},
+		forecasts:      map[string]*headroom.Forecast{},
 		recordedStarts: map[placementKey]incarnation.ID{},
 	}
 }
--- a/policy/cell/gang.go
+++ b/policy/cell/gang.go
@@ -24,7 +24,9 @@
 	}
 	st.lastTried = now
 	if chosen, ok := cl.selectGangWorkers(st, cl.gangCandidates(now, st)); ok {
-		cl.startGang(now, st, chosen)
+		if !cl.withholds(st, chosen...) {
+			cl.startGang(now, st, chosen)
+		}
 		return false
 	}
 	if !st.advised() {
--- a/policy/cell/job.go
+++ b/policy/cell/job.go
@@ -186,6 +186,7 @@
 	cl.ended = append(cl.ended, jb)
 	for _, rd := range jb.rounds {
 		for _, st := range rd.steps {
+			cl.urgentReleased(now, st, st.remaining)
 			cl.closeStep(st)
 			for _, tk := range st.tasks {
 				if tk.placement != nil && !tk.done {
--- a/policy/cell/loadtestbed_test.go
+++ b/policy/cell/loadtestbed_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/feature"
 	"tackbeam.example/policy/incarnation"
 	"tackbeam.example/policy/size"
 	"tackbeam.example/policy/work"
@@ -79,6 +80,8 @@
 	onStart, onLostStart func(cell.Start)
 	// admit reports whether a job is accepted; nil accepts all.
 	admit func(qu work.Queue) bool
+	// features are the features of the next planner.
+	features feature.Set
 }
 
 type simJob struct {
@@ -175,7 +178,7 @@
 func (bd *loadTestbed) replacePlanner() {
 	bd.noPlanner = false
 	bd.term++
-	bd.cell = cell.New(cell.Options{Retention: 2 * time.Minute, FirstRun: (bd.term-1)*64 + 1, StopTimeout: stopTime})
+	bd.cell = cell.New(cell.Options{Retention: 2 * time.Minute, FirstRun: (bd.term-1)*64 + 1, StopTimeout: stopTime, Features: bd.features})
 	for _, sj := range bd.arrivals {
 		bd.cell.AddAged(bd.now, bd.now-sj.arrivedAt, sj.spec)
 	}
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -25,10 +25,12 @@
 	cl.updateUnreported(now)
 	cl.fillPools(now)
 	cl.expectRestarts()
+	cl.updateHeadroom(now)
 	starved := map[string]bool{} // services with gangs that lack capacity
 	for i, rd := range cl.byRank(now) {
 		st, service := rd.step, cl.service(rd.step)
 		st.planIndex, st.late = i, rd.rank.late
+		cl.limitedBy = cl.headroomFor(now, rd)
 		switch {
 		case cl.skipped(st):
 			st.reservePlan = cl.planCount // it keeps its reservation until it is considered again
@@ -39,6 +41,8 @@
 			starved[service] = starved[service] || lacks && cl.defersOthers(now, rd)
 		case starved[service] && rd.deferrable(now):
 			st.deferredPlan = cl.planCount // capacity that becomes free is left to the gangs
+		case cl.withheld(st):
+			// capacity is kept for urgent work
 		default:
 			cl.planTasks(now, rd)
 		}
@@ -140,7 +144,7 @@
 	switch {
 	case st.restarting() && cl.lackingRestarts(st) > 0:
 		cl.reserveForRestart(now, st)
-	case cl.wanted(st) == 0:
+	case cl.wanted(st) == 0, cl.defersForHeadroom(st):
 	case st.urgent():
 		cl.ignoreReserved = true
 		cl.placeTasks(now, st)
@@ -152,7 +156,7 @@
 }
 
 func (cl *Cell) placeTasks(now time.Duration, st *step) {
-	windowFull := false
+	windowFull, withheld := false, false
 	if cands := cl.chooseWorkers(now, st); len(cands) > 0 {
 		tks := st.waiting(now)
 		if st.restarts > 0 {
@@ -166,15 +170,18 @@
 			if windowFull = !cl.window.open(st.urgent()); windowFull {
 				break
 			}
+			if withheld = cl.withholds(st, candidate{cands[i].worker, 1}); withheld {
+				break
+			}
 			cands[i].slots--
 			cl.start(now, tk, cands[i].worker, tk.run+1)
 		}
 	}
 	wanted := cl.wanted(st)
-	if wanted > 0 && !windowFull && !st.advised() {
+	if wanted > 0 && !windowFull && !withheld && !st.advised() {
 		cl.noteLack(now, st)
 	}
-	if wanted > 0 && !windowFull && !st.restarting() {
+	if wanted > 0 && !windowFull && !withheld && !st.restarting() {
 		cl.requestAdvice(now, st, wanted)
 	}
 	if st.urgent() && (windowFull || st.advice.pending > 0) {
@@ -267,6 +274,7 @@
 // start places a task and orders its start.
 func (cl *Cell) start(now time.Duration, tk *task, wk *worker, run int) {
 	run = max(run, cl.opts.FirstRun)
+	cl.startedBeside(tk.step, wk)
 	pl := cl.place(now, tk, wk, run)
 	if wk.pool != nil {
 		wk.pool.moveDown(wk)
--- a/policy/cell/round.go
+++ b/policy/cell/round.go
@@ -59,6 +59,8 @@
 	planIndex, reservePlan int
 	// deferredPlan is the last plan that left capacity to gangs instead of starting tasks of the step.
 	deferredPlan int
+	// headroomPlan is the last plan that left capacity free for urgent work instead of starting tasks of the step.
+	headroomPlan int
 	late         bool
 	// lackedAt is when a plan last found no room for the step, 0 if none did. It has lacked room since lackedSince.
 	lackedAt, lackedSince time.Duration
@@ -138,6 +140,7 @@
 		}
 		st.readyAt, st.lackingSince = now, now
 		cl.open[st] = true
+		cl.urgentArrived(now, st)
 	}
 }
 
@@ -170,6 +173,7 @@
 	if tk.done {
 		return
 	}
+	before := st.remaining
 	all := []*task{tk}
 	if st.def.Gang {
 		all = st.tasks // they end together: one end counts for all
@@ -183,6 +187,7 @@
 			}
 		}
 	}
+	cl.urgentReleased(now, st, before-st.remaining)
 	if record {
 		name := tk.name()
 		cl.record(Record{Job: name.Job, Task: &name, Result: ResultDone})
--- a/policy/cell/waitreason.go
+++ b/policy/cell/waitreason.go
@@ -30,6 +30,8 @@
 	WaitLimit WaitReason = "limit"
 	// WaitGangs: capacity is left to gangs.
 	WaitGangs WaitReason = "gangs"
+	// WaitHeadroom: capacity is kept for urgent work.
+	WaitHeadroom WaitReason = "headroom"
 	// WaitCommit: the journal lacks the records that the workers may have runs, or that of the task's start.
 	WaitCommit WaitReason = "commit"
 	// WaitQuarantine: all workers that may run it are in quarantine or take no runs for another reason.
@@ -68,6 +70,8 @@
 		return Wait{Reason: WaitLimit}
 	case st.deferredPlan > 0 && st.deferredPlan == cl.planCount:
 		return Wait{Reason: WaitGangs}
+	case cl.defersForHeadroom(st):
+		return Wait{Reason: WaitHeadroom}
 	case cl.awaitsCommit(st):
 		return Wait{Reason: WaitCommit}
 	}
