planner: report the headroom that is kept for urgent work

Operators could not see whether urgent-headroom keeps capacity, what it costs and whether urgent work uses it.

--- a/internal/planner/leader.go
+++ b/internal/planner/leader.go
@@ -115,10 +115,12 @@
 	// backlogReported is when the backlog was last reported, behind whether the planner was behind then.
 	backlogReported time.Duration
 	behind          bool
-	holdLimiter     *holdLimiter
-	wake            wake.Signal
-	ctx             context.Context
-	group           sync.WaitGroup
+	// keepsHeadroom has the services in which headroom was kept for urgent work when this was last reported.
+	keepsHeadroom map[string]bool
+	holdLimiter   *holdLimiter
+	wake          wake.Signal
+	ctx           context.Context
+	group         sync.WaitGroup
 }
 
 func newLeader(opts Options, log logr.Logger, tm term.Term) *leader {
@@ -127,7 +129,7 @@
 	const runsPerTerm = 64
 	ld := &leader{
 		opts: opts, clock: opts.Clock, log: log, term: tm, began: opts.Clock.Now(),
-		lease: defaultLease, sessions: map[incarnation.ID]*session{}, current: map[string]*session{}, sessionCounts: map[string]uint64{},
+		lease: defaultLease, sessions: map[incarnation.ID]*session{}, current: map[string]*session{}, sessionCounts: map[string]uint64{}, keepsHeadroom: map[string]bool{},
 		unresolved: map[incarnation.ID]bool{}, earlier: map[string][]incarnation.ID{},
 		holdLimiter: newHoldLimiter(opts.Clock), wake: wake.New(), journalRead: make(chan struct{}), committed: make(chan struct{}),
 		cell: cell.New(cell.Options{
--- a/internal/planner/planloop.go
+++ b/internal/planner/planloop.go
@@ -58,6 +58,7 @@
 	ld.logLossRate()
 	ld.logStats(now)
 	ld.reportBacklog(now)
+	ld.reportHeadroom()
 	jobs, waiting, workers := ld.cell.Counts()
 	ld.metrics.gauge("planner.jobs", jobs)
 	ld.metrics.gauge("planner.steps_waiting", waiting)
--- a/internal/planner/testbed_test.go
+++ b/internal/planner/testbed_test.go
@@ -17,6 +17,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/feature"
 	"tackbeam.example/policy/incarnation"
 	"tackbeam.example/policy/size"
 	"tackbeam.example/policy/work"
@@ -58,6 +59,8 @@
 	agents    *agent.Agents
 	// minInUse is the least number of workers in use.
 	minInUse int
+	// features are the optional features of the nodes to be added.
+	features feature.Set
 	// logged, if not nil, is called with each line that a node logs.
 	logged func(line string)
 }
@@ -195,7 +198,7 @@
 	clock := nd.newClock(bd)
 	nd.planner = planner.New(planner.Options{
 		Clock: clock, Log: bd.log(name), Store: st, Agents: agents, Metrics: nd.meters,
-		Site:          &site.Site{Bounds: site.Bounds{JobRetention: 2 * time.Minute}},
+		Site:          &site.Site{Bounds: site.Bounds{JobRetention: 2 * time.Minute}, Features: bd.features},
 		WorkersPrefix: workersPrefix, MinInUse: bd.minInUse,
 		DecodeWorker: func(item kv.Item) (planner.WorkerEntry, error) {
 			id := strings.TrimPrefix(item.Key, workersPrefix)
