--- a/internal/planner/leader.go
+++ b/internal/planner/leader.go
@@ -117,11 +117,13 @@
 	backlogReported time.Duration
 	behind          bool
 	// admission is what was reported if jobs are admitted by capacity.
-	admission   admissionReport
-	holdLimiter *holdLimiter
-	wake        wake.Signal
-	ctx         context.Context
-	group       sync.WaitGroup
+	admission admissionReport
+	// keepsHeadroom has the services in which headroom was kept for urgent work when this was last reported.
+	keepsHeadroom map[string]bool
+	holdLimiter   *holdLimiter
+	wake          wake.Signal
+	ctx           context.Context
+	group         sync.WaitGroup
 }
 
 func newLeader(opts Options, log logr.Logger, tm term.Term) *leader {
@@ -130,7 +132,7 @@
 	const runsPerTerm = 64
 	ld := &leader{
 		opts: opts, clock: opts.Clock, log: log, term: tm, began: opts.Clock.Now(),
-		lease: defaultLease, sessions: map[incarnation.ID]*session{}, current: map[string]*session{}, sessionCounts: map[string]uint64{},
+		lease: defaultLease, sessions: map[incarnation.ID]*session{}, current: map[string]*session{}, sessionCounts: map[string]uint64{}, keepsHeadroom: map[string]bool{},
 		unresolved: map[incarnation.ID]bool{}, earlier: map[string][]incarnation.ID{},
 		holdLimiter: newHoldLimiter(opts.Clock), wake: wake.New(), journalRead: make(chan struct{}), committed: make(chan struct{}),
 		cell: cell.New(cell.Options{
--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -14,6 +14,7 @@
 	"tackbeam.example/policy/feature"
 	"tackbeam.example/policy/forecast"
 	"tackbeam.example/policy/gainlog"
+	"tackbeam.example/policy/headroom"
 	"tackbeam.example/policy/incarnation"
 	"tackbeam.example/policy/nearsort"
 	"tackbeam.example/policy/quota"
@@ -118,6 +119,10 @@
 	speeds map[string]*speed.Model
 	// predecessors are earlier incarnations of workers, by worker ID.
 	predecessors map[string][]predecessor
+	// forecasts are the forecasts of urgent demand by service; limitedBy is the one that limits the starts of the step
+	// being planned, or nil.
+	forecasts map[string]*headroom.Forecast
+	limitedBy *headroom.Forecast
 }
 
 // queue is what the cell has learned from the jobs of a route.
@@ -136,7 +141,7 @@
 		window: window{limit: opts.InitialWindow}, adviceBudget: newAdviceBudget(opts.Features),
 		open: map[*step]bool{}, pools: map[string]*pool{}, queues: map[string]*queue{}, cancels: map[string]cancel{}, quota: quota.New(),
 		services: map[string]bool{}, attributions: map[incarnation.ID]attribution{}, predecessors: map[string][]predecessor{},
-		recordedStarts: map[placementKey]incarnation.ID{}, arrivals: newArrivals(opts.Features), reserving: map[*step]bool{}, gains: gainlog.New[*worker](gainsKept), recent: recentGains{indexes: map[*worker]int{}}, sorter: nearsort.Sorter[ranked]{Compare: compareRanked},
+		forecasts: map[string]*headroom.Forecast{}, recordedStarts: map[placementKey]incarnation.ID{}, arrivals: newArrivals(opts.Features), reserving: map[*step]bool{}, gains: gainlog.New[*worker](gainsKept), recent: recentGains{indexes: map[*worker]int{}}, sorter: nearsort.Sorter[ranked]{Compare: compareRanked},
 	}
 	if opts.Features.Has(feature.WorkerSpeeds) {
 		cl.speeds = map[string]*speed.Model{}
