admission, advicebudget, speed, headroom: faults found in review

- A planner's low rate of starts, as after quiet seconds or in its first second, could remain the bound for jobs without a planner.
StartRate is not used before the window has filled, and nodes assume at least 140 a second.
- A step that had waited long and had nothing to request kept the others that had waited long from their turn, for good.
Only a request that is sent takes the turn now (TestOverdueWithoutRequest).
- In a service that starts little, one step that fits no worker counted as a backlog, so that the work of whole workspaces was refused.
Waiting work is compared with at least a tenth of the service.
- Work in time of a workspace at its limit counted as waiting for the service.
- More than 64 shares below 1 were estimated from shares that nodes were never told; all is admitted of those beyond 64.
- Workers that left before their runs were compared stayed in the model of speeds for good.
- A step was deferred for headroom if its task needs as much of one resource as an urgent task; it must be as much of all.

TestConsider and TestOverdueTurns now say which steps send their request, as the cell does; what they check is the same.

--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"tackbeam.example/policy/fairshare"
 	"tackbeam.example/policy/work"
 )
 
@@ -106,7 +107,7 @@
 }
 
 // MaxShares is the maximum number of shares in a BacklogSize, which each node receives up to twice per second.
-const MaxShares = 64
+const MaxShares = fairshare.MaxShares
 
 // AdmittedShare is the share of a workspace's urgent work for a service that nodes admit.
 type AdmittedShare struct {
--- a/policy/admission/room_test.go
+++ b/policy/admission/room_test.go
@@ -84,15 +84,16 @@
 		nodes    int
 		accepted int // of 100 jobs of 7 starts each
 	}{
-		"no planner":                          {nodes: 10, accepted: 16},
-		"no planner, known rate":              {rate: 140, nodes: 10, accepted: 8},
-		"no planner, many nodes":              {nodes: 1000, accepted: 1},
-		"no planner, members unknown":         {nodes: 0, accepted: 100},
-		"planner is new":                      {token: token, age: 3900 * time.Millisecond, nodes: 10, accepted: 16},
-		"planner has not reported for 4 s":    {token: token, age: 4 * time.Second, nodes: 10, accepted: 100},
-		"planner has reported":                {token: token, reported: token, nodes: 10, accepted: 100},
-		"only an earlier planner reported":    {token: token, reported: token - 1, nodes: 10, accepted: 16},
-		"only the planner before the vacancy": {reported: token, nodes: 10, accepted: 16},
+		"no planner":                           {nodes: 10, accepted: 16},
+		"no planner, known rate":               {rate: 140, nodes: 10, accepted: 8},
+		"no planner, rate after quiet seconds": {rate: 3, nodes: 10, accepted: 8},
+		"no planner, many nodes":               {nodes: 1000, accepted: 1},
+		"no planner, members unknown":          {nodes: 0, accepted: 100},
+		"planner is new":                       {token: token, age: 3900 * time.Millisecond, nodes: 10, accepted: 16},
+		"planner has not reported for 4 s":     {token: token, age: 4 * time.Second, nodes: 10, accepted: 100},
+		"planner has reported":                 {token: token, reported: token, nodes: 10, accepted: 100},
+		"only an earlier planner reported":     {token: token, reported: token - 1, nodes: 10, accepted: 16},
+		"only the planner before the vacancy":  {reported: token, nodes: 10, accepted: 16},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/policy/admission/unplanned.go
+++ b/policy/admission/unplanned.go
@@ -14,6 +14,9 @@
 	// DefaultStartRate is how many starts a second a planner is assumed to sustain if none has reported its rate: the
 	// rate of the smallest nodes that plan.
 	DefaultStartRate = 280
+	// minStartRate is the lowest rate that is assumed. Planners have at least 16 starts in flight, which are answered in
+	// little more than 0.1 s on the smallest nodes; a report after quiet seconds can show less.
+	minStartRate = DefaultStartRate / 2
 	// unplannedTime is the time within which a planner is to start what all nodes together accepted without one:
 	// accepted jobs have to start within 14 s, of which an election and the recovery take up to 8 s.
 	unplannedTime = 4 * time.Second
@@ -42,9 +45,9 @@
 		ct.unplanned = 0
 		return 0, false
 	}
-	rate := ct.startRate
-	if rate == 0 {
-		rate = DefaultStartRate
+	rate := DefaultStartRate
+	if ct.startRate > 0 {
+		rate = max(ct.startRate, minStartRate)
 	}
 	bound := rate * int(unplannedTime/time.Second) / max(nodes, 1)
 	starts := starts(jb)
--- a/policy/advicebudget/advicebudget_test.go
+++ b/policy/advicebudget/advicebudget_test.go
@@ -132,7 +132,9 @@
 			refused := 0
 			for i, dm := range tt.steps {
 				got := bu.Consider(dm, false)
-				if !got {
+				if got {
+					bu.Requested(dm.Service)
+				} else {
 					refused++
 				}
 				is.Equal([]any{i, got}, []any{i, tt.want[i]})
@@ -164,12 +166,30 @@
 		bu.BeginPlan(0)
 		bu.Consider(waiting(1, 60), false) // the first in order
 		for i, dm := range pn.steps {
-			is.Equal([]any{num, i, bu.Consider(dm, true)}, []any{num, i, pn.want[i]})
+			allowed := bu.Consider(dm, true)
+			is.Equal([]any{num, i, allowed}, []any{num, i, pn.want[i]})
+			if allowed {
+				bu.Requested(dm.Service)
+			}
 		}
 	}
 	is.Equal(bu.DeferredForRoom(), 0) // steps that were deferred before are not counted again
 }
 
+// TestOverdueWithoutRequest guards against a step that waits for long and has nothing to request, and keeps those behind
+// it from their turns for good.
+func TestOverdueWithoutRequest(t *testing.T) {
+	is := is.New(t)
+	bu := advicebudget.New()
+	overdue := with(waiting(1, 60), func(dm *advicebudget.Demand) { dm.Waited = time.Minute })
+	bu.BeginPlan(0)
+	bu.Consider(waiting(1, 60), false) // the first in order
+	is.True(bu.Consider(overdue, true))
+	is.True(bu.Consider(overdue, true))
+	bu.Requested(overdue.Service)
+	is.True(!bu.Consider(overdue, true))
+}
+
 // TestTime guards against other requests that leave urgent ones no time of the advisor, and against a budget that never
 // recovers from requests without an answer or lets them be repeated all at once.
 func TestTime(t *testing.T) {
--- a/policy/advicebudget/room.go
+++ b/policy/advicebudget/room.go
@@ -13,9 +13,10 @@
 	taken size.Size
 	// firstSeen is set once the plan has considered a step that is not urgent.
 	firstSeen bool
-	// overdueOpen is set while a step that has waited long may send a request or has an open one, as far as the current
-	// and the previous plan know; overduePending is set once the current plan has seen one with an open request.
-	overdueOpen, overduePending bool
+	// overdueOpen is set while a step that has waited long has an open request, as far as the current and the previous
+	// plan know; overduePending is set once the current plan has seen one. overdueAllowed is set while the step that was
+	// considered last may send a request for its long wait.
+	overdueOpen, overduePending, overdueAllowed bool
 	// released are the recent releases by runs, by class of urgency and resource.
 	released [2][len(size.Size{})]average
 	// rates are the releases per second in the current plan, of the same classes and resources.
@@ -88,7 +89,11 @@
 	se.take(dm, left)
 	first := !dm.Urgent && !se.firstSeen
 	se.firstSeen = se.firstSeen || !dm.Urgent
-	if first || dm.Reserves || dm.fits(left) || se.allowsOverdue(dm) {
+	se.overdueAllowed = false
+	if first || dm.Reserves || dm.fits(left) {
+		return true
+	}
+	if se.overdueAllowed = se.allowsOverdue(dm); se.overdueAllowed {
 		return true
 	}
 	if !wasDeferred {
@@ -106,11 +111,15 @@
 	case dm.Pending:
 		se.overdueOpen, se.overduePending = true, true
 		return false
-	case se.overdueOpen:
-		return false
 	}
-	se.overdueOpen = true
-	return true
+	return !se.overdueOpen
+}
+
+// Requested records that the step of a service that was considered last sends a request. A step that may send one and
+// does not, as while its workers all have verdicts, keeps no other step that has waited long from its turn.
+func (bu *Budget) Requested(name string) {
+	se := bu.service(name)
+	se.overdueOpen = se.overdueOpen || se.overdueAllowed
 }
 
 // urgentSlack is how much later than its request an urgent step is of use: the slack of urgent jobs is 0.5 to 0.8 s.
--- a/policy/cell/advicebudget.go
+++ b/policy/cell/advicebudget.go
@@ -98,9 +98,10 @@
 }
 
 // spendAdvice takes the time of a request from the budget.
-func (cl *Cell) spendAdvice(rq AdviceRequest) {
+func (cl *Cell) spendAdvice(st *step, rq AdviceRequest) {
 	if cl.adviceBudget != nil {
 		cl.adviceBudget.Sent(cl.now, rq.Takes, rq.Urgent)
+		cl.adviceBudget.Requested(cl.service(st))
 	}
 }
 
--- a/policy/cell/advicerequest.go
+++ b/policy/cell/advicerequest.go
@@ -287,5 +287,5 @@
 		Takes: qu.AdviceBase + time.Duration(len(ids))*qu.AdviceEach,
 	}
 	cl.out.AdviceRequests = append(cl.out.AdviceRequests, rq)
-	cl.spendAdvice(rq)
+	cl.spendAdvice(st, rq)
 }
--- a/policy/cell/arrivals.go
+++ b/policy/cell/arrivals.go
@@ -107,6 +107,7 @@
 		}
 		if !rk.late {
 			wt.InTime += work
+			wt.LimitedInTime += limited
 		}
 		steps[key]++
 		wt.Slack += (slack - wt.Slack) / steps[key]
@@ -123,8 +124,9 @@
 }
 
 // StartRate returns the starts that were answered per second in the last full second, and whether starts had to wait
-// for the planner recently: otherwise the rate shows only what was asked for.
+// for the planner recently: otherwise the rate shows only what was asked for. In the first seconds of a planner it shows
+// how its window grows.
 func (cl *Cell) StartRate(now time.Duration) (rate int, limited bool) {
 	wn := &cl.window
-	return wn.rate, wn.lastFull > 0 && now-wn.lastFull <= fullFor
+	return wn.rate, wn.lastFull > 0 && now-wn.lastFull <= fullFor && now-wn.firstAnswer >= rampUp
 }
--- a/policy/fairshare/fairshare.go
+++ b/policy/fairshare/fairshare.go
@@ -40,6 +40,9 @@
 	maxWait = time.Minute
 )
 
+// MaxShares is how many shares nodes are told of at most, the lowest ones. Of the other workspaces all is admitted.
+const MaxShares = 64
+
 // LateAfter is how long work must have been late to count as late rather than overdue. The decisions of the last second
 // have made it late; older ones do not show whether the present decision lets too much in.
 const LateAfter = time.Second
@@ -52,9 +55,9 @@
 	// InTime is the part that can be in time if it starts now. Overdue is the part that has waited for longer than half
 	// of its slack, without that in Late, which has been late for longer than LateAfter.
 	InTime, Overdue, Late float64
-	// Limited is the part of Overdue that may not start because the workspace is at its limit, LimitedLate that of
-	// Late.
-	Limited, LimitedLate float64
+	// Limited is the part of Overdue that may not start because the workspace is at its limit, LimitedInTime that of
+	// InTime, LimitedLate that of Late.
+	Limited, LimitedInTime, LimitedLate float64
 	// Slack is the mean slack of the steps that wait.
 	Slack time.Duration
 }
@@ -175,6 +178,10 @@
 	for _, name := range slices.Sorted(maps.Keys(keys)) {
 		al.decideService(now, name, keys[name], waiting, weight)
 	}
+	for _, sh := range al.Shares()[min(len(al.Shares()), MaxShares):] {
+		rw := al.rows[sh.Key]
+		rw.share, rw.blind = Share{Key: sh.Key, Admitted: 1}, false
+	}
 	for key, rw := range al.rows {
 		rw.arrived.shift()
 		rw.ended.shift()
@@ -223,7 +230,7 @@
 		asks[at] = ask{work: limits[at].bound(rw.demand), weight: cmp.Or(max(weight(key.Workspace), 0), 1)}
 		excess.overdue += wt.Overdue - wt.Limited
 		excess.late += wt.Late - wt.LimitedLate
-		excess.inTime += wt.InTime
+		excess.inTime += wt.InTime - wt.LimitedInTime
 		demand += asks[at].work
 	}
 	total := allowance{open: true}
--- a/policy/fairshare/gate.go
+++ b/policy/fairshare/gate.go
@@ -10,6 +10,9 @@
 	// minBehind is the time that overdue work must take to be started for the service to be behind: less than that is
 	// random, or a single step that few workers can run.
 	minBehind = 200 * time.Millisecond
+	// minRate is the least rate, as a part of the service, that waiting work is compared with: in a service that starts
+	// little because little arrives, one step that fits no worker would take long to be started.
+	minRate = 0.1
 	// drainTime is the time within which overdue work is to be started, and maxDrain the most of the rate that is used
 	// for it. If all of it were, nothing would be admitted for seconds after a burst, then everything.
 	drainTime = time.Second
@@ -57,7 +60,7 @@
 // update returns what to admit, given the work that was started, the backlog, and the demand.
 func (gt *gate) update(started bin, excess backlog, demand float64) allowance {
 	measured := started.rate()
-	behind := takes(excess.overdue, minBehind, max(measured, gt.rate))
+	behind := takes(excess.overdue, minBehind, max(measured, gt.rate, minRate))
 	switch {
 	case !gt.closed && !behind:
 		return allowance{open: true}
@@ -96,7 +99,7 @@
 	if aw.open {
 		return 0
 	}
-	return span(work, aw.capacity)
+	return span(work, max(aw.capacity, minRate))
 }
 
 // span returns how long an amount of work takes at a rate.
--- a/policy/headroom/headroom.go
+++ b/policy/headroom/headroom.go
@@ -197,17 +197,12 @@
 }
 
 // Exhausted reports whether no deferrable task with the given need may start, whatever the worker: no more is free than
-// is kept, and the task needs at least as much of something as a typical urgent task.
+// is kept, and the task needs at least as much of everything as a typical urgent task.
 func (fc *Forecast) Exhausted(need size.Size) bool {
 	if fc.kept == 0 || fc.free > fc.kept {
 		return false
 	}
-	for d, typical := range fc.typical {
-		if typical > 0 && need[d] >= typical {
-			return true
-		}
-	}
-	return false
+	return fc.typical.Fits(need)
 }
 
 // Deferred records that tasks of a step, each with the given need, were not started because of the capacity kept.
--- a/policy/speed/speed.go
+++ b/policy/speed/speed.go
@@ -43,6 +43,8 @@
 	// minReferences is the number of run times of a step on other workers with fewer of which the prediction counts as
 	// one more. Compared with one other task alone, slow workers took ten runs to be recognized instead of seven.
 	minReferences = 3
+	// negligibleWeight is the weight below which runs show nothing.
+	negligibleWeight = 0.01
 	// medianInterval is how often the median is computed: it changes over many runs.
 	medianInterval = time.Second
 )
@@ -186,6 +188,9 @@
 	md.median = medianOf(means)
 	for id, wk := range md.workers {
 		md.classify(id, wk)
+		if wk.weight < negligibleWeight && !wk.slow && !wk.fast {
+			delete(md.workers, id) // it may have left before its runs were observed
+		}
 	}
 }
 
