--- a/policy/headroom/headroom.go
+++ b/policy/headroom/headroom.go
@@ -196,13 +196,19 @@
 	return fc.kept == 0 || loss <= 0 || fc.free-loss >= fc.kept
 }
 
-// Exhausted reports whether no deferrable task with the given need may start, whatever the worker: no more is free than
-// is kept, and the task needs at least as much of everything as a typical urgent task.
+// Exhausted reports whether no deferrable task with the given need may start: no more is free than is kept, and the task
+// needs at least as much of something as a typical urgent task. This also defers a step that would cost urgent tasks
+// nothing on a worker that is short of something else.
 func (fc *Forecast) Exhausted(need size.Size) bool {
 	if fc.kept == 0 || fc.free > fc.kept {
 		return false
 	}
-	return fc.typical.Fits(need)
+	for d, typical := range fc.typical {
+		if typical > 0 && need[d] >= typical {
+			return true
+		}
+	}
+	return false
 }
 
 // Deferred records that tasks of a step, each with the given need, were not started because of the capacity kept.
