--- a/internal/planner/testbed_test.go
+++ b/internal/planner/testbed_test.go
@@ -277,10 +277,10 @@
 	return en
 }
 
-// leader returns the node that plans, or nil.
+// leader returns the node that plans, or nil. An elected node whose planner has not begun yet does not plan.
 func (bd *testbed) leader() *node {
 	for _, nd := range bd.nodes {
-		if nd.term.Leading() {
+		if nd.term.Leading() && nd.latest.Load() != nil {
 			return nd
 		}
 	}
