planner: keep starts and acknowledgements to a restarting worker apart

What callers saw: a task that had ended done ran again (TWICE). "3 starts of 2 tasks", "b.0.0.0 starts on w1 ... although its end was acknowledged".

Cause: an acknowledgement names an end by its number, and a worker that restarts under its id counts its ends from 1 again. It has no ends but those of starts that were sent to its predecessor.

Fix: to workers that report a start time, the two are never under way together. Ends are acknowledged only once the present incarnation has reported every run that was sent to it and no other attempt of a start can be in transit: these are the runs whose loss would be known only from the first report of the next incarnation, and only for these does an unread end matter. While an acknowledgement is under way, starts wait. After one without an answer the session takes a higher token, and starts wait until a hold with it is answered; what carries one out rejects the acknowledgement. Requested reports acknowledge nothing. A call that an own later token overtakes does not end the term.

Ends that cannot be acknowledged yet are repeated: the holds then pause longer, and a worker that repeats 250 ends gets no run, as it reports 500 at most and a run whose end is not among them would count as lost.

Workers without a start time are called as before.

--- a/internal/planner/awaitcommit.go
+++ b/internal/planner/awaitcommit.go
@@ -9,7 +9,7 @@
 // awaitCommit waits for further ends to accumulate, and until the journal has those that were reported.
 func (se *session) awaitCommit(ctx context.Context) {
 	ld := se.leader
-	if !loop.Sleep(ctx, ld.clock, holdPause) {
+	if !loop.Sleep(ctx, ld.clock, se.pause()) {
 		return
 	}
 	waits, committed := se.uncommittedEnds()
--- a/internal/planner/incarnation.go
+++ b/internal/planner/incarnation.go
@@ -57,23 +57,6 @@
 	se.requestReport()
 }
 
-// ackedEnd returns the number of the last end that the worker need not report again, for the next call to it. After a
-// call without an answer of this incarnation another one may be running, which would forget ends of its own that were
-// not read; then the result is 0. The caller holds the lock.
-func (se *session) ackedEnd() int {
-	if se.unanswered {
-		return 0
-	}
-	number, _ := se.leader.cell.AckedEnd(se.incarnation)
-	return number
-}
-
-// mayWaitWithAck reports whether a hold that acknowledges ends may wait at the worker. A worker that restarts under its
-// id may receive the hold in its next incarnation: if the hold waits there, that incarnation forgets ends of its own,
-// which come meanwhile, and their tasks run again. A worker that reports no start time has an id of its own in each
-// incarnation and refuses the hold.
-func (se *session) mayWaitWithAck() bool { return se.startedAt == 0 }
-
 // matches reports whether an entry may be of the session's incarnation, as far as the start times are known.
 func (se *session) matches(en WorkerEntry) bool {
 	startedAt := en.ID.StartedAt()
--- a/internal/planner/leader.go
+++ b/internal/planner/leader.go
@@ -86,8 +86,8 @@
 	sessions  map[incarnation.ID]*session
 	// current has the sessions with the present incarnations, by worker id.
 	current map[string]*session
-	// sessionCounts counts the sessions with each worker, by worker id.
-	sessionCounts map[string]uint64
+	// tokenCounts counts the fencing tokens for each worker, by worker id.
+	tokenCounts map[string]uint64
 	// unresolved has the workers of earlier planners that have neither answered nor had their lease expire. The value
 	// is true if the worker may run any task, so that all tasks of earlier planners wait for it.
 	unresolved map[incarnation.ID]bool
@@ -132,7 +132,7 @@
 	const runsPerTerm = 64
 	ld := &leader{
 		opts: opts, clock: opts.Clock, log: log, term: tm, began: opts.Clock.Now(),
-		lease: defaultLease, sessions: map[incarnation.ID]*session{}, current: map[string]*session{}, sessionCounts: map[string]uint64{}, keepsHeadroom: map[string]bool{},
+		lease: defaultLease, sessions: map[incarnation.ID]*session{}, current: map[string]*session{}, tokenCounts: map[string]uint64{}, keepsHeadroom: map[string]bool{},
 		unresolved: map[incarnation.ID]bool{}, earlier: map[string][]incarnation.ID{},
 		holdLimiter: newHoldLimiter(opts.Clock), wake: wake.New(), journalRead: make(chan struct{}), committed: make(chan struct{}),
 		cell: cell.New(cell.Options{
--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -31,7 +31,8 @@
 
 // sendStart sends one start and records its outcome.
 func (ld *leader) sendStart(sr cell.Start) {
-	se, deadline, ok := ld.prepareStart(sr)
+	ld.awaitAck(sr.Worker)
+	se, token, deadline, ok := ld.prepareStart(sr)
 	if !ok || !ld.canPlan() {
 		ld.update(func(now time.Duration) {
 			ld.stats.end(now-sr.DecidedAt, cell.RefusedLate)
@@ -47,7 +48,7 @@
 		call, cancel := context.WithTimeout(context.WithoutCancel(ld.ctx), wait)
 		defer cancel()
 		began, leastClock := ld.clock.Now(), se.minClock()
-		answer, err := ld.opts.Agents.Start(call, se.target(), se.token, deadline, sr)
+		answer, err := ld.opts.Agents.Start(call, se.target(), token, deadline, sr)
 		ld.replyTimeout.record(ld.clock.Since(began))
 		se.recordCall(err)
 		se.recordClock(leastClock, answer.Clock)
@@ -75,7 +76,7 @@
 	})
 	ld.log.Info("Sent start.", "task", sr.Task.String(), "run", sr.Run, "worker", sr.Worker,
 		"took", took.String(), "tries", tries, "refusal", refusal, "error", errorText(err))
-	ld.handleOrderError(se, err)
+	ld.handleOrderError(se, token, err)
 }
 
 // canPlan reports whether tasks may be started now.
@@ -98,18 +99,19 @@
 		return false
 	}
 	ld.deadlineSent(ld.now(), sr.Worker)
+	ld.cell.StartDelayed(ld.now(), sr) // a report may list the run before this attempt is answered
 	return true
 }
 
-// prepareStart returns the session of a start's worker and the deadline of the worker's lease.
-func (ld *leader) prepareStart(sr cell.Start) (*session, time.Duration, bool) {
+// prepareStart returns the session of a start's worker, its token and the deadline of the worker's lease.
+func (ld *leader) prepareStart(sr cell.Start) (se *session, token uint64, deadline time.Duration, ok bool) {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
-	se, ok := ld.sessions[sr.Worker]
-	if !ok || !se.answered || !ld.cell.StartValid(sr) {
-		return nil, 0, false
+	se, ok = ld.sessions[sr.Worker]
+	if !ok || !se.answered || se.ackToken != 0 || !ld.cell.StartValid(sr) {
+		return nil, 0, 0, false
 	}
-	return se, se.startDeadline(ld.now()), true
+	return se, se.token, se.startDeadline(ld.now()), true
 }
 
 // update applies the outcome of an order to the cell, and schedules a planning pass.
@@ -121,29 +123,35 @@
 }
 
 // handleOrderError handles consequences of an order's error that concern the session or the term.
-func (ld *leader) handleOrderError(se *session, err error) {
-	if !se.handleFenced(err) && errors.Is(err, agent.ErrOtherIncarnation) {
+func (ld *leader) handleOrderError(se *session, token uint64, err error) {
+	if !se.handleFenced(token, err) && errors.Is(err, agent.ErrOtherIncarnation) {
 		ld.update(func(now time.Duration) { se.incarnationOver(now) })
 	}
 }
 
-// send sends an order other than a start to a worker. sent is false if the worker has no session, or if the term is
-// over.
-func (ld *leader) send(id incarnation.ID, order func(ctx context.Context, to agent.Target, token uint64) error) (se *session, sent bool, err error) {
+// send sends an order other than a start to a worker, and handles its error. sent is false if the worker has no session,
+// or if the term is over.
+func (ld *leader) send(id incarnation.ID, order func(ctx context.Context, to agent.Target, token uint64) error) (sent bool, err error) {
 	ld.mu.Lock()
 	se, ok := ld.sessions[id]
+	var token uint64
+	if ok {
+		token = se.token
+	}
 	ld.mu.Unlock()
 	if !ok || ld.ctx.Err() != nil {
-		return nil, false, nil
+		return false, nil
 	}
 	call, cancel := context.WithTimeout(context.WithoutCancel(ld.ctx), stopTimeout)
 	defer cancel()
-	return se, true, order(call, se.target(), se.token)
+	err = order(call, se.target(), token)
+	ld.handleOrderError(se, token, err)
+	return true, err
 }
 
 // sendStop sends one stop. If the stop is not confirmed, the cell orders it again.
 func (ld *leader) sendStop(sp cell.Stop) {
-	se, sent, err := ld.send(sp.Worker, func(ctx context.Context, to agent.Target, token uint64) error {
+	sent, err := ld.send(sp.Worker, func(ctx context.Context, to agent.Target, token uint64) error {
 		return ld.opts.Agents.Stop(ctx, to, token, sp)
 	})
 	if !sent {
@@ -160,7 +168,6 @@
 		})
 		return
 	}
-	ld.handleOrderError(se, err)
 	if loop.Sleep(ld.ctx, ld.clock, stopBackoff.Delay(sp.Attempts)) {
 		ld.update(func(time.Duration) { ld.cell.StopUnconfirmed(sp) })
 	}
@@ -168,7 +175,7 @@
 
 // sendPace sends one change of a run's pace.
 func (ld *leader) sendPace(pc cell.Pace) {
-	se, sent, err := ld.send(pc.Worker, func(ctx context.Context, to agent.Target, token uint64) error {
+	sent, err := ld.send(pc.Worker, func(ctx context.Context, to agent.Target, token uint64) error {
 		return ld.opts.Agents.Pace(ctx, to, token, pc)
 	})
 	if !sent {
@@ -176,7 +183,6 @@
 	}
 	ld.log.Info("Sent change of pace.", "task", pc.Task.String(), "run", pc.Run, "worker", pc.Worker, "percent", pc.Percent, "error", errorText(err))
 	if err != nil {
-		ld.handleOrderError(se, err)
 		ld.update(func(time.Duration) { ld.cell.PaceUnconfirmed(pc) })
 	}
 }
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -27,11 +27,11 @@
 	go se.fetchReport() // bounded by the timeout of its call; nobody waits for it
 }
 
-// fetchReport asks for one report.
+// fetchReport asks for one report. It acknowledges no ends: it may be under way together with starts.
 func (se *session) fetchReport() {
 	ld := se.leader
 	ld.mu.Lock()
-	hold := agent.Hold{Token: se.token, Acked: se.ackedEnd()}
+	hold := agent.Hold{Token: se.token}
 	ld.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ld.ctx, holdSlack)
 	defer cancel()
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -42,7 +42,7 @@
 	leader      *leader
 	incarnation incarnation.ID
 	entry       WorkerEntry
-	// token is the fencing token of all orders of the session.
+	// token is the fencing token of the session's orders. It rises after an acknowledgement without an answer.
 	token uint64
 	// startedAt is the start time of the incarnation, 0 if unknown.
 	startedAt int64
@@ -70,6 +70,13 @@
 	requesting bool
 	// acked is the highest end that the worker is known to have forgotten after an acknowledgement.
 	acked int
+	// ackToken is the token of an acknowledgement that may be under way, 0 if there is none. ackOver is closed once
+	// there is none.
+	ackToken uint64
+	ackOver  chan struct{}
+	// lostAcks is the number of consecutive acknowledgements without an answer, repeats that of consecutive reports that
+	// only repeated ends.
+	lostAcks, repeats int
 }
 
 func newSession(ld *leader, en WorkerEntry) *session {
@@ -144,11 +151,11 @@
 			return
 		}
 		se.recordCall(err)
-		if se.tolerated(err) {
+		if se.ackLost(hold, err) || se.tolerated(err) {
 			continue
 		}
 		if err != nil {
-			se.failed(err)
+			se.failed(hold, err)
 			loop.Sleep(ctx, se.leader.clock, holdRetryPause)
 			continue
 		}
@@ -201,6 +208,7 @@
 		return agent.Hold{}, 0, false
 	}
 	ld.stats.holds++
+	se.fenceLostAck()
 	_, waits := ld.cell.AckedEnd(se.incarnation)
 	hold, slack = agent.Hold{Token: se.token, Acked: se.ackedEnd()}, holdSlack
 	switch {
@@ -208,19 +216,19 @@
 	case se.unreachable:
 		// A hold to an unreachable worker does not extend the lease: a lease that is extended without an answer would
 		// never surely expire.
-	case se.missed > 0:
+	case se.missed > 0 || se.ackToken != 0:
 		hold.Deadline = se.deadline // not extended, in case the worker is lost, but the call before may have been lost
 		ld.deadlineSent(ld.now(), se.incarnation)
 	default:
 		hold.Deadline = se.extend(ld.now())
 	}
-	if !se.mayWaitWithAck() {
+	if se.mayRestart() {
 		if hold.Acked > se.acked {
-			return hold, slack, true
+			return hold, se.beginAck(), true
 		}
 		hold.Acked = 0 // the worker has forgotten these ends
 	}
-	if se.answered && !waits && !se.unreachable {
+	if se.answered && !waits && !se.unreachable && se.ackToken == 0 {
 		hold.Wait = holdWait
 		if ld.cell.HasLatencyTarget(se.incarnation) {
 			hold.Wait = latencyHoldWait
@@ -246,7 +254,7 @@
 		ld.log.Info("Worker answers again.", "worker", se.incarnation)
 	}
 	se.unreachable, se.unanswered, se.expired = false, false, false
-	se.acked = max(se.acked, hold.Acked)
+	se.ackAnswered(hold)
 	if report.Clock > se.clock {
 		se.clock, se.heard = report.Clock, now
 	}
@@ -256,7 +264,9 @@
 		se.answered = true
 		se.resolveEarlier(now)
 	}
-	for _, en := range ld.cell.Report(now, se.incarnation, sent, report.Runs, report.Ends) {
+	ends := ld.cell.Report(now, se.incarnation, sent, report.Runs, report.Ends)
+	se.countRepeats(len(ends), len(report.Ends))
+	for _, en := range ends {
 		ld.log.Info("Run has ended.", "task", en.Task.String(), "run", en.Number, "worker", se.incarnation, "result", en.Result, "seq", en.Seq)
 		ld.metrics.count("planner.ends." + string(en.Result))
 	}
@@ -267,9 +277,9 @@
 }
 
 // failed handles a hold's error.
-func (se *session) failed(err error) {
+func (se *session) failed(hold agent.Hold, err error) {
 	ld := se.leader
-	if se.handleFenced(err) {
+	if se.handleFenced(hold.Token, err) {
 		return
 	}
 	ld.mu.Lock()
@@ -358,6 +368,7 @@
 // end ends the session. The caller holds the lock.
 func (se *session) end() {
 	se.ended = true
+	se.endAck()
 	delete(se.leader.sessions, se.incarnation)
 	delete(se.leader.current, se.incarnation.WorkerID())
 }
--- a/internal/planner/standby.go
+++ b/internal/planner/standby.go
@@ -32,7 +32,7 @@
 	if _, standby := ld.standby.entries[key]; standby {
 		return false
 	}
-	return ld.sessionCounts[workerID] > 0 || ld.standby.recorded[workerID]
+	return ld.tokenCounts[workerID] > 0 || ld.standby.recorded[workerID]
 }
 
 // keepLoss reports whether the record of a lost worker must stay in the journal, so that the next planner calls the
--- a/policy/cell/report.go
+++ b/policy/cell/report.go
@@ -21,7 +21,7 @@
 	}
 	cl.recordAnswer(wk)
 	wk.lastReport, wk.aliveAt = now, max(wk.aliveAt, sent)
-	wk.unreachable, wk.overdue = false, false
+	wk.unreachable, wk.overdue, wk.reportedEnds = false, false, len(ends)
 	cl.withdrawAttributions(id)
 	for _, en := range ends {
 		if en.Seq > wk.lastEnd {
--- a/policy/cell/restart.go
+++ b/policy/cell/restart.go
@@ -70,6 +70,21 @@
 // start was unanswered and may have been in transit when this incarnation was last known to run.
 func (pl *placement) mayBeDelayed() bool { return !pl.reported || pl.worker.aliveAt < pl.delayedUntil }
 
+// MayHaveDelayedRuns reports whether the start of a run on a worker may be carried out in its next incarnation, if that
+// one begins before the next report.
+func (cl *Cell) MayHaveDelayedRuns(id incarnation.ID) bool {
+	wk, ok := cl.workers[id]
+	if !ok {
+		return false
+	}
+	for _, pl := range wk.placements {
+		if !pl.unsent && pl.mayBeDelayed() {
+			return true
+		}
+	}
+	return false
+}
+
 // resolvePredecessors applies the first report of an incarnation to the runs of earlier ones.
 func (cl *Cell) resolvePredecessors(now time.Duration, id incarnation.ID, runs []Run, ends []End) {
 	predecessors := cl.predecessors[id.WorkerID()]
--- a/policy/cell/restart_test.go
+++ b/policy/cell/restart_test.go
@@ -81,3 +81,90 @@
 	wb.SetCommitted(wb.RecordCount())
 	return len(wb.TakeOutput().Starts)
 }
+
+// TestMayHaveDelayedRuns checks for which runs the next incarnation of their worker may carry out the start: those whose
+// loss is known only from its first report.
+func TestMayHaveDelayedRuns(t *testing.T) {
+	report := func(wb *waitBed, sr cell.Start, sent time.Duration) {
+		wb.Report(sent, sr.Worker, sent, []cell.Run{{Task: sr.Task, Number: sr.Run}}, nil)
+	}
+	cases := map[string]struct {
+		arrange func(wb *waitBed) cell.Start
+		want    bool
+	}{
+		"start is not answered": {func(wb *waitBed) cell.Start { return wb.submit().Starts[0] }, true},
+		"run is not reported":   {(*waitBed).start, true},
+		"run is reported": {func(wb *waitBed) cell.Start {
+			sr := wb.start()
+			report(wb, sr, time.Second)
+			return sr
+		}, false},
+		"attempt may be in transit": {func(wb *waitBed) cell.Start {
+			sr := wb.submit().Starts[0]
+			wb.StartDelayed(0, sr)
+			wb.Started(0, sr)
+			report(wb, sr, 15*time.Second-1)
+			return sr
+		}, true},
+		"attempt cannot be in transit": {func(wb *waitBed) cell.Start {
+			sr := wb.submit().Starts[0]
+			wb.StartDelayed(0, sr)
+			wb.Started(0, sr)
+			report(wb, sr, 15*time.Second)
+			return sr
+		}, false},
+		"run has ended": {func(wb *waitBed) cell.Start {
+			sr := wb.submit().Starts[0]
+			wb.StartDelayed(0, sr)
+			wb.Started(0, sr)
+			end := cell.End{Seq: 1, Run: cell.Run{Task: sr.Task, Number: sr.Run}, Result: cell.ResultFailed}
+			wb.Report(time.Second, sr.Worker, time.Second, nil, []cell.End{end})
+			return sr
+		}, false},
+		"start awaits its record": {func(wb *waitBed) cell.Start {
+			first := wb.start()
+			wb.LeaseExpired(time.Second, first.Worker)
+			wb.Plan(time.Second)
+			return cell.Start{Worker: "w001"}
+		}, false},
+		"start's record is in the journal": {func(wb *waitBed) cell.Start {
+			first := wb.start()
+			wb.LeaseExpired(time.Second, first.Worker)
+			wb.Plan(time.Second)
+			wb.SetCommitted(wb.RecordCount())
+			return wb.TakeOutput().Starts[0]
+		}, true},
+		"worker is not known": {func(*waitBed) cell.Start { return cell.Start{Worker: "w999"} }, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			wb := newWaitBed()
+			sr := tc.arrange(wb)
+			is.New(t).Equal(wb.MayHaveDelayedRuns(sr.Worker), tc.want)
+		})
+	}
+}
+
+// TestManyReportedEnds guards against runs that count as lost because their ends are not among the 500 that their worker
+// reports at once: a worker that repeats half as many gets no run.
+func TestManyReportedEnds(t *testing.T) {
+	for name, tc := range map[string]struct{ ends, starts int }{
+		"few": {249, 2}, "many": {250, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			wb := newWaitBed()
+			var ends []cell.End
+			for n := range tc.ends {
+				ends = append(ends, cell.End{Seq: n + 1, Run: cell.Run{Number: 1}, Result: cell.ResultStopped})
+			}
+			wb.Report(0, "w000", 0, nil, ends)
+			wb.fill("two", 2)
+			is := is.New(t)
+			is.Equal(wb.HeldRuns("w000") != nil, tc.starts == 2)
+			is.Equal(len(wb.HeldRuns("w001")), 1)
+			wb.Report(time.Second, "w000", time.Second, wb.HeldRuns("w000"), nil)
+			wb.Plan(time.Second)
+			is.Equal(len(wb.TakeOutput().Starts), 2-tc.starts)
+		})
+	}
+}
--- a/policy/cell/worker.go
+++ b/policy/cell/worker.go
@@ -38,6 +38,8 @@
 	// between.
 	lastEnd, ackedEnd int
 	unacked           []endNote
+	// reportedEnds is the number of ends in its last report.
+	reportedEnds int
 	// quarantineUntil is when a worker on which runs fail may get new ones.
 	quarantineUntil time.Duration
 	failures        int
