planner: acknowledge nothing before a worker's first answer

A session that has no answer of its worker, or none since the worker's lease expired, does not know which incarnation is there. No play has shown an acknowledgement sent then: the cell knows no end of a worker that has not answered. The condition no longer depends on that.

--- a/internal/planner/acknowledge.go
+++ b/internal/planner/acknowledge.go
@@ -32,11 +32,11 @@
 func (se *session) mayRestart() bool { return se.startedAt != 0 }
 
 // ackedEnd returns the number of the last end that the worker need not report again, for the next hold; 0 if no end may
-// be acknowledged. After a call without an answer of this incarnation another one may be running, which would forget
-// ends of its own that were not read. The caller holds the lock.
+// be acknowledged. Before the first answer of this incarnation, and after a call without one, another one may be
+// running, which would forget ends of its own that were not read. The caller holds the lock.
 func (se *session) ackedEnd() int {
 	ld := se.leader
-	if se.unanswered || se.ackToken != 0 || se.mayRestart() && ld.cell.MayHaveDelayedRuns(se.incarnation) {
+	if !se.answered || se.unanswered || se.ackToken != 0 || se.mayRestart() && ld.cell.MayHaveDelayedRuns(se.incarnation) {
 		return 0
 	}
 	number, _ := ld.cell.AckedEnd(se.incarnation)
