cell: list only runs that were sent in the record of a lost worker

What callers saw: a job failed although two of its workers had crashed, where three are the limit.

If the worker is lost in these 45 ms, the start is not sent, and the record of it is cleared. But the record of the lost worker, which lists the runs that it may have, named this run as well. The next planner found it there only, took it for a run that the worker had, and counted the worker's end as the task's crash.

Fix: that record lists only runs whose starts were sent.

--- a/policy/cell/recordedstart_test.go
+++ b/policy/cell/recordedstart_test.go
@@ -161,6 +161,19 @@
 	is.Equal(len(ct.takeOutput().Starts), members)
 }
 
+// TestUnsentStartIsNotHeld guards against a crash that the next planner attributes to a run whose start was not sent: the
+// record of a lost worker lists only the runs that it may have.
+func TestUnsentStartIsNotHeld(t *testing.T) {
+	ct := newSuspectTestbed(t)
+	ct.cell.Plan(ct.now)
+	start := ct.cell.TakeOutput().Records[0]
+	ct.cell.Unreachable(ct.now, start.RunWorker, ct.now+workerLease)
+	lost := ct.cell.TakeOutput().Records[0]
+	ct.Equal(lost.Worker, start.RunWorker)
+	ct.True(lost.Closed)
+	ct.Equal(len(lost.Held), 0)
+}
+
 // TestHeldStartHasValidTicket guards against a start that its worker rejects because the ticket expired while the start
 // waited for the journal.
 func TestHeldStartHasValidTicket(t *testing.T) {
--- a/policy/cell/worker.go
+++ b/policy/cell/worker.go
@@ -270,10 +270,14 @@
 	return wk.heldRuns()
 }
 
+// heldRuns returns the runs whose starts were sent. Another start may still be sent, but the journal has a record of it
+// then.
 func (wk *worker) heldRuns() []Run {
 	var runs []Run
-	for ky := range wk.placements {
-		runs = append(runs, Run{Task: ky.task, Number: ky.run})
+	for ky, pl := range wk.placements {
+		if !pl.unsent {
+			runs = append(runs, Run{Task: ky.task, Number: ky.run})
+		}
 	}
 	return runs
 }
