--- a/internal/planner/lateack_test.go
+++ b/internal/planner/lateack_test.go
@@ -29,17 +29,27 @@
 	// delay is how long the acknowledgement takes, onAck is called when it is sent.
 	delay time.Duration
 	onAck func()
-	// delayStart, if not nil, returns how long an attempt of a start takes.
+	// delayStart, if not nil, returns how long an attempt of a start takes. Stops take delayStop.
 	delayStart func(sr cell.Start) time.Duration
+	delayStop  time.Duration
 
-	ackSent, silent atomic.Bool
+	ackSent, silent, stopFenced atomic.Bool
 }
 
 func newLateAckBed(t *testing.T, run, delay time.Duration) *lateAckBed {
 	lb := &lateAckBed{testbed: newTestbed(t, run, "w1"), delay: delay, onAck: func() {}}
 	lb.wrapStore = func(st *kv.Store) *kv.Store { return st }
 	fleet := lb.fleet.Agents()
-	lb.agents = &agent.Agents{Hold: lb.wrapHold(fleet.Hold), Start: lb.wrapStart(fleet.Start), Stop: fleet.Stop, Pace: fleet.Pace}
+	lb.agents = &agent.Agents{Hold: lb.wrapHold(fleet.Hold), Start: lb.wrapStart(fleet.Start), Pace: fleet.Pace}
+	lb.agents.Stop = func(ctx context.Context, to agent.Target, token uint64, sp cell.Stop) error {
+		_, err := deliverLate(ctx, lb.testbed, lb.delayStop, func(ctx context.Context) (struct{}, error) {
+			return struct{}{}, fleet.Stop(ctx, to, token, sp)
+		})
+		if errors.Is(err, agent.ErrFenced) {
+			lb.stopFenced.Store(true)
+		}
+		return err
+	}
 	return lb
 }
 
@@ -106,7 +116,7 @@
 	lb.restart(0, "w1")
 }
 
-// awaitEnd waits until the planner has read the end of a run.
+// awaitEnd returns a function that waits until the planner has read the end of a task's run.
 func (lb *lateAckBed) awaitEnd(task string) func() {
 	ended := make(chan struct{})
 	var once atomic.Bool
@@ -168,9 +178,9 @@
 	for name, tt := range map[string]struct {
 		// run is the duration of the tasks.
 		run time.Duration
-		// submit is when the second task is submitted, before the end of the first one has been read.
+		// early is set if the second task is submitted before the first one ends.
 		early bool
-		// restart is the time from that to the restart.
+		// restart is the time from when the planner has read the end of the first task to the restart.
 		restart time.Duration
 		// start is how long the first attempt of the second task's start takes.
 		start time.Duration
@@ -232,6 +242,34 @@
 	})
 }
 
+// TestOvertakenStopEndsNoTerm guards against a planner that takes its own higher token for that of a later planner: a stop
+// is rejected because a hold that follows a lost acknowledgement has overtaken it.
+func TestOvertakenStopEndsNoTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lb := newLateAckBed(t, 400*time.Millisecond, 2*time.Second)
+		defer lb.end()
+		lb.delayStop = 300 * time.Millisecond
+		awaitEnd := lb.awaitEnd("a.0.0.0")
+		nd := lb.addNode("n1")
+		time.Sleep(time.Second)
+		lb.submit(nd, "a", 1)
+		time.Sleep(300 * time.Millisecond)
+		lb.submit(nd, "b", 1)
+		awaitEnd()
+		led := nd.currentTerm().Token
+		if err := nd.intake.Cancel(t.Context(), "b", ""); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Second)
+		if !lb.stopFenced.Load() {
+			t.Error("no stop was overtaken")
+		}
+		if !nd.term.Leading() || nd.currentTerm().Token != led {
+			t.Error("the term has ended")
+		}
+	})
+}
+
 // TestAcknowledgementsAndStartsDoNotMeet draws lost, unanswered and late orders and restarts from seeds, and checks the
 // rules that make it safe to acknowledge ends of a worker that restarts under its id.
 func TestAcknowledgementsAndStartsDoNotMeet(t *testing.T) {
--- a/policy/cell/restart.go
+++ b/policy/cell/restart.go
@@ -70,8 +70,8 @@
 // start was unanswered and may have been in transit when this incarnation was last known to run.
 func (pl *placement) mayBeDelayed() bool { return !pl.reported || pl.worker.aliveAt < pl.delayedUntil }
 
-// MayHaveDelayedRuns reports whether the start of a run on a worker may be carried out in its next incarnation, if that
-// one begins before the next report.
+// MayHaveDelayedRuns reports whether the start of a run on a worker may be carried out in the worker's next incarnation,
+// should the present one have ended after its last report.
 func (cl *Cell) MayHaveDelayedRuns(id incarnation.ID) bool {
 	wk, ok := cl.workers[id]
 	if !ok {
