--- a/internal/planner/lateack_test.go
+++ b/internal/planner/lateack_test.go
@@ -146,19 +146,27 @@
 // TestStartDuringAcknowledgement guards against a task that runs again because its start and an acknowledgement that was
 // sent before it both reached its worker's next incarnation, the acknowledgement last.
 func TestStartDuringAcknowledgement(t *testing.T) {
-	for name, delay := range map[string]time.Duration{
-		"100 ms":             100 * time.Millisecond,
-		"250 ms":             250 * time.Millisecond,
-		"400 ms":             400 * time.Millisecond,
-		"beyond its timeout": 900 * time.Millisecond,
+	for name, tt := range map[string]struct {
+		delay time.Duration
+		// entry is the worker's entry, if it is not the usual one.
+		entry string
+	}{
+		"100 ms":                    {delay: 100 * time.Millisecond},
+		"250 ms":                    {delay: 250 * time.Millisecond},
+		"400 ms":                    {delay: 400 * time.Millisecond},
+		"beyond its timeout":        {delay: 900 * time.Millisecond},
+		"start time not in entries": {delay: 250 * time.Millisecond, entry: "room 8"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				lb := newLateAckBed(t, 50*time.Millisecond, delay)
+				lb := newLateAckBed(t, 50*time.Millisecond, tt.delay)
 				defer lb.end()
+				if tt.entry != "" {
+					lb.store.Set(workersPrefix+"w1", []byte(tt.entry))
+				}
 				restarted := make(chan struct{})
 				lb.onAck = func() {
-					lb.restartSilently(delay + 10*time.Millisecond)
+					lb.restartSilently(tt.delay + 10*time.Millisecond)
 					close(restarted)
 				}
 				lb.addNode("n1")
