cell: expect late attempts of an earlier planner's starts

Cause: which attempts of its predecessor's starts got no answer, the next planner does not know. It took each run that a worker reported for settled, and acknowledged ends while such an attempt could be in transit. If the worker then restarts, the attempt and the acknowledgement can both reach the next incarnation, which forgets the end of the run; and the run counted as lost before that incarnation's first report.

Fix: for 15 s from the beginning of the term, the time for which an order and its effects are taken to last (MaxOrderDelay), a run of an earlier planner counts as one that the next incarnation may have: no end of its worker is acknowledged, and it is lost only once the next incarnation's first report omits it.

TestMayHaveDelayedRuns has both sides of the 15 s.

--- a/internal/planner/lateack_test.go
+++ b/internal/planner/lateack_test.go
@@ -398,3 +398,31 @@
 	bd.wrapStore = func(st *kv.Store) *kv.Store { return st }
 	bd.agents = &agent.Agents{Hold: hold, Start: start, Stop: stop, Pace: fleet.Pace}
 }
+
+// TestAcknowledgementAfterTakeover guards against a task that runs again because the next planner acknowledged ends while
+// a late attempt of its predecessor's start was under way, and both reached the worker's next incarnation.
+func TestAcknowledgementAfterTakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const run, delay = 800 * time.Millisecond, 2 * time.Second
+		lb := newLateAckBed(t, run, delay)
+		defer lb.end()
+		var attempts atomic.Int32
+		lb.delayStart = func(sr cell.Start) time.Duration {
+			if sr.Task.Job == "b" && attempts.Add(1) == 1 {
+				return time.Second
+			}
+			return 0
+		}
+		awaitEnd := lb.awaitEnd("a.0.0.0")
+		first, second := lb.addTwo()
+		time.Sleep(time.Second)
+		lb.submit(second, "a", 1)
+		time.Sleep(400 * time.Millisecond)
+		lb.submit(second, "b", 1)
+		time.Sleep(200 * time.Millisecond)
+		first.currentTerm().Yield("test")
+		awaitEnd()
+		lb.clock.AfterFunc(150*time.Millisecond, func() { lb.restartSilently(delay) })
+		lb.checkRuns("a", "b")
+	})
+}
--- a/policy/cell/report.go
+++ b/policy/cell/report.go
@@ -85,7 +85,8 @@
 	}
 	other := tk.placement
 	pl := cl.place(now, tk, wk, rn.Number)
-	pl.state, pl.runningSince, pl.adopted = running, now, true
+	pl.adopt()
+	pl.runningSince = now
 	cl.clearCrash(tk, rn.Number) // it did not crash an earlier incarnation
 	cl.beginJob(jb)
 	cl.updateRun(now, pl, rn)
--- a/policy/cell/restart.go
+++ b/policy/cell/restart.go
@@ -70,6 +70,12 @@
 // start was unanswered and may have been in transit when this incarnation was last known to run.
 func (pl *placement) mayBeDelayed() bool { return !pl.reported || pl.worker.aliveAt < pl.delayedUntil }
 
+// adopt records that an earlier planner started the run. Which attempts of the start got no answer is not known: one may
+// be in transit until MaxOrderDelay after the term began, from which all times count.
+func (pl *placement) adopt() {
+	pl.state, pl.adopted, pl.delayedUntil = running, true, MaxOrderDelay
+}
+
 // MayHaveDelayedRuns reports whether the start of a run on a worker may be carried out in the worker's next incarnation,
 // should the present one have ended after its last report.
 func (cl *Cell) MayHaveDelayedRuns(id incarnation.ID) bool {
--- a/policy/cell/restart_test.go
+++ b/policy/cell/restart_test.go
@@ -8,6 +8,7 @@
 
 	"tackbeam.example/policy/cell"
 	"tackbeam.example/policy/incarnation"
+	"tackbeam.example/policy/work"
 )
 
 // TestDelayedStartIsOver guards against a run that is kept after its worker's restart because an attempt of its start
@@ -134,6 +135,12 @@
 			wb.SetCommitted(wb.RecordCount())
 			return wb.TakeOutput().Starts[0]
 		}, true},
+		"earlier planner's attempt may be in transit": {func(wb *waitBed) cell.Start {
+			return wb.adopt(15*time.Second - 1)
+		}, true},
+		"earlier planner's attempt cannot be in transit": {func(wb *waitBed) cell.Start {
+			return wb.adopt(15 * time.Second)
+		}, false},
 		"worker is not known": {func(*waitBed) cell.Start { return cell.Start{Worker: "w999"} }, false},
 	}
 	for name, tc := range cases {
@@ -145,6 +152,14 @@
 	}
 }
 
+// adopt has w000 report a run that an earlier planner started, in the answer to a call that was sent at a time.
+func (wb *waitBed) adopt(sent time.Duration) cell.Start {
+	submitStep(wb.Cell, "lasting", wb.step, wb.queue)
+	sr := cell.Start{Worker: "w000", Task: work.Task{Job: "lasting"}, Run: 1}
+	wb.Report(sent, sr.Worker, sent, []cell.Run{{Task: sr.Task, Number: sr.Run}}, nil)
+	return sr
+}
+
 // TestManyReportedEnds guards against runs that count as lost because their ends are not among the 500 that their worker
 // reports at once: a worker that repeats half as many gets no run.
 func TestManyReportedEnds(t *testing.T) {
--- a/policy/cell/worker.go
+++ b/policy/cell/worker.go
@@ -165,7 +165,7 @@
 		if pl == nil {
 			pl = cl.place(now, tk, wk, rn.Number)
 		}
-		pl.state, pl.inherited = stopping, true
+		pl.state, pl.inherited, pl.delayedUntil = stopping, true, MaxOrderDelay
 	}
 }
 
@@ -189,8 +189,7 @@
 		if tk == nil || tk.done || wk.placements[placementKey{rn.Task, rn.Number}] != nil || tk.step.round.job.phase.Ended() {
 			continue
 		}
-		pl := cl.place(now, tk, wk, rn.Number)
-		pl.state, pl.adopted = running, true
+		cl.place(now, tk, wk, rn.Number).adopt()
 	}
 }
 
