planner, cell: serve the evacuation of a data hall

The planner follows the operators' keys and starts nothing while its copy is too old to know of an evacuation; workers of evacuated halls leave the pools and do not come into use from standby, starts that were decided before are checked when they are sent. Long-running tasks move as far as their step allows tasks to be unavailable. Deployments whose settings have no bound evacuate-ms are served as before. A node serves the evacuated halls at its metrics address, tackbeam evacuations prints them.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -48,6 +48,8 @@
 	PathStats   = "/v1/stats"
 	PathHealth  = "/healthz"
 	PathReady   = "/readyz"
+	// PathEvacuations is served at the metrics address of nodes on the users' platform.
+	PathEvacuations = "/v1/evacuations"
 )
 
 // ErrorBody is the body of all error responses.
@@ -64,6 +66,16 @@
 	RetryAfter float64    `json:"retry_after,omitempty"`
 }
 
+// NewErrorBody returns the body for an error.
+func NewErrorBody(er *fault.Error) ErrorBody {
+	info := ErrorInfo{Kind: er.Kind, Message: er.Message, Ran: "not-run"}
+	if er.MayHaveRun || er.Kind == fault.Timeout || er.Kind == fault.Internal {
+		info.Ran = "unknown"
+	}
+	info.RetryAfter = max(er.RetryAfter.Seconds(), 0)
+	return ErrorBody{Error: info}
+}
+
 // JobRequest is the body of a request to submit a job. Sizes default to those of the
 // workload's row. Deadline and DeadlineIn are mutually exclusive; DeadlineIn is in seconds.
 type JobRequest struct {
--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -41,6 +41,8 @@
 	// WorkersPrefix is the prefix of the workers' keys in the store.
 	WorkersPrefix string
 	DecodeWorker  func(item kv.Item) (planner.WorkerEntry, error)
+	// EvacuationsPrefix is the prefix of the keys that name evacuated data halls; empty if the deployment has none.
+	EvacuationsPrefix string
 	// ConfigKey is the key of the configuration in the store.
 	ConfigKey    string
 	DecodeConfig func(item kv.Item) (*routes.Config, error)
@@ -112,7 +114,7 @@
 	nd.relay = &relay.Relay{Node: ad.Site.Node, Members: nd.term.Members, Call: nd.link.Call}
 	nd.planner = planner.New(planner.Options{
 		Clock: clock, Log: log, Store: st, Agents: ad.Agents, Site: ad.Site, Metrics: nd.meters,
-		WorkersPrefix: ad.WorkersPrefix, DecodeWorker: ad.DecodeWorker,
+		WorkersPrefix: ad.WorkersPrefix, DecodeWorker: ad.DecodeWorker, EvacuationsPrefix: ad.EvacuationsPrefix,
 		Advise: nd.pool.Advise, Queue: nd.table.Queue, Workspace: nd.table.Workspace, ServiceInUse: nd.table.HasService,
 		Leases: nd.requestLeases, NodeCount: func() int { return len(nd.term.Members()) },
 	})
--- a/internal/cellnode/requests.go
+++ b/internal/cellnode/requests.go
@@ -9,6 +9,7 @@
 	"tackbeam.example/policy/cell"
 	"tackbeam.example/policy/work"
 
+	"tackbeam.example/tackbeam/internal/evacuation"
 	"tackbeam.example/tackbeam/internal/fault"
 	"tackbeam.example/tackbeam/internal/joblog"
 	"tackbeam.example/tackbeam/internal/leases"
@@ -43,6 +44,12 @@
 	return reply.Pending, err
 }
 
+// Evacuations requests the evacuated data halls from the planner.
+func (nd *Node) Evacuations(ctx context.Context) ([]evacuation.Status, error) {
+	reply, err := nd.serve(ctx, peerlink.Request{Evacuations: true})
+	return reply.Evacuations, err
+}
+
 // serve answers a caller's request, through another node if this one cannot reach the store.
 func (nd *Node) serve(ctx context.Context, rq peerlink.Request) (peerlink.Reply, error) {
 	if nd.health.Down() {
@@ -181,6 +188,9 @@
 		return peerlink.Reply{Pending: count}, err
 	case rq.Batch != nil:
 		return peerlink.Reply{}, nd.planner.AddBatch(*rq.Batch)
+	case rq.Evacuations:
+		list, err := nd.planner.Evacuations()
+		return peerlink.Reply{Evacuations: list}, err
 	}
 	return peerlink.Reply{}, fault.New(fault.BadRequest, "request contains no operation")
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -49,7 +49,7 @@
 	return []Command{
 		cmdTableShow, cmdTableGet, cmdTableSet, cmdTableRemove, cmdTableHistory, cmdTableWatch,
 		cmdTableColumns, cmdSubmit, cmdJobsList, cmdJobsShow, cmdJobsCancel, cmdLookup,
-		cmdWorkers, cmdNodes, cmdDrain, cmdStats, cmdReplay, cmdTrace, cmdLoad, cmdKeys,
+		cmdWorkers, cmdNodes, cmdDrain, cmdEvacuations, cmdStats, cmdReplay, cmdTrace, cmdLoad, cmdKeys,
 		cmdStandinStore, cmdStandinWorkers, cmdErrors, cmdPages, cmdVersion,
 	}
 }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -27,20 +27,21 @@
 		code    int
 		wantErr string
 	}{
-		"version":            {[]string{"version"}, 0, ""},
-		"help":               {[]string{"--help"}, 0, ""},
-		"help of a command":  {[]string{"table", "set", "--help"}, 0, ""},
-		"unknown command":    {[]string{"tabel"}, 2, "tabel"},
-		"unknown option":     {[]string{"nodes", "--fast"}, 2, "fast"},
-		"missing argument":   {[]string{"table", "get"}, 2, "ROW"},
-		"bad row":            {[]string{"table", "get", "brno"}, 2, "workspace/NAME"},
-		"payload not JSON":   {[]string{"submit", "push", "-w", "brno", "--payload", "{"}, 2, "not JSON"},
-		"no such trace":      {[]string{"replay", "/none"}, 2, "/none"},
-		"no such policy":     {[]string{"replay", "--compare", "best", "../../traces/brno-day.jsonl.gz"}, 2, "no policy best"},
-		"no such workload":   {[]string{"trace", "zlin-day", "/none"}, 2, "brno-day"},
-		"drain without yes":  {[]string{"drain", "n1"}, 18, "--yes"},
-		"remove without yes": {[]string{"table", "remove", "workspace/brno"}, 18, "--yes"},
-		"node unreachable":   {append(unreachable, "nodes"), 14, "127.0.0.1:1"},
+		"version":             {[]string{"version"}, 0, ""},
+		"help":                {[]string{"--help"}, 0, ""},
+		"help of a command":   {[]string{"table", "set", "--help"}, 0, ""},
+		"unknown command":     {[]string{"tabel"}, 2, "tabel"},
+		"unknown option":      {[]string{"nodes", "--fast"}, 2, "fast"},
+		"missing argument":    {[]string{"table", "get"}, 2, "ROW"},
+		"bad row":             {[]string{"table", "get", "brno"}, 2, "workspace/NAME"},
+		"payload not JSON":    {[]string{"submit", "push", "-w", "brno", "--payload", "{"}, 2, "not JSON"},
+		"no such trace":       {[]string{"replay", "/none"}, 2, "/none"},
+		"no such policy":      {[]string{"replay", "--compare", "best", "../../traces/brno-day.jsonl.gz"}, 2, "no policy best"},
+		"no such workload":    {[]string{"trace", "zlin-day", "/none"}, 2, "brno-day"},
+		"drain without yes":   {[]string{"drain", "n1"}, 18, "--yes"},
+		"remove without yes":  {[]string{"table", "remove", "workspace/brno"}, 18, "--yes"},
+		"metrics unreachable": {append(unreachable, "evacuations"), 14, "127.0.0.1:1"},
+		"node unreachable":    {append(unreachable, "nodes"), 14, "127.0.0.1:1"},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -187,13 +187,7 @@
 	if errors.As(err, &fe) {
 		er = fiberFault(fe)
 	}
-	answer := er.Kind.Info()
-	info := api.ErrorInfo{Kind: er.Kind, Message: er.Message, Ran: "not-run"}
-	if er.MayHaveRun || er.Kind == fault.Timeout || er.Kind == fault.Internal {
-		info.Ran = "unknown"
-	}
 	if er.RetryAfter > 0 {
-		info.RetryAfter = er.RetryAfter.Seconds()
 		seconds := int64((er.RetryAfter + time.Second - 1) / time.Second)
 		c.Set(fiber.HeaderRetryAfter, strconv.FormatInt(seconds, 10))
 	}
@@ -201,7 +195,7 @@
 		fr.Log.Error(err, "Request failed.", "path", c.Path())
 	}
 	fr.Meter.Count("errors_"+string(er.Kind), 1)
-	return c.Status(answer.Status()).JSON(api.ErrorBody{Error: info})
+	return c.Status(er.Kind.Info().Status()).JSON(api.NewErrorBody(er))
 }
 
 func fiberFault(fe *fiber.Error) *fault.Error {
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -16,6 +16,7 @@
 
 	"tackbeam.example/tackbeam/internal/accept"
 	"tackbeam.example/tackbeam/internal/connlimit"
+	"tackbeam.example/tackbeam/internal/evacuation"
 	"tackbeam.example/tackbeam/internal/fault"
 	"tackbeam.example/tackbeam/internal/feed"
 	"tackbeam.example/tackbeam/internal/httpcall"
@@ -45,6 +46,8 @@
 	Caller routes.Caller `cbor:"9,keyasint,omitzero"`
 	// Leases asks about leases of workers that the node renewed.
 	Leases *leases.Request `cbor:"10,keyasint,omitempty"`
+	// Evacuations requests the evacuated data halls.
+	Evacuations bool `cbor:"11,keyasint,omitempty"`
 }
 
 // writes reports whether the request may change something.
@@ -62,6 +65,8 @@
 	Config *feed.Response `cbor:"6,keyasint,omitempty"`
 	// Leases tells when leases of workers have expired.
 	Leases *leases.Report `cbor:"7,keyasint,omitempty"`
+	// Evacuations are the evacuated data halls.
+	Evacuations []evacuation.Status `cbor:"8,keyasint,omitempty"`
 }
 
 // writeWait is how long a write to a slow store takes.
--- a/internal/planner/leader.go
+++ b/internal/planner/leader.go
@@ -17,6 +17,7 @@
 	"tackbeam.example/tackbeam/internal/kv"
 	"tackbeam.example/tackbeam/internal/loop"
 	"tackbeam.example/tackbeam/internal/mirror"
+	"tackbeam.example/tackbeam/internal/site"
 	"tackbeam.example/tackbeam/internal/term"
 	"tackbeam.example/tackbeam/internal/wake"
 )
@@ -68,6 +69,8 @@
 
 	// jobs is the copy of the journal's batches, workers that of the list of workers.
 	jobs, workers *mirror.Mirror
+	// evacuations are the evacuated data halls.
+	evacuations evacuations
 	// maxListAge is the age of the list of workers beyond which no task is started. The capacity of a worker that does
 	// not check it itself may have shrunk since the last read. The worker publishes the new capacity with its next
 	// heartbeat, and starts beyond it count as an error one heartbeat plus the contact time after the change.
@@ -141,7 +144,7 @@
 			InitialWindow: initialWindow, MinInUse: opts.MinInUse, Features: opts.Site.Features,
 		}),
 	}
-	ld.maxListAge = max(cmp.Or(opts.Site.Bounds.Contact, defaultContact)-listMargin, listMargin)
+	ld.maxListAge = maxListAge(opts.Site.Bounds)
 	if maxLease := opts.Site.Bounds.MaxLease; maxLease > 0 {
 		ld.lease = min(ld.lease, maxLease)
 	}
@@ -150,10 +153,17 @@
 	ld.records.init()
 	ld.batches.init()
 	ld.ignored.init()
+	ld.evacuations.init(opts.Site.Bounds)
 	ld.standby.init()
 	return ld
 }
 
+// maxListAge returns the age of a list from which no task may be started by it. Rules with a time limit apply to a node
+// that has been in contact with the store for the contact time.
+func maxListAge(bounds site.Bounds) time.Duration {
+	return max(cmp.Or(bounds.Contact, defaultContact)-listMargin, listMargin)
+}
+
 // now returns the time since the term began, on the monotonic clock.
 func (ld *leader) now() time.Duration { return ld.clock.Since(ld.began) }
 
@@ -182,6 +192,7 @@
 			ld.workers.Run(ctx)
 		}
 	})
+	ld.followEvacuations(ctx)
 	ld.spawn(func() { ld.commitLoop(ctx) })
 	ld.spawn(func() {
 		select {
--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -80,7 +80,9 @@
 }
 
 // canPlan reports whether tasks may be started now.
-func (ld *leader) canPlan() bool { return ld.ctx.Err() == nil && ld.term.LeaseHeld() && ld.listFresh() }
+func (ld *leader) canPlan() bool {
+	return ld.ctx.Err() == nil && ld.term.LeaseHeld() && ld.listFresh() && ld.evacuations.fresh()
+}
 
 func errorText(err error) string {
 	if err == nil {
--- a/internal/planner/planloop.go
+++ b/internal/planner/planloop.go
@@ -60,6 +60,7 @@
 	ld.updateAdviceBudget(now)
 	ld.reportBacklog(now)
 	ld.reportHeadroom()
+	ld.reportEvacuations()
 	jobs, waiting, workers := ld.cell.Counts()
 	ld.metrics.gauge("planner.jobs", jobs)
 	ld.metrics.gauge("planner.steps_waiting", waiting)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -27,7 +27,6 @@
 type WorkerEntry struct {
 	cell.Worker
 	Address string
-	Hall    string
 }
 
 // Advice is the advisor's answer to an advice request: the workers that may run a step, with tickets that are valid for
@@ -48,6 +47,9 @@
 	// WorkersPrefix is the store's prefix of the list of workers. DecodeWorker decodes one entry of the list.
 	WorkersPrefix string
 	DecodeWorker  func(item kv.Item) (WorkerEntry, error)
+	// EvacuationsPrefix is the store's prefix of the keys that name evacuated data halls; empty if the deployment has
+	// none.
+	EvacuationsPrefix string
 	// Advise asks the advisor through the node that is expected to be free first.
 	Advise func(ctx context.Context, qn cell.AdviceRequest) (Advice, error)
 	// NodeCount returns the number of registered nodes, which send requests to the advisor; nil if it is not known.
--- a/internal/planner/testbed_test.go
+++ b/internal/planner/testbed_test.go
@@ -63,6 +63,11 @@
 	advise   func(ctx context.Context, rq cell.AdviceRequest) (planner.Advice, error)
 	// minInUse is the least number of workers in use.
 	minInUse int
+	// evacuationsPrefix is the prefix of the keys that name evacuated halls, evacuationTime the bound in the settings.
+	evacuationsPrefix string
+	evacuationTime    time.Duration
+	// onStart, if not nil, is called with each start that a node sends.
+	onStart func(to agent.Target, sr cell.Start)
 	// onBacklog, if not nil, is called with each report of a planner that a node sees.
 	onBacklog func(backlog joblog.BacklogSize)
 	// logged, if not nil, is called with each line that a node logs.
@@ -108,6 +113,16 @@
 	}
 }
 
+// observeStart wraps the function that sends starts.
+func (bd *testbed) observeStart(start startFunc) startFunc {
+	return func(ctx context.Context, to agent.Target, token uint64, deadline time.Duration, sr cell.Start) (agent.StartAnswer, error) {
+		if bd.onStart != nil {
+			bd.onStart(to, sr)
+		}
+		return start(ctx, to, token, deadline, sr)
+	}
+}
+
 type holdFunc = func(ctx context.Context, to agent.Target, hd agent.Hold) (agent.Report, error)
 
 // currentTerm returns the node's latest term.
@@ -198,15 +213,15 @@
 func (bd *testbed) addNodeOf(name string, processors float64) *node {
 	st, agents := bd.store.Client(name), bd.fleet.Agents()
 	nd := &node{meters: metrics.NewRegistry()}
-	agents.Hold = nd.cutHold(agents.Hold)
+	agents.Hold, agents.Start = nd.cutHold(agents.Hold), bd.observeStart(agents.Start)
 	if bd.wrapStore != nil {
 		st, agents = bd.wrapStore(st), bd.agents
 	}
 	clock := nd.newClock(bd)
 	nd.planner = planner.New(planner.Options{
 		Clock: clock, Log: bd.log(name), Store: st, Agents: agents, Metrics: nd.meters,
-		Site:          &site.Site{Bounds: site.Bounds{JobRetention: 2 * time.Minute}, Features: bd.features},
-		WorkersPrefix: workersPrefix, MinInUse: bd.minInUse,
+		Site:          &site.Site{Bounds: site.Bounds{JobRetention: 2 * time.Minute, EvacuationTime: bd.evacuationTime}, Features: bd.features},
+		WorkersPrefix: workersPrefix, EvacuationsPrefix: bd.evacuationsPrefix, MinInUse: bd.minInUse,
 		DecodeWorker: func(item kv.Item) (planner.WorkerEntry, error) {
 			id := strings.TrimPrefix(item.Key, workersPrefix)
 			if string(item.Value) == unreadable {
@@ -269,6 +284,8 @@
 		case "born":
 			born, _ := strconv.ParseInt(words[at+1], 10, 64)
 			en.ID = incarnation.New(id, born)
+		case "hall":
+			en.Hall = words[at+1]
 		case "draining":
 			en.Draining = true
 		}
@@ -311,10 +328,15 @@
 
 func (bd *testbed) submit(nd *node, id string, tasks int) {
 	bd.t.Helper()
-	bd.submitJob(nd, &work.Job{
-		ID: id, Spec: id, Queue: bd.accepted,
+	bd.submitJob(nd, newJob(bd.accepted, id, tasks))
+}
+
+// newJob returns a job with small tasks.
+func newJob(qu work.Queue, id string, tasks int) *work.Job {
+	return &work.Job{
+		ID: id, Spec: id, Queue: qu,
 		Steps: []work.Step{{Count: tasks, Need: size.New(1000, 1000, 0), Estimate: time.Second}},
-	})
+	}
 }
 
 func (bd *testbed) submitJob(nd *node, jb *work.Job) {
--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -60,6 +60,8 @@
 	unpooled map[*worker]bool
 	// standby holds the workers that are not in use, by service.
 	standby map[string]*standby
+	// evacuated holds the data halls whose workers get no new runs.
+	evacuated map[string]bool
 	// open holds the steps that are ready and not finished.
 	open    map[*step]bool
 	pools   map[string]*pool
--- a/policy/cell/cell_test.go
+++ b/policy/cell/cell_test.go
@@ -349,15 +349,16 @@
 		change func(cl *cell.Cell)
 		want   bool
 	}{
-		"nothing":              {func(*cell.Cell) {}, true},
-		"it drains":            {func(cl *cell.Cell) { cl.PutWorker(0, draining) }, false},
-		"it is deregistered":   {func(cl *cell.Cell) { cl.Deregister(entry.ID) }, false},
-		"it shrinks":           {func(cl *cell.Cell) { cl.PutWorker(0, small) }, false},
-		"it grows":             {func(cl *cell.Cell) { cl.PutWorker(0, large) }, true},
-		"its incarnation ends": {func(cl *cell.Cell) { cl.Replaced(0, entry.ID) }, false},
-		"it registers again":   {func(cl *cell.Cell) { cl.Deregister(entry.ID); cl.PutWorker(0, entry) }, true},
-		"it stops answering":   {func(cl *cell.Cell) { cl.Unreachable(0, entry.ID, workerLease) }, true},
-		"its job is cancelled": {func(cl *cell.Cell) { cl.Cancel(0, "a", "") }, false},
+		"nothing":               {func(*cell.Cell) {}, true},
+		"it drains":             {func(cl *cell.Cell) { cl.PutWorker(0, draining) }, false},
+		"it is deregistered":    {func(cl *cell.Cell) { cl.Deregister(entry.ID) }, false},
+		"it shrinks":            {func(cl *cell.Cell) { cl.PutWorker(0, small) }, false},
+		"it grows":              {func(cl *cell.Cell) { cl.PutWorker(0, large) }, true},
+		"its incarnation ends":  {func(cl *cell.Cell) { cl.Replaced(0, entry.ID) }, false},
+		"it registers again":    {func(cl *cell.Cell) { cl.Deregister(entry.ID); cl.PutWorker(0, entry) }, true},
+		"it stops answering":    {func(cl *cell.Cell) { cl.Unreachable(0, entry.ID, workerLease) }, true},
+		"its hall is evacuated": {func(cl *cell.Cell) { cl.SetEvacuated([]string{entry.Hall}) }, false},
+		"its job is cancelled":  {func(cl *cell.Cell) { cl.Cancel(0, "a", "") }, false},
 		"its run is listed": {func(cl *cell.Cell) {
 			cl.Report(0, entry.ID, 0, []cell.Run{{Task: work.Task{Job: "a"}, Number: 1}}, nil)
 		}, false},
--- a/policy/cell/demand.go
+++ b/policy/cell/demand.go
@@ -59,7 +59,7 @@
 		if us == nil {
 			us = &serviceUse{}
 		}
-		ids = append(ids, cl.standby[service].take(cl.target(us)-us.workers, func(*Worker) bool { return true })...)
+		ids = append(ids, cl.standby[service].take(cl.target(us)-us.workers, cl.mayActivate)...)
 	}
 	examined := 0
 	for st := range cl.open {
@@ -88,7 +88,7 @@
 	if st.def.Rack == "" {
 		return nil
 	}
-	return sb.take(len(sb.workers), func(wk *Worker) bool { return wk.Rack == st.def.Rack })
+	return sb.take(len(sb.workers), func(wk *Worker) bool { return wk.Rack == st.def.Rack && cl.mayActivate(wk) })
 }
 
 // activateFor takes workers for a step that lacks room: the longer it does, the more. Few of those in use may suit it,
@@ -101,7 +101,7 @@
 			want--
 		}
 	}
-	return sb.take(want, st.suits)
+	return sb.take(want, func(wk *Worker) bool { return st.suits(wk) && cl.mayActivate(wk) })
 }
 
 // suits reports whether a worker could run a task of the step if it were empty.
@@ -111,9 +111,17 @@
 
 // inUse reports whether a worker of a service may take runs, now or once it has answered.
 func (wk *worker) inUse(service string) bool {
-	return wk.Service == service && wk.listed && !wk.Draining && !wk.unreachable && !wk.overdue
+	return wk.Service == service && wk.usable() && !wk.evacuated
 }
 
+// usable reports whether a worker may take runs as far as the worker itself is concerned.
+func (wk *worker) usable() bool {
+	return wk.listed && !wk.Draining && !wk.unreachable && !wk.overdue
+}
+
+// mayActivate reports whether a worker on standby may come into use.
+func (cl *Cell) mayActivate(wk *Worker) bool { return !cl.evacuated[wk.Hall] }
+
 // AnswerOverdue records that a worker should have given its first answer by now, so that others come into use in its
 // place.
 func (cl *Cell) AnswerOverdue(id incarnation.ID) {
@@ -188,7 +196,7 @@
 	return st.lackedAt > 0 && now-st.lackedAt <= lackMemory
 }
 
-// Surplus returns the idle workers that are not needed, to be retired.
+// Surplus returns the idle workers that are not needed, to be retired. Those of evacuated halls are not.
 func (cl *Cell) Surplus(now time.Duration) []incarnation.ID {
 	uses := cl.serviceUses(now)
 	surplus := map[string]int{}
@@ -197,7 +205,11 @@
 	}
 	var ids []incarnation.ID
 	for id, wk := range cl.workers {
-		if surplus[wk.Service] > 0 && cl.idle(now, wk) {
+		switch {
+		case !cl.idle(now, wk):
+		case wk.evacuated:
+			ids = append(ids, id)
+		case surplus[wk.Service] > 0:
 			surplus[wk.Service]--
 			ids = append(ids, id)
 		}
@@ -207,7 +219,7 @@
 
 // idle reports whether a worker has had no run for minIdle, and nothing about it has to be remembered.
 func (cl *Cell) idle(now time.Duration, wk *worker) bool {
-	return wk.inUse(wk.Service) && wk.answered && len(wk.placements) == 0 && wk.unknownRuns == 0 && len(wk.unacked) == 0 &&
+	return wk.usable() && wk.answered && len(wk.placements) == 0 && wk.unknownRuns == 0 && len(wk.unacked) == 0 &&
 		wk.openRecord > 0 && wk.openRecord <= cl.committed && !wk.unrenewed && wk.reservedFor == nil && wk.failures == 0 &&
 		wk.quarantineUntil <= now && now-wk.usedAt >= minIdle && len(cl.predecessors[wk.ID.WorkerID()]) == 0
 }
--- a/policy/cell/draining.go
+++ b/policy/cell/draining.go
@@ -12,8 +12,8 @@
 	overrunMargin = 1500 * time.Millisecond
 )
 
-// evacuate moves work off draining workers if staying would lose it.
-func (cl *Cell) evacuate(now time.Duration) {
+// moveOffDraining moves work off draining workers if staying would lose it.
+func (cl *Cell) moveOffDraining(now time.Duration) {
 	for _, wk := range cl.workers {
 		if !wk.Draining || !wk.answered {
 			continue
--- /dev/null
+++ b/policy/cell/evacuation.go
@@ -0,0 +1,91 @@
+package cell
+
+// SetEvacuated sets the data halls that are evacuated. Their workers get no new runs, also if a start was decided
+// before and has not been sent. Runs that are there go on, except for those of long-running tasks, which move as far as
+// their steps allow tasks to be unavailable.
+func (cl *Cell) SetEvacuated(halls []string) {
+	cl.evacuated = make(map[string]bool, len(halls))
+	for _, hall := range halls {
+		cl.evacuated[hall] = true
+	}
+	for _, wk := range cl.workers {
+		cl.applyEvacuation(wk)
+	}
+}
+
+// applyEvacuation updates whether the worker's hall is evacuated.
+func (cl *Cell) applyEvacuation(wk *worker) {
+	wk.evacuated = cl.evacuated[wk.Hall]
+	if wk.evacuated {
+		cl.dropReservation(wk)
+	}
+}
+
+// moveOffEvacuated stops long-running tasks in evacuated halls, so that they start again elsewhere. The members of a gang
+// stay: all of them would have to stop.
+func (cl *Cell) moveOffEvacuated() {
+	if len(cl.evacuated) == 0 {
+		return
+	}
+	for _, wk := range cl.workers {
+		if !wk.evacuated || !wk.answers() {
+			continue
+		}
+		for _, pl := range wk.placements {
+			st := pl.task.step
+			if pl.state == running && st.def.LongRunning && !st.def.Gang && st.unplaced == 0 && st.unavailable() < st.def.MaxUnavailable {
+				cl.stop(pl, "data hall is evacuated")
+			}
+		}
+	}
+}
+
+// RunsInEvacuatedHalls returns how many runs workers of evacuated halls still have, by hall.
+func (cl *Cell) RunsInEvacuatedHalls() map[string]int {
+	runs := make(map[string]int, len(cl.evacuated))
+	for hall := range cl.evacuated {
+		runs[hall] = 0
+	}
+	if len(runs) == 0 {
+		return runs
+	}
+	for _, wk := range cl.workers {
+		if wk.evacuated {
+			runs[wk.Hall] += len(wk.placements)
+		}
+	}
+	return runs
+}
+
+// awaitsEvacuated reports whether no worker that could run a task of the step takes runs, but one would if its hall were
+// not evacuated.
+func (cl *Cell) awaitsEvacuated(st *step) bool {
+	if len(cl.evacuated) == 0 {
+		return false
+	}
+	for _, wk := range cl.poolWorkers(st) {
+		if st.mayRunOn(&wk.Worker) {
+			return false
+		}
+	}
+	for _, wk := range cl.workers {
+		if wk.evacuated && wk.Service == cl.service(st) && wk.usable() && st.mayRunOn(&wk.Worker) {
+			return true
+		}
+	}
+	if sb := cl.standby[cl.service(st)]; sb != nil {
+		for _, wk := range sb.workers {
+			if !cl.mayActivate(&wk) && st.mayRunOn(&wk) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// mayRunOn reports whether a worker could run a task of the step if it were empty, as far as the advisor is known to
+// allow it.
+func (st *step) mayRunOn(wk *Worker) bool {
+	permission, asked := st.advice.verdicts[wk.ID]
+	return st.suits(wk) && (!st.advised() || !asked || permission != nil)
+}
--- a/policy/cell/messages.go
+++ b/policy/cell/messages.go
@@ -28,6 +28,8 @@
 	ID       incarnation.ID
 	Service  string
 	Capacity size.Size
+	// Hall is its data hall.
+	Hall string
 	// Rack is the label of its rack, Labels are all of its labels.
 	Rack   string
 	Labels []string
--- a/policy/cell/placement.go
+++ b/policy/cell/placement.go
@@ -215,7 +215,7 @@
 }
 
 // StartValid reports whether a start may still be sent or repeated: since it was decided, its worker may have
-// begun to drain, shrunk, or reported the run. Sent after the run has ended, a start has no effect in the same
+// begun to drain, shrunk, or reported the run, or its hall was evacuated. Sent after the run has ended, a start has no effect in the same
 // incarnation of the worker, but would run the task again in the next.
 func (cl *Cell) StartValid(sr Start) bool {
 	pl := cl.placement(sr.Worker, sr.Task, sr.Run)
@@ -223,7 +223,7 @@
 		return false
 	}
 	wk := pl.worker
-	return wk.listed && !wk.Draining && wk.used.Fits(wk.Capacity)
+	return wk.listed && !wk.Draining && !wk.evacuated && wk.used.Fits(wk.Capacity)
 }
 
 // StartUnconfirmed records that it is unknown whether a worker has started a run or will. Its next report
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -13,7 +13,8 @@
 func (cl *Cell) Tick(now, wall time.Duration) {
 	cl.openDue(now, wall)
 	cl.stopHungRuns(now)
-	cl.evacuate(now)
+	cl.moveOffDraining(now)
+	cl.moveOffEvacuated()
 	cl.expirePredecessors(now)
 	cl.prune(now)
 	cl.refreshSpeeds(now)
@@ -87,7 +88,7 @@
 
 // acceptsRuns reports whether a worker takes new runs now.
 func (cl *Cell) acceptsRuns(now time.Duration, wk *worker) bool {
-	return wk.listed && wk.answered && !wk.Draining && wk.unknownRuns == 0 && wk.quarantineUntil <= now &&
+	return wk.listed && wk.answered && !wk.Draining && !wk.evacuated && wk.unknownRuns == 0 && wk.quarantineUntil <= now &&
 		wk.openRecord > 0 && wk.openRecord <= cl.committed && now-wk.lastReport < maxReportAge && wk.reportedEnds < maxReportedEnds
 }
 
--- a/policy/cell/testbed_test.go
+++ b/policy/cell/testbed_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"iter"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -54,6 +55,22 @@
 	// workspaces are the current settings; maxLimits are the highest limits that orders in flight may have used.
 	workspaces map[string]work.Workspace
 	maxLimits  map[string]size.Size
+	// evacuated are the evacuated halls.
+	evacuated map[string]bool
+}
+
+// testHalls is the number of data halls.
+const testHalls = 3
+
+func (bd *testbed) hall(n int) string { return fmt.Sprint("hall", n%testHalls) }
+
+// evacuate evacuates a hall, or withdraws that.
+func (bd *testbed) evacuate(hall string, evacuated bool) {
+	delete(bd.evacuated, hall)
+	if evacuated {
+		bd.evacuated[hall] = true
+	}
+	bd.cell.SetEvacuated(slices.Collect(maps.Keys(bd.evacuated)))
 }
 
 type scheduledCall struct {
@@ -93,6 +110,7 @@
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), workers: map[incarnation.ID]*fakeWorker{},
 		done: map[work.Task]bool{}, failed: map[work.Task]int{}, crashingJobs: map[string]bool{}, crashes: map[work.Task]int{}, restartDelay: defaultRestartDelay,
 		unreported: map[incarnation.ID]bool{}, workspaces: map[string]work.Workspace{}, maxLimits: map[string]size.Size{},
+		evacuated: map[string]bool{},
 	}
 	for n := range workers {
 		bd.addWorker(incarnation.ID(fmt.Sprintf("w%02d", n)))
@@ -104,8 +122,10 @@
 
 func (bd *testbed) addWorker(id incarnation.ID) {
 	bd.workers[id] = &fakeWorker{
-		Worker: cell.Worker{ID: id, Service: "svc", Capacity: size.New(64000, 128000, 0), Rack: "r" + string(id[len(id)-1:])},
-		runs:   map[work.Task]*fakeRun{}, stopping: map[work.Task]*fakeRun{}, fenced: map[work.Task]int{},
+		Worker: cell.Worker{
+			ID: id, Service: "svc", Capacity: size.New(64000, 128000, 0), Rack: "r" + string(id[len(id)-1:]), Hall: bd.hall(int(id[len(id)-1])),
+		},
+		runs: map[work.Task]*fakeRun{}, stopping: map[work.Task]*fakeRun{}, fenced: map[work.Task]int{},
 	}
 }
 
@@ -118,6 +138,7 @@
 	bd.cell = cell.New(cell.Options{
 		Retention: 2 * time.Minute, FirstRun: (bd.term-1)*64 + 1, StopTimeout: stopTime,
 	})
+	bd.cell.SetEvacuated(slices.Collect(maps.Keys(bd.evacuated)))
 	for _, jb := range bd.jobs {
 		bd.cell.Add(bd.now, jb, true)
 	}
@@ -335,6 +356,9 @@
 
 func (bd *testbed) start(sr cell.Start) {
 	term := bd.term
+	if hall := bd.workers[sr.Worker].Hall; bd.evacuated[hall] {
+		bd.t.Fatalf("start of %s on %s is ordered although its hall %s is evacuated", sr.Task, sr.Worker, hall)
+	}
 	if bd.rng.Float64() < bd.unansweredRate {
 		bd.cell.StartUnconfirmed(bd.now, sr)
 		if bd.rng.IntN(2) == 0 {
--- a/policy/cell/waitreason.go
+++ b/policy/cell/waitreason.go
@@ -34,6 +34,8 @@
 	WaitHeadroom WaitReason = "headroom"
 	// WaitCommit: the journal lacks the records that the workers may have runs, or that of the task's start.
 	WaitCommit WaitReason = "commit"
+	// WaitEvacuation: all workers that may run it are in evacuated data halls.
+	WaitEvacuation WaitReason = "evacuation"
 	// WaitQuarantine: all workers that may run it are in quarantine or take no runs for another reason.
 	WaitQuarantine WaitReason = "quarantine"
 	// WaitAdvice: no allowed worker is known, or those with capacity lack a ticket.
@@ -74,6 +76,8 @@
 		return Wait{Reason: WaitHeadroom}
 	case cl.awaitsCommit(st):
 		return Wait{Reason: WaitCommit}
+	case cl.awaitsEvacuated(st):
+		return Wait{Reason: WaitEvacuation}
 	}
 	if wk := cl.firstQuarantined(now, st); wk != nil {
 		return Wait{Reason: WaitQuarantine, Worker: wk.ID, Remaining: wk.quarantineUntil - now}
--- a/policy/cell/worker.go
+++ b/policy/cell/worker.go
@@ -16,6 +16,8 @@
 	listed, answered bool
 	// overdue is set while its first answer to this planner is overdue.
 	overdue bool
+	// evacuated is set while its data hall is evacuated.
+	evacuated bool
 	// removed is set once the cell has discarded the worker.
 	removed    bool
 	used       size.Size
@@ -105,6 +107,7 @@
 	}
 	old.Worker = wk
 	old.listed, old.departed = true, false
+	cl.applyEvacuation(old)
 	if wk.Draining {
 		cl.dropReservation(old)
 		cl.closeWorker(old)
