feed: watches wait as long as the time to apply a change allows

Cause: each node's watch of the configuration lasted 0.6 s at most whatever the deployment asks, so N nodes made N/0.6 calls a second at rest, 975 of 585 nodes, where changes may take 5 s to become active. The ages from which other nodes are asked were constants beside it.

Now the wait follows from the age beyond which the copy is not used, and the other ages from the wait: 0.6 s as before for changes within 2 s, 2 s for 5 s.

--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -103,7 +103,7 @@
 	nd.link = peerlink.New(log, nd.handle).WithLimit(ad.Limit)
 	nd.registerConnectionGauges()
 	nd.config = feed.New(clock, log, st, feed.Options{
-		Key: ad.ConfigKey, Decode: ad.DecodeConfig, Activate: nd.activate,
+		Key: ad.ConfigKey, Decode: ad.DecodeConfig, MaxAge: nd.staleAfter(), Activate: nd.activate,
 		Node: ad.Site.Node, Link: ad.Site.LinkMbps, Members: nd.term.Members, Request: nd.requestConfig,
 	})
 	nd.pool = advisor.New(advisor.Options{
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -11,12 +11,14 @@
 // configuration; k = max(3, n/16) is the number of readers, or less if fewer links are about as fast as the
 // fastest; W is the part that arrives of an answer that the node rejects as too large; store, reader and node are
 // the bandwidths of their links. A retry costs 0.5 s if a connection was reset (notice and request again), 0.45 s
-// for each reader that does not answer, and 1.1 s if the node's own connection to the store does not answer. If
+// for each reader that does not answer, and 0.5 s more than the wait of a watch if the node's own connection to the
+// store does not answer; watches wait 0.6 s if changes must be active within 2 s, and up to 2 s if they may take longer. If
 // two readers do not answer, or already have answers for 1.5 s of their links to send, a node reads the full
 // configuration itself, which takes S/node more. TestChangeWithinBound checks this bound.
 package feed
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -39,6 +41,9 @@
 	// Key is the store key of the configuration.
 	Key    string
 	Decode func(item kv.Item) (*routes.Config, error)
+	// MaxAge is the age beyond which the copy is not used. The default is that for changes that must be active within
+	// 2 s.
+	MaxAge time.Duration
 	// Activate makes a version the active one, and reports whether it is active now.
 	Activate func(cf *routes.Config) bool
 	// Node is the name of this node, Link the bandwidth of its link in Mbit/s, 0 if unknown.
@@ -52,10 +57,12 @@
 
 // Timeouts and sizes.
 const (
-	// watchWait is how long a watch may stay without an answer. The copy's age counts from the sending of the last
-	// answered call, so it grows to twice this time plus two answers of 0.25 s from a slow store. With watches of
-	// 1 s, a fifth of the requests for unknown routes were answered 503 instead of 404 in normal operation.
-	watchWait = 600 * time.Millisecond
+	// defaultMaxAge is the default of Options.MaxAge.
+	defaultMaxAge = 1800 * time.Millisecond
+	// maxWatchWait limits the wait of a watch. It bounds how late a dropped watch is noticed.
+	maxWatchWait = 2 * time.Second
+	// answerMargin is the part of the copy's maximum age that is left for the answers of a store in normal operation.
+	answerMargin = 100 * time.Millisecond
 	// expectedLatency is the part of that age allowed for each answer. Watches of a slower store wait less, down to
 	// minWatchWait: with answers of 0.4 s a fifth of the jobs were refused because the copy was up to 2 s old,
 	// while 1.8 s are allowed.
@@ -76,9 +83,9 @@
 	// maxFirstByte is the upper limit of firstByteTimeout. It also bounds how long a pending call can delay a node
 	// after the store has recovered.
 	maxFirstByte = 2 * time.Second
-	// maxConfirmedAge is the age of a copy above which the other nodes are assumed to get no answer from the store
-	// either.
-	maxConfirmedAge = 2 * peerCheckAge
+	// confirmSlack is added to the age that a copy has in normal operation. Older copies are assumed to be of nodes that
+	// get no answer from the store either.
+	confirmSlack = 600 * time.Millisecond
 )
 
 // firstByteTimeout is how long the store may take to begin an answer. It doubles with each counted timeout from
@@ -124,7 +131,7 @@
 	watchLatency time.Duration
 	valueSize    int
 	// timeouts is how many calls to the store have timed out since the last success, counted only while there is no
-	// copy, or it is behind or older than maxConfirmedAge. timedOut is set if the last call to the store timed out.
+	// copy, or it is behind or older than maxConfirmedAge(). timedOut is set if the last call to the store timed out.
 	timeouts int
 	timedOut bool
 	// lastPeerCheck is when other nodes were last asked how old their copies are.
@@ -140,6 +147,7 @@
 
 // New returns a feed; Run keeps its copy up to date.
 func New(clock clockwork.Clock, log logr.Logger, st *kv.Store, opts Options) *Feed {
+	opts.MaxAge = cmp.Or(opts.MaxAge, defaultMaxAge)
 	return &Feed{
 		opts: opts, clock: clock, log: log.WithName("feed"), store: st, nextVersion: make(chan struct{}),
 	}
@@ -213,7 +221,7 @@
 	if !fd.Behind() {
 		fd.checkPeers(ctx)
 	}
-	if age, loaded := fd.Age(); fd.timedOut && (!loaded || age > maxConfirmedAge || fd.Behind()) {
+	if age, loaded := fd.Age(); fd.timedOut && (!loaded || age > fd.maxConfirmedAge() || fd.Behind()) {
 		fd.timeouts++
 	}
 	fd.timedOut = false
@@ -237,12 +245,22 @@
 	return maxDirectBytes
 }
 
+// watchWait returns how long a watch may stay without an answer. The copy's age counts from the sending of the last
+// answered call, so that it grows to twice this time, and by firstByte if one watch is dropped.
+func (fd *Feed) watchWait() time.Duration {
+	return min(max((fd.opts.MaxAge-firstByte-answerMargin)/2, minWatchWait), maxWatchWait)
+}
+
+// maxConfirmedAge returns the age of a copy above which the other nodes are assumed to get no answer from the store
+// either.
+func (fd *Feed) maxConfirmedAge() time.Duration { return 2*fd.watchWait() + confirmSlack }
+
 // watch waits once for a change.
 func (fd *Feed) watch(ctx context.Context) error {
 	fd.mu.Lock()
 	after, storeDown := fd.checkedRevision, fd.storeDown
 	fd.mu.Unlock()
-	wait := max(watchWait-max(fd.watchLatency-expectedLatency, 0), minWatchWait)
+	wait := max(fd.watchWait()-max(fd.watchLatency-expectedLatency, 0), minWatchWait)
 	if storeDown {
 		wait = probeWait
 	}
--- a/internal/feed/peers.go
+++ b/internal/feed/peers.go
@@ -19,11 +19,8 @@
 	// nodeFirstByte is how long a node may take to begin its response, beyond the wait: it responds from memory,
 	// and the next node must be asked in time.
 	nodeFirstByte = 300 * time.Millisecond
-	// peerCheckAge is the age of the copy from which other nodes are asked for theirs if the store does not answer.
-	// Half of the copies are younger.
-	peerCheckAge = 900 * time.Millisecond
 	// peerCheckCount is how many nodes are asked in turn for a younger copy, maxPeerChecks how many if one of them
-	// reaches the store: a quarter of the copies are as old as peerCheckAge, and the next check is 0.6 s later.
+	// reaches the store: a quarter of the copies are as old as peerCheckAge(), and the next check is 0.6 s later.
 	// peerCheckInterval is the minimum time from the end of a check until the next one.
 	peerCheckCount    = 3
 	maxPeerChecks     = 10
@@ -72,11 +69,15 @@
 	return readerWait
 }
 
+// peerCheckAge returns the age of the copy from which other nodes are asked for theirs if the store does not answer. Three
+// quarters of the copies are younger in normal operation.
+func (fd *Feed) peerCheckAge() time.Duration { return fd.watchWait() * 3 / 2 }
+
 // checkPeers asks other nodes for the age of their copies if this node's copy is old because the store does not
 // answer.
 func (fd *Feed) checkPeers(ctx context.Context) {
 	sources := fd.otherNodes(fd.opts.Members())
-	if !fd.olderThan(peerCheckAge) || fd.clock.Since(fd.lastPeerCheck) < peerCheckInterval {
+	if !fd.olderThan(fd.peerCheckAge()) || fd.clock.Since(fd.lastPeerCheck) < peerCheckInterval {
 		return
 	}
 	defer func() { fd.lastPeerCheck = fd.clock.Now() }()
@@ -92,10 +93,10 @@
 		if err != nil {
 			fd.log.V(1).Info("Another node did not report the age of its configuration.", "reason", err.Error())
 		}
-		if !fd.olderThan(peerCheckAge) || ctx.Err() != nil {
+		if !fd.olderThan(fd.peerCheckAge()) || ctx.Err() != nil {
 			return
 		}
-		storeReached = storeReached || rs.Revision > 0 && rs.Age < maxConfirmedAge
+		storeReached = storeReached || rs.Revision > 0 && rs.Age < fd.maxConfirmedAge()
 	}
 }
 
