cell, planner: keep of ended jobs only what can still be asked for

Cause: for 120 s after its end a job kept its steps, the tasks and all answers of the advisor, and the planner the records of each task, 1,050 to 1,320 bytes a task in the cell alone; each tick visited all of these jobs. At 1,000 starts a second that is 120,000 tasks.

Recurring jobs are kept apart for the tick.

--- a/internal/planner/gc.go
+++ b/internal/planner/gc.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"tackbeam.example/policy/cell"
-
 	"tackbeam.example/tackbeam/internal/joblog"
 	"tackbeam.example/tackbeam/internal/kv"
 	"tackbeam.example/tackbeam/internal/loop"
@@ -106,8 +104,8 @@
 			keys = append(keys, key)
 		}
 	}
-	for key, recs := range ld.records.keys {
-		if !ld.needed(key, recs) {
+	for key, refs := range ld.records.keys {
+		if !ld.needed(key, refs) {
 			keys = append(keys, key)
 		}
 	}
@@ -146,27 +144,26 @@
 	return false
 }
 
-// needed reports whether a record concerns a job or worker that still matters. The record of an ended job stays until
+// needed reports whether records concern a job or worker that still matters. The record of an ended job stays until
 // its batch is removed, because otherwise another planner would run the job again. Records of workers by earlier
 // planners are not needed once these have answered or were lost: each planner records the workers that it uses itself,
 // and those that it has lost.
-func (ld *leader) needed(key string, recs []cell.Record) bool {
+func (ld *leader) needed(key string, refs recordRefs) bool {
 	own := key >= joblog.RecordKey(ld.term.Token, 0)
-	for _, rec := range recs {
-		if rec.Job != "" && (ld.cell.Retains(rec.Job) || ld.batches.refs[rec.Job] > 0) {
-			return true
-		}
-		if rec.LeasesResolved && own {
+	if refs.leasesResolved && own {
+		return true
+	}
+	for _, job := range refs.jobs {
+		if ld.cell.Retains(job) || ld.batches.refs[job] > 0 {
 			return true
 		}
-		if rec.Worker == "" || rec.Stop {
-			continue
-		}
-		if rec.Gone && own && ld.keepLoss(rec.Worker) {
+	}
+	for _, wk := range refs.workers {
+		if wk.gone && own && ld.keepLoss(wk.id) {
 			return true
 		}
-		known, _ := ld.cell.Listed(rec.Worker)
-		if _, unresolved := ld.unresolved[rec.Worker]; unresolved || own && known {
+		known, _ := ld.cell.Listed(wk.id)
+		if _, unresolved := ld.unresolved[wk.id]; unresolved || own && known {
 			return true
 		}
 	}
--- a/internal/planner/records.go
+++ b/internal/planner/records.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/incarnation"
 
 	"tackbeam.example/tackbeam/internal/joblog"
 	"tackbeam.example/tackbeam/internal/kv"
@@ -22,17 +23,48 @@
 	commitHedge = 80 * time.Millisecond
 )
 
-// recorder holds the records that are not in the journal yet, and the records of each key in the journal.
+// recorder holds the records that are not in the journal yet, and what each key in the journal refers to.
 type recorder struct {
 	pending []cell.Record
 	// added is the number of records that were ever added.
 	added int
-	keys  map[string][]cell.Record
+	keys  map[string]recordRefs
 	wake  wake.Signal
 }
 
+// recordRefs is what the records of one key refer to, which decides for how long the key is needed. The records
+// themselves would take most of a planner's memory.
+type recordRefs struct {
+	jobs    []string
+	workers []workerRef
+	// leasesResolved is set if one of them has cell.Record.LeasesResolved.
+	leasesResolved bool
+}
+
+// workerRef is a worker that a record names as one that may have runs, or, with gone, that has none any more.
+type workerRef struct {
+	id   incarnation.ID
+	gone bool
+}
+
+func newRecordRefs(recs []cell.Record) recordRefs {
+	var refs recordRefs
+	jobs := map[string]bool{}
+	for _, rec := range recs {
+		refs.leasesResolved = refs.leasesResolved || rec.LeasesResolved
+		if rec.Job != "" && !jobs[rec.Job] {
+			jobs[rec.Job] = true
+			refs.jobs = append(refs.jobs, rec.Job)
+		}
+		if rec.Worker != "" && !rec.Stop {
+			refs.workers = append(refs.workers, workerRef{rec.Worker, rec.Gone})
+		}
+	}
+	return refs
+}
+
 func (rc *recorder) init() {
-	rc.keys = map[string][]cell.Record{}
+	rc.keys = map[string]recordRefs{}
 	rc.wake = wake.New()
 }
 
@@ -45,7 +77,8 @@
 	rc.wake.Notify()
 }
 
-func (rc *recorder) keep(key string, recs []cell.Record) { rc.keys[key] = recs }
+// keep remembers what the records of a key in the journal refer to.
+func (rc *recorder) keep(key string, recs []cell.Record) { rc.keys[key] = newRecordRefs(recs) }
 
 // maxRecords is the maximum number of records of one write, about 200 kB.
 const maxRecords = 4000
--- a/policy/cell/advice.go
+++ b/policy/cell/advice.go
@@ -103,6 +103,9 @@
 	}
 	st.advice.pending--
 	cl.adviceAnswered(now, st, rq, valid)
+	if !st.open {
+		return
+	}
 	st.selectedAt = 0 // with the new information, other capacity may become free sooner
 	newVerdicts := 0
 	for _, id := range rq.Workers {
--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -92,7 +92,11 @@
 	// tickets or an advice request.
 	window        window
 	urgentPending int
-	ended         []*job
+	// ended are the ended jobs in the order of their ends. The tasks of the first compacted ones were discarded.
+	ended     []*job
+	compacted int
+	// recurring are the jobs that run repeatedly and have not ended.
+	recurring map[*job]bool
 	// examined counts the workers that planning has examined.
 	examined int
 	// unreachableTimes are the times at which workers recently became unreachable; attributions are the crashes
@@ -142,7 +146,7 @@
 		opts: opts, jobs: map[string]*job{}, workers: map[incarnation.ID]*worker{}, unpooled: map[*worker]bool{}, standby: map[string]*standby{},
 		window: window{limit: opts.InitialWindow}, adviceBudget: newAdviceBudget(opts.Features),
 		open: map[*step]bool{}, pools: map[string]*pool{}, queues: map[string]*queue{}, cancels: map[string]cancel{}, quota: quota.New(),
-		services: map[string]bool{}, attributions: map[incarnation.ID]attribution{}, predecessors: map[string][]predecessor{},
+		services: map[string]bool{}, attributions: map[incarnation.ID]attribution{}, recurring: map[*job]bool{}, predecessors: map[string][]predecessor{},
 		forecasts: map[string]*headroom.Forecast{}, recordedStarts: map[placementKey]incarnation.ID{}, arrivals: newArrivals(opts.Features), reserving: map[*step]bool{}, gains: gainlog.New[*worker](gainsKept), recent: recentGains{indexes: map[*worker]int{}}, sorter: nearsort.Sorter[ranked]{Compare: compareRanked},
 	}
 	if opts.Features.Has(feature.WorkerSpeeds) {
--- a/policy/cell/job.go
+++ b/policy/cell/job.go
@@ -52,9 +52,11 @@
 		cl.finishJob(now, jb, Cancelled)
 		return
 	}
-	if spec.Repeat == nil {
-		cl.openRound(arrived, jb)
+	if spec.Repeat != nil {
+		cl.recurring[jb] = true
+		return
 	}
+	cl.openRound(arrived, jb)
 }
 
 // cancel is a cancellation by a caller of a workspace; an empty workspace matches any.
@@ -184,6 +186,7 @@
 	jb.phase = phase
 	jb.endedAt = now
 	cl.ended = append(cl.ended, jb)
+	delete(cl.recurring, jb)
 	for _, rd := range jb.rounds {
 		for _, st := range rd.steps {
 			cl.urgentReleased(now, st, st.remaining)
@@ -197,27 +200,6 @@
 	}
 }
 
-// prune discards jobs that ended long ago, and cancellations whose job never arrived.
-func (cl *Cell) prune(now time.Duration) {
-	for len(cl.ended) > 0 && now-cl.ended[0].endedAt > cl.opts.Retention {
-		delete(cl.jobs, cl.ended[0].spec.ID)
-		cl.ended = cl.ended[1:]
-	}
-	cl.pruneLosses(now)
-	for id, cn := range cl.cancels {
-		if now-cn.at > cl.opts.Retention {
-			delete(cl.cancels, id)
-		}
-	}
-}
-
-// Retains reports whether the cell has a job or a cancellation with the ID.
-func (cl *Cell) Retains(id string) bool {
-	_, job := cl.jobs[id]
-	_, cancel := cl.cancels[id]
-	return job || cancel
-}
-
 // UpdateQueues applies the current settings of queues to the jobs that have not ended, unless a job came with
 // later ones. Jobs of a queue whose route has been removed keep theirs.
 func (cl *Cell) UpdateQueues(settings func(name string) (work.Queue, bool)) {
--- a/policy/cell/round.go
+++ b/policy/cell/round.go
@@ -175,11 +175,8 @@
 
 // openDue opens the rounds that are due by the wall clock.
 func (cl *Cell) openDue(now, wall time.Duration) {
-	for _, jb := range cl.jobs {
+	for jb := range cl.recurring {
 		rep := jb.spec.Repeat
-		if rep == nil || jb.phase.Ended() {
-			continue
-		}
 		for jb.openedRounds < rep.Count && rep.Start+time.Duration(jb.openedRounds)*rep.Every <= wall {
 			due := rep.Start + time.Duration(jb.openedRounds)*rep.Every
 			cl.openRound(now-(wall-due), jb)
@@ -234,4 +231,5 @@
 	delete(cl.open, st)
 	st.open = false
 	cl.releaseReservation(st)
+	st.advice, st.short = advice{requests: st.advice.requests, unanswered: st.advice.unanswered}, shortages{}
 }
