planner: the first calls to workers of earlier planners are not taken for slowness

Cause: after a kill of all nodes a planner has to reach every worker that the one before used (5,673 of 6,000).

A planner now has 4 s and a second for each 500 inherited workers before late ticks count while some of them have not answered: 16 s for 6,000, 28 s for 12,000.

--- a/internal/planner/leader.go
+++ b/internal/planner/leader.go
@@ -87,6 +87,8 @@
 	// committed is closed, and replaced, by each write of records.
 	committed chan struct{}
 	sessions  map[incarnation.ID]*session
+	// unreachableSessions is how many of them are with workers that do not answer.
+	unreachableSessions int
 	// current has the sessions with the present incarnations, by worker id.
 	current map[string]*session
 	// tokenCounts counts the fencing tokens for each worker, by worker id.
@@ -94,6 +96,8 @@
 	// unresolved has the workers of earlier planners that have neither answered nor had their lease expire. The value
 	// is true if the worker may run any task, so that all tasks of earlier planners wait for it.
 	unresolved map[incarnation.ID]bool
+	// inheritedWorkers is how many of them there were when the journal had been read.
+	inheritedWorkers int
 	// inheritedLeases bounds the leases of workers that earlier planners renewed.
 	inheritedLeases inheritedLeases
 	// leasesResolved is set once the journal was told that none of them protects a run any more.
--- a/internal/planner/load.go
+++ b/internal/planner/load.go
@@ -47,7 +47,7 @@
 	}
 	if full && !ld.loaded {
 		ld.restore(now, old)
-		ld.loaded = true
+		ld.loaded, ld.inheritedWorkers = true, len(ld.unresolved)
 		close(ld.journalRead)
 		ld.log.Info("Journal has been read.", "batches", len(items), "writes", len(old), "after", now.String())
 	}
--- a/internal/planner/planloop.go
+++ b/internal/planner/planloop.go
@@ -9,13 +9,33 @@
 	"tackbeam.example/tackbeam/internal/loop"
 )
 
-// yieldIfSlow lets another node plan if this one is too slow.
+// yieldIfSlow lets another node plan if this one is too slow, unless the first calls to the workers of earlier planners
+// keep it busy: the next planner would have to begin them anew.
 func (ld *leader) yieldIfSlow() {
-	if ld.tickMonitor.slow(ld.now()) {
+	if ld.tickMonitor.slow(ld.now()) && !ld.takingOver() {
 		ld.term.Yield("this node is too slow to plan")
 	}
 }
 
+// takingOver reports whether the journal has not been read or workers of earlier planners have not answered yet, and the
+// time for that is not over.
+func (ld *leader) takingOver() bool {
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	if ld.now() > takeoverTime(ld.inheritedWorkers) {
+		return false
+	}
+	if !ld.loaded {
+		return true
+	}
+	for id := range ld.unresolved {
+		if se, ok := ld.sessions[id]; ok && !se.answered {
+			return true
+		}
+	}
+	return false
+}
+
 // planLoop plans after changes, and at each tick.
 func (ld *leader) planLoop(ctx context.Context) {
 	timer := ld.clock.NewTicker(tickInterval)
--- a/internal/planner/tickmonitor.go
+++ b/internal/planner/tickmonitor.go
@@ -9,8 +9,17 @@
 	// slowFactor is the ratio from which the node is too slow. At twice the time, the planner's answers are delayed by
 	// more than its orders take.
 	slowFactor = 2
+	// takeoverBase is the time that a planner may take for its first calls to any number of workers, and
+	// minFirstAnswers how many workers a second it must reach beyond that: a node that is slower cannot hold as many.
+	takeoverBase    = 4 * time.Second
+	minFirstAnswers = 500
 )
 
+// takeoverTime returns for how long a planner that reaches the workers of earlier planners is not taken for slow.
+func takeoverTime(workers int) time.Duration {
+	return takeoverBase + time.Duration(workers)*time.Second/minFirstAnswers
+}
+
 // tickMonitor detects a node whose processor is too slow for the planner's work by its late ticks.
 type tickMonitor struct {
 	ticks int
--- a/internal/planner/timing_test.go
+++ b/internal/planner/timing_test.go
@@ -48,3 +48,23 @@
 		})
 	}
 }
+
+// TestTakeoverTime checks for how long a planner is not taken for slow while it reaches the workers of an earlier one.
+func TestTakeoverTime(t *testing.T) {
+	cases := map[string]struct {
+		workers int
+		want    time.Duration
+	}{
+		"none":           {0, 4 * time.Second},
+		"300 workers":    {300, 4600 * time.Millisecond},
+		"6,000 workers":  {6000, 16 * time.Second},
+		"12,000 workers": {12_000, 28 * time.Second},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			if got := takeoverTime(tc.workers); got != tc.want {
+				t.Errorf("%v, want %v", got, tc.want)
+			}
+		})
+	}
+}
