planner: bound the calls to workers that are gone

All of them together may cost 2,000 calls a second, each at least one in 0.8 s; up to 200 such workers are called as before.

--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -30,8 +30,12 @@
 	// lossyMissLimit is the number of consecutive lost holds from which a worker counts as unreachable while many calls
 	// are lost. If one call in twenty is lost, this is wrong once in 8,000 holds.
 	lossyMissLimit = 3
-	// holdRetryPause is the pause after an unanswered hold.
-	holdRetryPause = 100 * time.Millisecond
+	// holdRetryPause is the pause after an unanswered hold, maxHoldRetryPause the longest one if many workers do not
+	// answer, and maxHoldRetries how many such holds a second all of them may cost: a call to a worker that is gone fails
+	// at once, and needs a new connection.
+	holdRetryPause    = 100 * time.Millisecond
+	maxHoldRetryPause = 800 * time.Millisecond
+	maxHoldRetries    = 2000
 	// maxCommitWait is the maximum time without a hold while the journal lacks ends of the last report, which the
 	// worker would report again at once.
 	maxCommitWait = 800 * time.Millisecond
@@ -156,7 +160,7 @@
 		}
 		if err != nil {
 			se.failed(hold, err)
-			loop.Sleep(ctx, se.leader.clock, holdRetryPause)
+			loop.Sleep(ctx, se.leader.clock, se.leader.holdRetryPause())
 			continue
 		}
 		se.apply(sent, hold, report)
@@ -253,7 +257,8 @@
 	if se.unreachable {
 		ld.log.Info("Worker answers again.", "worker", se.incarnation)
 	}
-	se.unreachable, se.unanswered, se.expired = false, false, false
+	se.setUnreachable(false)
+	se.unanswered, se.expired = false, false
 	se.ackAnswered(hold)
 	if report.Clock > se.clock {
 		se.clock, se.heard = report.Clock, now
@@ -295,13 +300,31 @@
 	se.expireIfDue(now)
 }
 
+// holdRetryPause returns the pause after an unanswered hold.
+func (ld *leader) holdRetryPause() time.Duration {
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	return min(max(holdRetryPause, time.Duration(ld.unreachableSessions)*time.Second/maxHoldRetries), maxHoldRetryPause)
+}
+
+// setUnreachable records whether the worker does not answer. The caller holds the lock.
+func (se *session) setUnreachable(unreachable bool) {
+	switch {
+	case unreachable && !se.unreachable:
+		se.leader.unreachableSessions++
+	case !unreachable && se.unreachable:
+		se.leader.unreachableSessions--
+	}
+	se.unreachable = unreachable
+}
+
 // markUnreachable records that the worker does not answer. The caller holds the lock.
 func (se *session) markUnreachable(now time.Duration, reason string) {
 	ld := se.leader
 	if !se.unreachable {
 		ld.log.Info("Worker does not answer.", "worker", se.incarnation, "reason", reason)
 	}
-	se.unreachable = true
+	se.setUnreachable(true)
 	ld.cell.Unreachable(now, se.incarnation, se.leaseEnd())
 }
 
@@ -368,6 +391,7 @@
 // end ends the session. The caller holds the lock.
 func (se *session) end() {
 	se.ended = true
+	se.setUnreachable(false)
 	se.endAck()
 	delete(se.leader.sessions, se.incarnation)
 	delete(se.leader.current, se.incarnation.WorkerID())
