term: attempts to register a node take longer after each without an answer

Cause: N nodes that start at once read the members' keys, N entries each, and write their own key, which wakes the watches of all: some 2 N^2 entries of 0.3 kB, 1.5 s of a link of 1,000 Mbit/s with 585 nodes.

The timeout and the pause now double up to 2.4 s, and later attempts run beside renewals.

--- a/internal/term/lease.go
+++ b/internal/term/lease.go
@@ -6,6 +6,8 @@
 
 	"github.com/pkg/errors"
 
+	"tackbeam.example/policy/backoff"
+
 	"tackbeam.example/tackbeam/internal/joblog"
 	"tackbeam.example/tackbeam/internal/kv"
 )
@@ -46,8 +48,10 @@
 	return er.untilNext()
 }
 
-// registerTimeout limits the write of the node's key, which is tried again at each step.
-const registerTimeout = 150 * time.Millisecond
+// registration has the timeout of an attempt to write the node's key, and the longest pause after one without an answer.
+// Both grow while attempts get no answer: the store may carry them out all the same, and each then costs it an event for
+// every node, so that short timeouts multiply the load of a store that is busy with many nodes that join.
+var registration = backoff.Backoff{Initial: 150 * time.Millisecond, Max: 2400 * time.Millisecond}
 
 // register writes the node's key.
 func (er *Elector) register(ctx context.Context) {
@@ -59,40 +63,52 @@
 		return
 	}
 	er.mu.Lock()
-	lease := er.lease
+	lease, unanswered := er.lease, er.unansweredRegistrations
 	er.mu.Unlock()
-	call, cancel := context.WithTimeout(ctx, registerTimeout)
+	call, cancel := context.WithTimeout(ctx, registration.Delay(unanswered))
 	defer cancel()
 	_, _, err = er.store.Commit(call, kv.Txn{Puts: []kv.Put{{Key: joblog.Nodes + er.opts.Node, Value: raw, Lease: lease}}})
-	er.registerAfter = er.clock.Now().Add(er.retry.Next(err))
-	if errors.Is(err, kv.ErrLeaseExpired) {
+	switch er.recordRegistration(err); {
+	case errors.Is(err, kv.ErrLeaseExpired):
 		er.dropLease(lease, "not found in the store")
-		return
-	}
-	if err != nil {
+	case err != nil:
 		er.log.Info("Node could not be registered; trying again.", "reason", err.Error())
-		return
 	}
-	er.retry.Reset()
+}
+
+// recordRegistration records the outcome of an attempt to write the node's key.
+func (er *Elector) recordRegistration(err error) {
 	er.mu.Lock()
-	er.registered = true
-	er.mu.Unlock()
+	defer er.mu.Unlock()
+	er.registering = false
+	switch {
+	case err == nil:
+		er.registered, er.unansweredRegistrations = true, 0
+		er.registerRetry.Reset()
+	case errors.Is(err, kv.ErrNoAnswer):
+		er.registerAfter = er.clock.Now().Add(registration.Jittered(er.unansweredRegistrations))
+		er.unansweredRegistrations++
+	default:
+		er.registerAfter = er.clock.Now().Add(er.registerRetry.Next(err))
+	}
 }
 
 // renew sends a renewal of the lease when one is due. It does not wait for the answer: if one is lost, renewals
 // sent after it still arrive in time.
 func (er *Elector) renew(ctx context.Context) {
 	er.mu.Lock()
-	lease, due, registered := er.lease, er.nextRenewal(), er.registered
+	lease, due := er.lease, er.nextRenewal()
 	sent := er.clock.Now()
+	register := !er.registered && !er.registering && !sent.Before(er.registerAfter)
+	er.registering = er.registering || register
 	send := !sent.Before(due) && er.pendingRenewals < maxPendingRenewals
 	if send {
 		er.pendingRenewals++
 		er.lastSent = sent
 	}
 	er.mu.Unlock()
-	if !registered && !sent.Before(er.registerAfter) {
-		er.register(ctx)
+	if register {
+		go er.register(ctx)
 	}
 	if send {
 		go er.sendRenewal(ctx, lease, sent)
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -105,12 +105,15 @@
 	lastSent        time.Time
 	pendingRenewals int
 	// nonce distinguishes this node's candidacies from those under its earlier leases.
-	nonce      string
-	registered bool
-	// retry computes the pauses between attempts to join; registerAfter is the earliest time at which the node's
-	// key is written again.
-	retry         kv.Backoff
-	registerAfter time.Time
+	nonce string
+	// registered is set while the node's key is in the store, registering while it is being written.
+	registered, registering bool
+	// retry computes the pauses between attempts to join, registerRetry those between refused attempts to write the
+	// node's key; registerAfter is the earliest time at which that is written again, unansweredRegistrations how many
+	// attempts in a row got no answer.
+	retry, registerRetry    kv.Backoff
+	registerAfter           time.Time
+	unansweredRegistrations int
 	// extendAt is when the node requests a longer lease because there are many nodes; zero if no longer lease is
 	// needed.
 	extendAt time.Time
