cellnode: wait for the first planner in TestNextPlannerLearnsLeases

The test was at fault: it revoked the leases as soon as both nodes were ready, which they are before any planner is elected. If the first node has not led by then, the second one has no previous planner to ask, and the test waits for a report that cannot come. Now it waits until the first node plans, and the second one knows that.

--- a/internal/cellnode/cellnode_test.go
+++ b/internal/cellnode/cellnode_test.go
@@ -111,6 +111,15 @@
 	})
 }
 
+// awaitPlanner waits until a node gets an answer of the planner, which may be the node itself.
+func (dp *deployment) awaitPlanner(what string, nd *cellnode.Node) {
+	dp.t.Helper()
+	dp.waitFor(what, func() bool {
+		_, err := nd.State(dp.t.Context(), routes.Caller{}, "none")
+		return fault.Is(err, fault.NotFound)
+	})
+}
+
 // waitFor waits for a condition that must become true, with no time limit of its own.
 func (dp *deployment) waitFor(what string, reached func() bool) {
 	dp.t.Helper()
@@ -166,16 +175,10 @@
 func TestNotifiesPlanner(t *testing.T) {
 	dp := newDeployment(t)
 	planner := dp.start("n1")
-	dp.waitFor("the first node plans", func() bool {
-		_, err := planner.State(t.Context(), routes.Caller{}, "none")
-		return fault.Is(err, fault.NotFound)
-	})
+	dp.awaitPlanner("the first node plans", planner)
 	nodes := map[string]*cellnode.Node{"planner": planner, "other": dp.start("n2")}
 	for _, nd := range nodes {
-		dp.waitFor("the planner is known", func() bool {
-			_, err := nd.State(t.Context(), routes.Caller{}, "none")
-			return fault.Is(err, fault.NotFound)
-		})
+		dp.awaitPlanner("the planner is known", nd)
 	}
 	dp.store.SetFault(func(client, call string) memkv.Fault {
 		if client == "n1" && (call == "watch" || call == "range") {
@@ -204,8 +207,9 @@
 // that they have expired.
 func TestNextPlannerLearnsLeases(t *testing.T) {
 	dp := newDeployment(t)
-	dp.start("n1")
+	dp.awaitPlanner("the first node plans", dp.start("n1"))
 	second := dp.start("n2")
+	dp.awaitPlanner("the second node knows the planner", second)
 	dp.store.SetFault(func(client, _ string) memkv.Fault {
 		if client == "n1" {
 			return memkv.Refused
