planner: the previous planner's node tells what runs where

The node of the previous planner usually runs on, and is asked about leases already.

TestHandover fails before, each time; TestHandoverOfRuns checks that what may run on silent workers is not started again.

--- a/internal/leases/leases.go
+++ b/internal/leases/leases.go
@@ -1,10 +1,11 @@
 // Package leases defines what a node tells the present planner about the leases of workers that an earlier planner
-// renewed.
+// renewed, and about their runs.
 package leases
 
 import (
 	"time"
 
+	"tackbeam.example/policy/cell"
 	"tackbeam.example/policy/incarnation"
 )
 
@@ -28,4 +29,7 @@
 	Unreachable map[incarnation.ID]time.Duration `cbor:"4,keyasint,omitempty"`
 	// AllExpired is the time until the leases of all workers have surely expired.
 	AllExpired time.Duration `cbor:"5,keyasint,omitempty"`
+	// Held has the workers of which the node knew all runs when the term ended, with those runs. No order to them is under
+	// way but for starts of these runs.
+	Held map[incarnation.ID][]cell.Run `cbor:"6,keyasint,omitempty"`
 }
--- a/internal/planner/inheritedleases.go
+++ b/internal/planner/inheritedleases.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"tackbeam.example/policy/cell"
 	"tackbeam.example/policy/incarnation"
 
 	"tackbeam.example/tackbeam/internal/leases"
@@ -105,6 +106,7 @@
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
 	now, previous := ld.now(), ld.term.Previous
+	adopted := 0
 	switch {
 	case report.Led:
 		for id, remaining := range report.Unreachable {
@@ -114,6 +116,7 @@
 			}
 		}
 		ld.inheritedLeases.allExpired = min(ld.inheritedLeases.allExpired, now+report.AllExpired)
+		adopted = ld.adoptRuns(now, report.Held)
 	case report.Node == previous.Node:
 		// The process that led the term is dead. The planner before it may have renewed leases for some time after the
 		// election.
@@ -125,7 +128,7 @@
 	}
 	ld.metrics.count("planner.lease_reports")
 	ld.log.Info("Leases of the previous planner are known.", "node", report.Node, "led", report.Led, "after", now.String(),
-		"until", ld.inheritedLeases.allExpired.String(), "unreachable", len(report.Unreachable))
+		"until", ld.inheritedLeases.allExpired.String(), "unreachable", len(report.Unreachable), "known", adopted)
 	ld.expireLeases(now)
 	ld.checkRecovery(now)
 	ld.schedulePlan()
@@ -138,13 +141,15 @@
 	// answer have.
 	allExpired  time.Time
 	unreachable map[incarnation.ID]time.Time
+	// held has the runs of the workers whose runs were all known.
+	held map[incarnation.ID][]cell.Run
 }
 
 // endedTerm returns what is known of the leases of workers after the last call of the term has returned.
 func (ld *leader) endedTerm() *endedTerm {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
-	et := &endedTerm{token: ld.term.Token, allExpired: ld.clock.Now(), unreachable: map[incarnation.ID]time.Time{}}
+	et := &endedTerm{token: ld.term.Token, allExpired: ld.clock.Now(), unreachable: map[incarnation.ID]time.Time{}, held: ld.knownRuns()}
 	if !ld.cell.Recovered() || len(ld.unresolved) > 0 {
 		et.allExpired = ld.began.Add(ld.inheritedLeases.allExpired)
 	}
@@ -160,6 +165,44 @@
 	return et
 }
 
+// knownRuns returns the runs of the workers whose runs are all known, once no call of the term is pending. The caller holds
+// the lock.
+func (ld *leader) knownRuns() map[incarnation.ID][]cell.Run {
+	held := map[incarnation.ID][]cell.Run{}
+	if !ld.cell.Recovered() {
+		return held
+	}
+	for id, se := range ld.sessions {
+		if se.knowsRuns() {
+			held[id] = ld.cell.HeldRuns(id)
+		}
+	}
+	return held
+}
+
+// knowsRuns reports whether all runs of the worker are known: it has reported to this planner, no other incarnation can
+// have answered since, none of an earlier one may still begin, and the journal has the ends that it reported. The caller
+// holds the lock.
+func (se *session) knowsRuns() bool {
+	ld := se.leader
+	_, uncommitted := ld.cell.AckedEnd(se.incarnation)
+	return se.answered && !se.unreachable && !se.unanswered && se.other == nil && !uncommitted && !ld.cell.HasPredecessor(se.incarnation)
+}
+
+// adoptRuns applies the runs that the previous planner knew of workers that have not answered this one. The recovery does
+// not wait for them any more. The caller holds the lock.
+func (ld *leader) adoptRuns(now time.Duration, held map[incarnation.ID][]cell.Run) (count int) {
+	for id, runs := range held {
+		if !ld.unresolved[id] || len(ld.earlier[id.WorkerID()]) > 1 {
+			continue
+		}
+		ld.cell.InheritRuns(now, id, runs)
+		ld.unresolved[id] = false
+		count++
+	}
+	return count
+}
+
 // Leases answers a request about the leases of a term.
 func (pl *Planner) Leases(rq leases.Request) (leases.Report, error) {
 	pl.mu.Lock()
@@ -175,7 +218,7 @@
 	report := leases.Report{Uptime: now.Sub(pl.startedAt)}
 	switch {
 	case ended != nil && ended.token == rq.Term:
-		report.Led, report.AllExpired = true, ended.allExpired.Sub(now)
+		report.Led, report.AllExpired, report.Held = true, ended.allExpired.Sub(now), ended.held
 		report.Unreachable = make(map[incarnation.ID]time.Duration, len(ended.unreachable))
 		for id, end := range ended.unreachable {
 			report.Unreachable[id] = end.Sub(now)
--- a/policy/cell/demand.go
+++ b/policy/cell/demand.go
@@ -221,7 +221,7 @@
 func (cl *Cell) idle(now time.Duration, wk *worker) bool {
 	return wk.usable() && wk.answered && len(wk.placements) == 0 && wk.unknownRuns == 0 && len(wk.unacked) == 0 &&
 		wk.openRecord > 0 && wk.openRecord <= cl.committed && !wk.unrenewed && wk.reservedFor == nil && wk.failures == 0 &&
-		wk.quarantineUntil <= now && now-wk.usedAt >= minIdle && len(cl.predecessors[wk.ID.WorkerID()]) == 0
+		wk.quarantineUntil <= now && now-wk.usedAt >= minIdle && !cl.HasPredecessor(wk.ID)
 }
 
 // Retire takes an idle worker out of use. The next planner does not wait for it.
