--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -97,8 +97,10 @@
 	limit    *connlimit.Limit
 	// noWait is set if connections are opened without waiting, even above the limit.
 	noWait bool
-	mu     sync.Mutex
-	hosts  map[string]*host
+	// readBuffer and writeBuffer are the sizes of the buffers of a connection in bytes, 0 for the default of 4 KiB.
+	readBuffer, writeBuffer int
+	mu                      sync.Mutex
+	hosts                   map[string]*host
 }
 
 // New returns a caller with at most maxConns connections to one address.
@@ -120,6 +122,13 @@
 	return cl
 }
 
+// WithBuffers sets the sizes of the buffers of a connection, in bytes. The headers of a response must fit into the buffer for
+// reading; bodies may be larger. It must be called before the first call, and returns the caller.
+func (cl *Caller) WithBuffers(read, write int) *Caller {
+	cl.readBuffer, cl.writeBuffer = read, write
+	return cl
+}
+
 // Forget closes the idle connections to an address that is no longer used.
 func (cl *Caller) Forget(address string) {
 	cl.mu.Lock()
@@ -139,6 +148,7 @@
 		ho.pool = &fasthttp.HostClient{
 			Addr: address, MaxConns: cl.maxConns, MaxIdleConnDuration: idleTimeout, DialTimeout: ho.dial,
 			NoDefaultUserAgentHeader: true, MaxConnWaitTimeout: dialTimeout,
+			ReadBufferSize: cl.readBuffer, WriteBufferSize: cl.writeBuffer,
 		}
 		cl.hosts[address] = ho
 	}
