--- a/policy/cell/restart.go
+++ b/policy/cell/restart.go
@@ -92,7 +92,9 @@
 }
 
 // HasPredecessor reports whether a run that was sent to an earlier incarnation of a worker may still begin.
-func (cl *Cell) HasPredecessor(id incarnation.ID) bool { return len(cl.predecessors[id.WorkerID()]) > 0 }
+func (cl *Cell) HasPredecessor(id incarnation.ID) bool {
+	return len(cl.predecessors[id.WorkerID()]) > 0
+}
 
 // resolvePredecessors applies the first report of an incarnation to the runs of earlier ones.
 func (cl *Cell) resolvePredecessors(now time.Duration, id incarnation.ID, runs []Run, ends []End) {
