intake, cellnode: another node writes a batch that gets no answer

Cause: a node that the store has just begun to ignore sends its callers' batches and never learns whether they stand.

After 0.24 s without an answer the node asks up to two others to write the batch under the same key. The key must not exist, so the batch takes effect once, whichever write does.

--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -65,6 +65,7 @@
 	log         logr.Logger
 	meters      metrics.Registry
 	health      *kvhealth.Health
+	store       *kv.Store
 	table       *routes.Table
 	config      *feed.Feed
 	intake      *intake.Intake
@@ -90,6 +91,7 @@
 	}
 	nd.health = kvhealth.New(clock, log, nd.meters)
 	st := nd.health.Wrap(ad.Store)
+	nd.store = st
 	nd.term = term.New(clock, log, st, term.Options{
 		Node: ad.Site.Node, PeerAddr: ad.Site.PeerAddr, Hall: ad.Site.Hall, Processors: ad.Site.Processors, Link: ad.Site.LinkMbps,
 		TTL: max(termTTL, ad.Site.Bounds.MinLease), ReadRate: ad.Site.StoreReadRate,
@@ -99,6 +101,7 @@
 	nd.intake = intake.New(clock, log, st, intake.Options{
 		Node: ad.Site.Node, WriteRate: ad.Site.StoreWriteRate, StoreDown: nd.health.Down,
 		NodeCount: func() int { return len(nd.term.Members()) }, OnWritten: nd.onWritten,
+		WriteThroughPeer: nd.writeThroughPeer,
 	})
 	nd.link = peerlink.New(log, nd.handle).WithLimit(ad.Limit)
 	nd.registerConnectionGauges()
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -51,6 +51,9 @@
 	WriteRate float64
 	// StoreDown reports that the store is unavailable: nothing is sent then.
 	StoreDown func() bool
+	// WriteThroughPeer, if set, asks another node to write a batch, and returns the revision of the write, 0 if the store
+	// had the batch already. It returns kv.ErrRefused if it was certainly not written.
+	WriteThroughPeer func(ctx context.Context, key string, raw []byte) (uint64, error)
 	// OnWritten, if set, is called with each batch that the store has, in addition to the answers to its callers.
 	OnWritten func(wr joblog.WrittenBatch)
 }
@@ -213,17 +216,16 @@
 	if err != nil {
 		return fault.New(fault.Internal, "batch could not be encoded: %v", err)
 	}
-	txn := kv.Txn{Conditions: []kv.Condition{{Key: key}}, Puts: []kv.Put{{Key: key, Value: raw}}}
 	began := in.clock.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
 	defer cancel()
-	revision, _, err := in.store.CommitWithRetry(ctx, kv.CommitOptions{Clock: in.clock, HedgeDelay: hedge, RefusedTimeout: refusedRetryTime}, txn)
+	revision, err := in.commitAnywhere(ctx, key, raw)
 	age := in.clock.Since(began)
 	switch {
-	case err == nil || errors.Is(err, kv.ErrConflict): // only this batch uses the key
+	case err == nil:
 		in.log.Info("Batch written.", "key", key, "ids", bt.ids(),
 			"revision", revision, "took", age.String())
-		if err == nil && in.opts.OnWritten != nil {
+		if revision > 0 && in.opts.OnWritten != nil {
 			go in.opts.OnWritten(joblog.WrittenBatch{Key: key, Revision: revision, Batch: bt.Batch}) // ends by its own timeout
 		}
 		return nil
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -48,10 +48,12 @@
 	Leases *leases.Request `cbor:"10,keyasint,omitempty"`
 	// Evacuations requests the evacuated data halls.
 	Evacuations bool `cbor:"11,keyasint,omitempty"`
+	// Write is a batch of the journal that the node is asked to write.
+	Write *joblog.EncodedBatch `cbor:"12,keyasint,omitempty"`
 }
 
 // writes reports whether the request may change something.
-func (rq *Request) writes() bool { return rq.Submit != nil || rq.Cancel != "" }
+func (rq *Request) writes() bool { return rq.Submit != nil || rq.Cancel != "" || rq.Write != nil }
 
 // Reply is the answer to a request.
 type Reply struct {
@@ -65,6 +67,8 @@
 	Config *feed.Response `cbor:"6,keyasint,omitempty"`
 	// Leases tells when leases of workers have expired.
 	Leases *leases.Report `cbor:"7,keyasint,omitempty"`
+	// Revision is that of a write, 0 if the store had the batch already.
+	Revision uint64 `cbor:"9,keyasint,omitempty"`
 	// Evacuations are the evacuated data halls.
 	Evacuations []evacuation.Status `cbor:"8,keyasint,omitempty"`
 }
--- a/internal/planner/evacuation.go
+++ b/internal/planner/evacuation.go
@@ -35,12 +35,19 @@
 	empty map[string]bool
 }
 
-func (ev *evacuations) init(bounds site.Bounds) {
+// initEvacuations prepares the copy of the keys, if the deployment has any.
+func (ld *leader) initEvacuations(bounds site.Bounds) {
+	ev := &ld.evacuations
 	ev.knownSince, ev.empty = map[string]time.Duration{}, map[string]bool{}
 	ev.maxAge = maxListAge(bounds)
 	if bounds.EvacuationTime > 0 {
 		ev.maxAge = min(ev.maxAge, max(bounds.EvacuationTime-listMargin, listMargin))
 	}
+	if ld.opts.EvacuationsPrefix != "" {
+		ev.mirror = mirror.New(ld.clock, ld.log, ld.opts.Store, mirror.Options{
+			Prefix: ld.opts.EvacuationsPrefix, Wait: evacuationWait, Pause: evacuationPause, OnChange: ld.applyEvacuations,
+		})
+	}
 }
 
 // fresh reports whether the copy is recent enough to start tasks by it.
@@ -54,13 +61,9 @@
 
 // followEvacuations keeps the evacuated halls up to date until the term ends.
 func (ld *leader) followEvacuations(ctx context.Context) {
-	if ld.opts.EvacuationsPrefix == "" {
-		return
+	if ld.evacuations.mirror != nil {
+		ld.spawn(func() { ld.evacuations.mirror.Run(ctx) })
 	}
-	ld.evacuations.mirror = mirror.New(ld.clock, ld.log, ld.opts.Store, mirror.Options{
-		Prefix: ld.opts.EvacuationsPrefix, Wait: evacuationWait, Pause: evacuationPause, OnChange: ld.applyEvacuations,
-	})
-	ld.spawn(func() { ld.evacuations.mirror.Run(ctx) })
 }
 
 // applyEvacuations applies changes of the evacuated halls. The key alone counts, whatever its value is.
--- a/internal/planner/leader.go
+++ b/internal/planner/leader.go
@@ -157,7 +157,7 @@
 	ld.records.init()
 	ld.batches.init()
 	ld.ignored.init()
-	ld.evacuations.init(opts.Site.Bounds)
+	ld.initEvacuations(opts.Site.Bounds)
 	ld.standby.init()
 	return ld
 }
