--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -101,7 +101,7 @@
 	nd.intake = intake.New(clock, log, st, intake.Options{
 		Node: ad.Site.Node, WriteRate: ad.Site.StoreWriteRate, StoreDown: nd.health.Down,
 		NodeCount: func() int { return len(nd.term.Members()) }, OnWritten: nd.onWritten,
-		WriteThroughPeer: nd.writeThroughPeer,
+		CommitThroughPeer: nd.commitThroughPeer,
 	})
 	nd.link = peerlink.New(log, nd.handle).WithLimit(ad.Limit)
 	nd.registerConnectionGauges()
@@ -119,7 +119,7 @@
 		Clock: clock, Log: log, Store: st, Agents: ad.Agents, Site: ad.Site, Metrics: nd.meters,
 		WorkersPrefix: ad.WorkersPrefix, DecodeWorker: ad.DecodeWorker, EvacuationsPrefix: ad.EvacuationsPrefix,
 		Advise: nd.pool.Advise, Queue: nd.table.Queue, Workspace: nd.table.Workspace, ServiceInUse: nd.table.HasService,
-		Leases: nd.requestLeases, NodeCount: func() int { return len(nd.term.Members()) },
+		Leases: nd.requestLeases, CommitThroughPeer: nd.commitThroughPeer, NodeCount: func() int { return len(nd.term.Members()) },
 	})
 	return nd
 }
--- a/internal/cellnode/requests.go
+++ b/internal/cellnode/requests.go
@@ -137,8 +137,8 @@
 	case rq.Leases != nil:
 		report, err := nd.leases(*rq.Leases)
 		return peerlink.Reply{Leases: &report}, err
-	case rq.Write != nil:
-		return nd.writeForPeer(ctx, rq.Write)
+	case rq.Commit != nil:
+		return nd.commitForPeer(ctx, rq.Commit)
 	}
 	return nd.servePlannerRequest(ctx, rq)
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -30,6 +30,9 @@
 	// hedge is how long a write may go without an answer before it is sent again; the store normally answers within
 	// 4 ms.
 	hedge = 80 * time.Millisecond
+	// peerDelay is how long a write may go without an answer before it is sent through another node: two attempts of this
+	// node have had no answer then.
+	peerDelay = 3 * hedge
 	// refusedRetryTime is how long a batch that the store refuses is retried.
 	refusedRetryTime = 800 * time.Millisecond
 	// commitTimeout limits the time to find out whether a batch was written.
@@ -51,9 +54,8 @@
 	WriteRate float64
 	// StoreDown reports that the store is unavailable: nothing is sent then.
 	StoreDown func() bool
-	// WriteThroughPeer, if set, asks another node to write a batch, and returns the revision of the write, 0 if the store
-	// had the batch already. It returns kv.ErrRefused if it was certainly not written.
-	WriteThroughPeer func(ctx context.Context, key string, raw []byte) (uint64, error)
+	// CommitThroughPeer, if set, is kv.CommitOptions.Peer of the writes.
+	CommitThroughPeer func(ctx context.Context, txn kv.Txn) (uint64, []kv.Item, error)
 	// OnWritten, if set, is called with each batch that the store has, in addition to the answers to its callers.
 	OnWritten func(wr joblog.WrittenBatch)
 }
@@ -216,16 +218,19 @@
 	if err != nil {
 		return fault.New(fault.Internal, "batch could not be encoded: %v", err)
 	}
+	txn := kv.Txn{Conditions: []kv.Condition{{Key: key}}, Puts: []kv.Put{{Key: key, Value: raw}}}
 	began := in.clock.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
 	defer cancel()
-	revision, err := in.commitAnywhere(ctx, key, raw)
+	revision, _, err := in.store.CommitWithRetry(ctx, kv.CommitOptions{
+		Clock: in.clock, HedgeDelay: hedge, Peer: in.opts.CommitThroughPeer, PeerDelay: peerDelay, RefusedTimeout: refusedRetryTime,
+	}, txn)
 	age := in.clock.Since(began)
 	switch {
-	case err == nil:
+	case err == nil || errors.Is(err, kv.ErrConflict): // only this batch uses the key
 		in.log.Info("Batch written.", "key", key, "ids", bt.ids(),
 			"revision", revision, "took", age.String())
-		if revision > 0 && in.opts.OnWritten != nil {
+		if err == nil && in.opts.OnWritten != nil {
 			go in.opts.OnWritten(joblog.WrittenBatch{Key: key, Revision: revision, Batch: bt.Batch}) // ends by its own timeout
 		}
 		return nil
--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -42,12 +42,6 @@
 	Cancellers map[string]string `cbor:"5,keyasint,omitempty"`
 }
 
-// EncodedBatch is a batch that is to be written under a key.
-type EncodedBatch struct {
-	Key string `cbor:"1,keyasint"`
-	Raw []byte `cbor:"2,keyasint"`
-}
-
 // WrittenBatch is a batch in the store, with its key and the revision of its write.
 type WrittenBatch struct {
 	Key      string `cbor:"1,keyasint"`
--- a/internal/kv/commit.go
+++ b/internal/kv/commit.go
@@ -14,6 +14,10 @@
 	// HedgeDelay is how long to wait for a response before the transaction is sent again in parallel. It grows by half
 	// each time, so as not to overload a slow store.
 	HedgeDelay time.Duration
+	// Peer, if set, sends the transaction through another node. It is called after each PeerDelay without an outcome: the
+	// store may ignore or refuse this node only. It returns the same errors as Store.Commit.
+	Peer      func(ctx context.Context, txn Txn) (uint64, []Item, error)
+	PeerDelay time.Duration
 	// RefusedTimeout is how long to retry while the store refuses the transaction; 0 means until the context ends.
 	RefusedTimeout time.Duration
 }
@@ -42,25 +46,34 @@
 	startedAt := opts.Clock.Now()
 	outcomes := make(chan outcome, maxAttempts)
 	pending, noAnswer := 0, false
-	attempt := func() {
+	attempt := func(commit func(ctx context.Context, txn Txn) (uint64, []Item, error)) {
 		pending++
 		go func() {
 			callCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
 			defer cancel()
-			revision, items, err := st.Commit(callCtx, txn)
+			revision, items, err := commit(callCtx, txn)
 			outcomes <- outcome{revision, items, err}
 		}()
 	}
-	attempt()
+	attempt(st.Commit)
 	hedge := opts.HedgeDelay
 	next := opts.Clock.After(hedge)
+	var peer <-chan time.Time
+	if opts.Peer != nil {
+		peer = opts.Clock.After(opts.PeerDelay)
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			return 0, nil, abandonedError(pending > 0 || noAnswer)
+		case <-peer:
+			if pending < maxAttempts {
+				attempt(opts.Peer)
+			}
+			peer = opts.Clock.After(opts.PeerDelay)
 		case <-next:
 			if pending < maxAttempts {
-				attempt()
+				attempt(st.Commit)
 			}
 			hedge += hedge / 2
 			next = opts.Clock.After(hedge)
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -21,6 +21,7 @@
 	"tackbeam.example/tackbeam/internal/feed"
 	"tackbeam.example/tackbeam/internal/httpcall"
 	"tackbeam.example/tackbeam/internal/joblog"
+	"tackbeam.example/tackbeam/internal/kv"
 	"tackbeam.example/tackbeam/internal/leases"
 	"tackbeam.example/tackbeam/internal/routes"
 )
@@ -48,12 +49,12 @@
 	Leases *leases.Request `cbor:"10,keyasint,omitempty"`
 	// Evacuations requests the evacuated data halls.
 	Evacuations bool `cbor:"11,keyasint,omitempty"`
-	// Write is a batch of the journal that the node is asked to write.
-	Write *joblog.EncodedBatch `cbor:"12,keyasint,omitempty"`
+	// Commit is a write of the journal that the node is asked to send to the store.
+	Commit *kv.Txn `cbor:"12,keyasint,omitempty"`
 }
 
 // writes reports whether the request may change something.
-func (rq *Request) writes() bool { return rq.Submit != nil || rq.Cancel != "" || rq.Write != nil }
+func (rq *Request) writes() bool { return rq.Submit != nil || rq.Cancel != "" || rq.Commit != nil }
 
 // Reply is the answer to a request.
 type Reply struct {
@@ -67,12 +68,20 @@
 	Config *feed.Response `cbor:"6,keyasint,omitempty"`
 	// Leases tells when leases of workers have expired.
 	Leases *leases.Report `cbor:"7,keyasint,omitempty"`
-	// Revision is that of a write, 0 if the store had the batch already.
-	Revision uint64 `cbor:"9,keyasint,omitempty"`
+	// Committed is the outcome of a write.
+	Committed *Committed `cbor:"9,keyasint,omitempty"`
 	// Evacuations are the evacuated data halls.
 	Evacuations []evacuation.Status `cbor:"8,keyasint,omitempty"`
 }
 
+// Committed is the outcome of a write of the journal: its revision, or the items of the keys in its conditions if one of them
+// does not hold.
+type Committed struct {
+	Revision uint64    `cbor:"1,keyasint,omitempty"`
+	Conflict bool      `cbor:"2,keyasint,omitempty"`
+	Items    []kv.Item `cbor:"3,keyasint,omitempty"`
+}
+
 // writeWait is how long a write to a slow store takes.
 const writeWait = 250 * time.Millisecond
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -60,6 +60,8 @@
 	Queue func(name string) (work.Queue, bool)
 	// Leases asks the node that led a term about the leases of workers that it renewed.
 	Leases func(ctx context.Context, of term.Previous, rq leases.Request) (leases.Report, error)
+	// CommitThroughPeer, if set, is kv.CommitOptions.Peer of the writes of records.
+	CommitThroughPeer func(ctx context.Context, txn kv.Txn) (uint64, []kv.Item, error)
 	// MinInUse is how many workers of a service are in use even if there is no work; 0 means a default.
 	MinInUse int
 	// Workspace returns the current settings of a workspace, or false if the configuration lacks it.
--- a/internal/planner/records.go
+++ b/internal/planner/records.go
@@ -21,6 +21,9 @@
 	commitDelay = 40 * time.Millisecond
 	// commitHedge is how long a write may be unanswered before it is sent again. The store answers in 4 ms.
 	commitHedge = 80 * time.Millisecond
+	// commitPeerDelay is how long a write may be unanswered before it is sent through another node. It leaves time for that
+	// within finalCommitTimeout.
+	commitPeerDelay = 120 * time.Millisecond
 )
 
 // recorder holds the records that are not in the journal yet, and what each key in the journal refers to.
@@ -146,7 +149,9 @@
 		Conditions: []kv.Condition{{Key: joblog.Leader, Revision: ld.term.Token}, {Key: key}},
 		Puts:       []kv.Put{{Key: key, Value: raw}},
 	}
-	_, items, err := ld.opts.Store.CommitWithRetry(ctx, kv.CommitOptions{Clock: ld.clock, HedgeDelay: commitHedge}, txn)
+	_, items, err := ld.opts.Store.CommitWithRetry(ctx, kv.CommitOptions{
+		Clock: ld.clock, HedgeDelay: commitHedge, Peer: ld.opts.CommitThroughPeer, PeerDelay: commitPeerDelay,
+	}, txn)
 	switch {
 	case err == nil:
 		return true
--- a/internal/planner/testbed_test.go
+++ b/internal/planner/testbed_test.go
@@ -66,6 +66,8 @@
 	// evacuationsPrefix is the prefix of the keys that name evacuated halls, evacuationTime the bound in the settings.
 	evacuationsPrefix string
 	evacuationTime    time.Duration
+	// peerCommits makes planners send writes through another node if they get no answer.
+	peerCommits bool
 	// onStart, if not nil, is called with each start that a node sends.
 	onStart func(to agent.Target, sr cell.Start)
 	// onBacklog, if not nil, is called with each report of a planner that a node sees.
@@ -217,6 +219,10 @@
 	if bd.wrapStore != nil {
 		st, agents = bd.wrapStore(st), bd.agents
 	}
+	var peerCommit func(ctx context.Context, txn kv.Txn) (uint64, []kv.Item, error)
+	if bd.peerCommits {
+		peerCommit = bd.store.Client("peer of " + name).Commit
+	}
 	clock := nd.newClock(bd)
 	nd.planner = planner.New(planner.Options{
 		Clock: clock, Log: bd.log(name), Store: st, Agents: agents, Metrics: nd.meters,
@@ -235,7 +241,7 @@
 			ws, ok := bd.workspaces[name]
 			return ws, ok
 		},
-		Leases: bd.leases, Advise: bd.advise, NodeCount: func() int { return nodeCount },
+		Leases: bd.leases, CommitThroughPeer: peerCommit, Advise: bd.advise, NodeCount: func() int { return nodeCount },
 	})
 	nd.term = term.New(clock, bd.log(name), st, term.Options{Node: name, Processors: processors, TTL: 2 * time.Second, OnBacklog: bd.onBacklog, Lead: func(ctx context.Context, tm term.Term) {
 		nd.latest.Store(&tm)
