planner, term: count no ended session as unreachable; a registration under an earlier lease does not count

Found in review: a hold that is pending when its session ends fails later, and the session stayed in the count that sets the pause between calls to gone workers. An attempt to register that was answered after the node had joined again counted for the new lease.

--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -307,15 +307,18 @@
 	return min(max(holdRetryPause, time.Duration(ld.unreachableSessions)*time.Second/maxHoldRetries), maxHoldRetryPause)
 }
 
-// setUnreachable records whether the worker does not answer. The caller holds the lock.
+// setUnreachable records whether the worker does not answer. A hold that was pending when the session ended may fail later. The
+// caller holds the lock.
 func (se *session) setUnreachable(unreachable bool) {
-	switch {
-	case unreachable && !se.unreachable:
+	if se.ended || unreachable == se.unreachable {
+		return
+	}
+	se.unreachable = unreachable
+	if unreachable {
 		se.leader.unreachableSessions++
-	case !unreachable && se.unreachable:
+	} else {
 		se.leader.unreachableSessions--
 	}
-	se.unreachable = unreachable
 }
 
 // markUnreachable records that the worker does not answer. The caller holds the lock.
@@ -390,8 +393,8 @@
 
 // end ends the session. The caller holds the lock.
 func (se *session) end() {
-	se.ended = true
 	se.setUnreachable(false)
+	se.ended = true
 	se.endAck()
 	delete(se.leader.sessions, se.incarnation)
 	delete(se.leader.current, se.incarnation.WorkerID())
--- a/internal/planner/timing_test.go
+++ b/internal/planner/timing_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"tackbeam.example/policy/incarnation"
 )
 
 // TestTickMonitor distinguishes a node that keeps up from one whose ticks are late.
@@ -68,3 +70,23 @@
 		})
 	}
 }
+
+// TestUnreachableSessions checks that a session counts as unreachable at most once, and not after its end.
+func TestUnreachableSessions(t *testing.T) {
+	ld := &leader{sessions: map[incarnation.ID]*session{}, current: map[string]*session{}}
+	first, second := &session{leader: ld, incarnation: "w1"}, &session{leader: ld, incarnation: "w2"}
+	for at, step := range []struct {
+		act  func()
+		want int
+	}{
+		{func() { first.setUnreachable(true); first.setUnreachable(true) }, 1},
+		{func() { second.setUnreachable(true) }, 2},
+		{func() { second.setUnreachable(false); second.setUnreachable(false) }, 1},
+		{first.end, 0},
+		{func() { first.setUnreachable(true) }, 0}, // a hold that was pending
+	} {
+		if step.act(); ld.unreachableSessions != step.want {
+			t.Errorf("%d sessions after step %d, want %d", ld.unreachableSessions, at, step.want)
+		}
+	}
+}
--- a/internal/term/lease.go
+++ b/internal/term/lease.go
@@ -68,7 +68,7 @@
 	call, cancel := context.WithTimeout(ctx, registration.Delay(unanswered))
 	defer cancel()
 	_, _, err = er.store.Commit(call, kv.Txn{Puts: []kv.Put{{Key: joblog.Nodes + er.opts.Node, Value: raw, Lease: lease}}})
-	switch er.recordRegistration(err); {
+	switch er.recordRegistration(lease, err); {
 	case errors.Is(err, kv.ErrLeaseExpired):
 		er.dropLease(lease, "not found in the store")
 	case err != nil:
@@ -76,11 +76,14 @@
 	}
 }
 
-// recordRegistration records the outcome of an attempt to write the node's key.
-func (er *Elector) recordRegistration(err error) {
+// recordRegistration records the outcome of an attempt to write the node's key under a lease.
+func (er *Elector) recordRegistration(lease uint64, err error) {
 	er.mu.Lock()
 	defer er.mu.Unlock()
 	er.registering = false
+	if lease != er.lease {
+		return // the node has joined again
+	}
 	switch {
 	case err == nil:
 		er.registered, er.unansweredRegistrations = true, 0
