cell, planner: findings of a second reading of the change

Evacuation: a long-running task was stopped to leave an evacuated hall also when no worker elsewhere could run it, as when all halls are evacuated, and was then down until the evacuation was withdrawn. Such tasks stay now; the case 'all halls are evacuated' of TestEvacuationMovesLongRunning fails before.

Takeover: one inherited worker that does not answer kept late ticks from counting until 4 s + W/500 s were over, so that a slow planner held its place for 16 s with 6,000 workers. Workers that do not answer are not waited for (TestTakingOver).

Checks: lint, all tests of policy/cell, internal/planner, cellnode, peerlink and platform/workerapi pass.

--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -68,10 +68,10 @@
 	Config *feed.Response `cbor:"6,keyasint,omitempty"`
 	// Leases tells when leases of workers have expired.
 	Leases *leases.Report `cbor:"7,keyasint,omitempty"`
-	// Committed is the outcome of a write.
-	Committed *Committed `cbor:"9,keyasint,omitempty"`
 	// Evacuations are the evacuated data halls.
 	Evacuations []evacuation.Status `cbor:"8,keyasint,omitempty"`
+	// Committed is the outcome of a write.
+	Committed *Committed `cbor:"9,keyasint,omitempty"`
 }
 
 // Committed is the outcome of a write of the journal: its revision, or the items of the keys in its conditions if one of them
--- a/internal/planner/planloop.go
+++ b/internal/planner/planloop.go
@@ -17,8 +17,8 @@
 	}
 }
 
-// takingOver reports whether the journal has not been read or workers of earlier planners have not answered yet, and the
-// time for that is not over.
+// takingOver reports whether the journal has not been read or the first calls to workers of earlier planners are not over, and
+// the time for that is not over either. Workers that do not answer are not waited for.
 func (ld *leader) takingOver() bool {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
@@ -29,7 +29,7 @@
 		return true
 	}
 	for id := range ld.unresolved {
-		if se, ok := ld.sessions[id]; ok && !se.answered {
+		if se, ok := ld.sessions[id]; ok && !se.answered && !se.unreachable {
 			return true
 		}
 	}
--- a/internal/planner/timing_test.go
+++ b/internal/planner/timing_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"tackbeam.example/policy/incarnation"
 )
 
@@ -90,3 +92,42 @@
 		}
 	}
 }
+
+// TestTakingOver checks when late ticks are taken for the first calls to the workers of earlier planners. A worker that does
+// not answer must not keep a slow node from yielding.
+func TestTakingOver(t *testing.T) {
+	const workers = 1000
+	cases := map[string]struct {
+		notLoaded bool
+		worker    session // that of the only worker that has not been resolved
+		after     time.Duration
+		want      bool
+	}{
+		"journal is read":          {notLoaded: true, after: time.Second, want: true},
+		"journal takes too long":   {notLoaded: true, after: takeoverTime(0) + time.Millisecond},
+		"worker has not answered":  {after: 5 * time.Second, want: true},
+		"worker takes too long":    {after: takeoverTime(workers) + time.Millisecond},
+		"worker has answered":      {worker: session{answered: true}, after: time.Second},
+		"worker does not answer":   {worker: session{unreachable: true}, after: time.Second},
+		"worker's session is over": {worker: session{ended: true}, after: time.Second},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			ld := &leader{
+				clock: clock, began: clock.Now(), loaded: !tc.notLoaded, inheritedWorkers: workers,
+				unresolved: map[incarnation.ID]bool{"w1": true}, sessions: map[incarnation.ID]*session{},
+			}
+			if tc.notLoaded {
+				ld.inheritedWorkers = 0 // not known yet
+			}
+			if !tc.worker.ended {
+				ld.sessions["w1"] = &tc.worker
+			}
+			clock.Advance(tc.after)
+			if got := ld.takingOver(); got != tc.want {
+				t.Errorf("%v, want %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/policy/cell/evacuation.go
+++ b/policy/cell/evacuation.go
@@ -1,5 +1,7 @@
 package cell
 
+import "slices"
+
 // SetEvacuated sets the data halls that are evacuated. Their workers get no new runs, also if a start was decided
 // before and has not been sent. Runs that are there go on, except for those of long-running tasks, which move as far as
 // their steps allow tasks to be unavailable.
@@ -21,8 +23,8 @@
 	}
 }
 
-// moveOffEvacuated stops long-running tasks in evacuated halls, so that they start again elsewhere. The members of a gang
-// stay: all of them would have to stop.
+// moveOffEvacuated stops long-running tasks in evacuated halls, so that they start again elsewhere. They stay as long as no
+// other worker that takes runs could run them, and so do the members of a gang, all of which would have to stop.
 func (cl *Cell) moveOffEvacuated() {
 	if len(cl.evacuated) == 0 {
 		return
@@ -33,7 +35,7 @@
 		}
 		for _, pl := range wk.placements {
 			st := pl.task.step
-			if pl.state == running && st.def.LongRunning && !st.def.Gang && st.unplaced == 0 && st.unavailable() < st.def.MaxUnavailable {
+			if pl.state == running && st.def.LongRunning && !st.def.Gang && st.unplaced == 0 && st.unavailable() < st.def.MaxUnavailable && cl.mayRunElsewhere(st) {
 				cl.stop(pl, "data hall is evacuated")
 			}
 		}
@@ -60,14 +62,9 @@
 // awaitsEvacuated reports whether no worker that could run a task of the step takes runs, but one would if its hall were
 // not evacuated.
 func (cl *Cell) awaitsEvacuated(st *step) bool {
-	if len(cl.evacuated) == 0 {
+	if len(cl.evacuated) == 0 || cl.mayRunElsewhere(st) {
 		return false
 	}
-	for _, wk := range cl.poolWorkers(st) {
-		if st.mayRunOn(&wk.Worker) {
-			return false
-		}
-	}
 	for _, wk := range cl.workers {
 		if wk.evacuated && wk.Service == cl.service(st) && wk.usable() && st.mayRunOn(&wk.Worker) {
 			return true
@@ -83,6 +80,11 @@
 	return false
 }
 
+// mayRunElsewhere reports whether a worker that takes runs could run a task of the step if it were empty.
+func (cl *Cell) mayRunElsewhere(st *step) bool {
+	return slices.ContainsFunc(cl.poolWorkers(st), func(wk *worker) bool { return !wk.evacuated && st.mayRunOn(&wk.Worker) })
+}
+
 // mayRunOn reports whether a worker could run a task of the step if it were empty, as far as the advisor is known to
 // allow it.
 func (st *step) mayRunOn(wk *Worker) bool {
--- a/policy/cell/evacuation_test.go
+++ b/policy/cell/evacuation_test.go
@@ -148,13 +148,15 @@
 func TestEvacuationMovesLongRunning(t *testing.T) {
 	for name, tc := range map[string]struct {
 		change func(st *work.Step)
+		halls  []string
 		want   int // tasks that are being moved at the same time
 	}{
-		"none may be unavailable": {func(*work.Step) {}, 0},
-		"one may be":              {func(st *work.Step) { st.MaxUnavailable = 1 }, 1},
-		"two may be":              {func(st *work.Step) { st.MaxUnavailable = 2 }, 2},
-		"gang":                    {func(st *work.Step) { st.MaxUnavailable, st.Gang = 2, true }, 0},
-		"not long-running":        {func(st *work.Step) { st.MaxUnavailable, st.LongRunning = 2, false }, 0},
+		"none may be unavailable": {func(*work.Step) {}, []string{"a"}, 0},
+		"one may be":              {func(st *work.Step) { st.MaxUnavailable = 1 }, []string{"a"}, 1},
+		"two may be":              {func(st *work.Step) { st.MaxUnavailable = 2 }, []string{"a"}, 2},
+		"gang":                    {func(st *work.Step) { st.MaxUnavailable, st.Gang = 2, true }, []string{"a"}, 0},
+		"not long-running":        {func(st *work.Step) { st.MaxUnavailable, st.LongRunning = 2, false }, []string{"a"}, 0},
+		"all halls are evacuated": {func(st *work.Step) { st.MaxUnavailable = 2 }, []string{"a", "b", "c"}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -173,8 +175,12 @@
 				cl.Report(now, "w000", now, runs, nil)
 			}
 			report(time.Second)
-			cl.SetEvacuated([]string{"a"})
-			is.Equal(cl.RunsInEvacuatedHalls(), map[string]int{"a": 8})
+			cl.SetEvacuated(tc.halls)
+			is.Equal(cl.RunsInEvacuatedHalls()["a"], 8)
+			for _, id := range []incarnation.ID{"w001", "w002"} {
+				cl.Report(time.Second, id, time.Second, nil, nil)
+			}
+			cl.Plan(time.Second)
 			stops := 0
 			for now := 2 * time.Second; now < 4*time.Second; now += 500 * time.Millisecond {
 				cl.Tick(now, now)
