--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -420,22 +420,3 @@
 
 // NewID returns an ID of 16 hex digits.
 func NewID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
-
-// RSS returns the memory that the node's process has, in bytes, or 0 if it doesn't run.
-func (nd *Node) RSS() int64 {
-	nd.mu.Lock()
-	cmd := nd.cmd
-	nd.mu.Unlock()
-	if cmd == nil {
-		return 0
-	}
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", cmd.Process.Pid))
-	var size, resident int64
-	if err != nil {
-		return 0
-	}
-	if _, err := fmt.Sscan(string(raw), &size, &resident); err != nil {
-		return 0
-	}
-	return resident * int64(os.Getpagesize())
-}
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -24,6 +24,7 @@
 	stopTime      = 50 * time.Millisecond
 	maxWait       = 2 * time.Second
 	heartbeat     = 1500 * time.Millisecond
+	lapseAfter    = 3*heartbeat - 100*time.Millisecond
 )
 
 // Worker is a stand-in for one life of a worker. It follows PROTOCOL.md, "Running tasks". The time that a task runs is
@@ -46,7 +47,8 @@
 	changed chan struct{}
 	dead    bool
 	server  *http.Server
-	cut     bool
+	// cut is set while the worker has no path to the store. Its entry goes after three heartbeats of silence.
+	cut bool
 }
 
 // run is a run of a task on a worker.
@@ -267,23 +269,31 @@
 	_ = wk.server.Close()
 }
 
-// Running returns how many runs the worker has.
-func (wk *Worker) Running() int {
+// Cut takes the worker's path to the store away, or gives it back.
+func (wk *Worker) Cut(cut bool) {
 	wk.mu.Lock()
 	defer wk.mu.Unlock()
-	return len(wk.runs)
+	wk.cut = cut
 }
 
-// HasTask reports whether the worker runs a task whose name begins with a prefix.
-func (wk *Worker) HasTask(prefix string) bool {
+// Tasks returns the names of the tasks that the worker runs.
+func (wk *Worker) Tasks() []string {
 	wk.mu.Lock()
 	defer wk.mu.Unlock()
-	for name := range wk.runs {
-		if strings.HasPrefix(name, prefix) {
-			return true
+	var names []string
+	for _, rn := range wk.sorted() {
+		if !rn.stopping {
+			names = append(names, rn.task)
 		}
 	}
-	return false
+	return names
+}
+
+// Running returns how many runs the worker has.
+func (wk *Worker) Running() int {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	return len(wk.runs)
 }
 
 // Ends returns how many ends the worker keeps because nobody has taken note of them.
@@ -352,9 +362,10 @@
 
 // beat writes the worker's entry, and kills what runs once its lease is over.
 func (wk *Worker) beat(zone string, rack int) {
+	beaten := time.Now()
 	for sequence := 1; ; sequence++ {
 		wk.mu.Lock()
-		dead := wk.dead
+		dead, cut := wk.dead, wk.cut
 		wk.mu.Unlock()
 		if dead {
 			return
@@ -364,7 +375,12 @@
 			"cold-remaining-ms": 0, "capacity": map[string]int{"cpu": workerCPU, "mem-mb": workerMem, "gpu": 0},
 			"labels": []string{"a", fmt.Sprintf("r1-%d", rack)}, "clock-ms": wk.clock().Milliseconds(), "sequence": sequence,
 		})
-		wk.fleet.put("servers/"+wk.ID, raw)
+		if !cut {
+			wk.fleet.put("servers/"+wk.ID, raw)
+			beaten = time.Now()
+		} else if time.Since(beaten) >= lapseAfter {
+			wk.fleet.remove("servers/" + wk.ID)
+		}
 		for until := time.Now().Add(heartbeat); time.Now().Before(until); {
 			select {
 			case <-wk.fleet.stop:
