--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -49,6 +49,9 @@
 	server  *http.Server
 	// cut is set while the worker has no path to the store. Its entry goes after three heartbeats of silence.
 	cut bool
+	// dark is closed when the worker falls silent for good: it is gone, and nothing answers.
+	dark   chan struct{}
+	isDark bool
 }
 
 // run is a run of a task on a worker.
@@ -83,6 +86,12 @@
 }
 
 func (wk *Worker) serve(w http.ResponseWriter, r *http.Request) {
+	select {
+	case <-wk.dark:
+		<-r.Context().Done() // the caller gives up
+		panic(http.ErrAbortHandler)
+	default:
+	}
 	if r.URL.Path == "/health" {
 		w.Header().Set("Instance-Id", wk.ID)
 		return
@@ -98,7 +107,12 @@
 	}
 	wk.mu.Lock()
 	status, body := wk.handle(r, od)
+	silent := wk.isDark
 	wk.mu.Unlock()
+	if silent {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	if body != nil {
@@ -255,18 +269,20 @@
 	return map[string]any{"clock-ms": wk.clock().Milliseconds(), "running": running, "ended-at": ended}
 }
 
-// kill ends the worker as a crash does: nothing is said, and everything that runs is gone.
-func (wk *Worker) kill() {
+// GoDark ends the worker for good: everything that runs is gone, and its address is silent. Its entry goes after three
+// heartbeats.
+func (wk *Worker) GoDark() {
 	wk.mu.Lock()
-	wk.dead = true
+	defer wk.mu.Unlock()
+	wk.dead, wk.isDark = true, true
+	close(wk.dark)
 	for _, rn := range wk.sorted() {
 		wk.fleet.record.ended(wk.ID, rn.task, rn.num, "lost", 0)
 	}
 	wk.runs = map[string]*run{}
 	close(wk.changed)
 	wk.changed = make(chan struct{})
-	wk.mu.Unlock()
-	_ = wk.server.Close()
+	time.AfterFunc(lapseAfter, func() { wk.fleet.remove("servers/" + wk.ID) })
 }
 
 // Cut takes the worker's path to the store away, or gives it back.
@@ -351,7 +367,7 @@
 	fl.count++
 	wk := &Worker{
 		ID: fmt.Sprintf("i-%010x", 0x5a0000+fl.count), Address: ln.Addr().String(), fleet: fl, bootAt: time.Now(),
-		runs: map[string]*run{}, barred: map[string]int{}, changed: make(chan struct{}),
+		runs: map[string]*run{}, barred: map[string]int{}, changed: make(chan struct{}), dark: make(chan struct{}),
 	}
 	wk.server = &http.Server{Handler: http.HandlerFunc(wk.serve)}
 	go func() { _ = wk.server.Serve(ln) }()
@@ -394,16 +410,7 @@
 	}
 }
 
-// Crash ends a worker as a crash does. Its entry goes after three heartbeats of silence.
-func (fl *Fleet) Crash(wk *Worker) {
-	wk.kill()
-	time.AfterFunc(3*heartbeat, func() { fl.remove("servers/" + wk.ID) })
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	fl.workers = slices.DeleteFunc(fl.workers, func(one *Worker) bool { return one == wk })
-}
-
-// Workers returns the workers that are up.
+// Workers returns all workers.
 func (fl *Fleet) Workers() []*Worker {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
