planner: log reports that may lack ends

A worker lists at most 500 ends in a report and keeps the others until some of these have been acknowledged. Nothing in a report said so, and no log line showed it. agent.Report.MoreEnds is set if the list is full; the planner logs how many of the runs that the worker may have are in neither list, and counts such reports. The stand-in of the workers lists 500 ends at most, too.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -36,6 +36,9 @@
 	StartedAt int64
 	Runs      []cell.Run
 	Ends      []cell.End
+	// MoreEnds is set if further runs may have ended that Ends does not list. The worker reports them once some of Ends
+	// have been acknowledged.
+	MoreEnds bool
 }
 
 // StartAnswer is a worker's answer to a start.
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"tackbeam.example/policy/incarnation"
+	"tackbeam.example/policy/work"
 
 	"tackbeam.example/tackbeam/internal/agent"
 	"tackbeam.example/tackbeam/internal/loop"
@@ -269,6 +270,7 @@
 		se.answered = true
 		se.resolveEarlier(now)
 	}
+	se.logPartial(report)
 	ends := ld.cell.Report(now, se.incarnation, sent, report.Runs, report.Ends)
 	se.countRepeats(len(ends), len(report.Ends))
 	for _, en := range ends {
@@ -281,6 +283,31 @@
 	ld.schedulePlan()
 }
 
+// logPartial logs a report that may lack ends, with how many of the runs that the worker may have are in neither list. The
+// caller holds the lock.
+func (se *session) logPartial(report agent.Report) {
+	if !report.MoreEnds {
+		return
+	}
+	ld := se.leader
+	listed := make(map[work.Task]int, len(report.Runs)+len(report.Ends))
+	for _, rn := range report.Runs {
+		listed[rn.Task] = max(listed[rn.Task], rn.Number)
+	}
+	for _, en := range report.Ends {
+		listed[en.Task] = max(listed[en.Task], en.Number)
+	}
+	omitted := 0
+	for _, rn := range ld.cell.HeldRuns(se.incarnation) {
+		if listed[rn.Task] < rn.Number {
+			omitted++
+		}
+	}
+	ld.metrics.count("planner.reports_partial")
+	ld.log.Info("Report may lack ends.", "worker", se.incarnation, "ends", len(report.Ends), "runs", len(report.Runs), "omitted", omitted,
+		"recovered", ld.cell.Recovered())
+}
+
 // failed handles a hold's error.
 func (se *session) failed(hold agent.Hold, err error) {
 	ld := se.leader
--- a/internal/standin/memworkers/memworkers.go
+++ b/internal/standin/memworkers/memworkers.go
@@ -58,8 +58,13 @@
 	// lostRuns counts, for each job, the runs that were lost because an incarnation ended.
 	lostRuns map[string]int
 	limit    Limit
+	// maxEnds is the maximum number of ends in a report.
+	maxEnds int
 }
 
+// defaultMaxEnds is the maximum number of ends in a report of a platform's worker.
+const defaultMaxEnds = 500
+
 type worker struct {
 	id        string
 	startedAt time.Time
@@ -94,10 +99,17 @@
 	return &Fleet{
 		clock: clock, log: logr.Discard(), workers: map[string]*worker{}, changed: make(chan struct{}), run: run, slow: map[string]int{},
 		fault: func(string, string) Fault { return None }, done: map[work.Task]bool{}, lostRuns: map[string]int{},
-		crash: crashRule{triggers: func(cell.Start) bool { return false }, onRestart: func(string) {}},
+		crash: crashRule{triggers: func(cell.Start) bool { return false }, onRestart: func(string) {}}, maxEnds: defaultMaxEnds,
 	}
 }
 
+// SetMaxEnds sets the maximum number of ends in a report. Further ones are reported once some have been acknowledged.
+func (fl *Fleet) SetMaxEnds(count int) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.maxEnds = count
+}
+
 // SetLog sets the logger of what the workers carry out. It is called before the first call to a worker.
 func (fl *Fleet) SetLog(log logr.Logger) { fl.log = log }
 
@@ -280,7 +292,8 @@
 
 func (fl *Fleet) report(wk *worker) agent.Report {
 	const fullPercent = 100
-	report := agent.Report{Clock: fl.now(wk), StartedAt: wk.startedAt.UnixMilli(), Ends: slices.Clone(wk.ends)}
+	report := agent.Report{Clock: fl.now(wk), StartedAt: wk.startedAt.UnixMilli(), Ends: slices.Clone(wk.ends[:min(len(wk.ends), fl.maxEnds)])}
+	report.MoreEnds = len(report.Ends) == fl.maxEnds
 	for name, rn := range wk.runs {
 		percent := int(fullPercent * fl.clock.Since(rn.startedAt) / rn.takes)
 		report.Runs = append(report.Runs, cell.Run{Task: name, Number: rn.number, Percent: percent})
