kv: an empty page that says that more keys follow fails the read

The page is requested again now, like any other that fails.

TestScanEmptyPage fails without the change (1 of 2 keys, no error).

--- a/internal/kv/kv_test.go
+++ b/internal/kv/kv_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"tackbeam.example/tackbeam/internal/kv"
 )
@@ -55,6 +56,24 @@
 	is.Equal(scanner.Revision(), uint64(7))
 }
 
+// TestScanEmptyPage guards against keys that are taken for missing because a page without keys counted as the last one
+// although the store said that more follow.
+func TestScanEmptyPage(t *testing.T) {
+	is := is.New(t)
+	pages := []kv.Page{
+		{Items: []kv.Item{{Key: "a"}}, More: true, Revision: 7}, {More: true, Revision: 7}, {Items: []kv.Item{{Key: "b"}}, Revision: 7},
+	}
+	st := &kv.Store{Range: func(context.Context, string, string, bool) (kv.Page, error) {
+		page := pages[0]
+		pages = pages[1:]
+		return page, nil
+	}}
+	scanner := st.Scan(clockwork.NewRealClock(), "")
+	is.True(errors.Is(scanner.Continue(t.Context()), kv.ErrNoAnswer))
+	is.NoErr(scanner.Continue(t.Context()))
+	is.Equal(len(scanner.Items()), 2)
+}
+
 // TestScanTimeout guards against a scan that still waits on an unresponsive store after the store has recovered. The
 // timeout of a page is short at first, doubles from the third timeout on, and never exceeds 2 s.
 func TestScanTimeout(t *testing.T) {
--- a/internal/kv/scanner.go
+++ b/internal/kv/scanner.go
@@ -71,6 +71,9 @@
 		}
 		return err
 	}
+	if page.More && len(page.Items) == 0 {
+		return errors.Wrapf(ErrNoAnswer, "page of %q after %q is empty although more keys follow", sc.prefix, sc.after)
+	}
 	sc.baseTimeout = min(max(sc.baseTimeout, sc.clock.Since(sent)*growthFactor), maxTimeout)
 	sc.timeout, sc.timeouts = sc.baseTimeout, 0
 	sc.add(page, sent)
@@ -90,7 +93,7 @@
 	}
 	sc.revision = min(sc.revision, page.Revision)
 	sc.items = append(sc.items, page.Items...)
-	sc.complete = !page.More || len(page.Items) == 0
+	sc.complete = !page.More
 	if !sc.complete {
 		sc.after = page.Items[len(page.Items)-1].Key
 	}
