planner: a write of records stays within the size of a value of the store

A write had up to 4,000 records, and a record of a closed worker names all its runs: at 640 runs a worker some 40 such records exceed 1 MiB. The store would reject the write, and it would be repeated for ever. A write now has at most 8,000 runs, and the last writes of a term are split the same way.

--- a/internal/planner/records.go
+++ b/internal/planner/records.go
@@ -83,8 +83,23 @@
 // keep remembers what the records of a key in the journal refer to.
 func (rc *recorder) keep(key string, recs []cell.Record) { rc.keys[key] = newRecordRefs(recs) }
 
-// maxRecords is the maximum number of records of one write, about 200 kB.
-const maxRecords = 4000
+// Limits of one write, which must not be larger than the store accepts (1 MiB). maxRecords is the maximum number of records,
+// about 200 kB, maxRecordedRuns that of the runs that they name, about 400 kB. A worker has some 1,000 runs at most.
+const (
+	maxRecords      = 4000
+	maxRecordedRuns = 8000
+)
+
+// nextWrite returns the records of the next write: the first ones within the limits, but at least one.
+func nextWrite(pending []cell.Record) []cell.Record {
+	runs := 0
+	for at := range pending {
+		if runs += len(pending[at].Held); at > 0 && (at == maxRecords || runs > maxRecordedRuns) {
+			return pending[:at]
+		}
+	}
+	return pending
+}
 
 // commitLoop writes records in order. Each write has the condition that this node is still the planner.
 func (ld *leader) commitLoop(ctx context.Context) {
@@ -100,7 +115,7 @@
 			return
 		}
 		ld.mu.Lock()
-		recs := ld.records.pending[:min(len(ld.records.pending), maxRecords)]
+		recs := nextWrite(ld.records.pending)
 		upTo := ld.records.added - len(ld.records.pending) + len(recs)
 		ld.mu.Unlock()
 		if len(recs) == 0 || !ld.commit(ctx, joblog.RecordKey(ld.term.Token, n), recs) {
@@ -125,17 +140,21 @@
 // write has the condition on the leader's key.
 func (ld *leader) commitRemaining(n int) {
 	ld.mu.Lock()
-	recs := ld.records.pending
+	remaining := ld.records.pending
 	ld.mu.Unlock()
-	if len(recs) == 0 {
-		return
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), finalCommitTimeout)
 	defer cancel()
-	ld.commit(ctx, joblog.RecordKey(ld.term.Token, n), recs)
+	for len(remaining) > 0 {
+		recs := nextWrite(remaining)
+		if !ld.commit(ctx, joblog.RecordKey(ld.term.Token, n), recs) {
+			return
+		}
+		remaining = remaining[len(recs):]
+		n++
+	}
 }
 
-// finalCommitTimeout bounds the last write of a term.
+// finalCommitTimeout bounds the last writes of a term.
 const finalCommitTimeout = 200 * time.Millisecond
 
 // commit writes records under a key until the outcome is known. It returns false if the term has ended.
