planner, cell: nothing follows from what a report omits that may lack ends

Cause: a worker lists 500 ends in a report and keeps the others until some of these are acknowledged. A report that was cut short was taken for complete, so that a run in neither list counted as one that the worker does not have.

Change: reports say whether they may lack ends; what such a report omits is not judged. Workers that report a start time get acknowledgements once the runs that they do not list were confirmed before the report was requested; otherwise they would list the same ends for ever.

--- a/internal/planner/incarnation.go
+++ b/internal/planner/incarnation.go
@@ -150,7 +150,7 @@
 }
 
 // resolveEarlier handles the first answer of an incarnation: other incarnations of the worker that earlier planners
-// recorded are over. The answer's report tells which of their runs this one has.
+// recorded are over. Its reports tell which of their runs this one has.
 func (se *session) resolveEarlier(now time.Duration) {
 	ld := se.leader
 	for _, inc := range ld.earlier[se.incarnation.WorkerID()] {
@@ -160,5 +160,4 @@
 			ld.resolveLost(inc)
 		}
 	}
-	delete(ld.unresolved, se.incarnation)
 }
--- a/internal/planner/inheritedleases.go
+++ b/internal/planner/inheritedleases.go
@@ -180,17 +180,18 @@
 	return held
 }
 
-// knowsRuns reports whether all runs of the worker are known: it has reported to this planner, no other incarnation can
+// knowsRuns reports whether all runs of the worker are known: it has reported all to this planner, no other incarnation can
 // have answered since, none of an earlier one may still begin, and the journal has the ends that it reported. The caller
 // holds the lock.
 func (se *session) knowsRuns() bool {
 	ld := se.leader
 	_, uncommitted := ld.cell.AckedEnd(se.incarnation)
-	return se.answered && !se.unreachable && !se.unanswered && se.other == nil && !uncommitted && !ld.cell.HasPredecessor(se.incarnation)
+	return se.answered && !se.unreachable && !se.unanswered && se.other == nil && !uncommitted && !ld.cell.LacksEnds(se.incarnation) &&
+		!ld.cell.HasPredecessor(se.incarnation)
 }
 
-// adoptRuns applies the runs that the previous planner knew of workers that have not answered this one. The recovery does
-// not wait for them any more. The caller holds the lock.
+// adoptRuns applies the runs that the previous planner knew of workers that have not reported all of theirs to this one.
+// The recovery does not wait for them any more. The caller holds the lock.
 func (ld *leader) adoptRuns(now time.Duration, held map[incarnation.ID][]cell.Run) (count int) {
 	for id, runs := range held {
 		if !ld.unresolved[id] || len(ld.earlier[id.WorkerID()]) > 1 {
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"tackbeam.example/policy/cell"
 	"tackbeam.example/policy/incarnation"
 	"tackbeam.example/policy/work"
 
@@ -270,19 +271,29 @@
 		se.answered = true
 		se.resolveEarlier(now)
 	}
-	se.logPartial(report)
-	ends := ld.cell.Report(now, se.incarnation, sent, report.Runs, report.Ends)
+	ends := se.applyReport(now, sent, report)
 	se.countRepeats(len(ends), len(report.Ends))
 	for _, en := range ends {
 		ld.log.Info("Run has ended.", "task", en.Task.String(), "run", en.Number, "worker", se.incarnation, "result", en.Result, "seq", en.Seq)
 		ld.metrics.count("planner.ends." + string(en.Result))
 	}
-	if first {
+	if _, awaited := ld.unresolved[se.incarnation]; awaited && !ld.cell.LacksEnds(se.incarnation) {
+		delete(ld.unresolved, se.incarnation)
 		ld.checkRecovery(now)
 	}
 	ld.schedulePlan()
 }
 
+// applyReport applies a report to the cell, and returns the ends that were not reported before. The caller holds the lock.
+func (se *session) applyReport(now, sent time.Duration, report agent.Report) []cell.End {
+	ld := se.leader
+	if report.MoreEnds {
+		se.logPartial(report)
+		return ld.cell.PartialReport(now, se.incarnation, sent, report.Runs, report.Ends)
+	}
+	return ld.cell.Report(now, se.incarnation, sent, report.Runs, report.Ends)
+}
+
 // logPartial logs a report that may lack ends, with how many of the runs that the worker may have are in neither list. The
 // caller holds the lock.
 func (se *session) logPartial(report agent.Report) {
--- a/internal/standin/memworkers/memworkers.go
+++ b/internal/standin/memworkers/memworkers.go
@@ -53,8 +53,9 @@
 	// startLog describes each start in starts, with its time.
 	startLog   []string
 	violations []string
-	// done are the tasks whose successful end was acknowledged.
-	done map[work.Task]bool
+	// done are the tasks whose successful end was acknowledged, latestStart is when each task was last started.
+	done        map[work.Task]bool
+	latestStart map[work.Task]time.Time
 	// lostRuns counts, for each job, the runs that were lost because an incarnation ended.
 	lostRuns map[string]int
 	limit    Limit
@@ -73,9 +74,13 @@
 	runs      map[work.Task]run
 	fenced    map[work.Task]int
 	ends      []cell.End
-	seq       int
-	state     workerState
-	capacity  taskCapacity
+	// endedAt is when the runs ended of which the worker has the ends, by sequence number; lapsedAt is when the lease last
+	// expired.
+	endedAt  map[int]time.Time
+	lapsedAt time.Time
+	seq      int
+	state    workerState
+	capacity taskCapacity
 	// sessions are the fencing tokens of the sessions that have called this incarnation. closedSessions are those
 	// that called an earlier one, whose connections closed with it; the value is true until a call has failed for
 	// that reason.
@@ -98,7 +103,7 @@
 func New(clock clockwork.Clock, run time.Duration) *Fleet {
 	return &Fleet{
 		clock: clock, log: logr.Discard(), workers: map[string]*worker{}, changed: make(chan struct{}), run: run, slow: map[string]int{},
-		fault: func(string, string) Fault { return None }, done: map[work.Task]bool{}, lostRuns: map[string]int{},
+		fault: func(string, string) Fault { return None }, done: map[work.Task]bool{}, latestStart: map[work.Task]time.Time{}, lostRuns: map[string]int{},
 		crash: crashRule{triggers: func(cell.Start) bool { return false }, onRestart: func(string) {}}, maxEnds: defaultMaxEnds,
 	}
 }
@@ -141,7 +146,7 @@
 }
 
 // Violations returns the violated invariants: two concurrent runs of a task, a start of a task whose successful end was
-// acknowledged, or a start over a limit or a worker's capacity.
+// acknowledged or is later, or a start over a limit or a worker's capacity.
 func (fl *Fleet) Violations() []string {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
@@ -203,8 +208,11 @@
 
 // advance ends the runs that are done or whose lease has expired.
 func (fl *Fleet) advance(wk *worker) {
+	leaseEnd := wk.startedAt.Add(wk.deadline)
+	if fl.clock.Now().After(leaseEnd) {
+		wk.lapsedAt = leaseEnd
+	}
 	for name, rn := range wk.runs {
-		leaseEnd := wk.startedAt.Add(wk.deadline)
 		done := rn.startedAt.Add(rn.takes)
 		switch {
 		case !done.After(fl.clock.Now()) && !done.After(leaseEnd):
@@ -216,10 +224,15 @@
 }
 
 func (fl *Fleet) end(wk *worker, name work.Task, result cell.Result) {
-	number := wk.runs[name].number
+	rn := wk.runs[name]
+	number := rn.number
 	delete(wk.runs, name)
 	wk.fenced[name] = max(wk.fenced[name], number)
 	wk.seq++
+	wk.endedAt[wk.seq] = fl.clock.Now()
+	if result == cell.ResultDone {
+		wk.endedAt[wk.seq] = rn.startedAt.Add(rn.takes) // advance may be called later
+	}
 	wk.ends = append(wk.ends, cell.End{Seq: wk.seq, Run: cell.Run{Task: name, Number: number}, Result: result})
 	fl.log.Info("Run ended.", "worker", wk.id, "born", wk.born(), "task", name.String(), "run", number, "seq", wk.seq, "result", result)
 	fl.wakeHolds()
@@ -280,6 +293,7 @@
 func (fl *Fleet) ackEnds(wk *worker, number int) {
 	wk.ends = slices.DeleteFunc(wk.ends, func(en cell.End) bool {
 		if en.Seq <= number && en.Result == cell.ResultDone && !wk.delayed {
+			fl.checkRestarted(wk, en)
 			fl.done[en.Task] = true
 		}
 		if en.Seq <= number {
@@ -290,6 +304,16 @@
 	})
 }
 
+// checkRestarted records a violation if a task was started again after the run whose successful end is acknowledged now.
+// An end from before the worker's lease expired does not count.
+func (fl *Fleet) checkRestarted(wk *worker, en cell.End) {
+	ended := wk.endedAt[en.Seq]
+	if fl.latestStart[en.Task].After(ended) && !wk.lapsedAt.After(ended) {
+		fl.violations = append(fl.violations, fmt.Sprintf("%s was started at %s although its run %d had ended on %s at %s, which is acknowledged now",
+			en.Task, fl.latestStart[en.Task].Format("05.000"), en.Number, wk.id, ended.Format("05.000")))
+	}
+}
+
 func (fl *Fleet) report(wk *worker) agent.Report {
 	const fullPercent = 100
 	report := agent.Report{Clock: fl.now(wk), StartedAt: wk.startedAt.UnixMilli(), Ends: slices.Clone(wk.ends[:min(len(wk.ends), fl.maxEnds)])}
@@ -333,6 +357,9 @@
 			defer fl.mu.Unlock()
 			fl.wakeHolds() // the run is done
 		})
+		if !wk.delayed {
+			fl.latestStart[sr.Task] = fl.clock.Now()
+		}
 		fl.starts = append(fl.starts, sr)
 		fl.startLog = append(fl.startLog, fl.describeStart(wk, sr))
 		if fl.crash.triggers(sr) {
--- a/policy/cell/cell_test.go
+++ b/policy/cell/cell_test.go
@@ -41,6 +41,7 @@
 		replace, crash       bool
 		cancel, disconnect   bool
 		resize               bool
+		maxEnds              int
 		maxFailed, settle    int
 	}{
 		"no faults":                       {},
@@ -56,12 +57,17 @@
 		"planners change, orders delayed": {replace: true, unanswered: 0.2},
 		"capacity changes":                {resize: true},
 		"capacity and planners change":    {resize: true, replace: true, unanswered: 0.05},
+		"reports lack ends":               {maxEnds: 1, unanswered: 0.1},
+		"reports lack ends, takeovers":    {maxEnds: 1, replace: true, failRate: 0.1, maxFailed: 8},
+		"reports lack ends, all faults": {
+			maxEnds: 2, unanswered: 0.1, failRate: 0.05, replace: true, crash: true, disconnect: true, cancel: true, resize: true, maxFailed: 8,
+		},
 	}
 	for name, tc := range cases {
 		for seed := range uint64(12) {
 			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
 				bd := newTestbed(t, seed, 10)
-				bd.unansweredRate, bd.failRate = tc.unanswered, tc.failRate
+				bd.unansweredRate, bd.failRate, bd.maxEnds = tc.unanswered, tc.failRate, tc.maxEnds
 				const jobs = 24
 				for n := range jobs {
 					switch n % 3 {
--- a/policy/cell/demand.go
+++ b/policy/cell/demand.go
@@ -219,7 +219,7 @@
 
 // idle reports whether a worker has had no run for minIdle, and nothing about it has to be remembered.
 func (cl *Cell) idle(now time.Duration, wk *worker) bool {
-	return wk.usable() && wk.answered && len(wk.placements) == 0 && wk.unknownRuns == 0 && len(wk.unacked) == 0 &&
+	return wk.usable() && wk.answered && len(wk.placements) == 0 && wk.unknownRuns == 0 && len(wk.unacked) == 0 && !wk.moreEnds &&
 		wk.openRecord > 0 && wk.openRecord <= cl.committed && !wk.unrenewed && wk.reservedFor == nil && wk.failures == 0 &&
 		wk.quarantineUntil <= now && now-wk.usedAt >= minIdle && !cl.HasPredecessor(wk.ID)
 }
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -89,7 +89,7 @@
 // acceptsRuns reports whether a worker takes new runs now.
 func (cl *Cell) acceptsRuns(now time.Duration, wk *worker) bool {
 	return wk.listed && wk.answered && !wk.Draining && !wk.evacuated && wk.unknownRuns == 0 && wk.quarantineUntil <= now &&
-		wk.openRecord > 0 && wk.openRecord <= cl.committed && now-wk.lastReport < maxReportAge && wk.reportedEnds < maxReportedEnds
+		wk.openRecord > 0 && wk.openRecord <= cl.committed && now-wk.lastReport < maxReportAge && wk.reportedEnds < maxReportedEnds && !wk.moreEnds
 }
 
 // maxReportAge is the age of a worker's last report beyond which it gets no new runs: two calls of one second
@@ -97,7 +97,7 @@
 const maxReportAge = 2500 * time.Millisecond
 
 // maxReportedEnds is the number of ends in a worker's report from which it gets no new runs until some have been
-// acknowledged. A worker reports 500 ends at most, and a run whose end is not among them would count as lost.
+// acknowledged. A worker reports 500 ends at most, and nothing is known of a run whose end is not among them.
 const maxReportedEnds = 250
 
 // startable returns how many tasks of the step a worker could start now.
--- a/policy/cell/progress.go
+++ b/policy/cell/progress.go
@@ -64,8 +64,8 @@
 // stopHungRuns stops tasks that make no progress, so that they restart on other workers.
 func (cl *Cell) stopHungRuns(now time.Duration) {
 	for _, wk := range cl.workers {
-		if len(wk.placements) == 0 || now-wk.lastReport > maxProgressAge {
-			continue
+		if len(wk.placements) == 0 || now-wk.lastReport > maxProgressAge || wk.moreEnds {
+			continue // a run without progress may have ended
 		}
 		for _, pl := range wk.placements {
 			def := pl.task.step.def
--- a/policy/cell/report.go
+++ b/policy/cell/report.go
@@ -10,18 +10,30 @@
 // Report applies what a worker reported about its runs and their ends, in the answer to a call that was sent at
 // the given time. It returns the ends that were not reported before.
 func (cl *Cell) Report(now time.Duration, id incarnation.ID, sent time.Duration, runs []Run, ends []End) (newEnds []End) {
+	return cl.report(now, id, sent, runs, ends, true)
+}
+
+// PartialReport is Report for a report that may lack ends. A run that it omits may have ended, and its end is in a later
+// report: nothing follows from the omission.
+func (cl *Cell) PartialReport(now time.Duration, id incarnation.ID, sent time.Duration, runs []Run, ends []End) (newEnds []End) {
+	return cl.report(now, id, sent, runs, ends, false)
+}
+
+func (cl *Cell) report(now time.Duration, id incarnation.ID, sent time.Duration, runs []Run, ends []End, complete bool) (newEnds []End) {
 	wk, ok := cl.workers[id]
 	if !ok {
 		return nil
 	}
-	first := !wk.answered
-	if first {
-		wk.answered, wk.firstReport, wk.usedAt = true, now, max(wk.usedAt, now)
-		cl.resolvePredecessors(now, id, runs, ends)
+	if !wk.answered {
+		wk.answered, wk.lacksEnds, wk.firstReport, wk.usedAt = true, true, now, max(wk.usedAt, now)
+	}
+	firstComplete := wk.lacksEnds && complete
+	if wk.lacksEnds {
+		cl.resolvePredecessors(now, id, runs, ends, complete)
 	}
 	cl.recordAnswer(wk)
 	wk.lastReport, wk.aliveAt = now, max(wk.aliveAt, sent)
-	wk.unreachable, wk.overdue, wk.reportedEnds = false, false, len(ends)
+	wk.unreachable, wk.overdue, wk.reportedEnds, wk.moreEnds = false, false, len(ends), !complete
 	cl.withdrawAttributions(id)
 	for _, en := range ends {
 		if en.Seq > wk.lastEnd {
@@ -37,18 +49,33 @@
 		listed[placementKey{rn.Task, rn.Number}] = true
 		cl.runListed(now, wk, rn)
 	}
-	for ky, pl := range wk.placements {
-		if !listed[ky] {
-			cl.runMissing(pl, sent)
-		}
+	if complete {
+		wk.lacksEnds = false
+		cl.releaseMissing(wk, listed, sent)
 	}
-	if first && wk.openRecord == 0 && len(wk.placements) > 0 {
+	if firstComplete && wk.openRecord == 0 && len(wk.placements) > 0 {
 		cl.record(wk.closed()) // the record of the planner that used it is removed
 	}
 	cl.throttle(now, wk)
 	return newEnds
 }
 
+// releaseMissing handles the runs that a complete report does not list.
+func (cl *Cell) releaseMissing(wk *worker, listed map[placementKey]bool, sent time.Duration) {
+	for ky, pl := range wk.placements {
+		if !listed[ky] {
+			cl.runMissing(pl, sent)
+		}
+	}
+}
+
+// LacksEnds reports whether a worker may have ended runs that the cell does not know: all of its reports so far may lack
+// ends.
+func (cl *Cell) LacksEnds(id incarnation.ID) bool {
+	wk, ok := cl.workers[id]
+	return ok && wk.answered && wk.lacksEnds
+}
+
 // recordAnswer records what the next planner must know of a worker that answers: it may get any run, or its lease is
 // renewed again.
 func (cl *Cell) recordAnswer(wk *worker) {
@@ -103,7 +130,7 @@
 // stopMargin is added to the time that a worker may take to stop a run.
 const stopMargin = 100 * time.Millisecond
 
-// runMissing handles a run that a report omits. A run that was there is gone. A run that is being stopped is
+// runMissing handles a run that a complete report omits. A run that was there is gone. A run that is being stopped is
 // gone once the time for the stop is over.
 func (cl *Cell) runMissing(pl *placement, sent time.Duration) {
 	stopTime := cl.opts.StopTimeout + stopMargin
--- a/policy/cell/restart.go
+++ b/policy/cell/restart.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -65,10 +66,23 @@
 	cl.workers[id].openRecord = cl.recorded
 }
 
-// mayBeDelayed reports whether a run may be in the worker's next incarnation or may still begin there: no
-// report of this incarnation listed it, so that either one may have answered its start, or an attempt of the
-// start was unanswered and may have been in transit when this incarnation was last known to run.
-func (pl *placement) mayBeDelayed() bool { return !pl.reported || pl.worker.aliveAt < pl.delayedUntil }
+// mayBeDelayed reports whether a run may be in the worker's next incarnation or may still begin there: either one may
+// have answered its start, or an attempt of the start was unanswered and may have been in transit when this incarnation
+// was last known to run. A report that may lack ends need not list a run that this incarnation has had.
+func (pl *placement) mayBeDelayed() bool {
+	alive := pl.worker.aliveAt
+	switch {
+	case alive < pl.delayedUntil:
+		return true
+	case pl.reported:
+		return false
+	case pl.runningSince > 0: // the incarnation was known to run when the start was sent
+		return alive <= pl.runningSince
+	case pl.unconfirmedAt > 0:
+		return alive < pl.unconfirmedAt+MaxOrderDelay
+	}
+	return pl.delayedUntil == 0 // an attempt is under way
+}
 
 // adopt records that an earlier planner started the run. Which attempts of the start got no answer is not known: one may
 // be in transit until MaxOrderDelay after the term began, from which all times count.
@@ -96,13 +110,12 @@
 	return len(cl.predecessors[id.WorkerID()]) > 0
 }
 
-// resolvePredecessors applies the first report of an incarnation to the runs of earlier ones.
-func (cl *Cell) resolvePredecessors(now time.Duration, id incarnation.ID, runs []Run, ends []End) {
+// resolvePredecessors applies the reports of an incarnation, up to the first complete one, to the runs of earlier ones.
+func (cl *Cell) resolvePredecessors(now time.Duration, id incarnation.ID, runs []Run, ends []End, complete bool) {
 	predecessors := cl.predecessors[id.WorkerID()]
 	if len(predecessors) == 0 {
 		return
 	}
-	delete(cl.predecessors, id.WorkerID())
 	began := make(map[placementKey]bool, len(runs)+len(ends))
 	for _, rn := range runs {
 		began[placementKey{rn.Task, rn.Number}] = true
@@ -110,6 +123,13 @@
 	for _, en := range ends {
 		began[placementKey{en.Task, en.Number}] = true
 	}
+	if !complete {
+		for _, pr := range predecessors {
+			cl.releaseBegun(pr.worker, began)
+		}
+		return
+	}
+	delete(cl.predecessors, id.WorkerID())
 	for _, pr := range predecessors {
 		if pr.next == id {
 			cl.releaseNotBegun(pr, began)
@@ -118,6 +138,15 @@
 	}
 }
 
+// releaseBegun releases the runs of an earlier incarnation that began in the next one.
+func (cl *Cell) releaseBegun(wk *worker, began map[placementKey]bool) {
+	for ky, pl := range wk.placements {
+		if began[ky] {
+			cl.release(pl)
+		}
+	}
+}
+
 // releaseNotBegun releases the runs that neither incarnation has had: their starts were decided after the next one
 // had begun, and its first report omits them.
 func (cl *Cell) releaseNotBegun(pr predecessor, began map[placementKey]bool) {
@@ -132,15 +161,8 @@
 // resolvePredecessor releases the runs of an earlier incarnation. Those that did not begin in the next one were
 // lost with it.
 func (cl *Cell) resolvePredecessor(now time.Duration, wk *worker, began map[placementKey]bool) {
-	var lost []*placement
-	for ky, pl := range wk.placements {
-		if began[ky] {
-			cl.release(pl)
-			continue
-		}
-		lost = append(lost, pl)
-	}
-	cl.loseRuns(now, wk, lost)
+	cl.releaseBegun(wk, began)
+	cl.loseRuns(now, wk, slices.Collect(maps.Values(wk.placements)))
 	cl.removeWorker(wk)
 }
 
@@ -148,7 +170,7 @@
 func (cl *Cell) expirePredecessors(now time.Duration) {
 	for id, predecessors := range cl.predecessors {
 		remaining := slices.DeleteFunc(predecessors, func(pr predecessor) bool {
-			if now < pr.until {
+			if now < pr.until || cl.LacksEnds(pr.next) {
 				return false
 			}
 			cl.resolvePredecessor(now, pr.worker, nil)
--- a/policy/cell/restart_test.go
+++ b/policy/cell/restart_test.go
@@ -141,7 +141,21 @@
 		"earlier planner's attempt cannot be in transit": {func(wb *waitBed) cell.Start {
 			return wb.adopt(15 * time.Second)
 		}, false},
-		"worker is not known": {func(*waitBed) cell.Start { return cell.Start{Worker: "w999"} }, false},
+		"run was confirmed before a report that lacks ends": {func(wb *waitBed) cell.Start {
+			sr := wb.submit().Starts[0]
+			wb.Started(1, sr)
+			wb.PartialReport(2, sr.Worker, 2, nil, nil)
+			return sr
+		}, false},
+		"run was confirmed during a report that lacks ends": {func(wb *waitBed) cell.Start {
+			sr := wb.submit().Starts[0]
+			wb.Started(1, sr)
+			wb.PartialReport(2, sr.Worker, 1, nil, nil)
+			return sr
+		}, true},
+		"unanswered start may be in transit": {func(wb *waitBed) cell.Start { return wb.unconfirmed(15 * time.Second) }, true},
+		"unanswered start is over":           {func(wb *waitBed) cell.Start { return wb.unconfirmed(15*time.Second + 1) }, false},
+		"worker is not known":                {func(*waitBed) cell.Start { return cell.Start{Worker: "w999"} }, false},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -152,6 +166,14 @@
 	}
 }
 
+// unconfirmed has a start get no answer, and a report that lacks ends answer a call that was sent at a time.
+func (wb *waitBed) unconfirmed(sent time.Duration) cell.Start {
+	sr := wb.submit().Starts[0]
+	wb.StartUnconfirmed(1, sr)
+	wb.PartialReport(sent, sr.Worker, sent, nil, nil)
+	return sr
+}
+
 // adopt has w000 report a run that an earlier planner started, in the answer to a call that was sent at a time.
 func (wb *waitBed) adopt(sent time.Duration) cell.Start {
 	submitStep(wb.Cell, "lasting", wb.step, wb.queue)
--- a/policy/cell/testbed_test.go
+++ b/policy/cell/testbed_test.go
@@ -35,6 +35,8 @@
 	unansweredRate float64
 	// failRate is the probability that a run fails.
 	failRate float64
+	// maxEnds is the maximum number of ends in a report; 0 means any number.
+	maxEnds int
 	// hungJob is a job whose tasks make no progress.
 	hungJob string
 	// extraRunTime is added to the length of each run.
@@ -170,9 +172,7 @@
 			if bd.maxReportDelay > 0 && bd.rng.IntN(2) == 0 {
 				wk.downUntil = bd.now + time.Duration(bd.rng.Int64N(int64(bd.maxReportDelay)))
 			}
-			if bd.isDown(wk) {
-				bd.unreported[id] = true
-			}
+			bd.unreported[id] = true
 		}
 		bd.cell.InheritStops(bd.now, id, stops[id])
 		if !bd.isDown(wk) {
@@ -185,7 +185,7 @@
 // finishRecovery completes the planner's recovery once all workers that may hold any task have reported or are gone.
 func (bd *testbed) finishRecovery() {
 	for id := range bd.unreported {
-		if wk := bd.workers[id]; wk.dead || wk.token == bd.term {
+		if wk := bd.workers[id]; wk.dead || wk.token == bd.term && !bd.cell.LacksEnds(id) {
 			delete(bd.unreported, id)
 		}
 	}
@@ -284,6 +284,10 @@
 		}
 		runs = append(runs, cell.Run{Task: name, Number: rn.number, Percent: percent})
 	}
+	if bd.maxEnds > 0 && len(wk.ends) >= bd.maxEnds {
+		bd.cell.PartialReport(bd.now, id, bd.now, runs, slices.Clone(wk.ends[:bd.maxEnds]))
+		return
+	}
 	bd.cell.Report(bd.now, id, bd.now, runs, slices.Clone(wk.ends))
 }
 
--- a/policy/cell/worker.go
+++ b/policy/cell/worker.go
@@ -40,8 +40,10 @@
 	// between.
 	lastEnd, ackedEnd int
 	unacked           []endNote
-	// reportedEnds is the number of ends in its last report.
-	reportedEnds int
+	// reportedEnds is the number of ends in its last report, moreEnds is set if that may lack ends. lacksEnds is set until
+	// a report of the worker to this planner is complete.
+	reportedEnds        int
+	moreEnds, lacksEnds bool
 	// quarantineUntil is when a worker on which runs fail may get new ones.
 	quarantineUntil time.Duration
 	failures        int
@@ -124,9 +126,10 @@
 	wk.openRecord = 0
 }
 
-// closed is the record of a worker that gets no more runs.
+// closed is the record of a worker that gets no more runs. While the cell may not know all of its runs, another planner
+// must take it for one that may hold any.
 func (wk *worker) closed() Record {
-	return Record{Worker: wk.ID, Closed: true, Held: wk.heldRuns(), Departed: wk.Draining || wk.departed, Unrenewed: wk.unrenewed}
+	return Record{Worker: wk.ID, Closed: !wk.answered || !wk.lacksEnds, Held: wk.heldRuns(), Departed: wk.Draining || wk.departed, Unrenewed: wk.unrenewed}
 }
 
 // Unreachable records that a worker does not answer, and when its lease will surely have expired.
