term, planner: beyond its own lease a planner needs the permission of all nodes to renew those of workers

Cause: a planner renewed workers' leases for 4 s after the last confirmed renewal of its own, whoever else the store answered. The next planner had to assume that it did: 4 s, the lease of 5.2 s and a margin of 1 s from the beginning of its own term.

Change: a planner renews on its own only while no other node can have been elected. Beyond that, while the store is silent for all, it needs the permission of each other node, and each remembers what it permitted; a node that is elected waits for that. Without an answer of the previous planner's node the wait is 5.2 s.

--- a/internal/cellnode/requests.go
+++ b/internal/cellnode/requests.go
@@ -139,6 +139,8 @@
 		return peerlink.Reply{Leases: &report}, err
 	case rq.Commit != nil:
 		return nd.commitForPeer(ctx, rq.Commit)
+	case rq.Grace != 0:
+		return peerlink.Reply{}, nd.grantGrace(rq.Grace)
 	}
 	return nd.servePlannerRequest(ctx, rq)
 }
@@ -212,6 +214,20 @@
 	return *reply.Leases, nil
 }
 
+// requestGrace asks another node to permit renewals of workers' leases.
+func (nd *Node) requestGrace(ctx context.Context, of joblog.Member, token uint64) error {
+	_, err := nd.link.Call(ctx, of.PeerAddr, peerlink.Request{Grace: token})
+	return err
+}
+
+// grantGrace answers a request to permit renewals of workers' leases.
+func (nd *Node) grantGrace(token uint64) error {
+	if err := nd.term.GrantGrace(token); err != nil {
+		return fault.New(fault.Unavailable, "renewals of workers' leases are not permitted: %v", err)
+	}
+	return nil
+}
+
 // leases answers a request about leases of workers that this node renewed.
 func (nd *Node) leases(rq leases.Request) (leases.Report, error) {
 	report, err := nd.planner.Leases(rq)
--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -91,6 +91,9 @@
 	Nonce string `cbor:"4,keyasint"`
 	// Previous is the token of the term before, 0 if this is the first.
 	Previous uint64 `cbor:"5,keyasint,omitempty"`
+	// Grace is set if the leader renews leases of workers beyond its own lease only with the permission of all nodes. Earlier
+	// versions do so without.
+	Grace bool `cbor:"6,keyasint,omitempty"`
 }
 
 // BacklogSize is the value of the backlog's key.
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -20,8 +20,9 @@
 // Options configure a Mirror.
 type Options struct {
 	Prefix string
-	// Wait is how long one watch may stay without an answer.
-	Wait time.Duration
+	// Wait is how long one watch may stay without an answer. WaitFunc, if set, is called for it each time instead.
+	Wait     time.Duration
+	WaitFunc func() time.Duration
 	// Pause follows each answer of a watch, so that changes are batched. PauseFunc, if set, is called for the pause
 	// each time instead.
 	Pause     time.Duration
@@ -179,17 +180,26 @@
 	return mr.opts.Pause
 }
 
+// wait returns how long a watch may stay without an answer.
+func (mr *Mirror) wait() time.Duration {
+	if mr.opts.WaitFunc != nil {
+		return mr.opts.WaitFunc()
+	}
+	return mr.opts.Wait
+}
+
 // watch waits once for changes and reports them. An answer that may have been truncated is followed by the next
 // watch without a pause.
 func (mr *Mirror) watch(ctx context.Context, after uint64) (uint64, error) {
 	if pause := mr.pause(); pause > 0 && !mr.behind && !loop.Sleep(ctx, mr.clock, pause) {
 		return 0, ctx.Err()
 	}
-	call, cancel := context.WithTimeout(ctx, mr.opts.Wait+watchGrace)
+	wait := mr.wait()
+	call, cancel := context.WithTimeout(ctx, wait+watchGrace)
 	defer cancel()
 	mr.setCancel(cancel)
 	sent := mr.clock.Now()
-	events, err := mr.store.Watch(call, mr.opts.Prefix, after, mr.opts.Wait)
+	events, err := mr.store.Watch(call, mr.opts.Prefix, after, wait)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -51,6 +51,9 @@
 	Evacuations bool `cbor:"11,keyasint,omitempty"`
 	// Commit is a write of the journal that the node is asked to send to the store.
 	Commit *kv.Txn `cbor:"12,keyasint,omitempty"`
+	// Grace asks the node to permit the planner of the term with this token to renew the leases of workers although the store
+	// has not confirmed its own.
+	Grace uint64 `cbor:"13,keyasint,omitempty"`
 }
 
 // writes reports whether the request may change something.
--- a/internal/planner/inheritedleases.go
+++ b/internal/planner/inheritedleases.go
@@ -14,8 +14,7 @@
 
 // A planner must not start a task elsewhere while a worker that does not answer may still run it under a lease that an
 // earlier planner renewed. How long that can be, only the earlier planner knows. If its node is alive, it is asked.
-// Otherwise the bound counts from the beginning of the term: the earlier planner last renewed the worker's lease at most
-// maxUnrenewed after the last confirmed renewal of its own.
+// Otherwise the election bounds when it can have renewed the lease for the last time (term.Term.RenewalsEnd).
 
 // Timings of the question about inherited leases.
 const (
@@ -29,14 +28,14 @@
 	// earlier planner have.
 	allExpired  time.Duration
 	unreachable map[incarnation.ID]time.Duration
-	// worstCase is allExpired as known from the beginning of the term alone.
+	// worstCase is when those of workers have expired of which several incarnations are recorded.
 	worstCase time.Duration
 	// ofPreviousOnly is set if only the previous planner renewed any of them.
 	ofPreviousOnly bool
 }
 
-func (il *inheritedLeases) init(allExpired time.Duration) {
-	il.allExpired, il.worstCase, il.unreachable = allExpired, allExpired, map[incarnation.ID]time.Duration{}
+func (il *inheritedLeases) init(allExpired, worstCase time.Duration) {
+	il.allExpired, il.worstCase, il.unreachable = allExpired, worstCase, map[incarnation.ID]time.Duration{}
 }
 
 // limit adds an upper bound of the end of a worker's lease.
--- a/internal/planner/leader.go
+++ b/internal/planner/leader.go
@@ -27,9 +27,8 @@
 	// defaultLease is the worker lease, unless the site's settings limit it. It covers the time to detect a dead
 	// planner (1.2 s), to elect and load another (1 s), to reach all workers, and part of a store outage.
 	defaultLease = 5 * time.Second
-	// maxUnrenewed is how long after the last confirmed renewal of its own lease a planner still renews the leases of
-	// workers. A store outage of up to that time ends no work.
-	maxUnrenewed = 4 * time.Second
+	// maxUnrenewed is how long after the beginning of a term an earlier planner may still send orders with deadlines.
+	maxUnrenewed = term.MaxUnrenewed
 	// maxClockDrift is the maximum rate by which a worker's clock may be slower than the planner's.
 	maxClockDrift = 0.02
 	// journalWatchPause is the pause between two watches of the journal. Most batches are announced directly by the
@@ -152,7 +151,7 @@
 	if maxLease := opts.Site.Bounds.MaxLease; maxLease > 0 {
 		ld.lease = min(ld.lease, maxLease)
 	}
-	ld.inheritedLeases.init(maxUnrenewed + ld.leaseBound() + time.Second)
+	ld.inheritedLeases.init(tm.RenewalsEnd.Sub(ld.began)+ld.leaseBound(), maxUnrenewed+ld.leaseBound()+time.Second)
 	ld.metrics.registry = opts.Metrics
 	ld.records.init()
 	ld.batches.init()
--- a/internal/planner/longrunning_test.go
+++ b/internal/planner/longrunning_test.go
@@ -128,11 +128,7 @@
 // TestInheritedLeaseIsAwaited guards against a second run of a long-running task that still runs on a worker which does
 // not answer the next planner.
 func TestInheritedLeaseIsAwaited(t *testing.T) {
-	const (
-		ttl = 2 * time.Second
-		// maxRenewal is how long a planner without the store renews the leases of workers.
-		maxRenewal = 4 * time.Second
-	)
+	const ttl = 2 * time.Second
 	for name, tt := range map[string]struct {
 		// takeover ends the term of n1. The worker answers nobody from silentFrom on.
 		takeover   func(bd *testbed)
@@ -175,7 +171,7 @@
 				bd.cutOff("n1")
 				bd.nodes["n1"].cancel()
 			},
-			limit: ttl + maxRenewal + workerLease + 2*restartSlack,
+			limit: maxLostTime,
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -99,7 +99,7 @@
 // extend returns a deadline at least one lease from now, on the worker's clock, for an order that is sent now. The caller
 // holds the lock.
 func (se *session) extend(now time.Duration) time.Duration {
-	if se.answered && se.leader.term.SinceRenewal() <= maxUnrenewed && se.leader.cell.MayRenew(se.incarnation) {
+	if se.answered && se.leader.term.MayRenewLeases() && se.leader.cell.MayRenew(se.incarnation) {
 		se.deadline = max(se.deadline, se.clock+(now-se.heard)+se.leader.lease)
 	}
 	if se.deadline > 0 {
--- a/internal/planner/testbed_test.go
+++ b/internal/planner/testbed_test.go
@@ -72,6 +72,9 @@
 	onStart func(to agent.Target, sr cell.Start)
 	// onBacklog, if not nil, is called with each report of a planner that a node sees.
 	onBacklog func(backlog joblog.BacklogSize)
+	// onGraceRequest, if not nil, is called with the node that is asked to permit renewals, and reports whether the request is
+	// lost.
+	onGraceRequest func(of string) (lost bool)
 	// logged, if not nil, is called with each line that a node logs.
 	logged func(line string)
 }
@@ -99,6 +102,10 @@
 	stopped atomic.Bool
 	// cutWorkers has the ids of the workers that do not answer the node's holds.
 	cutWorkers atomic.Pointer[[]string]
+	// isolated is set if the node neither reaches other nodes nor is reached by them.
+	isolated atomic.Bool
+	// delayHolds is by how much the node's holds are delayed.
+	delayHolds atomic.Int64
 }
 
 // cut makes workers leave the node's holds unanswered, and all others answer them.
@@ -111,6 +118,11 @@
 			<-ctx.Done()
 			return agent.Report{}, agent.ErrNoAnswer
 		}
+		if delay := time.Duration(nd.delayHolds.Load()); delay > 0 {
+			time.AfterFunc(delay, func() { _, _ = hold(context.WithoutCancel(ctx), to, hd) }) // nobody waits for the answer
+			<-ctx.Done()
+			return agent.Report{}, agent.ErrNoAnswer
+		}
 		return hold(ctx, to, hd)
 	}
 }
@@ -241,9 +253,13 @@
 			ws, ok := bd.workspaces[name]
 			return ws, ok
 		},
-		Leases: bd.leases, CommitThroughPeer: peerCommit, Advise: bd.advise, NodeCount: func() int { return nodeCount },
+		Leases: func(ctx context.Context, of term.Previous, rq leases.Request) (leases.Report, error) {
+			return bd.leases(ctx, nd, of, rq)
+		}, CommitThroughPeer: peerCommit, Advise: bd.advise, NodeCount: func() int { return nodeCount },
 	})
-	nd.term = term.New(clock, bd.log(name), st, term.Options{Node: name, Processors: processors, TTL: 2 * time.Second, OnBacklog: bd.onBacklog, Lead: func(ctx context.Context, tm term.Term) {
+	nd.term = term.New(clock, bd.log(name), st, term.Options{Node: name, Processors: processors, TTL: 2 * time.Second, OnBacklog: bd.onBacklog, RequestGrace: func(ctx context.Context, of joblog.Member, token uint64) error {
+		return bd.requestGrace(ctx, nd, of.Node, token)
+	}, Lead: func(ctx context.Context, tm term.Term) {
 		nd.latest.Store(&tm)
 		nd.planner.Lead(ctx, tm)
 	}})
@@ -263,13 +279,35 @@
 	return nd
 }
 
-// leases answers requests about leases as the nodes do that are running.
-func (bd *testbed) leases(_ context.Context, of term.Previous, rq leases.Request) (leases.Report, error) {
+// peer returns a node that another one reaches, or an error.
+func (bd *testbed) peer(from *node, name string) (*node, error) {
 	bd.mu.Lock()
-	nd := bd.nodes[of.Node]
+	nd := bd.nodes[name]
 	bd.mu.Unlock()
-	if nd == nil || nd.stopped.Load() {
-		return leases.Report{}, errors.New("the node does not answer")
+	if nd == nil || nd.stopped.Load() || nd != from && (nd.isolated.Load() || from.isolated.Load()) {
+		return nil, errors.New("the node does not answer")
+	}
+	return nd, nil
+}
+
+// requestGrace asks a node to permit renewals of workers' leases.
+func (bd *testbed) requestGrace(ctx context.Context, from *node, name string, token uint64) error {
+	nd, err := bd.peer(from, name)
+	if err == nil && bd.onGraceRequest != nil && bd.onGraceRequest(name) {
+		err = errors.New("the request was lost")
+	}
+	if err != nil {
+		<-ctx.Done()
+		return err
+	}
+	return nd.term.GrantGrace(token)
+}
+
+// leases answers requests about leases as the nodes do that are running.
+func (bd *testbed) leases(_ context.Context, from *node, of term.Previous, rq leases.Request) (leases.Report, error) {
+	nd, err := bd.peer(from, of.Node)
+	if err != nil {
+		return leases.Report{}, err
 	}
 	report, err := nd.planner.Leases(rq)
 	report.Node = of.Node
--- a/internal/standin/memworkers/incarnations.go
+++ b/internal/standin/memworkers/incarnations.go
@@ -21,7 +21,7 @@
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	wk := &worker{
-		id: id, startedAt: fl.clock.Now(), runs: map[work.Task]run{}, fenced: map[work.Task]int{}, endedAt: map[int]time.Time{},
+		id: id, startedAt: fl.clock.Now(), clockRate: 1, runs: map[work.Task]run{}, fenced: map[work.Task]int{}, endedAt: map[int]time.Time{},
 		sessions: map[uint64]bool{}, closedSessions: map[uint64]bool{},
 	}
 	if earlier := fl.workers[id]; earlier != nil {
--- a/internal/standin/memworkers/memworkers.go
+++ b/internal/standin/memworkers/memworkers.go
@@ -69,6 +69,8 @@
 type worker struct {
 	id        string
 	startedAt time.Time
+	// clockRate is how fast the worker's monotonic clock runs.
+	clockRate float64
 	token     uint64
 	deadline  time.Duration
 	runs      map[work.Task]run
@@ -132,6 +134,19 @@
 	return slices.Clone(fl.starts)
 }
 
+// Runs reports whether any worker runs a task.
+func (fl *Fleet) Runs(task work.Task) bool {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	for _, wk := range fl.workers {
+		fl.advance(wk)
+		if _, found := wk.runs[task]; found {
+			return true
+		}
+	}
+	return false
+}
+
 // StartLog describes the executed starts of a job's tasks in order.
 func (fl *Fleet) StartLog(job string) []string {
 	fl.mu.Lock()
@@ -204,11 +219,21 @@
 }
 
 // now returns the time of the worker's monotonic clock.
-func (fl *Fleet) now(wk *worker) time.Duration { return fl.clock.Since(wk.startedAt) }
+func (fl *Fleet) now(wk *worker) time.Duration {
+	return time.Duration(float64(fl.clock.Since(wk.startedAt)) * wk.clockRate)
+}
+
+// SetClockRate sets how fast a worker's monotonic clock runs; 1 is the true rate. It is called before the first call to the
+// worker.
+func (fl *Fleet) SetClockRate(id string, rate float64) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.workers[id].clockRate = rate
+}
 
 // advance ends the runs that are done or whose lease has expired.
 func (fl *Fleet) advance(wk *worker) {
-	leaseEnd := wk.startedAt.Add(wk.deadline)
+	leaseEnd := wk.startedAt.Add(time.Duration(float64(wk.deadline) / wk.clockRate))
 	if fl.clock.Now().After(leaseEnd) {
 		wk.lapsedAt = leaseEnd
 	}
--- a/internal/term/election.go
+++ b/internal/term/election.go
@@ -24,7 +24,7 @@
 	vacant := er.loaded && (held == 0 || er.keyFromOldLease()) && er.lease != 0 && !er.resigned &&
 		!er.abstaining() && er.deferral() <= 0
 	el := joblog.Election{
-		Node: er.opts.Node, PeerAddr: er.opts.PeerAddr, Number: er.highestNumber + 1, Nonce: er.nonce, Previous: er.latestToken,
+		Node: er.opts.Node, PeerAddr: er.opts.PeerAddr, Number: er.highestNumber + 1, Nonce: er.nonce, Previous: er.latestToken, Grace: true,
 	}
 	lease := er.lease
 	er.mu.Unlock()
@@ -75,9 +75,10 @@
 	yieldInterval = 10 * time.Second
 )
 
-// deferral returns how much longer this node defers to a stronger one. The caller holds the lock.
+// deferral returns how much longer this node defers to a stronger one, or to one that has been registered for longer. The
+// caller holds the lock.
 func (er *Elector) deferral() time.Duration {
-	if er.leaderRevision > 0 || !er.loaded || er.stronger() == "" {
+	if er.leaderRevision > 0 || !er.loaded || er.stronger() == "" && !er.defersAsNew() {
 		return 0
 	}
 	return er.vacantSince.Add(deferTime).Sub(er.clock.Now())
@@ -93,6 +94,24 @@
 	return ""
 }
 
+// defersAsNew reports whether this node has registered so recently that it would have to assume the worst of earlier
+// planners, while another one may know better. The caller holds the lock.
+func (er *Elector) defersAsNew() bool {
+	if er.mayHaveBeenAsked(er.clock.Now()) {
+		return false
+	}
+	own, registered := er.memberRevisions[joblog.Nodes+er.opts.Node]
+	for key, mb := range er.members {
+		older := !registered || er.memberRevisions[key] < own
+		// The last planner's node is gone, or leaves the election to others.
+		candidate := mb.Node != er.opts.Node && mb.Node != er.leader.Node
+		if older && candidate && strongerFactor*mb.Processors >= er.opts.Processors {
+			return true
+		}
+	}
+	return false
+}
+
 // yieldToStronger ends this node's term if a stronger node has joined since it began. It does so at most once per
 // yieldInterval because a registered node may still be unable to plan.
 func (er *Elector) yieldToStronger() {
@@ -133,6 +152,7 @@
 		er.applyBacklog(item)
 	case item.Deleted:
 		delete(er.members, item.Key)
+		delete(er.memberRevisions, item.Key)
 		er.registered = er.registered && item.Key != joblog.Nodes+er.opts.Node
 	default:
 		mb, err := joblog.Decode[joblog.Member](item.Value)
@@ -140,7 +160,7 @@
 			er.log.Error(err, "Key of a member could not be decoded.", "key", item.Key)
 			return
 		}
-		er.members[item.Key] = mb
+		er.members[item.Key], er.memberRevisions[item.Key] = mb, item.Revision
 	}
 }
 
@@ -212,10 +232,8 @@
 
 // previous returns the term before the one of an election. The caller holds the lock.
 func (er *Elector) previous(el joblog.Election) Previous {
-	for _, one := range er.elections {
-		if one.token == el.Previous {
-			return Previous{Token: one.token, Node: one.Node, PeerAddr: one.PeerAddr, SeenAt: one.at}
-		}
+	if one, seen := er.seenElection(el.Previous); seen {
+		return Previous{Token: one.token, Node: one.Node, PeerAddr: one.PeerAddr, SeenAt: one.at}
 	}
 	return Previous{Token: el.Previous}
 }
@@ -316,10 +334,11 @@
 	er.log.Info("This node became the planner.", "token", rt.token, "reign", er.leader.Number)
 	arg := Term{
 		Token: rt.token, Number: er.leader.Number, Previous: er.previous(er.leader),
-		SinceRenewal: func() time.Duration { return er.sinceRenewal(rt) },
-		LeaseHeld:    func() bool { return er.sinceRenewal(rt) < er.opts.TTL },
-		StepDown:     er.stepDown,
-		Yield:        func(reason string) { er.yield(reason, abstainTime) },
+		SinceRenewal:   func() time.Duration { return er.sinceRenewal(rt) },
+		MayRenewLeases: func() bool { return er.mayRenewLeases(rt) }, RenewalsEnd: er.renewalsEnd(er.clock.Now()),
+		LeaseHeld: func() bool { return er.sinceRenewal(rt) < er.opts.TTL },
+		StepDown:  er.stepDown,
+		Yield:     func(reason string) { er.yield(reason, abstainTime) },
 	}
 	go func() {
 		defer er.wake.Notify() // this node may still hold the leader's key
--- a/internal/term/lease.go
+++ b/internal/term/lease.go
@@ -39,7 +39,7 @@
 		return er.retry.Next(err)
 	}
 	er.mu.Lock()
-	er.lease, er.renewedAt, er.ttl, er.registered = lease, sent, ttl, false
+	er.lease, er.renewedAt, er.grantedAt, er.ttl, er.registered = lease, sent, er.clock.Now(), ttl, false
 	er.nonce = newNonce() // a leader's key under an earlier lease is no longer renewed
 	er.mu.Unlock()
 	er.log.Info("Lease granted.", "lease", lease, "ttl", ttl.String())
@@ -86,7 +86,7 @@
 	}
 	switch {
 	case err == nil:
-		er.registered, er.unansweredRegistrations = true, 0
+		er.registered, er.registeredAt, er.unansweredRegistrations = true, er.clock.Now(), 0
 		er.registerRetry.Reset()
 	case errors.Is(err, kv.ErrNoAnswer):
 		er.registerAfter = er.clock.Now().Add(registration.Jittered(er.unansweredRegistrations))
--- a/internal/term/rates.go
+++ b/internal/term/rates.go
@@ -30,7 +30,7 @@
 func (er *Elector) memberReadInterval() time.Duration {
 	er.mu.Lock()
 	defer er.mu.Unlock()
-	if er.rank() < firstCandidates {
+	if er.current != nil || er.rank() < firstCandidates {
 		return 0
 	}
 	return er.sharedInterval(memberReadShare)
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -38,6 +38,9 @@
 	// OnBacklog is called with the planner's backlog each time the planner reports it; it may be nil. It must not
 	// call the Elector.
 	OnBacklog func(backlog joblog.BacklogSize)
+	// RequestGrace asks another node to permit the planner of a term to renew the leases of workers (see GrantGrace). It
+	// returns nil if the node does. Without it no node does.
+	RequestGrace func(ctx context.Context, of joblog.Member, token uint64) error
 	// Lead runs while this node is the planner; it must return when its context ends.
 	Lead func(ctx context.Context, term Term)
 }
@@ -55,6 +58,10 @@
 	// SinceRenewal returns the time since the last confirmed renewal of the lease was sent; once the term has ended
 	// it returns the maximum duration.
 	SinceRenewal func() time.Duration
+	// MayRenewLeases reports whether leases of workers may be renewed now.
+	MayRenewLeases func() bool
+	// RenewalsEnd is the latest time at which earlier planners can have renewed leases of workers.
+	RenewalsEnd time.Time
 	// StepDown ends the term; the reason is logged.
 	StepDown func(reason string)
 	// Yield ends the term so that another node can become the planner. It does nothing if there is no other node.
@@ -72,8 +79,20 @@
 }
 
 // watchWait is how long a watch of the members may stay without an answer. A watch that the network has dropped is
-// noticed half a second after that.
-const watchWait = 2 * time.Second
+// noticed half a second after that. The planner's watch is answered sooner, since the age of its copy limits for how long
+// it may go on without the store (maxMembersAge).
+const (
+	watchWait        = 2 * time.Second
+	plannerWatchWait = time.Second
+)
+
+// memberWatchWait returns how long the next watch of the members may stay without an answer.
+func (er *Elector) memberWatchWait() time.Duration {
+	if er.Leading() {
+		return plannerWatchWait
+	}
+	return watchWait
+}
 
 // Elector holds one node's membership and takes part in the election of the planner.
 type Elector struct {
@@ -86,7 +105,9 @@
 
 	mu      sync.Mutex
 	members map[string]joblog.Member
-	leader  joblog.Election
+	// memberRevisions has the revisions of the members' keys.
+	memberRevisions map[string]uint64
+	leader          joblog.Election
 	// leaderRevision is the revision of the leader's key, 0 if there is no leader.
 	leaderRevision uint64
 	loaded         bool
@@ -101,6 +122,10 @@
 	lease     uint64
 	ttl       time.Duration
 	renewedAt time.Time
+	// grantedAt is when the grant of the lease was answered, registeredAt when the node's key was last written under it.
+	grantedAt, registeredAt time.Time
+	// gracedAt is when this node last permitted a planner to renew the leases of workers.
+	gracedAt time.Time
 	// lastSent is when the last renewal was sent, pendingRenewals the number of renewals without an answer.
 	lastSent        time.Time
 	pendingRenewals int
@@ -136,6 +161,13 @@
 	done   chan struct{}
 	// endedAt is when the term was ended; Lead may still be running.
 	endedAt time.Time
+	// graceFrom is when the last permission of all nodes was requested, graceRequestedAt when the last request was sent,
+	// whatever its outcome. requestsGrace is set while one is under way.
+	graceFrom, graceRequestedAt time.Time
+	requestsGrace               bool
+	// graceRefused is the outcome that was last logged, graceLogged when that was.
+	graceRefused bool
+	graceLogged  time.Time
 }
 
 // seenElection is an election with the time at which this node learned of it.
@@ -159,10 +191,10 @@
 func New(clock clockwork.Clock, log logr.Logger, st *kv.Store, opts Options) *Elector {
 	er := &Elector{
 		opts: opts, clock: clock, log: log.WithName("term"), store: st,
-		wake: wake.New(), members: map[string]joblog.Member{}, nonce: newNonce(),
+		wake: wake.New(), members: map[string]joblog.Member{}, memberRevisions: map[string]uint64{}, nonce: newNonce(),
 	}
 	er.mirror = mirror.New(clock, log, st, mirror.Options{
-		Prefix: joblog.Members, Wait: watchWait, PauseFunc: er.memberReadInterval, OnChange: er.onChange,
+		Prefix: joblog.Members, WaitFunc: er.memberWatchWait, PauseFunc: er.memberReadInterval, OnChange: er.onChange,
 	})
 	return er
 }
@@ -257,6 +289,7 @@
 		return er.join(ctx) // the present lease expires on its own
 	}
 	er.renew(ctx)
+	er.requestGrace(ctx)
 	er.releaseKey(ctx)
 	er.campaign(ctx)
 	return er.untilNext()
