planner: a stop for a worker without a session is ordered again

Cause: a stop for a worker that is not listed was dropped and counted as sent. The cell orders a stop once and repeats it only if it hears that it was not confirmed.

A change of pace that could not be sent counts as not confirmed too.

--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -151,17 +151,21 @@
 	return true, err
 }
 
-// sendStop sends one stop. If the stop is not confirmed, the cell orders it again.
+// sendStop sends one stop. If the stop is not confirmed, the cell orders it again; also if the worker has no session because
+// it is not listed, since it may be listed again while the run goes on.
 func (ld *leader) sendStop(sp cell.Stop) {
 	sent, err := ld.send(sp.Worker, func(ctx context.Context, to agent.Target, token uint64) error {
 		return ld.opts.Agents.Stop(ctx, to, token, sp)
 	})
-	if !sent {
-		return
+	switch {
+	case sent:
+		ld.metrics.count("planner.stops")
+		ld.log.Info("Sent stop.", "task", sp.Task.String(), "run", sp.Run, "worker", sp.Worker, "reason", sp.Reason, "error", errorText(err))
+	case sp.Attempts == 0 && ld.ctx.Err() == nil:
+		ld.metrics.count("planner.stops_waiting")
+		ld.log.Info("Stop waits until its worker is listed.", "task", sp.Task.String(), "run", sp.Run, "worker", sp.Worker, "reason", sp.Reason)
 	}
-	ld.metrics.count("planner.stops")
-	ld.log.Info("Sent stop.", "task", sp.Task.String(), "run", sp.Run, "worker", sp.Worker, "reason", sp.Reason, "error", errorText(err))
-	if err == nil {
+	if sent && err == nil {
 		ld.update(func(now time.Duration) {
 			if ld.cell.Stopped(now, sp) {
 				// A run that never began has no end to report.
@@ -181,6 +185,7 @@
 		return ld.opts.Agents.Pace(ctx, to, token, pc)
 	})
 	if !sent {
+		ld.update(func(time.Duration) { ld.cell.PaceUnconfirmed(pc) })
 		return
 	}
 	ld.log.Info("Sent change of pace.", "task", pc.Task.String(), "run", pc.Run, "worker", pc.Worker, "percent", pc.Percent, "error", errorText(err))
