term: permissions are requested only once a slow store would have answered a renewal

At three quarters of the TTL instead of half: a store that answers after 0.25 s leaves 0.65 s between confirmed renewals with a TTL of 1.2 s, so that the planner would have called all nodes at each of them.

--- a/internal/term/grace.go
+++ b/internal/term/grace.go
@@ -72,7 +72,7 @@
 }
 
 // requestGrace asks all other nodes for permission to renew the leases of workers, if the node is the planner and its own
-// lease may soon have expired.
+// lease may soon have expired. Renewals by a slow store come before that.
 func (er *Elector) requestGrace(ctx context.Context) {
 	er.mu.Lock()
 	rt, now := er.current, er.clock.Now()
@@ -95,7 +95,7 @@
 func (er *Elector) graceDue(rt *runningTerm, now time.Time) bool {
 	interval := graceInterval + time.Duration(len(er.members))*graceIntervalPerNode
 	unrenewed := now.Sub(er.renewedAt)
-	if er.opts.RequestGrace == nil || er.lease != rt.lease || unrenewed < er.opts.TTL/2 || unrenewed > MaxUnrenewed ||
+	if er.opts.RequestGrace == nil || er.lease != rt.lease || unrenewed < er.opts.TTL*3/4 || unrenewed > MaxUnrenewed ||
 		rt.requestsGrace || now.Sub(rt.graceRequestedAt) < interval {
 		return false
 	}
--- a/internal/term/grace_test.go
+++ b/internal/term/grace_test.go
@@ -37,6 +37,9 @@
 	silent, unreachable map[string]bool
 	terms               map[string]term.Term
 	electors            map[string]*term.Elector
+	// requests is the number of requests for a permission, renewalTime how long a renewal takes.
+	requests    int
+	renewalTime time.Duration
 }
 
 func newGraceBed(t *testing.T, nodes ...string) *graceBed {
@@ -68,7 +71,13 @@
 }
 
 func (gb *graceBed) add(node string) {
-	er := term.New(clockwork.NewRealClock(), logr.Discard(), gb.store.Client(node), term.Options{
+	client := gb.store.Client(node)
+	renew := client.Renew
+	client.Renew = func(ctx context.Context, lease uint64) error {
+		time.Sleep(gb.renewalTime)
+		return renew(ctx, lease)
+	}
+	er := term.New(clockwork.NewRealClock(), logr.Discard(), client, term.Options{
 		Node: node, PeerAddr: node + ":1", TTL: graceTTL, RequestGrace: gb.requestGrace,
 		Lead: func(ctx context.Context, tm term.Term) {
 			gb.mu.Lock()
@@ -88,6 +97,7 @@
 	time.Sleep(latency)
 	gb.mu.Lock()
 	lost, er := gb.unreachable[of.Node], gb.electors[of.Node]
+	gb.requests++
 	gb.mu.Unlock()
 	if lost {
 		<-ctx.Done()
@@ -175,6 +185,21 @@
 	}
 }
 
+// TestSlowStoreNeedsNoPermission guards against calls to all nodes each time that a slow store answers a renewal.
+func TestSlowStoreNeedsNoPermission(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gb := newGraceBed(t, "n1", "n2")
+		defer gb.end()
+		gb.renewalTime = 250 * time.Millisecond
+		time.Sleep(20 * time.Second)
+		gb.mu.Lock()
+		defer gb.mu.Unlock()
+		if gb.requests > 0 {
+			t.Errorf("%d requests while the store answers", gb.requests)
+		}
+	})
+}
+
 // TestStaleMembers guards against a planner that goes on without the permission of a node of which it does not know,
 // because its copy of the members is old.
 func TestStaleMembers(t *testing.T) {
