--- a/internal/planner/partialreport_test.go
+++ b/internal/planner/partialreport_test.go
@@ -1,11 +1,9 @@
 package planner_test
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"strconv"
 	"sync"
 	"testing"
@@ -40,15 +38,8 @@
 func TestPartialReport(t *testing.T) {
 	const tasks, maxEnds, run = 40, 5, 3 * time.Second
 	ways := map[string]func(bd *testbed, first *node){
-		"planner dies": func(bd *testbed, first *node) {
-			bd.cutOff("n1")
-			first.cancel()
-		},
-		"planner resigns": func(bd *testbed, first *node) {
-			ctx, cancel := context.WithTimeout(bd.t.Context(), time.Second)
-			defer cancel()
-			first.term.Resign(ctx)
-		},
+		"planner dies":                      func(bd *testbed, _ *node) { bd.lose("n1") },
+		"planner resigns":                   func(bd *testbed, first *node) { bd.resign(first) },
 		"planner is cut off from the store": func(bd *testbed, _ *node) { bd.cutOff("n1") },
 		"planner yields":                    func(_ *testbed, first *node) { first.currentTerm().Yield("test") },
 		"worker does not answer": func(bd *testbed, _ *node) {
@@ -111,15 +102,8 @@
 	// An acknowledgement takes ackTime, so that terms end with a partial report whose ends are in the journal, too.
 	const ackTime, step, most = 100 * time.Millisecond, 25 * time.Millisecond, 200 * time.Millisecond
 	for name, end := range map[string]func(bd *testbed, second *node){
-		"resigns": func(bd *testbed, second *node) {
-			ctx, cancel := context.WithTimeout(bd.t.Context(), time.Second)
-			defer cancel()
-			second.term.Resign(ctx)
-		},
-		"dies": func(bd *testbed, second *node) {
-			bd.cutOff("n2")
-			second.cancel()
-		},
+		"resigns": func(bd *testbed, second *node) { bd.resign(second) },
+		"dies":    func(bd *testbed, _ *node) { bd.lose("n2") },
 	} {
 		for after := time.Duration(0); after < most; after += step {
 			t.Run(fmt.Sprint(name, after), func(t *testing.T) {
@@ -136,12 +120,11 @@
 						return hold(ctx, to, hd)
 					}
 					bd.addRoomyWorker("w1", tasks, false)
-					first, second := bd.addTwo()
+					_, second := bd.addTwo()
 					time.Sleep(time.Second)
 					bd.submit(second, "a", tasks)
 					time.Sleep(run - time.Second)
-					bd.cutOff("n1")
-					first.cancel()
+					bd.lose("n1")
 					bd.awaitLeader(second)
 					bd.addNode("n3")
 					bd.addRoomyWorker("w2", tasks, false)
@@ -173,11 +156,7 @@
 //
 //	TACKBEAM_PARTIAL_SEEDS=200 go test ./internal/planner -run TestPartialReports
 func TestPartialReports(t *testing.T) {
-	seeds, err := strconv.ParseUint(cmp.Or(os.Getenv("TACKBEAM_PARTIAL_SEEDS"), "12"), 10, 64)
-	if err != nil {
-		t.Fatal(err)
-	}
-	for seed := range seeds {
+	for seed := range seedCount(t, "TACKBEAM_PARTIAL_SEEDS", "12") {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { playPartialReports(t, rand.New(rand.NewPCG(seed, 3))) })
 		})
--- a/internal/planner/takeoverleases_test.go
+++ b/internal/planner/takeoverleases_test.go
@@ -1,12 +1,9 @@
 package planner_test
 
 import (
-	"cmp"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
-	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -296,11 +293,7 @@
 //
 //	TACKBEAM_TAKEOVER_SEEDS=300 go test ./internal/planner -run 'TestTakeovers$'
 func TestTakeovers(t *testing.T) {
-	seeds, err := strconv.ParseUint(cmp.Or(os.Getenv("TACKBEAM_TAKEOVER_SEEDS"), "24"), 10, 64)
-	if err != nil {
-		t.Fatal(err)
-	}
-	for seed := range seeds {
+	for seed := range seedCount(t, "TACKBEAM_TAKEOVER_SEEDS", "24") {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { playTakeovers(t, rand.New(rand.NewPCG(seed, 4))) })
 		})
--- a/internal/planner/testbed_test.go
+++ b/internal/planner/testbed_test.go
@@ -1,7 +1,9 @@
 package planner_test
 
 import (
+	"cmp"
 	"context"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -223,6 +225,28 @@
 	})
 }
 
+// lose has a node's process die, and its calls to the store get no answers.
+func (bd *testbed) lose(name string) {
+	bd.cutOff(name)
+	bd.nodes[name].cancel()
+}
+
+// resign has a node leave in an orderly way.
+func (bd *testbed) resign(nd *node) {
+	ctx, cancel := context.WithTimeout(bd.t.Context(), time.Second)
+	defer cancel()
+	nd.term.Resign(ctx)
+}
+
+// seedCount returns the number of seeds to play: what an environment variable says, or a default.
+func seedCount(t *testing.T, variable, fallback string) uint64 {
+	seeds, err := strconv.ParseUint(cmp.Or(os.Getenv(variable), fallback), 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return seeds
+}
+
 // addNodeOf adds a node that may use a share of a core.
 func (bd *testbed) addNodeOf(name string, processors float64) *node {
 	st, agents := bd.store.Client(name), bd.fleet.Agents()
--- a/internal/planner/unlistedstop_test.go
+++ b/internal/planner/unlistedstop_test.go
@@ -1,7 +1,6 @@
 package planner_test
 
 import (
-	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,17 +18,10 @@
 		away    = 700 * time.Millisecond // less than what is left of the lease
 	)
 	for name, end := range map[string]func(bd *testbed, first *node){
-		"planner dies": func(bd *testbed, first *node) {
-			bd.cutOff("n1")
-			first.cancel()
-		},
-		"planner resigns": func(bd *testbed, first *node) {
-			ctx, cancel := context.WithTimeout(bd.t.Context(), time.Second)
-			defer cancel()
-			first.term.Resign(ctx)
-		},
-		"planner yields": func(_ *testbed, first *node) { first.currentTerm().Yield("test") },
-		"planner stays":  func(*testbed, *node) {},
+		"planner dies":    func(bd *testbed, _ *node) { bd.lose("n1") },
+		"planner resigns": func(bd *testbed, first *node) { bd.resign(first) },
+		"planner yields":  func(_ *testbed, first *node) { first.currentTerm().Yield("test") },
+		"planner stays":   func(*testbed, *node) {},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
