term: permissions and the limit of 4 s have the margin for clocks as well

The planner measures both from when it sent the request or the renewal, the next one from when it arrived, so that only a difference in the rates of their clocks mattered: up to 30 and 80 ms. Found by reading.

--- a/internal/term/grace.go
+++ b/internal/term/grace.go
@@ -21,8 +21,8 @@
 	// MaxUnrenewed is how long after the last confirmed renewal of its own lease a planner may renew the leases of workers.
 	// A store outage of up to that time ends no work.
 	MaxUnrenewed = 4 * time.Second
-	// leaseMargin is how long before the end of its own lease a planner stops to renew those of workers without permission.
-	// The store's clock and those of the nodes may differ in rate.
+	// leaseMargin is how long before the end of its own lease, or of a permission, a planner stops to renew leases of workers.
+	// The clocks of the store and of the nodes may differ in rate.
 	leaseMargin = 100 * time.Millisecond
 	// graceTime is how long a permission lasts from when it was requested.
 	graceTime = 1500 * time.Millisecond
@@ -67,8 +67,8 @@
 	if er.current != rt || er.lease != rt.lease {
 		return false
 	}
-	unrenewed := er.clock.Since(er.renewedAt)
-	return unrenewed <= er.opts.TTL-leaseMargin || unrenewed <= MaxUnrenewed && er.clock.Since(rt.graceFrom) <= graceTime
+	unrenewed := er.clock.Since(er.renewedAt) + leaseMargin
+	return unrenewed <= er.opts.TTL || unrenewed <= MaxUnrenewed && er.clock.Since(rt.graceFrom) <= graceTime-leaseMargin
 }
 
 // requestGrace asks all other nodes for permission to renew the leases of workers, if the node is the planner and its own
