--- a/internal/planner/incarnation.go
+++ b/internal/planner/incarnation.go
@@ -137,7 +137,7 @@
 // a start that the earlier planner had an answer to may have been carried out by either.
 func (ld *leader) transferUnresolved(earlier, next incarnation.ID) {
 	if open, old := ld.unresolved[earlier]; old {
-		ld.unresolved[next] = open
+		ld.unresolved[next] = ld.unresolved[next] || open
 	}
 }
 
@@ -150,13 +150,14 @@
 }
 
 // resolveEarlier handles the first answer of an incarnation: other incarnations of the worker that earlier planners
-// recorded are over. Its reports tell which of their runs this one has.
+// recorded are over. Its reports tell which of their runs this one has, and are waited for in their place.
 func (se *session) resolveEarlier(now time.Duration) {
 	ld := se.leader
 	for _, inc := range ld.earlier[se.incarnation.WorkerID()] {
 		if _, old := ld.unresolved[inc]; old && inc != se.incarnation {
 			ld.log.Info("Worker's incarnation is over.", "worker", inc)
 			ld.cell.Restarted(now, inc, se.incarnation, now)
+			ld.transferUnresolved(inc, se.incarnation)
 			ld.resolveLost(inc)
 		}
 	}
--- a/internal/planner/leader.go
+++ b/internal/planner/leader.go
@@ -92,8 +92,8 @@
 	current map[string]*session
 	// tokenCounts counts the fencing tokens for each worker, by worker id.
 	tokenCounts map[string]uint64
-	// unresolved has the workers of earlier planners that have neither reported all runs and ends nor had their lease expire. The value
-	// is true if the worker may run any task, so that all tasks of earlier planners wait for it.
+	// unresolved has the workers of earlier planners that have neither reported all runs and ends nor had their lease
+	// expire. The value is true if the worker may run any task, so that all tasks of earlier planners wait for it.
 	unresolved map[incarnation.ID]bool
 	// inheritedWorkers is how many of them there were when the journal had been read.
 	inheritedWorkers int
--- a/internal/planner/partialreport_test.go
+++ b/internal/planner/partialreport_test.go
@@ -140,6 +140,41 @@
 	}
 }
 
+// TestPartialReportOfNextIncarnation guards against tasks that run again because a new planner no longer waits for a worker
+// once an incarnation answers that the records do not name, although that answer lacks ends: starts that were sent to the
+// recorded incarnation were carried out by this one.
+func TestPartialReportOfNextIncarnation(t *testing.T) {
+	const tasks, run = 40, 1500 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		bd := newTestbed(t, run)
+		defer bd.end()
+		bd.fleet.SetMaxEnds(5)
+		bd.addRoomyWorker("w1", tasks, true)
+		_, second := bd.addTwo()
+		time.Sleep(time.Second)
+		bd.fleet.SetFault(func(worker, order string) memworkers.Fault {
+			if worker == "w1" && order == "hold" {
+				return memworkers.RequestLost
+			}
+			return memworkers.None
+		})
+		time.Sleep(1010 * time.Millisecond) // the pending hold is answered, the next one is not
+		bd.fleet.Kill("w1")
+		bd.fleet.Add("w1")
+		bd.submit(second, "a", tasks)
+		time.Sleep(150 * time.Millisecond)
+		bd.lose("n1")
+		bd.list("w1", "room", strconv.Itoa(tasks))
+		bd.addRoomyWorker("w2", tasks, true)
+		bd.clearFaults()
+		bd.await("a", cell.Succeeded, 30*time.Second)
+		time.Sleep(time.Second)
+		if starts := len(bd.fleet.Starts()); starts != tasks {
+			t.Errorf("%d starts of %d tasks", starts, tasks)
+		}
+	})
+}
+
 // addRoomyWorker adds a worker that can run a number of tasks at once.
 func (bd *testbed) addRoomyWorker(id string, tasks int, startTime bool) {
 	bd.fleet.Add(id)
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -297,9 +297,6 @@
 // logPartial logs a report that may lack ends, with how many of the runs that the worker may have are in neither list. The
 // caller holds the lock.
 func (se *session) logPartial(report agent.Report) {
-	if !report.MoreEnds {
-		return
-	}
 	ld := se.leader
 	listed := make(map[work.Task]int, len(report.Runs)+len(report.Ends))
 	for _, rn := range report.Runs {
--- a/internal/term/election.go
+++ b/internal/term/election.go
@@ -155,12 +155,13 @@
 		delete(er.memberRevisions, item.Key)
 		er.registered = er.registered && item.Key != joblog.Nodes+er.opts.Node
 	default:
+		er.memberRevisions[item.Key] = item.Revision
 		mb, err := joblog.Decode[joblog.Member](item.Value)
 		if err != nil {
 			er.log.Error(err, "Key of a member could not be decoded.", "key", item.Key)
 			return
 		}
-		er.members[item.Key], er.memberRevisions[item.Key] = mb, item.Revision
+		er.members[item.Key] = mb
 	}
 }
 
--- a/internal/term/grace.go
+++ b/internal/term/grace.go
@@ -14,14 +14,14 @@
 // the planner, and has to wait for each lease that this one renews. But while the store answers nobody, no other node can
 // be elected, and leases that are not renewed end all runs. So a planner goes on for a time with the permission of all
 // other nodes. Each of them gives it only while the store does not answer it either, and remembers that it did: if it is
-// elected, it waits for what it permitted. A node that was not asked knows that there was nothing to wait for, provided
-// that the planner must have known of it.
+// elected, it waits for what it permitted. A node that the planner would have had to ask, and that gave no permission, has
+// nothing to wait for.
 
 const (
 	// MaxUnrenewed is how long after the last confirmed renewal of its own lease a planner may renew the leases of workers.
 	// A store outage of up to that time ends no work.
 	MaxUnrenewed = 4 * time.Second
-	// leaseMargin is how long before the end of its own lease, or of a permission, a planner stops to renew leases of workers.
+	// leaseMargin is how long before the end of its own lease, or of a permission, a planner stops renewing leases of workers.
 	// The clocks of the store and of the nodes may differ in rate.
 	leaseMargin = 100 * time.Millisecond
 	// graceTime is how long a permission lasts from when it was requested.
@@ -99,6 +99,9 @@
 		rt.requestsGrace || now.Sub(rt.graceRequestedAt) < interval {
 		return false
 	}
+	if len(er.members) < len(er.memberRevisions) {
+		return false // a node whose key cannot be decoded cannot be asked
+	}
 	age, read := er.mirror.Age()
 	return read && age <= unrenewed+maxMembersAge // other nodes may have registered since
 }
--- a/internal/term/grace_test.go
+++ b/internal/term/grace_test.go
@@ -155,6 +155,11 @@
 			gb.set(gb.unreachable, "n3", true)
 			gb.set(gb.silent, "all", true)
 		}, graceTTL, true, false},
+		"a member's key cannot be decoded": {func(gb *graceBed) {
+			gb.store.Set(joblog.Nodes+"n9", []byte("?"))
+			time.Sleep(100 * time.Millisecond)
+			gb.set(gb.silent, "all", true)
+		}, graceTTL, true, false},
 		"store answers nobody": {func(gb *graceBed) { gb.set(gb.silent, "all", true) }, term.MaxUnrenewed, true, false},
 		"store answers nobody, then a node is not reached": {func(gb *graceBed) {
 			gb.set(gb.silent, "all", true)
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -105,7 +105,7 @@
 
 	mu      sync.Mutex
 	members map[string]joblog.Member
-	// memberRevisions has the revisions of the members' keys.
+	// memberRevisions has the revisions of all members' keys, also of those that cannot be decoded.
 	memberRevisions map[string]uint64
 	leader          joblog.Election
 	// leaderRevision is the revision of the leader's key, 0 if there is no leader.
