--- a/internal/planner/partialreport_test.go
+++ b/internal/planner/partialreport_test.go
@@ -79,7 +79,7 @@
 					bd.addRoomyWorker("w1", tasks, startTimes)
 					first, second := bd.addTwo()
 					time.Sleep(time.Second)
-					bd.submit(second, "a", tasks)
+					bd.submitSmall(second, "a", tasks)
 					time.Sleep(run - time.Second)
 					bd.addRoomyWorker("w2", tasks, startTimes)
 					time.Sleep(500 * time.Millisecond)
@@ -122,7 +122,7 @@
 					bd.addRoomyWorker("w1", tasks, false)
 					_, second := bd.addTwo()
 					time.Sleep(time.Second)
-					bd.submit(second, "a", tasks)
+					bd.submitSmall(second, "a", tasks)
 					time.Sleep(run - time.Second)
 					bd.lose("n1")
 					bd.awaitLeader(second)
@@ -161,7 +161,7 @@
 		time.Sleep(1010 * time.Millisecond) // the pending hold is answered, the next one is not
 		bd.fleet.Kill("w1")
 		bd.fleet.Add("w1")
-		bd.submit(second, "a", tasks)
+		bd.submitSmall(second, "a", tasks)
 		time.Sleep(150 * time.Millisecond)
 		bd.lose("n1")
 		bd.list("w1", "room", strconv.Itoa(tasks))
@@ -185,6 +185,14 @@
 	bd.list(id, words...)
 }
 
+// submitSmall submits a job whose tasks need so little that a worker with room for them can run all at once.
+func (bd *testbed) submitSmall(nd *node, id string, tasks int) {
+	bd.t.Helper()
+	bd.submitJob(nd, &work.Job{ID: id, Spec: id, Queue: bd.accepted, Steps: []work.Step{
+		{Count: tasks, Need: size.New(1000, 100, 0), Estimate: time.Second},
+	}})
+}
+
 // TestPartialReports draws from a seed how many ends a report lists, which orders are lost or late, and when planners end
 // their terms, die, are cut off from the store or stand still, or the store does not answer. No task may run again after a
 // successful end that its worker still has, and all jobs must succeed.
