planner: log runs that go without an end, and what a term takes over

"Run has gone without an end" names the run, and whether an earlier planner started it and whether it was being stopped. No decision changes.

--- a/internal/planner/load.go
+++ b/internal/planner/load.go
@@ -46,10 +46,11 @@
 		ld.applyBatch(now, item.Key, item.Revision, &bt)
 	}
 	if full && !ld.loaded {
-		ld.restore(now, old)
+		runs, stops := ld.restore(now, old)
 		ld.loaded, ld.inheritedWorkers = true, len(ld.unresolved)
 		close(ld.journalRead)
-		ld.log.Info("Journal has been read.", "batches", len(items), "writes", len(old), "after", now.String())
+		ld.log.Info("Journal has been read.", "batches", len(items), "writes", len(old), "after", now.String(),
+			"workers", ld.inheritedWorkers, "runs", runs, "stops", stops)
 	}
 	ld.checkRecovery(now)
 	ld.schedulePlan()
@@ -95,8 +96,9 @@
 	ld.batches.add(key, bt)
 }
 
-// restore applies the records of earlier planners.
-func (ld *leader) restore(now time.Duration, items []kv.Item) {
+// restore applies the records of earlier planners. It returns how many runs they name that workers may have, and how many of
+// these may be being stopped.
+func (ld *leader) restore(now time.Duration, items []kv.Item) (runCount, stopCount int) {
 	var all []cell.Record
 	workers := map[incarnation.ID]cell.Record{}
 	ofPrevious := map[incarnation.ID]bool{} // whether the previous planner wrote the worker's record
@@ -139,6 +141,7 @@
 		}
 		ld.cell.InheritRuns(now, id, rec.Held)
 		ld.cell.InheritStops(now, id, stops[id])
+		runCount, stopCount = runCount+len(ld.cell.HeldRuns(id)), stopCount+len(stops[id])
 		if rec.Departed {
 			ld.cell.InheritDeparted(now, id)
 		}
@@ -148,6 +151,7 @@
 		ld.unresolved[id] = !rec.Closed
 		ld.earlier[id.WorkerID()] = append(ld.earlier[id.WorkerID()], id)
 	}
+	return runCount, stopCount
 }
 
 // isRecordOf reports whether a key of records was written in a term.
@@ -195,9 +199,10 @@
 }
 
 func (ld *leader) expireOld(now time.Duration, id incarnation.ID) {
+	ld.log.Info("Lease of an earlier planner's worker has expired.", "worker", id, "after", now.String(), "bound", ld.inheritedLeaseEnd(id).String(),
+		"runs", len(ld.cell.HeldRuns(id)))
 	ld.resolveLost(id)
 	ld.cell.LeaseExpired(now, id)
-	ld.log.Info("Lease of an earlier planner's worker has expired.", "worker", id)
 }
 
 // resolveLost ends the wait for a worker of an earlier planner that was lost. The caller holds the lock.
--- a/internal/planner/planloop.go
+++ b/internal/planner/planloop.go
@@ -132,6 +132,10 @@
 				"crashes", crashes, "blamed", blamed)
 		}
 	}
+	for _, om := range out.Omitted {
+		ld.metrics.count("planner.runs_omitted")
+		ld.log.Info("Run has gone without an end.", "task", om.Task.String(), "run", om.Run, "worker", om.Worker, "adopted", om.Adopted, "stopping", om.Stopping)
+	}
 	for _, rs := range out.Restarts {
 		ld.metrics.observe("planner.long_running_restart", rs.After)
 		ld.log.Info("Long-running task runs again.", "task", rs.Task.String(), "worker", rs.Worker, "after", rs.After.String())
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -376,7 +376,8 @@
 		ld.cell.Deregister(se.incarnation) // its entry is of another incarnation
 	}
 	if !se.expired && ld.cell.MayHoldRuns(se.incarnation) {
-		ld.log.Info("Worker's lease has expired.", "worker", se.incarnation, "silent_for", (now - se.heard).String())
+		ld.log.Info("Worker's lease has expired.", "worker", se.incarnation, "silent_for", (now - se.heard).String(),
+			"after", now.String(), "bound", se.leaseEnd().String(), "answered", se.answered, "runs", len(ld.cell.HeldRuns(se.incarnation)))
 	}
 	ld.resolveLost(se.incarnation)
 	se.lose(func() { ld.cell.LeaseExpired(now, se.incarnation) })
--- a/policy/cell/messages.go
+++ b/policy/cell/messages.go
@@ -160,6 +160,15 @@
 	MayHaveCrashed bool `cbor:"17,keyasint,omitempty"`
 }
 
+// OmittedRun is a run that was released without an end, because its worker's report omits it.
+type OmittedRun struct {
+	Worker incarnation.ID
+	Task   work.Task
+	Run    int
+	// Adopted is set for a run that an earlier planner started, Stopping for one that was being stopped.
+	Adopted, Stopping bool
+}
+
 // Output holds the orders to workers, the requests and the records that a cell has produced.
 type Output struct {
 	Starts []Start
@@ -171,11 +180,12 @@
 	Records        []Record
 	// Restarts are not orders: they have happened.
 	Restarts []Restart
-	// SpeedChanges are not orders either.
+	// SpeedChanges are not orders either, nor are Omitted runs.
 	SpeedChanges []SpeedChange
+	Omitted      []OmittedRun
 }
 
 // Empty reports whether there is nothing to do.
 func (ou *Output) Empty() bool {
-	return len(ou.Starts)+len(ou.Stops)+len(ou.Paces)+len(ou.ReportRequests)+len(ou.AdviceRequests)+len(ou.Records)+len(ou.Restarts)+len(ou.SpeedChanges) == 0
+	return len(ou.Starts)+len(ou.Stops)+len(ou.Paces)+len(ou.ReportRequests)+len(ou.AdviceRequests)+len(ou.Records)+len(ou.Restarts)+len(ou.SpeedChanges)+len(ou.Omitted) == 0
 }
--- a/policy/cell/report.go
+++ b/policy/cell/report.go
@@ -145,6 +145,9 @@
 	default:
 		return
 	}
+	cl.out.Omitted = append(cl.out.Omitted, OmittedRun{
+		Worker: pl.worker.ID, Task: pl.task.name(), Run: pl.run, Adopted: pl.adopted || pl.inherited, Stopping: pl.state == stopping,
+	})
 	cl.release(pl)
 	cl.afterLoss(pl)
 }
