--- a/internal/planner/testbed_test.go
+++ b/internal/planner/testbed_test.go
@@ -68,6 +68,8 @@
 	// evacuationsPrefix is the prefix of the keys that name evacuated halls, evacuationTime the bound in the settings.
 	evacuationsPrefix string
 	evacuationTime    time.Duration
+	// stopTime is how long workers may take to stop a run by the settings.
+	stopTime time.Duration
 	// peerCommits makes planners send writes through another node if they get no answer.
 	peerCommits bool
 	// onStart, if not nil, is called with each start that a node sends.
@@ -210,6 +212,12 @@
 	return first, bd.addNode("n2")
 }
 
+// setStopTime makes workers take the time that the settings allow to stop a run.
+func (bd *testbed) setStopTime(stopTime time.Duration) {
+	bd.stopTime = stopTime
+	bd.fleet.SetStopTime(stopTime)
+}
+
 // clearFaults makes the workers carry out and answer all orders from now on.
 func (bd *testbed) clearFaults() {
 	bd.fleet.SetFault(func(string, string) memworkers.Fault { return memworkers.None })
@@ -262,7 +270,7 @@
 	clock := nd.newClock(bd)
 	nd.planner = planner.New(planner.Options{
 		Clock: clock, Log: bd.log(name), Store: st, Agents: agents, Metrics: nd.meters,
-		Site:          &site.Site{Bounds: site.Bounds{JobRetention: 2 * time.Minute, EvacuationTime: bd.evacuationTime}, Features: bd.features},
+		Site:          &site.Site{Bounds: site.Bounds{JobRetention: 2 * time.Minute, EvacuationTime: bd.evacuationTime, StopTimeout: bd.stopTime}, Features: bd.features},
 		WorkersPrefix: workersPrefix, EvacuationsPrefix: bd.evacuationsPrefix, MinInUse: bd.minInUse,
 		DecodeWorker: func(item kv.Item) (planner.WorkerEntry, error) {
 			id := strings.TrimPrefix(item.Key, workersPrefix)
--- a/internal/standin/memworkers/memworkers.go
+++ b/internal/standin/memworkers/memworkers.go
@@ -61,6 +61,8 @@
 	limit    Limit
 	// maxEnds is the maximum number of ends in a report.
 	maxEnds int
+	// stopTime is how long workers take to stop a run.
+	stopTime time.Duration
 }
 
 // defaultMaxEnds is the maximum number of ends in a report of a platform's worker.
@@ -99,6 +101,8 @@
 	takes     time.Duration
 	// delayed is set for a run that was started by such an order (see worker.delayed).
 	delayed bool
+	// stopping is set while the worker stops the run.
+	stopping bool
 }
 
 // New returns a fleet without workers. Each task runs for the given time.
@@ -117,6 +121,13 @@
 	fl.maxEnds = count
 }
 
+// SetStopTime sets how long workers take to stop a run. Their reports omit the run meanwhile, although it still runs.
+func (fl *Fleet) SetStopTime(stopTime time.Duration) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.stopTime = stopTime
+}
+
 // SetLog sets the logger of what the workers carry out. It is called before the first call to a worker.
 func (fl *Fleet) SetLog(log logr.Logger) { fl.log = log }
 
@@ -147,6 +158,18 @@
 	return false
 }
 
+// Stopping reports whether a worker is stopping a run of a task.
+func (fl *Fleet) Stopping(task work.Task) bool {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	for _, wk := range fl.workers {
+		if wk.runs[task].stopping {
+			return true
+		}
+	}
+	return false
+}
+
 // StartLog describes the executed starts of a job's tasks in order.
 func (fl *Fleet) StartLog(job string) []string {
 	fl.mu.Lock()
@@ -240,7 +263,7 @@
 	for name, rn := range wk.runs {
 		done := rn.startedAt.Add(rn.takes)
 		switch {
-		case !done.After(fl.clock.Now()) && !done.After(leaseEnd):
+		case !rn.stopping && !done.After(fl.clock.Now()) && !done.After(leaseEnd):
 			fl.end(wk, name, cell.ResultDone)
 		case fl.clock.Now().After(leaseEnd):
 			fl.end(wk, name, cell.ResultLeaseExpired)
@@ -344,6 +367,9 @@
 	report := agent.Report{Clock: fl.now(wk), StartedAt: wk.startedAt.UnixMilli(), Ends: slices.Clone(wk.ends[:min(len(wk.ends), fl.maxEnds)])}
 	report.MoreEnds = len(report.Ends) == fl.maxEnds
 	for name, rn := range wk.runs {
+		if rn.stopping {
+			continue
+		}
 		percent := int(fullPercent * fl.clock.Since(rn.startedAt) / rn.takes)
 		report.Runs = append(report.Runs, cell.Run{Task: name, Number: rn.number, Percent: percent})
 	}
@@ -361,7 +387,7 @@
 		answer.Clock = fl.now(wk)
 		rn, found := wk.runs[sr.Task]
 		switch {
-		case found && rn.number == sr.Run:
+		case found && rn.number == sr.Run && !rn.stopping:
 			return nil
 		case deadline <= fl.now(wk):
 			answer.Refusal = cell.RefusedLate
@@ -373,7 +399,7 @@
 		fl.checkDuplicate(wk, sr)
 		fl.checkCapacity(wk, sr)
 		wk.deadline = max(wk.deadline, deadline)
-		wk.runs[sr.Task] = run{sr.Run, fl.clock.Now(), fl.runTime(wk.id), wk.delayed}
+		wk.runs[sr.Task] = run{number: sr.Run, startedAt: fl.clock.Now(), takes: fl.runTime(wk.id), delayed: wk.delayed}
 		fl.log.Info("Run started.", "worker", wk.id, "born", wk.born(), "task", sr.Task.String(), "run", sr.Run, "for", sr.Worker, "token", token,
 			"delayed", wk.executingDelayed, "contacted", wk.contacted)
 		fl.checkLimit(sr)
@@ -427,13 +453,33 @@
 			return err
 		}
 		wk.fenced[sp.Task] = max(wk.fenced[sp.Task], sp.Run)
-		if rn, found := wk.runs[sp.Task]; found && rn.number <= sp.Run {
-			fl.end(wk, sp.Task, cell.ResultStopped)
+		if rn, found := wk.runs[sp.Task]; found && rn.number <= sp.Run && !rn.stopping {
+			fl.beginStop(wk, sp.Task)
 		}
 		return nil
 	})
 }
 
+// beginStop ends a run after the time that a stop takes.
+func (fl *Fleet) beginStop(wk *worker, name work.Task) {
+	if fl.stopTime == 0 {
+		fl.end(wk, name, cell.ResultStopped)
+		return
+	}
+	rn := wk.runs[name]
+	rn.stopping = true
+	wk.runs[name] = rn
+	fl.log.Info("Run is being stopped.", "worker", wk.id, "born", wk.born(), "task", name.String(), "run", rn.number)
+	fl.clock.AfterFunc(fl.stopTime, func() {
+		fl.mu.Lock()
+		defer fl.mu.Unlock()
+		fl.advance(wk) // the lease may have expired
+		if one, found := wk.runs[name]; found && one.number == rn.number {
+			fl.end(wk, name, cell.ResultStopped)
+		}
+	})
+}
+
 func (fl *Fleet) pace(ctx context.Context, to agent.Target, token uint64, _ cell.Pace) error {
 	return fl.deliver(ctx, to.Incarnation.WorkerID(), "pace", func(wk *worker) error { return wk.admit(token) })
 }
