planner: stops that are not over stay known to the next term

What callers saw: tasks that ran twice at the same time.

It looked for stops in the last 40 writes. That a stop is over by then was assumed, not ensured: a stop that gets no answer is sent again, for as long as the worker's lease lasts, and may arrive just before the term ends. The removal of old keys, every 10 s, kept no key for the stops in it, however recent. In both cases the next planner took the run for one of its predecessor that the worker no longer has, and started the task again while the worker still stopped the run.

Change: a planner records the stops that are not over again after its first write, after every tenth write, and before it removes old keys. So all of them are always among the last 40 writes.

--- a/internal/planner/gc.go
+++ b/internal/planner/gc.go
@@ -109,6 +109,10 @@
 			keys = append(keys, key)
 		}
 	}
+	if len(keys) > 0 {
+		ld.cell.RecordStops() // no key is kept for the stops in it
+		ld.schedulePlan()
+	}
 	const maxKeys = kv.MaxEntries - 1 // one entry is the condition
 	for len(keys) > 0 {
 		n := min(len(keys), maxKeys)
--- a/internal/planner/load.go
+++ b/internal/planner/load.go
@@ -159,9 +159,15 @@
 	return key >= joblog.RecordKey(token, 0) && key < joblog.RecordKey(token+1, 0)
 }
 
-// recentWrites is the number of last writes of the journal that may contain unfinished stops: writes are at least
-// commitDelay apart, and a stop takes up to 0.9 s.
-const recentWrites = 40
+// Workers omit a run that is being stopped from their reports, so a new planner needs the records of all stops that are not
+// over. Nothing in the journal says that a stop is over.
+const (
+	// recentWrites is the number of last writes of the journal in which a new planner looks for such stops.
+	recentWrites = 40
+	// stopWrites is the number of writes after which a planner records them again. It leaves room for terms that end before
+	// they have done so, and for records that do not fit into one write.
+	stopWrites = recentWrites / 4
+)
 
 // checkRecovery expires the leases of workers of earlier planners that have no session. It completes the
 // recovery, and so releases the tasks of earlier planners once no worker can run any of them without the planner
--- a/policy/cell/placement.go
+++ b/policy/cell/placement.go
@@ -141,6 +141,21 @@
 	})
 }
 
+// RecordStops records the stops again that are not over. Another planner looks for them in the latest records only.
+func (cl *Cell) RecordStops() {
+	for id, wk := range cl.workers {
+		var runs []Run
+		for ky, pl := range wk.placements {
+			if pl.state == stopping {
+				runs = append(runs, Run{Task: ky.task, Number: ky.run})
+			}
+		}
+		if len(runs) > 0 {
+			cl.record(Record{Worker: id, Stop: true, Held: runs})
+		}
+	}
+}
+
 // stopGang stops all members, so that the gang can restart.
 func (cl *Cell) stopGang(st *step, reason string) {
 	for _, tk := range st.tasks {
