cell: wait for the listed end of a run whose stop is late

Suspected, not seen: a worker process on a busy host takes longer for a stop than the 0.9 s that the platform allows. Reports that are 0.1 s later than that were taken to show that the run is gone, and its task was started again.

The time is needed for runs that may never have begun: their worker has no end to list. The end of a run that is known to have begun is listed, so the planner waits for it now, for a second more. A worker that keeps the bound lists the end before, so that nothing changes.

TestLateStopIsNoEnd fails before ("1 != 0" starts).

--- a/policy/cell/report.go
+++ b/policy/cell/report.go
@@ -127,8 +127,13 @@
 	}
 }
 
-// stopMargin is added to the time that a worker may take to stop a run.
-const stopMargin = 100 * time.Millisecond
+const (
+	// stopMargin is added to the time that a worker may take to stop a run.
+	stopMargin = 100 * time.Millisecond
+	// lateStopMargin is added as well if the run is known to have begun. Its worker lists the end, so that only a worker
+	// that is late with the stop is waited for.
+	lateStopMargin = time.Second
+)
 
 // runMissing handles a run that a complete report omits. A run that was there is gone. A run that is being stopped is
 // gone once the time for the stop is over.
@@ -140,7 +145,7 @@
 		cl.afterLoss(pl)
 		return
 	case pl.state == running && pl.runningSince <= sent:
-	case pl.stoppedAt > 0 && pl.stoppedAt+stopTime <= sent:
+	case pl.stoppedAt > 0 && pl.stoppedAt+stopTime <= sent && (!pl.begun() || pl.stoppedAt+stopTime+lateStopMargin <= sent):
 	case pl.inherited && pl.worker.firstReport+stopTime <= sent:
 	default:
 		return
@@ -152,6 +157,9 @@
 	cl.afterLoss(pl)
 }
 
+// begun reports whether the worker is known to have begun the run.
+func (pl *placement) begun() bool { return pl.reported || pl.runningSince > 0 }
+
 // runEnded applies the end of a run.
 func (cl *Cell) runEnded(now time.Duration, wk *worker, en End) {
 	pl := wk.placements[placementKey{en.Task, en.Number}]
