cell: skip run numbers that an earlier planner has used

What callers see: a long-running task whose runs end often is away for longer after a change of planner, and its next start is refused as old up to 200 times a second.

Cause: a term numbers runs from 64 above the first number of the term before, and most starts are not journaled. A task that ends at once is started every 2 s, so that it has more than 64 runs after two minutes. A worker rejects a run that is not above one that has ended there, the cell raised the number by one, and the next plan sent the next start. This is how the only attempt of a start can be refused as old although nobody stops the run. Such a refusal remains final: the run never began.

Change: after such a refusal the cell skips run numbers, twice as many each time, 64 at least and 4,096 at most. If the run is being stopped, that explains the refusal, and nothing is skipped.

--- a/internal/planner/leader.go
+++ b/internal/planner/leader.go
@@ -133,8 +133,8 @@
 }
 
 func newLeader(opts Options, log logr.Logger, tm term.Term) *leader {
-	// runsPerTerm is more than the number of starts of one task in one term, so that run numbers increase across terms
-	// although most starts are not journaled.
+	// runsPerTerm is more than the number of starts of most tasks in one term, so that their run numbers increase across
+	// terms although most starts are not journaled. Workers refuse lower numbers than they have had, see cell.Cell.Refused.
 	const runsPerTerm = 64
 	ld := &leader{
 		opts: opts, clock: opts.Clock, log: log, term: tm, began: opts.Clock.Now(),
--- a/policy/cell/placement.go
+++ b/policy/cell/placement.go
@@ -232,12 +232,30 @@
 		if pl.task.startFailed(now); !pl.task.startFailures.taskAtFault() {
 			pl.worker.quarantineUntil = now + quarantineFailures
 		}
-	case RefusedStale, RefusedLate:
+	case RefusedStale:
+		cl.skipRuns(pl)
+	case RefusedLate:
 	}
 	cl.release(pl)
 	cl.afterLoss(pl)
 }
 
+// Limits of how many run numbers are skipped after one refusal. Terms of minutes need minSkip. maxSkip keeps the numbers in 32
+// bits for hours even if a worker refuses all runs.
+const (
+	minSkip = 64
+	maxSkip = 1 << 12
+)
+
+// skipRuns raises the number of a task's next run after a worker has refused one as stale. Unless the run is being stopped, an
+// earlier planner has started the task more often than the first number of this one allows for. How many numbers are
+// skipped doubles each time, since a start for each of them would take seconds.
+func (cl *Cell) skipRuns(pl *placement) {
+	if pl.state == ordered {
+		pl.task.run += min(max(pl.run-cl.opts.FirstRun, minSkip), maxSkip)
+	}
+}
+
 // StartValid reports whether a start may still be sent or repeated: since it was decided, its worker may have
 // begun to drain, shrunk, or reported the run, or its hall was evacuated. Sent after the run has ended, a start has no effect in the same
 // incarnation of the worker, but would run the task again in the next.
