cell: the tests' unanswered orders are carried out seconds later

Cause: the testbed carried out a start without an answer in the next step at the latest, before the next report, and a stop without an answer never. So no report omitted a run that began afterwards, and no stop was repeated that had been carried out. A cell that releases an unconfirmed run as soon as a report omits it, without a stop, passed all of TestInvariants and the tests of limits, crashes and evacuations.

Change: such orders are carried out at once, up to 4 s late, or never. Checks are as before.

Result: go test ./policy/... passes, so the cell has no fault here: a run without an answer is stopped before it counts as gone, and later attempts are refused then. On a scratch copy without that stop, 58 cases of TestInvariants fail, as with "start of c20.0.0.1 run 1 on w00 while run 2 is on w00".

--- a/policy/cell/testbed_test.go
+++ b/policy/cell/testbed_test.go
@@ -364,10 +364,8 @@
 		bd.t.Fatalf("start of %s on %s is ordered although its hall %s is evacuated", sr.Task, sr.Worker, hall)
 	}
 	if bd.rng.Float64() < bd.unansweredRate {
+		bd.executeUnanswered(func() { bd.executeStart(sr, term) })
 		bd.cell.StartUnconfirmed(bd.now, sr)
-		if bd.rng.IntN(2) == 0 {
-			bd.delayed = append(bd.delayed, func() { bd.executeStart(sr, term) })
-		}
 		return
 	}
 	wk := bd.workers[sr.Worker]
@@ -393,6 +391,20 @@
 	bd.cell.Started(bd.now, sr)
 }
 
+// maxLateness is the longest time after which an order without an answer is carried out.
+const maxLateness = 4 * time.Second
+
+// executeUnanswered carries out an order that gets no answer at once, late or never.
+func (bd *testbed) executeUnanswered(execute func()) {
+	switch bd.rng.IntN(4) {
+	case 0:
+		execute()
+	case 1, 2:
+		at := bd.now + time.Duration(bd.rng.Int64N(int64(maxLateness)))
+		bd.scheduled = append(bd.scheduled, scheduledCall{at, execute})
+	}
+}
+
 // executeStart carries out a start as the worker does, including its refusals, and checks the invariants.
 func (bd *testbed) executeStart(sr cell.Start, term int) cell.Refusal {
 	wk := bd.workers[sr.Worker]
@@ -462,9 +474,9 @@
 }
 
 func (bd *testbed) stop(sp cell.Stop) {
-	wk := bd.workers[sp.Worker]
+	wk, term := bd.workers[sp.Worker], bd.term
 	if bd.isDown(wk) || bd.rng.Float64() < bd.unansweredRate {
-		term := bd.term
+		bd.executeUnanswered(func() { bd.executeStop(sp, term) })
 		bd.delayed = append(bd.delayed, func() {
 			if term == bd.term {
 				bd.cell.StopUnconfirmed(sp)
@@ -472,13 +484,22 @@
 		})
 		return
 	}
+	bd.executeStop(sp, term)
+	bd.cell.Stopped(bd.now, sp)
+}
+
+// executeStop carries out a stop as the worker does.
+func (bd *testbed) executeStop(sp cell.Stop, term int) {
+	wk := bd.workers[sp.Worker]
+	if bd.isDown(wk) || term < wk.token {
+		return
+	}
 	wk.fenced[sp.Task] = max(wk.fenced[sp.Task], sp.Run)
 	if rn := wk.runs[sp.Task]; rn != nil && rn.number <= sp.Run {
 		delete(wk.runs, sp.Task)
 		rn.endsAt = bd.now + stopTime
 		wk.stopping[sp.Task] = rn
 	}
-	bd.cell.Stopped(bd.now, sp)
 }
 
 func (wk *fakeWorker) end(name work.Task, result cell.Result) {
@@ -551,7 +572,7 @@
 	}
 }
 
-// maxOrderDelay is the longest time an order is in flight: delayed orders are executed in the next step.
+// maxOrderDelay is how long after a change of a capacity or a limit orders may still use the earlier one.
 const maxOrderDelay = 50 * time.Millisecond
 
 // fullQuarters is a worker's full capacity in quarters, the unit of resize.
