httpcall, peerlink: tests of slow and unresponsive paths run in virtual time

TestStreamed and TestUnresponsiveConnections failed beside heavy load. They measured wall time, in which a busy host also delays the path, the server and the test itself: the 2 s of the stand-in's bandwidth became 2.45 s, and a second attempt, due after 300 ms, came after the 0.5 s that a request has. The margins for that, 300 and 150 ms, hid limits that are too long.

Both now run in a bubble of testing/synctest, where time passes only while nothing can run. The path is the same proxy, with the same bandwidth, chunks and blackholes, between listeners in memory (netpath.NewInMemory), since goroutines that wait for TCP stop the clock of a bubble. Caller.WithDial is the seam. Cases, faults and limits are unchanged. The margins are gone: what is left is 40 ms for the header and the chunk in transit on the slow link, and none for second attempts. TestStreamedIsNotOverdue, which stays on TCP, gets a deadline that passes while its response arrives, so that extending the deadline of a TCP connection stays covered.

The other tests of the two files still measure wall time.

--- a/internal/httpcall/host.go
+++ b/internal/httpcall/host.go
@@ -19,7 +19,9 @@
 	maxConns int
 	limit    *connlimit.Limit
 	noWait   bool
-	mu       sync.Mutex
+	// open is the dial function of the caller.
+	open func(address string, timeout time.Duration) (net.Conn, error)
+	mu   sync.Mutex
 	// overdueCalls is the number of calls that are overdue and not yet ended.
 	overdueCalls int
 	// suspectBefore is when the latest overdue call was sent. Connections that have not answered since then may be
@@ -55,7 +57,7 @@
 	} else if err := ho.limit.Acquire(timeout); err != nil {
 		return nil, err
 	}
-	conn, err := dial(address, max(timeout-time.Since(startedAt), minDialTimeout))
+	conn, err := ho.open(address, max(timeout-time.Since(startedAt), minDialTimeout))
 	if err != nil {
 		ho.limit.Release()
 		return nil, err
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -97,6 +98,8 @@
 	limit    *connlimit.Limit
 	// noWait is set if connections are opened without waiting, even above the limit.
 	noWait bool
+	// dial opens a connection: over TCP unless WithDial was called.
+	dial func(address string, timeout time.Duration) (net.Conn, error)
 	// readBuffer and writeBuffer are the sizes of the buffers of a connection in bytes, 0 for the default of 4 KiB.
 	readBuffer, writeBuffer int
 	mu                      sync.Mutex
@@ -105,7 +108,14 @@
 
 // New returns a caller with at most maxConns connections to one address.
 func New(maxConns int) *Caller {
-	return &Caller{maxConns: maxConns, hosts: map[string]*host{}}
+	return &Caller{maxConns: maxConns, dial: dial, hosts: map[string]*host{}}
+}
+
+// WithDial makes the caller open connections with dial instead of over TCP. It must be called before the first call, and
+// returns the caller.
+func (cl *Caller) WithDial(dial func(address string, timeout time.Duration) (net.Conn, error)) *Caller {
+	cl.dial = dial
+	return cl
 }
 
 // WithLimit makes the caller's connections subject to limit: at the limit, idle connections are closed and new ones
@@ -144,7 +154,7 @@
 	defer cl.mu.Unlock()
 	ho, ok := cl.hosts[address]
 	if !ok {
-		ho = &host{maxConns: cl.maxConns, limit: cl.limit, noWait: cl.noWait}
+		ho = &host{maxConns: cl.maxConns, limit: cl.limit, noWait: cl.noWait, open: cl.dial}
 		ho.pool = &fasthttp.HostClient{
 			Addr: address, MaxConns: cl.maxConns, MaxIdleConnDuration: idleTimeout, DialTimeout: ho.dial,
 			NoDefaultUserAgentHeader: true, MaxConnWaitTimeout: dialTimeout,
--- a/internal/httpcall/streamed_test.go
+++ b/internal/httpcall/streamed_test.go
@@ -4,11 +4,14 @@
 	"context"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttputil"
 
 	"tackbeam.example/tackbeam/internal/httpcall"
 	"tackbeam.example/tackbeam/internal/standin/netpath"
@@ -21,16 +24,14 @@
 	// firstByte is the deadline for a streamed response to begin, stall the longest pause within it.
 	firstByte = 500 * time.Millisecond
 	stall     = time.Second
+	// inTransit is more than slowLink takes for the header of a response and one chunk of the path.
+	inTransit = 40 * time.Millisecond
 )
 
-// newSlowRemote starts a server that sends a large response over a slow link, and delays the response to "/held".
-func newSlowRemote(t *testing.T) *remote {
-	t.Helper()
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	server := &fasthttp.Server{Handler: func(rc *fasthttp.RequestCtx) {
+// newSlowServer returns a server that sends a large response, and delays the response to "/held". Dates in headers would
+// need a goroutine that outlives a bubble of testing/synctest.
+func newSlowServer() *fasthttp.Server {
+	return &fasthttp.Server{Logger: httpcall.LibraryLogger(logr.Discard()), NoDefaultDate: true, Handler: func(rc *fasthttp.RequestCtx) {
 		switch string(rc.Path()) {
 		case "/held":
 			time.Sleep(time.Second)
@@ -44,6 +45,16 @@
 		}
 		rc.SetBody(make([]byte, large))
 	}}
+}
+
+// newSlowRemote starts a server behind a slow link.
+func newSlowRemote(t *testing.T) *remote {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := newSlowServer()
 	go func() { _ = server.Serve(ln) }() // returns when the listener is closed
 	path, err := netpath.New(ln.Addr().String())
 	if err != nil {
@@ -57,8 +68,25 @@
 	return &remote{t: t, path: path, calls: httpcall.New(2), server: server}
 }
 
+// newSlowRemoteInMemory starts the same in a bubble of testing/synctest.
+func newSlowRemoteInMemory(t *testing.T) *remote {
+	near, ln := fasthttputil.NewInmemoryListener(), fasthttputil.NewInmemoryListener()
+	server := newSlowServer()
+	go func() { _ = server.Serve(ln) }() // returns when the listener is closed
+	path := netpath.NewInMemory(near, ln)
+	path.SetBandwidth(slowLink)
+	t.Cleanup(func() {
+		_ = path.Close()
+		_ = ln.Close()
+		time.Sleep(httpcall.ServerIdleTimeout) // fasthttp's goroutines for idle connections end, as the bubble requires
+	})
+	calls := httpcall.New(2).WithDial(func(string, time.Duration) (net.Conn, error) { return near.Dial() })
+	return &remote{t: t, path: path, calls: calls, server: server}
+}
+
 // TestStreamed checks that a streamed response may take any time while data arrives, and that the call fails if it
-// stalls or does not begin in time.
+// stalls or does not begin in time. It runs in virtual time: in wall time, a busy host delays the path as well, and a
+// margin for that hides limits of the call that are too long.
 func TestStreamed(t *testing.T) {
 	cases := map[string]struct {
 		path       string
@@ -76,20 +104,21 @@
 	for name, tc := range cases {
 		for _, longPoll := range []bool{false, true} {
 			t.Run(name, func(t *testing.T) {
-				t.Parallel()
-				is := is.New(t)
-				fr := newSlowRemote(t)
-				if tc.stallAfter > 0 {
-					time.AfterFunc(tc.stallAfter, fr.path.Blackhole)
-				}
-				rq := tc.rq
-				rq.LongPoll = longPoll
-				startedAt := time.Now()
-				err := fr.call(tc.path, rq, rq.ServerWait+firstByte)
-				took := time.Since(startedAt)
-				t.Logf("%v after %v", err, took)
-				is.Equal(err == nil, tc.ok)
-				is.True(took <= tc.within+2*margin)
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					fr := newSlowRemoteInMemory(t)
+					if tc.stallAfter > 0 {
+						time.AfterFunc(tc.stallAfter, fr.path.Blackhole)
+					}
+					rq := tc.rq
+					rq.LongPoll = longPoll
+					startedAt := time.Now()
+					err := fr.call(tc.path, rq, rq.ServerWait+firstByte)
+					took := time.Since(startedAt)
+					t.Logf("%v after %v", err, took)
+					is.Equal(err == nil, tc.ok)
+					is.True(took <= tc.within+inTransit)
+				})
 			})
 		}
 	}
@@ -131,8 +160,9 @@
 	fr := newSlowRemote(t)
 	fr.openConns(2)
 	opened := fr.path.Opened()
+	const deadline = 1500 * time.Millisecond // passes while the response arrives
 	done := make(chan error, 1)
-	go func() { done <- fr.call("/", httpcall.Request{Streamed: true}, 10*time.Second) }()
+	go func() { done <- fr.call("/", httpcall.Request{Streamed: true}, deadline) }()
 	time.Sleep(time.Second) // longer than a response may take to begin
 	is.NoErr(fr.call("/short", httpcall.Request{}, time.Second))
 	is.Equal(fr.path.Opened(), opened)
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -154,14 +155,17 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for other nodes")
 	}
-	go func() {
-		if err := li.server.Serve(ln.CountAgainst(li.limit)); err != nil {
-			li.log.Error(err, "Server for other nodes has stopped.")
-		}
-	}()
+	go li.serveOn(ln.CountAgainst(li.limit))
 	return nil
 }
 
+// serveOn serves requests of other nodes on a listener until it is closed.
+func (li *Link) serveOn(ln net.Listener) {
+	if err := li.server.Serve(ln); err != nil {
+		li.log.Error(err, "Server for other nodes has stopped.")
+	}
+}
+
 func (li *Link) Close() error { return errors.Wrap(li.server.Shutdown(), "close link") }
 
 func (li *Link) serve(rc *fasthttp.RequestCtx) {
--- a/internal/peerlink/unresponsive_test.go
+++ b/internal/peerlink/unresponsive_test.go
@@ -2,19 +2,23 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
+	"github.com/valyala/fasthttp/fasthttputil"
 
 	"tackbeam.example/policy/cell"
 	"tackbeam.example/policy/work"
 
 	"tackbeam.example/tackbeam/internal/advisor"
 	"tackbeam.example/tackbeam/internal/fault"
+	"tackbeam.example/tackbeam/internal/httpcall"
 	"tackbeam.example/tackbeam/internal/joblog"
 	"tackbeam.example/tackbeam/internal/peerlink"
 	"tackbeam.example/tackbeam/internal/planner"
@@ -65,9 +69,28 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = pr.path.Close() })
-	pr.near = peerlink.New(logr.Discard(), func(context.Context, peerlink.Request) (peerlink.Reply, error) {
+	pr.near = newNear()
+	return pr
+}
+
+// newNear returns the link of a node that is not called.
+func newNear() *peerlink.Link {
+	return peerlink.New(logr.Discard(), func(context.Context, peerlink.Request) (peerlink.Reply, error) {
 		return peerlink.Reply{}, nil
 	})
+}
+
+// newPairInMemory returns a pair whose connections are in memory, for a bubble of testing/synctest.
+func newPairInMemory(t *testing.T) *pair {
+	near, ln := fasthttputil.NewInmemoryListener(), fasthttputil.NewInmemoryListener()
+	pr := &pair{t: t, path: netpath.NewInMemory(near, ln)}
+	go peerlink.New(logr.Discard(), pr.handle).ServeOn(ln)
+	t.Cleanup(func() {
+		_ = pr.path.Close()
+		_ = ln.Close()
+		time.Sleep(httpcall.ServerIdleTimeout) // fasthttp's goroutines for idle connections end, as the bubble requires
+	})
+	pr.near = newNear().WithDial(func(string, time.Duration) (net.Conn, error) { return near.Dial() })
 	return pr
 }
 
@@ -108,6 +131,9 @@
 //
 // A request must be answered within its timeout of 0.5 s, a relayed write within 1 s. Both are sent again on a new
 // connection when they are overdue: after 300 ms, or 550 ms if they include a write to the store.
+//
+// The test runs in virtual time: in wall time, a busy host delays the second attempt beyond the timeout, and a margin for
+// that hides a second attempt that is sent too late.
 func TestUnresponsiveConnections(t *testing.T) {
 	cases := map[string]struct {
 		within time.Duration
@@ -123,22 +149,25 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			is := is.New(t)
-			pr := newPair(t)
-			pr.openConns(idle)
-			pr.path.Blackhole()
-			for range 3 {
-				startedAt := time.Now()
-				ctx, cancel := context.WithTimeout(t.Context(), tc.within)
-				reply, err := pr.near.Call(ctx, pr.path.Address(), tc.rq)
-				cancel()
-				took := time.Since(startedAt)
-				t.Logf("answered after %v", took)
-				is.NoErr(err)
-				is.Equal(reply.Pending, 7)
-				is.True(took <= tc.bound+margin)
-			}
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				pr := newPairInMemory(t)
+				pr.openConns(idle)
+				is.Equal(pr.path.Opened(), idle)
+				pr.path.Blackhole()
+				for range 3 {
+					time.Sleep(time.Millisecond) // a connection that answers at the very time of a call is not suspect
+					startedAt := time.Now()
+					ctx, cancel := context.WithTimeout(t.Context(), tc.within)
+					reply, err := pr.near.Call(ctx, pr.path.Address(), tc.rq)
+					cancel()
+					took := time.Since(startedAt)
+					t.Logf("answered after %v", took)
+					is.NoErr(err)
+					is.Equal(reply.Pending, 7)
+					is.True(took <= tc.bound)
+				}
+			})
 		})
 	}
 }
--- a/internal/standin/netpath/netpath.go
+++ b/internal/standin/netpath/netpath.go
@@ -1,5 +1,5 @@
-// Package netpath implements a TCP proxy that simulates a network path. Its connections may share a limited bandwidth,
-// be closed, or be blackholed: all traffic is dropped without a reset, while new connections work.
+// Package netpath implements a proxy that simulates a network path. Its connections may share a limited bandwidth, be
+// closed, or be blackholed: all traffic is dropped without a reset, while new connections work.
 package netpath
 
 import (
@@ -9,12 +9,14 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp/fasthttputil"
 )
 
-// Path is a TCP proxy to one address.
+// Path is a proxy to one address.
 type Path struct {
 	listener net.Listener
-	target   string
+	// dialTarget opens a connection to the target.
+	dialTarget func() (net.Conn, error)
 
 	mu          sync.Mutex
 	connections []*connection
@@ -32,17 +34,25 @@
 	ends       [2]net.Conn
 }
 
-// New starts a proxy to the target on a free port of the loopback interface.
+// New starts a TCP proxy to the target on a free port of the loopback interface.
 func New(target string) (*Path, error) {
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	pt := &Path{listener: ln, target: target}
+	pt := &Path{listener: ln, dialTarget: func() (net.Conn, error) { return net.Dial("tcp4", target) }}
 	go pt.accept()
 	return pt, nil
 }
 
+// NewInMemory starts a proxy between listeners in memory. In a bubble of testing/synctest, its connections take only the
+// time that their bandwidth requires: unlike those of TCP, they let the bubble's clock advance while they are read.
+func NewInMemory(near, target *fasthttputil.InmemoryListener) *Path {
+	pt := &Path{listener: near, dialTarget: target.Dial}
+	go pt.accept()
+	return pt
+}
+
 // Address returns the listen address.
 func (pt *Path) Address() string { return pt.listener.Addr().String() }
 
@@ -104,7 +114,7 @@
 		if err != nil {
 			return // the listener is closed
 		}
-		far, err := net.Dial("tcp4", pt.target)
+		far, err := pt.dialTarget()
 		if err != nil {
 			_ = near.Close() // as the target itself refuses the connection
 			continue
