intake: refuse jobs that the planner cannot decode

A job's ID comes from the request's path and may be any bytes. The planner skips a batch that it cannot decode, so one such job made the accepted jobs of all callers in its batch disappear: they were answered with 410.

An ID that is not valid UTF-8 gets 400 at once, on every method. All other IDs are accepted as before. Encode decodes what it has encoded and returns an error if that fails, and the intake checks each job and cancellation before it joins a batch, so that only its own caller gets the error.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -104,13 +104,23 @@
 	}
 }
 
-// Submit accepts a job. It returns nil once the journal has it, an error of kind Unavailable if the job will
-// surely not run, and one of kind Timeout if that is unknown.
+// Submit accepts a job. It returns nil once the journal has it, an error of kind BadRequest if the journal cannot hold
+// it, one of kind Unavailable if the job will surely not run, and one of kind Timeout if that is unknown.
 func (in *Intake) Submit(ctx context.Context, jb *work.Job) error {
+	if err := checkEncoding(jb); err != nil {
+		return fault.New(fault.BadRequest, "job %q cannot be stored: %v; not run", jb.ID, err)
+	}
 	const overhead = 200 // bytes of a job in addition to its spec
 	return in.write(ctx, len(jb.Spec)+overhead*(1+len(jb.Steps)), func(bt *batch) { bt.Jobs = append(bt.Jobs, *jb) })
 }
 
+// checkEncoding returns an error if a value cannot be a part of a batch. It is checked by itself because a batch that
+// cannot be encoded is refused with the jobs of all its callers.
+func checkEncoding[T any](value T) error {
+	_, err := joblog.Encode(value)
+	return err
+}
+
 // unavailable returns the error for a batch that was not sent because the store is unavailable.
 func unavailable() error {
 	return fault.New(fault.Unavailable, "the store is unavailable; not run").WithRetryAfter(retryAfter)
@@ -119,6 +129,9 @@
 // Cancel accepts a cancellation by a caller of the given workspace, or by any caller if that is empty. It returns
 // the same errors as Submit.
 func (in *Intake) Cancel(ctx context.Context, id, workspace string) error {
+	if err := checkEncoding([]string{id, workspace}); err != nil {
+		return fault.New(fault.BadRequest, "cancellation of job %q cannot be stored: %v", id, err)
+	}
 	return in.write(ctx, len(id)+len(workspace), func(bt *batch) {
 		bt.Cancels = append(bt.Cancels, id)
 		if workspace == "" {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -15,6 +15,7 @@
 
 	"tackbeam.example/tackbeam/internal/fault"
 	"tackbeam.example/tackbeam/internal/intake"
+	"tackbeam.example/tackbeam/internal/joblog"
 	"tackbeam.example/tackbeam/internal/standin/memkv"
 )
 
@@ -51,3 +52,50 @@
 		is.True(time.Since(began) <= 200*time.Millisecond)
 	})
 }
+
+// TestUnreadableJob guards against a job or a cancellation that makes its batch unreadable: the planner skips such a
+// batch, and the other jobs in it, which were accepted, are never run.
+func TestUnreadableJob(t *testing.T) {
+	tests := map[string]func(ctx context.Context, in *intake.Intake) error{
+		"id of a job": func(ctx context.Context, in *intake.Intake) error {
+			return in.Submit(ctx, &work.Job{ID: "\xff\xfe"})
+		},
+		"list of steps that is too long": func(ctx context.Context, in *intake.Intake) error {
+			return in.Submit(ctx, &work.Job{ID: "bad", Steps: []work.Step{{After: make([]int, 200_000)}}})
+		},
+		"id of a cancelled job": func(ctx context.Context, in *intake.Intake) error { return in.Cancel(ctx, "\xff\xfe", "") },
+	}
+	for name, send := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				clock := clockwork.NewRealClock() // the clock of the synctest bubble
+				store := memkv.New(clock)
+				client := store.Client("n1")
+				in := intake.New(clock, logr.Discard(), client, intake.Options{
+					Node: "n1", WriteRate: 10, NodeCount: func() int { return 1 }, StoreDown: func() bool { return false },
+				})
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go in.Run(ctx)
+				is.NoErr(in.Submit(ctx, &work.Job{ID: "first"})) // the next batch is collected for 0.2 s
+				good := make(chan error)
+				go func() { good <- in.Submit(ctx, &work.Job{ID: "good"}) }()
+				began := time.Now()
+				refused := send(ctx, in)
+				took := time.Since(began)
+				is.NoErr(<-good)
+				is.True(fault.Is(refused, fault.BadRequest))
+				is.Equal(took, time.Duration(0))
+				scanner := client.Scan(clock, joblog.Batches)
+				is.NoErr(scanner.Continue(ctx))
+				items := scanner.Items()
+				is.Equal(len(items), 2)
+				bt, err := joblog.Decode[joblog.Batch](items[1].Value)
+				is.NoErr(err) // the planner can read the batch
+				is.Equal(len(bt.Jobs), 1)
+				is.Equal(bt.Jobs[0].ID, "good")
+			})
+		})
+	}
+}
--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -134,10 +134,18 @@
 	Link float64 `cbor:"5,keyasint,omitempty"`
 }
 
-// Encode encodes a value of the store: a batch, records, a member, an election or a backlog.
-func Encode(value any) ([]byte, error) {
+// Encode encodes a value of the store: a batch, records, a member, an election or a backlog. It returns an error if Decode
+// cannot read the result, for example because of text that is not valid UTF-8 or of a list that is too long: readers
+// skip a value that they cannot decode, and with it everything else in it.
+func Encode[T any](value T) ([]byte, error) {
 	raw, err := cbor.Marshal(value)
-	return raw, errors.Wrapf(err, "encode %T", value)
+	if err != nil {
+		return nil, errors.Wrapf(err, "encode %T", value)
+	}
+	if _, err := Decode[T](raw); err != nil {
+		return nil, errors.Wrap(err, "verify an encoded value")
+	}
+	return raw, nil
 }
 
 // Decode decodes a value that Encode returned.
--- a/internal/joblog/joblog_test.go
+++ b/internal/joblog/joblog_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/matryer/is"
 
+	"tackbeam.example/policy/work"
+
 	"tackbeam.example/tackbeam/internal/joblog"
 )
 
@@ -48,3 +50,26 @@
 	is.NoErr(err)
 	is.Equal(size, joblog.BacklogSize{Urgent: time.Minute})
 }
+
+// TestUnreadableValues guards against values that are written but cannot be read: a planner skips a batch that it cannot
+// decode, and with it the accepted jobs of all callers in it.
+func TestUnreadableValues(t *testing.T) {
+	const tooMany = 200_000 // more items than the decoder accepts in a list
+	tests := map[string]joblog.Batch{
+		"id of a job":            {Jobs: []work.Job{{ID: "good"}, {ID: "\xff\xfe"}}},
+		"spec of a job":          {Jobs: []work.Job{{ID: "good"}, {ID: "bad", Spec: "\xff"}}},
+		"id of a cancelled job":  {Jobs: []work.Job{{ID: "good"}}, Cancels: []string{"\xff"}},
+		"list that is too long":  {Jobs: []work.Job{{ID: "good"}, {ID: "bad", Steps: []work.Step{{After: make([]int, tooMany)}}}}},
+		"workspace of a request": {Cancels: []string{"a"}, Cancellers: map[string]string{"a": "\xff"}},
+	}
+	for name, bt := range tests {
+		t.Run(name, func(t *testing.T) {
+			raw, err := joblog.Encode(&bt)
+			if err != nil {
+				return
+			}
+			_, err = joblog.Decode[joblog.Batch](raw)
+			t.Errorf("encoded without an error, but Decode returns: %v", err)
+		})
+	}
+}
--- a/policy/work/work.go
+++ b/policy/work/work.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"tackbeam.example/policy/size"
 )
@@ -112,6 +113,9 @@
 	if jb.ID == "" || strings.Contains(jb.ID, ".") {
 		return fmt.Errorf("job id %q is empty or contains a dot", jb.ID)
 	}
+	if !utf8.ValidString(jb.ID) {
+		return fmt.Errorf("job id %q is not valid UTF-8", jb.ID)
+	}
 	if len(jb.Steps) == 0 {
 		return fmt.Errorf("job %s has no steps; give at least one", jb.ID)
 	}
