--- a/policy/cell/cell_test.go
+++ b/policy/cell/cell_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -228,6 +229,38 @@
 	}
 }
 
+// TestRoundsInTheFarFuture guards against rounds that begin at once because their times are too large for a Duration.
+func TestRoundsInTheFarFuture(t *testing.T) {
+	const last = time.Duration(math.MaxInt64)
+	tests := map[string]work.Repeat{
+		"first round":  {Count: 1, Start: last},
+		"second round": {Count: 2, Start: time.Hour, Every: last},
+		"third round":  {Count: 3, Start: time.Hour, Every: last / 2},
+	}
+	for name, rep := range tests {
+		t.Run(name, func(t *testing.T) {
+			bd := newTestbed(t, 1, 2)
+			jb := batchJob("a", 1)
+			jb.Repeat = &rep
+			bd.submit(jb)
+			for range 20 {
+				bd.advance(100 * time.Millisecond)
+			}
+			if phase, _ := bd.cell.Phase("a", ""); phase != cell.Queued {
+				t.Errorf("phase is %s before the first round is due", phase)
+			}
+			bd.cell.Tick(bd.now, 2*time.Hour) // the wall clock
+			want := 0
+			if rep.Start <= 2*time.Hour {
+				want = 1
+			}
+			if _, waiting, _ := bd.cell.Counts(); waiting != want {
+				t.Errorf("%d steps are open after two hours, want %d", waiting, want)
+			}
+		})
+	}
+}
+
 // TestPending checks the count of jobs that have not begun.
 func TestPending(t *testing.T) {
 	bd := newTestbed(t, 1, 1)
--- a/policy/cell/round.go
+++ b/policy/cell/round.go
@@ -176,9 +176,11 @@
 // openDue opens the rounds that are due by the wall clock.
 func (cl *Cell) openDue(now, wall time.Duration) {
 	for jb := range cl.recurring {
-		rep := jb.spec.Repeat
-		for jb.openedRounds < rep.Count && rep.Start+time.Duration(jb.openedRounds)*rep.Every <= wall {
-			due := rep.Start + time.Duration(jb.openedRounds)*rep.Every
+		for jb.openedRounds < jb.spec.Rounds() {
+			due := jb.spec.Repeat.Due(jb.openedRounds)
+			if due > wall {
+				break
+			}
 			cl.openRound(now-(wall-due), jb)
 		}
 	}
--- a/policy/work/work.go
+++ b/policy/work/work.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -85,6 +86,27 @@
 	Every time.Duration `cbor:"3,keyasint"`
 }
 
+// Due returns when a round is due, as the time since 1970, but at least 0. A time after the year 2262, which is too large
+// for a Duration, counts as the largest one, so that the round does not begin early.
+func (rp *Repeat) Due(round int) time.Duration {
+	const last = time.Duration(math.MaxInt64)
+	offset := time.Duration(round) * rp.Every
+	if round > 0 && offset/time.Duration(round) != rp.Every { // the product is out of range
+		if rp.Every > 0 {
+			return last
+		}
+		return 0
+	}
+	due := rp.Start + offset
+	switch {
+	case offset > 0 && due < rp.Start: // the sum is out of range
+		return last
+	case offset < 0 && due > rp.Start:
+		return 0
+	}
+	return max(due, 0)
+}
+
 // Job is an accepted job.
 type Job struct {
 	ID     string  `cbor:"1,keyasint"`
