planner: a cancellation after a job's end does not change its phase

A job that had succeeded, and was shown so, was shown as cancelled after a change of planner if a DELETE came after its end.

A job that has ended by these records keeps its phase, also if only the ends of its tasks were recorded; all others are cancelled as before.

Failing before (TestCancelAfterEnd, "after the end"): latecancel_test.go:43: the job is shown as "cancelled" in the next term, error <nil>; want "succeeded" The case "before the end" passed before and after.

--- a/internal/planner/load.go
+++ b/internal/planner/load.go
@@ -29,13 +29,14 @@
 const readRetryPause = 50 * time.Millisecond
 
 // applyBatches applies accepted jobs and cancellations. The first complete read also restores the records of earlier
-// planners.
+// planners. Cancellations come after these: a job that had ended when its cancellation came was shown so.
 func (ld *leader) applyBatches(items []kv.Item, full bool, old []kv.Item) {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
 	now := ld.now()
+	var added []joblog.WrittenBatch
 	for _, item := range items {
-		if item.Deleted {
+		if item.Deleted || ld.batches.has(item.Key) {
 			continue
 		}
 		bt, err := joblog.Decode[joblog.Batch](item.Value)
@@ -43,14 +44,18 @@
 			ld.log.Error(err, "Batch of the journal cannot be decoded.", "key", item.Key)
 			continue
 		}
-		ld.applyBatch(now, item.Key, item.Revision, &bt)
+		wr := joblog.WrittenBatch{Key: item.Key, Revision: item.Revision, Batch: bt}
+		ld.applyJobs(now, &wr)
+		added = append(added, wr)
 	}
 	if full && !ld.loaded {
-		runs, stops := ld.restore(now, old)
+		runs, stops := ld.restore(now, old, added)
 		ld.loaded, ld.inheritedWorkers = true, len(ld.unresolved)
 		close(ld.journalRead)
 		ld.log.Info("Journal has been read.", "batches", len(items), "writes", len(old), "after", now.String(),
 			"workers", ld.inheritedWorkers, "runs", runs, "stops", stops)
+	} else {
+		ld.applyCancels(now, added)
 	}
 	ld.checkRecovery(now)
 	ld.schedulePlan()
@@ -61,21 +66,19 @@
 func (ld *leader) addBatch(wr joblog.WrittenBatch) {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
-	if ld.loaded {
-		ld.applyBatch(ld.now(), wr.Key, wr.Revision, &wr.Batch)
+	if ld.loaded && !ld.batches.has(wr.Key) {
+		ld.applyJobs(ld.now(), &wr)
+		ld.applyCancels(ld.now(), []joblog.WrittenBatch{wr})
 		ld.schedulePlan()
 	}
 }
 
-// applyBatch applies a batch that has not been applied yet.
-func (ld *leader) applyBatch(now time.Duration, key string, revision uint64, bt *joblog.Batch) {
-	if ld.batches.has(key) {
-		return
-	}
-	inherited := revision < ld.term.Token
-	age := bt.Age(ld.wall())
-	for at := range bt.Jobs {
-		jb := &bt.Jobs[at]
+// applyJobs applies the jobs of a batch that has not been applied yet.
+func (ld *leader) applyJobs(now time.Duration, wr *joblog.WrittenBatch) {
+	inherited := wr.Revision < ld.term.Token
+	age := wr.Batch.Age(ld.wall())
+	for at := range wr.Batch.Jobs {
+		jb := &wr.Batch.Jobs[at]
 		if qu, ok := ld.opts.Queue(jb.Queue.Name); ok {
 			jb.Queue = jb.Queue.Later(qu)
 		}
@@ -87,18 +90,25 @@
 		} else {
 			ld.cell.Add(now, jb, false)
 		}
-		ld.log.Info("Job added.", "job", jb.ID, "queue", jb.Queue.Name, "revision", revision, "inherited", inherited)
+		ld.log.Info("Job added.", "job", jb.ID, "queue", jb.Queue.Name, "revision", wr.Revision, "inherited", inherited)
 	}
-	for _, id := range bt.Cancels {
-		ld.cell.Cancel(now, id, bt.Cancellers[id])
-		ld.log.Info("Cancellation added.", "job", id, "revision", revision)
+	ld.batches.add(wr.Key, &wr.Batch)
+}
+
+// applyCancels applies the cancellations of batches.
+func (ld *leader) applyCancels(now time.Duration, batches []joblog.WrittenBatch) {
+	for at := range batches {
+		bt := &batches[at].Batch
+		for _, id := range bt.Cancels {
+			ld.cell.Cancel(now, id, bt.Cancellers[id])
+			ld.log.Info("Cancellation added.", "job", id, "revision", batches[at].Revision)
+		}
 	}
-	ld.batches.add(key, bt)
 }
 
-// restore applies the records of earlier planners. It returns how many runs they name that workers may have, and how many of
-// these may be being stopped.
-func (ld *leader) restore(now time.Duration, items []kv.Item) (runCount, stopCount int) {
+// restore applies the records of earlier planners, and then the cancellations of batches. It returns how many runs the records
+// name that workers may have, and how many of these may be being stopped.
+func (ld *leader) restore(now time.Duration, items []kv.Item, batches []joblog.WrittenBatch) (runCount, stopCount int) {
 	var all []cell.Record
 	workers := map[incarnation.ID]cell.Record{}
 	ofPrevious := map[incarnation.ID]bool{} // whether the previous planner wrote the worker's record
@@ -129,6 +139,7 @@
 		all = append(all, recs...)
 	}
 	ld.cell.Restore(now, all)
+	ld.applyCancels(now, batches)
 	for id, runs := range ld.cell.RecordedStarts() { // the worker may hold them, whatever its last record says
 		rec, known := workers[id]
 		workers[id] = cell.Record{
