planner: no start by entries that workers could not write in an outage

While the store is down, workers cannot write their entries.

After an outage in which no call of the node was answered for as long as the list may be old (contact time less 0.5 s), a worker gets no new runs until its entry has been written again, at most for heartbeat-ms, which the settings give, and 0.5 s. A shorter outage needs no wait: starts count as errors one heartbeat plus the contact time after the change. kvhealth knows the outage, so that a term that begins after it waits too. A list that is too old while the store answers other calls, as with lost answers, causes no wait. Without heartbeat-ms in the settings nothing changes. A process that has started during the outage does not know of it, and does not wait.

Failing before: testbed_test.go:458: waits.0.0.82 starts on w2 over its capacity (TestShrunkCapacityBehindOutage, both cases, 12 such starts each)

--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -119,7 +119,8 @@
 		Clock: clock, Log: log, Store: st, Agents: ad.Agents, Site: ad.Site, Metrics: nd.meters,
 		WorkersPrefix: ad.WorkersPrefix, DecodeWorker: ad.DecodeWorker, EvacuationsPrefix: ad.EvacuationsPrefix,
 		Advise: nd.pool.Advise, Queue: nd.table.Queue, Workspace: nd.table.Workspace, ServiceInUse: nd.table.HasService,
-		Leases: nd.requestLeases, CommitThroughPeer: nd.commitThroughPeer, NodeCount: func() int { return len(nd.term.Members()) },
+		StoreOutage: nd.health.LastOutage,
+		Leases:      nd.requestLeases, CommitThroughPeer: nd.commitThroughPeer, NodeCount: func() int { return len(nd.term.Members()) },
 	})
 	return nd
 }
--- a/internal/kvhealth/kvhealth.go
+++ b/internal/kvhealth/kvhealth.go
@@ -31,6 +31,9 @@
 	// failingSince is when the first call that failed after that was sent.
 	failingSince time.Time
 	down         bool
+	// outageLength and outageEnd describe the latest outage that is over.
+	outageLength time.Duration
+	outageEnd    time.Time
 	// onRecovery is called when the store answers again.
 	onRecovery func()
 }
@@ -47,6 +50,14 @@
 	return !he.failingSince.IsZero() && he.clock.Since(he.failingSince) > downAfter
 }
 
+// LastOutage returns how long the latest outage that is over lasted, and when the store answered again. The length is 0 if
+// there was none.
+func (he *Health) LastOutage() (length time.Duration, end time.Time) {
+	he.mu.Lock()
+	defer he.mu.Unlock()
+	return he.outageLength, he.outageEnd
+}
+
 // OnRecovery sets a function that is called when the store answers again after an outage.
 func (he *Health) OnRecovery(fn func()) {
 	he.mu.Lock()
@@ -62,7 +73,9 @@
 	defer he.mu.Unlock()
 	if !failed {
 		if he.down {
-			he.log.Info("Store answers again.", "away", he.clock.Since(he.failingSince).String())
+			he.outageEnd = he.clock.Now()
+			he.outageLength = he.outageEnd.Sub(he.failingSince)
+			he.log.Info("Store answers again.", "away", he.outageLength.String())
 			if he.onRecovery != nil {
 				go he.onRecovery()
 			}
--- a/internal/kvhealth/kvhealth_test.go
+++ b/internal/kvhealth/kvhealth_test.go
@@ -33,8 +33,17 @@
 	is.True(!he.Down()) // a single unanswered call is no outage
 	call(500*time.Millisecond, kv.ErrRefused)
 	is.True(he.Down())
+	length, _ := he.LastOutage()
+	is.Equal(length, time.Duration(0)) // it is not over
 	call(time.Millisecond, kv.ErrLeaseExpired)
 	is.True(!he.Down()) // an expired lease is an answer
+	length, end := he.LastOutage()
+	is.Equal(length, 801*time.Millisecond)
+	is.Equal(end, clock.Now())
+	call(300*time.Millisecond, kv.ErrNoAnswer)
+	call(time.Millisecond, nil)
+	length, _ = he.LastOutage()
+	is.Equal(length, 801*time.Millisecond) // a short failure is no outage
 }
 
 // TestEarlierFailure checks that a failed call does not count if a call that was sent later was answered.
--- a/internal/planner/capacity_test.go
+++ b/internal/planner/capacity_test.go
@@ -72,3 +72,59 @@
 		})
 	}
 }
+
+// TestShrunkCapacityBehindOutage shrinks the capacity of workers at the beginning of an outage of the store, in which they
+// cannot write their entries: each does so with its first heartbeat after the outage. It guards against starts by the old
+// capacities before that, since the list of workers is up to date as soon as the store answers.
+func TestShrunkCapacityBehindOutage(t *testing.T) {
+	const (
+		span = 8 * time.Second
+		// mostTime is how long starts may take to resume: a heartbeat, a write, a watch and a plan.
+		mostTime = heartbeat + 700*time.Millisecond
+	)
+	tests := map[string]struct {
+		leasesWait bool
+		terms      int
+		// electionTime is how long it may take until a node plans after the outage.
+		electionTime time.Duration
+	}{
+		"the term goes on":    {leasesWait: true, terms: 1, electionTime: 500 * time.Millisecond},
+		"another term begins": {terms: 2, electionTime: 2 * time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				bd := newTestbed(t, 900*time.Millisecond, "w1", "w2", "w3")
+				bd.heartbeat = heartbeat
+				defer bd.end()
+				_, second := bd.addTwo()
+				bd.submit(second, "waits", 400)
+				time.Sleep(2 * time.Second)
+				for _, id := range []string{"w1", "w2", "w3"} {
+					bd.fleet.SetTaskCapacity(id, 2, contact+heartbeat)
+				}
+				bd.store.SetFault(func(string, string) memkv.Fault { return memkv.RequestLost })
+				if tt.leasesWait {
+					bd.store.ExtendLeases(span)
+				}
+				time.Sleep(span)
+				bd.store.SetFault(func(string, string) memkv.Fault { return memkv.None })
+				answers := bd.clock.Now()
+				for n, id := range []string{"w1", "w2", "w3"} { // w3 writes its entry last
+					bd.clock.AfterFunc(time.Duration(n+1)*heartbeat/3, func() { bd.store.Set(workersPrefix+id, []byte("room 2")) })
+				}
+				before := len(bd.fleet.Starts())
+				for len(bd.fleet.Starts()) == before {
+					time.Sleep(10 * time.Millisecond)
+				}
+				if took := bd.clock.Since(answers); took > tt.electionTime+mostTime {
+					t.Errorf("the first task started %v after the outage", took)
+				}
+				bd.await("waits", cell.Succeeded, 2*time.Minute)
+				if terms := bd.leader().currentTerm().Number; terms != tt.terms {
+					t.Errorf("%d terms, want %d: the test does not show what it should", terms, tt.terms)
+				}
+			})
+		})
+	}
+}
--- a/internal/planner/leader.go
+++ b/internal/planner/leader.go
@@ -74,6 +74,8 @@
 	// not check it itself may have shrunk since the last read. The worker publishes the new capacity with its next
 	// heartbeat, and starts beyond it count as an error one heartbeat plus the contact time after the change.
 	maxListAge time.Duration
+	// outageEnd is the end of the latest outage of the store that checkOutage has found.
+	outageEnd time.Time
 	// lease is how long a worker's runs may go on without a hold.
 	lease time.Duration
 
@@ -238,12 +240,6 @@
 	return ld.cell.QueuedJobs(queue), nil
 }
 
-// listFresh reports whether the list of workers is recent enough to start tasks by it.
-func (ld *leader) listFresh() bool {
-	age, read := ld.workers.Age()
-	return read && age < ld.maxListAge
-}
-
 // checkJournalAge returns an error if the journal may have jobs that are not known here.
 func (ld *leader) checkJournalAge() error {
 	if age, _ := ld.jobs.Age(); age > maxJournalAge {
--- a/internal/planner/planloop.go
+++ b/internal/planner/planloop.go
@@ -66,6 +66,7 @@
 		return
 	}
 	now := ld.now()
+	ld.checkOutage()
 	ld.cell.Tick(now, ld.wall())
 	ld.expireLeases(now)
 	ld.checkRecovery(now)
@@ -103,6 +104,7 @@
 	defer ld.mu.Unlock()
 	if ld.loaded && ld.dirty && ld.canPlan() {
 		ld.dirty = false
+		ld.checkOutage()
 		began := ld.clock.Now()
 		ld.cell.Plan(ld.now())
 		took = ld.clock.Since(began)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -58,6 +58,9 @@
 	ServiceInUse func(service string) bool
 	// Queue returns the current settings of a queue, or false if it has no route.
 	Queue func(name string) (work.Queue, bool)
+	// StoreOutage returns how long the latest outage of the store lasted for this node, and when it was over; nil if that is not
+	// known.
+	StoreOutage func() (length time.Duration, end time.Time)
 	// Leases asks the node that led a term about the leases of workers that it renewed.
 	Leases func(ctx context.Context, of term.Previous, rq leases.Request) (leases.Report, error)
 	// CommitThroughPeer, if set, is kv.CommitOptions.Peer of the writes of records.
--- a/internal/planner/testbed_test.go
+++ b/internal/planner/testbed_test.go
@@ -28,6 +28,7 @@
 	"tackbeam.example/tackbeam/internal/intake"
 	"tackbeam.example/tackbeam/internal/joblog"
 	"tackbeam.example/tackbeam/internal/kv"
+	"tackbeam.example/tackbeam/internal/kvhealth"
 	"tackbeam.example/tackbeam/internal/leases"
 	"tackbeam.example/tackbeam/internal/planner"
 	"tackbeam.example/tackbeam/internal/site"
@@ -68,6 +69,8 @@
 	// evacuationsPrefix is the prefix of the keys that name evacuated halls, evacuationTime the bound in the settings.
 	evacuationsPrefix string
 	evacuationTime    time.Duration
+	// heartbeat is the interval in which workers write their entries by the settings.
+	heartbeat time.Duration
 	// stopTime is how long workers may take to stop a run by the settings.
 	stopTime time.Duration
 	// peerCommits makes planners send writes through another node if they get no answer.
@@ -268,9 +271,11 @@
 		peerCommit = bd.store.Client("peer of " + name).Commit
 	}
 	clock := nd.newClock(bd)
+	health := kvhealth.New(clock, bd.log(name), nd.meters)
+	st = health.Wrap(st)
 	nd.planner = planner.New(planner.Options{
 		Clock: clock, Log: bd.log(name), Store: st, Agents: agents, Metrics: nd.meters,
-		Site:          &site.Site{Bounds: site.Bounds{JobRetention: 2 * time.Minute, EvacuationTime: bd.evacuationTime, StopTimeout: bd.stopTime}, Features: bd.features},
+		Site:          &site.Site{Bounds: site.Bounds{JobRetention: 2 * time.Minute, EvacuationTime: bd.evacuationTime, StopTimeout: bd.stopTime, Heartbeat: bd.heartbeat}, Features: bd.features},
 		WorkersPrefix: workersPrefix, EvacuationsPrefix: bd.evacuationsPrefix, MinInUse: bd.minInUse,
 		DecodeWorker: func(item kv.Item) (planner.WorkerEntry, error) {
 			id := strings.TrimPrefix(item.Key, workersPrefix)
@@ -285,6 +290,7 @@
 			ws, ok := bd.workspaces[name]
 			return ws, ok
 		},
+		StoreOutage: health.LastOutage,
 		Leases: func(ctx context.Context, of term.Previous, rq leases.Request) (leases.Report, error) {
 			return bd.leases(ctx, nd, of, rq)
 		}, CommitThroughPeer: peerCommit, Advise: bd.advise, NodeCount: func() int { return nodeCount },
--- a/internal/planner/workerlist.go
+++ b/internal/planner/workerlist.go
@@ -48,6 +48,7 @@
 			ld.ignore(item.Key, err)
 			continue
 		}
+		en.SeenAt = ld.now()
 		ld.ignored.drop(item.Key)
 		ld.addEntry(item.Key, en)
 	}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -56,6 +56,8 @@
 	// Contact is how long a node must have been in undisturbed contact before guarantees with a time limit
 	// apply to it; 0 if the settings do not specify it.
 	Contact time.Duration
+	// Heartbeat is the interval in which workers write their entries in the store; 0 if the settings do not specify it.
+	Heartbeat time.Duration
 	// EvacuationTime is the time after its confirmation from which no task starts in an evacuated data hall; 0 if
 	// the settings do not specify it.
 	EvacuationTime time.Duration
--- a/internal/standin/memkv/memkv.go
+++ b/internal/standin/memkv/memkv.go
@@ -129,6 +129,16 @@
 	}
 }
 
+// ExtendLeases extends all leases, as in an outage in which they wait.
+func (st *Store) ExtendLeases(by time.Duration) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	for id, ls := range st.leases {
+		ls.expiresAt = ls.expiresAt.Add(by)
+		st.leases[id] = ls
+	}
+}
+
 // apply executes a transaction; all its changes get the same revision.
 func (st *Store) apply(txn kv.Txn) uint64 {
 	st.revision++
--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -60,6 +60,9 @@
 	unpooled map[*worker]bool
 	// standby holds the workers that are not in use, by service.
 	standby map[string]*standby
+	// outdatedAt is when the entries of workers were last known to be possibly outdated, outdatedUntil until when these are
+	// not used.
+	outdatedAt, outdatedUntil time.Duration
 	// evacuated holds the data halls whose workers get no new runs.
 	evacuated map[string]bool
 	// open holds the steps that are ready and not finished.
--- a/policy/cell/messages.go
+++ b/policy/cell/messages.go
@@ -36,6 +36,8 @@
 	// Draining workers take no new tasks. Remaining is the least time that they stay.
 	Draining  bool
 	Remaining time.Duration
+	// SeenAt is when the entry was read.
+	SeenAt time.Duration
 }
 
 // Run is one start of a task, as the worker reports it.
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -88,7 +88,7 @@
 
 // acceptsRuns reports whether a worker takes new runs now.
 func (cl *Cell) acceptsRuns(now time.Duration, wk *worker) bool {
-	return wk.listed && wk.answered && !wk.Draining && !wk.evacuated && wk.unknownRuns == 0 && wk.quarantineUntil <= now &&
+	return wk.listed && wk.answered && !wk.Draining && !wk.evacuated && wk.unknownRuns == 0 && wk.quarantineUntil <= now && !cl.outdated(now, wk) &&
 		wk.openRecord > 0 && wk.openRecord <= cl.committed && now-wk.lastReport < maxReportAge && wk.reportedEnds < maxReportedEnds && !wk.moreEnds
 }
 
--- a/policy/cell/worker.go
+++ b/policy/cell/worker.go
@@ -116,6 +116,17 @@
 	}
 }
 
+// SetOutdated records that the entries read so far may be outdated. Their workers get no new runs until a later entry has been
+// read, or until a time at which each worker has surely written one.
+func (cl *Cell) SetOutdated(now, until time.Duration) {
+	cl.outdatedAt, cl.outdatedUntil = now, until
+}
+
+// outdated reports whether a worker's entry may be outdated.
+func (cl *Cell) outdated(now time.Duration, wk *worker) bool {
+	return now < cl.outdatedUntil && wk.SeenAt <= cl.outdatedAt
+}
+
 // closeWorker gives a worker no more runs, and records which it may hold: if it never answers again, another
 // planner has to wait for these tasks only.
 func (cl *Cell) closeWorker(wk *worker) {
