cell: bound the open rounds of a recurring job

All rounds of a job that are due were opened at once, and finished rounds were kept until the end of the job. A job with 200,000 rounds that were due in the past took a planner to 309 MiB (limit 284), and each next planner as well: maxTasks limits the tasks of one round only.

Rounds now open in their order while the job has at most 10,000 tasks in open rounds, or fewer than four open rounds; the others follow as earlier ones end, at the next tick. Their due times, and so their ranks, stay the same. Placed long-running tasks do not count, as they do not end. While records of earlier planners are restored, only the latest finished rounds are kept; closed steps no longer wait for the next plan to be dropped.

Failing before (TestMemoryOfDueRounds, heap of a cell with 200,000 rounds): rounds_test.go:38: the heap has grown by 236.6 MiB, more than 40.0 (waiting) rounds_test.go:53: the heap has grown by 255.4 MiB, more than 40.0 (150,000 finished) rounds_test.go:68: the heap has grown by 226.4 MiB, more than 40.0 (restored) After: 11.9, 14.9 and 23.3 MiB. TestDueRoundsRunInOrder, before: rounds_test.go:133: 8 rounds are under way at 1h0m0.25s, more than 5 rounds_test.go:148: round 22 began at 1h0m2.25s, round 23 at 1h0m0.25s TestLongRunningRoundsOpen passed before; it guards the bound itself. Not run with real processes.

--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -98,6 +98,8 @@
 	// ended are the ended jobs in the order of their ends. The tasks of the first compacted ones were discarded.
 	ended     []*job
 	compacted int
+	// finishedRounds are finished rounds of jobs that have not ended, in the order of their ends.
+	finishedRounds []finishedRound
 	// recurring are the jobs that run repeatedly and have not ended.
 	recurring map[*job]bool
 	// examined counts the workers that planning has examined.
--- a/policy/cell/rank.go
+++ b/policy/cell/rank.go
@@ -51,6 +51,19 @@
 	return cl.ranking
 }
 
+// dropClosed removes the closed steps from those that are not ranked, once they are most of these. Otherwise they would be kept
+// in memory until the next plan: all of them while the records of earlier planners are restored.
+func (cl *Cell) dropClosed() {
+	const minSteps = 1000
+	if len(cl.notRanked) < max(minSteps, 2*len(cl.open)) {
+		return
+	}
+	cl.notRanked = slices.DeleteFunc(cl.notRanked, func(st *step) bool {
+		st.inOrder = st.open
+		return !st.open
+	})
+}
+
 // rankAnew is byRank without the order of the last plan.
 func (cl *Cell) rankAnew(now time.Duration, prepares bool) []ranked {
 	var list []ranked
--- a/policy/cell/retention.go
+++ b/policy/cell/retention.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"math"
 	"time"
 
 	"tackbeam.example/policy/work"
@@ -22,6 +23,9 @@
 		cl.compacted = max(cl.compacted-1, 0)
 	}
 	cl.compactEnded(now)
+	if cl.recovered {
+		cl.compactRounds(now, math.MaxInt)
+	}
 	cl.pruneLosses(now)
 	for id, cn := range cl.cancels {
 		if now-cn.at > cl.opts.Retention {
@@ -39,15 +43,50 @@
 	}
 }
 
+// finishedRound is a round whose tasks are done.
+type finishedRound struct {
+	*round
+	at time.Duration
+}
+
+// compactRounds discards the rounds that finished a while ago, and the first ones beyond a limit, unless one of their tasks
+// may still have a run. The limit is for the records of earlier planners, which name all rounds since the beginning of a job:
+// workers may have runs of the latest ones at most.
+func (cl *Cell) compactRounds(now time.Duration, limit int) {
+	for range len(cl.finishedRounds) {
+		rd := cl.finishedRounds[0]
+		if len(cl.finishedRounds) <= limit && now-rd.at <= compactAfter {
+			return
+		}
+		cl.finishedRounds[0].round = nil // the array behind the slice lives on
+		cl.finishedRounds = cl.finishedRounds[1:]
+		switch {
+		case rd.job.phase.Ended(): // compactEnded discards it
+		case rd.mayHaveRuns():
+			cl.finishedRounds = append(cl.finishedRounds, finishedRound{rd.round, now})
+		default:
+			delete(rd.job.rounds, rd.num)
+		}
+	}
+}
+
+// mayHaveRuns reports whether a task of the round may have a run.
+func (rd *round) mayHaveRuns() bool {
+	for _, st := range rd.steps {
+		for _, tk := range st.tasks {
+			if tk.runs > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // compact discards the tasks of an ended job, unless one of them may still have a run.
 func (jb *job) compact() {
 	for _, rd := range jb.rounds {
-		for _, st := range rd.steps {
-			for _, tk := range st.tasks {
-				if tk.runs > 0 {
-					return
-				}
-			}
+		if rd.mayHaveRuns() {
+			return
 		}
 	}
 	jb.rounds = nil
--- a/policy/cell/round.go
+++ b/policy/cell/round.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"tackbeam.example/policy/incarnation"
@@ -173,10 +174,57 @@
 	return true
 }
 
-// openDue opens the rounds that are due by the wall clock.
+// Bounds of the open rounds of a job. A round with one task takes about 1 kB, and all rounds of a job may be due at once,
+// for example if it was submitted after the times of most of them.
+const (
+	// maxOpenTasks is the number of tasks in open rounds from which no further round is opened. The jobs of known
+	// deployments have a few hundred tasks in all.
+	maxOpenTasks = 10000
+	// minOpenRounds is the number of rounds that may be open however many tasks they have, so that rounds that overlap do not
+	// wait for each other.
+	minOpenRounds = 4
+)
+
+// mayOpenRound reports whether another round of the job may be opened. Long-running tasks that have been placed do not count:
+// they do not end, and there are no more of them than workers have capacity for.
+func (jb *job) mayOpenRound() bool {
+	open := jb.openedRounds - jb.finishedRounds
+	return open < jb.maxOpenRounds() || (open+1)*jb.roundTasks()-jb.placedLongRunning() <= maxOpenTasks
+}
+
+// maxOpenRounds returns how many rounds of the job may be open if none of their tasks is long-running.
+func (jb *job) maxOpenRounds() int { return max(minOpenRounds, maxOpenTasks/max(jb.roundTasks(), 1)) }
+
+// roundTasks returns the number of tasks in a round.
+func (jb *job) roundTasks() int {
+	count := 0
+	for num := range jb.spec.Steps {
+		count += jb.spec.Steps[num].Count
+	}
+	return count
+}
+
+// placedLongRunning counts the long-running tasks of open rounds that are on workers.
+func (jb *job) placedLongRunning() int {
+	count := 0
+	if !slices.ContainsFunc(jb.spec.Steps, func(st work.Step) bool { return st.LongRunning }) {
+		return 0
+	}
+	for _, rd := range jb.rounds {
+		for _, st := range rd.steps {
+			if st.def.LongRunning {
+				count += len(st.tasks) - st.unplaced
+			}
+		}
+	}
+	return count
+}
+
+// openDue opens the rounds that are due by the wall clock, in order and as far as mayOpenRound allows: the others are opened
+// as earlier ones end.
 func (cl *Cell) openDue(now, wall time.Duration) {
 	for jb := range cl.recurring {
-		for jb.openedRounds < jb.spec.Rounds() {
+		for jb.openedRounds < jb.spec.Rounds() && jb.mayOpenRound() {
 			due := jb.spec.Repeat.Due(jb.openedRounds)
 			if due > wall {
 				break
@@ -225,6 +273,12 @@
 	jb.finishedRounds++
 	if jb.finishedRounds == jb.spec.Rounds() {
 		cl.finishJob(now, jb, Succeeded)
+		return
+	}
+	cl.finishedRounds = append(cl.finishedRounds, finishedRound{rd, now})
+	if !record {
+		cl.compactRounds(now, jb.maxOpenRounds())
+		cl.dropClosed()
 	}
 }
 
