planner: a test reads the log safely

TestTakeoverLog appended to a slice from the goroutines that log: a data race, reported by a run of the package with -race. It takes a lock now; three runs with -race pass.

--- a/internal/planner/takeoverlog_test.go
+++ b/internal/planner/takeoverlog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,11 +32,18 @@
 		batch, err := joblog.Encode(&joblog.Batch{Jobs: []work.Job{*newJob(bd.accepted, "a", 2)}})
 		is.NoErr(err)
 		bd.store.Set(joblog.BatchKey("n0", "x", 0), batch)
+		var mu sync.Mutex
 		var lines []string
-		bd.logged = func(line string) { lines = append(lines, line) }
+		bd.logged = func(line string) {
+			mu.Lock()
+			defer mu.Unlock()
+			lines = append(lines, line)
+		}
 		bd.addNode("n1")
 		time.Sleep(3 * time.Second)
 		synctest.Wait()
+		mu.Lock()
+		defer mu.Unlock()
 		logged := strings.Join(lines, "\n")
 		is.True(strings.Contains(logged, `"workers"=1 "runs"=2 "stops"=1`))
 		is.True(strings.Contains(logged, `"Run has gone without an end." "token"=5 "task"="a.0.0.0" "run"=7 "worker"="w1@946684800000" "adopted"=true "stopping"=false`))
