intake: a full batch is written, not replaced

What callers saw: POSTs that were not answered for as long as their callers waited, and then got 504, for jobs that had never been sent. A batch of more than 256 KiB that was still being collected was replaced by the next one, and no write was begun for it. In a trial with 150 jobs of 4,000 bytes within one interval (7 nodes, 400 writes a second) 114 timed out after 3 s.

Full batches are now kept and written together with the pending one, and count against the bound of writes without a known outcome.

TestLargeJobsAtOnce has the load of the trial. It fails before and passes now.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -68,8 +68,10 @@
 	store       *kv.Store
 	incarnation string
 
-	mu         sync.Mutex
-	pending    *batch
+	mu      sync.Mutex
+	pending *batch
+	// full are earlier batches that have reached maxBytes and are written together with the pending one.
+	full       []*batch
 	openWrites int
 	batchCount int
 	wake       wake.Signal
@@ -149,11 +151,14 @@
 		return unavailable()
 	}
 	in.mu.Lock()
-	if in.openWrites >= maxOpenWrites {
+	if in.openWrites+len(in.full) >= maxOpenWrites {
 		in.mu.Unlock()
 		return fault.New(fault.Unavailable, "too many writes are pending; not run").WithRetryAfter(retryAfter)
 	}
-	if in.pending == nil || in.pending.bytes > maxBytes {
+	if in.pending != nil && in.pending.bytes > maxBytes {
+		in.full, in.pending = append(in.full, in.pending), nil
+	}
+	if in.pending == nil {
 		in.pending = &batch{done: make(chan struct{})}
 	}
 	bt := in.pending
@@ -195,21 +200,29 @@
 	return max(minInterval, time.Duration(float64(in.opts.NodeCount())/(in.opts.WriteRate*share)*float64(time.Second)))
 }
 
+// flush begins the writes of all batches that have been collected.
 func (in *Intake) flush(group *sync.WaitGroup) {
 	in.mu.Lock()
-	bt := in.pending
-	in.pending = nil
-	if bt == nil {
-		in.mu.Unlock()
-		return
+	batches := in.full
+	if in.pending != nil {
+		batches = append(batches, in.pending)
+	}
+	in.full, in.pending = nil, nil
+	in.mu.Unlock()
+	for _, bt := range batches {
+		in.send(group, bt)
 	}
+}
+
+// send begins the write of a batch.
+func (in *Intake) send(group *sync.WaitGroup, bt *batch) {
 	if in.opts.StoreDown() { // detected while the batch was collected
-		in.mu.Unlock()
 		bt.err = unavailable()
 		close(bt.done)
 		in.log.Info("Batch was not sent: store is unavailable.", "ids", bt.ids())
 		return
 	}
+	in.mu.Lock()
 	in.openWrites++
 	in.batchCount++
 	key := joblog.BatchKey(in.opts.Node, in.incarnation, in.batchCount)
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -99,3 +101,29 @@
 		})
 	}
 }
+
+// TestLargeJobsAtOnce guards against jobs that are never sent because the next batch takes the place of one that is full.
+func TestLargeJobsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const jobs, specSize = 150, 4000
+		clock := clockwork.NewRealClock() // the clock of the synctest bubble
+		in := intake.New(clock, logr.Discard(), memkv.New(clock).Client("n1"), intake.Options{
+			Node: "n1", WriteRate: 400, NodeCount: func() int { return 7 }, StoreDown: func() bool { return false },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go in.Run(ctx)
+		answers := make(chan error, jobs)
+		for n := range jobs {
+			go func() {
+				call, cancel := context.WithTimeout(ctx, 3*time.Second)
+				defer cancel()
+				answers <- in.Submit(call, &work.Job{ID: fmt.Sprint("j", n), Spec: strings.Repeat("x", specSize)})
+			}()
+		}
+		for range jobs {
+			is.NoErr(<-answers)
+		}
+	})
+}
