planner: random search for two runs at once around changes of planner

Cause: the random tests of takeovers run long-running tasks on workers that stop a run at once (TestTakeovers), or short ones with a stop time of 0 (TestRestarts, TestCrashingStartsAreBounded). None has stops of 0.9 s, gangs that break, runs that fail or make no progress, and entries that go and come back, while terms end.

Change: TestTakeoversOfWork draws all of these from a seed. memworkers gets behaviors of runs, refusals, gangs and a settable delay of late orders, each behind a setter; a start refused as old now sets the deadline, as PROTOCOL.md says. memkv gets writes that are carried out late. Orders of the testbed's nodes can be under way for a time, and a node may be restarted under its name.

--- a/internal/planner/testbed_test.go
+++ b/internal/planner/testbed_test.go
@@ -51,6 +51,8 @@
 	// mu guards nodes, which planners read to ask each other.
 	mu    sync.Mutex
 	nodes map[string]*node
+	// clients are the names by which the store knows the latest processes of nodes.
+	clients map[string]string
 	// settings are the settings of the queue in the planners' configuration; there are none if its name is empty.
 	// Submitted jobs carry accepted instead.
 	settings, accepted work.Queue
@@ -71,12 +73,17 @@
 	evacuationTime    time.Duration
 	// heartbeat is the interval in which workers write their entries by the settings.
 	heartbeat time.Duration
+	// retention is how long ended jobs are known.
+	retention time.Duration
 	// stopTime is how long workers may take to stop a run by the settings.
 	stopTime time.Duration
 	// peerCommits makes planners send writes through another node if they get no answer.
 	peerCommits bool
 	// onStart, if not nil, is called with each start that a node sends.
 	onStart func(to agent.Target, sr cell.Start)
+	// transit, if not nil, returns how long an order to a worker and its answer are under way, in addition to the usual
+	// time. Orders and answers may overtake each other.
+	transit func(worker, order string) (there, back time.Duration)
 	// onBacklog, if not nil, is called with each report of a planner that a node sees.
 	onBacklog func(backlog joblog.BacklogSize)
 	// onGraceRequest, if not nil, is called with the node that is asked to permit renewals, and reports whether the request is
@@ -144,6 +151,53 @@
 	}
 }
 
+// delayOrders has orders and their answers be under way for the time that bd.transit returns.
+func (bd *testbed) delayOrders(agents *agent.Agents) {
+	hold, start, stop := agents.Hold, agents.Start, agents.Stop
+	agents.Hold = func(ctx context.Context, to agent.Target, hd agent.Hold) (agent.Report, error) {
+		return inTransit(ctx, bd, to, "hold", func(ctx context.Context) (agent.Report, error) { return hold(ctx, to, hd) })
+	}
+	agents.Start = func(ctx context.Context, to agent.Target, token uint64, deadline time.Duration, sr cell.Start) (agent.StartAnswer, error) {
+		return inTransit(ctx, bd, to, "start", func(ctx context.Context) (agent.StartAnswer, error) {
+			return start(ctx, to, token, deadline, sr)
+		})
+	}
+	agents.Stop = func(ctx context.Context, to agent.Target, token uint64, sp cell.Stop) error {
+		_, err := inTransit(ctx, bd, to, "stop", func(ctx context.Context) (struct{}, error) { return struct{}{}, stop(ctx, to, token, sp) })
+		return err
+	}
+}
+
+// inTransit makes a call that reaches the worker, and whose answer comes back, after some time. The worker carries it out
+// also if the caller has given up meanwhile.
+func inTransit[T any](ctx context.Context, bd *testbed, to agent.Target, order string, call func(ctx context.Context) (T, error)) (T, error) {
+	const longestCall = 4 * time.Second
+	type outcome struct {
+		answer T
+		err    error
+	}
+	there, back := bd.transit(to.Incarnation.WorkerID(), order)
+	if there == 0 && back == 0 {
+		return call(ctx)
+	}
+	answered := make(chan outcome, 1)
+	go func() {
+		bd.clock.Sleep(there)
+		inner, cancel := context.WithTimeout(context.WithoutCancel(ctx), longestCall)
+		defer cancel()
+		answer, err := call(inner)
+		bd.clock.Sleep(back)
+		answered <- outcome{answer, err}
+	}()
+	select {
+	case oc := <-answered:
+		return oc.answer, oc.err
+	case <-ctx.Done():
+		var none T
+		return none, agent.ErrNoAnswer
+	}
+}
+
 type holdFunc = func(ctx context.Context, to agent.Target, hd agent.Hold) (agent.Report, error)
 
 // currentTerm returns the node's latest term.
@@ -162,7 +216,7 @@
 func newTestbed(t *testing.T, run time.Duration, workers ...string) *testbed {
 	clock := bubbleclock.New()
 	bd := &testbed{
-		t: t, clock: clock, store: memkv.New(clock), fleet: memworkers.New(clock, run), nodes: map[string]*node{},
+		t: t, clock: clock, store: memkv.New(clock), fleet: memworkers.New(clock, run), nodes: map[string]*node{}, clients: map[string]string{}, retention: 2 * time.Minute,
 		accepted: work.Queue{Name: "q", Service: "svc", Attempts: 3, Stretch: 2, Target: time.Second},
 	}
 	bd.serves.Store("svc")
@@ -260,9 +314,17 @@
 
 // addNodeOf adds a node that may use a share of a core.
 func (bd *testbed) addNodeOf(name string, processors float64) *node {
-	st, agents := bd.store.Client(name), bd.fleet.Agents()
+	client := name
+	if earlier, restarted := bd.clients[name]; restarted {
+		client = earlier + "'" // calls of the earlier process are not those of this one
+	}
+	bd.clients[name] = client
+	st, agents := bd.store.Client(client), bd.fleet.Agents()
 	nd := &node{meters: metrics.NewRegistry()}
 	agents.Hold, agents.Start = nd.cutHold(agents.Hold), bd.observeStart(agents.Start)
+	if bd.transit != nil {
+		bd.delayOrders(agents)
+	}
 	if bd.wrapStore != nil {
 		st, agents = bd.wrapStore(st), bd.agents
 	}
@@ -275,7 +337,9 @@
 	st = health.Wrap(st)
 	nd.planner = planner.New(planner.Options{
 		Clock: clock, Log: bd.log(name), Store: st, Agents: agents, Metrics: nd.meters,
-		Site:          &site.Site{Bounds: site.Bounds{JobRetention: 2 * time.Minute, EvacuationTime: bd.evacuationTime, StopTimeout: bd.stopTime, Heartbeat: bd.heartbeat}, Features: bd.features},
+		Site: &site.Site{Bounds: site.Bounds{
+			JobRetention: bd.retention, EvacuationTime: bd.evacuationTime, StopTimeout: bd.stopTime, Heartbeat: bd.heartbeat,
+		}, Features: bd.features},
 		WorkersPrefix: workersPrefix, EvacuationsPrefix: bd.evacuationsPrefix, MinInUse: bd.minInUse,
 		DecodeWorker: func(item kv.Item) (planner.WorkerEntry, error) {
 			id := strings.TrimPrefix(item.Key, workersPrefix)
--- a/internal/standin/memkv/client.go
+++ b/internal/standin/memkv/client.go
@@ -45,13 +45,21 @@
 	if fault == None || fault == ResponseLost {
 		act()
 	}
+	if fault == Delayed && name != "range" && name != "watch" {
+		st.clock.AfterFunc(DelayedBy, func() {
+			st.mu.Lock()
+			defer st.mu.Unlock()
+			st.expireLeases()
+			act() // the caller no longer waits for the results
+		})
+	}
 	st.mu.Unlock()
 	switch fault {
 	case Refused:
 		return kv.ErrRefused
 	case RateLimited:
 		return kv.ErrRateLimited
-	case ResponseLost, RequestLost:
+	case ResponseLost, RequestLost, Delayed:
 		st.waitUnanswered(ctx, name)
 		return kv.ErrNoAnswer
 	}
@@ -205,7 +213,10 @@
 		st.leases[id] = lease{ttl, st.clock.Now().Add(ttl)}
 		st.clock.AfterFunc(ttl+latency, st.lockAndExpireLeases)
 	})
-	return id, err
+	if err != nil {
+		return 0, err // not the variable id: a delayed call may still write it
+	}
+	return id, nil
 }
 
 func (cl *client) renew(ctx context.Context, id uint64) error {
--- a/internal/standin/memkv/memkv.go
+++ b/internal/standin/memkv/memkv.go
@@ -43,7 +43,7 @@
 type Fault int
 
 // The faults. With ResponseLost, a call is executed but not answered; with RequestLost, it is neither executed nor
-// answered.
+// answered. With Delayed, a write is executed after DelayedBy and not answered; a read gets no answer.
 const (
 	None Fault = iota
 	Refused
@@ -51,8 +51,12 @@
 	RateLimited
 	ResponseLost
 	RequestLost
+	Delayed
 )
 
+// DelayedBy is the delay of calls with the fault Delayed.
+const DelayedBy = 2 * time.Second
+
 // New returns an empty service.
 func New(clock clockwork.Clock) *Store {
 	return &Store{
--- a/internal/standin/memworkers/incarnations.go
+++ b/internal/standin/memworkers/incarnations.go
@@ -21,7 +21,7 @@
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	wk := &worker{
-		id: id, startedAt: fl.clock.Now(), clockRate: 1, runs: map[work.Task]run{}, fenced: map[work.Task]int{}, endedAt: map[int]time.Time{},
+		id: id, startedAt: fl.clock.Now(), clockRate: 1, runs: map[work.Task]run{}, fenced: map[work.Task]int{}, endedAt: map[int]time.Time{}, gangEnds: map[int]*gang{},
 		sessions: map[uint64]bool{}, closedSessions: map[uint64]bool{},
 	}
 	if earlier := fl.workers[id]; earlier != nil {
@@ -54,7 +54,11 @@
 	for _, en := range wk.ends { // some of these ends have not been reported
 		fl.lostRuns[en.Task.Job]++
 	}
+	runs := wk.runs
 	wk.runs, wk.ends = map[work.Task]run{}, nil
+	for _, rn := range runs {
+		fl.breakGang(rn.gang)
+	}
 	fl.wakeHolds()
 }
 
--- a/internal/standin/memworkers/memworkers.go
+++ b/internal/standin/memworkers/memworkers.go
@@ -32,7 +32,7 @@
 	Delayed
 )
 
-// DelayedBy is the delay of orders with the fault Delayed.
+// DelayedBy is the delay of orders with the fault Delayed, unless SetDelay sets another one.
 const DelayedBy = 3 * time.Second
 
 // Fleet is a set of workers.
@@ -48,6 +48,14 @@
 	run   time.Duration
 	slow  map[string]int
 	crash crashRule
+	// behavior and refusal, if not nil, decide how runs behave and which starts are refused.
+	behavior func(worker string, sr cell.Start) Behavior
+	refusal  func(worker string, sr cell.Start) cell.Refusal
+	gangs    map[gangKey]*gang
+	// delay is the delay of orders with the fault Delayed.
+	delay time.Duration
+	// gangTimeout is how long the members of a gang wait for the others.
+	gangTimeout time.Duration
 	// starts are all executed starts in order.
 	starts []cell.Start
 	// startLog describes each start in starts, with its time.
@@ -82,6 +90,8 @@
 	// expired.
 	endedAt  map[int]time.Time
 	lapsedAt time.Time
+	// gangEnds has the gangs of the ends of members, by sequence number.
+	gangEnds map[int]*gang
 	seq      int
 	state    workerState
 	capacity taskCapacity
@@ -99,6 +109,9 @@
 	number    int
 	startedAt time.Time
 	takes     time.Duration
+	fails     bool
+	// gang is nil if the task belongs to none.
+	gang *gang
 	// delayed is set for a run that was started by such an order (see worker.delayed).
 	delayed bool
 	// stopping is set while the worker stops the run.
@@ -110,7 +123,8 @@
 	return &Fleet{
 		clock: clock, log: logr.Discard(), workers: map[string]*worker{}, changed: make(chan struct{}), run: run, slow: map[string]int{},
 		fault: func(string, string) Fault { return None }, done: map[work.Task]bool{}, latestStart: map[work.Task]time.Time{}, lostRuns: map[string]int{},
-		crash: crashRule{triggers: func(cell.Start) bool { return false }, onRestart: func(string) {}}, maxEnds: defaultMaxEnds,
+		gangs: map[gangKey]*gang{},
+		crash: crashRule{triggers: func(cell.Start) bool { return false }, onRestart: func(string) {}}, maxEnds: defaultMaxEnds, delay: DelayedBy,
 	}
 }
 
@@ -128,6 +142,13 @@
 	fl.stopTime = stopTime
 }
 
+// SetDelay sets the delay of orders with the fault Delayed.
+func (fl *Fleet) SetDelay(delay time.Duration) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.delay = delay
+}
+
 // SetLog sets the logger of what the workers carry out. It is called before the first call to a worker.
 func (fl *Fleet) SetLog(log logr.Logger) { fl.log = log }
 
@@ -219,7 +240,7 @@
 		fl.log.Info("Order fails.", "worker", id, "order", order, "fault", fault, "error", err)
 	}
 	if fault == Delayed {
-		fl.clock.AfterFunc(DelayedBy, func() {
+		fl.clock.AfterFunc(fl.delay, func() {
 			fl.mu.Lock()
 			defer fl.mu.Unlock()
 			wk := fl.workers[id] // the current incarnation
@@ -263,24 +284,36 @@
 	for name, rn := range wk.runs {
 		done := rn.startedAt.Add(rn.takes)
 		switch {
-		case !rn.stopping && !done.After(fl.clock.Now()) && !done.After(leaseEnd):
-			fl.end(wk, name, cell.ResultDone)
+		case rn.gang == nil && !rn.stopping && !done.After(fl.clock.Now()) && !done.After(leaseEnd):
+			fl.end(wk, name, rn.result())
 		case fl.clock.Now().After(leaseEnd):
 			fl.end(wk, name, cell.ResultLeaseExpired)
 		}
 	}
 }
 
+// result is how a run without a gang ends by itself.
+func (rn run) result() cell.Result {
+	if rn.fails {
+		return cell.ResultFailed
+	}
+	return cell.ResultDone
+}
+
 func (fl *Fleet) end(wk *worker, name work.Task, result cell.Result) {
 	rn := wk.runs[name]
 	number := rn.number
 	delete(wk.runs, name)
+	defer fl.breakGang(rn.gang)
 	wk.fenced[name] = max(wk.fenced[name], number)
 	wk.seq++
 	wk.endedAt[wk.seq] = fl.clock.Now()
-	if result == cell.ResultDone {
+	if result == cell.ResultDone && rn.gang == nil {
 		wk.endedAt[wk.seq] = rn.startedAt.Add(rn.takes) // advance may be called later
 	}
+	if rn.gang != nil {
+		wk.gangEnds[wk.seq] = rn.gang
+	}
 	wk.ends = append(wk.ends, cell.End{Seq: wk.seq, Run: cell.Run{Task: name, Number: number}, Result: result})
 	fl.log.Info("Run ended.", "worker", wk.id, "born", wk.born(), "task", name.String(), "run", number, "seq", wk.seq, "result", result)
 	fl.wakeHolds()
@@ -343,6 +376,11 @@
 		if en.Seq <= number && en.Result == cell.ResultDone && !wk.delayed {
 			fl.checkRestarted(wk, en)
 			fl.done[en.Task] = true
+			if gg := wk.gangEnds[en.Seq]; gg != nil { // one such end counts for all members
+				for name := range gg.members {
+					fl.done[name] = true
+				}
+			}
 		}
 		if en.Seq <= number {
 			fl.log.Info("End acknowledged.", "worker", wk.id, "born", wk.born(), "task", en.Task.String(), "run", en.Number, "seq", en.Seq,
@@ -370,7 +408,7 @@
 		if rn.stopping {
 			continue
 		}
-		percent := int(fullPercent * fl.clock.Since(rn.startedAt) / rn.takes)
+		percent := int(fullPercent * fl.workedFor(rn) / rn.takes)
 		report.Runs = append(report.Runs, cell.Run{Task: name, Number: rn.number, Percent: percent})
 	}
 	return report
@@ -381,6 +419,11 @@
 ) (agent.StartAnswer, error) {
 	var answer agent.StartAnswer
 	err := fl.deliver(ctx, to.Incarnation.WorkerID(), "start", func(wk *worker) error {
+		refusal := fl.refusalOf(wk.id, sr)
+		if refusal == cell.RefusedUnhealthy {
+			answer.Refusal = refusal
+			return nil
+		}
 		if err := wk.admit(token); err != nil {
 			return err
 		}
@@ -394,16 +437,27 @@
 			return nil
 		case sr.Run <= wk.fenced[sr.Task]:
 			answer.Refusal = cell.RefusedStale
+			wk.deadline = max(wk.deadline, deadline)
+			return nil
+		case refusal != "":
+			answer.Refusal = refusal
+			if refusal == cell.RefusedNoCapacity {
+				wk.deadline = max(wk.deadline, deadline)
+			}
 			return nil
 		}
 		fl.checkDuplicate(wk, sr)
 		fl.checkCapacity(wk, sr)
 		wk.deadline = max(wk.deadline, deadline)
-		wk.runs[sr.Task] = run{number: sr.Run, startedAt: fl.clock.Now(), takes: fl.runTime(wk.id), delayed: wk.delayed}
+		behavior := fl.behaviorOf(wk.id, sr)
+		wk.runs[sr.Task] = run{number: sr.Run, startedAt: fl.clock.Now(), takes: behavior.Takes, fails: behavior.Fails, delayed: wk.delayed}
 		fl.log.Info("Run started.", "worker", wk.id, "born", wk.born(), "task", sr.Task.String(), "run", sr.Run, "for", sr.Worker, "token", token,
 			"delayed", wk.executingDelayed, "contacted", wk.contacted)
+		if behavior.Gang > 0 {
+			fl.joinGang(wk, sr, behavior)
+		}
 		fl.checkLimit(sr)
-		fl.clock.AfterFunc(fl.runTime(wk.id), func() {
+		fl.clock.AfterFunc(behavior.Takes, func() {
 			fl.mu.Lock()
 			defer fl.mu.Unlock()
 			fl.wakeHolds() // the run is done
