planner: a hold of an ended session loses no runs

What callers would see: all tasks of one worker run twice at the same time, without any change of planner. The earlier runs are told to stop because "a later run is on another worker", and end "stopped".

Cause: a worker whose entry is gone does not answer until its lease expires. That ends its session while the last hold is still pending. The worker is listed again, and a new session with the same incarnation starts tasks. When the pending hold of the ended session timed out, up to 1.7 s later, the planner applied the end of the old lease to the incarnation, and so to the runs of the new session.

Change: the failure of a hold is ignored once its session has ended, as its report is.

TestEndedSessionLosesNoRuns fails in 8 of 8 cases before, "a.0.0.0 starts on w2 while it runs on w1", and passes now.

--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -340,6 +340,9 @@
 	}
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
+	if se.ended {
+		return // another session may be with the same incarnation
+	}
 	now := ld.now()
 	if errors.Is(err, agent.ErrOtherIncarnation) {
 		se.incarnationOver(now)
