--- a/internal/standin/memworkers/gang.go
+++ b/internal/standin/memworkers/gang.go
@@ -22,6 +22,9 @@
 	over bool
 }
 
+// defaultGangTimeout is how long the members of a gang wait for the others unless SetGangTimeout was called.
+const defaultGangTimeout = 3 * time.Second
+
 // SetGangTimeout sets how long the members of a gang wait for the others before they end.
 func (fl *Fleet) SetGangTimeout(timeout time.Duration) {
 	fl.mu.Lock()
@@ -101,6 +104,15 @@
 
 // workedFor returns for how long a run has worked.
 func (fl *Fleet) workedFor(rn run) time.Duration {
+	worked := fl.sinceBegun(rn)
+	if rn.hangsAfter > 0 {
+		return min(worked, rn.hangsAfter)
+	}
+	return worked
+}
+
+// sinceBegun returns the time since a run began to work, 0 if it has not.
+func (fl *Fleet) sinceBegun(rn run) time.Duration {
 	switch {
 	case rn.gang == nil:
 		return fl.clock.Since(rn.startedAt)
--- a/internal/standin/memworkers/memworkers.go
+++ b/internal/standin/memworkers/memworkers.go
@@ -109,7 +109,9 @@
 	number    int
 	startedAt time.Time
 	takes     time.Duration
-	fails     bool
+	// hangsAfter is how long the run works until it makes no more progress, 0 if it does not hang.
+	hangsAfter time.Duration
+	fails      bool
 	// gang is nil if the task belongs to none.
 	gang *gang
 	// delayed is set for a run that was started by such an order (see worker.delayed).
@@ -123,7 +125,7 @@
 	return &Fleet{
 		clock: clock, log: logr.Discard(), workers: map[string]*worker{}, changed: make(chan struct{}), run: run, slow: map[string]int{},
 		fault: func(string, string) Fault { return None }, done: map[work.Task]bool{}, latestStart: map[work.Task]time.Time{}, lostRuns: map[string]int{},
-		gangs: map[gangKey]*gang{},
+		gangs: map[gangKey]*gang{}, gangTimeout: defaultGangTimeout,
 		crash: crashRule{triggers: func(cell.Start) bool { return false }, onRestart: func(string) {}}, maxEnds: defaultMaxEnds, delay: DelayedBy,
 	}
 }
@@ -284,7 +286,7 @@
 	for name, rn := range wk.runs {
 		done := rn.startedAt.Add(rn.takes)
 		switch {
-		case rn.gang == nil && !rn.stopping && !done.After(fl.clock.Now()) && !done.After(leaseEnd):
+		case rn.gang == nil && rn.hangsAfter == 0 && !rn.stopping && !done.After(fl.clock.Now()) && !done.After(leaseEnd):
 			fl.end(wk, name, rn.result())
 		case fl.clock.Now().After(leaseEnd):
 			fl.end(wk, name, cell.ResultLeaseExpired)
@@ -408,7 +410,7 @@
 		if rn.stopping {
 			continue
 		}
-		percent := int(fullPercent * fl.workedFor(rn) / rn.takes)
+		percent := int(fullPercent * min(fl.workedFor(rn), rn.takes) / rn.takes)
 		report.Runs = append(report.Runs, cell.Run{Task: name, Number: rn.number, Percent: percent})
 	}
 	return report
@@ -450,7 +452,7 @@
 		fl.checkCapacity(wk, sr)
 		wk.deadline = max(wk.deadline, deadline)
 		behavior := fl.behaviorOf(wk.id, sr)
-		wk.runs[sr.Task] = run{number: sr.Run, startedAt: fl.clock.Now(), takes: behavior.Takes, fails: behavior.Fails, delayed: wk.delayed}
+		wk.runs[sr.Task] = run{number: sr.Run, startedAt: fl.clock.Now(), takes: behavior.Takes, hangsAfter: behavior.HangsAfter, fails: behavior.Fails, delayed: wk.delayed}
 		fl.log.Info("Run started.", "worker", wk.id, "born", wk.born(), "task", sr.Task.String(), "run", sr.Run, "for", sr.Worker, "token", token,
 			"delayed", wk.executingDelayed, "contacted", wk.contacted)
 		if behavior.Gang > 0 {
@@ -491,7 +493,8 @@
 	for _, other := range fl.workers {
 		fl.advance(other)
 		if rn, found := other.runs[sr.Task]; found && (!rn.delayed || other.contacted) {
-			fl.violations = append(fl.violations, fl.describeStart(wk, sr)+" while it runs on "+other.id)
+			fl.violations = append(fl.violations, fmt.Sprintf("%s while it runs on %s as run %d from %s, being stopped: %v",
+				fl.describeStart(wk, sr), other.id, rn.number, rn.startedAt.Format("05.000"), rn.stopping))
 		}
 	}
 }
