cell: late stops are waited for in the next term, and for runs just begun

Found by a review of the margin for workers that are late with a stop: it did not hold for a stop that an earlier planner had sent, nor for a run whose start was answered after its stop had been ordered. In both cases any report 0.1 s after the time of a stop let the task start again while its run was still being stopped.

Both have the margin now. It is 0.5 s instead of 1 s, since after a takeover it also delays tasks whose stops were over before.

--- a/policy/cell/placement.go
+++ b/policy/cell/placement.go
@@ -201,7 +201,13 @@
 func (cl *Cell) Started(now time.Duration, sr Start) {
 	cl.startAnswered(now, sr)
 	pl := cl.placement(sr.Worker, sr.Task, sr.Run)
-	if pl == nil || pl.state != ordered {
+	if pl == nil {
+		return
+	}
+	if pl.state != ordered {
+		if pl.state == stopping { // the stop was ordered before the answer came
+			pl.runningSince = now
+		}
 		return
 	}
 	pl.state = running
--- a/policy/cell/report.go
+++ b/policy/cell/report.go
@@ -130,13 +130,12 @@
 const (
 	// stopMargin is added to the time that a worker may take to stop a run.
 	stopMargin = 100 * time.Millisecond
-	// lateStopMargin is added as well if the run is known to have begun. Its worker lists the end, so that only a worker
-	// that is late with the stop is waited for.
-	lateStopMargin = time.Second
+	// lateStopMargin is added as well if the run may have an end to list: a worker that is late with the stop lists it later.
+	lateStopMargin = 500 * time.Millisecond
 )
 
 // runMissing handles a run that a complete report omits. A run that was there is gone. A run that is being stopped is
-// gone once the time for the stop is over.
+// gone once the time for the stop is over, and a margin for late workers unless it may never have begun.
 func (cl *Cell) runMissing(pl *placement, sent time.Duration) {
 	stopTime := cl.opts.StopTimeout + stopMargin
 	switch {
@@ -146,7 +145,7 @@
 		return
 	case pl.state == running && pl.runningSince <= sent:
 	case pl.stoppedAt > 0 && pl.stoppedAt+stopTime <= sent && (!pl.begun() || pl.stoppedAt+stopTime+lateStopMargin <= sent):
-	case pl.inherited && pl.worker.firstReport+stopTime <= sent:
+	case pl.inherited && pl.worker.firstReport+stopTime+lateStopMargin <= sent:
 	default:
 		return
 	}
