cell, planner: the stops that are not over are kept in a set

The cell keeps the runs that are being stopped in a set now. Names say what they count, and prepareRemoval that it records stops.

TestNextTermAwaitsStops also checks that the tasks start again in the next term.

--- a/internal/planner/gc.go
+++ b/internal/planner/gc.go
@@ -63,7 +63,7 @@
 // gcLoop removes batches and records whose jobs are no longer known to the cell.
 func (ld *leader) gcLoop(ctx context.Context) {
 	for loop.Sleep(ctx, ld.clock, gcInterval) {
-		groups, after := ld.removable()
+		groups, after := ld.prepareRemoval()
 		if !ld.awaitRecords(ctx, after) {
 			return
 		}
@@ -90,9 +90,10 @@
 	return err
 }
 
-// removable returns the keys that are no longer needed, in groups of one write each. They may be removed once the
-// journal has that many records: some replace what the keys say.
-func (ld *leader) removable() (groups [][]string, after int) {
+// prepareRemoval returns the keys that are no longer needed, in groups of one write each. They may be removed once the
+// journal has that many records: some replace what the keys say. It records again the stops that are not over, since keys
+// with records of stops are removed too.
+func (ld *leader) prepareRemoval() (groups [][]string, after int) {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
 	if !ld.loaded || !ld.cell.Recovered() {
@@ -110,7 +111,7 @@
 		}
 	}
 	if len(keys) > 0 {
-		ld.cell.RecordStops() // no key is kept for the stops in it
+		ld.cell.RecordStops()
 		ld.schedulePlan()
 	}
 	const maxKeys = kv.MaxEntries - 1 // one entry is the condition
--- a/internal/planner/load.go
+++ b/internal/planner/load.go
@@ -175,9 +175,9 @@
 const (
 	// recentWrites is the number of last writes of the journal in which a new planner looks for such stops.
 	recentWrites = 40
-	// stopWrites is the number of writes after which a planner records them again. It leaves room for terms that end before
-	// they have done so, and for records that do not fit into one write.
-	stopWrites = recentWrites / 4
+	// writesPerStopRecords is the number of writes after which a planner records them again. It leaves room for terms that
+	// end before they have done so, and for records that do not fit into one write.
+	writesPerStopRecords = recentWrites / 4
 )
 
 // checkRecovery expires the leases of workers of earlier planners that have no session. It completes the
--- a/internal/planner/records.go
+++ b/internal/planner/records.go
@@ -31,11 +31,10 @@
 	pending []cell.Record
 	// added is the number of records that were ever added.
 	added int
-	// sinceStops is the number of writes since the stops that are not over were recorded again. The first write of a term
-	// is followed by such records, for the stops of earlier terms.
-	sinceStops int
-	keys       map[string]recordRefs
-	wake       wake.Signal
+	// writesSinceStops is the number of writes since the stops that are not over were recorded again.
+	writesSinceStops int
+	keys             map[string]recordRefs
+	wake             wake.Signal
 }
 
 // recordRefs is what the records of one key refer to, which decides for how long the key is needed. The records
@@ -70,7 +69,8 @@
 }
 
 func (rc *recorder) init() {
-	rc.keys, rc.sinceStops = map[string]recordRefs{}, stopWrites
+	rc.keys = map[string]recordRefs{}
+	rc.writesSinceStops = writesPerStopRecords // the stops of earlier terms are recorded after the first write
 	rc.wake = wake.New()
 }
 
@@ -128,8 +128,8 @@
 		ld.records.keep(joblog.RecordKey(ld.term.Token, n), recs)
 		ld.records.pending = ld.records.pending[len(recs):]
 		ld.cell.SetCommitted(upTo)
-		if ld.records.sinceStops++; ld.records.sinceStops >= stopWrites {
-			ld.records.sinceStops = 0
+		if ld.records.writesSinceStops++; ld.records.writesSinceStops >= writesPerStopRecords {
+			ld.records.writesSinceStops = 0
 			ld.cell.RecordStops()
 		}
 		close(ld.committed)
--- a/internal/planner/takeoverstops_test.go
+++ b/internal/planner/takeoverstops_test.go
@@ -81,4 +81,7 @@
 	time.Sleep(ends)
 	end(bd, first)
 	time.Sleep(3 * time.Second)
+	if starts := len(bd.fleet.StartLog("a")); starts < 8 {
+		t.Errorf("the four tasks were started %d times in all: not again in the next term", starts)
+	}
 }
--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -81,8 +81,9 @@
 	// services are the services that tasks of any job run on.
 	services map[string]bool
 	out      Output
-	// stops are held back until the journal has their records.
-	stops []journaledStop
+	// stops are held back until the journal has their records. stopping has the runs that are being stopped, and some that were.
+	stops    []journaledStop
+	stopping map[*placement]bool
 	// starts are held back likewise. recordedStarts are the workers of the runs whose starts were recorded, unknownLoss
 	// is set once the inherited jobs were marked by RecordUnknownLoss.
 	starts         []journaledStart
@@ -152,7 +153,7 @@
 		window: window{limit: opts.InitialWindow}, adviceBudget: newAdviceBudget(opts.Features),
 		open: map[*step]bool{}, pools: map[string]*pool{}, queues: map[string]*queue{}, cancels: map[string]cancel{}, quota: quota.New(),
 		services: map[string]bool{}, attributions: map[incarnation.ID]attribution{}, recurring: map[*job]bool{}, predecessors: map[string][]predecessor{},
-		forecasts: map[string]*headroom.Forecast{}, recordedStarts: map[placementKey]incarnation.ID{}, arrivals: newArrivals(opts.Features), reserving: map[*step]bool{}, gains: gainlog.New[*worker](gainsKept), recent: recentGains{indexes: map[*worker]int{}}, sorter: nearsort.Sorter[ranked]{Compare: compareRanked},
+		forecasts: map[string]*headroom.Forecast{}, recordedStarts: map[placementKey]incarnation.ID{}, stopping: map[*placement]bool{}, arrivals: newArrivals(opts.Features), reserving: map[*step]bool{}, gains: gainlog.New[*worker](gainsKept), recent: recentGains{indexes: map[*worker]int{}}, sorter: nearsort.Sorter[ranked]{Compare: compareRanked},
 	}
 	if opts.Features.Has(feature.WorkerSpeeds) {
 		cl.speeds = map[string]*speed.Model{}
--- a/policy/cell/placement.go
+++ b/policy/cell/placement.go
@@ -105,6 +105,7 @@
 		return
 	}
 	delete(pl.worker.placements, ky)
+	delete(cl.stopping, pl)
 	pl.task.runs--
 	if st := pl.task.step; pl.task.runs == 0 && !pl.task.done {
 		pl.task.releasedAt = cl.now
@@ -134,6 +135,7 @@
 		return
 	}
 	pl.state = stopping
+	cl.stopping[pl] = true
 	run := Run{Task: pl.task.name(), Number: pl.run}
 	cl.record(Record{Worker: pl.worker.ID, Stop: true, Held: []Run{run}})
 	cl.stops = append(cl.stops, journaledStop{
@@ -141,19 +143,17 @@
 	})
 }
 
-// RecordStops records the stops again that are not over. Another planner looks for them in the latest records only.
+// RecordStops records again the stops that are not over. Another planner looks for them in the latest records only.
 func (cl *Cell) RecordStops() {
-	for id, wk := range cl.workers {
-		var runs []Run
-		for ky, pl := range wk.placements {
-			if pl.state == stopping {
-				runs = append(runs, Run{Task: ky.task, Number: ky.run})
-			}
-		}
-		if len(runs) > 0 {
-			cl.record(Record{Worker: id, Stop: true, Held: runs})
+	held := map[incarnation.ID][]Run{}
+	for pl := range cl.stopping {
+		if pl.state == stopping {
+			held[pl.worker.ID] = append(held[pl.worker.ID], Run{Task: pl.task.name(), Number: pl.run})
 		}
 	}
+	for id, runs := range held {
+		cl.record(Record{Worker: id, Stop: true, Held: runs})
+	}
 }
 
 // stopGang stops all members of a run of a gang, and of earlier ones, so that the gang can restart.
--- a/policy/cell/worker.go
+++ b/policy/cell/worker.go
@@ -183,6 +183,7 @@
 			pl = cl.place(now, tk, wk, rn.Number)
 		}
 		pl.state, pl.inherited, pl.delayedUntil = stopping, true, MaxOrderDelay
+		cl.stopping[pl] = true
 	}
 }
 
