term: planners record whose permission they need

Long-running tasks had no run for 9.2 to 9.5 s after their worker and then the planner were lost, where the other nodes had been started again or had stood still some 4.5 s before (9 s are allowed).

Cause: a node that is elected assumes 4 s of renewals by the planner before unless that planner had to ask it for permission, which it inferred from having been registered for 6.5 s under its present lease. A restart, or a lease that is lost for a moment, is enough to lose that.

Change: a planner writes the nodes whose permission it needs to the store, on the condition that it still holds the leader's key, and uses no permission before. The next planner reads the record, which nobody can change any more. A node in it answers for all processes at its address. After all leases were lost, a planner on its own renews for the TTL after that, not for 4 s.

--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -26,6 +26,8 @@
 	Nodes   = Members + "n/"
 	Batches = Prefix + "j/"
 	Records = Prefix + "p/"
+	// Grace holds the nodes whose permission a planner needs, see GraceRecord. Only a new planner reads it.
+	Grace = Prefix + "grace"
 )
 
 // Batch is what one node accepted in one write.
@@ -94,6 +96,17 @@
 	// Grace is set if the leader renews leases of workers beyond its own lease only with the permission of all nodes. Earlier
 	// versions do so without.
 	Grace bool `cbor:"6,keyasint,omitempty"`
+	// Recorded is set if the leader writes a GraceRecord before it uses any permission.
+	Recorded bool `cbor:"7,keyasint,omitempty"`
+}
+
+// GraceRecord names the nodes all of whose permission a planner needs to renew leases of workers beyond its own lease. A
+// planner whose term has none renews none.
+type GraceRecord struct {
+	// Term is the token of the planner's term.
+	Term uint64 `cbor:"1,keyasint"`
+	// Nodes are the identities of the nodes, the planner's own included, see Member.Identity.
+	Nodes []string `cbor:"2,keyasint,omitempty"`
 }
 
 // BacklogSize is the value of the backlog's key.
@@ -134,6 +147,9 @@
 	Link float64 `cbor:"5,keyasint,omitempty"`
 }
 
+// Identity distinguishes the processes of nodes that may run at the same time: two of them never listen on one address.
+func (mb *Member) Identity() string { return mb.Node + "@" + mb.PeerAddr }
+
 // Encode encodes a value of the store: a batch, records, a member, an election or a backlog. It returns an error if Decode
 // cannot read the result, for example because of text that is not valid UTF-8 or of a list that is too long: readers
 // skip a value that they cannot decode, and with it everything else in it.
--- a/internal/planner/inheritedleases.go
+++ b/internal/planner/inheritedleases.go
@@ -75,6 +75,21 @@
 	}
 }
 
+// awaitRenewalsEnd applies the bound that the earlier planners' record gives.
+func (ld *leader) awaitRenewalsEnd(ctx context.Context) {
+	end, ok := ld.term.AwaitRenewalsEnd(ctx)
+	if !ok {
+		return
+	}
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	ld.inheritedLeases.allExpired = min(ld.inheritedLeases.allExpired, end.Sub(ld.began)+ld.leaseBound())
+	now := ld.now()
+	ld.expireLeases(now)
+	ld.checkRecovery(now)
+	ld.schedulePlan()
+}
+
 // requestLeases asks the previous planner's node about the leases that it renewed, until it answers or the answer is not
 // needed any more.
 func (ld *leader) requestLeases(ctx context.Context) {
--- a/internal/planner/leader.go
+++ b/internal/planner/leader.go
@@ -206,6 +206,7 @@
 			ld.requestLeases(ctx)
 		}
 	})
+	ld.spawn(func() { ld.awaitRenewalsEnd(ctx) })
 	ld.spawn(func() { loop.Every(ctx, ld.clock, tickInterval, ld.yieldIfSlow) })
 	ld.spawn(func() { ld.gcLoop(ctx) })
 	ld.planLoop(ctx)
--- a/internal/planner/takeoverleases_test.go
+++ b/internal/planner/takeoverleases_test.go
@@ -17,11 +17,12 @@
 )
 
 // The TTL of the planner's key in tests, and how long a task may lack a run after its worker and the planner were lost: 6 s
-// after its last run it is missed, and 3 s later that counts as a failure. Of that the TTL takes 0.8 s more here than on the
-// platform.
+// after its last run, and 4 s after the last disturbance, it is missed, and 3 s later that counts as a failure. Of that the
+// TTL takes 0.8 s more here than on the platform.
 const (
-	termTTL     = 2 * time.Second
-	maxLostTime = 9*time.Second + 800*time.Millisecond
+	termTTL       = 2 * time.Second
+	maxLostTime   = 9*time.Second + 800*time.Millisecond
+	maxMissedTime = 7*time.Second + 800*time.Millisecond
 )
 
 // storeFaults decides which nodes the store answers.
@@ -111,11 +112,38 @@
 	sf.silenceAll(all, longer...)
 }
 
+// startAgain ends the processes of nodes, and starts them again, or others in their place, once their keys have gone.
+func (bd *testbed) startAgain(nodes []string, as ...string) {
+	for _, name := range nodes {
+		bd.nodes[name].cancel()
+	}
+	time.Sleep(termTTL + time.Second)
+	for _, name := range as {
+		bd.addNode(name).cut("w1")
+	}
+}
+
+// pause has nodes lose their leases for a moment.
+func (sf *storeFaults) pause(nodes ...string) {
+	for _, name := range nodes {
+		sf.set(name, true)
+	}
+	time.Sleep(termTTL + 500*time.Millisecond)
+	for _, name := range nodes {
+		sf.set(name, false)
+	}
+}
+
+// lose ends a node's process for good.
+func (sf *storeFaults) lose(bd *testbed, node string) {
+	bd.nodes[node].cancel()
+	sf.set(node, true)
+}
+
 // takeovers are the ways to take over.
 func takeovers() map[string]takeover {
 	const (
 		silence      = termTTL + 100*time.Millisecond
-		longerTime   = 12 * time.Second // where the next planner cannot know which permissions there were
 		registration = 500 * time.Millisecond
 	)
 	nodes := []string{"n2", "n3"}
@@ -123,28 +151,28 @@
 		"planner is cut off from the store and the nodes": {nodes, func(bd *testbed, sf *storeFaults) {
 			sf.set("n1", true)
 			bd.nodes["n1"].isolated.Store(true)
-		}, maxLostTime},
+		}, maxMissedTime},
 		"planner is cut off from the store": {nodes, func(bd *testbed, sf *storeFaults) {
 			bd.nodes["n1"].stopped.Store(true) // does not tell of its leases
 			sf.set("n1", true)
-		}, maxLostTime},
+		}, maxMissedTime},
 		"store is silent for the planner, then for all": {nodes, func(bd *testbed, sf *storeFaults) {
 			bd.nodes["n1"].stopped.Store(true)
 			sf.silencePlanner()
-		}, maxLostTime},
+		}, maxMissedTime},
 		"store is silent for the planner, then for all, and the planner does not reach a node": {nodes, func(bd *testbed, sf *storeFaults) {
 			bd.nodes["n1"].stopped.Store(true)
 			bd.nodes["n2"].isolated.Store(true)
 			sf.silencePlanner("n3")
-		}, maxLostTime},
+		}, maxMissedTime},
 		"store is silent until all leases have expired": {nodes, func(bd *testbed, sf *storeFaults) {
 			bd.nodes["n1"].stopped.Store(true)
 			sf.silenceAll(silence, "n1")
-		}, longerTime},
+		}, maxMissedTime},
 		"store is silent for longer": {nodes, func(bd *testbed, sf *storeFaults) {
 			bd.nodes["n1"].stopped.Store(true)
 			sf.silenceAll(silence+time.Second, "n1")
-		}, longerTime},
+		}, maxMissedTime},
 		"only a new node can take over": {nodes, func(bd *testbed, sf *storeFaults) {
 			sf.unwatch("n1")
 			time.Sleep(registration)
@@ -152,7 +180,7 @@
 			time.Sleep(500 * time.Millisecond)
 			bd.nodes["n1"].stopped.Store(true)
 			sf.silencePlanner("n2", "n3")
-		}, longerTime},
+		}, maxLostTime},
 		"planner does not know of the node that takes over": {nodes, func(bd *testbed, sf *storeFaults) {
 			sf.unwatch("n1")
 			time.Sleep(registration)
@@ -160,38 +188,84 @@
 			time.Sleep(20 * time.Second)
 			bd.nodes["n1"].stopped.Store(true)
 			sf.silencePlanner("n2", "n3")
-		}, maxLostTime},
+		}, maxMissedTime},
 		"all leases are lost": {nodes, func(bd *testbed, sf *storeFaults) {
 			bd.nodes["n1"].stopped.Store(true)
 			sf.set("n1", true)
 			bd.store.RevokeLeases()
-		}, longerTime},
+		}, maxMissedTime},
 		"planner is alone, all leases are lost": {nil, func(bd *testbed, sf *storeFaults) {
 			bd.nodes["n1"].stopped.Store(true)
 			sf.silenceAll(300*time.Millisecond, "n1")
 			bd.store.RevokeLeases()
 			bd.addNode("n4").cut("w1")
-		}, longerTime},
+		}, maxLostTime},
 		"second takeover": {nodes, func(bd *testbed, sf *storeFaults) {
 			sf.set("n1", true)
 			bd.nodes["n1"].isolated.Store(true)
 			bd.loseNext("n1", sf)
-		}, maxLostTime},
+		}, maxMissedTime},
 		"second takeover after a silent store": {nodes, func(bd *testbed, sf *storeFaults) {
 			bd.nodes["n1"].stopped.Store(true)
 			sf.silenceAll(silence, "n1")
 			bd.loseNext("n1", sf)
-		}, longerTime},
+		}, maxMissedTime},
 		"planner's process is dead": {nodes, func(bd *testbed, sf *storeFaults) {
 			bd.nodes["n1"].cancel()
 			sf.set("n1", true)
-		}, maxLostTime},
+		}, maxMissedTime},
+		"others have started again": {nodes, func(bd *testbed, sf *storeFaults) {
+			bd.startAgain(nodes, nodes...)
+			time.Sleep(registration)
+			sf.lose(bd, "n1")
+		}, maxMissedTime},
+		"others have started again while the store is silent": {nodes, func(bd *testbed, sf *storeFaults) {
+			const alone, all = 1300 * time.Millisecond, 1200 * time.Millisecond
+			bd.nodes["n1"].stopped.Store(true)
+			sf.set("n1", true)
+			time.Sleep(alone)
+			sf.setAll(true)
+			time.Sleep(all)
+			for _, name := range nodes {
+				bd.nodes[name].cancel()
+				bd.addNode(name).cut("w1")
+			}
+			sf.setAll(false)
+		}, maxMissedTime},
+		"others have started again, then the store is silent for the planner, then for all": {nodes, func(bd *testbed, sf *storeFaults) {
+			bd.startAgain(nodes, nodes...)
+			time.Sleep(registration)
+			bd.nodes["n1"].stopped.Store(true)
+			sf.silencePlanner()
+		}, maxMissedTime},
+		"others have lost their leases": {nodes, func(bd *testbed, sf *storeFaults) {
+			sf.pause(nodes...)
+			time.Sleep(registration)
+			sf.lose(bd, "n1")
+		}, maxMissedTime},
+		"others have lost their leases, then the store is silent for the planner, then for all": {nodes, func(bd *testbed, sf *storeFaults) {
+			sf.pause(nodes...)
+			time.Sleep(registration)
+			bd.nodes["n1"].stopped.Store(true)
+			sf.silencePlanner()
+		}, maxMissedTime},
+		"others were replaced": {nodes, func(bd *testbed, sf *storeFaults) {
+			bd.startAgain(nodes, "n4", "n5")
+			time.Sleep(registration)
+			sf.lose(bd, "n1")
+		}, maxMissedTime},
+		"others were replaced, then the store is silent for the planner, then for all": {nodes, func(bd *testbed, sf *storeFaults) {
+			bd.startAgain(nodes, "n4", "n5")
+			time.Sleep(registration)
+			bd.nodes["n1"].stopped.Store(true)
+			sf.silencePlanner()
+		}, maxMissedTime},
 		"planner's last orders are late": {nodes, func(bd *testbed, sf *storeFaults) {
 			bd.nodes["n1"].stopped.Store(true)
 			sf.set("n1", true)
 			time.Sleep(time.Second)
 			bd.delay("n1", 4*time.Second)
-		}, maxLostTime},
+		}, maxMissedTime},
 		"planner's process stands still": {nodes, func(bd *testbed, sf *storeFaults) {
 			bd.nodes["n1"].isolated.Store(true)
 			sf.set("n1", true)
@@ -200,7 +274,7 @@
 				bd.delay("n1", 0)
 				bd.nodes["n1"].isolated.Store(false)
 			})
-		}, maxLostTime},
+		}, maxMissedTime},
 	}
 }
 
--- a/internal/term/election.go
+++ b/internal/term/election.go
@@ -24,7 +24,8 @@
 	vacant := er.loaded && (held == 0 || er.keyFromOldLease()) && er.lease != 0 && !er.resigned &&
 		!er.abstaining() && er.deferral() <= 0
 	el := joblog.Election{
-		Node: er.opts.Node, PeerAddr: er.opts.PeerAddr, Number: er.highestNumber + 1, Nonce: er.nonce, Previous: er.latestToken, Grace: true,
+		Node: er.opts.Node, PeerAddr: er.opts.PeerAddr, Number: er.highestNumber + 1, Nonce: er.nonce, Previous: er.latestToken,
+		Grace: true, Recorded: true,
 	}
 	lease := er.lease
 	er.mu.Unlock()
@@ -97,7 +98,7 @@
 // defersAsNew reports whether this node has registered so recently that it would have to assume the worst of earlier
 // planners, while another one may know better. The caller holds the lock.
 func (er *Elector) defersAsNew() bool {
-	if er.mayHaveBeenAsked(er.clock.Now()) {
+	if er.isRecorded(er.clock.Now()) {
 		return false
 	}
 	own, registered := er.memberRevisions[joblog.Nodes+er.opts.Node]
@@ -153,6 +154,7 @@
 	case item.Deleted:
 		delete(er.members, item.Key)
 		delete(er.memberRevisions, item.Key)
+		er.membersVersion++
 		er.registered = er.registered && item.Key != joblog.Nodes+er.opts.Node
 	default:
 		er.memberRevisions[item.Key] = item.Revision
@@ -162,6 +164,7 @@
 			return
 		}
 		er.members[item.Key] = mb
+		er.membersVersion++
 	}
 }
 
@@ -329,18 +332,23 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	rt := &runningTerm{token: er.leaderRevision, lease: er.lease, cancel: cancel, done: make(chan struct{})}
+	rt := &runningTerm{
+		token: er.leaderRevision, lease: er.lease, cancel: cancel, done: make(chan struct{}),
+		beganAt: er.clock.Now(), previous: er.leader.Previous, renewalsKnown: make(chan struct{}),
+	}
 	previous := er.latest
 	er.current, er.latest = rt, rt
 	er.log.Info("This node became the planner.", "token", rt.token, "reign", er.leader.Number)
 	arg := Term{
 		Token: rt.token, Number: er.leader.Number, Previous: er.previous(er.leader),
 		SinceRenewal:   func() time.Duration { return er.sinceRenewal(rt) },
-		MayRenewLeases: func() bool { return er.mayRenewLeases(rt) }, RenewalsEnd: er.renewalsEnd(er.clock.Now()),
-		LeaseHeld: func() bool { return er.sinceRenewal(rt) < er.opts.TTL },
-		StepDown:  er.stepDown,
-		Yield:     func(reason string) { er.yield(reason, abstainTime) },
+		MayRenewLeases: func() bool { return er.mayRenewLeases(rt) }, RenewalsEnd: er.worstRenewalsEnd(rt),
+		AwaitRenewalsEnd: func(ctx context.Context) (time.Time, bool) { return er.awaitRenewalsEnd(ctx, rt) },
+		LeaseHeld:        func() bool { return er.sinceRenewal(rt) < er.opts.TTL },
+		StepDown:         er.stepDown,
+		Yield:            func(reason string) { er.yield(reason, abstainTime) },
 	}
+	go er.readGraceRecord(ctx, rt)
 	go func() {
 		defer er.wake.Notify() // this node may still hold the leader's key
 		defer close(rt.done)
--- a/internal/term/election_test.go
+++ b/internal/term/election_test.go
@@ -17,7 +17,7 @@
 func TestConcurrentElectionUpdates(t *testing.T) {
 	const elections = 5000
 	for range elections {
-		er := New(clockwork.NewRealClock(), logr.Discard(), &kv.Store{}, Options{
+		er := New(clockwork.NewRealClock(), logr.Discard(), emptyStore(), Options{
 			Node: "n1", Lead: func(ctx context.Context, _ Term) { <-ctx.Done() },
 		})
 		er.lease, er.loaded = 1, true
@@ -37,3 +37,8 @@
 		er.stepDown("test finished")
 	}
 }
+
+// emptyStore answers reads of single keys only.
+func emptyStore() *kv.Store {
+	return &kv.Store{Get: func(_ context.Context, key string, _ int) (kv.Item, uint64, error) { return kv.Item{Key: key}, 0, nil }}
+}
--- a/internal/term/grace.go
+++ b/internal/term/grace.go
@@ -102,6 +102,9 @@
 	if len(er.members) < len(er.memberRevisions) {
 		return false // a node whose key cannot be decoded cannot be asked
 	}
+	if !rt.record.isCoveredBy(er.members) {
+		return false
+	}
 	age, read := er.mirror.Age()
 	return read && age <= unrenewed+maxMembersAge // other nodes may have registered since
 }
@@ -129,11 +132,11 @@
 		})
 	}
 	requests.Wait()
-	er.recordGrace(rt, sent, refusal)
+	er.recordOutcome(rt, sent, refusal)
 }
 
-// recordGrace records the outcome of a request for permission.
-func (er *Elector) recordGrace(rt *runningTerm, sent time.Time, refusal error) {
+// recordOutcome records the outcome of a request for permission.
+func (er *Elector) recordOutcome(rt *runningTerm, sent time.Time, refusal error) {
 	er.mu.Lock()
 	defer er.mu.Unlock()
 	rt.requestsGrace = false
@@ -151,48 +154,6 @@
 	er.wake.Notify()
 }
 
-// renewalsEnd returns the latest time at which a planner before the term that begins now can have renewed the leases of
-// workers. The caller holds the lock.
-//
-// The key of the planner before expired, was removed by that planner, or was lost together with all leases. If it expired,
-// its lease was last renewed at least opts.TTL ago, and that planner has had no right to renew other leases since. If it was
-// removed, that planner renews nothing any more. If it was lost, so was this node's lease, and the present one was granted
-// later. What is left is what the planners before did with permissions, of which this node gave the last one if it was asked
-// for any.
-func (er *Elector) renewalsEnd(now time.Time) time.Time {
-	if er.wasAsked(now) {
-		return latest(now, er.gracedAt.Add(graceTime))
-	}
-	lastRenewal := latest(now.Add(-er.opts.TTL), er.grantedAt)
-	return latest(now, lastRenewal.Add(MaxUnrenewed))
-}
-
-// wasAsked reports whether each earlier planner that may renew leases after now needs this node's permission for that: the
-// node has been registered under its present lease for so long that the planner's copy of the members' keys has it. The
-// caller holds the lock.
-func (er *Elector) wasAsked(now time.Time) bool {
-	if !er.mayHaveBeenAsked(now) {
-		return false
-	}
-	for token := er.leader.Previous; token != 0; {
-		el, seen := er.seenElection(token)
-		if !seen || !el.Grace {
-			return false
-		}
-		if now.Sub(el.at) > MaxUnrenewed {
-			break // those before that one renew nothing any more
-		}
-		token = el.Previous
-	}
-	return true
-}
-
-// mayHaveBeenAsked reports whether this node has been registered for so long that a planner's copy of the members' keys has
-// it, as far as the planner may use the copy. The caller holds the lock.
-func (er *Elector) mayHaveBeenAsked(now time.Time) bool {
-	return er.registered && now.Sub(er.registeredAt) >= MaxUnrenewed+maxMembersAge
-}
-
 // seenElection returns the election with a token if this node has seen it. The caller holds the lock.
 func (er *Elector) seenElection(token uint64) (seenElection, bool) {
 	for _, el := range er.elections {
--- a/internal/term/grace_test.go
+++ b/internal/term/grace_test.go
@@ -37,6 +37,7 @@
 	silent, unreachable map[string]bool
 	terms               map[string]term.Term
 	electors            map[string]*term.Elector
+	cancels             map[string]context.CancelFunc
 	// requests is the number of requests for a permission, renewalTime how long a renewal takes.
 	requests    int
 	renewalTime time.Duration
@@ -45,7 +46,7 @@
 func newGraceBed(t *testing.T, nodes ...string) *graceBed {
 	gb := &graceBed{
 		t: t, store: memkv.New(clockwork.NewRealClock()), silent: map[string]bool{}, unreachable: map[string]bool{},
-		terms: map[string]term.Term{}, electors: map[string]*term.Elector{},
+		terms: map[string]term.Term{}, electors: map[string]*term.Elector{}, cancels: map[string]context.CancelFunc{},
 	}
 	gb.ctx, gb.cancel = context.WithCancel(t.Context())
 	gb.store.SetFault(func(client, _ string) memkv.Fault {
@@ -91,8 +92,32 @@
 	})
 	gb.mu.Lock()
 	gb.electors[node] = er
+	ctx, cancel := context.WithCancel(gb.ctx)
+	gb.cancels[node] = cancel
 	gb.mu.Unlock()
-	go er.Run(gb.ctx)
+	go er.Run(ctx)
+}
+
+// restart ends the process of a node and starts it again once its key has gone.
+func (gb *graceBed) restart(nodes ...string) {
+	for _, node := range nodes {
+		gb.cancels[node]()
+	}
+	time.Sleep(2 * graceTTL)
+	for _, node := range nodes {
+		gb.add(node)
+	}
+}
+
+// pause has the store answer some nodes no more until their leases are over.
+func (gb *graceBed) pause(nodes ...string) {
+	for _, node := range nodes {
+		gb.set(gb.silent, node, true)
+	}
+	time.Sleep(graceTTL + 500*time.Millisecond)
+	for _, node := range nodes {
+		gb.set(gb.silent, node, false)
+	}
 }
 
 func (gb *graceBed) requestGrace(ctx context.Context, of joblog.Member, token uint64) error {
@@ -121,6 +146,16 @@
 	return gb.terms[node]
 }
 
+// lastToken returns the token of the latest term.
+func (gb *graceBed) lastToken() (token uint64) {
+	gb.mu.Lock()
+	defer gb.mu.Unlock()
+	for _, tm := range gb.terms {
+		token = max(token, tm.Token)
+	}
+	return token
+}
+
 // lastRenewal returns when the last confirmed renewal of a planner was sent.
 func (gb *graceBed) lastRenewal(node string) time.Time {
 	return time.Now().Add(-gb.term(node).SinceRenewal())
@@ -307,7 +342,38 @@
 		"leases were lost": {func(gb *graceBed) {
 			gb.set(gb.silent, "n1", true)
 			gb.store.RevokeLeases()
-		}, term.MaxUnrenewed - 100*time.Millisecond, term.MaxUnrenewed},
+		}, graceTTL - 100*time.Millisecond, graceTTL},
+		"nodes have started again": {func(gb *graceBed) {
+			gb.restart("n2")
+			time.Sleep(time.Second)
+			gb.set(gb.silent, "n1", true)
+		}, 0, 0},
+		"nodes have lost their leases": {func(gb *graceBed) {
+			gb.pause("n2")
+			time.Sleep(time.Second)
+			gb.set(gb.silent, "n1", true)
+		}, 0, 0},
+		"all nodes have lost their leases": {func(gb *graceBed) {
+			gb.pause("n1", "n2")
+			time.Sleep(time.Second)
+			for _, node := range []string{"n1", "n2"} {
+				if gb.electors[node].Leading() {
+					gb.set(gb.silent, node, true)
+				}
+			}
+		}, 0, 0},
+		"node has joined": {func(gb *graceBed) {
+			gb.add("n0")
+			time.Sleep(time.Second)
+			gb.set(gb.silent, "n1", true)
+			gb.set(gb.silent, "n2", true)
+		}, 0, 0},
+		"node has started again just before": {func(gb *graceBed) {
+			gb.cancels["n2"]()
+			gb.set(gb.silent, "n1", true)
+			time.Sleep(graceTTL - 200*time.Millisecond)
+			gb.add("n2")
+		}, 0, graceTTL},
 		"node has just registered": {func(gb *graceBed) {
 			gb.set(gb.silent, "n2", true)
 			gb.set(gb.silent, "n1", true)
@@ -335,19 +401,22 @@
 				defer gb.end()
 				time.Sleep(20 * time.Second)
 				tc.arrange(gb)
+				last := gb.lastToken()
 				var next term.Term
 				var elected time.Time
 				for range 5000 {
 					time.Sleep(time.Millisecond)
-					for _, node := range []string{"n0", "n2"} {
-						if tm := gb.term(node); tm.Token > 0 && elected.IsZero() {
+					for _, node := range []string{"n0", "n1", "n2"} {
+						if tm := gb.term(node); tm.Token > last && elected.IsZero() {
 							next, elected = tm, time.Now()
 						}
 					}
 				}
 				is.True(!elected.IsZero())
 				const step = 2 * time.Millisecond
-				if end := next.RenewalsEnd.Sub(elected); end > tc.most+step || end < tc.least-step {
+				known, ok := next.AwaitRenewalsEnd(gb.ctx)
+				is.True(ok)
+				if end := known.Sub(elected); end > tc.most+step || end < tc.least-step {
 					t.Errorf("renewals end %v after the election, want %v to %v", end, tc.least, tc.most)
 				}
 			})
--- a/internal/term/lease.go
+++ b/internal/term/lease.go
@@ -163,7 +163,7 @@
 	}
 }
 
-// untilNext returns the time until the next renewal is due, or until a deferred candidacy may be sent.
+// untilNext returns the time until the next renewal is due, or until a deferred candidacy or the planner's record may be sent.
 func (er *Elector) untilNext() time.Duration {
 	er.mu.Lock()
 	defer er.mu.Unlock()
@@ -172,7 +172,10 @@
 	}
 	wait := max(er.nextRenewal().Sub(er.clock.Now()), time.Millisecond)
 	if deferral := er.deferral(); deferral > 0 {
-		return min(wait, deferral)
+		wait = min(wait, deferral)
+	}
+	if rt := er.current; rt != nil {
+		wait = min(wait, max(er.untilRecord(rt, er.clock.Now()), time.Millisecond))
 	}
 	return wait
 }
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -60,8 +60,11 @@
 	SinceRenewal func() time.Duration
 	// MayRenewLeases reports whether leases of workers may be renewed now.
 	MayRenewLeases func() bool
-	// RenewalsEnd is the latest time at which earlier planners can have renewed leases of workers.
-	RenewalsEnd time.Time
+	// RenewalsEnd is the latest time at which earlier planners can have renewed leases of workers, whatever permissions they
+	// had. AwaitRenewalsEnd returns an earlier bound once it is known which ones they can have had, or false if the context
+	// ends first.
+	RenewalsEnd      time.Time
+	AwaitRenewalsEnd func(ctx context.Context) (time.Time, bool)
 	// StepDown ends the term; the reason is logged.
 	StepDown func(reason string)
 	// Yield ends the term so that another node can become the planner. It does nothing if there is no other node.
@@ -103,8 +106,12 @@
 	mirror *mirror.Mirror
 	wake   wake.Signal
 
-	mu      sync.Mutex
-	members map[string]joblog.Member
+	mu sync.Mutex
+	// startedAt is when Run was called: nothing that another process of this node did is later.
+	startedAt time.Time
+	members   map[string]joblog.Member
+	// membersVersion counts the changes of members.
+	membersVersion int
 	// memberRevisions has the revisions of all members' keys, also of those that cannot be decoded.
 	memberRevisions map[string]uint64
 	leader          joblog.Election
@@ -165,6 +172,14 @@
 	// whatever its outcome. requestsGrace is set while one is under way.
 	graceFrom, graceRequestedAt time.Time
 	requestsGrace               bool
+	// beganAt is when the term began, previous the token of the term before.
+	beganAt  time.Time
+	previous uint64
+	// renewalsEnd is the latest time at which earlier planners can have renewed leases of workers. It is set before
+	// renewalsKnown is closed.
+	renewalsEnd   time.Time
+	renewalsKnown chan struct{}
+	record        graceRecord
 	// graceRefused is the outcome that was last logged, graceLogged when that was.
 	graceRefused bool
 	graceLogged  time.Time
@@ -247,6 +262,9 @@
 
 // Run maintains the membership until the context ends.
 func (er *Elector) Run(ctx context.Context) {
+	er.mu.Lock()
+	er.startedAt = er.clock.Now()
+	er.mu.Unlock()
 	go er.mirror.Run(ctx)
 	for ctx.Err() == nil {
 		pause := er.step(ctx)
@@ -289,6 +307,7 @@
 		return er.join(ctx) // the present lease expires on its own
 	}
 	er.renew(ctx)
+	er.recordGrace(ctx)
 	er.requestGrace(ctx)
 	er.releaseKey(ctx)
 	er.campaign(ctx)
