term: a planner that was not asked for permission asks a node that was

A machine that has just joined is in no planner's record.

One answer is enough, since each permission is one of all nodes; the answering node gives none to earlier planners from then on. Without an answer the bound is as before.

TestTakeoverAwaitsRenewals: "a node takes over that has just joined" fails without this. TestRenewalsEnd: "node has just registered" reaches another node there and so is bounded by the TTL; its bound before holds in the new case in which it reaches none.

--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -95,7 +95,7 @@
 	nd.term = term.New(clock, log, st, term.Options{
 		Node: ad.Site.Node, PeerAddr: ad.Site.PeerAddr, Hall: ad.Site.Hall, Processors: ad.Site.Processors, Link: ad.Site.LinkMbps,
 		TTL: max(termTTL, ad.Site.Bounds.MinLease), ReadRate: ad.Site.StoreReadRate,
-		OnBacklog: nd.updateBacklog, RequestGrace: nd.requestGrace,
+		OnBacklog: nd.updateBacklog, RequestGrace: nd.requestGrace, RequestPermissionsLeft: nd.requestPermissionsLeft,
 		Lead: func(ctx context.Context, tm term.Term) { nd.planner.Lead(ctx, tm) },
 	})
 	nd.intake = intake.New(clock, log, st, intake.Options{
--- a/internal/cellnode/requests.go
+++ b/internal/cellnode/requests.go
@@ -141,6 +141,12 @@
 		return nd.commitForPeer(ctx, rq.Commit)
 	case rq.Grace != 0:
 		return peerlink.Reply{}, nd.grantGrace(rq.Grace)
+	case rq.PermissionsLeft != 0:
+		left, err := nd.term.PermissionsLeft(rq.PermissionsLeft)
+		if err != nil {
+			return peerlink.Reply{}, fault.New(fault.Unavailable, "permissions of renewals are not known: %v", err)
+		}
+		return peerlink.Reply{PermissionsLeft: &left}, nil
 	}
 	return nd.servePlannerRequest(ctx, rq)
 }
@@ -220,6 +226,18 @@
 	return err
 }
 
+// requestPermissionsLeft asks another node for how much longer planners before a term can use its permissions.
+func (nd *Node) requestPermissionsLeft(ctx context.Context, of joblog.Member, token uint64) (time.Duration, error) {
+	reply, err := nd.link.Call(ctx, of.PeerAddr, peerlink.Request{PermissionsLeft: token})
+	switch {
+	case err != nil:
+		return 0, err
+	case reply.PermissionsLeft == nil:
+		return 0, fault.New(fault.Unavailable, "node %s did not report its permissions", of.Node)
+	}
+	return *reply.PermissionsLeft, nil
+}
+
 // grantGrace answers a request to permit renewals of workers' leases.
 func (nd *Node) grantGrace(token uint64) error {
 	if err := nd.term.GrantGrace(token); err != nil {
--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -3,6 +3,7 @@
 package joblog
 
 import (
+	"cmp"
 	"strconv"
 	"strings"
 	"time"
@@ -105,8 +106,15 @@
 type GraceRecord struct {
 	// Term is the token of the planner's term.
 	Term uint64 `cbor:"1,keyasint"`
-	// Nodes are the identities of the nodes, the planner's own included, see Member.Identity.
-	Nodes []string `cbor:"2,keyasint,omitempty"`
+	// Nodes are the nodes, the planner's own included, in the order of their names.
+	Nodes []NodeID `cbor:"2,keyasint,omitempty"`
+}
+
+// NodeID distinguishes the processes of nodes that may run at the same time: two of them never listen on one address.
+type NodeID struct {
+	_        struct{} `cbor:",toarray"`
+	Node     string
+	PeerAddr string
 }
 
 // BacklogSize is the value of the backlog's key.
@@ -147,8 +155,13 @@
 	Link float64 `cbor:"5,keyasint,omitempty"`
 }
 
-// Identity distinguishes the processes of nodes that may run at the same time: two of them never listen on one address.
-func (mb *Member) Identity() string { return mb.Node + "@" + mb.PeerAddr }
+// ID returns the member's identity.
+func (mb *Member) ID() NodeID { return NodeID{Node: mb.Node, PeerAddr: mb.PeerAddr} }
+
+// Compare orders identities.
+func (id NodeID) Compare(other NodeID) int {
+	return cmp.Or(cmp.Compare(id.Node, other.Node), cmp.Compare(id.PeerAddr, other.PeerAddr))
+}
 
 // Encode encodes a value of the store: a batch, records, a member, an election or a backlog. It returns an error if Decode
 // cannot read the result, for example because of text that is not valid UTF-8 or of a list that is too long: readers
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -55,6 +55,9 @@
 	// Grace asks the node to permit the planner of the term with this token to renew the leases of workers although the store
 	// has not confirmed its own.
 	Grace uint64 `cbor:"13,keyasint,omitempty"`
+	// PermissionsLeft asks, on behalf of the term with this token, for how much longer earlier planners can use such
+	// permissions of the node.
+	PermissionsLeft uint64 `cbor:"14,keyasint,omitempty"`
 }
 
 // writes reports whether the request may change something.
@@ -76,6 +79,8 @@
 	Evacuations []evacuation.Status `cbor:"8,keyasint,omitempty"`
 	// Committed is the outcome of a write.
 	Committed *Committed `cbor:"9,keyasint,omitempty"`
+	// PermissionsLeft is for how much longer earlier planners can use permissions of the node.
+	PermissionsLeft *time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
 // Committed is the outcome of a write of the journal: its revision, or the items of the keys in its conditions if one of them
--- a/internal/planner/takeoverleases_test.go
+++ b/internal/planner/takeoverleases_test.go
@@ -181,6 +181,14 @@
 			bd.nodes["n1"].stopped.Store(true)
 			sf.silencePlanner("n2", "n3")
 		}, maxLostTime},
+		"a node takes over that has just joined": {nodes, func(bd *testbed, sf *storeFaults) {
+			sf.unwatch("n1")
+			bd.addNode("n4").cut("w1")
+			time.Sleep(registration)
+			sf.set("n2", true)
+			sf.set("n3", true)
+			sf.lose(bd, "n1")
+		}, maxMissedTime},
 		"planner does not know of the node that takes over": {nodes, func(bd *testbed, sf *storeFaults) {
 			sf.unwatch("n1")
 			time.Sleep(registration)
--- a/internal/planner/testbed_test.go
+++ b/internal/planner/testbed_test.go
@@ -361,6 +361,8 @@
 	})
 	nd.term = term.New(clock, bd.log(name), st, term.Options{Node: name, Processors: processors, TTL: 2 * time.Second, OnBacklog: bd.onBacklog, RequestGrace: func(ctx context.Context, of joblog.Member, token uint64) error {
 		return bd.requestGrace(ctx, nd, of.Node, token)
+	}, RequestPermissionsLeft: func(ctx context.Context, of joblog.Member, token uint64) (time.Duration, error) {
+		return bd.requestPermissionsLeft(ctx, nd, of.Node, token)
 	}, Lead: func(ctx context.Context, tm term.Term) {
 		nd.latest.Store(&tm)
 		nd.planner.Lead(ctx, tm)
@@ -405,6 +407,16 @@
 	return nd.term.GrantGrace(token)
 }
 
+// requestPermissionsLeft asks a node for how much longer earlier planners can use its permissions.
+func (bd *testbed) requestPermissionsLeft(ctx context.Context, from *node, name string, token uint64) (time.Duration, error) {
+	nd, err := bd.peer(from, name)
+	if err != nil {
+		<-ctx.Done()
+		return 0, err
+	}
+	return nd.term.PermissionsLeft(token)
+}
+
 // leases answers requests about leases as the nodes do that are running.
 func (bd *testbed) leases(_ context.Context, from *node, of term.Previous, rq leases.Request) (leases.Report, error) {
 	nd, err := bd.peer(from, of.Node)
--- a/internal/term/grace.go
+++ b/internal/term/grace.go
@@ -51,7 +51,7 @@
 	defer er.mu.Unlock()
 	now := er.clock.Now()
 	switch {
-	case max(er.leaderRevision, er.latestToken) > token || er.latest != nil && er.latest.token > token:
+	case max(er.leaderRevision, er.latestToken, er.gracelessBefore) > token || er.latest != nil && er.latest.token > token:
 		return errLaterTerm
 	case er.lease != 0 && now.Sub(er.renewedAt) < er.opts.TTL/2:
 		return errStoreAnswers
--- a/internal/term/grace_test.go
+++ b/internal/term/grace_test.go
@@ -35,9 +35,11 @@
 	mu sync.Mutex
 	// silent are the nodes that the store does not answer, unreachable those that other nodes do not reach.
 	silent, unreachable map[string]bool
-	terms               map[string]term.Term
-	electors            map[string]*term.Elector
-	cancels             map[string]context.CancelFunc
+	// unrenewed are the nodes whose renewals get lost.
+	unrenewed map[string]bool
+	terms     map[string]term.Term
+	electors  map[string]*term.Elector
+	cancels   map[string]context.CancelFunc
 	// requests is the number of requests for a permission, renewalTime how long a renewal takes.
 	requests    int
 	renewalTime time.Duration
@@ -45,7 +47,7 @@
 
 func newGraceBed(t *testing.T, nodes ...string) *graceBed {
 	gb := &graceBed{
-		t: t, store: memkv.New(clockwork.NewRealClock()), silent: map[string]bool{}, unreachable: map[string]bool{},
+		t: t, store: memkv.New(clockwork.NewRealClock()), silent: map[string]bool{}, unreachable: map[string]bool{}, unrenewed: map[string]bool{},
 		terms: map[string]term.Term{}, electors: map[string]*term.Elector{}, cancels: map[string]context.CancelFunc{},
 	}
 	gb.ctx, gb.cancel = context.WithCancel(t.Context())
@@ -76,13 +78,18 @@
 	renew := client.Renew
 	client.Renew = func(ctx context.Context, lease uint64) error {
 		gb.mu.Lock()
-		wait := gb.renewalTime
+		wait, lost := gb.renewalTime, gb.unrenewed[node]
 		gb.mu.Unlock()
 		time.Sleep(wait)
+		if lost {
+			<-ctx.Done()
+			return kv.ErrNoAnswer
+		}
 		return renew(ctx, lease)
 	}
 	er := term.New(clockwork.NewRealClock(), logr.Discard(), client, term.Options{
 		Node: node, PeerAddr: node + ":1", TTL: graceTTL, RequestGrace: gb.requestGrace,
+		RequestPermissionsLeft: gb.requestPermissionsLeft,
 		Lead: func(ctx context.Context, tm term.Term) {
 			gb.mu.Lock()
 			gb.terms[node] = tm
@@ -134,6 +141,17 @@
 	return er.GrantGrace(token)
 }
 
+func (gb *graceBed) requestPermissionsLeft(ctx context.Context, of joblog.Member, token uint64) (time.Duration, error) {
+	gb.mu.Lock()
+	lost, er := gb.unreachable[of.Node], gb.electors[of.Node]
+	gb.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return 0, errors.New("the node does not answer")
+	}
+	return er.PermissionsLeft(token)
+}
+
 func (gb *graceBed) set(nodes map[string]bool, node string, value bool) {
 	gb.mu.Lock()
 	defer gb.mu.Unlock()
@@ -229,6 +247,26 @@
 	}
 }
 
+// TestRecordEndsPermissions guards against a planner that uses a permission after it has recorded a node that did not give
+// it, and which relies on that.
+func TestRecordEndsPermissions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const permitted, recorded = 1800 * time.Millisecond, 60 * time.Millisecond
+		gb := newGraceBed(t, "n1")
+		defer gb.end()
+		time.Sleep(20 * time.Second)
+		gb.set(gb.unrenewed, "n1", true)
+		renewed := gb.lastRenewal("n1")
+		time.Sleep(time.Until(renewed.Add(permitted)))
+		gb.add("n2")
+		time.Sleep(recorded)
+		gb.set(gb.silent, "n1", true)
+		if lasted := gb.awaitEnd("n1").Sub(renewed); lasted > graceTTL {
+			t.Errorf("leases were renewed for %v, more than %v", lasted, graceTTL)
+		}
+	})
+}
+
 // TestSlowStoreNeedsNoPermission guards against calls to all nodes each time that a slow store answers a renewal.
 func TestSlowStoreNeedsNoPermission(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -378,6 +416,13 @@
 			gb.set(gb.silent, "n2", true)
 			gb.set(gb.silent, "n1", true)
 			gb.add("n0")
+		}, 0, graceTTL},
+		"node has just registered, and reaches no other": {func(gb *graceBed) {
+			gb.set(gb.silent, "n2", true)
+			gb.set(gb.silent, "n1", true)
+			gb.set(gb.unreachable, "n2", true)
+			gb.set(gb.unreachable, "n1", true)
+			gb.add("n0")
 		}, term.MaxUnrenewed - graceTTL, term.MaxUnrenewed - graceTTL + graceTTL/3},
 		"election before was of an earlier version": {func(gb *graceBed) {
 			gb.set(gb.silent, "n1", true)
--- a/internal/term/gracerecord.go
+++ b/internal/term/gracerecord.go
@@ -25,7 +25,7 @@
 
 // graceRecord is what the planner of a term knows of its record in the store.
 type graceRecord struct {
-	nodes []string
+	nodes []joblog.NodeID
 	// revision is that of the key, also before the term has written it. written is set once it has.
 	revision uint64
 	written  bool
@@ -43,19 +43,19 @@
 	}
 	present := identities(members)
 	for _, id := range gr.nodes {
-		if _, ok := slices.BinarySearch(present, id); !ok {
+		if _, ok := slices.BinarySearchFunc(present, id, joblog.NodeID.Compare); !ok {
 			return false
 		}
 	}
 	return true
 }
 
-func identities(members map[string]joblog.Member) []string {
-	ids := make([]string, 0, len(members))
+func identities(members map[string]joblog.Member) []joblog.NodeID {
+	ids := make([]joblog.NodeID, 0, len(members))
 	for _, mb := range members {
-		ids = append(ids, mb.Identity())
+		ids = append(ids, mb.ID())
 	}
-	slices.Sort(ids)
+	slices.SortFunc(ids, joblog.NodeID.Compare)
 	return ids
 }
 
@@ -140,7 +140,7 @@
 		item, _, err := er.store.Get(call, joblog.Grace, 0)
 		cancel()
 		if err == nil {
-			er.applyInheritedRecord(rt, item)
+			er.applyInheritedRecord(ctx, rt, item)
 			return
 		}
 		if !loop.Sleep(ctx, er.clock, retryPause) {
@@ -149,23 +149,31 @@
 	}
 }
 
-func (er *Elector) applyInheritedRecord(rt *runningTerm, item kv.Item) {
-	var rec joblog.GraceRecord
-	var err error
+func decodeRecord(item kv.Item) (rec joblog.GraceRecord, err error) {
 	if item.Revision > 0 {
 		rec, err = joblog.Decode[joblog.GraceRecord](item.Value)
 	}
+	return rec, err
+}
+
+func (er *Elector) applyInheritedRecord(ctx context.Context, rt *runningTerm, item kv.Item) {
+	rec, err := decodeRecord(item)
 	er.mu.Lock()
-	defer er.mu.Unlock()
-	rt.record.revision = item.Revision
-	if err != nil {
-		er.log.Error(err, "Record of the nodes that were asked cannot be decoded.")
-		rt.renewalsEnd = er.worstRenewalsEnd(rt)
+	end, known := er.worstRenewalsEnd(rt), true
+	if err == nil {
+		end, known = er.knownRenewalsEnd(rt, rec)
 	} else {
-		rt.renewalsEnd = er.knownRenewalsEnd(rt, rec)
+		er.log.Error(err, "Record of the nodes that were asked cannot be decoded.")
 	}
+	er.mu.Unlock()
+	if !known {
+		end = er.askForRenewalsEnd(ctx, rt, rec, end)
+	}
+	er.mu.Lock()
+	defer er.mu.Unlock()
+	rt.record.revision, rt.renewalsEnd = item.Revision, end
 	er.log.Info("Renewals of earlier planners are bounded.", "token", rt.token, "until", rt.renewalsEnd.Sub(rt.beganAt).String(),
-		"recorded", rec.Term, "asked", slices.Contains(rec.Nodes, er.identity()))
+		"after", er.clock.Since(rt.beganAt).String(), "recorded", rec.Term, "asked", slices.Contains(rec.Nodes, er.identity()))
 	close(rt.renewalsKnown)
 	er.wake.Notify()
 }
@@ -179,24 +187,29 @@
 	}
 }
 
-func (er *Elector) identity() string {
-	mb := joblog.Member{Node: er.opts.Node, PeerAddr: er.opts.PeerAddr}
-	return mb.Identity()
+func (er *Elector) identity() joblog.NodeID {
+	return joblog.NodeID{Node: er.opts.Node, PeerAddr: er.opts.PeerAddr}
 }
 
 // knownRenewalsEnd returns the latest time at which a planner before a term can have renewed leases of workers, given the
-// record that was in the store when the term began. The caller holds the lock.
-func (er *Elector) knownRenewalsEnd(rt *runningTerm, rec joblog.GraceRecord) time.Time {
+// record that was in the store when the term began. It returns false if a node in the record may know of an earlier time. The
+// caller holds the lock.
+func (er *Elector) knownRenewalsEnd(rt *runningTerm, rec joblog.GraceRecord) (end time.Time, known bool) {
 	switch recorded, used := er.recordHolds(rt, rec); {
 	case !recorded:
-		return er.worstRenewalsEnd(rt)
+		return er.worstRenewalsEnd(rt), true
 	case !used:
-		return er.aloneUntil(rt)
+		return er.aloneUntil(rt), true
 	case slices.Contains(rec.Nodes, er.identity()):
-		// What another process of this node permitted, it permitted before this one began to listen at its address.
-		return latest(er.aloneUntil(rt), latest(er.gracedAt, er.startedAt).Add(graceTime))
+		return latest(er.aloneUntil(rt), er.permissionsEnd()), true
 	}
-	return er.worstRenewalsEnd(rt)
+	return er.worstRenewalsEnd(rt), false
+}
+
+// permissionsEnd returns until when planners can use permissions of this node. What another process of it permitted, that
+// permitted before this one began to listen at its address. The caller holds the lock.
+func (er *Elector) permissionsEnd() time.Time {
+	return latest(er.gracedAt, er.startedAt).Add(graceTime)
 }
 
 // aloneUntil returns until when planners before a term can have renewed leases without permission. If the key of the planner
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -41,6 +41,9 @@
 	// RequestGrace asks another node to permit the planner of a term to renew the leases of workers (see GrantGrace). It
 	// returns nil if the node does. Without it no node does.
 	RequestGrace func(ctx context.Context, of joblog.Member, token uint64) error
+	// RequestPermissionsLeft asks another node for how much longer planners before a term can use its permissions (see
+	// PermissionsLeft). Without it no node is asked.
+	RequestPermissionsLeft func(ctx context.Context, of joblog.Member, token uint64) (time.Duration, error)
 	// Lead runs while this node is the planner; it must return when its context ends.
 	Lead func(ctx context.Context, term Term)
 }
@@ -133,6 +136,8 @@
 	grantedAt, registeredAt time.Time
 	// gracedAt is when this node last permitted a planner to renew the leases of workers.
 	gracedAt time.Time
+	// gracelessBefore is the token of a later term whose planner relies on that this node permits nothing to earlier ones.
+	gracelessBefore uint64
 	// lastSent is when the last renewal was sent, pendingRenewals the number of renewals without an answer.
 	lastSent        time.Time
 	pendingRenewals int
