term: tests of the record of permissions

Mutations of the record that no test showed before: it is not needed, it is written while an earlier planner may have permissions left, either condition of its write is left out, a restarted process does not wait for what the one before permitted.

--- a/internal/term/grace_test.go
+++ b/internal/term/grace_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,17 +38,26 @@
 	silent, unreachable map[string]bool
 	// unrenewed are the nodes whose renewals get lost.
 	unrenewed map[string]bool
-	terms     map[string]term.Term
-	electors  map[string]*term.Elector
-	cancels   map[string]context.CancelFunc
+	// unrecorded is set while writes of the record get lost.
+	unrecorded atomic.Bool
+	// recordDelay is how long writes of the record are under way. Their answers are lost.
+	recordDelay atomic.Int64
+	ttl         time.Duration
+	terms       map[string]term.Term
+	electors    map[string]*term.Elector
+	cancels     map[string]context.CancelFunc
 	// requests is the number of requests for a permission, renewalTime how long a renewal takes.
 	requests    int
 	renewalTime time.Duration
 }
 
 func newGraceBed(t *testing.T, nodes ...string) *graceBed {
+	return newGraceBedOf(t, graceTTL, nodes...)
+}
+
+func newGraceBedOf(t *testing.T, ttl time.Duration, nodes ...string) *graceBed {
 	gb := &graceBed{
-		t: t, store: memkv.New(clockwork.NewRealClock()), silent: map[string]bool{}, unreachable: map[string]bool{}, unrenewed: map[string]bool{},
+		t: t, ttl: ttl, store: memkv.New(clockwork.NewRealClock()), silent: map[string]bool{}, unreachable: map[string]bool{}, unrenewed: map[string]bool{},
 		terms: map[string]term.Term{}, electors: map[string]*term.Elector{}, cancels: map[string]context.CancelFunc{},
 	}
 	gb.ctx, gb.cancel = context.WithCancel(t.Context())
@@ -87,8 +97,21 @@
 		}
 		return renew(ctx, lease)
 	}
+	commit := client.Commit
+	client.Commit = func(ctx context.Context, txn kv.Txn) (uint64, []kv.Item, error) {
+		if gb.unrecorded.Load() && len(txn.Puts) > 0 && txn.Puts[0].Key == joblog.Grace {
+			<-ctx.Done()
+			return 0, nil, kv.ErrNoAnswer
+		}
+		if delay := time.Duration(gb.recordDelay.Load()); delay > 0 && len(txn.Puts) > 0 && txn.Puts[0].Key == joblog.Grace {
+			time.AfterFunc(delay, func() { _, _, _ = commit(context.Background(), txn) }) // its outcome is observed in the store
+			<-ctx.Done()
+			return 0, nil, kv.ErrNoAnswer
+		}
+		return commit(ctx, txn)
+	}
 	er := term.New(clockwork.NewRealClock(), logr.Discard(), client, term.Options{
-		Node: node, PeerAddr: node + ":1", TTL: graceTTL, RequestGrace: gb.requestGrace,
+		Node: node, PeerAddr: node + ":1", TTL: gb.ttl, RequestGrace: gb.requestGrace,
 		RequestPermissionsLeft: gb.requestPermissionsLeft,
 		Lead: func(ctx context.Context, tm term.Term) {
 			gb.mu.Lock()
