planner: expect the longest lease after an incarnation's first answer

A task could start on a second worker while it still ran on the first (TWICE), if the first had restarted under its id: a hold for the earlier incarnation, carried out in the next one before its first call with a higher token, gives a lease that the planner does not know of.

PROTOCOL.md has workers cut leases down to max-hold-ms. The stand-in did not, which made the fault look unbounded; it cuts at 6 s now, as the page says. The planner assumes the longest lease from the first answer of an incarnation that reports a start time.

--- a/internal/planner/inheritedleases.go
+++ b/internal/planner/inheritedleases.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"time"
@@ -52,6 +53,12 @@
 	return time.Duration((float64(ld.lease) + maxClockDrift*float64(maxReportAge)) / (1 - maxClockDrift))
 }
 
+// longestLease is how long the longest lease that workers accept may last on a slow clock.
+func (ld *leader) longestLease() time.Duration {
+	longest := cmp.Or(ld.opts.Site.Bounds.MaxLease, defaultMaxLease)
+	return time.Duration(float64(longest) / (1 - maxClockDrift))
+}
+
 // inheritedLeaseEnd returns when a worker that has not answered this planner has surely ended all its runs. The caller
 // holds the lock.
 func (ld *leader) inheritedLeaseEnd(id incarnation.ID) time.Duration {
--- a/internal/planner/leader.go
+++ b/internal/planner/leader.go
@@ -27,6 +27,8 @@
 	// defaultLease is the worker lease, unless the site's settings limit it. It covers the time to detect a dead
 	// planner (1.2 s), to elect and load another (1 s), to reach all workers, and part of a store outage.
 	defaultLease = 5 * time.Second
+	// defaultMaxLease is used if the site's settings lack the longest lease that workers accept (Bounds.MaxLease).
+	defaultMaxLease = 6 * time.Second
 	// maxUnrenewed is how long after the beginning of a term an earlier planner may still send orders with deadlines.
 	maxUnrenewed = term.MaxUnrenewed
 	// maxClockDrift is the maximum rate by which a worker's clock may be slower than the planner's.
--- a/internal/planner/session.go
+++ b/internal/planner/session.go
@@ -284,6 +284,10 @@
 	first := !se.answered
 	if first {
 		se.inheritedEnd = min(se.leaseEnd(), now+ld.leaseBound()) // the worker rejects an earlier planner's renewals now
+		if se.mayRestart() {
+			// An order for an earlier incarnation, with a deadline by its clock, may have been carried out just before.
+			se.inheritedEnd = max(se.inheritedEnd, now+ld.longestLease())
+		}
 		se.answered = true
 		se.resolveEarlier(now)
 	}
--- a/internal/standin/memworkers/memworkers.go
+++ b/internal/standin/memworkers/memworkers.go
@@ -327,6 +327,14 @@
 	fl.changed = make(chan struct{})
 }
 
+// maxLease is the longest lease that a worker accepts, by its own clock. A longer one is cut down to it.
+const maxLease = 6 * time.Second
+
+// extend extends the lease of everything that runs. It is never shortened.
+func (wk *worker) extend(deadline, now time.Duration) {
+	wk.deadline = max(wk.deadline, min(deadline, now+maxLease))
+}
+
 func (fl *Fleet) hold(ctx context.Context, to agent.Target, hd agent.Hold) (agent.Report, error) {
 	timeout := fl.clock.After(hd.Wait)
 	var reached *worker // the incarnation that the call reached first
@@ -344,7 +352,7 @@
 			if err := wk.admit(hd.Token); err != nil {
 				return err
 			}
-			wk.deadline = max(wk.deadline, hd.Deadline)
+			wk.extend(hd.Deadline, fl.now(wk))
 			fl.ackEnds(wk, hd.Acked)
 			report = fl.report(wk)
 			changed = fl.changed
@@ -439,18 +447,18 @@
 			return nil
 		case sr.Run <= wk.fenced[sr.Task]:
 			answer.Refusal = cell.RefusedStale
-			wk.deadline = max(wk.deadline, deadline)
+			wk.extend(deadline, fl.now(wk))
 			return nil
 		case refusal != "":
 			answer.Refusal = refusal
 			if refusal == cell.RefusedNoCapacity {
-				wk.deadline = max(wk.deadline, deadline)
+				wk.extend(deadline, fl.now(wk))
 			}
 			return nil
 		}
 		fl.checkDuplicate(wk, sr)
 		fl.checkCapacity(wk, sr)
-		wk.deadline = max(wk.deadline, deadline)
+		wk.extend(deadline, fl.now(wk))
 		behavior := fl.behaviorOf(wk.id, sr)
 		wk.runs[sr.Task] = run{number: sr.Run, startedAt: fl.clock.Now(), takes: behavior.Takes, hangsAfter: behavior.HangsAfter, fails: behavior.Fails, delayed: wk.delayed}
 		fl.log.Info("Run started.", "worker", wk.id, "born", wk.born(), "task", sr.Task.String(), "run", sr.Run, "for", sr.Worker, "token", token,
