--- a/internal/planner/leaseend_test.go
+++ b/internal/planner/leaseend_test.go
@@ -22,6 +22,7 @@
 		maxAway  = 6 * time.Second
 		holdTime = time.Second
 		step     = 200 * time.Millisecond
+		jobs     = 5
 	)
 	tests := map[string]struct {
 		lost int
@@ -57,7 +58,7 @@
 					}
 					silentAt := bd.cutWorkers(ids[:tt.lost]...)
 					if tt.startsEvery > 0 {
-						go bd.startEverywhere(nd, workers, tt.startsEvery)
+						go bd.startEverywhere(nd, workers, jobs, tt.startsEvery)
 					}
 					for end := time.Now().Add(2 * maxAway); time.Now().Before(end); time.Sleep(step / 20) {
 						for _, sr := range bd.fleet.Starts() {
@@ -97,8 +98,7 @@
 }
 
 // startEverywhere submits jobs that have one task on each worker, as many as there is room for.
-func (bd *testbed) startEverywhere(nd *node, workers int, every time.Duration) {
-	const jobs = 5
+func (bd *testbed) startEverywhere(nd *node, workers, jobs int, every time.Duration) {
 	for n := range jobs {
 		bd.submitJob(nd, &work.Job{ID: fmt.Sprintf("wide%d", n), Spec: "wide", Queue: bd.accepted, Steps: []work.Step{{
 			Count: workers, Need: size.New(1000, 1000, 0), Estimate: time.Minute, PerWorker: 1,
@@ -106,3 +106,56 @@
 		time.Sleep(every)
 	}
 }
+
+// TestLossOfManyWorkersIsNoLossyPath guards against leases of lost workers that starts extend, because so many calls are lost
+// that single ones count for little.
+func TestLossOfManyWorkersIsNoLossyPath(t *testing.T) {
+	const (
+		workers = 400
+		lost    = workers / 4
+		maxAway = 9 * time.Second
+		watched = 15 * time.Second
+		every   = 1500 * time.Millisecond
+		jobs    = 3
+	)
+	for _, after := range []time.Duration{0, 400 * time.Millisecond, 800 * time.Millisecond} {
+		t.Run(after.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				bd := newTestbed(t, time.Minute, workerNames(workers)...)
+				defer bd.end()
+				nd := bd.addNode("n1")
+				bd.submitJob(nd, &work.Job{ID: "lasting", Spec: "lasting", Queue: bd.accepted, Steps: []work.Step{{
+					Count: workers, Need: size.New(1000, 1000, 0), Estimate: time.Second, LongRunning: true, PerWorker: 2,
+				}}})
+				bd.await("lasting", cell.Running, 20*time.Second)
+				time.Sleep(10*time.Second + after)
+				ids := workerNames(workers)[:lost]
+				runs := map[work.Task]string{}
+				for _, sr := range bd.fleet.Starts() {
+					if id := sr.Worker.WorkerID(); slices.Contains(ids, id) {
+						runs[sr.Task] = id
+					}
+				}
+				bd.cutWorkers(ids...)
+				cutAt, known := time.Now(), len(bd.fleet.Starts())
+				go bd.startEverywhere(nd, workers, jobs, every)
+				for time.Since(cutAt) < watched && len(runs) > 0 {
+					time.Sleep(50 * time.Millisecond)
+					starts := bd.fleet.Starts()
+					for _, sr := range starts[known:] {
+						if id, waits := runs[sr.Task]; waits && sr.Worker.WorkerID() != id {
+							delete(runs, sr.Task)
+							if away := time.Since(cutAt); away > maxAway {
+								t.Errorf("%s ran again after %v, more than %v", sr.Task, away, maxAway)
+							}
+						}
+					}
+					known = len(starts)
+				}
+				if len(runs) > 0 {
+					t.Errorf("%d tasks have not run again after %v", len(runs), watched)
+				}
+			})
+		})
+	}
+}
--- a/internal/standin/memworkers/memworkers.go
+++ b/internal/standin/memworkers/memworkers.go
@@ -69,6 +69,8 @@
 	limit    Limit
 	// maxEnds is the maximum number of ends in a report.
 	maxEnds int
+	// mostEnds is the highest number of ends that a worker had to report at once.
+	mostEnds int
 	// stopTime is how long workers take to stop a run.
 	stopTime time.Duration
 }
@@ -206,6 +208,13 @@
 	return log
 }
 
+// MostEnds returns the highest number of ends that a worker had to report at once.
+func (fl *Fleet) MostEnds() int {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.mostEnds
+}
+
 // Violations returns the violated invariants: two concurrent runs of a task, a start of a task whose successful end was
 // acknowledged or is later, or a start over a limit or a worker's capacity.
 func (fl *Fleet) Violations() []string {
@@ -317,6 +326,7 @@
 		wk.gangEnds[wk.seq] = rn.gang
 	}
 	wk.ends = append(wk.ends, cell.End{Seq: wk.seq, Run: cell.Run{Task: name, Number: number}, Result: result})
+	fl.mostEnds = max(fl.mostEnds, len(wk.ends))
 	fl.log.Info("Run ended.", "worker", wk.id, "born", wk.born(), "task", name.String(), "run", number, "seq", wk.seq, "result", result)
 	fl.wakeHolds()
 }
