term: a node tells of its permissions only once it takes part in elections

TestPermissionsOfStartingNode: it said 0 before, an error now. Bounds of earlier renewals count from the lease under which the term began, not from a longer one that a node with many others is granted right after.

--- a/internal/term/election.go
+++ b/internal/term/election.go
@@ -334,7 +334,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	rt := &runningTerm{
 		token: er.leaderRevision, lease: er.lease, cancel: cancel, done: make(chan struct{}),
-		beganAt: er.clock.Now(), previous: er.leader.Previous, renewalsKnown: make(chan struct{}),
+		beganAt: er.clock.Now(), grantedAt: er.grantedAt, previous: er.leader.Previous, renewalsKnown: make(chan struct{}),
 	}
 	previous := er.latest
 	er.current, er.latest = rt, rt
--- a/internal/term/graceask.go
+++ b/internal/term/graceask.go
@@ -21,16 +21,22 @@
 	askPause    = 50 * time.Millisecond
 )
 
-// errLeads is returned by a node that leads an earlier term.
-var errLeads = errors.New("the node has not noticed the end of its own term")
+// Reasons why a node does not tell about its permissions.
+var (
+	errLeads      = errors.New("the node has not noticed the end of its own term")
+	errNotStarted = errors.New("the node has not started to take part in elections")
+)
 
 // PermissionsLeft returns for how much longer earlier planners than the one of a term can use permissions of this node. It
 // gives them none from now on.
 func (er *Elector) PermissionsLeft(token uint64) (time.Duration, error) {
 	er.mu.Lock()
 	defer er.mu.Unlock()
-	if er.current != nil {
+	switch {
+	case er.current != nil:
 		return 0, errLeads
+	case er.startedAt.IsZero():
+		return 0, errNotStarted // another process of the node may have given one just before
 	}
 	er.gracelessBefore = max(er.gracelessBefore, token)
 	return max(er.permissionsEnd().Sub(er.clock.Now()), 0), nil
--- a/internal/term/gracerecord.go
+++ b/internal/term/gracerecord.go
@@ -216,12 +216,12 @@
 // before expired, its lease was last renewed at least opts.TTL ago. If that planner removed it, it renews nothing any more.
 // If the key was lost with all leases, so was this node's lease, and the present one was granted later.
 func (er *Elector) aloneUntil(rt *runningTerm) time.Time {
-	return latest(rt.beganAt, er.grantedAt.Add(er.opts.TTL))
+	return latest(rt.beganAt, rt.grantedAt.Add(er.opts.TTL))
 }
 
 // worstRenewalsEnd is the same with any permissions.
 func (er *Elector) worstRenewalsEnd(rt *runningTerm) time.Time {
-	lastRenewal := latest(rt.beganAt.Add(-er.opts.TTL), er.grantedAt)
+	lastRenewal := latest(rt.beganAt.Add(-er.opts.TTL), rt.grantedAt)
 	return latest(rt.beganAt, lastRenewal.Add(MaxUnrenewed))
 }
 
--- a/internal/term/gracerecord_test.go
+++ b/internal/term/gracerecord_test.go
@@ -6,6 +6,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
 	"tackbeam.example/tackbeam/internal/joblog"
@@ -187,3 +189,17 @@
 		}
 	})
 }
+
+// TestPermissionsOfStartingNode guards against a node that tells about its permissions before it has begun to count those of
+// its earlier process.
+func TestPermissionsOfStartingNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gb := newGraceBed(t, "n1")
+		defer gb.end()
+		starting := term.New(clockwork.NewRealClock(), logr.Discard(), gb.store.Client("n2"), term.Options{Node: "n2", PeerAddr: "n2:1", TTL: graceTTL})
+		if left, err := starting.PermissionsLeft(7); err == nil {
+			t.Errorf("PermissionsLeft = %v", left)
+		}
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -177,9 +177,9 @@
 	// whatever its outcome. requestsGrace is set while one is under way.
 	graceFrom, graceRequestedAt time.Time
 	requestsGrace               bool
-	// beganAt is when the term began, previous the token of the term before.
-	beganAt  time.Time
-	previous uint64
+	// beganAt is when the term began, grantedAt when its lease was granted, previous the token of the term before.
+	beganAt, grantedAt time.Time
+	previous           uint64
 	// renewalsEnd is the latest time at which earlier planners can have renewed leases of workers. It is set before
 	// renewalsKnown is closed.
 	renewalsEnd   time.Time
