term: test that the record counts for nothing after an election of an earlier version

Without the check of Election.Recorded no test failed; now TestRenewalsEnd does (0 s instead of 2 to 4 s).

--- a/internal/term/grace_test.go
+++ b/internal/term/grace_test.go
@@ -449,7 +449,7 @@
 		}, term.MaxUnrenewed - graceTTL, term.MaxUnrenewed - graceTTL + graceTTL/3},
 		"election before was of an earlier version": {func(gb *graceBed) {
 			gb.set(gb.silent, "n1", true)
-			el := joblog.Election{Node: "n1", PeerAddr: "n1:1", Number: 2}
+			el := joblog.Election{Node: "n1", PeerAddr: "n1:1", Number: 2, Previous: gb.term("n1").Token, Grace: true}
 			raw, err := joblog.Encode(el)
 			if err != nil {
 				gb.t.Fatal(err)
