--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -101,8 +101,8 @@
 	Recorded bool `cbor:"7,keyasint,omitempty"`
 }
 
-// GraceRecord names the nodes all of whose permission a planner needs to renew leases of workers beyond its own lease. A
-// planner whose term has none renews none.
+// GraceRecord names the nodes that must all permit a planner to renew leases of workers beyond its own lease. A planner that
+// has written no record in its term renews none beyond that.
 type GraceRecord struct {
 	// Term is the token of the planner's term.
 	Term uint64 `cbor:"1,keyasint"`
--- a/internal/planner/leaseend_test.go
+++ b/internal/planner/leaseend_test.go
@@ -107,9 +107,9 @@
 	}
 }
 
-// TestLossOfManyWorkersIsNoLossyPath guards against leases of lost workers that starts extend, because so many calls are lost
-// that single ones count for little.
-func TestLossOfManyWorkersIsNoLossyPath(t *testing.T) {
+// TestLossOfManyWorkersExtendsNoLease guards against starts that extend the leases of lost workers: while many calls are lost,
+// a worker counts as unreachable only after several unanswered holds.
+func TestLossOfManyWorkersExtendsNoLease(t *testing.T) {
 	const (
 		workers = 400
 		lost    = workers / 4
--- a/internal/term/gracerecord.go
+++ b/internal/term/gracerecord.go
@@ -219,7 +219,8 @@
 	return latest(rt.beganAt, rt.grantedAt.Add(er.opts.TTL))
 }
 
-// worstRenewalsEnd is the same with any permissions.
+// worstRenewalsEnd returns until when planners before a term can have renewed leases if they had every permission. The last
+// renewal of their own leases is bounded as for aloneUntil.
 func (er *Elector) worstRenewalsEnd(rt *runningTerm) time.Time {
 	lastRenewal := latest(rt.beganAt.Add(-er.opts.TTL), rt.grantedAt)
 	return latest(rt.beganAt, lastRenewal.Add(MaxUnrenewed))
