planner: tests in virtual time run side by side

Each play in a bubble of synctest depends on no other one; all but TestIdleWorkersAreNotHeld, which compares two plays, are now parallel. No play, seed or check is changed.

--- a/internal/planner/admission_test.go
+++ b/internal/planner/admission_test.go
@@ -61,6 +61,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				bd := newTestbed(t, time.Second, "w1")
@@ -94,6 +95,7 @@
 // TestAdmissionReports submits five times what the workers can run for some seconds. It guards against reports that do
 // not limit what nodes admit, that come more often than each 0.5 s, or that do not end with the load.
 func TestAdmissionReports(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		const run, interval, loadTime = 500 * time.Millisecond, 100 * time.Millisecond, 6 * time.Second
--- a/internal/planner/advicebudget_test.go
+++ b/internal/planner/advicebudget_test.go
@@ -32,6 +32,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				bd := newTestbed(t, time.Minute, "w1")
--- a/internal/planner/capacity_test.go
+++ b/internal/planner/capacity_test.go
@@ -52,6 +52,7 @@
 	}
 	for name, trouble := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				bd := newTestbed(t, 900*time.Millisecond, "w1", "w2", "w3")
 				defer bd.end()
@@ -93,6 +94,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				bd := newTestbed(t, 900*time.Millisecond, "w1", "w2", "w3")
 				bd.heartbeat = heartbeat
--- a/internal/planner/crashes_test.go
+++ b/internal/planner/crashes_test.go
@@ -93,6 +93,7 @@
 func TestCrashingTaskIsGivenUp(t *testing.T) {
 	for name, back := range map[string]ids{"workers return under new ids": newIDs, "workers return under their ids": ownIDs} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				bd := newTestbed(t, 700*time.Millisecond, "w1", "w2", "w3", "w4", "w5", "w6")
 				defer bd.end()
@@ -137,6 +138,7 @@
 		"before the worker is back, recurring job":             {soon, newIDs, 1, true},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				bd := newTestbed(t, 700*time.Millisecond, "w1", "w2", "w3", "w4", "w5", "w6")
 				defer bd.end()
@@ -191,6 +193,7 @@
 		"neither hold nor start has": {1500 * time.Millisecond, true},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				bd := newTestbed(t, 700*time.Millisecond)
 				defer bd.end()
@@ -237,6 +240,7 @@
 // TestLeavingIsNoCrash has workers end after the planner has seen that their entries were removed, at different times within
 // a hold. They answer all calls until then, so that no crash may be attributed to their tasks.
 func TestLeavingIsNoCrash(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		const leavers, apart, seen = 12, 2130 * time.Millisecond, 500 * time.Millisecond
 		bd := newTestbed(t, 10*time.Second, "w0")
@@ -269,6 +273,7 @@
 // TestStopsToCrashedWorker crashes a worker whose runs are being stopped. The stops must not be repeated at a high rate
 // while nothing listens at the worker's address.
 func TestStopsToCrashedWorker(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		const runs, mostEach = 4, 7
 		bd := newTestbed(t, 20*time.Second, "w1")
@@ -298,6 +303,7 @@
 // TestCutsAreNoCrashes repeatedly disconnects all workers for longer than their lease, while planners change. The
 // workers answer again each time, so that no crash may be attributed to their tasks.
 func TestCutsAreNoCrashes(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		const cuts, cut, calm = 6, 8 * time.Second, 4 * time.Second
 		bd := newTestbed(t, 12*time.Second, "w1", "w2", "w3")
--- a/internal/planner/crashplay_test.go
+++ b/internal/planner/crashplay_test.go
@@ -35,6 +35,7 @@
 func TestCrashingStartsAreBounded(t *testing.T) {
 	for seed := range crashPlaySeeds(t) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) { runCrashPlay(t, rand.New(rand.NewPCG(seed, 2)), 0) })
 		})
 	}
--- a/internal/planner/disclaimed_test.go
+++ b/internal/planner/disclaimed_test.go
@@ -11,6 +11,7 @@
 // TestDisclaimedTermBegins guards against a term that begins, and renews leases, after a later planner was told that this
 // node has not led it.
 func TestDisclaimedTermBegins(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		const later = 1000
 		bd := newTestbed(t, time.Second, "w1")
--- a/internal/planner/drainingrecord_test.go
+++ b/internal/planner/drainingrecord_test.go
@@ -13,6 +13,7 @@
 		"before old records are removed": 2 * time.Second, "after that": 12 * time.Second, "much later": 2 * time.Minute,
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				bd := newTestbed(t, time.Hour, "w1", "w2")
 				defer bd.end()
--- a/internal/planner/endedsession_test.go
+++ b/internal/planner/endedsession_test.go
@@ -15,6 +15,7 @@
 	const holdTimeout, step = 800 * time.Millisecond, 100 * time.Millisecond
 	for offset := time.Duration(0); offset < holdTimeout; offset += step {
 		t.Run(offset.String(), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				bd := newTestbed(t, time.Hour, "w1")
 				defer bd.end()
--- a/internal/planner/evacuation_test.go
+++ b/internal/planner/evacuation_test.go
@@ -102,6 +102,7 @@
 
 // TestEvacuation evacuates a hall, changes the planner meanwhile, and withdraws the evacuation.
 func TestEvacuation(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		hb := newHallBed(t, 300*time.Millisecond, 2)
 		defer hb.end()
@@ -168,6 +169,7 @@
 func TestEvacuationUnknown(t *testing.T) {
 	for name, fromTheBeginning := range map[string]bool{"from the beginning of the term": true, "later": false} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				hb := newHallBed(t, 300*time.Millisecond, 2)
 				defer hb.end()
@@ -196,6 +198,7 @@
 func TestEvacuationEntries(t *testing.T) {
 	for name, key := range map[string]string{"no hall": "", "unknown hall": "d", "path": "a/b"} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				hb := newHallBed(t, 300*time.Millisecond, 1)
 				defer hb.end()
@@ -225,6 +228,7 @@
 	}
 	for seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) { playEvacuations(t, rand.New(rand.NewPCG(seed, 3))) })
 		})
 	}
--- a/internal/planner/firstanswer_test.go
+++ b/internal/planner/firstanswer_test.go
@@ -12,6 +12,7 @@
 	const step, longest = 5 * time.Millisecond, 60 * time.Millisecond
 	for delay := time.Duration(0); delay <= longest; delay += step {
 		t.Run(delay.String(), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				bd := newTestbed(t, time.Hour, "w1", "w2")
 				defer bd.end()
--- a/internal/planner/gcrecords_test.go
+++ b/internal/planner/gcrecords_test.go
@@ -17,6 +17,7 @@
 	const from, to, step = 7500 * time.Millisecond, 8200 * time.Millisecond, 10 * time.Millisecond
 	for submitted := from; submitted < to; submitted += step {
 		t.Run(submitted.String(), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				bd := newTestbed(t, 700*time.Millisecond)
 				defer bd.end()
--- a/internal/planner/goneworkers_test.go
+++ b/internal/planner/goneworkers_test.go
@@ -26,6 +26,7 @@
 		"600 of 1,200": {600, 1000, 2100},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				const workers = 1200
 				bd := newTestbed(t, time.Second)
--- a/internal/planner/handover_test.go
+++ b/internal/planner/handover_test.go
@@ -28,6 +28,7 @@
 		"yields":                    {func(_ *testbed, first *node) { first.currentTerm().Yield("test") }, soon},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				bd := newTestbed(t, 300*time.Millisecond, "w1", "w2", "w3")
 				defer bd.end()
@@ -51,6 +52,7 @@
 // TestHandoverOfRuns has the first planner resign while tasks run, and workers that do not answer the second one. The
 // tasks must not start again while they may run there.
 func TestHandoverOfRuns(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, 3*time.Second, "w1", "w2", "w3")
 		defer bd.end()
--- a/internal/planner/headroom_test.go
+++ b/internal/planner/headroom_test.go
@@ -17,6 +17,7 @@
 func TestHeadroomIsReported(t *testing.T) {
 	for name, features := range map[string]feature.Set{"enabled": feature.UrgentHeadroom, "not enabled": 0} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				var ll logLines
--- a/internal/planner/incarnationhandover_test.go
+++ b/internal/planner/incarnationhandover_test.go
@@ -14,6 +14,7 @@
 // TestDelayedStartOutlivesHandover guards against a second run of a task whose start is carried out late, in the worker's
 // next incarnation, while another planner takes over.
 func TestDelayedStartOutlivesHandover(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		const away, maxWait = time.Second, 30 * time.Second
 		bd := newTestbed(t, time.Hour, "w1")
--- a/internal/planner/lateack_test.go
+++ b/internal/planner/lateack_test.go
@@ -158,6 +158,7 @@
 		"start time not in entries": {delay: 250 * time.Millisecond, entry: "room 8"},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				lb := newLateAckBed(t, 50*time.Millisecond, tt.delay)
 				defer lb.end()
@@ -197,6 +198,7 @@
 		"another attempt was carried out": {500 * time.Millisecond, true, 150 * time.Millisecond, 600 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				const delay = 1500 * time.Millisecond
 				lb := newLateAckBed(t, tt.run, delay)
@@ -231,6 +233,7 @@
 // TestRequestedReportAcknowledgesNothing guards against a task that runs again because a report that was requested beside
 // the pending hold acknowledged ends, and the request reached the worker's next incarnation late.
 func TestRequestedReportAcknowledgesNothing(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		const delay = 2 * time.Second
 		lb := newLateAckBed(t, 50*time.Millisecond, delay)
@@ -253,6 +256,7 @@
 // TestOvertakenStopEndsNoTerm guards against a planner that takes its own higher token for that of a later planner: a stop
 // is rejected because a hold that follows a lost acknowledgement has overtaken it.
 func TestOvertakenStopEndsNoTerm(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		lb := newLateAckBed(t, 400*time.Millisecond, 2*time.Second)
 		defer lb.end()
@@ -284,6 +288,7 @@
 	const seeds, workers, jobs = 20, 2, 40
 	for seed := range uint64(seeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				rnd := rand.New(rand.NewPCG(seed, 2))
 				bd := newTestbed(t, time.Duration(5+rnd.IntN(200))*time.Millisecond, "w0", "w1")
@@ -402,6 +407,7 @@
 // TestAcknowledgementAfterTakeover guards against a task that runs again because the next planner acknowledged ends while
 // a late attempt of its predecessor's start was under way, and both reached the worker's next incarnation.
 func TestAcknowledgementAfterTakeover(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		const run, delay = 800 * time.Millisecond, 2 * time.Second
 		lb := newLateAckBed(t, run, delay)
--- a/internal/planner/latecancel_test.go
+++ b/internal/planner/latecancel_test.go
@@ -20,6 +20,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				bd := newTestbed(t, time.Second, "w1", "w2")
 				defer bd.end()
--- a/internal/planner/lateincarnationhold_test.go
+++ b/internal/planner/lateincarnationhold_test.go
@@ -11,6 +11,7 @@
 
 // TestLateHoldForEarlierIncarnation guards against leases that a late hold for an earlier incarnation gives to the next one.
 func TestLateHoldForEarlierIncarnation(t *testing.T) {
+	t.Parallel()
 	const (
 		works = iota
 		holdLate
@@ -56,6 +57,7 @@
 func TestLateHoldBeforeFirstCall(t *testing.T) {
 	for delay := time.Second; delay <= 2*time.Second; delay += 50 * time.Millisecond {
 		t.Run(delay.String(), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) { playLateHold(t, delay) })
 		})
 	}
--- a/internal/planner/leaseend_test.go
+++ b/internal/planner/leaseend_test.go
@@ -37,6 +37,7 @@
 	for name, tt := range tests {
 		for after := time.Duration(0); after <= holdTime; after += step {
 			t.Run(fmt.Sprintf("%s after %s", name, after), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					var ids []string
 					for n := range workers {
@@ -120,6 +121,7 @@
 	)
 	for _, after := range []time.Duration{0, 400 * time.Millisecond, 800 * time.Millisecond} {
 		t.Run(after.String(), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				bd := newTestbed(t, time.Minute, workerNames(workers)...)
 				defer bd.end()
--- a/internal/planner/longrunning_test.go
+++ b/internal/planner/longrunning_test.go
@@ -97,6 +97,7 @@
 		"many workers are silent":                {2500 * time.Millisecond, []string{"n1"}, "n2", 10},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				workers := workerNames(tt.silent + 3)
 				bd := newTestbed(t, time.Hour, workers...)
@@ -175,6 +176,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				bd := newTestbed(t, time.Hour, "w1", "w2", "w3")
 				defer bd.end()
@@ -196,6 +198,7 @@
 // TestRecordedLossOutlivesPlanner guards against a next planner that waits for the renewals which a dead planner might have
 // sent to a worker, although that planner has recorded that the worker does not answer.
 func TestRecordedLossOutlivesPlanner(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		const ttl = 2 * time.Second
 		bd := newTestbed(t, time.Hour, "w1", "w2", "w3")
@@ -217,6 +220,7 @@
 // TestRenewalAwaitsRecord guards against a second run on behalf of a planner that reads in the journal that a lease is not
 // renewed, while the earlier planner, cut off from the store, renews it again.
 func TestRenewalAwaitsRecord(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, time.Hour, "w1", "w2")
 		defer bd.end()
@@ -241,6 +245,7 @@
 // TestRenewalsBeforePreviousTerm guards against a second run on behalf of a planner that takes the restart of the previous
 // planner's process for the end of all renewals, while the planner before that one, cut off from the store, still renews.
 func TestRenewalsBeforePreviousTerm(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, time.Hour, "w1", "w2")
 		defer bd.end()
--- a/internal/planner/losthold_test.go
+++ b/internal/planner/losthold_test.go
@@ -14,6 +14,7 @@
 	const lost = 1800 * time.Millisecond // one hold with its slack
 	for name, outage := range map[string]time.Duration{"5 s": 5 * time.Second, "6 s": 6 * time.Second, "7 s": 7 * time.Second} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				bd := newTestbed(t, time.Hour, "w1", "w2")
 				defer bd.end()
--- a/internal/planner/lostworker_test.go
+++ b/internal/planner/lostworker_test.go
@@ -18,6 +18,7 @@
 
 // TestLostTaskRestarts has the worker of a long-running task fall silent for good in a cell where another one is idle.
 func TestLostTaskRestarts(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, time.Hour, "w1")
 		defer bd.end()
--- a/internal/planner/manyworkers_test.go
+++ b/internal/planner/manyworkers_test.go
@@ -79,6 +79,7 @@
 		"10 workers":                            {workers: 10, within: time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				const connectTime, callTime = time.Millisecond, 100 * time.Microsecond
 				bd := newTestbed(t, time.Second)
--- a/internal/planner/partialreport_test.go
+++ b/internal/planner/partialreport_test.go
@@ -69,6 +69,7 @@
 	for name, disturb := range ways {
 		for _, startTimes := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%s, start times reported: %t", name, startTimes), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					bd := newTestbed(t, run)
 					defer bd.end()
@@ -107,6 +108,7 @@
 	} {
 		for after := time.Duration(0); after < most; after += step {
 			t.Run(fmt.Sprint(name, after), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					bd := newTestbed(t, run)
 					defer bd.end()
@@ -144,6 +146,7 @@
 // once an incarnation answers that the records do not name, although that answer lacks ends: starts that were sent to the
 // recorded incarnation were carried out by this one.
 func TestPartialReportOfNextIncarnation(t *testing.T) {
+	t.Parallel()
 	const tasks, run = 40, 1500 * time.Millisecond
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, run)
@@ -201,6 +204,7 @@
 func TestPartialReports(t *testing.T) {
 	for seed := range seedCount(t, "TACKBEAM_PARTIAL_SEEDS", "12") {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) { playPartialReports(t, rand.New(rand.NewPCG(seed, 3))) })
 		})
 	}
--- a/internal/planner/peercommit_test.go
+++ b/internal/planner/peercommit_test.go
@@ -19,6 +19,7 @@
 		"without any other nodes": {false, cell.Running},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				bd := newTestbed(t, time.Second, "w1", "w2")
 				bd.peerCommits = tc.peers
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -17,6 +17,7 @@
 
 // TestJobRuns runs a job from its submission to its end.
 func TestJobRuns(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, time.Second, "w1", "w2")
 		defer bd.end()
@@ -32,6 +33,7 @@
 // TestPlanningIsBatched changes something each millisecond. Several changes must be handled by one planning pass, which
 // costs as much as many changes.
 func TestPlanningIsBatched(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, time.Second, "w1", "w2")
 		defer bd.end()
@@ -53,6 +55,7 @@
 // TestWorkerVanishes makes a worker stop answering for good. Its tasks must start elsewhere once its lease has expired,
 // not before and not much later.
 func TestWorkerVanishes(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, 3*time.Second, "w1", "w2")
 		defer bd.end()
@@ -79,6 +82,7 @@
 	}
 	for name, fault := range cases {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				bd := newTestbed(t, time.Second, "w1", "w2", "w3")
 				defer bd.end()
@@ -114,6 +118,7 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				bd := newTestbed(t, 6*time.Second, "w1", "w2")
 				defer bd.end()
@@ -140,6 +145,7 @@
 
 // TestStoreLosesHistory drops the store's history. Jobs accepted meanwhile must run.
 func TestStoreLosesHistory(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, time.Second, "w1")
 		defer bd.end()
@@ -156,6 +162,7 @@
 // TestAnswersLost loses the answer to every second write. Jobs must still be accepted soon, and the planner must not
 // change.
 func TestAnswersLost(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, time.Second, "w1", "w2")
 		defer bd.end()
@@ -192,6 +199,7 @@
 // TestStartNotCarriedOut loses the first start. The task must start elsewhere within half a second, although the worker
 // has no end to report.
 func TestStartNotCarriedOut(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, time.Second, "w1", "w2")
 		defer bd.end()
@@ -213,6 +221,7 @@
 // TestStaleJournal makes the planner lose the watch on the journal. It must no longer answer that a job is unknown, or
 // how many jobs are queued.
 func TestStaleJournal(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, time.Second, "w1")
 		defer bd.end()
@@ -240,6 +249,7 @@
 // TestLeavesWithItsLastEnd has a worker leave just after it reported an end, while another report is requested. The end
 // must not be lost, and the task must not run twice.
 func TestLeavesWithItsLastEnd(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, time.Second, "w1")
 		defer bd.end()
--- a/internal/planner/refusedrepeat_test.go
+++ b/internal/planner/refusedrepeat_test.go
@@ -70,6 +70,7 @@
 		"late, refused as invalid":       {run: 10 * time.Second, first: memworkers.Delayed, refusal: cell.RefusedInvalid},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				bd := newTestbed(t, tc.run, "w1", "w2")
 				defer bd.end()
@@ -118,6 +119,7 @@
 
 // TestGangRestartsWhileMemberStops: the repeated start of a member is refused because its run is being stopped.
 func TestGangRestartsWhileMemberStops(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		const (
 			slowAnswer   = 40 * time.Millisecond // the planner then waits longer than the repeated start takes
--- a/internal/planner/restarts_test.go
+++ b/internal/planner/restarts_test.go
@@ -31,6 +31,7 @@
 // exceeds that of the previous incarnation (14 in the observed case). Then runs seem to have disappeared without an
 // end, and their tasks are started again.
 func TestWorkersRestart(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, 200*time.Millisecond, "w1", "w2", "w3")
 		defer bd.end()
@@ -57,6 +58,7 @@
 // was stopped and started again, up to 13 times, until each worker's numbers exceeded those of its previous
 // incarnation.
 func TestNextStepAfterWorkersRestarted(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, 200*time.Millisecond, "w1", "w2", "w3")
 		defer bd.end()
@@ -104,6 +106,7 @@
 		"second attempt is answered, run is reported": {1, 4 * time.Second, 2500 * time.Millisecond, 1500 * time.Millisecond, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				bd := newTestbed(t, tt.run, "w1")
 				defer bd.end()
@@ -157,6 +160,7 @@
 // next incarnation had ended run 1 as its end number 1 by then, and forgot it, so that the first end that it reported
 // was that of run 2, with number 2.
 func TestEndsOfNextIncarnationAreRead(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, 5*time.Millisecond, "w1")
 		defer bd.end()
@@ -185,6 +189,7 @@
 func TestAckForgetsEndsOfNextIncarnation(t *testing.T) {
 	for name, lostHolds := range map[string]int{"first report is answered": 0, "first report is lost": 1} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				bd := newTestbed(t, 5*time.Millisecond, "w1")
 				defer bd.end()
@@ -229,6 +234,7 @@
 // TestWaitingHoldAcknowledgesNothing guards against a task that runs again because a hold with an acknowledgement waited
 // at a worker's next incarnation, which had just begun: that one forgot an end by its number.
 func TestWaitingHoldAcknowledgesNothing(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, 200*time.Millisecond, "w1")
 		defer bd.end()
@@ -272,6 +278,7 @@
 		"later, from another writer": "9999999999999", "earlier": "5", "start time unknown": "0",
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				bd := newTestbed(t, 2*time.Second, "w1")
 				defer bd.end()
@@ -295,6 +302,7 @@
 // TestIncarnationBeforeItsEntry has a worker's next incarnation answer before its entry is in the list, and the entry
 // of the previous one removed meanwhile. It must get tasks once it is listed, and none before.
 func TestIncarnationBeforeItsEntry(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, 300*time.Millisecond, "w1")
 		defer bd.end()
@@ -321,6 +329,7 @@
 // planner removed the worker from those that may run old tasks, finished its recovery, and started the task elsewhere
 // before it had read the new incarnation's first report.
 func TestOldTasksWaitForNextIncarnation(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, 3*time.Second, "w1")
 		defer bd.end()
@@ -358,6 +367,7 @@
 // die. The next planner must not start the task again that this incarnation runs. The records name the previous
 // incarnation as gone; if they lack the new one, nothing waits for its runs.
 func TestNextIncarnationIsRecorded(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, 9*time.Second, "w1")
 		defer bd.end()
@@ -393,6 +403,7 @@
 // TestOldTasksDoNotWaitForPreviousIncarnation has a worker restart, with a new entry, while there is no planner. The
 // next planner must not wait until the lease of the previous incarnation, which the records name, has surely expired.
 func TestOldTasksDoNotWaitForPreviousIncarnation(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, 2*time.Second, "w1")
 		defer bd.end()
@@ -412,6 +423,7 @@
 func TestNextPlannerFailsNoJobOfNextIncarnation(t *testing.T) {
 	for name, listed := range map[string]bool{"next incarnation is listed": true, "previous incarnation is listed": false} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				bd := newTestbed(t, time.Second, "w1")
 				defer bd.end()
@@ -461,6 +473,7 @@
 // TestStartAfterRestartIsNoCrash guards against a job that fails because a start that never arrived was counted as the
 // task's third crash, although the worker had restarted before the start was decided.
 func TestStartAfterRestartIsNoCrash(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, time.Second, "w1")
 		defer bd.end()
@@ -505,6 +518,7 @@
 	}
 	for seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) { runRestarts(t, rand.New(rand.NewPCG(seed, 1))) })
 		})
 	}
@@ -574,6 +588,7 @@
 // TestRestartLongAfterDelayedStart guards against a long wait for a worker's next incarnation, which is silent after
 // its first answer, when an attempt of the start got no answer long before the restart.
 func TestRestartLongAfterDelayedStart(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, time.Hour, "w1")
 		defer bd.end()
@@ -608,6 +623,7 @@
 // for 4 s after the start of a task got no answer, and its next incarnation answers one call only. The task must start
 // elsewhere 15 s after the last order to the earlier one.
 func TestSilentNextIncarnation(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, time.Hour, "w1")
 		defer bd.end()
--- a/internal/planner/settings_test.go
+++ b/internal/planner/settings_test.go
@@ -22,6 +22,7 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				bd := newTestbed(t, time.Second, "w1")
 				defer bd.end()
--- a/internal/planner/speeds_test.go
+++ b/internal/planner/speeds_test.go
@@ -24,6 +24,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				var ll logLines
 				bd := newTestbed(t, 500*time.Millisecond, "w1", "w2", "w3")
--- a/internal/planner/standby_test.go
+++ b/internal/planner/standby_test.go
@@ -70,6 +70,7 @@
 // TestTakeoverWithManyWorkers guards against a new planner that reaches the workers with runs only after thousands of
 // idle ones, when the leases of the runs have expired.
 func TestTakeoverWithManyWorkers(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		const workers, connectTime, callTime = 3000, 2 * time.Millisecond, 100 * time.Microsecond
 		bd := newTestbed(t, 8*time.Second)
@@ -101,6 +102,7 @@
 // TestStandbyWorkerReplacesDead guards against tasks that wait while the workers in use are dead and others are on
 // standby.
 func TestStandbyWorkerReplacesDead(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, time.Second)
 		bd.minInUse = 2
@@ -133,6 +135,7 @@
 		"recorded loss, then a next": {away: 14 * time.Second, planner: 11500 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				hc := &holdCounter{workers: map[string]bool{}}
 				bd := newTestbed(t, time.Second)
@@ -173,6 +176,7 @@
 // TestRetiredWorkerRestarts has workers go on standby and restart there. Their tasks run once, also if the planner has
 // changed meanwhile.
 func TestRetiredWorkerRestarts(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, time.Second)
 		bd.minInUse = 1
@@ -220,6 +224,7 @@
 func TestCrashingStartsWithStandby(t *testing.T) {
 	for seed := range crashPlaySeeds(t) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) { runCrashPlay(t, rand.New(rand.NewPCG(seed, 2)), 1) })
 		})
 	}
--- a/internal/planner/state_test.go
+++ b/internal/planner/state_test.go
@@ -25,6 +25,7 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				const run = time.Second
 				bd := newTestbed(t, run, "w1")
--- a/internal/planner/stopshunt_test.go
+++ b/internal/planner/stopshunt_test.go
@@ -18,6 +18,7 @@
 func TestStopsHunt(t *testing.T) {
 	for seed := range seedCount(t, "STOPS_SEEDS", "2") {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) { huntStops(t, seed) })
 		})
 	}
--- a/internal/planner/suspension_test.go
+++ b/internal/planner/suspension_test.go
@@ -25,6 +25,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				bd := newTestbed(t, 300*time.Millisecond, "w1", "w2")
 				defer bd.end()
--- a/internal/planner/takeover_test.go
+++ b/internal/planner/takeover_test.go
@@ -15,6 +15,7 @@
 // TestPlannerDies stops the planner without notice. Another node must plan within the TTL of the lease and a second,
 // finish the running work, and run nothing twice.
 func TestPlannerDies(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, 3*time.Second, "w1", "w2")
 		defer bd.end()
@@ -34,6 +35,7 @@
 
 // TestResign hands the leadership over at once, without losing work.
 func TestResign(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, 2*time.Second, "w1", "w2")
 		defer bd.end()
@@ -57,6 +59,7 @@
 // TestWorkerLeavesThenPlannerDies has a worker leave and the planner die soon after. Tasks of the earlier planner that
 // this worker cannot have must not wait until its lease has surely expired.
 func TestWorkerLeavesThenPlannerDies(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, 3*time.Second, "w1", "w2")
 		defer bd.end()
@@ -82,6 +85,7 @@
 // TestStrongNodePlans stops a planner. A node with as many processors as any other must plan next, and a weak one only
 // if there is no such node.
 func TestStrongNodePlans(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		const weak, strong = 0.2, 0.8
 		bd := newTestbed(t, time.Second, "w1")
@@ -116,6 +120,7 @@
 func TestWeakNodeGivesWay(t *testing.T) {
 	for name, cut := range map[string]bool{"strong node plans": false, "strong node cannot write": true} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				const weak, strong = 0.2, 0.8
 				bd := newTestbed(t, time.Second, "w1")
@@ -145,6 +150,7 @@
 // TestPlannerRestarts restarts the planner's process at once. It knows that its previous incarnation is dead, and must
 // not wait for the TTL of the lease.
 func TestPlannerRestarts(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, time.Second, "w1", "w2")
 		defer bd.end()
@@ -169,6 +175,7 @@
 
 // TestYield has the planner yield. Another node must plan at once, and the first one must not take the leadership back.
 func TestYield(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, time.Second, "w1")
 		defer bd.end()
@@ -193,6 +200,7 @@
 // Jobs waited for 8 s, until the first node's abstention was over. A slow planner is better than none, so a node must
 // take a leadership that no other node has taken.
 func TestAllYield(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, time.Second, "w1")
 		defer bd.end()
@@ -211,6 +219,7 @@
 // TestAgesAreJournaled stops a planner while two jobs are queued. The next planner must start the older one first,
 // because the journal has the times of acceptance.
 func TestAgesAreJournaled(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		const run = 4 * time.Second
 		bd := newTestbed(t, run, "w1")
--- a/internal/planner/takeoverlatestops_test.go
+++ b/internal/planner/takeoverlatestops_test.go
@@ -22,6 +22,7 @@
 	}
 	for name, end := range ways {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				bd := newTestbed(t, time.Hour, "w1", "w2")
 				bd.setStopTime(longestStop)
--- a/internal/planner/takeoverleases_test.go
+++ b/internal/planner/takeoverleases_test.go
@@ -297,6 +297,7 @@
 	for name, tc := range takeovers() {
 		for after := time.Duration(0); after < holdTime; after += step {
 			t.Run(fmt.Sprint(name, " after ", after), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					bd := newTestbed(t, time.Hour, "w1", "w2")
 					defer bd.end()
@@ -339,6 +340,7 @@
 		"5.5 s, lossy to nodes": {5500 * time.Millisecond, []string{"n2", "lossy"}},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				bd := newTestbed(t, time.Hour, "w1", "w2")
 				defer bd.end()
@@ -373,6 +375,7 @@
 func TestTakeovers(t *testing.T) {
 	for seed := range seedCount(t, "TACKBEAM_TAKEOVER_SEEDS", "12") {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) { playTakeovers(t, rand.New(rand.NewPCG(seed, 4))) })
 		})
 	}
--- a/internal/planner/takeoverlog_test.go
+++ b/internal/planner/takeoverlog_test.go
@@ -17,6 +17,7 @@
 
 // TestTakeoverLog checks that the log tells which runs and stops a term takes over, and which of them end without a report.
 func TestTakeoverLog(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		bd := newTestbed(t, time.Hour, "w1")
--- a/internal/planner/takeoverstops_test.go
+++ b/internal/planner/takeoverstops_test.go
@@ -33,6 +33,7 @@
 	for name, tc := range cases {
 		for way, end := range ways {
 			t.Run(name+", "+way, func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) { stopBeforeTakeover(t, tc.hungAt, tc.lost, tc.ends, end) })
 			})
 		}
--- a/internal/planner/terms_test.go
+++ b/internal/planner/terms_test.go
@@ -57,6 +57,7 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				bd := newTestbed(t, time.Second, "w1")
@@ -90,6 +91,7 @@
 func TestLoadKeepsPages(t *testing.T) {
 	for seed := range uint64(8) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) { loadLossy(t, seed) })
 		})
 	}
@@ -150,6 +152,7 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				bd := newTestbed(t, time.Second, "w1")
@@ -216,6 +219,7 @@
 	}
 	for name, end := range cases {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				bd := newTestbed(t, time.Second, "w1")
@@ -244,6 +248,7 @@
 // because it was alone. When another node joined within 10 s of the yield, the planner was made to step down: its
 // abstention from candidacy was applied to the running term.
 func TestJoinKeepsPlanner(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		bd := newTestbed(t, time.Second, "w1")
--- a/internal/planner/unanswered_test.go
+++ b/internal/planner/unanswered_test.go
@@ -25,6 +25,7 @@
 	for what, fault := range faults {
 		for long, run := range runs {
 			t.Run(what+", runs "+long, func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					const spare = 300 * time.Millisecond
 					bd := newTestbed(t, run, "w1", "w2", "w3")
@@ -59,6 +60,7 @@
 // TestLostHoldsHideNoEnds guards against ends that are hidden by lost holds: with one call in twelve lost, jobs of 0.6
 // s took 2.3 s on average, because the ends on a worker were not received for 1.7 s after each lost hold.
 func TestLostHoldsHideNoEnds(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		const run, spare, jobs = 600 * time.Millisecond, 200 * time.Millisecond, 30
 		bd := newTestbed(t, run, "w1", "w2", "w3")
--- a/internal/planner/unlistedstop_test.go
+++ b/internal/planner/unlistedstop_test.go
@@ -24,6 +24,7 @@
 		"planner stays":   func(*testbed, *node) {},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				bd := newTestbed(t, time.Hour, "w1", "w2")
 				defer bd.end()
--- a/internal/planner/unrenewed_test.go
+++ b/internal/planner/unrenewed_test.go
@@ -13,6 +13,7 @@
 // TestRenewalAwaitsRecordOfEarlierTerm guards against a second run on behalf of a planner that reads in the journal of an
 // earlier term that a lease is not renewed, while the planner in between, cut off from the store, renews it again.
 func TestRenewalAwaitsRecordOfEarlierTerm(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, time.Hour, "w1", "w2")
 		defer bd.end()
@@ -56,6 +57,7 @@
 // TestDrainingWorkerIsRenewedUnrecorded guards against a second run on behalf of a planner that reads in the journal of an
 // earlier term that a lease is not renewed, while the planner in between renewed it: the worker drains, and gets no new record.
 func TestDrainingWorkerIsRenewedUnrecorded(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, time.Hour, "w1", "w2")
 		defer bd.end()
--- a/internal/planner/unsentstart_test.go
+++ b/internal/planner/unsentstart_test.go
@@ -14,6 +14,7 @@
 func TestNextPlannerCountsNoUnsentStart(t *testing.T) {
 	for lost := time.Duration(0); lost < 200*time.Millisecond; lost += 5 * time.Millisecond {
 		t.Run(lost.String(), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				bd := newTestbed(t, time.Second, "w1")
 				defer bd.end()
--- a/internal/planner/waits_test.go
+++ b/internal/planner/waits_test.go
@@ -46,6 +46,7 @@
 // TestLostTaskIsLogged guards against a long-running task that lacks a run without a trace of why. Its worker w1 stops
 // answering just before another node plans, and no other worker has room for it until w1 answers again.
 func TestLostTaskIsLogged(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		var ll logLines
 		bd := newTestbed(t, time.Hour, "w1")
--- a/internal/planner/workerlist_test.go
+++ b/internal/planner/workerlist_test.go
@@ -15,6 +15,7 @@
 func TestForeignEntries(t *testing.T) {
 	for name, value := range map[string]string{"cannot be decoded": unreadable, "service not in use": "of another"} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				bd := newTestbed(t, time.Second, "w1", "w2")
 				defer bd.end()
@@ -36,6 +37,7 @@
 
 // TestServiceComesIntoUse checks that the workers of a service are used once the configuration names the service.
 func TestServiceComesIntoUse(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, time.Second)
 		defer bd.end()
@@ -53,6 +55,7 @@
 // TestEntryTurnsUnreadable overwrites the entry of a worker that runs tasks. The runs must go on to their end, and the
 // worker gets no new ones until it has written its entry again.
 func TestEntryTurnsUnreadable(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		bd := newTestbed(t, 8*time.Second, "w1")
 		defer bd.end()
