routes, callers, planner: logs name the version that decided

Logs could not tell by which version of the configuration, and by a copy of which age, a request was answered, a job planned and a task started, nor by which call a node learned of a version.

The checks of the copy's age are as before; all lookups of one request belong to one version, where the route, the key and the limit of a body could be those of two.

Tests of routes, feed, cellnode, jobapi, storeapi and cell pass.

--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -138,9 +138,6 @@
 // Meters returns the registry of the node's metrics.
 func (nd *Node) Meters() metrics.Registry { return nd.meters }
 
-// Table returns the routing table with the active configuration.
-func (nd *Node) Table() *routes.Table { return nd.table }
-
 // Services returns the services for the kernel, in start order.
 func (nd *Node) Services() []*kernel.Service {
 	return []*kernel.Service{
--- a/internal/cellnode/config.go
+++ b/internal/cellnode/config.go
@@ -67,6 +67,12 @@
 	return nil
 }
 
+// View returns the active configuration with the age of its copy.
+func (nd *Node) View() routes.View {
+	age, _ := nd.config.Age()
+	return nd.table.View().WithAge(age)
+}
+
 // registerConfigGauges adds gauges for the active configuration's version, the maximum age of its copy, and the number
 // of its routes.
 func (nd *Node) registerConfigGauges() {
--- a/internal/cellnode/keys_test.go
+++ b/internal/cellnode/keys_test.go
@@ -22,7 +22,7 @@
 	dp.t.Helper()
 	var cr routes.Caller
 	dp.waitFor("the node knows key "+key, func() (ok bool) {
-		cr, ok = nd.Table().Caller(apikey.Sum([]byte(key)))
+		cr, ok = nd.View().Caller(apikey.Sum([]byte(key)))
 		return ok
 	})
 	return cr
--- a/internal/cellnode/requests.go
+++ b/internal/cellnode/requests.go
@@ -179,7 +179,7 @@
 	if *cr == (routes.Caller{}) || cr.Workspace.Version > nd.activeConfig().Version {
 		return nil
 	}
-	present, ok := nd.table.Caller(cr.Key)
+	present, ok := nd.table.View().Caller(cr.Key)
 	if !ok {
 		return fault.New(fault.Unauthorized, "no workspace has this API key; not run")
 	}
--- a/internal/feed/apply.go
+++ b/internal/feed/apply.go
@@ -13,7 +13,7 @@
 const maxKeptChanges = 16
 
 // applyItem applies a value of the key, unless the copy is at least as recent.
-func (fd *Feed) applyItem(item kv.Item) {
+func (fd *Feed) applyItem(item kv.Item, call string) {
 	if item.Deleted || item.Revision == 0 {
 		return // the active version stays
 	}
@@ -34,7 +34,7 @@
 	if old != nil {
 		df = routediff.Between(old, cf)
 	}
-	fd.install(cf, df, "store")
+	fd.install(cf, df, "store", call)
 }
 
 // applyDiffs applies changes received from another node, and returns the first error.
@@ -50,13 +50,13 @@
 		if err != nil {
 			return err
 		}
-		fd.install(cf, df, node)
+		fd.install(cf, df, node, "changes")
 	}
 	return nil
 }
 
-// install makes a version the copy and activates it.
-func (fd *Feed) install(cf *routes.Config, df *routediff.Diff, source string) {
+// install makes a version the copy and activates it. Source and call tell from where and by which call it came.
+func (fd *Feed) install(cf *routes.Config, df *routediff.Diff, source, call string) {
 	fd.mu.Lock()
 	fd.config = cf
 	if df.From == 0 {
@@ -73,7 +73,7 @@
 		return
 	}
 	fd.log.Info("Configuration activated.", "version", cf.Version, "revision", cf.Revision, "routes", len(cf.Routes),
-		"changed", df.Size(), "from", source)
+		"changed", df.Size(), "from", source, "by", call)
 }
 
 // changesSince returns the diffs that lead from a revision to the copy. The caller holds the lock.
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -289,7 +289,7 @@
 		fd.watchLatency = max(fd.clock.Since(sent)-wait, 0)
 	}
 	for _, item := range events.Items {
-		fd.applyItem(item)
+		fd.applyItem(item, "watch")
 	}
 	fd.confirm(sent, events.Revision)
 	return nil
@@ -314,7 +314,7 @@
 	case err != nil:
 		return err
 	}
-	fd.applyItem(item)
+	fd.applyItem(item, "read")
 	fd.confirm(sent, at)
 	return nil
 }
--- a/internal/planner/load.go
+++ b/internal/planner/load.go
@@ -79,6 +79,7 @@
 	age := wr.Batch.Age(ld.wall())
 	for at := range wr.Batch.Jobs {
 		jb := &wr.Batch.Jobs[at]
+		accepted := jb.Queue.Version
 		if qu, ok := ld.opts.Queue(jb.Queue.Name); ok {
 			jb.Queue = jb.Queue.Later(qu)
 		}
@@ -90,7 +91,8 @@
 		} else {
 			ld.cell.Add(now, jb, false)
 		}
-		ld.log.Info("Job added.", "job", jb.ID, "queue", jb.Queue.Name, "revision", wr.Revision, "inherited", inherited)
+		ld.log.Info("Job added.", "job", jb.ID, "queue", jb.Queue.Name, "revision", wr.Revision, "inherited", inherited,
+			"version", jb.Queue.Version, "accepted_version", accepted)
 	}
 	ld.batches.add(wr.Key, &wr.Batch)
 }
--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -75,7 +75,8 @@
 		}
 	})
 	ld.log.Info("Sent start.", "task", sr.Task.String(), "run", sr.Run, "worker", sr.Worker,
-		"took", took.String(), "tries", tries, "refusal", refusal, "error", errorText(err))
+		"took", took.String(), "tries", tries, "refusal", refusal, "error", errorText(err),
+		"version", sr.Version)
 	ld.handleOrderError(se, token, err)
 }
 
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -4,7 +4,6 @@
 
 import (
 	"slices"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -79,55 +78,20 @@
 	}
 }
 
-// Config returns the active version, or nil before the first.
-func (tb *Table) Config() *Config {
-	if active := tb.active.Load(); active != nil {
-		return active.config
-	}
-	return nil
-}
+// View returns the active version. All lookups of one request belong to the same view.
+func (tb *Table) View() View { return View{active: tb.active.Load()} }
 
-// Find returns the route with the host and the longest prefix of the path, and the rest of the path.
-func (tb *Table) Find(host, path string) (route *Route, rest string) {
-	active := tb.active.Load()
-	if active == nil {
-		return nil, ""
-	}
-	found := active.index.find(normalizeHost(host), path)
-	if found == nil {
-		return nil, ""
-	}
-	route = active.withVersion(found)
-	return route, path[len(route.Prefix):]
-}
+// Config returns the active version, or nil before the first.
+func (tb *Table) Config() *Config { return tb.View().Config() }
 
-// withVersion returns a copy of a route with the version of its configuration.
-func (ix *indexed) withVersion(rt *Route) *Route {
-	out := *rt
-	out.Queue.Version = ix.config.Version
-	return &out
-}
+// Queue returns the settings of a queue, or false if no route leads to it.
+func (tb *Table) Queue(name string) (work.Queue, bool) { return tb.View().Queue(name) }
 
-// normalizeHost returns a host in lower case, without its port.
-func normalizeHost(host string) string {
-	if at := strings.LastIndexByte(host, ':'); at >= 0 {
-		host = host[:at]
-	}
-	return strings.ToLower(host)
-}
+// Workspace returns the settings of a workspace, or false if the configuration lacks it.
+func (tb *Table) Workspace(name string) (work.Workspace, bool) { return tb.View().Workspace(name) }
 
-// Queue returns the settings of a queue, or false if no route leads to it.
-func (tb *Table) Queue(name string) (work.Queue, bool) {
-	active := tb.active.Load()
-	if active == nil {
-		return work.Queue{}, false
-	}
-	route, ok := active.index.queues[name]
-	if !ok {
-		return work.Queue{}, false
-	}
-	return active.withVersion(route).Queue, true
-}
+// HasService reports whether tasks of any queue run on workers of the service.
+func (tb *Table) HasService(service string) bool { return tb.View().HasService(service) }
 
 // Caller identifies a caller according to a node's copy of the configuration. The zero value is a caller that
 // needs no API key. Nodes send it to each other.
@@ -136,48 +100,3 @@
 	// Workspace is the workspace of the key, with the version of the configuration it comes from.
 	Workspace work.Workspace `cbor:"2,keyasint"`
 }
-
-// KeyRequired reports whether calls of a route need an API key.
-func (tb *Table) KeyRequired(rt *Route) bool {
-	active := tb.active.Load()
-	return active != nil && active.config.KeyRequired && !rt.Public
-}
-
-// Caller returns the caller with an API key, or false if no workspace has the key.
-func (tb *Table) Caller(key apikey.Digest) (Caller, bool) {
-	active := tb.active.Load()
-	if active == nil {
-		return Caller{}, false
-	}
-	ws, ok := active.index.keys[key]
-	if !ok {
-		return Caller{}, false
-	}
-	return Caller{Key: key, Workspace: active.workspaceWithVersion(ws)}, true
-}
-
-// Workspace returns the settings of a workspace, or false if the configuration lacks it.
-func (tb *Table) Workspace(name string) (work.Workspace, bool) {
-	active := tb.active.Load()
-	if active == nil {
-		return work.Workspace{}, false
-	}
-	ws, ok := active.index.workspaces[name]
-	if !ok {
-		return work.Workspace{}, false
-	}
-	return active.workspaceWithVersion(ws), true
-}
-
-// workspaceWithVersion returns a workspace's settings with the version of their configuration.
-func (ix *indexed) workspaceWithVersion(ws *Workspace) work.Workspace {
-	out := ws.Workspace
-	out.Version = ix.config.Version
-	return out
-}
-
-// HasService reports whether tasks of any queue run on workers of the service.
-func (tb *Table) HasService(service string) bool {
-	active := tb.active.Load()
-	return active != nil && active.index.services[service]
-}
--- a/internal/routes/routes_test.go
+++ b/internal/routes/routes_test.go
@@ -41,7 +41,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			rt, rest := tb.Find(tc.host, tc.path)
+			rt, rest := tb.View().Find(tc.host, tc.path)
 			if tc.want == "" {
 				is.True(rt == nil)
 				return
@@ -71,7 +71,7 @@
 				want = &all[at]
 			}
 		}
-		got, _ := tb.Find(host, path)
+		got, _ := tb.View().Find(host, path)
 		if want != nil {
 			withVersion := *want
 			withVersion.Queue.Version = 1 // the version of the table
@@ -103,7 +103,7 @@
 	b.ResetTimer()
 	for at := range b.N {
 		n := at % count
-		if rt, _ := tb.Find(fmt.Sprintf("h%d", n%hosts), fmt.Sprintf("/%06d/id", n)); rt == nil {
+		if rt, _ := tb.View().Find(fmt.Sprintf("h%d", n%hosts), fmt.Sprintf("/%06d/id", n)); rt == nil {
 			b.Fatal("not found")
 		}
 	}
--- a/policy/cell/messages.go
+++ b/policy/cell/messages.go
@@ -101,6 +101,8 @@
 	Checkpoint string
 	// Urgent is set for queues that are served before others.
 	Urgent bool
+	// Version is that of the configuration with the queue's settings.
+	Version uint64
 	// DecidedAt is when the plan placed the task, or when the journal had the record that the start waited for.
 	DecidedAt time.Duration
 }
