--- a/internal/standin/memkv/memkv.go
+++ b/internal/standin/memkv/memkv.go
@@ -105,6 +105,15 @@
 	st.apply(kv.Txn{Deletes: []string{key}})
 }
 
+// Item returns the item of a key, whatever faults are injected.
+func (st *Store) Item(key string) (kv.Item, bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.expireLeases()
+	en, ok := st.items[key]
+	return en.Item, ok
+}
+
 // Keys returns the keys with a prefix, sorted.
 func (st *Store) Keys(prefix string) []string {
 	st.mu.Lock()
--- a/internal/standin/memworkers/memworkers.go
+++ b/internal/standin/memworkers/memworkers.go
@@ -56,6 +56,8 @@
 	delay time.Duration
 	// gangTimeout is how long the members of a gang wait for the others.
 	gangTimeout time.Duration
+	// onStart, if not nil, is called with each executed start and the fencing token that it carried.
+	onStart func(token uint64, sr cell.Start)
 	// starts are all executed starts in order.
 	starts []cell.Start
 	// startLog describes each start in starts, with its time.
@@ -163,6 +165,13 @@
 	fl.fault = fault
 }
 
+// SetOnStart sets a function that is called, with the fleet's lock, with each executed start and its fencing token.
+func (fl *Fleet) SetOnStart(onStart func(token uint64, sr cell.Start)) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.onStart = onStart
+}
+
 // Starts returns the executed starts in order.
 func (fl *Fleet) Starts() []cell.Start {
 	fl.mu.Lock()
@@ -485,6 +494,9 @@
 		if !wk.delayed {
 			fl.latestStart[sr.Task] = fl.clock.Now()
 		}
+		if fl.onStart != nil {
+			fl.onStart(token, sr)
+		}
 		fl.starts = append(fl.starts, sr)
 		fl.startLog = append(fl.startLog, fl.describeStart(wk, sr))
 		if fl.crash.triggers(sr) {
