cellnode: a request is allowed by the age of the version that it was looked up in

What callers may have seen: 404 on a route that is there, or a job accepted on one that is gone, more than 2 s after the change, of a node that was behind and has just caught up.

Cause: a request looked its route up first, and the age of the copy was checked later, after a relay of up to 2 s or while the process stood still in between. If the change arrived meanwhile, the answer was by the old version and the check by the new one. The same held for API keys, the limit of a body and relayed requests.

The node now hands out a view: a version with the age of its copy and the reasons why it must not be used, all of the same moment.

TestStaleConfigRefuses submits a job with a view from before the node caught up; before, the check at that time had passed it. Tests of routes, cellnode, jobapi and storeapi pass.

--- a/internal/cellnode/admission_test.go
+++ b/internal/cellnode/admission_test.go
@@ -26,7 +26,7 @@
 	dp := newDeployment(t)
 	nd := dp.start("n1")
 	submit := func(id string) error {
-		return nd.Submit(t.Context(), routes.Caller{}, &work.Job{ID: id, Spec: id, Queue: queue, Steps: []work.Step{{Count: 1, Need: size.New(1000, 1000, 0)}}})
+		return nd.Submit(t.Context(), nd.View(), routes.Caller{}, &work.Job{ID: id, Spec: id, Queue: queue, Steps: []work.Step{{Count: 1, Need: size.New(1000, 1000, 0)}}})
 	}
 	report := func(wait time.Duration) {
 		raw, err := joblog.Encode(joblog.BacklogSize{Urgent: wait, Total: wait})
@@ -58,7 +58,7 @@
 
 // submitTasks submits a job of a number of tasks.
 func submitTasks(t *testing.T, nd *cellnode.Node, id string, count int) error {
-	return nd.Submit(t.Context(), routes.Caller{}, &work.Job{ID: id, Spec: id, Queue: queue, Steps: []work.Step{{Count: count, Need: size.New(1000, 1000, 0)}}})
+	return nd.Submit(t.Context(), nd.View(), routes.Caller{}, &work.Job{ID: id, Spec: id, Queue: queue, Steps: []work.Step{{Count: count, Need: size.New(1000, 1000, 0)}}})
 }
 
 // TestUnplannedJobsAreBounded guards against a node that accepts jobs without a bound while there is no planner, and
--- a/internal/cellnode/cellnode_test.go
+++ b/internal/cellnode/cellnode_test.go
@@ -115,7 +115,7 @@
 func (dp *deployment) awaitPlanner(what string, nd *cellnode.Node) {
 	dp.t.Helper()
 	dp.waitFor(what, func() bool {
-		_, err := nd.State(dp.t.Context(), routes.Caller{}, "none")
+		_, err := nd.State(dp.t.Context(), nd.View(), routes.Caller{}, "none")
 		return fault.Is(err, fault.NotFound)
 	})
 }
@@ -143,7 +143,7 @@
 	job := func(id string) *work.Job {
 		return &work.Job{ID: id, Spec: id, Queue: queue, Steps: []work.Step{{Count: 1, Need: size.New(1000, 1000, 0)}}}
 	}
-	is.NoErr(second.Submit(t.Context(), routes.Caller{}, job("before")))
+	is.NoErr(second.Submit(t.Context(), second.View(), routes.Caller{}, job("before")))
 	disconnected := map[string]bool{"n2": true}
 	dp.store.SetFault(func(client, _ string) memkv.Fault {
 		if disconnected[client] {
@@ -152,10 +152,10 @@
 		return memkv.None
 	})
 	dp.waitFor("the second node notices that it cannot reach the store", func() bool { return second.Ready() != nil })
-	is.NoErr(second.Submit(t.Context(), routes.Caller{}, job("after")))
-	is.NoErr(second.Cancel(t.Context(), routes.Caller{}, "before"))
+	is.NoErr(second.Submit(t.Context(), second.View(), routes.Caller{}, job("after")))
+	is.NoErr(second.Cancel(t.Context(), second.View(), routes.Caller{}, "before"))
 	dp.waitFor("the relayed job succeeds", func() bool {
-		phase, err := second.State(t.Context(), routes.Caller{}, "after")
+		phase, err := second.State(t.Context(), second.View(), routes.Caller{}, "after")
 		return err == nil && phase == cell.Succeeded
 	})
 
@@ -167,7 +167,7 @@
 		return memkv.None
 	})
 	dp.waitFor("the first node notices it too", func() bool { return first.Ready() != nil })
-	is.True(fault.Is(second.Submit(t.Context(), routes.Caller{}, job("never")), fault.Unavailable)) // not run
+	is.True(fault.Is(second.Submit(t.Context(), second.View(), routes.Caller{}, job("never")), fault.Unavailable)) // not run
 }
 
 // TestNotifiesPlanner guards against jobs that wait for the planner's copy of the journal. The planner's reads are
@@ -189,10 +189,10 @@
 	for name, nd := range nodes {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			is.NoErr(nd.Submit(t.Context(), routes.Caller{}, &work.Job{ID: name, Spec: "s", Queue: queue, Steps: []work.Step{{Count: 1, Need: size.New(1000, 1000, 0)}}}))
+			is.NoErr(nd.Submit(t.Context(), nd.View(), routes.Caller{}, &work.Job{ID: name, Spec: "s", Queue: queue, Steps: []work.Step{{Count: 1, Need: size.New(1000, 1000, 0)}}}))
 			const timeout = 10 * time.Second // only reached if the test fails
 			timedOut := time.After(timeout)
-			for phase := cell.Queued; phase != cell.Succeeded; phase, _ = nd.State(t.Context(), routes.Caller{}, name) {
+			for phase := cell.Queued; phase != cell.Succeeded; phase, _ = nd.State(t.Context(), nd.View(), routes.Caller{}, name) {
 				select {
 				case <-timedOut:
 					t.Fatalf("job phase is %q", phase)
--- a/internal/cellnode/config.go
+++ b/internal/cellnode/config.go
@@ -40,13 +40,35 @@
 	return max(apply-applyMargin, 0)
 }
 
-// checkConfigAge returns an error if the copy of the configuration is too old to know the current routes, or nil.
+// View returns the active configuration and the state of its copy at the same moment: a request that was looked up in one
+// version must not be allowed by the age of the next one.
+func (nd *Node) View() routes.View {
+	for {
+		vw := nd.table.View()
+		st := nd.configState(vw)
+		if nd.table.Config() == vw.Config() { // otherwise the state may be that of a later version
+			return vw.With(st)
+		}
+	}
+}
+
+// configState returns the state of the copy while the view is the active one.
+func (nd *Node) configState(vw routes.View) routes.State {
+	age, loaded := nd.config.Age()
+	err := nd.checkConfig(age, loaded && vw.Config() != nil)
+	incomplete := err
+	if err == nil && nd.config.Behind() {
+		incomplete = fault.New(fault.Stale, "newer configuration not loaded yet").WithRetryAfter(retryAfter)
+	}
+	return routes.State{Age: age, Err: err, Incomplete: incomplete}
+}
+
+// checkConfig returns an error if the copy of the configuration is too old to know the current routes, or nil.
 // Callers are then refused at once: otherwise jobs on a removed route would still run, and counts on it would still be
 // answered, for as long as the copy is old.
-func (nd *Node) checkConfigAge() error {
-	age, loaded := nd.config.Age()
+func (nd *Node) checkConfig(age time.Duration, loaded bool) error {
 	switch {
-	case !loaded || nd.table.Config() == nil:
+	case !loaded:
 		return fault.New(fault.Unavailable, "no configuration loaded").WithRetryAfter(retryAfter)
 	case age > nd.staleAfter() && nd.health.Down():
 		return fault.New(fault.Unavailable, "store unavailable, configuration %s old; not run", age.Round(time.Millisecond)).WithRetryAfter(retryAfter)
@@ -56,23 +78,6 @@
 	return nil
 }
 
-// CheckConfig returns an error if a route that is missing from the table may exist nevertheless, or nil.
-func (nd *Node) CheckConfig() error {
-	if err := nd.checkConfigAge(); err != nil {
-		return err
-	}
-	if nd.config.Behind() {
-		return fault.New(fault.Stale, "newer configuration not loaded yet").WithRetryAfter(retryAfter)
-	}
-	return nil
-}
-
-// View returns the active configuration with the age of its copy.
-func (nd *Node) View() routes.View {
-	age, _ := nd.config.Age()
-	return nd.table.View().WithAge(age)
-}
-
 // registerConfigGauges adds gauges for the active configuration's version, the maximum age of its copy, and the number
 // of its routes.
 func (nd *Node) registerConfigGauges() {
--- a/internal/cellnode/config_age_test.go
+++ b/internal/cellnode/config_age_test.go
@@ -65,7 +65,7 @@
 		const checks, interval = 2000, 10 * time.Millisecond
 		for range checks {
 			time.Sleep(interval)
-			if nd.CheckConfig() != nil {
+			if nd.View().Incomplete != nil {
 				refused++
 			}
 		}
--- a/internal/cellnode/keys_test.go
+++ b/internal/cellnode/keys_test.go
@@ -41,7 +41,9 @@
 	connected, disconnected := dp.start("n1"), dp.start("n2")
 	valid, revoked := dp.caller(disconnected, "second"), dp.caller(disconnected, "first")
 	step := work.Step{Count: 1, Need: size.New(1000, 1000, 0)}
-	dp.waitFor("jobs are accepted", func() bool { return disconnected.Submit(t.Context(), revoked, jobOf("before", step)) == nil })
+	dp.waitFor("jobs are accepted", func() bool {
+		return disconnected.Submit(t.Context(), disconnected.View(), revoked, jobOf("before", step)) == nil
+	})
 	dp.store.SetFault(func(client, _ string) memkv.Fault {
 		if client == "n2" {
 			return memkv.Refused
@@ -51,13 +53,13 @@
 	dp.waitFor("the second node notices that it cannot reach the store", func() bool { return disconnected.Ready() != nil })
 	dp.store.Set(configKey, []byte("2 third second"))
 	dp.caller(connected, "third")
-	is.True(fault.Is(disconnected.Submit(t.Context(), revoked, jobOf("after", step)), fault.Unauthorized))
-	is.True(fault.Is(disconnected.Cancel(t.Context(), revoked, "before"), fault.Unauthorized))
-	_, err := disconnected.State(t.Context(), revoked, "before")
+	is.True(fault.Is(disconnected.Submit(t.Context(), disconnected.View(), revoked, jobOf("after", step)), fault.Unauthorized))
+	is.True(fault.Is(disconnected.Cancel(t.Context(), disconnected.View(), revoked, "before"), fault.Unauthorized))
+	_, err := disconnected.State(t.Context(), disconnected.View(), revoked, "before")
 	is.True(fault.Is(err, fault.Unauthorized))
-	_, err = disconnected.Pending(t.Context(), revoked, queue.Name)
+	_, err = disconnected.Pending(t.Context(), disconnected.View(), revoked, queue.Name)
 	is.True(fault.Is(err, fault.Unauthorized))
-	is.NoErr(disconnected.Submit(t.Context(), valid, jobOf("other", step)))
+	is.NoErr(disconnected.Submit(t.Context(), disconnected.View(), valid, jobOf("other", step)))
 }
 
 // TestStaleConfigRefusesKeys guards against accepting API keys by a stale copy of the configuration, which cannot tell
@@ -68,14 +70,14 @@
 	nd := dp.start("n1")
 	cr := dp.caller(nd, "first")
 	step := work.Step{Count: 1, Need: size.New(1000, 1000, 0)}
-	dp.waitFor("jobs are accepted", func() bool { return nd.Submit(t.Context(), cr, jobOf("before", step)) == nil })
+	dp.waitFor("jobs are accepted", func() bool { return nd.Submit(t.Context(), nd.View(), cr, jobOf("before", step)) == nil })
 	dp.silenceReads()
 	time.Sleep(3 * time.Second)
 	calls := map[string]func() error{
-		"a job":    func() error { return nd.Submit(t.Context(), cr, jobOf("meanwhile", step)) },
-		"a cancel": func() error { return nd.Cancel(t.Context(), cr, "before") },
-		"a state":  func() error { _, err := nd.State(t.Context(), cr, "before"); return err },
-		"a count":  func() error { _, err := nd.Pending(t.Context(), cr, queue.Name); return err },
+		"a job":    func() error { return nd.Submit(t.Context(), nd.View(), cr, jobOf("meanwhile", step)) },
+		"a cancel": func() error { return nd.Cancel(t.Context(), nd.View(), cr, "before") },
+		"a state":  func() error { _, err := nd.State(t.Context(), nd.View(), cr, "before"); return err },
+		"a count":  func() error { _, err := nd.Pending(t.Context(), nd.View(), cr, queue.Name); return err },
 	}
 	for name, call := range calls {
 		t.Run(name, func(t *testing.T) {
@@ -95,15 +97,15 @@
 	nd := dp.start("n1")
 	owner, other := dp.caller(nd, "first"), dp.caller(nd, "second")
 	step := work.Step{Count: 3, Need: size.New(2000, 1000, 0)}
-	dp.waitFor("jobs are accepted", func() bool { return nd.Submit(t.Context(), owner, jobOf("a", step)) == nil })
-	dp.waitFor("the planner knows the job", func() bool { _, err := nd.State(t.Context(), owner, "a"); return err == nil })
-	_, err := nd.State(t.Context(), other, "a")
+	dp.waitFor("jobs are accepted", func() bool { return nd.Submit(t.Context(), nd.View(), owner, jobOf("a", step)) == nil })
+	dp.waitFor("the planner knows the job", func() bool { _, err := nd.State(t.Context(), nd.View(), owner, "a"); return err == nil })
+	_, err := nd.State(t.Context(), nd.View(), other, "a")
 	is.True(fault.Is(err, fault.NotFound))
-	is.NoErr(nd.Cancel(t.Context(), other, "a")) // succeeds without effect, to reveal nothing
+	is.NoErr(nd.Cancel(t.Context(), nd.View(), other, "a")) // succeeds without effect, to reveal nothing
 	dp.waitFor("the job succeeds", func() bool {
-		phase, err := nd.State(t.Context(), owner, "a")
+		phase, err := nd.State(t.Context(), nd.View(), owner, "a")
 		return err == nil && phase == cell.Succeeded
 	})
 	step.Gang = true // needs six cores at once, with a limit of four
-	is.True(fault.Is(nd.Submit(t.Context(), owner, jobOf("b", step)), fault.NeverFits))
+	is.True(fault.Is(nd.Submit(t.Context(), nd.View(), owner, jobOf("b", step)), fault.NeverFits))
 }
--- a/internal/cellnode/peercommit_test.go
+++ b/internal/cellnode/peercommit_test.go
@@ -52,7 +52,7 @@
 			})
 			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 			defer cancel()
-			err := second.Submit(ctx, routes.Caller{}, &work.Job{
+			err := second.Submit(ctx, second.View(), routes.Caller{}, &work.Job{
 				ID: "job", Spec: "job", Queue: queue, Steps: []work.Step{{Count: 1, Need: size.New(1000, 1000, 0)}},
 			})
 			if tc.kind != "" {
@@ -62,7 +62,7 @@
 			is.NoErr(err)
 			dp.store.SetFault(func(string, string) memkv.Fault { return memkv.None })
 			dp.waitFor("the job succeeds", func() bool {
-				phase, err := first.State(t.Context(), routes.Caller{}, "job")
+				phase, err := first.State(t.Context(), first.View(), routes.Caller{}, "job")
 				return err == nil && phase == cell.Succeeded
 			})
 			is.Equal(len(dp.fleet.Starts()), 1)
--- a/internal/cellnode/requests.go
+++ b/internal/cellnode/requests.go
@@ -19,54 +19,52 @@
 	"tackbeam.example/tackbeam/internal/term"
 )
 
-// Submit accepts a caller's job.
-func (nd *Node) Submit(ctx context.Context, cr routes.Caller, jb *work.Job) error {
+// Submit accepts a caller's job, whose route and caller were looked up in a view.
+func (nd *Node) Submit(ctx context.Context, vw routes.View, cr routes.Caller, jb *work.Job) error {
 	jb.Workspace = cr.Workspace
-	_, err := nd.serve(ctx, peerlink.Request{Submit: jb, Caller: cr})
+	_, err := nd.serve(ctx, vw, peerlink.Request{Submit: jb, Caller: cr})
 	return err
 }
 
 // Cancel accepts a caller's request to cancel a job. It has no effect on a job of another workspace.
-func (nd *Node) Cancel(ctx context.Context, cr routes.Caller, id string) error {
-	_, err := nd.serve(ctx, peerlink.Request{Cancel: id, Caller: cr})
+func (nd *Node) Cancel(ctx context.Context, vw routes.View, cr routes.Caller, id string) error {
+	_, err := nd.serve(ctx, vw, peerlink.Request{Cancel: id, Caller: cr})
 	return err
 }
 
 // State requests the phase of a caller's job from the planner. A job of another workspace counts as unknown.
-func (nd *Node) State(ctx context.Context, cr routes.Caller, id string) (cell.Phase, error) {
-	reply, err := nd.serve(ctx, peerlink.Request{State: id, Caller: cr})
+func (nd *Node) State(ctx context.Context, vw routes.View, cr routes.Caller, id string) (cell.Phase, error) {
+	reply, err := nd.serve(ctx, vw, peerlink.Request{State: id, Caller: cr})
 	return reply.Phase, err
 }
 
 // Pending requests the number of a queue's jobs that have not started from the planner.
-func (nd *Node) Pending(ctx context.Context, cr routes.Caller, queue string) (int, error) {
-	reply, err := nd.serve(ctx, peerlink.Request{Pending: queue, Caller: cr})
+func (nd *Node) Pending(ctx context.Context, vw routes.View, cr routes.Caller, queue string) (int, error) {
+	reply, err := nd.serve(ctx, vw, peerlink.Request{Pending: queue, Caller: cr})
 	return reply.Pending, err
 }
 
 // Evacuations requests the evacuated data halls from the planner.
 func (nd *Node) Evacuations(ctx context.Context) ([]evacuation.Status, error) {
-	reply, err := nd.serve(ctx, peerlink.Request{Evacuations: true})
+	reply, err := nd.serve(ctx, nd.View(), peerlink.Request{Evacuations: true})
 	return reply.Evacuations, err
 }
 
 // serve answers a caller's request, through another node if this one cannot reach the store.
-func (nd *Node) serve(ctx context.Context, rq peerlink.Request) (peerlink.Reply, error) {
+func (nd *Node) serve(ctx context.Context, vw routes.View, rq peerlink.Request) (peerlink.Reply, error) {
 	if nd.health.Down() {
 		if reply, ok, err := nd.relay.Do(ctx, rq); ok {
 			metrics.GetOrRegisterCounter("callers.relayed", nd.meters).Inc(1)
 			return reply, err
 		}
 	}
-	return nd.serveLocally(ctx, rq)
+	return nd.serveLocally(ctx, vw, rq)
 }
 
-// serveLocally answers a caller's request without relaying it.
-func (nd *Node) serveLocally(ctx context.Context, rq peerlink.Request) (peerlink.Reply, error) {
-	if rq.Submit != nil || rq.Pending != "" || rq.Caller != (routes.Caller{}) { // others do not depend on a route
-		if err := nd.checkConfigAge(); err != nil {
-			return peerlink.Reply{}, err
-		}
+// serveLocally answers a caller's request, which was looked up in a view, without relaying it.
+func (nd *Node) serveLocally(ctx context.Context, vw routes.View, rq peerlink.Request) (peerlink.Reply, error) {
+	if dependsOnRoute := rq.Submit != nil || rq.Pending != "" || rq.Caller != (routes.Caller{}); dependsOnRoute && vw.Err != nil {
+		return peerlink.Reply{}, vw.Err
 	}
 	if rq.Submit != nil {
 		if err := rq.Submit.CheckLimit(); err != nil {
@@ -155,14 +153,15 @@
 // outdated: a job gets this node's queue settings if they are newer, a count is refused if the route was removed, and a
 // call is refused if its API key was revoked.
 func (nd *Node) handleRelayed(ctx context.Context, rq peerlink.Request) (peerlink.Reply, error) {
-	if err := nd.refreshCaller(&rq.Caller); err != nil {
+	vw := nd.View()
+	if err := refreshCaller(vw, &rq.Caller); err != nil {
 		return peerlink.Reply{}, err
 	}
 	name := rq.Pending
 	if rq.Submit != nil {
 		name = rq.Submit.Queue.Name
 	}
-	qu, ok := nd.table.Queue(name)
+	qu, ok := vw.Queue(name)
 	if name != "" && !ok {
 		return peerlink.Reply{}, fault.New(fault.Unavailable, "no queue %s on this node; not run", name)
 	}
@@ -170,16 +169,16 @@
 		rq.Submit.Queue = rq.Submit.Queue.Later(qu)
 		rq.Submit.Workspace = rq.Caller.Workspace
 	}
-	return nd.serveLocally(ctx, rq)
+	return nd.serveLocally(ctx, vw, rq)
 }
 
 // refreshCaller replaces the caller's data from another node by this node's, unless the other node's configuration is
 // newer.
-func (nd *Node) refreshCaller(cr *routes.Caller) error {
-	if *cr == (routes.Caller{}) || cr.Workspace.Version > nd.activeConfig().Version {
+func refreshCaller(vw routes.View, cr *routes.Caller) error {
+	if *cr == (routes.Caller{}) || cr.Workspace.Version > vw.Version() {
 		return nil
 	}
-	present, ok := nd.table.View().Caller(cr.Key)
+	present, ok := vw.Caller(cr.Key)
 	if !ok {
 		return fault.New(fault.Unauthorized, "no workspace has this API key; not run")
 	}
--- a/internal/cellnode/stale_config_test.go
+++ b/internal/cellnode/stale_config_test.go
@@ -24,13 +24,16 @@
 	dp := newDeployment(t)
 	nd := dp.start("n1")
 	job := func(id string) *work.Job { return jobOf(id, work.Step{Count: 1, Need: size.New(1000, 1000, 0)}) }
-	dp.waitFor("the node is the planner", func() bool { _, err := nd.Pending(t.Context(), routes.Caller{}, queue.Name); return err == nil })
-	is.NoErr(nd.Submit(t.Context(), routes.Caller{}, job("before")))
+	dp.waitFor("the node is the planner", func() bool {
+		_, err := nd.Pending(t.Context(), nd.View(), routes.Caller{}, queue.Name)
+		return err == nil
+	})
+	is.NoErr(nd.Submit(t.Context(), nd.View(), routes.Caller{}, job("before")))
 	dp.silenceReads()
 	time.Sleep(3 * time.Second)
 	calls := map[string]func() error{
-		"a job":   func() error { return nd.Submit(t.Context(), routes.Caller{}, job("meanwhile")) },
-		"a count": func() error { _, err := nd.Pending(t.Context(), routes.Caller{}, queue.Name); return err },
+		"a job":   func() error { return nd.Submit(t.Context(), nd.View(), routes.Caller{}, job("meanwhile")) },
+		"a count": func() error { _, err := nd.Pending(t.Context(), nd.View(), routes.Caller{}, queue.Name); return err },
 	}
 	for name, call := range calls {
 		t.Run(name, func(t *testing.T) {
@@ -42,6 +45,10 @@
 			is.True(fault.From(err).RetryAfter > 0)
 		})
 	}
+	before := nd.View()
+	dp.store.Set(configKey, []byte("2"))
 	dp.store.SetFault(func(string, string) memkv.Fault { return memkv.None })
-	dp.waitFor("the node has a current configuration again", func() bool { return nd.Submit(t.Context(), routes.Caller{}, job("after")) == nil })
+	dp.waitFor("the node has a current configuration again", func() bool { return nd.Submit(t.Context(), nd.View(), routes.Caller{}, job("after")) == nil })
+	is.True(fault.Is(nd.Submit(t.Context(), before, routes.Caller{}, job("looked up before")), fault.Stale)) // though the copy is current by now
+	is.True(before.Incomplete != nil)
 }
--- a/internal/routes/view.go
+++ b/internal/routes/view.go
@@ -9,21 +9,27 @@
 	"tackbeam.example/tackbeam/internal/apikey"
 )
 
-// View is a version of the configuration and how old the node's copy of it was when a request looked it up. The zero
-// value is a view without a version, in which nothing is found.
+// View is a version of the configuration, with how old the node's copy of it was at the moment of the lookup and whether
+// requests may be answered by it. The zero value is a view without a version, in which nothing is found.
 type View struct {
 	active *indexed
-	age    time.Duration
+	State
 }
 
-// WithAge returns the view with the age of the copy.
-func (vw View) WithAge(age time.Duration) View {
-	vw.age = age
-	return vw
+// State is what a node knows about its copy of the configuration at one moment.
+type State struct {
+	// Age is how old the copy may be.
+	Age time.Duration
+	// Err is why requests must not be answered by the copy, or nil. Incomplete is why routes and API keys that it lacks may
+	// exist nevertheless, or nil; it is set if Err is.
+	Err, Incomplete error
 }
 
-// Age returns how old the copy was.
-func (vw View) Age() time.Duration { return vw.age }
+// With returns the view with a state.
+func (vw View) With(st State) View {
+	vw.State = st
+	return vw
+}
 
 // Config returns the version, or nil if there is none.
 func (vw View) Config() *Config {
