feed, peerlink: a node that hears of a later version gets it, or refuses its callers

Cause: a node learned of versions only by its own watch. A job carries the version of its settings, so the planner acted on N+1 for this job, and answered its own callers by N as long as the copy counted as young, 1.8 s.

A node that hears of a later version asks for it 0.1 s later, if the store has not sent it by then: the node that it heard of it from, or a reader. It does not say meanwhile that a route does not exist, and 0.2 s after it heard (rollback-slack-ms less 50 ms) it refuses its callers as not run until it has the version. A version that the store does not have is forgotten once a later call has confirmed the copy.

--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -103,7 +103,10 @@
 		NodeCount: func() int { return len(nd.term.Members()) }, OnWritten: nd.onWritten,
 		CommitThroughPeer: nd.commitThroughPeer,
 	})
-	nd.link = peerlink.New(log, nd.handle).WithLimit(ad.Limit)
+	nd.link = peerlink.New(log, nd.handle).WithLimit(ad.Limit).WithConfig(
+		func() uint64 { return nd.table.View().Version() },
+		func(version uint64, address string) { nd.config.Learn(version, address) },
+	)
 	nd.registerConnectionGauges()
 	nd.config = feed.New(clock, log, st, feed.Options{
 		Key: ad.ConfigKey, Decode: ad.DecodeConfig, MaxAge: nd.staleAfter(), Activate: nd.activate,
@@ -119,6 +122,7 @@
 		Clock: clock, Log: log, Store: st, Agents: ad.Agents, Site: ad.Site, Metrics: nd.meters,
 		WorkersPrefix: ad.WorkersPrefix, DecodeWorker: ad.DecodeWorker, EvacuationsPrefix: ad.EvacuationsPrefix,
 		Advise: nd.pool.Advise, Queue: nd.table.Queue, Workspace: nd.table.Workspace, ServiceInUse: nd.table.HasService,
+		OnVersion:   func(version uint64) { nd.config.Learn(version, "") },
 		StoreOutage: nd.health.LastOutage,
 		Leases:      nd.requestLeases, CommitThroughPeer: nd.commitThroughPeer, NodeCount: func() int { return len(nd.term.Members()) },
 	})
--- a/internal/cellnode/config.go
+++ b/internal/cellnode/config.go
@@ -1,6 +1,7 @@
 package cellnode
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -19,6 +20,10 @@
 	// applyMargin is the part of that time that is reserved for transmitting and processing a request. With a slow
 	// store, the copy is at most 1.7 s old, which is still within 2 s less this margin.
 	applyMargin = 200 * time.Millisecond
+	// defaultRollbackTime is how long a node may act by an older version after a worker has seen a later one through it if
+	// the settings do not specify it. rollbackMargin is the part of that time that is reserved for transmitting a request.
+	defaultRollbackTime = 250 * time.Millisecond
+	rollbackMargin      = 50 * time.Millisecond
 )
 
 // activate makes a configuration the active one, and reports whether it is newer than the previous one.
@@ -55,14 +60,24 @@
 // configState returns the state of the copy while the view is the active one.
 func (nd *Node) configState(vw routes.View) routes.State {
 	age, loaded := nd.config.Age()
+	later, known, missing := nd.config.Missing()
 	err := nd.checkConfig(age, loaded && vw.Config() != nil)
+	if err == nil && missing && known > nd.maxRollback() {
+		err = fault.New(fault.Stale, "configuration %d is in use on other nodes, this one has %d; not run", later, vw.Version()).WithRetryAfter(retryAfter)
+	}
 	incomplete := err
-	if err == nil && nd.config.Behind() {
+	if err == nil && (missing || nd.config.Behind()) {
 		incomplete = fault.New(fault.Stale, "newer configuration not loaded yet").WithRetryAfter(retryAfter)
 	}
 	return routes.State{Age: age, Err: err, Incomplete: incomplete}
 }
 
+// maxRollback returns for how long requests may be answered by a version older than one that the node has heard of. It has
+// heard of a version before a worker sees its effect through this node.
+func (nd *Node) maxRollback() time.Duration {
+	return max(cmp.Or(nd.adapter.Site.Bounds.RollbackTime, defaultRollbackTime)-rollbackMargin, 0)
+}
+
 // checkConfig returns an error if the copy of the configuration is too old to know the current routes, or nil.
 // Callers are then refused at once: otherwise jobs on a removed route would still run, and counts on it would still be
 // answered, for as long as the copy is old.
@@ -78,8 +93,8 @@
 	return nil
 }
 
-// registerConfigGauges adds gauges for the active configuration's version, the maximum age of its copy, and the number
-// of its routes.
+// registerConfigGauges adds gauges for the active configuration's version, the maximum age of its copy, for how long the node has
+// known of a later version that it lacks, and the number of its routes.
 func (nd *Node) registerConfigGauges() {
 	gauges := map[string]func() int64{
 		"config.age_ms": func() int64 {
@@ -88,6 +103,10 @@
 			}
 			return -1
 		},
+		"config.missing_ms": func() int64 {
+			_, since, _ := nd.config.Missing()
+			return since.Milliseconds()
+		},
 		"config.version": func() int64 { return int64(nd.activeConfig().Version) },
 		"config.routes":  func() int64 { return int64(len(nd.activeConfig().Routes)) },
 	}
--- a/internal/cellnode/requests.go
+++ b/internal/cellnode/requests.go
@@ -53,7 +53,9 @@
 // serve answers a caller's request, through another node if this one cannot reach the store.
 func (nd *Node) serve(ctx context.Context, vw routes.View, rq peerlink.Request) (peerlink.Reply, error) {
 	if nd.health.Down() {
-		if reply, ok, err := nd.relay.Do(ctx, rq); ok {
+		relayed := rq
+		relayed.From = nd.adapter.Site.PeerAddr
+		if reply, ok, err := nd.relay.Do(ctx, relayed); ok {
 			metrics.GetOrRegisterCounter("callers.relayed", nd.meters).Inc(1)
 			return reply, err
 		}
@@ -117,7 +119,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
 	defer cancel()
-	_, err := nd.askPlanner(ctx, peerlink.Request{Batch: &bt})
+	_, err := nd.askPlanner(ctx, peerlink.Request{Batch: &bt, From: nd.adapter.Site.PeerAddr})
 	return err
 }
 
--- a/internal/feed/apply.go
+++ b/internal/feed/apply.go
@@ -68,6 +68,7 @@
 	close(fd.nextVersion)
 	fd.nextVersion = make(chan struct{})
 	fd.mu.Unlock()
+	defer fd.dropInstalled()
 	if !fd.opts.Activate(cf) {
 		fd.log.Info("Configuration is not newer than the active version.", "version", cf.Version, "revision", cf.Revision)
 		return
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -31,9 +31,9 @@
 
 	"tackbeam.example/tackbeam/internal/joblog"
 	"tackbeam.example/tackbeam/internal/kv"
-	"tackbeam.example/tackbeam/internal/loop"
 	"tackbeam.example/tackbeam/internal/routediff"
 	"tackbeam.example/tackbeam/internal/routes"
+	"tackbeam.example/tackbeam/internal/wake"
 )
 
 // Options configure a Feed.
@@ -119,6 +119,10 @@
 	// linkBusyUntil is until when answers to other nodes occupy the link.
 	linkBusyUntil time.Time
 
+	// announced are the versions that the node has heard of and lacks, in order. heard receives when one is added.
+	announced []announced
+	heard     wake.Signal
+
 	// storeDown is set while the store does not answer.
 	storeDown bool
 	// cancel cancels the present call, or the pause after it.
@@ -149,7 +153,7 @@
 func New(clock clockwork.Clock, log logr.Logger, st *kv.Store, opts Options) *Feed {
 	opts.MaxAge = cmp.Or(opts.MaxAge, defaultMaxAge)
 	return &Feed{
-		opts: opts, clock: clock, log: log.WithName("feed"), store: st, nextVersion: make(chan struct{}),
+		opts: opts, clock: clock, log: log.WithName("feed"), store: st, nextVersion: make(chan struct{}), heard: wake.New(),
 	}
 }
 
@@ -225,7 +229,7 @@
 		fd.timeouts++
 	}
 	fd.timedOut = false
-	loop.Sleep(ctx, fd.clock, fd.retry.Next(err))
+	fd.pause(ctx, fd.retry.Next(err))
 }
 
 // maxReadSize returns the largest answer that this node accepts if it has no version yet or its watch cannot
@@ -334,6 +338,7 @@
 	if sent.After(fd.confirmedAt) {
 		fd.confirmedAt = sent
 	}
+	fd.dropAnnounced()
 	fd.mu.Unlock()
 	fd.retry.Reset()
 	if fd.setDown(false) {
--- a/internal/feed/peers.go
+++ b/internal/feed/peers.go
@@ -151,6 +151,7 @@
 	if confirmedAt.After(fd.confirmedAt) {
 		fd.confirmedAt = confirmedAt
 	}
+	fd.dropAnnounced()
 	if rs.Revision > had || fd.maybeBehind && rs.At > fd.checkedRevision {
 		fd.watchable, fd.behindSince = true, time.Time{}
 	}
--- a/internal/feed/soak_test.go
+++ b/internal/feed/soak_test.go
@@ -19,7 +19,7 @@
 // size and, meanwhile, reset connections, silent nodes, nodes that the store does not answer, and a store that is
 // slow, loses answers, refuses calls, does not answer or loses its history. At all times a copy must be no older
 // than it reports, and no version may be replaced by an older one. Once the faults have ended, the last version
-// must become active on every node in time.
+// must become active on every node in time. Nodes hear of the versions of others, and know whether they lack one.
 //
 // TACKBEAM_FEED_SEEDS=200 go test ./internal/feed -run TestSoak runs more seeds.
 func TestSoak(t *testing.T) {
@@ -53,6 +53,8 @@
 	// confirmed is when the newest version was written, seen the latest version of each node.
 	confirmed time.Time
 	seen      []uint64
+	// heard is the latest version that each node has heard of.
+	heard []uint64
 }
 
 func newSoak(t *testing.T, seed uint64) *soak {
@@ -62,7 +64,7 @@
 	if bd.awaitActive(time.Minute) >= time.Minute {
 		t.Fatal("the first version is not active after one minute")
 	}
-	return &soak{t: t, testbed: bd, rnd: rnd, confirmed: time.Now(), seen: make([]uint64, len(bd.nodes))}
+	return &soak{t: t, testbed: bd, rnd: rnd, confirmed: time.Now(), seen: make([]uint64, len(bd.nodes)), heard: make([]uint64, len(bd.nodes))}
 }
 
 // change writes a version that has some more routes and lacks some.
@@ -135,12 +137,16 @@
 	const every = 20 * time.Millisecond
 	for range span / every {
 		time.Sleep(every)
+		sk.announce()
 		for at, nd := range sk.testbed.nodes {
 			version := sk.version(nd)
 			if version < sk.seen[at] {
 				sk.t.Fatalf("node %d: version %d after %d", at, version, sk.seen[at])
 			}
 			sk.seen[at] = version
+			if _, _, missing := nd.feed.Missing(); !missing && version < sk.heard[at] {
+				sk.t.Fatalf("node %d: has version %d and says that it lacks none, but has heard of %d", at, version, sk.heard[at])
+			}
 			age, _ := nd.feed.Age()
 			if lacks := time.Since(sk.confirmed); version < sk.testbed.version && age < lacks {
 				sk.t.Fatalf("node %d: copy reports an age of %v but lacks a version confirmed %v ago", at, age, lacks)
@@ -149,6 +155,14 @@
 	}
 }
 
+// announce has a node hear of the version of another one.
+func (sk *soak) announce() {
+	at, from := sk.rnd.IntN(len(sk.testbed.nodes)), sk.rnd.IntN(len(sk.testbed.nodes))
+	version := sk.version(sk.testbed.nodes[from])
+	sk.heard[at] = max(sk.heard[at], version)
+	sk.testbed.nodes[at].feed.Learn(version, []string{"", sk.testbed.nodes[from].member.PeerAddr}[sk.rnd.IntN(2)])
+}
+
 func (sk *soak) version(nd *node) (version uint64) {
 	nd.set(func() { version = nd.active.Version })
 	return version
--- a/internal/feed/storecall.go
+++ b/internal/feed/storecall.go
@@ -9,12 +9,9 @@
 	"tackbeam.example/tackbeam/internal/kv"
 )
 
-// callStore makes a call that the store may hold back for wait. If the timeout has grown, other nodes are asked meanwhile,
-// as often as if it had not: they may reach the store.
+// callStore makes a call that the store may hold back for wait. Other nodes are asked meanwhile for versions that this node has
+// heard of. If the timeout has grown, they are also asked as often as if it had not: they may reach the store.
 func (fd *Feed) callStore(ctx context.Context, wait time.Duration, call func() error) error {
-	if firstByteTimeout.Delay(fd.timeouts-1) <= firstByte {
-		return call()
-	}
 	asking, stopAsking := context.WithCancel(ctx)
 	defer stopAsking()
 	result := make(chan error, 1)
@@ -25,12 +22,23 @@
 		}
 		result <- err
 	}()
-	for pause := wait + firstByte; ; pause = firstByte {
+	var overdue <-chan time.Time
+	if firstByteTimeout.Delay(fd.timeouts-1) > firstByte {
+		overdue = fd.clock.After(wait + firstByte)
+	}
+	announced := fd.announcedDue()
+	for {
 		select {
 		case err := <-result:
 			return err
-		case <-fd.clock.After(pause):
+		case <-fd.heard:
+			announced = fd.announcedDue()
+		case <-announced:
+			fd.requestAnnounced(asking)
+			announced = fd.announcedRetry()
+		case <-overdue:
 			fd.askNodes(asking)
+			overdue = fd.clock.After(firstByte)
 		}
 	}
 }
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -27,7 +27,7 @@
 	"tackbeam.example/tackbeam/internal/routes"
 )
 
-// Request is a call to another node. Exactly one field is set, apart from Relayed and Caller.
+// Request is a call to another node. Exactly one field is set, apart from Relayed, Caller, Version and From.
 type Request struct {
 	// State requests the phase of a job.
 	State string `cbor:"1,keyasint,omitempty"`
@@ -58,6 +58,10 @@
 	// PermissionsLeft asks, on behalf of the term with this token, for how much longer earlier planners can use such
 	// permissions of the node.
 	PermissionsLeft uint64 `cbor:"14,keyasint,omitempty"`
+	// Version is that of the sender's configuration. From is the sender's address, if the request may make the receiver act
+	// by that version.
+	Version uint64 `cbor:"15,keyasint,omitempty"`
+	From    string `cbor:"16,keyasint,omitempty"`
 }
 
 // writes reports whether the request may change something.
@@ -81,6 +85,8 @@
 	Committed *Committed `cbor:"9,keyasint,omitempty"`
 	// PermissionsLeft is for how much longer earlier planners can use permissions of the node.
 	PermissionsLeft *time.Duration `cbor:"10,keyasint,omitempty"`
+	// Version is that of the responder's configuration.
+	Version uint64 `cbor:"11,keyasint,omitempty"`
 }
 
 // Committed is the outcome of a write of the journal: its revision, or the items of the keys in its conditions if one of them
@@ -127,6 +133,10 @@
 	calls  *httpcall.Caller
 	handle func(ctx context.Context, rq Request) (Reply, error)
 	server *fasthttp.Server
+	// version returns the version of this node's configuration. learn is called with those of other nodes before what they
+	// have sent is acted on, and with the address of the node, or an empty string.
+	version func() uint64
+	learn   func(version uint64, address string)
 }
 
 // maxConns is the maximum number of connections to one node. All others call the planner, and the planner calls each
@@ -138,7 +148,10 @@
 
 // New returns a link that serves requests with handle.
 func New(log logr.Logger, handle func(ctx context.Context, rq Request) (Reply, error)) *Link {
-	li := &Link{log: log.WithName("peers"), calls: httpcall.New(maxConns), handle: handle}
+	li := &Link{
+		log: log.WithName("peers"), calls: httpcall.New(maxConns), handle: handle,
+		version: func() uint64 { return 0 }, learn: func(uint64, string) {},
+	}
 	li.server = &fasthttp.Server{
 		Handler: li.serve, NoDefaultServerHeader: true, NoDefaultDate: true,
 		Logger: httpcall.LibraryLogger(li.log), IdleTimeout: httpcall.ServerIdleTimeout,
@@ -154,6 +167,13 @@
 	return li
 }
 
+// WithConfig makes all messages carry the version of the node's configuration, and passes on the versions that other nodes have.
+// It must be called before the link serves or calls, and returns the link.
+func (li *Link) WithConfig(version func() uint64, learn func(version uint64, address string)) *Link {
+	li.version, li.learn = version, learn
+	return li
+}
+
 // Serve serves requests of other nodes at an address until Close.
 func (li *Link) Serve(address string) error {
 	ln, err := accept.Listen(li.log, "tcp4", address)
@@ -181,8 +201,9 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
+	li.learn(rq.Version, rq.From)
 	reply, err := li.handle(ctx, rq)
-	reply.Fault = fault.From(err)
+	reply.Fault, reply.Version = fault.From(err), li.version()
 	raw, err := cbor.Marshal(reply)
 	if err != nil {
 		li.log.Error(err, "Reply to another node could not be encoded.")
@@ -194,6 +215,7 @@
 
 // Call sends a request to another node.
 func (li *Link) Call(ctx context.Context, address string, rq Request) (Reply, error) {
+	rq.Version = li.version()
 	raw, err := cbor.Marshal(rq)
 	if err != nil {
 		return Reply{}, errors.Wrap(err, "encode request")
@@ -212,6 +234,7 @@
 	if err := cbor.Unmarshal(res.Body, &reply); err != nil {
 		return Reply{}, fault.New(rq.noAnswerKind(err), "node %s answered %d: %v", address, res.Status, err)
 	}
+	li.learn(reply.Version, "")
 	switch {
 	case reply.Fault != nil && res.UnansweredAttempt && rq.writes():
 		return Reply{}, fault.New(fault.Timeout, "node %s may have carried out an earlier attempt: %v", address, reply.Fault)
--- a/internal/planner/load.go
+++ b/internal/planner/load.go
@@ -80,6 +80,9 @@
 	for at := range wr.Batch.Jobs {
 		jb := &wr.Batch.Jobs[at]
 		accepted := jb.Queue.Version
+		if ld.opts.OnVersion != nil {
+			ld.opts.OnVersion(max(accepted, jb.Workspace.Version))
+		}
 		if qu, ok := ld.opts.Queue(jb.Queue.Name); ok {
 			jb.Queue = jb.Queue.Later(qu)
 		}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -58,6 +58,8 @@
 	ServiceInUse func(service string) bool
 	// Queue returns the current settings of a queue, or false if it has no route.
 	Queue func(name string) (work.Queue, bool)
+	// OnVersion is called with the version of a job's settings before the job is planned; nil if it is not needed.
+	OnVersion func(version uint64)
 	// StoreOutage returns how long the latest outage of the store lasted for this node, and when it was over; nil if that is not
 	// known.
 	StoreOutage func() (length time.Duration, end time.Time)
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -64,4 +64,7 @@
 	// ConfigApplyTime is the time after its confirmation within which a change of the configuration must be
 	// active; 0 if the settings do not specify it.
 	ConfigApplyTime time.Duration
+	// RollbackTime is for how long after a worker has seen the effect of a version a node may still act by an older one;
+	// 0 if the settings do not specify it.
+	RollbackTime time.Duration
 }
