cell: jobs of a queue are planned by the latest settings that any of them came with

What callers could see: the old service runs a job after the new one has run others of the same queue, sent by the same planner.

Cause: a planner with an older copy took the later settings of a job for that job only. The next job of the queue, accepted by a node with an older copy as well, was planned by the older settings.

The cell now keeps the latest settings of each queue, and applies them to its other jobs, as it did for workspaces.

--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -19,6 +19,7 @@
 	"tackbeam.example/policy/nearsort"
 	"tackbeam.example/policy/quota"
 	"tackbeam.example/policy/speed"
+	"tackbeam.example/policy/work"
 )
 
 // Options configure a cell.
@@ -140,7 +141,9 @@
 // queue is what the cell has learned from the jobs of a route.
 type queue struct {
 	queuedJobs int
-	runTimes   forecast.Model
+	// settings are the latest that any of its jobs, or the configuration, had.
+	settings work.Queue
+	runTimes forecast.Model
 	// allowedShare is a moving average of the share of workers that the advisor allows.
 	allowedShare float64
 }
--- a/policy/cell/job.go
+++ b/policy/cell/job.go
@@ -44,6 +44,7 @@
 	}
 	jb := &job{spec: spec, inherited: inherited, arrivedAt: arrived, rounds: map[int]*round{}, phase: Queued}
 	cl.jobs[spec.ID] = jb
+	cl.applyLatestSettings(jb)
 	cl.services[spec.Queue.Service] = true
 	cl.queue(spec.Queue.Name).queuedJobs++
 	cl.quota.Set(spec.Workspace)
@@ -200,13 +201,43 @@
 	}
 }
 
-// UpdateQueues applies the current settings of queues to the jobs that have not ended, unless a job came with
-// later ones. Jobs of a queue whose route has been removed keep theirs.
+// UpdateQueues applies the current settings of queues to the jobs that have not ended, unless a job of the queue came with
+// later ones.
 func (cl *Cell) UpdateQueues(settings func(name string) (work.Queue, bool)) {
 	cl.settings++
+	for name, row := range cl.queues {
+		if qu, ok := settings(name); ok {
+			row.settings = row.settings.Later(qu)
+		}
+	}
 	for _, jb := range cl.jobs {
-		if qu, ok := settings(jb.spec.Queue.Name); ok && !jb.phase.Ended() {
-			jb.spec.Queue = jb.spec.Queue.Later(qu)
+		_, ok := settings(jb.spec.Queue.Name)
+		if latest := cl.queue(jb.spec.Queue.Name).settings; !jb.phase.Ended() && (ok || jb.spec.Queue.Version < latest.Version) {
+			jb.spec.Queue = jb.spec.Queue.Later(latest)
+		}
+	}
+}
+
+// applyLatestSettings gives a new job the latest settings of its queue, or the queue's other jobs the settings of the new one. A
+// node with an older copy of the configuration must not take a queue back to settings by which others were planned.
+func (cl *Cell) applyLatestSettings(jb *job) {
+	row, own := cl.queue(jb.spec.Queue.Name), jb.spec.Queue
+	if own.Version < row.settings.Version {
+		jb.spec.Queue = row.settings
+		return
+	}
+	previous := row.settings
+	row.settings = own
+	if previous.Name == "" || previous.Version == own.Version {
+		return
+	}
+	if previous.Version = own.Version; previous == own {
+		return // only the number of the version is another one
+	}
+	cl.settings++
+	for _, other := range cl.jobs {
+		if other.spec.Queue.Name == own.Name && !other.phase.Ended() {
+			other.spec.Queue = other.spec.Queue.Later(own)
 		}
 	}
 }
