feed: a version with a lower number is not taken, nor passed on to other nodes

Only suspected, and not possible while the store accepts valid versions only: the table ordered versions by number and the feed by the store's revision. After a value with a lower number the node served the later version, and sent the lower one to nodes that asked it, with which a node that had just started would begin.

The feed now skips such a value as it skips one that it cannot decode: the active version stays, is passed on, and its copy stays young.

--- a/internal/feed/apply.go
+++ b/internal/feed/apply.go
@@ -29,6 +29,10 @@
 		fd.log.Error(err, "Configuration could not be decoded; the active version stays.", "revision", item.Revision)
 		return
 	}
+	if old != nil && cf.Version <= old.Version {
+		fd.log.Info("Configuration is not newer than the active version, which stays.", "version", cf.Version, "revision", item.Revision, "active", old.Version)
+		return
+	}
 	cf.Revision = item.Revision
 	df := routediff.Full(cf)
 	if old != nil {
