cellnode: a relayed request is refused if its host and path lead elsewhere by now

Only suspected: a node that the store does not answer relays its callers' jobs with the name of the queue that its own, older copy leads to. The other node checked that the queue exists, not that the host and path still lead to it, so that the old service ran jobs on a route that had moved.

The request now carries the host and prefix of the route, and is refused as not run where they are others. TestMovedRouteThroughRelay fails without the comparison.

--- a/internal/cellnode/cellnode_test.go
+++ b/internal/cellnode/cellnode_test.go
@@ -35,7 +35,8 @@
 	configKey     = "config"
 )
 
-// queue is the only queue. The configuration's value is a version followed by API keys.
+// queue is the only queue. The configuration's value is a version followed by API keys, and by the prefix of the queue's route if it
+// is not a slash.
 var queue = work.Queue{Name: "q", Service: "svc", Attempts: 3, Stretch: 2}
 
 // deployment is a set of nodes with one store and one set of workers.
@@ -77,6 +78,10 @@
 		DecodeConfig: func(item kv.Item) (*routes.Config, error) {
 			cf := &routes.Config{Version: item.Revision, Routes: []routes.Route{{Host: "h", Prefix: "/", Queue: queue}}}
 			for at, key := range strings.Fields(string(item.Value))[1:] { // skips the version
+				if strings.HasPrefix(key, "/") {
+					cf.Routes[0].Prefix = key
+					continue
+				}
 				cf.KeyRequired = true
 				cf.Workspaces = append(cf.Workspaces, routes.Workspace{
 					Workspace: work.Workspace{Name: "ws" + strconv.Itoa(at), Limit: size.New(4000, 0, 0)},
--- a/internal/cellnode/keys_test.go
+++ b/internal/cellnode/keys_test.go
@@ -62,6 +62,30 @@
 	is.NoErr(disconnected.Submit(t.Context(), disconnected.View(), valid, jobOf("other", step)))
 }
 
+// TestMovedRouteThroughRelay guards against nodes without access to the store whose callers' jobs run in a queue that their host and
+// path no longer lead to.
+func TestMovedRouteThroughRelay(t *testing.T) {
+	is := is.New(t)
+	dp := newDeployment(t)
+	connected, disconnected := dp.start("n1"), dp.start("n2")
+	job := func(id string) *work.Job { return jobOf(id, work.Step{Count: 1, Need: size.New(1000, 1000, 0)}) }
+	dp.waitFor("jobs are accepted", func() bool {
+		return disconnected.Submit(t.Context(), disconnected.View(), routes.Caller{}, job("before")) == nil
+	})
+	dp.store.SetFault(func(client, _ string) memkv.Fault {
+		if client == "n2" {
+			return memkv.Refused
+		}
+		return memkv.None
+	})
+	dp.waitFor("the second node notices that it cannot reach the store", func() bool { return disconnected.Ready() != nil })
+	before := disconnected.View()
+	is.NoErr(disconnected.Submit(t.Context(), before, routes.Caller{}, job("relayed")))
+	dp.awaitVersion(connected, dp.store.Set(configKey, []byte("2 /elsewhere/")))
+	err := disconnected.Submit(t.Context(), before, routes.Caller{}, job("after"))
+	is.True(fault.Is(err, fault.Unavailable) || fault.Is(err, fault.Stale)) // not run
+}
+
 // TestStaleConfigRefusesKeys guards against accepting API keys by a stale copy of the configuration, which cannot tell
 // whether a key is still valid.
 func TestStaleConfigRefusesKeys(t *testing.T) {
--- a/internal/cellnode/requests.go
+++ b/internal/cellnode/requests.go
@@ -55,6 +55,9 @@
 	if nd.health.Down() {
 		relayed := rq
 		relayed.From = nd.adapter.Site.PeerAddr
+		if route := vw.Route(rq.Queue()); route != nil {
+			relayed.Host, relayed.Prefix = route.Host, route.Prefix
+		}
 		if reply, ok, err := nd.relay.Do(ctx, relayed); ok {
 			metrics.GetOrRegisterCounter("callers.relayed", nd.meters).Inc(1)
 			return reply, err
@@ -152,23 +155,23 @@
 }
 
 // handleRelayed serves a request that another node relayed for its caller. The other node's configuration may be
-// outdated: a job gets this node's queue settings if they are newer, a count is refused if the route was removed, and a
-// call is refused if its API key was revoked.
+// outdated: a job gets this node's queue settings if they are newer, a request is refused if the route was removed or leads
+// elsewhere, and a call is refused if its API key was revoked.
 func (nd *Node) handleRelayed(ctx context.Context, rq peerlink.Request) (peerlink.Reply, error) {
 	vw := nd.View()
 	if err := refreshCaller(vw, &rq.Caller); err != nil {
 		return peerlink.Reply{}, err
 	}
-	name := rq.Pending
-	if rq.Submit != nil {
-		name = rq.Submit.Queue.Name
-	}
-	qu, ok := vw.Queue(name)
-	if name != "" && !ok {
-		return peerlink.Reply{}, fault.New(fault.Unavailable, "no queue %s on this node; not run", name)
+	if name := rq.Queue(); name != "" {
+		route := vw.Route(name)
+		if route == nil || rq.Prefix != "" && (route.Host != rq.Host || route.Prefix != rq.Prefix) {
+			return peerlink.Reply{}, fault.New(fault.Unavailable, "no queue %s at %s%s on this node; not run", name, rq.Host, rq.Prefix)
+		}
+		if rq.Submit != nil {
+			rq.Submit.Queue = rq.Submit.Queue.Later(route.Queue)
+		}
 	}
 	if rq.Submit != nil {
-		rq.Submit.Queue = rq.Submit.Queue.Later(qu)
 		rq.Submit.Workspace = rq.Caller.Workspace
 	}
 	return nd.serveLocally(ctx, vw, rq)
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -27,7 +27,7 @@
 	"tackbeam.example/tackbeam/internal/routes"
 )
 
-// Request is a call to another node. Exactly one field is set, apart from Relayed, Caller, Version and From.
+// Request is a call to another node. Exactly one field is set, apart from Relayed, Caller, Version, From, Host and Prefix.
 type Request struct {
 	// State requests the phase of a job.
 	State string `cbor:"1,keyasint,omitempty"`
@@ -62,6 +62,17 @@
 	// by that version.
 	Version uint64 `cbor:"15,keyasint,omitempty"`
 	From    string `cbor:"16,keyasint,omitempty"`
+	// Host and Prefix are those of the route of a relayed request in the sender's configuration.
+	Host   string `cbor:"17,keyasint,omitempty"`
+	Prefix string `cbor:"18,keyasint,omitempty"`
+}
+
+// Queue returns the queue whose settings or jobs the request is about; empty if it depends on none.
+func (rq *Request) Queue() string {
+	if rq.Submit != nil {
+		return rq.Submit.Queue.Name
+	}
+	return rq.Pending
 }
 
 // writes reports whether the request may change something.
--- a/internal/routes/view.go
+++ b/internal/routes/view.go
@@ -75,16 +75,24 @@
 	return strings.ToLower(host)
 }
 
-// Queue returns the settings of a queue, or false if no route leads to it.
-func (vw View) Queue(name string) (work.Queue, bool) {
+// Route returns the route that leads to a queue, or nil.
+func (vw View) Route(queue string) *Route {
 	if vw.active == nil {
-		return work.Queue{}, false
+		return nil
 	}
-	route, ok := vw.active.index.queues[name]
+	found, ok := vw.active.index.queues[queue]
 	if !ok {
-		return work.Queue{}, false
+		return nil
+	}
+	return vw.withVersion(found)
+}
+
+// Queue returns the settings of a queue, or false if no route leads to it.
+func (vw View) Queue(name string) (work.Queue, bool) {
+	if route := vw.Route(name); route != nil {
+		return route.Queue, true
 	}
-	return vw.withVersion(route).Queue, true
+	return work.Queue{}, false
 }
 
 // KeyRequired reports whether calls of a route need an API key.
