--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -44,9 +44,6 @@
 	sent := ld.clock.Now()
 	tries := 0
 	refusal, err := ld.replyTimeout.retry(func() bool { return ld.canPlan() && ld.mayRepeat(sr) }, func(wait time.Duration) (cell.Refusal, error) {
-		if sr.Once {
-			wait = maxReplyTimeout // giving it up early stops the run
-		}
 		tries++
 		call, cancel := context.WithTimeout(context.WithoutCancel(ld.ctx), wait)
 		defer cancel()
--- a/internal/planner/repeatedcrash_test.go
+++ b/internal/planner/repeatedcrash_test.go
@@ -34,29 +34,3 @@
 		bd.await("bad", cell.Failed, time.Second)
 	})
 }
-
-// TestLateOnlyStart guards against tasks whose worker was lost and whose next start is stopped because it arrives late:
-// it is not sent again.
-func TestLateOnlyStart(t *testing.T) {
-	t.Parallel()
-	synctest.Test(t, func(t *testing.T) {
-		bd := newTestbed(t, time.Hour, "w1", "w2", "w3")
-		defer bd.end()
-		late := false
-		bd.transit = func(_, order string) (there, back time.Duration) {
-			if late && order == "start" {
-				return 400 * time.Millisecond, 0
-			}
-			return 0, 0
-		}
-		nd := bd.addNode("n1")
-		worker := bd.submitLongRunning(nd, "service")
-		late = true
-		bd.store.Delete(workersPrefix + worker)
-		bd.fleet.Kill(worker)
-		time.Sleep(30 * time.Second)
-		if run := bd.lastStart("service").run; run != 2 {
-			t.Errorf("the task runs as run %d; the starts of those between were stopped", run)
-		}
-	})
-}
