Revert "cell: a start of a task that has crashed a worker is sent once"

Cause: the only attempt of a start may be lost, and if its worker ends within the 0.8 s of its timeout, a run that never began counts as a crash. A job that fails without cause is worse than a sixth start of one that crashes its workers.

--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -98,7 +98,7 @@
 func (ld *leader) mayRepeat(sr cell.Start) bool {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
-	if sr.Once || !ld.cell.StartValid(sr) {
+	if !ld.cell.StartValid(sr) {
 		return false
 	}
 	ld.deadlineSent(ld.now(), sr.Worker)
--- a/policy/cell/messages.go
+++ b/policy/cell/messages.go
@@ -103,9 +103,6 @@
 	Urgent bool
 	// Version is that of the configuration with the queue's settings.
 	Version uint64
-	// Once is set if the start must not be sent again without an answer: the next incarnation of a worker that it crashes
-	// may carry out another attempt, and crash as well.
-	Once bool
 	// DecidedAt is when the plan placed the task, or when the journal had the record that the start waited for.
 	DecidedAt time.Duration
 }
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -297,7 +297,7 @@
 	st := tk.step
 	sr := Start{
 		Worker: wk.ID, Task: tk.name(), Run: run, Spec: st.round.job.spec.Spec,
-		Ticket: st.advice.ticket(wk), Checkpoint: tk.checkpoint, Urgent: st.urgent(), DecidedAt: now, Version: st.round.job.spec.Queue.Version, Once: tk.hasCrashed(),
+		Ticket: st.advice.ticket(wk), Checkpoint: tk.checkpoint, Urgent: st.urgent(), DecidedAt: now, Version: st.round.job.spec.Queue.Version,
 	}
 	cl.window.add(st.urgent(), 1)
 	cl.noteStart(now, st)
--- a/policy/cell/recordedstart.go
+++ b/policy/cell/recordedstart.go
@@ -21,12 +21,8 @@
 // recordsStarts reports whether starts of the task must be recorded: it has crashed a worker, or may have. The starts of
 // a gang are sent together.
 func (tk *task) recordsStarts() bool {
-	return tk.hasCrashed() || tk.step.round.job.mayHaveCrashed
-}
-
-// hasCrashed reports whether a worker crashed under the task, or under another one of its gang.
-func (tk *task) hasCrashed() bool {
-	return len(tk.crashes) > 0 || tk.step.def.Gang && tk.step.crashSeen
+	st := tk.step
+	return len(tk.crashes) > 0 || st.def.Gang && st.crashSeen || st.round.job.mayHaveCrashed
 }
 
 // RecordUnknownLoss records that a worker was lost on which an earlier planner may have started any task.
