review: case 7, a job is shown as failed after three crashes of workers

Tried: on real processes, a job of one task whose worker crashes three times, one of twelve at a time.

--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -57,6 +57,9 @@
 	ID, Address string
 
 	record   *Record
+	store    *memkv.Store
+	server   *http.Server
+	crashed  chan struct{}
 	startAt  time.Time
 	mu       sync.Mutex
 	changed  chan struct{}
@@ -66,17 +69,23 @@
 	runs     map[string]*run
 	over     map[string]int // the highest run of a task that was stopped or ended
 	ends     []end
+	all      []end // also those that were taken note of
 	ended    int
 }
 
 // NewWorker starts a worker on a loopback address, which writes its entry into the store.
 func NewWorker(rc *Record, store *memkv.Store, id, service string, cores int) (*Worker, error) {
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	return NewWorkerAt(rc, store, id, service, cores, "127.0.0.1:0")
+}
+
+// NewWorkerAt is NewWorker at a given address.
+func NewWorkerAt(rc *Record, store *memkv.Store, id, service string, cores int, address string) (*Worker, error) {
+	ln, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, err
 	}
 	wk := &Worker{
-		ID: id, Address: ln.Addr().String(), record: rc, startAt: time.Now(), changed: make(chan struct{}),
+		ID: id, Address: ln.Addr().String(), record: rc, store: store, crashed: make(chan struct{}), startAt: time.Now(), changed: make(chan struct{}),
 		runs: map[string]*run{}, over: map[string]int{},
 	}
 	mux := http.NewServeMux()
@@ -84,19 +93,60 @@
 	mux.HandleFunc("POST /-/run-start", wk.handle(wk.start))
 	mux.HandleFunc("POST /-/run-stop", wk.handle(wk.stop))
 	mux.HandleFunc("POST /-/pace", wk.handle(wk.setPace))
-	go func() { _ = http.Serve(ln, mux) }() // ends with the process
+	wk.server = &http.Server{Handler: mux}
+	go func() { _ = wk.server.Serve(ln) }() // ends with a crash
 	go wk.work()
 	go func() {
 		for sequence := 1; ; sequence++ {
 			store.Set("servers/"+id, fmt.Appendf(nil,
 				`{"service":%q,"address":%q,"zone":"hall-a","version":"v1","slots":8,"phase":"ready","cold-remaining-ms":0,"sequence":%d,"capacity":{"cpu":%d,"mem-mb":32768,"gpu":0},"labels":["a","r1-1"]}`,
 				service, wk.Address, sequence, cores*1000))
-			time.Sleep(heartbeat)
+			select {
+			case <-time.After(heartbeat):
+			case <-wk.crashed:
+				return
+			}
 		}
 	}()
 	return wk, nil
 }
 
+// Crash ends the worker with all that runs there. It says nothing of that; its entry goes after three heartbeats.
+func (wk *Worker) Crash() {
+	const silentBeats = 3
+	wk.mu.Lock()
+	runs := len(wk.runs)
+	wk.runs = map[string]*run{}
+	close(wk.crashed)
+	wk.mu.Unlock()
+	_ = wk.server.Close()
+	wk.record.Printf("worker %s crashes with %d runs", wk.ID, runs)
+	time.AfterFunc(silentBeats*heartbeat, func() { wk.store.Delete("servers/" + wk.ID) })
+}
+
+// Has reports whether the worker has a run of a task, and since when.
+func (wk *Worker) Has(task string) (time.Time, bool) {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	if rn, ok := wk.runs[task]; ok {
+		return rn.began, true
+	}
+	return time.Time{}, false
+}
+
+// FailedEnds returns how many runs have ended failed.
+func (wk *Worker) FailedEnds() int {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	count := 0
+	for _, en := range wk.all {
+		if en.how == "failed" {
+			count++
+		}
+	}
+	return count
+}
+
 // SetLoaded says whether the users of the tasks that serve press.
 func (wk *Worker) SetLoaded(loaded bool) {
 	wk.mu.Lock()
@@ -185,6 +235,7 @@
 	delete(wk.runs, rn.name)
 	wk.ended++
 	wk.ends = append(wk.ends, end{wk.ended, rn.name, rn.number, how})
+	wk.all = append(wk.all, end{wk.ended, rn.name, rn.number, how})
 	wk.over[rn.name] = max(wk.over[rn.name], rn.number)
 	close(wk.changed)
 	wk.changed = make(chan struct{})
