--- a/review/rig3/clients.go
+++ b/review/rig3/clients.go
@@ -44,8 +44,6 @@
 
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
-func bytesContain(raw []byte, text string) bool { return bytes.Contains(raw, []byte(text)) }
-
 // call sends one request to one node. The status is 0 if there was no answer.
 func (cs *clients) call(nd *node, method, host, path string, body any) (status int, answer []byte) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeBudget)
@@ -80,14 +78,7 @@
 func (cs *clients) submit(host, route string, body any) *job {
 	jb := &job{id: newID(), host: host, route: route}
 	for range 1 + retries {
-		nd := cs.anyNode()
-		status, answer := cs.call(nd, http.MethodPost, host, route+jb.id, body)
-		cs.rig.rec.write("client", "POST %s%s to %s: %d %.80s", route, jb.id, nd.name, status, answer)
-		if status/100 == 2 {
-			jb.accepted = cs.rig.rec.now()
-			cs.mu.Lock()
-			cs.jobs[jb.id] = jb
-			cs.mu.Unlock()
+		if cs.try(jb, body) {
 			return jb
 		}
 		time.Sleep(time.Second)
@@ -95,6 +86,26 @@
 	return nil
 }
 
+// submitOnce hands a job in without retries.
+func (cs *clients) submitOnce(host, route string, body any) {
+	cs.try(&job{id: newID(), host: host, route: route}, body)
+}
+
+// try hands a job in at one node, and reports whether it was accepted.
+func (cs *clients) try(jb *job, body any) bool {
+	nd := cs.anyNode()
+	status, answer := cs.call(nd, http.MethodPost, jb.host, jb.route+jb.id, body)
+	cs.rig.rec.write("client", "POST %s%s to %s: %d %.80s", jb.route, jb.id, nd.name, status, answer)
+	if status/100 != 2 {
+		return false
+	}
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	jb.accepted = cs.rig.rec.now()
+	cs.jobs[jb.id] = jb
+	return true
+}
+
 // ask asks for a job's phase once. It returns an empty phase if there was no answer with one.
 func (cs *clients) ask(jb *job) (phase string, status int) {
 	nd := cs.anyNode()
--- a/review/rig3/deployment.go
+++ b/review/rig3/deployment.go
@@ -83,15 +83,13 @@
 
 // step is a step of a job, as clients send it. What is 0, false or empty is left out.
 type step struct {
-	Count       int    `json:"count"`
-	CPU         int    `json:"cpu,omitempty"`
-	MB          int    `json:"mem-mb,omitempty"`
-	EstimatedMS int    `json:"estimated-ms,omitempty"`
-	LongRunning bool   `json:"long-running,omitempty"`
-	Fills       bool   `json:"fills,omitempty"`
-	TargetMS    int    `json:"target_ms,omitempty"`
-	Requires    string `json:"requires,omitempty"`
-	Image       string `json:"image,omitempty"`
+	Count       int   `json:"count"`
+	CPU         int   `json:"cpu,omitempty"`
+	MB          int   `json:"mem-mb,omitempty"`
+	EstimatedMS int   `json:"estimated-ms,omitempty"`
+	After       []int `json:"after,omitempty"`
+	LongRunning bool  `json:"long-running,omitempty"`
+	Fills       bool  `json:"fills,omitempty"`
 }
 
 // request is a job, as clients send it.
@@ -102,11 +100,14 @@
 
 // lookup is a short urgent job.
 func lookup() request {
-	return request{Spec: "lookup", Steps: []step{{Count: 2, CPU: 5600, MB: 2048, EstimatedMS: 640}}}
+	return request{Spec: "lookup", Steps: []step{{Count: lookupTasks, CPU: 5600, MB: 2048, EstimatedMS: 640}}}
 }
 
-// lookupTime is how long a task of a lookup works.
-const lookupTime = 640 * time.Millisecond
+// lookupTasks is the number of tasks of a lookup, lookupTime how long each works.
+const (
+	lookupTasks = 2
+	lookupTime  = 640 * time.Millisecond
+)
 
 // sendLookups hands in lookups at a rate until a time, and waits for the answers.
 func (rg *rig) sendLookups(perSecond int, until time.Duration) {
--- a/review/rig3/judge.go
+++ b/review/rig3/judge.go
@@ -49,19 +49,6 @@
 	return list
 }
 
-// runsOfTask returns the runs of a task.
-func (fl *fleet) runsOfTask(task string) []*run {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	var list []*run
-	for _, rn := range fl.runs {
-		if rn.task == task {
-			list = append(list, rn)
-		}
-	}
-	return list
-}
-
 // mostUsed returns the largest share of the service's processors in use in a stretch of time.
 func (fl *fleet) mostUsed(sp span) float64 {
 	fl.mu.Lock()
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -10,7 +10,6 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -194,12 +193,12 @@
 	}
 }
 
-// signal sends a signal to the node's process.
-func (nd *node) signal(sig syscall.Signal) {
+// kill kills the node's process, which starts again.
+func (nd *node) kill() {
 	nd.mu.Lock()
 	defer nd.mu.Unlock()
-	nd.rig.rec.write("node", "%s gets %s", nd.name, sig)
-	_ = nd.cmd.Process.Signal(sig)
+	nd.rig.rec.write("node", "%s is killed", nd.name)
+	_ = nd.cmd.Process.Kill()
 }
 
 // close kills the node's process for good.
@@ -215,20 +214,6 @@
 	<-ended
 }
 
-// leader returns the node that has the leader's key, or nil. It reads logs: the key's value is the product's own.
-func (rg *rig) leader() *node {
-	item, ok := rg.store.Item("tackbeam/m/leader")
-	if !ok {
-		return nil
-	}
-	for _, nd := range rg.nodes {
-		if bytesContain(item.Value, nd.name) {
-			return nd
-		}
-	}
-	return nil
-}
-
 // keepLogs copies the logs of the nodes to a folder, if the environment names one.
 func (rg *rig) keepLogs() {
 	to := os.Getenv("REVIEW_LOGS")
--- a/review/rig3/stall.go
+++ b/review/rig3/stall.go
@@ -49,33 +49,24 @@
 	return rg.judgeLost(began, disturbances)
 }
 
-// judgeLost judges the rule LOST for the lookups.
+// judgeLost asks for all jobs, and judges the rule LOST for the lookups.
 func (rg *rig) judgeLost(began time.Duration, disturbances []time.Duration) verdict {
 	now := rg.rec.now()
-	count, lost, unanswered := 0, 0, 0
+	list := rg.clients.list()
+	unanswered := rg.clients.askAll(list)
+	count, lost := 0, 0
 	worst := span{}
-	for _, jb := range rg.clients.list() {
-		phase, status := "", 0
-		for range 1 + retries {
-			if phase, status = rg.clients.ask(jb); status != 0 && status != 503 && status != 504 {
-				break
-			}
-			time.Sleep(300 * time.Millisecond)
-		}
-		if phase == "" {
-			unanswered++
-			rg.rec.write("judge", "job %s: no answer with a phase in time, status %d", jb.id, status)
-		}
+	for _, jb := range list {
 		if jb.route != lookups {
 			continue
 		}
 		count++
 		runs := rg.fleet.runsOf(jb.id)
-		done := now
-		if ended := lastDone(runs); phase == "succeeded" {
-			done = ended
+		until := now
+		if done, all := allDone(runs); all {
+			until = done
 		}
-		for _, idle := range idleSpans(runs, jb.accepted, done) {
+		for _, idle := range idleSpans(runs, jb.accepted, until) {
 			sp := calmFrom(idle, disturbances)
 			used := rg.fleet.mostUsed(sp)
 			if sp.to-sp.from < standstill || used >= 0.5 {
@@ -91,15 +82,44 @@
 	}
 	lapsed := rg.fleet.endsBy("lapsed", span{began, now})
 	return verdict{lost+unanswered > 0, fmt.Sprintf(
-		"of %d lookups %d had nothing running for 3 s or more in calm, the longest for %.1f s; %d jobs got no answer; %d runs on sound workers lapsed",
-		count, lost, (worst.to - worst.from).Seconds(), unanswered, lapsed)}
+		"of %d lookups %d had nothing running for 3 s or more in calm, the longest for %.1f s; %d of %d jobs got no answer with a phase at the end; %d runs on sound workers lapsed",
+		count, lost, (worst.to - worst.from).Seconds(), unanswered, len(list), lapsed)}
+}
+
+// askAll asks for the phases of jobs, some at a time, each with the client's retries. It returns how many got no answer with one.
+func (cs *clients) askAll(list []*job) (unanswered int) {
+	const atOnce = 64
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	slots := make(chan struct{}, atOnce)
+	for _, jb := range list {
+		slots <- struct{}{}
+		group.Go(func() {
+			defer func() { <-slots }()
+			for range 1 + retries {
+				if phase, _ := cs.ask(jb); phase != "" {
+					return
+				}
+				time.Sleep(300 * time.Millisecond)
+			}
+			mu.Lock()
+			unanswered++
+			mu.Unlock()
+			cs.rig.rec.write("judge", "LOST: job %s got no answer with a phase", jb.id)
+		})
+	}
+	group.Wait()
+	return unanswered
 }
 
-// lastDone returns when the last of the runs ended.
-func lastDone(runs []*run) time.Duration {
-	var last time.Duration
+// allDone reports whether all tasks of a lookup have ended done, and when the last of them did.
+func allDone(runs []*run) (at time.Duration, all bool) {
+	tasks := map[string]bool{}
 	for _, rn := range runs {
-		last = max(last, rn.over)
+		if rn.how == "done" {
+			tasks[rn.task] = true
+			at = max(at, rn.over)
+		}
 	}
-	return last
+	return at, len(tasks) == lookupTasks
 }
--- a/review/rig3/workers.go
+++ b/review/rig3/workers.go
@@ -31,8 +31,6 @@
 	workers map[string]*worker
 	// behavior decides how a started task behaves.
 	behavior func(wk *worker, rn *run)
-	// onPace, if not nil, is called with each change of pace.
-	onPace func(percent int)
 	// runs are all runs that ever began, in the order of their starts.
 	runs []*run
 	// used is the processor use of the runs at work, in thousandths of a core, sampled.
@@ -89,8 +87,6 @@
 	// over is when the run ended, 0 before; how says how.
 	over time.Duration
 	how  string
-	// tail returns the tail latency that a serving task reports, nil for others.
-	tail func() int
 }
 
 // job returns the id of the run's job.
@@ -360,9 +356,6 @@
 	}
 	rn.pace = od.Percent
 	fl.rig.rec.write("pace", "%s run %d on %s: %d%%", od.Task, od.Run, wk.id, od.Percent)
-	if fl.onPace != nil {
-		fl.onPace(od.Percent)
-	}
 	return http.StatusOK
 }
 
@@ -410,9 +403,6 @@
 		if rn.takes > 0 {
 			percent = min(int(rn.worked*fullPercent/rn.takes), fullPercent)
 		}
-		if rn.tail != nil {
-			figure = rn.tail()
-		}
 		running = append(running, []any{rn.task, rn.number, "", percent, figure})
 	}
 	for _, en := range wk.ends[:min(len(wk.ends), maxEnds)] {
