--- a/review/rig3/deployment.go
+++ b/review/rig3/deployment.go
@@ -89,6 +89,7 @@
 	EstimatedMS int   `json:"estimated-ms,omitempty"`
 	After       []int `json:"after,omitempty"`
 	LongRunning bool  `json:"long-running,omitempty"`
+	PerWorker   int   `json:"anti-affinity,omitempty"`
 	Fills       bool  `json:"fills,omitempty"`
 }
 
