--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -6,4 +6,4 @@
 cd "$here/../.."
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-exec target/rig3 -program target/tackbeamd -trouble="$trouble" -record "$here/record.txt" room
+exec target/rig3 -program target/tackbeamd -trouble="$trouble" -record "$here/record.txt" long
