Bound what accepted jobs take of the planner's memory

Nodes accept small jobs up to a window that the planner has not confirmed (memwindow), and ask the planner for more and for each large job; it keeps an account by workspace and urgency (memquota), in which a class takes at most what it leaves to others. Runs have a part of their own. Jobs that have succeeded are not opened by a new planner.

--- a/internal/cellnode/cellnode.go
+++ b/internal/cellnode/cellnode.go
@@ -13,6 +13,7 @@
 
 	"tackbeam.example/policy/admission"
 	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/memwindow"
 
 	"tackbeam.example/tackbeam/internal/advisor"
 	"tackbeam.example/tackbeam/internal/agent"
@@ -77,6 +78,8 @@
 	startedAt   time.Time
 	admissionMu sync.Mutex
 	admission   admission.Controller
+	memoryMu    sync.Mutex
+	memory      *memwindow.Window
 	// refusesUnplanned is set once a job was refused because there is no planner, until there is one.
 	refusesUnplanned bool
 
@@ -87,7 +90,7 @@
 func New(clock clockwork.Clock, log logr.Logger, ad Adapter) *Node {
 	nd := &Node{
 		adapter: ad, clock: clock, log: log, meters: metrics.NewRegistry(),
-		startedAt: clock.Now(), table: &routes.Table{}, stopping: make(chan struct{}),
+		startedAt: clock.Now(), table: &routes.Table{}, memory: memwindow.New(), stopping: make(chan struct{}),
 	}
 	nd.health = kvhealth.New(clock, log, nd.meters)
 	st := nd.health.Wrap(ad.Store)
--- a/internal/cellnode/cellnode_test.go
+++ b/internal/cellnode/cellnode_test.go
@@ -46,6 +46,8 @@
 	fleet *memworkers.Fleet
 	// features are the features that are enabled for nodes.
 	features feature.Set
+	// memoryMB is the memory of nodes by the settings.
+	memoryMB int
 }
 
 func newDeployment(t *testing.T) *deployment {
@@ -67,7 +69,7 @@
 	}
 	dp.t.Cleanup(func() { _ = block.Close() })
 	nd := cellnode.New(clockwork.NewRealClock(), logr.Discard(), cellnode.Adapter{
-		Site:  &site.Site{Node: name, PeerAddr: block.Address(0), StoreWriteRate: 400, Bounds: site.Bounds{JobRetention: time.Minute}, Features: dp.features},
+		Site:  &site.Site{Node: name, PeerAddr: block.Address(0), StoreWriteRate: 400, Bounds: site.Bounds{JobRetention: time.Minute}, Features: dp.features, MemoryMB: dp.memoryMB},
 		Store: dp.store.Client(name), Agents: dp.fleet.Agents(),
 		WorkersPrefix: workersPrefix, ConfigKey: configKey,
 		DecodeWorker: func(item kv.Item) (planner.WorkerEntry, error) {
--- a/internal/cellnode/requests.go
+++ b/internal/cellnode/requests.go
@@ -81,13 +81,11 @@
 	}
 	switch {
 	case rq.Submit != nil:
-		return peerlink.Reply{}, nd.intake.Submit(ctx, rq.Submit)
+		return peerlink.Reply{}, nd.accept(ctx, rq.Submit)
 	case rq.Cancel != "":
 		return peerlink.Reply{}, nd.intake.Cancel(ctx, rq.Cancel, rq.Caller.Workspace.Name)
-	case nd.term.Leading():
-		return nd.servePlannerRequest(ctx, rq)
 	}
-	return nd.askPlanner(ctx, rq)
+	return nd.requestPlanner(ctx, rq)
 }
 
 // plannerTimeout bounds a request to the planner, which answers from memory after waiting at most 150 ms.
@@ -110,20 +108,24 @@
 // onWritten notifies the planner of a batch in the journal. Otherwise, the planner finds it in its copy of the journal
 // one response of the store later, which takes 4 ms, or 0.4 s if the store is slow.
 func (nd *Node) onWritten(bt joblog.WrittenBatch) {
-	err := nd.notifyPlanner(bt)
+	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
+	defer cancel()
+	reply, err := nd.requestPlanner(ctx, peerlink.Request{Batch: &bt, From: nd.adapter.Site.PeerAddr})
 	if err != nil {
 		nd.log.Info("Planner could not be notified of a batch; it will find it in the journal.", "key", bt.Key, "reason", err.Error())
+		return
+	}
+	if reply.Applied {
+		nd.noteApplied(&bt.Batch, reply.Full)
 	}
 }
 
-func (nd *Node) notifyPlanner(bt joblog.WrittenBatch) error {
+// requestPlanner sends a request to the planner, which may be this node.
+func (nd *Node) requestPlanner(ctx context.Context, rq peerlink.Request) (peerlink.Reply, error) {
 	if nd.term.Leading() {
-		return nd.planner.AddBatch(bt)
+		return nd.servePlannerRequest(ctx, rq)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
-	defer cancel()
-	_, err := nd.askPlanner(ctx, peerlink.Request{Batch: &bt, From: nd.adapter.Site.PeerAddr})
-	return err
+	return nd.askPlanner(ctx, rq)
 }
 
 // handle serves requests of other nodes.
@@ -201,7 +203,10 @@
 		count, err := nd.planner.Pending(rq.Pending)
 		return peerlink.Reply{Pending: count}, err
 	case rq.Batch != nil:
-		return peerlink.Reply{}, nd.planner.AddBatch(*rq.Batch)
+		full, applied, err := nd.planner.AddBatch(*rq.Batch)
+		return peerlink.Reply{Full: full, Applied: applied}, err
+	case rq.Claim != nil:
+		return peerlink.Reply{}, nd.planner.ClaimMemory(*rq.Claim)
 	case rq.Evacuations:
 		list, err := nd.planner.Evacuations()
 		return peerlink.Reply{Evacuations: list}, err
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -120,14 +120,14 @@
 	if err := mr.reading.Continue(call); err != nil {
 		return 0, err
 	}
-	reading := mr.reading
+	items, revision, startedAt := mr.reading.Items(), mr.reading.Revision(), mr.reading.StartedAt()
 	mr.reading = nil
 	gone := make(map[string]bool, len(mr.keys))
 	for key := range mr.keys {
 		gone[key] = true
 	}
 	var changed []kv.Item
-	for _, item := range reading.Items() {
+	for _, item := range items {
 		delete(gone, item.Key)
 		if item.Revision > mr.keys[item.Key] {
 			mr.keys[item.Key] = item.Revision
@@ -141,8 +141,8 @@
 	}
 	mr.opts.OnChange(changed, true)
 	mr.behind = false
-	mr.markSynced(reading.StartedAt())
-	return reading.Revision(), nil
+	mr.markSynced(startedAt)
+	return revision, nil
 }
 
 // watchGrace is how long a watch may take beyond its wait before it counts as dropped: twice the latency of a slow
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/memquota"
 	"tackbeam.example/policy/work"
 
 	"tackbeam.example/tackbeam/internal/accept"
@@ -65,6 +66,8 @@
 	// Host and Prefix are those of the route of a relayed request in the sender's configuration.
 	Host   string `cbor:"17,keyasint,omitempty"`
 	Prefix string `cbor:"18,keyasint,omitempty"`
+	// Claim asks the planner to reserve memory for a job.
+	Claim *memquota.Claim `cbor:"19,keyasint,omitempty"`
 }
 
 // Queue returns the queue whose settings or jobs the request is about; empty if it depends on none.
@@ -98,6 +101,10 @@
 	PermissionsLeft *time.Duration `cbor:"10,keyasint,omitempty"`
 	// Version is that of the responder's configuration.
 	Version uint64 `cbor:"11,keyasint,omitempty"`
+	// Applied is set if the planner knows of the jobs of a batch. Full are the classes of these of which no more may be
+	// accepted.
+	Applied bool             `cbor:"12,keyasint,omitempty"`
+	Full    []memquota.Class `cbor:"13,keyasint,omitempty"`
 }
 
 // Committed is the outcome of a write of the journal: its revision, or the items of the keys in its conditions if one of them
--- a/internal/planner/leader.go
+++ b/internal/planner/leader.go
@@ -118,7 +118,11 @@
 	standby      standbyWorkers
 	tickMonitor  tickMonitor
 	batches      batchIndex
-	dirty        bool
+	// old are the writes of records of earlier planners until they have been applied, succeeded the jobs that have succeeded
+	// according to them.
+	old       []kv.Item
+	succeeded map[string]bool
+	dirty     bool
 	// waitsLogged is when the waiting steps were last logged. lossyLogged is whether the last log line on unanswered
 	// calls said that there are many.
 	waitsLogged time.Duration
@@ -148,6 +152,7 @@
 		cell: cell.New(cell.Options{
 			Retention: opts.Site.Bounds.JobRetention,
 			FirstRun:  (tm.Number-1)*runsPerTerm + 1, StopTimeout: opts.Site.Bounds.StopTimeout,
+			MemoryLimit:   opts.Site.JobMemory(),
 			InitialWindow: initialWindow, MinInUse: opts.MinInUse, Features: opts.Site.Features,
 		}),
 	}
@@ -179,13 +184,14 @@
 
 func (ld *leader) run(ctx context.Context) {
 	ld.ctx = ctx
-	old, ok := ld.readRecords(ctx)
+	records, ok := ld.readRecords(ctx)
 	if !ok {
 		return
 	}
+	ld.old = records
 	ld.jobs = mirror.New(ld.clock, ld.log, ld.opts.Store, mirror.Options{
 		Prefix: joblog.Batches, Wait: journalWait, Pause: journalWatchPause,
-		OnChange: func(items []kv.Item, full bool) { ld.applyBatches(items, full, old) },
+		OnChange: func(items []kv.Item, full bool) { ld.applyBatches(items, full) },
 	})
 	ld.workers = mirror.New(ld.clock, ld.log, ld.opts.Store, mirror.Options{
 		Prefix: ld.opts.WorkersPrefix, Wait: listWait, Pause: workerWatchPause,
--- a/internal/planner/load.go
+++ b/internal/planner/load.go
@@ -6,6 +6,7 @@
 
 	"tackbeam.example/policy/cell"
 	"tackbeam.example/policy/incarnation"
+	"tackbeam.example/policy/memquota"
 
 	"tackbeam.example/tackbeam/internal/joblog"
 	"tackbeam.example/tackbeam/internal/kv"
@@ -30,12 +31,18 @@
 
 // applyBatches applies accepted jobs and cancellations. The first complete read also restores the records of earlier
 // planners. Cancellations come after these: a job that had ended when its cancellation came was shown so.
-func (ld *leader) applyBatches(items []kv.Item, full bool, old []kv.Item) {
+func (ld *leader) applyBatches(items []kv.Item, full bool) {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
 	now := ld.now()
-	var added []joblog.WrittenBatch
-	for _, item := range items {
+	first := full && !ld.loaded
+	var writes []recordWrite
+	if first {
+		writes = ld.decodeRecords()
+	}
+	added, batches := []joblog.WrittenBatch{}, len(items)
+	for at, item := range items {
+		items[at].Value = nil // only one batch is needed at a time
 		if item.Deleted || ld.batches.has(item.Key) {
 			continue
 		}
@@ -46,13 +53,14 @@
 		}
 		wr := joblog.WrittenBatch{Key: item.Key, Revision: item.Revision, Batch: bt}
 		ld.applyJobs(now, &wr)
+		wr.Batch.Jobs = nil
 		added = append(added, wr)
 	}
-	if full && !ld.loaded {
-		runs, stops := ld.restore(now, old, added)
-		ld.loaded, ld.inheritedWorkers = true, len(ld.unresolved)
+	if first {
+		runs, stops := ld.restore(now, writes, added)
+		ld.loaded, ld.inheritedWorkers, ld.succeeded = true, len(ld.unresolved), nil
 		close(ld.journalRead)
-		ld.log.Info("Journal has been read.", "batches", len(items), "writes", len(old), "after", now.String(),
+		ld.log.Info("Journal has been read.", "batches", batches, "writes", len(writes), "after", now.String(),
 			"workers", ld.inheritedWorkers, "runs", runs, "stops", stops)
 	} else {
 		ld.applyCancels(now, added)
@@ -61,16 +69,46 @@
 	ld.schedulePlan()
 }
 
-// addBatch applies a batch that a node has announced. Until the journal has been read completely, the batch is left to
-// that read.
-func (ld *leader) addBatch(wr joblog.WrittenBatch) {
+// recordWrite is a write of records by an earlier planner.
+type recordWrite struct {
+	key     string
+	records []cell.Record
+}
+
+// decodeRecords decodes the records of earlier planners, and notes which jobs have succeeded.
+func (ld *leader) decodeRecords() []recordWrite {
+	writes := make([]recordWrite, len(ld.old))
+	ld.succeeded = map[string]bool{}
+	for at, item := range ld.old {
+		recs, err := joblog.Decode[[]cell.Record](item.Value)
+		if err != nil {
+			ld.log.Error(err, "Records of an earlier planner cannot be decoded.", "key", item.Key)
+		}
+		writes[at] = recordWrite{item.Key, recs}
+		for _, rec := range recs {
+			if rec.Phase == cell.Succeeded {
+				ld.succeeded[rec.Job] = true
+			}
+		}
+	}
+	ld.old = nil
+	return writes
+}
+
+// addBatch applies a batch that a node has announced, and returns the classes of its jobs of which no more may be accepted. Until
+// the journal has been read completely, the batch is left to that read, and applied is false.
+func (ld *leader) addBatch(wr joblog.WrittenBatch) (full []memquota.Class, applied bool) {
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
-	if ld.loaded && !ld.batches.has(wr.Key) {
+	if !ld.loaded {
+		return nil, false
+	}
+	if !ld.batches.has(wr.Key) {
 		ld.applyJobs(ld.now(), &wr)
 		ld.applyCancels(ld.now(), []joblog.WrittenBatch{wr})
 		ld.schedulePlan()
 	}
+	return ld.fullClasses(wr.Batch.Jobs), true
 }
 
 // applyJobs applies the jobs of a batch that has not been applied yet.
@@ -89,11 +127,7 @@
 		if ws, ok := ld.opts.Workspace(jb.Workspace.Name); ok {
 			jb.Workspace = jb.Workspace.Later(ws)
 		}
-		if inherited {
-			ld.cell.AddAged(now, age, jb)
-		} else {
-			ld.cell.Add(now, jb, false)
-		}
+		ld.addJob(now, age, jb, inherited)
 		ld.log.Info("Job added.", "job", jb.ID, "queue", jb.Queue.Name, "revision", wr.Revision, "inherited", inherited,
 			"version", jb.Queue.Version, "accepted_version", accepted)
 	}
@@ -113,22 +147,21 @@
 
 // restore applies the records of earlier planners, and then the cancellations of batches. It returns how many runs the records
 // name that workers may have, and how many of these may be being stopped.
-func (ld *leader) restore(now time.Duration, items []kv.Item, batches []joblog.WrittenBatch) (runCount, stopCount int) {
+func (ld *leader) restore(now time.Duration, writes []recordWrite, batches []joblog.WrittenBatch) (runCount, stopCount int) {
 	var all []cell.Record
 	workers := map[incarnation.ID]cell.Record{}
 	ofPrevious := map[incarnation.ID]bool{} // whether the previous planner wrote the worker's record
 	stops := map[incarnation.ID][]cell.Run{}
-	for at, item := range items {
-		recs, err := joblog.Decode[[]cell.Record](item.Value)
-		if err != nil {
-			ld.log.Error(err, "Records of an earlier planner cannot be decoded.", "key", item.Key)
+	for at, write := range writes {
+		recs := write.records
+		if recs == nil {
 			continue
 		}
-		ld.records.keep(item.Key, recs)
-		previous := ld.isRecordOf(item.Key, ld.term.Previous.Token)
+		ld.records.keep(write.key, recs)
+		previous := ld.isRecordOf(write.key, ld.term.Previous.Token)
 		for _, rec := range recs {
 			switch {
-			case rec.Stop && at >= len(items)-recentWrites:
+			case rec.Stop && at >= len(writes)-recentWrites:
 				stops[rec.Worker] = append(stops[rec.Worker], rec.Held...)
 			case rec.Worker != "" && !rec.Stop:
 				workers[rec.Worker], ofPrevious[rec.Worker] = rec, previous
--- a/internal/planner/planloop.go
+++ b/internal/planner/planloop.go
@@ -81,6 +81,7 @@
 	ld.updateAdviceBudget(now)
 	ld.reportBacklog(now)
 	ld.reportHeadroom()
+	ld.reportMemory()
 	ld.reportEvacuations()
 	jobs, waiting, workers := ld.cell.Counts()
 	ld.metrics.gauge("planner.jobs", jobs)
@@ -134,6 +135,12 @@
 				"crashes", crashes, "blamed", blamed)
 		}
 	}
+	for _, id := range out.Loaded {
+		ld.log.Info("Job that was kept encoded has been loaded.", "job", id)
+	}
+	for _, un := range out.Unloadable {
+		ld.log.Error(un.Err, "Job that was kept encoded cannot be loaded.", "job", un.Job)
+	}
 	for _, om := range out.Omitted {
 		ld.metrics.count("planner.runs_omitted")
 		ld.log.Info("Run has gone without an end.", "task", om.Task.String(), "run", om.Run, "worker", om.Worker, "adopted", om.Adopted, "stopping", om.Stopping)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"tackbeam.example/policy/cell"
+	"tackbeam.example/policy/memquota"
 	"tackbeam.example/policy/work"
 
 	"tackbeam.example/tackbeam/internal/agent"
@@ -158,14 +159,24 @@
 	return ld.pending(queue)
 }
 
-// AddBatch adds a batch that the journal has, before the local copy of the journal shows it.
-func (pl *Planner) AddBatch(wr joblog.WrittenBatch) error {
+// AddBatch adds a batch that the journal has, before the local copy of the journal shows it. It reports whether the planner now
+// knows of its jobs, and the classes of these of which no more may be accepted.
+func (pl *Planner) AddBatch(wr joblog.WrittenBatch) (full []memquota.Class, applied bool, err error) {
+	ld, err := pl.current()
+	if err != nil {
+		return nil, false, err
+	}
+	full, applied = ld.addBatch(wr)
+	return full, applied, nil
+}
+
+// ClaimMemory reserves memory for a job, which may then be accepted. The error is of kind Full if there is not enough.
+func (pl *Planner) ClaimMemory(cm memquota.Claim) error {
 	ld, err := pl.current()
 	if err != nil {
 		return err
 	}
-	ld.addBatch(wr)
-	return nil
+	return ld.claimMemory(cm)
 }
 
 // ApplySettings applies the current settings of queues and workspaces to waiting jobs.
--- a/internal/planner/testbed_test.go
+++ b/internal/planner/testbed_test.go
@@ -75,6 +75,8 @@
 	heartbeat time.Duration
 	// retention is how long ended jobs are known.
 	retention time.Duration
+	// memoryMB is the memory of nodes by the settings.
+	memoryMB int
 	// stopTime is how long workers may take to stop a run by the settings.
 	stopTime time.Duration
 	// peerCommits makes planners send writes through another node if they get no answer.
@@ -339,7 +341,7 @@
 		Clock: clock, Log: bd.log(name), Store: st, Agents: agents, Metrics: nd.meters,
 		Site: &site.Site{Bounds: site.Bounds{
 			JobRetention: bd.retention, EvacuationTime: bd.evacuationTime, StopTimeout: bd.stopTime, Heartbeat: bd.heartbeat,
-		}, Features: bd.features},
+		}, Features: bd.features, MemoryMB: bd.memoryMB},
 		WorkersPrefix: workersPrefix, EvacuationsPrefix: bd.evacuationsPrefix, MinInUse: bd.minInUse,
 		DecodeWorker: func(item kv.Item) (planner.WorkerEntry, error) {
 			id := strings.TrimPrefix(item.Key, workersPrefix)
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -41,6 +41,13 @@
 	Features feature.Set
 }
 
+// JobMemory returns how many bytes the jobs of the deployment may take on the node while it plans, 0 for any number. The rest is
+// for sessions with workers, connections, the reading of the journal, and garbage.
+func (st *Site) JobMemory() int64 {
+	const bytesPerMB, share = 1_000_000, 0.5
+	return int64(share * bytesPerMB * float64(st.MemoryMB))
+}
+
 // Bounds are the time limits that the deployment guarantees or requires.
 type Bounds struct {
 	// Grace is the time between the order to stop and the kill.
--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -16,6 +16,7 @@
 	"tackbeam.example/policy/gainlog"
 	"tackbeam.example/policy/headroom"
 	"tackbeam.example/policy/incarnation"
+	"tackbeam.example/policy/memquota"
 	"tackbeam.example/policy/nearsort"
 	"tackbeam.example/policy/quota"
 	"tackbeam.example/policy/speed"
@@ -36,6 +37,8 @@
 	StopTimeout time.Duration
 	// MinInUse is how many workers of a service are in use even if there is no work; 0 means a default.
 	MinInUse int
+	// MemoryLimit is how many bytes jobs and runs may take, 0 for any number.
+	MemoryLimit int64
 	// Features are the optional features that are enabled.
 	Features feature.Set
 }
@@ -71,8 +74,12 @@
 	pools   map[string]*pool
 	queues  map[string]*queue
 	cancels map[string]cancel
-	// quota limits what each workspace has running.
-	quota *quota.Tracker
+	// quota limits what each workspace has running, memory what jobs and runs take of the node's memory.
+	quota  *quota.Tracker
+	memory *memquota.Quota
+	// deferred are the jobs that are not held, in the order of their arrival. held counts the others that have not ended.
+	deferred []*job
+	held     int
 	// unreportedAt is when the unreported usage of the workspaces was last estimated.
 	unreportedAt time.Duration
 	// arrivals measures the urgent work, nil unless jobs are admitted by capacity.
@@ -155,6 +162,7 @@
 		opts: opts, jobs: map[string]*job{}, workers: map[incarnation.ID]*worker{}, unpooled: map[*worker]bool{}, standby: map[string]*standby{},
 		window: window{limit: opts.InitialWindow}, adviceBudget: newAdviceBudget(opts.Features),
 		open: map[*step]bool{}, pools: map[string]*pool{}, queues: map[string]*queue{}, cancels: map[string]cancel{}, quota: quota.New(),
+		memory:   memquota.New(opts.MemoryLimit),
 		services: map[string]bool{}, attributions: map[incarnation.ID]attribution{}, recurring: map[*job]bool{}, predecessors: map[string][]predecessor{},
 		forecasts: map[string]*headroom.Forecast{}, recordedStarts: map[placementKey]incarnation.ID{}, stopping: map[*placement]bool{}, arrivals: newArrivals(opts.Features), reserving: map[*step]bool{}, gains: gainlog.New[*worker](gainsKept), recent: recentGains{indexes: map[*worker]int{}}, sorter: nearsort.Sorter[ranked]{Compare: compareRanked},
 	}
--- a/policy/cell/cell_test.go
+++ b/policy/cell/cell_test.go
@@ -44,22 +44,30 @@
 		resize               bool
 		maxEnds              int
 		maxFailed, settle    int
+		memoryLimit          int64
+		deferRate            float64
 	}{
-		"no faults":                       {},
-		"runs fail":                       {failRate: 0.1, maxFailed: 8},
-		"orders unanswered":               {unanswered: 0.1},
-		"planners change":                 {replace: true},
-		"planners change, runs fail":      {replace: true, failRate: 0.1, maxFailed: 8},
-		"workers crash":                   {crash: true},
-		"workers disconnect":              {disconnect: true},
-		"disconnects, planners change":    {disconnect: true, replace: true, failRate: 0.02, maxFailed: 4},
-		"jobs cancelled":                  {cancel: true},
-		"all faults":                      {unanswered: 0.1, failRate: 0.05, replace: true, crash: true, disconnect: true, cancel: true, maxFailed: 8},
-		"planners change, orders delayed": {replace: true, unanswered: 0.2},
-		"capacity changes":                {resize: true},
-		"capacity and planners change":    {resize: true, replace: true, unanswered: 0.05},
-		"reports lack ends":               {maxEnds: 1, unanswered: 0.1},
-		"reports lack ends, takeovers":    {maxEnds: 1, replace: true, failRate: 0.1, maxFailed: 8},
+		"no faults":                        {},
+		"runs fail":                        {failRate: 0.1, maxFailed: 8},
+		"orders unanswered":                {unanswered: 0.1},
+		"planners change":                  {replace: true},
+		"planners change, runs fail":       {replace: true, failRate: 0.1, maxFailed: 8},
+		"workers crash":                    {crash: true},
+		"workers disconnect":               {disconnect: true},
+		"disconnects, planners change":     {disconnect: true, replace: true, failRate: 0.02, maxFailed: 4},
+		"jobs cancelled":                   {cancel: true},
+		"all faults":                       {unanswered: 0.1, failRate: 0.05, replace: true, crash: true, disconnect: true, cancel: true, maxFailed: 8},
+		"planners change, orders delayed":  {replace: true, unanswered: 0.2},
+		"capacity changes":                 {resize: true},
+		"capacity and planners change":     {resize: true, replace: true, unanswered: 0.05},
+		"reports lack ends":                {maxEnds: 1, unanswered: 0.1},
+		"reports lack ends, takeovers":     {maxEnds: 1, replace: true, failRate: 0.1, maxFailed: 8},
+		"memory is short":                  {memoryLimit: 60 << 10},
+		"memory is short, planners change": {memoryLimit: 60 << 10, replace: true},
+		"new planners hold jobs later":     {replace: true, deferRate: 0.5, failRate: 0.1, maxFailed: 8},
+		"memory is short, all faults": {
+			memoryLimit: 80 << 10, deferRate: 0.3, unanswered: 0.1, failRate: 0.05, replace: true, crash: true, disconnect: true, cancel: true, maxEnds: 2, maxFailed: 8,
+		},
 		"reports lack ends, all faults": {
 			maxEnds: 2, unanswered: 0.1, failRate: 0.05, replace: true, crash: true, disconnect: true, cancel: true, resize: true, maxFailed: 8,
 		},
@@ -69,6 +77,11 @@
 			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
 				bd := newTestbed(t, seed, 10)
 				bd.unansweredRate, bd.failRate, bd.maxEnds = tc.unanswered, tc.failRate, tc.maxEnds
+				bd.memoryLimit, bd.deferRate = tc.memoryLimit, tc.deferRate
+				if tc.memoryLimit > 0 {
+					bd.replacePlanner()
+					bd.executeOrders()
+				}
 				const jobs = 24
 				for n := range jobs {
 					switch n % 3 {
@@ -109,6 +122,9 @@
 				for range 2000 {
 					bd.advance(40 * time.Millisecond)
 				}
+				if defers := tc.memoryLimit > 0 || tc.deferRate > 0; defers != (bd.deferred > 0) {
+					t.Errorf("%d jobs were not held", bd.deferred)
+				}
 				counts := bd.countPhases()
 				if counts[cell.Queued]+counts[cell.Running] > 0 {
 					t.Errorf("jobs have not ended: %v", counts)
--- a/policy/cell/gang.go
+++ b/policy/cell/gang.go
@@ -18,7 +18,7 @@
 	if rd.rank.late && len(st.reserved) == 0 && now-st.lastTried < lateGangInterval {
 		return false
 	}
-	if !cl.window.open(st.urgent()) {
+	if !cl.window.open(st.urgent()) || !cl.mayStartRuns(st, len(st.tasks)) {
 		st.reservePlan = cl.planCount // an urgent gang is not skipped while the window is full; it keeps its reservation
 		return false
 	}
--- a/policy/cell/job.go
+++ b/policy/cell/job.go
@@ -23,27 +23,35 @@
 	// endRecord is the number of records that must be committed to prove that the job has ended.
 	endRecord int
 	endedAt   time.Duration
+	memory    jobMemory
 }
 
 // Add adds a job from the journal. Inherited jobs were accepted before this planner took over. A job that is
 // already known is left unchanged.
 func (cl *Cell) Add(now time.Duration, spec *work.Job, inherited bool) {
-	cl.add(now, now, spec, inherited)
+	cl.add(now, now, spec, inherited, nil)
 }
 
 // AddAged adds an inherited job that was accepted some time ago, so that it keeps its place among the waiting
 // jobs. When each planner measured age from its own start, the jobs that had waited longest were put behind the
 // rest again.
 func (cl *Cell) AddAged(now, age time.Duration, spec *work.Job) {
-	cl.add(now, now-age, spec, true)
+	cl.add(now, now-age, spec, true, nil)
 }
 
-func (cl *Cell) add(now, arrived time.Duration, spec *work.Job, inherited bool) {
+func (cl *Cell) add(now, arrived time.Duration, spec *work.Job, inherited bool, load *Loader) {
 	if _, known := cl.jobs[spec.ID]; known {
 		return
 	}
 	jb := &job{spec: spec, inherited: inherited, arrivedAt: arrived, rounds: map[int]*round{}, phase: Queued}
+	jb.memory = newJobMemory(spec, load)
 	cl.jobs[spec.ID] = jb
+	cl.memory.Settle(spec.ID)
+	cl.charge(jb)
+	if load != nil {
+		jb.spec = jb.stub()
+		cl.deferred = append(cl.deferred, jb)
+	}
 	cl.applyLatestSettings(jb)
 	cl.services[spec.Queue.Service] = true
 	cl.queue(spec.Queue.Name).queuedJobs++
@@ -53,7 +61,16 @@
 		cl.finishJob(now, jb, Cancelled)
 		return
 	}
-	if spec.Repeat != nil {
+	if load == nil {
+		cl.begin(arrived, jb)
+	}
+}
+
+// begin opens the first round of a job, or lets Tick open its rounds as they become due.
+func (cl *Cell) begin(arrived time.Duration, jb *job) {
+	jb.memory.begun = true
+	cl.held++
+	if jb.spec.Repeat != nil {
 		cl.recurring[jb] = true
 		return
 	}
@@ -184,6 +201,9 @@
 	if jb.phase == Queued {
 		cl.queue(jb.spec.Queue.Name).queuedJobs--
 	}
+	if !jb.phase.Ended() && jb.memory.begun {
+		cl.held--
+	}
 	jb.phase = phase
 	jb.endedAt = now
 	cl.ended = append(cl.ended, jb)
--- a/policy/cell/limits.go
+++ b/policy/cell/limits.go
@@ -68,7 +68,7 @@
 
 // unplaced is what those tasks of the job take that are neither done nor known to be on a worker.
 func (jb *job) unplaced() size.Size {
-	var sum size.Size
+	sum := jb.memory.need
 	for _, rd := range jb.rounds {
 		for _, st := range rd.steps {
 			sum = sum.Add(st.need().Times(int64(st.unplaced)))
--- a/policy/cell/messages.go
+++ b/policy/cell/messages.go
@@ -187,9 +187,18 @@
 	// SpeedChanges are not orders either, nor are Omitted runs.
 	SpeedChanges []SpeedChange
 	Omitted      []OmittedRun
+	// Loaded are the jobs that were not held before, Unloadable those that could not be loaded.
+	Loaded     []string
+	Unloadable []Unloadable
+}
+
+// Unloadable is a job that could not be loaded.
+type Unloadable struct {
+	Job string
+	Err error
 }
 
 // Empty reports whether there is nothing to do.
 func (ou *Output) Empty() bool {
-	return len(ou.Starts)+len(ou.Stops)+len(ou.Paces)+len(ou.ReportRequests)+len(ou.AdviceRequests)+len(ou.Records)+len(ou.Restarts)+len(ou.SpeedChanges)+len(ou.Omitted) == 0
+	return len(ou.Starts)+len(ou.Stops)+len(ou.Paces)+len(ou.ReportRequests)+len(ou.AdviceRequests)+len(ou.Records)+len(ou.Restarts)+len(ou.SpeedChanges)+len(ou.Omitted)+len(ou.Loaded)+len(ou.Unloadable) == 0
 }
--- a/policy/cell/placement.go
+++ b/policy/cell/placement.go
@@ -87,6 +87,7 @@
 	wk.used, wk.usedAt = wk.used.Add(need), now
 	cl.recent.valid = false // what is free there is less
 	cl.quota.Add(tk.step.workspace(), need)
+	cl.memory.AddRuns(runMemory)
 	if tk.runs == 0 && !tk.done {
 		tk.step.unplaced--
 	}
@@ -116,6 +117,7 @@
 	}
 	pl.worker.used, pl.worker.usedAt = pl.worker.used.Sub(pl.need), max(cl.now, pl.worker.lastReport)
 	cl.quota.Sub(pl.task.step.workspace(), pl.need)
+	cl.memory.AddRuns(-runMemory)
 	cl.noteEnd(pl.task.step)
 	cl.gained(pl.worker)
 	cl.noteReleased(pl)
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -11,6 +11,7 @@
 // Tick does periodic work: it opens due rounds, stops hung runs, moves tasks off draining workers, and discards
 // old state. wall is the wall-clock time since 1970.
 func (cl *Cell) Tick(now, wall time.Duration) {
+	cl.loadDeferred()
 	cl.openDue(now, wall)
 	cl.stopHungRuns(now)
 	cl.moveOffDraining(now)
@@ -178,7 +179,7 @@
 			if i < 0 {
 				break
 			}
-			if windowFull = !cl.window.open(st.urgent()); windowFull {
+			if windowFull = !cl.window.open(st.urgent()) || !cl.mayStartRuns(st, 1); windowFull {
 				break
 			}
 			if withheld = cl.withholds(st, candidate{cands[i].worker, 1}); withheld {
--- a/policy/cell/retention.go
+++ b/policy/cell/retention.go
@@ -17,6 +17,7 @@
 // prune discards what is not needed any more of ended jobs, and cancellations whose job never arrived.
 func (cl *Cell) prune(now time.Duration) {
 	for len(cl.ended) > 0 && now-cl.ended[0].endedAt > cl.opts.Retention {
+		cl.discharge(cl.ended[0])
 		delete(cl.jobs, cl.ended[0].spec.ID)
 		cl.ended[0] = nil // the array behind the slice lives on
 		cl.ended = cl.ended[1:]
@@ -38,7 +39,7 @@
 // count as usage that is not reported.
 func (cl *Cell) compactEnded(now time.Duration) {
 	for cl.recovered && cl.compacted < len(cl.ended) && now-cl.ended[cl.compacted].endedAt > compactAfter {
-		cl.ended[cl.compacted].compact()
+		cl.compact(cl.ended[cl.compacted])
 		cl.compacted++
 	}
 }
@@ -66,6 +67,7 @@
 			cl.finishedRounds = append(cl.finishedRounds, finishedRound{rd.round, now})
 		default:
 			delete(rd.job.rounds, rd.num)
+			cl.charge(rd.job)
 		}
 	}
 }
@@ -83,14 +85,21 @@
 }
 
 // compact discards the tasks of an ended job, unless one of them may still have a run.
-func (jb *job) compact() {
+func (cl *Cell) compact(jb *job) {
 	for _, rd := range jb.rounds {
 		if rd.mayHaveRuns() {
 			return
 		}
 	}
 	jb.rounds = nil
-	jb.spec = &work.Job{ID: jb.spec.ID, Queue: jb.spec.Queue, Workspace: jb.spec.Workspace}
+	jb.spec = jb.stub()
+	jb.memory.load = nil
+	cl.charge(jb)
+}
+
+// stub returns the job without what only its tasks need.
+func (jb *job) stub() *work.Job {
+	return &work.Job{ID: jb.spec.ID, Queue: jb.spec.Queue, Workspace: jb.spec.Workspace}
 }
 
 // Retains reports whether the cell has a job or a cancellation with the ID.
--- a/policy/cell/round.go
+++ b/policy/cell/round.go
@@ -120,6 +120,7 @@
 // round returns a round that this planner or an earlier one has opened, or nil if the job has no such round. It
 // opens the rounds up to it that this planner has not opened yet.
 func (cl *Cell) round(now time.Duration, jb *job, num int) *round {
+	cl.load(jb)
 	for !jb.phase.Ended() && jb.openedRounds <= num && jb.openedRounds < jb.spec.Rounds() {
 		cl.openRound(now, jb)
 	}
@@ -134,6 +135,12 @@
 }
 
 func (cl *Cell) openRound(now time.Duration, jb *job) {
+	rd := cl.newRound(now, jb)
+	cl.openSteps(now, rd)
+	cl.noteArrival(now, rd)
+}
+
+func (cl *Cell) newRound(now time.Duration, jb *job) *round {
 	rd := &round{job: jb, num: jb.openedRounds, dueAt: now, remaining: len(jb.spec.Steps)}
 	jb.openedRounds++
 	jb.rounds[rd.num] = rd
@@ -145,8 +152,8 @@
 		}
 		rd.steps = append(rd.steps, st)
 	}
-	cl.openSteps(now, rd)
-	cl.noteArrival(now, rd)
+	cl.charge(jb)
+	return rd
 }
 
 // openSteps opens the steps of a round whose predecessors have ended.
@@ -180,15 +187,17 @@
 	// maxOpenTasks is the number of tasks in open rounds from which no further round is opened. The jobs of known
 	// deployments have a few hundred tasks in all.
 	maxOpenTasks = 10000
-	// minOpenRounds is the number of rounds that may be open however many tasks they have, so that rounds that overlap do not
-	// wait for each other.
-	minOpenRounds = 4
+	// minOpenRounds is the number of rounds that may be open however many tasks they have.
+	minOpenRounds = work.MinOpenRounds
 )
 
 // mayOpenRound reports whether another round of the job may be opened. Long-running tasks that have been placed do not count:
 // they do not end, and there are no more of them than workers have capacity for.
-func (jb *job) mayOpenRound() bool {
+func (cl *Cell) mayOpenRound(jb *job) bool {
 	open := jb.openedRounds - jb.finishedRounds
+	if open >= minOpenRounds && !cl.memory.Holds(jb.memory.round, false) {
+		return false
+	}
 	return open < jb.maxOpenRounds() || (open+1)*jb.roundTasks()-jb.placedLongRunning() <= maxOpenTasks
 }
 
@@ -224,7 +233,7 @@
 // as earlier ones end.
 func (cl *Cell) openDue(now, wall time.Duration) {
 	for jb := range cl.recurring {
-		for jb.openedRounds < jb.spec.Rounds() && jb.mayOpenRound() {
+		for jb.openedRounds < jb.spec.Rounds() && cl.mayOpenRound(jb) {
 			due := jb.spec.Repeat.Due(jb.openedRounds)
 			if due > wall {
 				break
--- a/policy/cell/testbed_test.go
+++ b/policy/cell/testbed_test.go
@@ -59,6 +59,11 @@
 	maxLimits  map[string]size.Size
 	// evacuated are the evacuated halls.
 	evacuated map[string]bool
+	// memoryLimit is that of the cells; deferRate is the probability that a new planner does not hold a job at first, deferred
+	// counts such jobs.
+	memoryLimit int64
+	deferRate   float64
+	deferred    int
 }
 
 // testHalls is the number of data halls.
@@ -138,11 +143,11 @@
 func (bd *testbed) replacePlanner() {
 	bd.term++
 	bd.cell = cell.New(cell.Options{
-		Retention: 2 * time.Minute, FirstRun: (bd.term-1)*64 + 1, StopTimeout: stopTime,
+		Retention: 2 * time.Minute, FirstRun: (bd.term-1)*64 + 1, StopTimeout: stopTime, MemoryLimit: bd.memoryLimit,
 	})
 	bd.cell.SetEvacuated(slices.Collect(maps.Keys(bd.evacuated)))
 	for _, jb := range bd.jobs {
-		bd.cell.Add(bd.now, jb, true)
+		bd.add(jb, true)
 	}
 	bd.cell.UpdateWorkspaces(bd.workspace)
 	for _, id := range bd.cancels {
@@ -252,7 +257,17 @@
 
 func (bd *testbed) submit(jb *work.Job) {
 	bd.jobs = append(bd.jobs, jb)
-	bd.cell.Add(bd.now, jb, false)
+	bd.add(jb, false)
+}
+
+// add adds a job to the cell, which does not hold it if it lacks the memory or, by a new planner, with deferRate.
+func (bd *testbed) add(jb *work.Job, inherited bool) {
+	if bd.cell.Holds(jb) && (!inherited || bd.deferRate == 0 || bd.rng.Float64() >= bd.deferRate) {
+		bd.cell.Add(bd.now, jb, inherited)
+		return
+	}
+	bd.deferred++
+	bd.cell.AddDeferred(bd.now, 0, jb, inherited, cell.Loader{Load: func() (*work.Job, error) { return jb, nil }})
 }
 
 func (bd *testbed) cancel(id string) {
