Bound the time of a plan

Cause: each plan ranked each open step by the longest chain of its round, which went through the whole round for each step, again after each end of a run of the queue. The planner's lock is held meanwhile.

Change: the critical paths of a round are computed in one pass and kept by round. A plan is cut after 30 ms for urgent steps and 40 ms in all, by a monotonic time that is passed in; the next one goes on at the first step that was not reached. Such steps keep their reservations. Metric planner.plans_cut.

--- a/internal/planner/leader.go
+++ b/internal/planner/leader.go
@@ -144,15 +144,16 @@
 	// runsPerTerm is more than the number of starts of most tasks in one term, so that their run numbers increase across
 	// terms although most starts are not journaled. Workers refuse lower numbers than they have had, see cell.Cell.Refused.
 	const runsPerTerm = 64
+	began := opts.Clock.Now()
 	ld := &leader{
-		opts: opts, clock: opts.Clock, log: log, term: tm, began: opts.Clock.Now(),
+		opts: opts, clock: opts.Clock, log: log, term: tm, began: began,
 		lease: defaultLease, sessions: map[incarnation.ID]*session{}, current: map[string]*session{}, tokenCounts: map[string]uint64{}, keepsHeadroom: map[string]bool{},
 		unresolved: map[incarnation.ID]bool{}, earlier: map[string][]incarnation.ID{},
 		holdLimiter: newHoldLimiter(opts.Clock), wake: wake.New(), journalRead: make(chan struct{}), committed: make(chan struct{}),
 		cell: cell.New(cell.Options{
 			Retention: opts.Site.Bounds.JobRetention,
 			FirstRun:  (tm.Number-1)*runsPerTerm + 1, StopTimeout: opts.Site.Bounds.StopTimeout,
-			MemoryLimit:   opts.Site.JobMemory(),
+			MemoryLimit: opts.Site.JobMemory(), Watch: func() time.Duration { return opts.Clock.Since(began) },
 			InitialWindow: initialWindow, MinInUse: opts.MinInUse, Features: opts.Site.Features,
 		}),
 	}
--- a/internal/planner/planloop.go
+++ b/internal/planner/planloop.go
@@ -111,6 +111,7 @@
 		took = ld.clock.Since(began)
 		ld.metrics.observe("planner.plan", took)
 		ld.stats.plan(took)
+		ld.metrics.gauge("planner.plans_cut", ld.cell.CutPlans())
 		ld.metrics.count("planner.plans")
 	}
 	ld.dispatch()
--- a/internal/planner/stats.go
+++ b/internal/planner/stats.go
@@ -62,7 +62,7 @@
 	}
 	_, waiting, _ := ld.cell.Counts()
 	window, _ := ld.cell.StartWindow()
-	ld.log.Info("Planner statistics.", "over", (now - st.since).String(), "plans", st.plans, "planned", st.planned.String(),
+	ld.log.Info("Planner statistics.", "over", (now - st.since).String(), "plans", st.plans, "planned", st.planned.String(), "cut", ld.cell.CutPlans(),
 		"steps_waiting", waiting, "starts", st.sent, "window", window, "in_flight", st.inFlight, "most_in_flight", st.maxInFlight,
 		"start_took", each.String(), "refused", st.refused, "holds", st.holds, "questions", st.adviceRequests,
 		"collector_s", collected-st.gcSeconds, "heap_mb", heap>>20, "memory_mb", memory>>20,
--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -39,6 +39,8 @@
 	MinInUse int
 	// MemoryLimit is how many bytes jobs and runs may take, 0 for any number.
 	MemoryLimit int64
+	// Watch returns a monotonic time by which the time of a plan is bounded; nil means no bound.
+	Watch func() time.Duration
 	// Features are the optional features that are enabled.
 	Features feature.Set
 }
@@ -52,6 +54,8 @@
 	ignoreReserved bool
 	// planCount is the number of plans made so far.
 	planCount int
+	// planTime bounds their time.
+	planTime planTime
 	// nextRequestAt is the earliest time for further non-urgent advice requests; requestsSent counts those of
 	// the current plan.
 	nextRequestAt time.Duration
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -32,7 +32,7 @@
 	cl.beginAdvicePlan()
 	cl.updateHeadroom(now)
 	starved := map[string]bool{} // services with gangs that lack capacity
-	for i, rd := range cl.byRank(now) {
+	for i, rd := range cl.withinTime(cl.byRank(now)) {
 		st := rd.step
 		st.planIndex, st.late, st.speedOrder = i, rd.rank.late, cl.speedOrder(now, rd)
 		cl.limitedBy = cl.headroomFor(now, rd)
--- /dev/null
+++ b/policy/cell/plantime.go
@@ -0,0 +1,90 @@
+package cell
+
+import (
+	"iter"
+	"slices"
+	"time"
+)
+
+// Bounds of the time of a plan. Meanwhile no report, start or question is handled.
+const (
+	// maxUrgentPlanTime is how long a plan may take for urgent steps, maxPlanTime for all.
+	maxUrgentPlanTime = 30 * time.Millisecond
+	maxPlanTime       = 40 * time.Millisecond
+	// stepsPerLook is the number of steps between two looks at the time.
+	stepsPerLook = 8
+)
+
+// planTime says where the next plan continues if the last one was cut: at the first step of a group that was not reached. Each
+// step is reached within a few plans, however many there are.
+type planTime struct {
+	urgent, others resumption
+	// cuts counts the plans that were cut.
+	cuts int
+}
+
+// resumption is the rank of the first step that was not reached, if set.
+type resumption struct {
+	set  bool
+	rank rank
+}
+
+// CutPlans returns how many plans did not reach all steps for lack of time.
+func (cl *Cell) CutPlans() int { return cl.planTime.cuts }
+
+// withinTime returns the steps to plan, with their positions in the order: urgent ones, then the others, each until their time is
+// over. Steps that are not reached keep their reservations.
+func (cl *Cell) withinTime(order []ranked) iter.Seq2[int, ranked] {
+	return func(yield func(int, ranked) bool) {
+		if cl.opts.Watch == nil {
+			yieldRange(order, 0, len(order), yield)
+			return
+		}
+		began, pt := cl.opts.Watch(), &cl.planTime
+		urgents, _ := slices.BinarySearchFunc(order, groupUrgent+1, func(rd ranked, group int) int { return rd.rank.group - group })
+		cutUrgent := cl.yieldUntil(began+maxUrgentPlanTime, order, 0, urgents, &pt.urgent, yield)
+		if cl.yieldUntil(began+maxPlanTime, order, urgents, len(order), &pt.others, yield) || cutUrgent {
+			pt.cuts++
+		}
+	}
+}
+
+// yieldRange yields a range of the order.
+func yieldRange(order []ranked, from, to int, yield func(int, ranked) bool) {
+	for i := from; i < to; i++ {
+		if !yield(i, order[i]) {
+			return
+		}
+	}
+}
+
+// yieldUntil yields a range of the order until a time, from where the last plan was cut. It reports whether it was cut too.
+func (cl *Cell) yieldUntil(end time.Duration, order []ranked, from, to int, rs *resumption, yield func(int, ranked) bool) (cut bool) {
+	count, first := to-from, 0
+	if rs.set {
+		first, _ = slices.BinarySearchFunc(order[from:to], rs.rank, func(rd ranked, rk rank) int { return rd.rank.compare(rk) })
+	}
+	rs.set = false
+	for n := range count {
+		i := from + (first+n)%count
+		if n%stepsPerLook == stepsPerLook-1 && cl.opts.Watch() > end {
+			*rs = resumption{true, order[i].rank}
+			cl.keepReservations(order, from, count, first+n, count-n)
+			return true
+		}
+		if !yield(i, order[i]) {
+			return false
+		}
+	}
+	return false
+}
+
+// keepReservations keeps the reservations of steps that a plan does not reach: a number of them in a range of the order that
+// begins again at its end.
+func (cl *Cell) keepReservations(order []ranked, from, count, first, steps int) {
+	for n := range steps {
+		i := from + (first+n)%count
+		st := order[i].step
+		st.reservePlan, st.planIndex = cl.planCount, i
+	}
+}
--- a/policy/cell/rank.go
+++ b/policy/cell/rank.go
@@ -170,37 +170,51 @@
 
 // criticalPath estimates the longest chain of dependent steps of a job, and the part of it from a step on.
 func (cl *Cell) criticalPath(st *step) (total, remaining time.Duration) {
-	if len(st.round.steps) == 1 {
+	rd := st.round
+	if len(rd.steps) == 1 {
 		total = cl.expectedRunTime(st)
 		return total, total
 	}
 	runs := cl.queueOf(st).runTimes.Runs()
-	if pa := &st.path; cl.noShortcuts || pa.steps != len(st.round.steps) || pa.settings != cl.settings || pa.runs != runs {
-		*pa = path{steps: len(st.round.steps), settings: cl.settings, runs: runs}
-		pa.total, pa.remaining = cl.longestChain(st)
+	if pa := &rd.path; cl.noShortcuts || len(pa.begins) == 0 || pa.settings != cl.settings || pa.runs != runs {
+		pa.settings, pa.runs = cl.settings, runs
+		cl.longestChains(rd, cl.queueOf(st))
 	}
-	return st.path.total, st.path.remaining
+	return rd.path.total, rd.path.total - rd.path.begins[st.num]
 }
 
-// path is a critical path, which is valid until the queue has learned more or its settings have changed.
+// path has the critical paths of a round, which are valid until the queue has learned more or its settings have changed.
 type path struct {
-	steps, settings, runs int
-	total, remaining      time.Duration
+	settings, runs int
+	total          time.Duration
+	// begins are the earliest times at which the steps can begin, since the round began.
+	begins []time.Duration
 }
 
-// longestChain computes the critical path.
-func (cl *Cell) longestChain(st *step) (total, remaining time.Duration) {
-	steps := st.round.steps
-	ends := make([]time.Duration, len(steps))
-	for num, each := range steps {
+// longestChains computes the critical paths of a round. One pass serves all of its steps: a round may have thousands that are open.
+func (cl *Cell) longestChains(rd *round, qu *queue) {
+	pa, predicted := &rd.path, map[time.Duration]time.Duration{}
+	if pa.begins == nil {
+		pa.begins = make([]time.Duration, len(rd.steps))
+	}
+	pa.total = 0
+	takes := func(num int) time.Duration {
+		estimate := rd.job.spec.Steps[num].Estimate
+		took, ok := predicted[estimate]
+		if !ok {
+			took = qu.runTimes.Predict(estimate)
+			predicted[estimate] = took
+		}
+		return took
+	}
+	for num := range rd.steps {
 		var begin time.Duration
-		for _, before := range each.def.After {
-			begin = max(begin, ends[before])
+		for _, before := range rd.job.spec.Steps[num].After {
+			begin = max(begin, pa.begins[before]+takes(before))
 		}
-		ends[num] = begin + cl.expectedRunTime(each)
-		total = max(total, ends[num])
+		pa.begins[num] = begin
+		pa.total = max(pa.total, begin+takes(num))
 	}
-	return total, total - ends[st.num] + cl.expectedRunTime(st)
 }
 
 // expectedRunTime estimates how long a task of the step runs, from the caller's estimate as far as the
--- a/policy/cell/round.go
+++ b/policy/cell/round.go
@@ -17,6 +17,7 @@
 	steps []*step
 	// remaining counts the steps that are not done.
 	remaining int
+	path      path
 }
 
 // step is one step of a round.
@@ -83,7 +84,6 @@
 	queue                      *queue
 	queueSettings, runTimeFrom int
 	runTime                    time.Duration
-	path                       path
 	// short says where the step has found too little capacity.
 	short shortages
 }
