--- a/policy/cell/arrivals.go
+++ b/policy/cell/arrivals.go
@@ -40,9 +40,13 @@
 // noteArrival records the work of a job that was accepted during this term. The rounds of a recurring job are not
 // admitted one by one.
 func (cl *Cell) noteArrival(now time.Duration, rd *round) {
-	for _, st := range rd.steps {
-		if cl.measured(st) && !rd.job.inherited && rd.job.spec.Repeat == nil {
-			cl.arrivals.allocator.Arrive(now, cl.shareKey(st), cl.workOf(st, len(st.tasks)))
+	if cl.arrivals == nil || rd.job.inherited || rd.job.spec.Repeat != nil {
+		return
+	}
+	for num := range rd.defs {
+		st := step{round: rd, num: num, def: &rd.defs[num]}
+		if cl.measured(&st) {
+			cl.arrivals.allocator.Arrive(now, cl.shareKey(&st), cl.workOf(&st, st.def.Count))
 		}
 	}
 }
--- a/policy/cell/cell.go
+++ b/policy/cell/cell.go
@@ -113,6 +113,8 @@
 	compacted int
 	// finishedRounds are finished rounds of jobs that have not ended, in the order of their ends.
 	finishedRounds []finishedRound
+	// finishedSteps are finished steps of rounds that have not finished, in the order of their ends.
+	finishedSteps []finishedStep
 	// recurring are the jobs that run repeatedly and have not ended.
 	recurring map[*job]bool
 	// examined counts the workers that planning has examined.
--- a/policy/cell/job.go
+++ b/policy/cell/job.go
@@ -136,7 +136,7 @@
 }
 
 func (cl *Cell) restoreTask(now time.Duration, rd *round, rec Record) {
-	tk := rd.task(*rec.Task)
+	tk := cl.task(rd, *rec.Task)
 	if tk == nil {
 		return
 	}
@@ -170,7 +170,7 @@
 	if !ok {
 		return nil
 	}
-	return rd.task(name)
+	return cl.task(rd, name)
 }
 
 // openTask returns the task of that name, and opens its round if an earlier planner has. It returns nil if there is no
@@ -210,6 +210,9 @@
 	delete(cl.recurring, jb)
 	for _, rd := range jb.rounds {
 		for _, st := range rd.steps {
+			if st == nil {
+				continue
+			}
 			cl.urgentReleased(now, st, st.remaining)
 			cl.closeStep(st)
 			for _, tk := range st.tasks {
--- a/policy/cell/limits.go
+++ b/policy/cell/limits.go
@@ -70,8 +70,13 @@
 func (jb *job) unplaced() size.Size {
 	sum := jb.memory.need
 	for _, rd := range jb.rounds {
-		for _, st := range rd.steps {
-			sum = sum.Add(st.need().Times(int64(st.unplaced)))
+		for num, st := range rd.steps {
+			switch def := &rd.defs[num]; {
+			case st != nil:
+				sum = sum.Add(st.need().Times(int64(st.unplaced)))
+			case !rd.finished[num]:
+				sum = sum.Add(def.Allocation().Times(int64(def.Count)))
+			}
 		}
 	}
 	return sum
--- a/policy/cell/memory.go
+++ b/policy/cell/memory.go
@@ -23,8 +23,9 @@
 // jobMemory is what a job takes.
 type jobMemory struct {
 	class memquota.Class
-	// definition is for the job as it was submitted, round for each open round, in bytes.
-	definition, round int64
+	// definition is for the job as it was submitted, round what each open round takes at most, apart from finished steps, in
+	// bytes. steps is what the steps take at present.
+	definition, round, steps int64
 	// charged is what the job takes by the cell's account.
 	charged int64
 	// load is set while the cell does not hold the job. need is what its tasks take of workers meanwhile.
@@ -54,7 +55,7 @@
 	case jm.load != nil:
 		return work.EndedFootprint + jm.load.Bytes
 	default:
-		return jm.definition + jm.round*int64(max(len(jb.rounds), min(jb.spec.Rounds(), minOpenRounds)))
+		return jm.definition + max(jm.round*int64(max(len(jb.rounds), min(jb.spec.Rounds(), minOpenRounds))), jm.steps)
 	}
 }
 
@@ -65,6 +66,13 @@
 	jb.memory.charged = bytes
 }
 
+// chargeSteps updates the account after steps of a round were made or discarded, which take a number of bytes.
+func (cl *Cell) chargeSteps(rd *round, bytes int64) {
+	rd.memory += bytes
+	rd.job.memory.steps += bytes
+	cl.charge(rd.job)
+}
+
 // discharge removes a job from the account.
 func (cl *Cell) discharge(jb *job) {
 	cl.memory.Add(jb.memory.class, -jb.memory.charged)
--- a/policy/cell/memory_test.go
+++ b/policy/cell/memory_test.go
@@ -124,3 +124,86 @@
 		})
 	}
 }
+
+// TestFinishedStepsAreDiscarded guards against a long chain that takes more memory with each step that is done, in this term or,
+// by the records, in an earlier one, and against steps that run again because they were discarded.
+func TestFinishedStepsAreDiscarded(t *testing.T) {
+	const steps, maxBytes = 20_000, 3 << 20
+	chain := func() *work.Job {
+		jb := &work.Job{ID: "a", Spec: "s", Queue: newQueue(1, 3, false)}
+		for num := range steps {
+			st := smallStep(1)
+			st.After = []int{num - 1}[:min(num, 1)]
+			jb.Steps = append(jb.Steps, st)
+		}
+		return jb
+	}
+	newCell := func(jb *work.Job, records ...cell.Record) *cell.Cell {
+		cl := cell.New(cell.Options{Retention: time.Minute, FirstRun: 1, MemoryLimit: 80 << 20})
+		cl.PutWorker(0, cell.Worker{ID: "w1", Service: "svc", Capacity: size.New(64_000, 256_000, 0)})
+		cl.Add(0, jb, len(records) > 0)
+		cl.Restore(0, records)
+		cl.Report(0, "w1", 0, nil, nil)
+		cl.FinishRecovery()
+		cl.SetCommitted(cl.RecordCount())
+		cl.TakeOutput()
+		return cl
+	}
+	// next runs the present step and returns its task.
+	next := func(t *testing.T, cl *cell.Cell, now time.Duration, seq int) work.Task {
+		t.Helper()
+		cl.Tick(now, now)
+		cl.Plan(now)
+		starts := cl.TakeOutput().Starts
+		if len(starts) != 1 {
+			t.Fatalf("%d runs were started at %v", len(starts), now)
+		}
+		run := cell.Run{Task: starts[0].Task, Number: starts[0].Run}
+		cl.Started(now, starts[0])
+		cl.Report(now, "w1", now, nil, []cell.End{{Seq: seq, Run: run, Result: cell.ResultDone}})
+		cl.SetCommitted(cl.RecordCount())
+		cl.AckedEnd("w1")
+		return run.Task
+	}
+	t.Run("in this term", func(t *testing.T) {
+		jb := chain()
+		before := heapInUse()
+		cl := newCell(jb)
+		for num := range steps {
+			if task := next(t, cl, time.Duration(num)*100*time.Millisecond, num+1); task.Step != num {
+				t.Fatalf("step %d has run after step %d", task.Step, num-1)
+			}
+			if num == steps/2 {
+				checkHeap(t, before, maxBytes)
+			}
+		}
+		if phase, _ := cl.Phase("a", ""); phase != cell.Succeeded {
+			t.Errorf("the job is %s", phase)
+		}
+		runtime.KeepAlive(jb)
+	})
+	t.Run("in an earlier term", func(t *testing.T) {
+		const done = 15_000
+		jb := chain()
+		records, names := make([]cell.Record, done), make([]work.Task, done)
+		for num := range records {
+			names[num] = work.Task{Job: "a", Step: num}
+			records[num] = cell.Record{Job: "a", Task: &names[num], Run: 1, Result: cell.ResultDone}
+		}
+		before := heapInUse()
+		cl := newCell(jb, records...)
+		checkHeap(t, before, 10<<20)
+		late := cell.Run{Task: names[0], Number: 1}
+		cl.Report(time.Millisecond, "w1", time.Millisecond, []cell.Run{late}, nil)
+		if stops := cl.TakeOutput().Stops; len(stops) != 1 || stops[0].Task != late.Task {
+			t.Errorf("stops of a late run of a discarded step: %v", stops)
+		}
+		now := time.Minute
+		cl.Report(now, "w1", now, nil, nil)
+		if task := next(t, cl, now, 1); task.Step != done {
+			t.Errorf("step %d runs after %d", task.Step, done-1)
+		}
+		runtime.KeepAlive(records)
+		runtime.KeepAlive(jb)
+	})
+}
--- a/policy/cell/rank.go
+++ b/policy/cell/rank.go
@@ -171,7 +171,7 @@
 // criticalPath estimates the longest chain of dependent steps of a job, and the part of it from a step on.
 func (cl *Cell) criticalPath(st *step) (total, remaining time.Duration) {
 	rd := st.round
-	if len(rd.steps) == 1 {
+	if len(rd.defs) == 1 {
 		total = cl.expectedRunTime(st)
 		return total, total
 	}
@@ -195,11 +195,11 @@
 func (cl *Cell) longestChains(rd *round, qu *queue) {
 	pa, predicted := &rd.path, map[time.Duration]time.Duration{}
 	if pa.begins == nil {
-		pa.begins = make([]time.Duration, len(rd.steps))
+		pa.begins = make([]time.Duration, len(rd.defs))
 	}
 	pa.total = 0
 	takes := func(num int) time.Duration {
-		estimate := rd.job.spec.Steps[num].Estimate
+		estimate := rd.defs[num].Estimate
 		took, ok := predicted[estimate]
 		if !ok {
 			took = qu.runTimes.Predict(estimate)
@@ -207,9 +207,9 @@
 		}
 		return took
 	}
-	for num := range rd.steps {
+	for num := range rd.defs {
 		var begin time.Duration
-		for _, before := range rd.job.spec.Steps[num].After {
+		for _, before := range rd.defs[num].After {
 			begin = max(begin, pa.begins[before]+takes(before))
 		}
 		pa.begins[num] = begin
--- a/policy/cell/retention.go
+++ b/policy/cell/retention.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"tackbeam.example/policy/work"
@@ -26,6 +27,7 @@
 	cl.compactEnded(now)
 	if cl.recovered {
 		cl.compactRounds(now, math.MaxInt)
+		cl.compactSteps(now, math.MaxInt)
 	}
 	cl.pruneLosses(now)
 	for id, cn := range cl.cancels {
@@ -67,21 +69,48 @@
 			cl.finishedRounds = append(cl.finishedRounds, finishedRound{rd.round, now})
 		default:
 			delete(rd.job.rounds, rd.num)
-			cl.charge(rd.job)
+			cl.chargeSteps(rd.round, -rd.memory)
 		}
 	}
 }
 
-// mayHaveRuns reports whether a task of the round may have a run.
-func (rd *round) mayHaveRuns() bool {
-	for _, st := range rd.steps {
-		for _, tk := range st.tasks {
-			if tk.runs > 0 {
-				return true
-			}
+// finishedStep is a step whose tasks are done.
+type finishedStep struct {
+	*step
+	at time.Duration
+}
+
+// maxFinishedSteps is how many finished steps are kept of those that the records of earlier planners name.
+const maxFinishedSteps = 4096
+
+// compactSteps discards the steps that finished a while ago, and the first ones beyond a limit, as compactRounds does with rounds.
+func (cl *Cell) compactSteps(now time.Duration, limit int) {
+	for range len(cl.finishedSteps) {
+		fs := cl.finishedSteps[0]
+		if len(cl.finishedSteps) <= limit && now-fs.at <= compactAfter {
+			return
+		}
+		cl.finishedSteps[0].step = nil // the array behind the slice lives on
+		cl.finishedSteps = cl.finishedSteps[1:]
+		switch rd := fs.round; {
+		case rd.remaining == 0 || rd.job.phase.Ended(): // compactRounds or compactEnded discards it
+		case fs.mayHaveRuns():
+			cl.finishedSteps = append(cl.finishedSteps, finishedStep{fs.step, now})
+		default:
+			rd.steps[fs.num] = nil
+			cl.chargeSteps(rd, -fs.def.Footprint())
 		}
 	}
-	return false
+}
+
+// mayHaveRuns reports whether a task of the round may have a run.
+func (rd *round) mayHaveRuns() bool {
+	return slices.ContainsFunc(rd.steps, (*step).mayHaveRuns)
+}
+
+// mayHaveRuns reports whether a task of the step may have a run. There is none of a step that has not been made.
+func (st *step) mayHaveRuns() bool {
+	return st != nil && slices.ContainsFunc(st.tasks, func(tk *task) bool { return tk.runs > 0 })
 }
 
 // compact discards the tasks of an ended job, unless one of them may still have a run.
--- a/policy/cell/round.go
+++ b/policy/cell/round.go
@@ -14,10 +14,16 @@
 	job   *job
 	num   int
 	dueAt time.Duration
-	steps []*step
-	// remaining counts the steps that are not done.
-	remaining int
-	path      path
+	// defs are the definitions of the steps. steps has those that have been opened, or named by a record or a run, without those
+	// that were discarded. finished says which are done.
+	defs     []work.Step
+	steps    []*step
+	finished []bool
+	// remaining counts the steps that are not done, unopened those that have never been opened.
+	remaining, unopened int
+	path                path
+	// memory is what the steps take, in bytes.
+	memory int64
 }
 
 // step is one step of a round.
@@ -127,11 +133,32 @@
 	return jb.rounds[num]
 }
 
-func (rd *round) task(name work.Task) *task {
-	if name.Step >= len(rd.steps) || name.Index >= len(rd.steps[name.Step].tasks) {
+// task returns a task of a round, or nil if there is none or its step was discarded.
+func (cl *Cell) task(rd *round, name work.Task) *task {
+	if name.Step >= len(rd.defs) || name.Index >= rd.defs[name.Step].Count {
+		return nil
+	}
+	st := cl.stepOf(rd, name.Step)
+	if st == nil {
 		return nil
 	}
-	return rd.steps[name.Step].tasks[name.Index]
+	return st.tasks[name.Index]
+}
+
+// stepOf returns a step of a round, or nil if it was discarded. Steps are made when they are needed: most of those of a chain are
+// not for a long time.
+func (cl *Cell) stepOf(rd *round, num int) *step {
+	if rd.steps[num] != nil || rd.finished[num] {
+		return rd.steps[num]
+	}
+	def := &rd.defs[num]
+	st := &step{round: rd, num: num, def: def, remaining: def.Count, unplaced: def.Count, advice: newAdvice()}
+	for index := range def.Count {
+		st.tasks = append(st.tasks, &task{step: st, index: index})
+	}
+	rd.steps[num] = st
+	cl.chargeSteps(rd, def.Footprint())
+	return st
 }
 
 func (cl *Cell) openRound(now time.Duration, jb *job) {
@@ -141,29 +168,30 @@
 }
 
 func (cl *Cell) newRound(now time.Duration, jb *job) *round {
-	rd := &round{job: jb, num: jb.openedRounds, dueAt: now, remaining: len(jb.spec.Steps)}
+	count := len(jb.spec.Steps)
+	rd := &round{
+		job: jb, num: jb.openedRounds, dueAt: now, remaining: count, unopened: count,
+		defs: jb.spec.Steps, steps: make([]*step, count), finished: make([]bool, count),
+	}
 	jb.openedRounds++
 	jb.rounds[rd.num] = rd
-	for num := range jb.spec.Steps {
-		def := &jb.spec.Steps[num]
-		st := &step{round: rd, num: num, def: def, remaining: def.Count, unplaced: def.Count, advice: newAdvice()}
-		for index := range def.Count {
-			st.tasks = append(st.tasks, &task{step: st, index: index})
-		}
-		rd.steps = append(rd.steps, st)
-	}
 	cl.charge(jb)
 	return rd
 }
 
 // openSteps opens the steps of a round whose predecessors have ended.
 func (cl *Cell) openSteps(now time.Duration, rd *round) {
-	for _, st := range rd.steps {
-		if st.remaining == 0 || cl.open[st] || !rd.ended(st.def.After) {
+	if rd.unopened == 0 {
+		return
+	}
+	for num := range rd.defs {
+		if rd.finished[num] || rd.steps[num] != nil && rd.steps[num].open || !rd.ended(rd.defs[num].After) {
 			continue
 		}
+		st := cl.stepOf(rd, num)
 		st.readyAt, st.lackingSince = now, now
 		cl.open[st], st.open = true, true
+		rd.unopened--
 		if !st.inOrder {
 			st.inOrder = true
 			cl.notRanked = append(cl.notRanked, st)
@@ -174,7 +202,7 @@
 
 func (rd *round) ended(steps []int) bool {
 	for _, num := range steps {
-		if rd.steps[num].remaining > 0 {
+		if !rd.finished[num] {
 			return false
 		}
 	}
@@ -221,7 +249,7 @@
 	}
 	for _, rd := range jb.rounds {
 		for _, st := range rd.steps {
-			if st.def.LongRunning {
+			if st != nil && st.def.LongRunning {
 				count += len(st.tasks) - st.unplaced
 			}
 		}
@@ -271,11 +299,20 @@
 	if st.remaining > 0 {
 		return
 	}
-	cl.closeStep(st)
 	rd := st.round
 	rd.remaining--
+	rd.finished[st.num] = true
+	if !st.open {
+		rd.unopened--
+	}
+	cl.closeStep(st)
 	cl.openSteps(now, rd)
 	if rd.remaining > 0 {
+		cl.finishedSteps = append(cl.finishedSteps, finishedStep{st, now})
+		if !record {
+			cl.compactSteps(now, maxFinishedSteps)
+			cl.dropClosed()
+		}
 		return
 	}
 	jb := rd.job
--- a/policy/memquota/memquota.go
+++ b/policy/memquota/memquota.go
@@ -92,9 +92,9 @@
 // AddRuns adds to what runs take, or releases a part of it.
 func (qt *Quota) AddRuns(bytes int64) { qt.runs += bytes }
 
-// HoldsRuns reports whether a number of bytes is left for runs.
+// HoldsRuns reports whether a number of bytes is left for runs. The first ones may always start.
 func (qt *Quota) HoldsRuns(bytes int64, urgent bool) bool {
-	return qt.limit == 0 || qt.runs+bytes <= part(qt.limit/runShare, urgent)
+	return qt.limit == 0 || qt.runs == 0 || qt.runs+bytes <= part(qt.limit/runShare, urgent)
 }
 
 // part returns what work may use of a number of bytes.
