--- a/policy/memquota/memquota.go
+++ b/policy/memquota/memquota.go
@@ -41,6 +41,8 @@
 const (
 	// claimTimeout is how long a claim is kept for a job that does not arrive: longer than its write may take.
 	claimTimeout = 12 * time.Second
+	// minWindow is the smallest window of a node.
+	minWindow = 64 << 10
 	// SmallJob is the size of a job up to which jobs of a class that is not full are accepted. Nodes accept larger ones with a
 	// claim only.
 	SmallJob = 128 << 10
@@ -80,8 +82,14 @@
 	return &Quota{limit: limit, classes: map[Class]int64{}, claims: map[string]claim{}}
 }
 
-// Window returns how many bytes a node may accept without the planner's knowledge, of a limit that several nodes share.
-func Window(limit int64, nodes int) int64 { return limit / windowShare / int64(max(nodes, 1)) }
+// Window returns how many bytes a node may accept without the planner's knowledge, of a limit that several nodes share; 0 for any
+// number. Of hundreds of nodes each may accept a few jobs.
+func Window(limit int64, nodes int) int64 {
+	if limit == 0 {
+		return 0
+	}
+	return max(limit/windowShare/int64(max(nodes, 1)), minWindow)
+}
 
 // Limit returns the limit in bytes, 0 if there is none.
 func (qt *Quota) Limit() int64 { return qt.limit }
