--- a/GNUmakefile
+++ b/GNUmakefile
@@ -9,7 +9,7 @@
 	./internal/cellnode/... ./internal/relay/... ./internal/advisor/... ./internal/logs/... \
 	./internal/httpcall/... ./internal/peerlink/... ./internal/accept/... ./internal/connlimit/... \
 	./internal/standin/netpath/...
-# Tests that are known to fail, from KNOWN-RED.txt: one a line, the name first.
+# Tests that are left out, from KNOWN-RED.txt: those whose name begins a line. Other lines begin with a folder.
 KNOWN_RED := $(shell sed -n 's/^\([A-Za-z0-9_]*\)[ ,:].*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|')
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 TRACES := brno-day auckland-renewal peak-over-rebuild sizes-off runs-off cancel-wave failing-workers hall-lost \
