--- a/policy/cell/plancost_test.go
+++ b/policy/cell/plancost_test.go
@@ -14,8 +14,12 @@
 )
 
 // newTestCell returns a cell with a number of identical workers whose recovery is complete.
-func newTestCell(workers int) *cell.Cell {
-	cl := cell.New(cell.Options{Retention: time.Minute, FirstRun: 1})
+func newTestCell(workers int) *cell.Cell { return newTestCellWith(workers, cell.Options{}) }
+
+// newTestCellWith is newTestCell with further options.
+func newTestCellWith(workers int, opts cell.Options) *cell.Cell {
+	opts.Retention, opts.FirstRun = time.Minute, 1
+	cl := cell.New(opts)
 	for n := range workers {
 		id := incarnation.ID(fmt.Sprintf("w%03d", n))
 		cl.PutWorker(0, cell.Worker{ID: id, Service: "svc", Capacity: size.New(64000, 128000, 0)})
--- a/policy/cell/plantime_test.go
+++ b/policy/cell/plantime_test.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"tackbeam.example/policy/cell"
-	"tackbeam.example/policy/incarnation"
 	"tackbeam.example/policy/size"
 	"tackbeam.example/policy/work"
 )
@@ -31,19 +30,6 @@
 	return longest
 }
 
-// newLimitedCell returns a cell as newTestCell does, which limits the starts in flight.
-func newLimitedCell(workers int) *cell.Cell {
-	cl := cell.New(cell.Options{Retention: time.Minute, FirstRun: 1, InitialWindow: 64})
-	for num := range workers {
-		id := incarnation.ID(fmt.Sprintf("w%03d", num))
-		cl.PutWorker(0, cell.Worker{ID: id, Service: "svc", Capacity: size.New(64000, 128000, 0)})
-		cl.Report(0, id, 0, nil, nil)
-	}
-	cl.SetCommitted(cl.RecordCount())
-	cl.FinishRecovery()
-	return cl
-}
-
 // TestPlanTime guards against a plan whose time grows with the square of the open steps of a job, or with their number times
 // that of the workers: meanwhile nothing starts, and no report or question is answered. The bound is far above what a machine
 // takes for a plan that does not.
@@ -79,7 +65,7 @@
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			cl := newLimitedCell(workers)
+			cl := newTestCellWith(workers, cell.Options{InitialWindow: 64})
 			if tc.full {
 				submitStep(cl, "full", work.Step{Count: workers, Need: large}, work.Queue{Name: "f", Service: "svc", Attempts: 3})
 				cl.Plan(0)
@@ -122,17 +108,10 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			var elapsed time.Duration
-			cl := cell.New(cell.Options{Retention: time.Minute, FirstRun: 1, Watch: func() time.Duration {
+			cl := newTestCellWith(workers, cell.Options{Watch: func() time.Duration {
 				elapsed += perLook
 				return elapsed
 			}})
-			for num := range workers {
-				id := incarnation.ID(fmt.Sprintf("w%03d", num))
-				cl.PutWorker(0, cell.Worker{ID: id, Service: "svc", Capacity: size.New(64000, 128000, 0)})
-				cl.Report(0, id, 0, nil, nil)
-			}
-			cl.SetCommitted(cl.RecordCount())
-			cl.FinishRecovery()
 			for num := range steps {
 				submitStep(cl, fmt.Sprint("p", num), work.Step{Count: 1, Need: size.New(1000, 0, 0), Estimate: time.Second}, patient)
 			}
@@ -170,14 +149,10 @@
 	const filler = 100
 	patient := work.Queue{Name: "p", Service: "svc", Attempts: 3, Priority: 1, Stretch: 2, Target: time.Second}
 	var elapsed, each time.Duration
-	cl := cell.New(cell.Options{Retention: time.Minute, FirstRun: 1, Watch: func() time.Duration {
+	cl := newTestCellWith(1, cell.Options{Watch: func() time.Duration {
 		elapsed += each
 		return elapsed
 	}})
-	cl.PutWorker(0, cell.Worker{ID: "w1", Service: "svc", Capacity: size.New(64000, 128000, 0)})
-	cl.Report(0, "w1", 0, nil, nil)
-	cl.SetCommitted(cl.RecordCount())
-	cl.FinishRecovery()
 	submitStep(cl, "small", work.Step{Count: 1, Need: size.New(1000, 0, 0), Estimate: time.Minute}, patient)
 	cl.Plan(0)
 	for num := range filler {
