Accept a job that is sent again although its class is full meanwhile

The job may have been accepted the first time, so that 503 as not run would be wrong. TestFullClass has the case; it fails with the checks in the old order.

--- a/policy/memwindow/memwindow.go
+++ b/policy/memwindow/memwindow.go
@@ -50,15 +50,15 @@
 // Decide decides about a job. size is how many bytes the node may accept without the planner, 0 for any number. A refused
 // caller should retry after the returned time. Settle must be called for an accepted job once the outcome is known.
 func (wd *Window) Decide(now time.Duration, cm memquota.Claim, size int64) (decision Decision, retryAfter time.Duration) {
-	if until, full := wd.full[cm.Class]; full {
-		if now < until {
-			return Refuse, max(until-now, time.Second)
-		}
-		return Ask, 0
+	if _, known := wd.jobs[cm.Job]; known {
+		return Accept, 0 // sent again; it counts already
 	}
-	_, known := wd.jobs[cm.Job]
+	until, full := wd.full[cm.Class]
 	switch {
-	case known:
+	case full && now < until:
+		return Refuse, max(until-now, time.Second)
+	case full:
+		return Ask, 0
 	case size > 0 && (cm.Bytes > memquota.SmallJob || wd.bytes+cm.Bytes > size):
 		return Ask, 0
 	default:
--- a/policy/memwindow/memwindow_test.go
+++ b/policy/memwindow/memwindow_test.go
@@ -55,7 +55,11 @@
 		decision, _ := wd.Decide(now, memquota.Claim{Job: fmt.Sprint(now, cls), Class: cls, Bytes: 1}, 0)
 		return decision
 	}
+	sent := memquota.Claim{Job: "sent", Class: batch, Bytes: 1}
+	wd.Decide(0, sent, 0)
 	wd.SetFull(batch, 5*time.Second)
+	decision, _ := wd.Decide(time.Second, sent, 0)
+	is.Equal(decision, memwindow.Accept) // sent again: it may have been accepted
 	is.Equal(decide(time.Second, batch), memwindow.Refuse)
 	is.Equal(decide(time.Second, lookups), memwindow.Accept)
 	is.Equal(decide(5*time.Second, batch), memwindow.Ask)
