--- a/policy/cell/plantime.go
+++ b/policy/cell/plantime.go
@@ -15,8 +15,8 @@
 	stepsPerLook = 8
 )
 
-// planTime says where the next plan continues if the last one was cut: at the first step of a group that was not reached. Each
-// step is reached within a few plans, however many there are.
+// planTime says where the next plan continues if the last one was cut: at the first step of a group that was not reached, so that
+// each step is reached in its turn.
 type planTime struct {
 	urgent, others resumption
 	// cuts counts the plans that were cut.
--- a/policy/memquota/memquota.go
+++ b/policy/memquota/memquota.go
@@ -32,9 +32,9 @@
 	runShare = 4
 	// windowShare is for what nodes accept without a claim.
 	windowShare = 8
-	// urgentShare is left to urgent work by other jobs, and of the part for runs by other runs.
+	// urgentShare is left to urgent work, of the part for jobs and of that for runs.
 	urgentShare = 8
-	// smallShare is left to small jobs by large ones, of the part for jobs.
+	// smallShare is left by large jobs to small ones, of the part for jobs.
 	smallShare = 4
 )
 
@@ -48,11 +48,12 @@
 	SmallJob = 128 << 10
 )
 
-// Bounds of the delay that a caller is told to wait, and the time over which the rate of released memory is measured.
 const (
+	// minRetryAfter and maxRetryAfter bound the delay that a caller is told to wait.
 	minRetryAfter = time.Second
 	maxRetryAfter = 30 * time.Second
-	rateSpan      = 5 * time.Second
+	// rateSpan is the shortest time between two samples of what was released.
+	rateSpan = 5 * time.Second
 )
 
 // Quota is the account of a planner. It is not safe for concurrent use.
