Look for suspects on a worker once for all waiting tasks of a step

What callers saw: nothing yet.

Cause: fitIsolated looked through all runs of each candidate for each task that was on the lost worker. So a plan cost lost tasks times workers times runs, within one step, where plans are not cut.

Change: which candidates have a suspect task of another step is found once for each step and plan. Tasks that are placed meanwhile are of the step itself, so that it does not change.

--- a/policy/cell/isolation.go
+++ b/policy/cell/isolation.go
@@ -25,7 +25,7 @@
 // go where the least else runs: a faulty task does least harm there, and a healthy one does not meet a faulty
 // one that runs for the first time, since those start where little is free. Placed like other tasks, suspects
 // crash workers that healthy jobs run on.
-func fitIsolated(tk *task, cands []candidate) int {
+func fitIsolated(tk *task, cands []candidate, besideSuspects []bool) int {
 	best, suspect := -1, tk.suspect()
 	var bestCost isolationCost
 	for i, cand := range cands {
@@ -33,7 +33,7 @@
 			continue
 		}
 		wk := cand.worker
-		cost := isolationCost{tk.avoid[wk.ID], suspect && wk.hasOtherSuspect(tk.step), tk.step.rackDistance(wk), wk.used.Processors()}
+		cost := isolationCost{tk.avoid[wk.ID], suspect && besideSuspects[i], tk.step.rackDistance(wk), wk.used.Processors()}
 		if best < 0 || cost.less(bestCost) {
 			best, bestCost = i, cost
 		}
@@ -41,6 +41,18 @@
 	return best
 }
 
+// besideSuspects returns which of the candidates have a suspect task of another step. It holds for all tasks that are placed in
+// one go, since these are of this step.
+func (st *step) besideSuspects(cands []candidate) []bool {
+	beside := make([]bool, len(cands))
+	if st.suspect() {
+		for i, cand := range cands {
+			beside[i] = cand.worker.hasOtherSuspect(st)
+		}
+	}
+	return beside
+}
+
 // isolationCost is what counts against a worker for a task under which workers crashed.
 type isolationCost struct {
 	failed, suspect bool
--- a/policy/cell/plan.go
+++ b/policy/cell/plan.go
@@ -174,8 +174,12 @@
 		if st.restarts > 0 {
 			slices.SortStableFunc(tks, restartsFirst)
 		}
+		var besideSuspects []bool
+		if st.waitsAfterCrash() {
+			besideSuspects = st.besideSuspects(cands)
+		}
 		for _, tk := range tks[:min(len(tks), cl.allowance(st))] {
-			i := firstFit(tk, cands)
+			i := firstFit(tk, cands, besideSuspects)
 			if i < 0 {
 				break
 			}
@@ -240,9 +244,9 @@
 
 // firstFit returns the index of the first candidate with capacity for the task, preferably one that the task has
 // neither failed nor hung on, or -1.
-func firstFit(tk *task, cands []candidate) int {
+func firstFit(tk *task, cands []candidate, besideSuspects []bool) int {
 	if len(tk.crashes) > 0 {
-		return fitIsolated(tk, cands)
+		return fitIsolated(tk, cands, besideSuspects)
 	}
 	fallback := -1
 	for i, cand := range cands {
