Stop a gang once for all members that are lost with a worker

The loss of a worker with a wide gang takes over a second under the lock of the planner's state.

Cause: each lost member stops the gang, and each stop looks at all members: lost runs times count. Likewise fill asked for each comparison of two workers whether any member had failed on them.

Change: a step counts its runs that are not being stopped, and stopGang returns at once when there are none. The workers to be avoided are collected once for each selection.

--- a/policy/cell/gang.go
+++ b/policy/cell/gang.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"tackbeam.example/policy/incarnation"
 )
 
 // lateGangInterval is how often a late gang without a reservation is considered: a backlog consists of such
@@ -73,32 +75,35 @@
 // selectGangWorkers chooses workers that together have capacity for the whole gang: in one rack if the gang
 // asks for that and one suffices, preferably near its data, and as few as possible.
 func (cl *Cell) selectGangWorkers(st *step, cands []candidate) ([]candidate, bool) {
+	if totalSlots(cands) < len(st.tasks) {
+		return nil, false
+	}
+	avoided := st.avoidedWorkers(cands)
 	if st.def.SameRack {
 		racks := map[string][]candidate{}
 		for _, cand := range cands {
 			racks[cand.worker.Rack] = append(racks[cand.worker.Rack], cand)
 		}
 		for _, rack := range slices.Sorted(maps.Keys(racks)) {
-			if chosen, ok := st.fill(racks[rack]); ok {
+			if chosen, ok := st.fill(racks[rack], avoided); ok {
 				return chosen, true
 			}
 		}
 	}
-	return st.fill(cands)
+	return st.fill(cands, avoided)
 }
 
 // fill takes workers until all tasks of the gang have a place: first those not to be avoided, among them the
 // fast ones, then those of usual speed and the slow ones, then those near the step's data, and among these the ones with most slots.
-func (st *step) fill(cands []candidate) ([]candidate, bool) {
+func (st *step) fill(cands []candidate, avoided map[*worker]int) ([]candidate, bool) {
 	remaining := len(st.tasks)
 	if totalSlots(cands) < remaining {
 		return nil, false
 	}
 	cands = slices.Clone(cands)
-	suspect := st.suspect()
 	slices.SortFunc(cands, func(a, b candidate) int {
 		return cmp.Or(
-			cmp.Compare(st.avoided(a.worker, suspect), st.avoided(b.worker, suspect)),
+			cmp.Compare(avoided[a.worker], avoided[b.worker]),
 			cmp.Compare(st.speedClass(a.worker), st.speedClass(b.worker)),
 			cmp.Compare(st.rackDistance(a.worker), st.rackDistance(b.worker)),
 			cmp.Compare(b.slots, a.slots), cmp.Compare(a.worker.freeProcessors(), b.worker.freeProcessors()),
@@ -126,16 +131,18 @@
 	return sum
 }
 
-// avoided is 1 for workers on which a member failed or hung, and, if the step is suspect, for workers with
-// another suspect.
-func (st *step) avoided(wk *worker, suspect bool) int {
-	if suspect && wk.hasOtherSuspect(st) {
-		return 1
-	}
+// avoidedWorkers returns 1 for those of the workers on which a member failed or hung, and, if the step is suspect, for workers
+// with another suspect.
+func (st *step) avoidedWorkers(cands []candidate) map[*worker]int {
+	avoided, suspect := map[*worker]int{}, st.suspect()
+	ids := map[incarnation.ID]bool{}
 	for _, tk := range st.tasks {
-		if tk.avoid[wk.ID] {
-			return 1
+		maps.Copy(ids, tk.avoid)
+	}
+	for _, cand := range cands {
+		if wk := cand.worker; ids[wk.ID] || suspect && wk.hasOtherSuspect(st) {
+			avoided[wk] = 1
 		}
 	}
-	return 0
+	return avoided
 }
--- a/policy/cell/placement.go
+++ b/policy/cell/placement.go
@@ -92,6 +92,7 @@
 		tk.step.unplaced--
 	}
 	tk.runs++
+	tk.step.unstopped++
 	if tk.placement == nil || tk.placement.run < run {
 		tk.placement = pl
 	}
@@ -107,6 +108,9 @@
 	}
 	delete(pl.worker.placements, ky)
 	delete(cl.stopping, pl)
+	if pl.state != stopping {
+		pl.task.step.unstopped--
+	}
 	pl.task.runs--
 	if st := pl.task.step; pl.task.runs == 0 && !pl.task.done {
 		pl.task.releasedAt = cl.now
@@ -127,6 +131,17 @@
 	cl.resolveStart(pl)
 }
 
+// setState sets the state of a run.
+func (pl *placement) setState(next state) {
+	switch st := pl.task.step; {
+	case pl.state != stopping && next == stopping:
+		st.unstopped--
+	case pl.state == stopping && next != stopping:
+		st.unstopped++
+	}
+	pl.state = next
+}
+
 // stop orders the end of a run.
 func (cl *Cell) stop(pl *placement, reason string) {
 	if pl.state == stopping {
@@ -136,7 +151,7 @@
 		cl.release(pl)
 		return
 	}
-	pl.state = stopping
+	pl.setState(stopping)
 	cl.stopping[pl] = true
 	run := Run{Task: pl.task.name(), Number: pl.run}
 	cl.record(Record{Worker: pl.worker.ID, Stop: true, Held: []Run{run}})
@@ -158,8 +173,12 @@
 	}
 }
 
-// stopGang stops all members of a run of a gang, and of earlier ones, so that the gang can restart.
+// stopGang stops all members of a run of a gang, and of earlier ones, so that the gang can restart. It is called for each member
+// that is lost, and looks at the members only while some are not being stopped.
 func (cl *Cell) stopGang(st *step, run int, reason string) {
+	if st.unstopped == 0 {
+		return
+	}
 	for _, tk := range st.tasks {
 		if tk.placement != nil && tk.placement.run <= run {
 			cl.stop(tk.placement, reason)
@@ -212,7 +231,7 @@
 		}
 		return
 	}
-	pl.state = running
+	pl.setState(running)
 	pl.runningSince, pl.progressAt, pl.begunAt = now, now, now
 	cl.runSeen(now, pl)
 	if !pl.task.step.def.LongRunning {
@@ -284,7 +303,8 @@
 	if pl == nil || pl.state != ordered {
 		return
 	}
-	pl.state, pl.unconfirmedAt = unconfirmed, now
+	pl.setState(unconfirmed)
+	pl.unconfirmedAt = now
 	cl.out.ReportRequests = append(cl.out.ReportRequests, sr.Worker)
 }
 
--- a/policy/cell/progress.go
+++ b/policy/cell/progress.go
@@ -13,10 +13,12 @@
 	cl.runSeen(now, pl)
 	switch {
 	case pl.state == ordered || pl.state == unconfirmed:
-		pl.state, pl.runningSince = running, now
+		pl.setState(running)
+		pl.runningSince = now
 		cl.beginJob(pl.task.step.round.job)
 	case pl.inherited: // the earlier planner's stop has not arrived
-		pl.inherited, pl.state = false, running
+		pl.inherited = false
+		pl.setState(running)
 		cl.stop(pl, "stop ordered by an earlier planner")
 	}
 	if rn.Percent != pl.percent {
--- a/policy/cell/restart.go
+++ b/policy/cell/restart.go
@@ -43,7 +43,8 @@
 	var lost []*placement
 	for _, pl := range wk.placements {
 		if pl.mayBeDelayed() {
-			pl.state, pl.unconfirmedAt = unconfirmed, now
+			pl.setState(unconfirmed)
+			pl.unconfirmedAt = now
 			continue
 		}
 		lost = append(lost, pl)
@@ -87,7 +88,8 @@
 // adopt records that an earlier planner started the run. Which attempts of the start got no answer is not known: one may
 // be in transit until MaxOrderDelay after the term began, from which all times count.
 func (pl *placement) adopt() {
-	pl.state, pl.adopted, pl.delayedUntil = running, true, MaxOrderDelay
+	pl.setState(running)
+	pl.adopted, pl.delayedUntil = true, MaxOrderDelay
 }
 
 // MayHaveDelayedRuns reports whether the start of a run on a worker may be carried out in the worker's next incarnation,
--- a/policy/cell/round.go
+++ b/policy/cell/round.go
@@ -36,6 +36,8 @@
 	remaining int
 	// unplaced counts the tasks that have to be placed: not done, and not on a worker.
 	unplaced int
+	// unstopped counts the runs of its tasks that are not being stopped.
+	unstopped int
 	// restarts counts those of them that have run before, if the step is long-running, in the current plan.
 	restarts int
 	// restartsSince is since when the first of these has waited.
--- a/policy/cell/stepcost_test.go
+++ b/policy/cell/stepcost_test.go
@@ -138,6 +138,8 @@
 	const count = 10000
 	needs := map[string]size.Size{"nothing": {}, "a thousandth of a core": size.New(1, 1, 0), "a worker": size.New(64000, 1000, 0)}
 	kinds := map[string]work.Step{
+		"gang":                       {Gang: true, Estimate: time.Minute},
+		"long-running gang":          {Gang: true, LongRunning: true},
 		"batch":                      {Estimate: time.Minute},
 	}
 	return func(yield func(string, work.Step) bool) {
--- a/policy/cell/worker.go
+++ b/policy/cell/worker.go
@@ -182,7 +182,8 @@
 		if pl == nil {
 			pl = cl.place(now, tk, wk, rn.Number)
 		}
-		pl.state, pl.inherited, pl.delayedUntil = stopping, true, MaxOrderDelay
+		pl.setState(stopping)
+		pl.inherited, pl.delayedUntil = true, MaxOrderDelay
 		cl.stopping[pl] = true
 	}
 }
