Show which steps of a plan took longest

Cause: "Planner statistics" and planner.plan have the time of plans, not what took it.

Change: each look at the time of a plan notes how long the steps since the last one took. "Planner statistics" names the longest plan, the slowest steps and the first of them; planner.plan_slowest_steps_ms is for alarms. A plan looks at the time once more after its last step, so that a plan of a few steps is measured too.

Measured: TestSlowestSteps names a slow step that comes alone as well as one among twenty. There was no such measure before.

--- a/internal/planner/stats.go
+++ b/internal/planner/stats.go
@@ -14,9 +14,9 @@
 // stats counts the planner's work since the last log line about it.
 type stats struct {
 	since time.Duration
-	// plans is the number of planning passes, planned the time that they took.
-	plans   int
-	planned time.Duration
+	// plans is the number of planning passes, planned the time that they took, longest that of the longest one.
+	plans            int
+	planned, longest time.Duration
 	// sent counts the starts, inFlight those without an outcome yet, and maxInFlight is the maximum of inFlight.
 	sent, inFlight, maxInFlight int
 	// ended counts the starts that had an outcome, refused those of them that were refused, and took is the total time
@@ -32,6 +32,7 @@
 func (st *stats) plan(took time.Duration) {
 	st.plans++
 	st.planned += took
+	st.longest = max(st.longest, took)
 }
 
 func (st *stats) begin() {
@@ -62,7 +63,10 @@
 	}
 	_, waiting, _ := ld.cell.Counts()
 	window, _ := ld.cell.StartWindow()
-	ld.log.Info("Planner statistics.", "over", (now - st.since).String(), "plans", st.plans, "planned", st.planned.String(), "cut", ld.cell.CutPlans(),
+	slowest, first := ld.cell.TakeSlowestSteps()
+	ld.metrics.gauge("planner.plan_slowest_steps_ms", int(slowest.Milliseconds()))
+	ld.log.Info("Planner statistics.", "over", (now - st.since).String(), "plans", st.plans, "planned", st.planned.String(), "longest", st.longest.String(), "cut", ld.cell.CutPlans(),
+		"slowest_steps", slowest.String(), "slowest_from", first.StepName(),
 		"steps_waiting", waiting, "starts", st.sent, "window", window, "in_flight", st.inFlight, "most_in_flight", st.maxInFlight,
 		"start_took", each.String(), "refused", st.refused, "holds", st.holds, "questions", st.adviceRequests,
 		"collector_s", collected-st.gcSeconds, "heap_mb", heap>>20, "memory_mb", memory>>20,
--- a/policy/cell/advicerequest.go
+++ b/policy/cell/advicerequest.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"tackbeam.example/policy/incarnation"
-	"tackbeam.example/policy/work"
 )
 
 // Limits of advice requests.
@@ -282,7 +281,7 @@
 	}
 	qu := st.round.job.spec.Queue
 	rq := AdviceRequest{
-		Step:    work.Task{Job: st.round.job.spec.ID, Round: st.round.num, Step: st.num},
+		Step:    st.name(),
 		Workers: ids, Urgent: st.urgent(),
 		Takes: qu.AdviceBase + time.Duration(len(ids))*qu.AdviceEach,
 	}
--- a/policy/cell/plantime.go
+++ b/policy/cell/plantime.go
@@ -4,6 +4,8 @@
 	"iter"
 	"slices"
 	"time"
+
+	"tackbeam.example/policy/work"
 )
 
 // Bounds of the time of a plan. Meanwhile no report, start or question is handled.
@@ -21,6 +23,10 @@
 	urgent, others resumption
 	// cuts counts the plans that were cut.
 	cuts int
+	// lookedAt is when the time was last looked at. slowest is the longest time between two looks since TakeSlowestSteps was last
+	// called, slowestFirst the first step that was planned in it.
+	lookedAt, slowest time.Duration
+	slowestFirst      work.Task
 }
 
 // resumption is the rank of the first step that was not reached, if set.
@@ -32,6 +38,25 @@
 // CutPlans returns how many plans did not reach all steps for lack of time.
 func (cl *Cell) CutPlans() int { return cl.planTime.cuts }
 
+// TakeSlowestSteps returns the longest time that up to eight consecutive steps of a plan took since it was last called, and the
+// first of these steps.
+func (cl *Cell) TakeSlowestSteps() (took time.Duration, first work.Task) {
+	pt := &cl.planTime
+	took, first = pt.slowest, pt.slowestFirst
+	pt.slowest, pt.slowestFirst = 0, work.Task{}
+	return took, first
+}
+
+// look returns the time, and notes how long the steps since the last look took.
+func (cl *Cell) look(first *step) time.Duration {
+	pt, now := &cl.planTime, cl.opts.Watch()
+	if took := now - pt.lookedAt; took > pt.slowest {
+		pt.slowest, pt.slowestFirst = took, first.name()
+	}
+	pt.lookedAt = now
+	return now
+}
+
 // withinTime returns the steps to plan, with their positions in the order: urgent ones, then the others, each until their time is
 // over. Steps that are not reached keep their reservations.
 func (cl *Cell) withinTime(order []ranked) iter.Seq2[int, ranked] {
@@ -41,6 +66,7 @@
 			return
 		}
 		began, pt := cl.opts.Watch(), &cl.planTime
+		pt.lookedAt = began
 		urgents, _ := slices.BinarySearchFunc(order, groupUrgent+1, func(rd ranked, group int) int { return rd.rank.group - group })
 		cutUrgent := cl.yieldUntil(began+maxUrgentPlanTime, order, 0, urgents, &pt.urgent, yield)
 		if cl.yieldUntil(began+maxPlanTime, order, urgents, len(order), &pt.others, yield) || cutUrgent {
@@ -65,17 +91,28 @@
 		first, _ = slices.BinarySearchFunc(order[from:to], rs.rank, func(rd ranked, rk rank) int { return rd.rank.compare(rk) })
 	}
 	rs.set = false
+	var unlooked *step // the first one since the last look
 	for n := range count {
 		i := from + (first+n)%count
-		if n%stepsPerLook == stepsPerLook-1 && cl.opts.Watch() > end {
-			*rs = resumption{true, order[i].rank}
-			cl.keepReservations(order, from, count, first+n, count-n)
-			return true
+		if n%stepsPerLook == stepsPerLook-1 {
+			late := cl.look(unlooked) > end
+			unlooked = nil
+			if late {
+				*rs = resumption{true, order[i].rank}
+				cl.keepReservations(order, from, count, first+n, count-n)
+				return true
+			}
+		}
+		if unlooked == nil {
+			unlooked = order[i].step
 		}
 		if !yield(i, order[i]) {
 			return false
 		}
 	}
+	if unlooked != nil {
+		cl.look(unlooked)
+	}
 	return false
 }
 
--- a/policy/cell/plantime_test.go
+++ b/policy/cell/plantime_test.go
@@ -169,3 +169,34 @@
 		t.Errorf("%d workers are reserved for the large step after %d plans were cut", kept, cl.CutPlans())
 	}
 }
+
+// TestSlowestSteps guards against a long plan that does not show which steps took its time.
+func TestSlowestSteps(t *testing.T) {
+	const steps, slowLook, slow = 20, 3, 700 * time.Millisecond // looks: at the beginning of a plan, after 7 steps, then after 8 more
+	patient := work.Queue{Name: "p", Service: "svc", Attempts: 3, Priority: 1, Stretch: 2, Target: time.Second}
+	var elapsed time.Duration
+	looks := 0
+	cl := newTestCellWith(2, cell.Options{Watch: func() time.Duration {
+		elapsed += time.Millisecond
+		if looks++; looks == slowLook {
+			elapsed += slow
+		}
+		return elapsed
+	}})
+	for num := range steps {
+		submitStep(cl, fmt.Sprintf("p%02d", num), work.Step{Count: 1, Need: size.New(65000, 0, 0)}, patient)
+	}
+	cl.Plan(0)
+	if took, first := cl.TakeSlowestSteps(); took != slow+time.Millisecond || first.StepName() != "p07.0.0" {
+		t.Errorf("the slowest steps took %v from %s on", took, first)
+	}
+	if took, _ := cl.TakeSlowestSteps(); took != 0 {
+		t.Errorf("steps that took %v were returned twice", took)
+	}
+	submitStep(cl, "single", work.Step{Count: 1, Need: size.New(65000, 0, 0)}, work.Queue{Name: "u", Service: "svc", Attempts: 3})
+	looks = slowLook - 2
+	cl.Plan(0)
+	if took, first := cl.TakeSlowestSteps(); took < slow || first.StepName() != "single.0.0" {
+		t.Errorf("the slowest steps took %v from %s on, want a single urgent step", took, first)
+	}
+}
--- a/policy/cell/round.go
+++ b/policy/cell/round.go
@@ -121,6 +121,11 @@
 	avoid map[incarnation.ID]bool
 }
 
+// name names the step by its first task.
+func (st *step) name() work.Task {
+	return work.Task{Job: st.round.job.spec.ID, Round: st.round.num, Step: st.num}
+}
+
 func (tk *task) name() work.Task {
 	return work.Task{Job: tk.step.round.job.spec.ID, Round: tk.step.round.num, Step: tk.step.num, Index: tk.index}
 }
--- a/policy/cell/waiting.go
+++ b/policy/cell/waiting.go
@@ -69,7 +69,7 @@
 // waitingStep describes a step with a task that waits.
 func (cl *Cell) waitingStep(now time.Duration, st *step, tk *task) WaitingStep {
 	ws := WaitingStep{
-		Step:   work.Task{Job: st.round.job.spec.ID, Round: st.round.num, Step: st.num},
+		Step:   st.name(),
 		Waited: now - st.readyAt,
 		Tasks:  st.unplaced, Placed: st.remaining - st.unplaced,
 		AdvicePending: st.advice.pending > 0, Asked: len(st.advice.verdicts), Allowed: len(st.advice.allowed),
