Count the tasks that fit a worker instead of listing them

Cause: to find room for the lost tasks, openingsOn made an element for each task that a worker could hold: 2^20 for tasks that take no room, on each worker, and cut the list to the step's count only at the end. Steps with many small tasks made count elements a worker, which were then sorted. All of this is one step's own search, within which a plan is not cut, and under the lock of the planner's state. Reports wait meanwhile, so the tasks find no worker that reported recently, and the next plan is as long. The node keeps its lease, and a next planner does the same.

Change: an opening is a worker, a time and the number of tasks that fit. A worker has at most one for what is free and one for each run that ends, so the cost follows workers and runs. Decisions are the same: the elements that are merged were next to each other in the order. The runs of a worker that has room for the whole step are not looked at.

--- a/policy/cell/advicerequest.go
+++ b/policy/cell/advicerequest.go
@@ -161,17 +161,18 @@
 		return
 	}
 	qu := st.round.job.spec.Queue
-	count := min(int(float64(st.unplaced)*ticketSurplus)+1, len(list))
+	count := min(int(float64(st.unplaced)*ticketSurplus)+1, openSlots(list))
 	takes := qu.AdviceBase + time.Duration(min(count, cl.maxWorkers(st)))*qu.AdviceEach
 	if st.expectedAt > now+takes+ticketLead {
 		return
 	}
 	until := cl.latestArrival(max(st.expectedAt, now+takes))
-	ids, lacks := st.withoutTicket(list[:count], until)
+	soonest := firstOpenings(list, count)
+	ids, lacks := st.withoutTicket(soonest, until)
 	if len(ids) > maxStepWorkers {
 		// One set of requests cannot renew all tickets. Workers that have one are left out, or the same ones
 		// would be named in every request and the others never.
-		if missing, _ := st.withoutTicket(list[:count], cl.latestArrival(now)); len(missing) > 0 {
+		if missing, _ := st.withoutTicket(soonest, cl.latestArrival(now)); len(missing) > 0 {
 			ids = missing
 		}
 		ids = ids[:min(len(ids), maxStepWorkers)]
@@ -182,15 +183,16 @@
 }
 
 // withoutTicket returns the workers of the openings whose tickets expire by a time, and reports whether any of
-// them is among the first openings, as many as the gang has tasks.
+// them is among the first openings, which have capacity for all tasks of the gang.
 func (st *step) withoutTicket(list []opening, until time.Duration) (ids []incarnation.ID, lacks bool) {
-	seen := map[*worker]bool{}
-	for i, op := range list {
+	seen, before := map[*worker]bool{}, 0
+	for _, op := range list {
 		if !seen[op.worker] && !st.advice.hasTicketUntil(op.worker, until) {
 			ids = append(ids, op.worker.ID)
-			lacks = lacks || i < st.unplaced
+			lacks = lacks || before < st.unplaced
 		}
 		seen[op.worker] = true
+		before += op.slots
 	}
 	return ids, lacks
 }
--- a/policy/cell/longrunning.go
+++ b/policy/cell/longrunning.go
@@ -124,7 +124,7 @@
 	if reselect {
 		st.selectedAt = now
 		free := slices.DeleteFunc(slices.Clone(list), func(op opening) bool { return !st.mayReserve(op.worker) })
-		chosen, _ := earliestOpenings(st, free, min(cl.lackingRestarts(st), len(free)))
+		chosen, _ := earliestOpenings(st, free, min(cl.lackingRestarts(st), openSlots(free)))
 		cl.setReservation(st, chosen)
 		cl.preemptForRestart(now, st, free)
 	}
@@ -160,7 +160,7 @@
 	due := max(leaseEnd+maxRestartDelay, stopped)
 	for _, op := range free {
 		if op.at <= due {
-			missing--
+			missing -= op.slots
 		}
 	}
 	for ; missing > 0; missing-- {
@@ -224,14 +224,14 @@
 // task may run again, and are renewed before they expire. The openings are sorted by time.
 func (cl *Cell) requestForRestart(now time.Duration, st *step, list []opening, lacking int) {
 	var ids []incarnation.ID
-	limit := minWorkers(st)
+	limit, slots := minWorkers(st), openSlots(list)
 	qu := st.round.job.spec.Queue
-	takes := qu.AdviceBase + time.Duration(min(limit, len(list)))*qu.AdviceEach
+	takes := qu.AdviceBase + time.Duration(min(limit, slots))*qu.AdviceEach
 	if at := st.restartAt(now); at <= now+takes+ticketLead {
 		ids, _ = st.withoutTicket(list, cl.latestArrival(max(at, now+takes)))
 		ids = ids[:min(len(ids), limit)]
 	}
-	if want := restartMargin*lacking - len(list); want > 0 {
+	if want := restartMargin*lacking - slots; want > 0 {
 		unknown := st.advice.withoutVerdict(cl.candidates(st, backward(cl.poolWorkers(st)), spreadCapacity))
 		ids = slices.Concat(ids, pickWorkers(unknown, float64(want), cl.queue(qu.Name).allowedShare, limit, maxRequestWorkers))
 	}
--- a/policy/cell/reservation.go
+++ b/policy/cell/reservation.go
@@ -128,7 +128,7 @@
 	list := cl.openings(now, st, st.mayReserve)
 	want := cl.wanted(st)
 	if !st.def.Gang {
-		want = min(want, len(list)) // its tasks start one by one
+		want = min(want, openSlots(list)) // its tasks start one by one
 	}
 	chosen, ok := earliestOpenings(st, list, want)
 	if !ok {
@@ -136,7 +136,8 @@
 		cl.releaseReservation(st)
 		return
 	}
-	st.expectedAt = list[want-1].at
+	first := firstOpenings(list, want)
+	st.expectedAt = first[len(first)-1].at
 	if st.promisedAt == 0 || st.expectedAt < st.promisedAt {
 		st.promisedAt = st.expectedAt
 	}
@@ -174,10 +175,33 @@
 	return st.restarting() || cl.ignoreReserved || cl.now+cl.expectedRunTime(st) <= wk.reservedFor.promisedAt
 }
 
-// opening is free capacity for one task of a step on a worker from a time on.
+// opening is free capacity for a number of tasks of a step on a worker from a time on.
 type opening struct {
 	worker *worker
 	at     time.Duration
+	slots  int
+}
+
+// openSlots is the number of tasks that all openings have capacity for.
+func openSlots(list []opening) int {
+	sum := 0
+	for _, op := range list {
+		sum += op.slots
+	}
+	return sum
+}
+
+// firstOpenings returns the first of the openings, with capacity for as many tasks as wanted, or all of them if they have less.
+func firstOpenings(list []opening, want int) []opening {
+	for i, op := range list {
+		if want <= op.slots {
+			first := slices.Clone(list[:i+1])
+			first[i].slots = want
+			return first
+		}
+		want -= op.slots
+	}
+	return list
 }
 
 // openings returns where and when there will be capacity for tasks of a step on the admitted workers, estimated from the
@@ -210,13 +234,40 @@
 	return st.late && other.planIndex > st.planIndex
 }
 
-// openingsOn returns the openings on one worker, sorted by time. It leaves out capacity that the step could not
-// use: more than its limit of tasks per worker, and that of long-running tasks, which do not end.
+// openingsOn returns the openings on one worker, sorted by time. There is at most one for what is free now and one for each
+// run that ends, however many tasks fit. It leaves out capacity that the step could not use: more than its limit of tasks per
+// worker, and that of long-running tasks, which do not end.
 func (cl *Cell) openingsOn(now time.Duration, st *step, wk *worker) []opening {
-	type ending struct {
-		at        time.Duration
-		placement *placement
+	limit := len(st.tasks)
+	if st.def.PerWorker > 0 {
+		limit = max(st.def.PerWorker-st.tasksOn(wk), 0)
+	}
+	free, slots := wk.Capacity.Sub(wk.used), 0
+	var list []opening
+	add := func(at time.Duration) {
+		if count := min(free.FitCount(st.need()), limit); count > slots {
+			list = append(list, opening{wk, at, count - slots})
+			slots = count
+		}
+	}
+	if add(now); slots == limit {
+		return list
+	}
+	for _, end := range cl.endings(now, wk) {
+		free = free.Add(end.placement.need)
+		add(end.at)
 	}
+	return list
+}
+
+// ending is when a run is expected to end.
+type ending struct {
+	at        time.Duration
+	placement *placement
+}
+
+// endings returns when the runs of a worker are expected to end, sorted by time, without long-running ones.
+func (cl *Cell) endings(now time.Duration, wk *worker) []ending {
 	ends := make([]ending, 0, len(wk.placements))
 	for _, pl := range wk.placements {
 		if pl.task.step.def.LongRunning && pl.state != stopping {
@@ -229,39 +280,25 @@
 		ends = append(ends, ending{now + remaining, pl})
 	}
 	slices.SortFunc(ends, func(a, b ending) int { return cmp.Compare(a.at, b.at) })
-	free := wk.Capacity.Sub(wk.used)
-	limit := len(st.tasks)
-	if st.def.PerWorker > 0 {
-		limit = max(st.def.PerWorker-st.tasksOn(wk), 0)
-	}
-	var list []opening
-	for range free.FitCount(st.need()) {
-		list = append(list, opening{wk, now})
-	}
-	for _, end := range ends {
-		free = free.Add(end.placement.need)
-		for range free.FitCount(st.need()) - len(list) {
-			list = append(list, opening{wk, end.at})
-		}
-	}
-	return list[:min(limit, len(list))]
+	return ends
 }
 
-// earliestOpenings sorts the openings by time and chooses the first ones, as many as wanted.
+// earliestOpenings sorts the openings by time and chooses the first ones, with capacity for as many tasks as wanted.
 func earliestOpenings(st *step, list []opening, want int) ([]candidate, bool) {
-	if want == 0 || len(list) < want {
+	if want == 0 || openSlots(list) < want {
 		return nil, false
 	}
 	sortOpenings(st, list)
-	counts := map[*worker]int{}
+	indexes := map[*worker]int{}
 	var chosen []candidate
-	for _, op := range list[:want] {
-		if counts[op.worker]++; counts[op.worker] == 1 {
+	for _, op := range firstOpenings(list, want) {
+		i, known := indexes[op.worker]
+		if !known {
+			i = len(chosen)
+			indexes[op.worker] = i
 			chosen = append(chosen, candidate{worker: op.worker})
 		}
-	}
-	for i := range chosen {
-		chosen[i].slots = counts[chosen[i].worker]
+		chosen[i].slots += op.slots
 	}
 	return chosen, true
 }
--- a/policy/cell/stepcost_test.go
+++ b/policy/cell/stepcost_test.go
@@ -23,6 +23,7 @@
 	workers     []incarnation.ID
 	lastReports time.Duration
 	held        map[incarnation.ID][]cell.Run
+	stops       int
 	ends        map[incarnation.ID]int
 	longest     map[string]time.Duration
 }
@@ -63,9 +64,14 @@
 	out := bd.cl.TakeOutput()
 	for _, sr := range out.Starts {
 		bd.cl.Started(bd.now, sr)
-		bd.held[sr.Worker] = append(bd.held[sr.Worker], cell.Run{Task: sr.Task, Number: sr.Run, Percent: 100})
+		rn := cell.Run{Task: sr.Task, Number: sr.Run, Percent: 100}
+		if sr.Task.Job == fillerJob {
+			rn.Percent = 1
+		}
+		bd.held[sr.Worker] = append(bd.held[sr.Worker], rn)
 	}
 	allowEverySecond(bd.cl, out)
+	bd.stops += len(out.Stops)
 	stopped := map[incarnation.ID][]cell.End{}
 	for _, sp := range out.Stops {
 		bd.cl.Stopped(bd.now, sp)
@@ -90,6 +96,11 @@
 	}
 	bd.lastReports = bd.now
 	for _, id := range bd.workers {
+		for i := range bd.held[id] {
+			if rn := &bd.held[id][i]; rn.Task.Job == fillerJob {
+				rn.Percent++
+			}
+		}
 		bd.report(id, nil)
 	}
 }
@@ -105,6 +116,17 @@
 	return best
 }
 
+// fillerJob fills the cell with long runs.
+const fillerJob = "batch"
+
+// fill starts long runs until the cell is full.
+func (bd *costTestbed) fill(count int, need size.Size) {
+	submitStep(bd.cl, fillerJob, work.Step{Count: count, Need: need, Estimate: time.Hour}, work.Queue{Name: "b", Service: "svc", Attempts: 3, Priority: 2})
+	for range 40 {
+		bd.plan(20 * time.Millisecond)
+	}
+}
+
 // lose makes plans while the fullest worker does not answer, and after its lease has expired.
 func (bd *costTestbed) lose() {
 	const plans, expiry = 20, 10
@@ -138,6 +160,9 @@
 	const count = 10000
 	needs := map[string]size.Size{"nothing": {}, "a thousandth of a core": size.New(1, 1, 0), "a worker": size.New(64000, 1000, 0)}
 	kinds := map[string]work.Step{
+		"long-running":               {LongRunning: true, MaxUnavailable: count},
+		"best-effort":                {LongRunning: true, BestEffort: true, MaxUnavailable: 1},
+		"long-running, one a worker": {LongRunning: true, PerWorker: 1},
 		"gang":                       {Gang: true, Estimate: time.Minute},
 		"long-running gang":          {Gang: true, LongRunning: true},
 		"batch":                      {Estimate: time.Minute},
@@ -177,13 +202,54 @@
 				for range 160 {
 					bd.plan(20 * time.Millisecond)
 				}
-				submitStep(bd.cl, "full", work.Step{Count: 8000, Need: size.New(2400, 100, 0), Estimate: time.Hour}, work.Queue{Name: "f", Service: "svc", Attempts: 3, Priority: 2})
-				for range 40 {
-					bd.plan(20 * time.Millisecond)
-				}
+				bd.fill(8000, size.New(2400, 100, 0))
 				bd.lose()
 				bd.check(t)
 			})
 		}
 	}
 }
+
+// TestTakeoverCost is TestStepCost for a planner that takes over while the worker with most runs does not answer.
+func TestTakeoverCost(t *testing.T) {
+	const workers, jobs, firstRun = 300, 2, 100
+	for name, def := range costCases() {
+		for queueName, qu := range costQueues {
+			t.Run(name+"/"+queueName, func(t *testing.T) {
+				earlier := newCostTestbed(workers)
+				for num := range jobs {
+					submitStep(earlier.cl, fmt.Sprint("job", num), def, qu)
+				}
+				for range 160 {
+					earlier.plan(20 * time.Millisecond)
+				}
+				bd, lost := *earlier, earlier.fullest()
+				bd.lastReports = 0
+				bd.cl, bd.now = cell.New(cell.Options{Retention: time.Minute, FirstRun: firstRun, InitialWindow: 64, StopTimeout: 400 * time.Millisecond, Watch: bd.watch}), 0
+				bd.measure("load", func() {
+					for num := range jobs {
+						bd.cl.Add(0, &work.Job{ID: fmt.Sprint("job", num), Spec: "s", Queue: qu, Steps: []work.Step{def}}, true)
+					}
+					for _, id := range earlier.workers {
+						bd.cl.PutWorker(0, cell.Worker{ID: id, Service: "svc", Capacity: size.New(64000, 128000, 0)})
+						bd.cl.InheritRuns(0, id, bd.held[id])
+						if id != lost {
+							bd.cl.Report(0, id, 0, bd.held[id], nil)
+						}
+					}
+				})
+				bd.cl.Unreachable(0, lost, time.Second)
+				bd.workers = slices.DeleteFunc(bd.workers, func(id incarnation.ID) bool { return id == lost })
+				for range 5 {
+					bd.plan(150 * time.Millisecond)
+				}
+				bd.measure("loss", func() { bd.cl.LeaseExpired(bd.now, lost) })
+				bd.measure("end of the recovery", bd.cl.FinishRecovery)
+				for range 5 {
+					bd.plan(150 * time.Millisecond)
+				}
+				bd.check(t)
+			})
+		}
+	}
+}
