Stop only as many runs as make room for lost long-running tasks

After the loss of a worker with many small long-running tasks in a full cell, a plan takes seconds, and a run of others is stopped for each lost task.

Cause: preemptForRestart looked through all runs of all workers once for each missing task, and took each stopped run for the room of one task, however many it makes room for.

Change: the runs are collected and sorted once, and each counts for the tasks that its worker gains room for. A run whose stop adds no room is left alone.

--- a/policy/cell/longrunning.go
+++ b/policy/cell/longrunning.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tackbeam.example/policy/incarnation"
+	"tackbeam.example/policy/size"
 )
 
 // A long-running task serves users of its own, so one that has lost its run must run again soon, however full the
@@ -163,25 +164,60 @@
 			missing -= op.slots
 		}
 	}
-	for ; missing > 0; missing-- {
-		pl := cl.cheapestPreemption(now, st)
-		if pl == nil {
-			return
-		}
+	for _, pl := range cl.preemptions(now, st, missing) {
 		st.preemptAfter = now + maxRestartDelay // the room may be refused, and must not be made again at once
 		st.selectedAt = 0                       // the next plan reserves the room that is made
 		cl.stop(pl, "room for a long-running task that lost its worker")
 	}
 }
 
-// cheapestPreemption returns the run whose stop makes room for a task of the step at the least loss of work, or nil.
-func (cl *Cell) cheapestPreemption(now time.Duration, st *step) *placement {
+// preemption is a run that may be stopped to make room for a step.
+type preemption struct {
+	placement *placement
+	loss      float64
+	// slots is how many tasks of the step its worker would have room for if nothing else ran there.
+	slots int
+}
+
+// preemptions returns the runs whose stops make room for as many tasks of the step as wanted, at the least loss of work. Each of
+// them makes room for a task by itself.
+func (cl *Cell) preemptions(now time.Duration, st *step, want int) []*placement {
+	if want <= 0 {
+		return nil
+	}
+	list := cl.preemptionsOf(now, st)
+	slices.SortFunc(list, func(a, b preemption) int {
+		return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(a.placement.worker.ID, b.placement.worker.ID))
+	})
+	var chosen []*placement
+	rooms := map[*worker]size.Size{}
+	for _, pr := range list {
+		wk := pr.placement.worker
+		room, known := rooms[wk]
+		if !known {
+			room = wk.Capacity.Sub(wk.used)
+		}
+		rooms[wk] = room.Add(pr.placement.need)
+		gained := min(rooms[wk].FitCount(st.need()), pr.slots) - min(room.FitCount(st.need()), pr.slots)
+		if gained == 0 {
+			rooms[wk] = room // it stays
+			continue
+		}
+		chosen = append(chosen, pr.placement)
+		if want -= gained; want <= 0 {
+			break
+		}
+	}
+	return chosen
+}
+
+// preemptionsOf returns the runs each of which makes room for a task of the step if it is stopped.
+func (cl *Cell) preemptionsOf(now time.Duration, st *step) []preemption {
 	workers := backward(cl.poolWorkers(st))
 	if st.advised() {
 		workers = cl.allowedWorkers(st, nil)
 	}
-	var best *placement
-	var least float64
+	var list []preemption
 	for cand := range cl.candidates(st, workers, spreadCapacity) {
 		wk := cand.worker
 		if !st.mayReserve(wk) {
@@ -189,15 +225,12 @@
 		}
 		room := wk.Capacity.Sub(wk.used)
 		for _, pl := range wk.placements {
-			if !pl.preemptible() || !st.need().Fits(room.Add(pl.need)) {
-				continue
-			}
-			if loss := pl.lossIfStopped(now); best == nil || loss < least {
-				best, least = pl, loss
+			if pl.preemptible() && st.need().Fits(room.Add(pl.need)) {
+				list = append(list, preemption{pl, pl.lossIfStopped(now), cand.slots})
 			}
 		}
 	}
-	return best
+	return list
 }
 
 // preemptible reports whether a run may be stopped to make room. The members of a gang would all be stopped, and urgent
--- a/policy/cell/preemption_test.go
+++ b/policy/cell/preemption_test.go
@@ -214,3 +214,33 @@
 		}
 	}
 }
+
+// TestPreemptionMakesRoomForSeveral guards against a stopped run for each lost task, where one makes room for all of them.
+func TestPreemptionMakesRoomForSeveral(t *testing.T) {
+	const workers = 12
+	bd := newCostTestbed(workers)
+	submitStep(bd.cl, "lasting", work.Step{Count: 200, Need: size.New(100, 10, 0), LongRunning: true}, work.Queue{Name: "l", Service: "svc", Attempts: 3, Priority: 1})
+	bd.plan(0)
+	bd.plan(20 * time.Millisecond)
+	bd.plan(20 * time.Millisecond)
+	lost := bd.fullest()
+	if runs := len(bd.held[lost]); runs != 200 {
+		t.Fatalf("%d of 200 tasks run on the worker to be lost", runs)
+	}
+	bd.fill(2*workers, size.New(32000, 100, 0))
+	bd.lose()
+	if bd.stops != 1 {
+		t.Errorf("%d runs were stopped to make room for 200 tasks of a tenth of a core, want one", bd.stops)
+	}
+	running := 0
+	for _, runs := range bd.held {
+		for _, rn := range runs {
+			if rn.Task.Job == "lasting" {
+				running++
+			}
+		}
+	}
+	if running != 200 {
+		t.Errorf("%d of 200 tasks run again", running)
+	}
+}
--- a/policy/cell/stepcost_test.go
+++ b/policy/cell/stepcost_test.go
@@ -202,7 +202,7 @@
 				for range 160 {
 					bd.plan(20 * time.Millisecond)
 				}
-				bd.fill(8000, size.New(2400, 100, 0))
+				bd.fill(9600, size.New(2000, 100, 0))
 				bd.lose()
 				bd.check(t)
 			})
