Count the unavailable tasks of a step once for all that are to move

While a data hall is evacuated, or workers drain, each tick takes over a second under the lock of the planner's state.

Cause: for each long-running task that was to move, all tasks of its step were looked at for those that are not up, and all workers for one that could take it: count times lost runs, and count times workers.

Change: a tick counts the unavailable tasks of a step once and then those that it moves, and looks for another worker once for each step.

--- a/policy/cell/draining.go
+++ b/policy/cell/draining.go
@@ -14,12 +14,13 @@
 
 // moveOffDraining moves work off draining workers if staying would lose it.
 func (cl *Cell) moveOffDraining(now time.Duration) {
+	moves := moves{}
 	for _, wk := range cl.workers {
 		if !wk.Draining || !wk.answered {
 			continue
 		}
 		for _, pl := range wk.placements {
-			if pl.state == running && cl.shouldMove(now, wk, pl) {
+			if pl.state == running && cl.shouldMove(now, wk, pl, moves) {
 				cl.stop(pl, "worker is draining")
 				if pl.task.step.def.Gang {
 					cl.stopGang(pl.task.step, pl.run, "worker of a gang member is draining")
@@ -30,12 +31,12 @@
 }
 
 // shouldMove reports whether a run is better ended now than when the worker leaves.
-func (cl *Cell) shouldMove(now time.Duration, wk *worker, pl *placement) bool {
+func (cl *Cell) shouldMove(now time.Duration, wk *worker, pl *placement, moves moves) bool {
 	def := pl.task.step.def
 	timeLeft := wk.leavesAt - now
 	switch {
 	case def.LongRunning:
-		return pl.task.step.unavailable() < def.MaxUnavailable
+		return moves.take(pl)
 	case pl.percent >= fullPercent:
 		return false
 	case cl.remainingTime(now, pl) <= timeLeft:
@@ -46,6 +47,25 @@
 	return cl.remainingTime(now, pl) > timeLeft+overrunMargin
 }
 
+// moves counts the tasks of long-running steps that are not up, including those that are being moved, so that the tasks of a
+// step are counted once however many of them are to move.
+type moves map[*step]int
+
+// take reports whether a running task may be moved now, and if so counts it.
+func (mv moves) take(pl *placement) bool {
+	st := pl.task.step
+	count, known := mv[st]
+	if !known {
+		count = st.unavailable()
+	}
+	may := count < st.def.MaxUnavailable
+	if may && pl.percent >= fullPercent {
+		count++
+	}
+	mv[st] = count
+	return may
+}
+
 // unavailable counts the tasks of a long-running step that are not up.
 func (st *step) unavailable() int {
 	count := 0
--- a/policy/cell/evacuation.go
+++ b/policy/cell/evacuation.go
@@ -29,13 +29,22 @@
 	if len(cl.evacuated) == 0 {
 		return
 	}
+	moves, elsewhere := moves{}, map[*step]bool{}
 	for _, wk := range cl.workers {
 		if !wk.evacuated || !wk.answers() {
 			continue
 		}
 		for _, pl := range wk.placements {
 			st := pl.task.step
-			if pl.state == running && st.def.LongRunning && !st.def.Gang && st.unplaced == 0 && st.unavailable() < st.def.MaxUnavailable && cl.mayRunElsewhere(st) {
+			if pl.state != running || !st.def.LongRunning || st.def.Gang || st.unplaced > 0 {
+				continue
+			}
+			may, known := elsewhere[st]
+			if !known {
+				may = cl.mayRunElsewhere(st)
+				elsewhere[st] = may
+			}
+			if may && moves.take(pl) {
 				cl.stop(pl, "data hall is evacuated")
 			}
 		}
--- a/policy/cell/stepcost_test.go
+++ b/policy/cell/stepcost_test.go
@@ -204,6 +204,8 @@
 				}
 				bd.fill(9600, size.New(2000, 100, 0))
 				bd.lose()
+				bd.cl.SetEvacuated([]string{evacuatedHall})
+				bd.plan(20 * time.Millisecond)
 				bd.check(t)
 			})
 		}
