Activate the workers of a rack once for all steps that wait for it

With workers on standby and thousands of steps that name a rack, each activation takes seconds under the lock of the planner's state.

Cause: each open step went through all workers on standby for those of its rack: waiting steps times workers.

Change: an activation takes the workers of each rack once.

--- a/policy/cell/demand.go
+++ b/policy/cell/demand.go
@@ -61,10 +61,13 @@
 		}
 		ids = append(ids, cl.standby[service].take(cl.target(us)-us.workers, cl.mayActivate)...)
 	}
-	examined := 0
+	examined, racks := 0, map[rack]bool{}
 	for st := range cl.open {
 		if sb := cl.standby[cl.service(st)]; sb != nil && len(sb.workers) > 0 && st.unplaced > 0 {
-			ids = append(ids, cl.activateRack(sb, st)...)
+			if rk := (rack{cl.service(st), st.def.Rack}); rk.name != "" && !racks[rk] {
+				racks[rk] = true
+				ids = append(ids, cl.activateRack(sb, rk.name)...)
+			}
 			if cl.lacksRoom(now, st) && examined < maxLackingSteps {
 				examined++
 				ids = append(ids, cl.activateFor(now, sb, st)...)
@@ -83,12 +86,12 @@
 	return false
 }
 
-// activateRack takes the workers in the rack of a step's data.
-func (cl *Cell) activateRack(sb *standby, st *step) []incarnation.ID {
-	if st.def.Rack == "" {
-		return nil
-	}
-	return sb.take(len(sb.workers), func(wk *Worker) bool { return wk.Rack == st.def.Rack && cl.mayActivate(wk) })
+// rack is a rack with workers of a service.
+type rack struct{ service, name string }
+
+// activateRack takes the workers in a rack.
+func (cl *Cell) activateRack(sb *standby, name string) []incarnation.ID {
+	return sb.take(len(sb.workers), func(wk *Worker) bool { return wk.Rack == name && cl.mayActivate(wk) })
 }
 
 // activateFor takes workers for a step that lacks room: the longer it does, the more. Few of those in use may suit it,
--- a/policy/cell/stepcost_test.go
+++ b/policy/cell/stepcost_test.go
@@ -255,3 +255,26 @@
 		}
 	}
 }
+
+// TestActivationCost guards against an activation of workers whose time grows with the waiting steps times the workers on standby.
+func TestActivationCost(t *testing.T) {
+	const standby, jobs, steps = 900, 5, 5000
+	bd := newCostTestbed(2)
+	for n := range standby {
+		id := incarnation.ID(fmt.Sprintf("s%03d", n))
+		bd.cl.PutStandby(cell.Worker{ID: id, Service: "svc", Rack: fmt.Sprint("rack", n%100), Capacity: size.New(64000, 128000, 0)})
+	}
+	for num := range jobs {
+		jb := &work.Job{ID: fmt.Sprint("job", num), Spec: "s", Queue: costQueues["any worker"]}
+		for at := range steps {
+			jb.Steps = append(jb.Steps, work.Step{Count: 1, Need: size.New(1, 1, 0), Rack: fmt.Sprint("rack", at%10)})
+		}
+		bd.cl.Add(0, jb, false)
+	}
+	bd.measure("activation", func() {
+		if count := len(bd.cl.Activate(0)); count < standby/10 {
+			t.Errorf("%d workers come into use, want at least those of the racks", count)
+		}
+	})
+	bd.check(t)
+}
