Describe only the long-running steps that are logged

With many long-running steps that lack a run, the planner's log of the longest waits takes most of a second under the lock of its state, every 2 s.

Cause: LongestLacking described all of them, each with a look at all workers, to return twenty: steps that wait times workers.

Change: the steps are sorted first. The variable of type moves gets a name of its own.

--- a/policy/cell/draining.go
+++ b/policy/cell/draining.go
@@ -14,13 +14,13 @@
 
 // moveOffDraining moves work off draining workers if staying would lose it.
 func (cl *Cell) moveOffDraining(now time.Duration) {
-	moves := moves{}
+	mv := moves{}
 	for _, wk := range cl.workers {
 		if !wk.Draining || !wk.answered {
 			continue
 		}
 		for _, pl := range wk.placements {
-			if pl.state == running && cl.shouldMove(now, wk, pl, moves) {
+			if pl.state == running && cl.shouldMove(now, wk, pl, mv) {
 				cl.stop(pl, "worker is draining")
 				if pl.task.step.def.Gang {
 					cl.stopGang(pl.task.step, pl.run, "worker of a gang member is draining")
@@ -30,13 +30,13 @@
 	}
 }
 
-// shouldMove reports whether a run is better ended now than when the worker leaves.
-func (cl *Cell) shouldMove(now time.Duration, wk *worker, pl *placement, moves moves) bool {
+// shouldMove reports whether a run is better ended now than when the worker leaves. A long-running one counts as moved then.
+func (cl *Cell) shouldMove(now time.Duration, wk *worker, pl *placement, mv moves) bool {
 	def := pl.task.step.def
 	timeLeft := wk.leavesAt - now
 	switch {
 	case def.LongRunning:
-		return moves.take(pl)
+		return mv.take(pl)
 	case pl.percent >= fullPercent:
 		return false
 	case cl.remainingTime(now, pl) <= timeLeft:
--- a/policy/cell/evacuation.go
+++ b/policy/cell/evacuation.go
@@ -29,7 +29,7 @@
 	if len(cl.evacuated) == 0 {
 		return
 	}
-	moves, elsewhere := moves{}, map[*step]bool{}
+	mv, elsewhere := moves{}, map[*step]bool{}
 	for _, wk := range cl.workers {
 		if !wk.evacuated || !wk.answers() {
 			continue
@@ -44,7 +44,7 @@
 				may = cl.mayRunElsewhere(st)
 				elsewhere[st] = may
 			}
-			if may && moves.take(pl) {
+			if may && mv.take(pl) {
 				cl.stop(pl, "data hall is evacuated")
 			}
 		}
--- a/policy/cell/lacking.go
+++ b/policy/cell/lacking.go
@@ -79,21 +79,29 @@
 // LongestLacking returns up to limit long-running steps with a task that has lacked a run for at least a given
 // time, longest first. Tasks on workers that do not answer lack one.
 func (cl *Cell) LongestLacking(now, minLack time.Duration, limit int) []WaitingStep {
-	var list []WaitingStep
+	var tks []*task
 	for st := range cl.open {
 		if !st.def.LongRunning {
 			continue
 		}
-		tk, count := st.lacking()
-		if tk == nil || now-tk.lackingSince() < minLack {
-			continue
+		if tk, _ := st.lacking(); tk != nil && now-tk.lackingSince() >= minLack {
+			tks = append(tks, tk)
 		}
+	}
+	slices.SortFunc(tks, func(a, b *task) int {
+		rdA, rdB := a.step.round, b.step.round
+		return cmp.Or(
+			cmp.Compare(a.lackingSince(), b.lackingSince()), cmp.Compare(rdA.job.spec.ID, rdB.job.spec.ID),
+			cmp.Compare(rdA.num, rdB.num), cmp.Compare(a.step.num, b.step.num),
+		)
+	})
+	var list []WaitingStep
+	for _, tk := range tks[:min(limit, len(tks))] { // what a step waits for takes a look at each worker
+		st := tk.step
+		_, count := st.lacking()
 		ws := cl.waitingStep(now, st, tk)
 		ws.Waited, ws.Tasks, ws.Placed = now-tk.lackingSince(), count, st.remaining-count
 		list = append(list, ws)
 	}
-	slices.SortFunc(list, func(a, b WaitingStep) int {
-		return cmp.Or(cmp.Compare(b.Waited, a.Waited), cmp.Compare(a.Step.StepName(), b.Step.StepName()))
-	})
-	return list[:min(limit, len(list))]
+	return list
 }
--- a/policy/cell/stepcost_test.go
+++ b/policy/cell/stepcost_test.go
@@ -278,3 +278,23 @@
 	})
 	bd.check(t)
 }
+
+// TestLongestLackingCost guards against a log line about a few steps whose time grows with all lacking steps times the workers.
+func TestLongestLackingCost(t *testing.T) {
+	const workers, jobs, steps, limit = 300, 5, 5000, 20
+	bd := newCostTestbed(workers)
+	for num := range jobs {
+		jb := &work.Job{ID: fmt.Sprint("job", num), Spec: "s", Queue: costQueues["any worker"]}
+		for range steps {
+			jb.Steps = append(jb.Steps, work.Step{Count: 1, Need: size.New(1, 1, 0), LongRunning: true})
+		}
+		bd.cl.Add(0, jb, false)
+	}
+	bd.plan(0)
+	bd.measure("search for lacking steps", func() {
+		if list := bd.cl.LongestLacking(time.Minute, time.Second, limit); len(list) != limit {
+			t.Errorf("%d steps lack a run for longest, want %d", len(list), limit)
+		}
+	})
+	bd.check(t)
+}
